--- /dev/null
+++ b/cmake/net.cmake
@@ -0,0 +1,42 @@
+# The network shell: everything that includes cpprest, nng or log4cxx headers.
+add_library(burdockhold_net STATIC ${NET_LIST})
+target_link_libraries(burdockhold_net PUBLIC burdockhold_core cpprest Boost::system
+                      OpenSSL::SSL nng log4cxx)
+target_precompile_headers(burdockhold_net PRIVATE <cpprest/http_client.h>
+                          <cpprest/http_listener.h> <cpprest/producerconsumerstream.h>)
+
+foreach(program burdockholdd burdockholdctl)
+  if(EXISTS ${CMAKE_SOURCE_DIR}/tools/${program}.cc)
+    add_executable(${program} tools/${program}.cc)
+    target_link_libraries(${program} PRIVATE burdockhold_net Boost::program_options)
+  endif()
+endforeach()
+
+# Stand-ins for the platform and the endpoints, one program with roles.
+file(GLOB STANDIN_SOURCES CONFIGURE_DEPENDS testing/standin*.cc)
+if(STANDIN_SOURCES)
+  add_executable(standin ${STANDIN_SOURCES})
+  target_link_libraries(standin PRIVATE burdockhold_net Boost::program_options)
+endif()
+
+# Tests of the shell and of real processes: testing/NAME_nettest.cc.
+file(GLOB NET_TESTS CONFIGURE_DEPENDS testing/*_nettest.cc)
+file(GLOB NET_TEST_SUPPORT CONFIGURE_DEPENDS testing/support_*.cc)
+if(NET_TEST_SUPPORT)
+  add_library(test_support STATIC ${NET_TEST_SUPPORT})
+  target_link_libraries(test_support PUBLIC burdockhold_net)
+endif()
+foreach(test_source ${NET_TESTS})
+  get_filename_component(test_name ${test_source} NAME_WE)
+  add_executable(${test_name} ${test_source})
+  target_compile_definitions(${test_name} PRIVATE BOOST_TEST_DYN_LINK
+                             BURDOCKHOLD_SOURCE_DIR="${CMAKE_SOURCE_DIR}"
+                             BURDOCKHOLD_BINARY_DIR="${CMAKE_BINARY_DIR}")
+  target_link_libraries(${test_name} PRIVATE burdockhold_net Boost::unit_test_framework)
+  if(NET_TEST_SUPPORT)
+    target_link_libraries(${test_name} PRIVATE test_support)
+  endif()
+  add_test(NAME ${test_name} COMMAND ${test_name})
+  # Process tests share the machine; they run one at a time so that no verdict depends on load.
+  set_tests_properties(${test_name} PROPERTIES LABELS net TIMEOUT 600 RUN_SERIAL TRUE)
+endforeach()
