--- a/burdockhold/catalogue.h
+++ b/burdockhold/catalogue.h
@@ -14,8 +14,10 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -179,6 +181,38 @@
 /// Returns the kind that an entry's alternative stands for.
 entry_kind kindOf(const entry_value &entry);
 
+/// Names one entry of a catalogue.
+struct entry_id
+{
+    entry_kind kind = entry_kind::Endpoint;
+    std::string name;
+};
+
+inline bool operator<(const entry_id &left, const entry_id &right)
+{
+    return std::tie(left.kind, left.name) < std::tie(right.kind, right.name);
+}
+
+/// Returns an entry with its version, or nothing when the catalogue has none of that name.
+std::optional<versioned<entry_value>> findEntry(const catalogue &state, const entry_id &id);
+
+/// Sets or replaces an entry. Checks nothing.
+void putEntry(catalogue &state, const std::string &name, log_offset version, entry_value value);
+
+/// Removes an entry if it is there.
+void eraseEntry(catalogue &state, const entry_id &id);
+
+/// Returns the names of all entries, by kind, then by name.
+std::vector<entry_id> entryIds(const catalogue &state);
+
+/// Checks that what one entry refers to exists: an account's class, a model's or route's pool (at
+/// least one endpoint), a key's account. A withdrawn key need not refer to anything.
+result<success, catalogue_error> checkReferences(const catalogue &state, const std::string &name,
+                                                 const entry_value &entry);
+
+/// Checks the references of all entries; the first error is returned.
+result<success, catalogue_error> checkReferences(const catalogue &state);
+
 } // namespace burdockhold
 
 #endif
