--- a/burdockhold/catalogue.cc
+++ b/burdockhold/catalogue.cc
@@ -330,9 +330,7 @@
     const auto isPrintable = [](unsigned char c) { return c > ' ' && c != 0x7f; };
     if (!std::all_of(name.begin(), name.end(), isPrintable))
         return "the name must not contain spaces or control characters";
-    const bool isDigest = name.size() == DigestDigits
-                          && name.find_first_not_of("0123456789abcdef") == std::string_view::npos;
-    if (kind == entry_kind::Key && !isDigest)
+    if (kind == entry_kind::Key && !isKeyDigest(name))
         return "the name must be a SHA-256 digest in lower-case hexadecimal";
     return std::nullopt;
 }
@@ -449,6 +447,12 @@
     return writer.text();
 }
 
+bool isKeyDigest(std::string_view text)
+{
+    return text.size() == DigestDigits
+           && text.find_first_not_of("0123456789abcdef") == std::string_view::npos;
+}
+
 entry_kind kindOf(const entry_value &entry)
 {
     return static_cast<entry_kind>(entry.index());
@@ -499,7 +503,9 @@
 result<success, catalogue_error> checkReferences(const catalogue &state, const std::string &name,
                                                  const entry_value &entry)
 {
-    return checkEntry(state, poolsOf(state), name, entry);
+    const bool needsPools = std::holds_alternative<route_entry>(entry)
+                            || std::holds_alternative<model_entry>(entry);
+    return checkEntry(state, needsPools ? poolsOf(state) : pool_names(), name, entry);
 }
 
 result<success, catalogue_error> checkReferences(const catalogue &state)
--- a/burdockhold/catalogue.h
+++ b/burdockhold/catalogue.h
@@ -181,6 +181,9 @@
 /// Returns the kind that an entry's alternative stands for.
 entry_kind kindOf(const entry_value &entry);
 
+/// Returns whether text has the form of a key entry's name: 64 lower-case hexadecimal digits.
+bool isKeyDigest(std::string_view text);
+
 /// Names one entry of a catalogue.
 struct entry_id
 {
--- a/testing/catalogue_test.cc
+++ b/testing/catalogue_test.cc
@@ -7,7 +7,7 @@
 
 namespace {
 
-const std::string Digest(64, 'a');
+const std::string keyDigest(64, 'a');
 
 struct good_entry
 {
@@ -26,7 +26,7 @@
           R"({"owner":"o","class":"gold","tokens_per_second":5.5,"burst_tokens":5.5})" },
         { entry_kind::Route, "r", R"({"owner":"o","method":"GET","path":"/x/*","pool":"p"})" },
         { entry_kind::Model, "m", R"({"owner":"o","pool":"p","version":"v1"})" },
-        { entry_kind::Key, Digest, R"({"owner":"o","account":"a"})" },
+        { entry_kind::Key, keyDigest, R"({"owner":"o","account":"a"})" },
     };
 }
 
@@ -44,7 +44,7 @@
 void expectError(entry_kind kind, const std::string &text, catalogue_error code,
                  const std::string &context)
 {
-    const auto parsed = parseEntry(kind, kind == entry_kind::Key ? Digest : "x", text);
+    const auto parsed = parseEntry(kind, kind == entry_kind::Key ? keyDigest : "x", text);
     BOOST_TEST_CONTEXT(text)
     {
         BOOST_REQUIRE(!isOk(parsed));
@@ -95,7 +95,7 @@
     expectError(entry_kind::Route, R"({"owner":"o","method":"GET","path":"/*/a","pool":"p"})",
                 error::OutOfBounds, "route x: path");
     expectError(entry_kind::Key, R"({"owner":"o"})", error::OutOfBounds,
-                "key " + Digest + ": account");
+                "key " + keyDigest + ": account");
     BOOST_TEST(!isOk(parseEntry(entry_kind::Key, "short", R"({"owner":"o","account":"a"})")));
 }
 
