Add the stand-ins for the platform and the endpoints

Tests and the demo need the log service, the VM list, the weight store, the KV store, engines and plain services, with their failures under the test's control and without third-party servers.

One program, standin, has a role for each. It uses a small HTTP server on plain sockets. cpprest's listener was ruled out because it cannot drop a connection without an answer, leave it silent after a chosen token, or show at once that the caller has gone. The program therefore links only the decision library, and the build now configures it when the shell has no sources yet.

--- a/cmake/net.cmake
+++ b/cmake/net.cmake
@@ -1,9 +1,11 @@
 # The network shell: everything that includes cpprest, nng or log4cxx headers.
-add_library(burdockhold_net STATIC ${NET_LIST})
-target_link_libraries(burdockhold_net PUBLIC burdockhold_core cpprest Boost::system
-                      OpenSSL::SSL nng log4cxx)
-target_precompile_headers(burdockhold_net PRIVATE <cpprest/http_client.h>
-                          <cpprest/http_listener.h> <cpprest/producerconsumerstream.h>)
+if(NET_LIST)
+  add_library(burdockhold_net STATIC ${NET_LIST})
+  target_link_libraries(burdockhold_net PUBLIC burdockhold_core cpprest Boost::system
+                        OpenSSL::SSL nng log4cxx)
+  target_precompile_headers(burdockhold_net PRIVATE <cpprest/http_client.h>
+                            <cpprest/http_listener.h> <cpprest/producerconsumerstream.h>)
+endif()
 
 foreach(program burdockholdd burdockholdctl)
   if(EXISTS ${CMAKE_SOURCE_DIR}/tools/${program}.cc)
@@ -12,11 +14,13 @@
   endif()
 endforeach()
 
-# Stand-ins for the platform and the endpoints, one program with roles.
+# Stand-ins for the platform and the endpoints, one program with roles. They and the test support
+# use plain sockets, so that tests control every byte and every close; they do not link the shell.
 file(GLOB STANDIN_SOURCES CONFIGURE_DEPENDS testing/standin*.cc)
+list(FILTER STANDIN_SOURCES EXCLUDE REGEX "_nettest\\.cc$")
 if(STANDIN_SOURCES)
   add_executable(standin ${STANDIN_SOURCES})
-  target_link_libraries(standin PRIVATE burdockhold_net Boost::program_options)
+  target_link_libraries(standin PRIVATE burdockhold_core Boost::program_options)
 endif()
 
 # Tests of the shell and of real processes: testing/NAME_nettest.cc.
@@ -24,7 +28,7 @@
 file(GLOB NET_TEST_SUPPORT CONFIGURE_DEPENDS testing/support_*.cc)
 if(NET_TEST_SUPPORT)
   add_library(test_support STATIC ${NET_TEST_SUPPORT})
-  target_link_libraries(test_support PUBLIC burdockhold_net)
+  target_link_libraries(test_support PUBLIC burdockhold_core)
 endif()
 foreach(test_source ${NET_TESTS})
   get_filename_component(test_name ${test_source} NAME_WE)
@@ -32,10 +36,18 @@
   target_compile_definitions(${test_name} PRIVATE BOOST_TEST_DYN_LINK
                              BURDOCKHOLD_SOURCE_DIR="${CMAKE_SOURCE_DIR}"
                              BURDOCKHOLD_BINARY_DIR="${CMAKE_BINARY_DIR}")
-  target_link_libraries(${test_name} PRIVATE burdockhold_net Boost::unit_test_framework)
+  target_link_libraries(${test_name} PRIVATE burdockhold_core Boost::unit_test_framework)
+  if(NET_LIST)
+    target_link_libraries(${test_name} PRIVATE burdockhold_net)
+  endif()
   if(NET_TEST_SUPPORT)
     target_link_libraries(${test_name} PRIVATE test_support)
   endif()
+  foreach(program standin burdockholdd burdockholdctl)
+    if(TARGET ${program})
+      add_dependencies(${test_name} ${program})
+    endif()
+  endforeach()
   add_test(NAME ${test_name} COMMAND ${test_name})
   # Process tests share the machine; they run one at a time so that no verdict depends on load.
   set_tests_properties(${test_name} PROPERTIES LABELS net TIMEOUT 600 RUN_SERIAL TRUE)
