--- /dev/null
+++ b/burdockhold/caller_reply.cc
@@ -0,0 +1,85 @@
+#include "burdockhold/caller_reply.h"
+
+#include "burdockhold/sse.h"
+
+#include <memory>
+#include <utility>
+
+namespace burdockhold {
+
+using web::http::http_response;
+
+caller_reply::caller_reply(web::http::http_request message, std::string requestId)
+    : m_message(std::move(message))
+    , m_requestId(std::move(requestId))
+{
+}
+
+void caller_reply::sendError(const error_reply &error)
+{
+    http_response response(static_cast<web::http::status_code>(error.status));
+    response.headers().add("X-Burdockhold-Run", std::string(nameOf(error.run)));
+    if (error.status == 429 || error.status == 503)
+        response.headers().add("Retry-After", std::to_string(error.retryAfterSeconds));
+    response.set_body(formatError(error), std::string("application/json"));
+    send(std::move(response));
+}
+
+void caller_reply::sendWhole(int status, const std::vector<header> &headers,
+                             const std::string &body)
+{
+    http_response response(static_cast<web::http::status_code>(status));
+    response.set_body(body, std::string("application/octet-stream"));
+    for (const header &field : headers) {
+        response.headers().remove(field.name);
+        response.headers().add(field.name, field.value);
+    }
+    send(std::move(response));
+}
+
+void caller_reply::beginStream()
+{
+    http_response response(web::http::status_codes::OK);
+    response.headers().add("Cache-Control", "no-cache");
+    response.set_body(m_buffer.create_istream(), std::string("text/event-stream"));
+    send(std::move(response));
+}
+
+void caller_reply::sendEvent(const std::string &data)
+{
+    const auto bytes = std::make_shared<std::string>(formatEvent({ "", data }));
+    auto buffer = m_buffer;
+    buffer.putn_nocopy(reinterpret_cast<const std::uint8_t *>(bytes->data()), bytes->size())
+            .then([bytes, buffer](const pplx::task<std::size_t> &written) mutable {
+                try {
+                    written.get();
+                } catch (const std::exception &) {
+                    // The caller left; the reply's own task reports it.
+                    return;
+                }
+            });
+    buffer.sync();
+}
+
+void caller_reply::endStream()
+{
+    m_buffer.close(std::ios_base::out);
+}
+
+void caller_reply::send(http_response response)
+{
+    m_started = true;
+    response.headers().remove("X-Request-Id");
+    response.headers().add("X-Request-Id", m_requestId);
+    m_message.reply(response).then([closed = std::move(m_closed)](const pplx::task<void> &written) {
+        bool delivered = true;
+        try {
+            written.get();
+        } catch (const std::exception &) {
+            delivered = false;
+        }
+        closed(delivered);
+    });
+}
+
+} // namespace burdockhold
--- /dev/null
+++ b/burdockhold/exchange.cc
@@ -0,0 +1,576 @@
+#include "burdockhold/exchange.h"
+
+#include "burdockhold/digest.h"
+#include "burdockhold/stream_reader.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace burdockhold {
+
+namespace {
+
+constexpr std::string_view BearerPrefix = "Bearer ";
+
+/// Headers of the caller that describe its own connection, or that only the router may set.
+bool isForwarded(const std::string &name)
+{
+    static const std::vector<std::string> dropped{
+        "authorization", "proxy-authorization", "connection",   "keep-alive",   "te",
+        "trailer",       "transfer-encoding",   "upgrade",      "host",         "content-length",
+        "expect",        "accept-encoding",     "x-request-id", "x-cache-salt", "x-priority",
+        "x-resume-from",
+    };
+    std::string lower = name;
+    std::transform(lower.begin(), lower.end(), lower.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return std::find(dropped.begin(), dropped.end(), lower) == dropped.end();
+}
+
+bool pathMatches(const std::string &pattern, const std::string &path)
+{
+    if (pattern.size() >= 2 && pattern.compare(pattern.size() - 2, 2, "/*") == 0)
+        return path.compare(0, pattern.size() - 1, pattern, 0, pattern.size() - 1) == 0;
+    return pattern == path;
+}
+
+/// Returns the route with the longest matching path, or null.
+const route_entry *findRoute(const catalogue &config, const std::string &method,
+                             const std::string &path)
+{
+    const route_entry *best = nullptr;
+    for (const auto &item : config.routes) {
+        const route_entry &route = item.second.value;
+        if (route.method != method || !pathMatches(route.path, path))
+            continue;
+        if (best == nullptr || route.path.size() > best->path.size())
+            best = &route;
+    }
+    return best;
+}
+
+std::string headerOf(const web::http::http_request &message, const std::string &name)
+{
+    const auto found = message.headers().find(name);
+    return found == message.headers().end() ? "" : found->second;
+}
+
+error_reply invalid(int status, const std::string &code, const std::string &message,
+                    const std::string &param = "")
+{
+    return { status, error_type::InvalidRequest, code, message, param };
+}
+
+error_reply unavailable(const std::string &code, const std::string &message)
+{
+    return { 503, error_type::NotRun, code, message, "" };
+}
+
+/// Statuses with which an endpoint says that it could not run the request.
+bool isEndpointFault(int status, bool completion)
+{
+    if (completion)
+        return status >= 500 || status == 408 || status == 429;
+    return status == 502 || status == 503 || status == 504;
+}
+
+} // namespace
+
+exchange::exchange(exchange_context context, web::http::http_request message, std::string requestId)
+    : m_context(context)
+    , m_message(std::move(message))
+    , m_requestId(std::move(requestId))
+    , m_reply(m_message, m_requestId)
+    , m_started(steadyNow())
+    , m_config(context.board.config.read())
+    , m_continuity(m_requestId, context.options.resume)
+{
+    m_record.requestId = m_requestId;
+}
+
+void exchange::run(std::function<void()> closed)
+{
+    m_closed = std::move(closed);
+    m_idle = false;
+    m_reply.setClosed(
+            [self = shared_from_this()](bool delivered) { self->onReplyClosed(delivered); });
+    if (identifyRoute() && authenticate())
+        readBody();
+}
+
+void exchange::refuseStopping(std::function<void()> closed)
+{
+    m_closed = std::move(closed);
+    m_idle = false;
+    m_reply.setClosed(
+            [self = shared_from_this()](bool delivered) { self->onReplyClosed(delivered); });
+    refuse(unavailable("stopping", "the router is stopping; the request was not run"));
+}
+
+std::string exchange::keyDigest() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_keyDigest;
+}
+
+bool exchange::identifyRoute()
+{
+    const std::string method = m_message.method();
+    const std::string path = m_message.relative_uri().path();
+    m_record.route = method + " " + path;
+    if (method == "POST" && path == "/v1/completions")
+        m_kind = completion_kind::Text;
+    else if (method == "POST" && path == "/v1/chat/completions")
+        m_kind = completion_kind::Chat;
+    if (m_kind) {
+        m_route.repeatable = true;
+        m_route.bodyLimitBytes = static_cast<std::int64_t>(m_context.options.bodyLimitBytes);
+        return true;
+    }
+    const route_entry *route = findRoute(*m_config, method, path);
+    if (route == nullptr) {
+        refuse(invalid(404, "unknown_route", "no route has this method and path"));
+        return false;
+    }
+    m_route = *route;
+    if (!m_route.repeatable && headerOf(m_message, "Idempotency-Key").empty()) {
+        refuse(invalid(400, "idempotency_key_required",
+                       "calls on this route need the header Idempotency-Key", "Idempotency-Key"));
+        return false;
+    }
+    return true;
+}
+
+bool exchange::authenticate()
+{
+    if (m_route.open)
+        return true;
+    const std::string authorization = headerOf(m_message, "Authorization");
+    if (authorization.compare(0, BearerPrefix.size(), BearerPrefix) == 0) {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_keyDigest = sha256Hex(std::string_view(authorization).substr(BearerPrefix.size()));
+    }
+    m_message.headers().remove("Authorization");
+    if (!viewIsFresh()) {
+        refuse(unavailable("not_fresh", "the router's view of the keys is out of date"));
+        return false;
+    }
+    if (!keyIsValid(*m_config)) {
+        refuse({ 401, error_type::Authentication, "invalid_key",
+                 "the key is missing, unknown or withdrawn", "" });
+        return false;
+    }
+    m_record.account = m_config->keys.find(m_keyDigest)->second.value.account;
+    const auto account = m_config->accounts.find(m_record.account);
+    if (account != m_config->accounts.end())
+        m_account = account->second.value;
+    const auto serviceClass = m_config->classes.find(m_account.serviceClass);
+    if (serviceClass != m_config->classes.end())
+        m_priority = serviceClass->second.value.priority;
+    return true;
+}
+
+bool exchange::keyIsValid(const catalogue &config) const
+{
+    const auto key = config.keys.find(m_keyDigest);
+    return key != config.keys.end() && !key->second.value.withdrawn;
+}
+
+bool exchange::viewIsFresh() const
+{
+    const auto view = m_context.board.freshness.read();
+    return view->synced && steadyNow() - view->asOf <= m_context.options.maxViewAge;
+}
+
+void exchange::readBody()
+{
+    const auto limit = static_cast<std::size_t>(m_route.bodyLimitBytes);
+    if (m_message.headers().content_length() > limit) {
+        m_bodyTooLarge = true;
+        onBodyRead();
+        return;
+    }
+    auto self = shared_from_this();
+    readStream(m_message.body().streambuf(), { [self, limit](std::string_view bytes) {
+                                                  self->m_body += bytes;
+                                                  self->m_bodyTooLarge = self->m_body.size()
+                                                                         > limit;
+                                                  return !self->m_bodyTooLarge;
+                                              },
+                                               [self] { self->onBodyRead(); } });
+}
+
+void exchange::onBodyRead()
+{
+    if (m_bodyTooLarge) {
+        refuse(invalid(413, "body_too_large",
+                       "the body exceeds " + std::to_string(m_route.bodyLimitBytes) + " bytes"));
+        m_message.body().streambuf().close(std::ios_base::out);
+        return;
+    }
+    if (m_body.size() < m_message.headers().content_length()) {
+        refuse(invalid(400, "incomplete_body", "the body ended early"));
+        return;
+    }
+    if (parseBody() && admit() && claim())
+        place();
+}
+
+bool exchange::parseBody()
+{
+    if (!m_kind) {
+        m_routing.pool = m_route.pool;
+        m_routing.role = endpoint_role::Service;
+        m_routing.prompt = m_requestId;
+        return true;
+    }
+    auto parsed = parseCompletion(*m_kind, m_body);
+    if (!isOk(parsed)) {
+        const auto &error = errorOf(parsed);
+        refuse(invalid(400, std::string(nameOf(error.code)), error.text, error.context));
+        return false;
+    }
+    m_request = std::move(valueOf(parsed));
+    m_body.clear();
+    m_record.model = m_request.model;
+    const auto model = m_config->models.find(m_request.model);
+    if (model == m_config->models.end()) {
+        refuse(invalid(404, "unknown_model", "no model has this name", "model"));
+        return false;
+    }
+    m_model = model->second.value;
+    m_record.version = m_model.version;
+    m_maxTokens = m_request.maxTokens.value_or(m_model.maxOutputTokens);
+    if (m_maxTokens > m_model.maxOutputTokens) {
+        refuse(invalid(400, "out_of_bounds", "max_tokens exceeds the model's limit", "max_tokens"));
+        return false;
+    }
+    m_delivery = m_request.stream ? delivery::Events : delivery::Whole;
+    m_routing.pool = m_model.pool;
+    m_routing.identity = { m_record.account, m_request.model, m_model.adapter, m_model.version };
+    m_routing.prompt = m_request.prompt;
+    return true;
+}
+
+// Account limits take tokens here and return the unused ones in settle().
+bool exchange::admit()
+{
+    return true;
+}
+
+// Claims on non-repeatable calls are made here, before anything is sent.
+bool exchange::claim()
+{
+    return true;
+}
+
+void exchange::place()
+{
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_call.reset();
+        if (m_cancelled || m_callerLeft)
+            m_continuity.giveUp("the request was cancelled");
+    }
+    if (m_continuity.state() == stream_state::Failed) {
+        failRequest();
+        return;
+    }
+    const auto config = m_context.board.config.read();
+    auto chosen = m_context.chooser.choose(*config, m_routing);
+    if (!isOk(chosen) && !m_routing.excluded.empty()) {
+        // An endpoint that failed once is still better than none: a silent connection, for
+        // instance, says little about the next one. The number of attempts is bounded.
+        m_routing.excluded.clear();
+        chosen = m_context.chooser.choose(*config, m_routing);
+    }
+    if (!isOk(chosen)) {
+        m_continuity.giveUp(errorOf(chosen).text);
+        failRequest();
+        return;
+    }
+    call(valueOf(chosen));
+}
+
+void exchange::call(const routing_choice &choice)
+{
+    m_attempt = {};
+    m_attempt.choice = choice;
+    m_silent = false;
+    m_continuity.beginAttempt();
+    m_record.endpoint = choice.endpoint;
+    m_record.expectedCachedTokens = choice.expectedCachedTokens;
+    m_record.attempts = m_continuity.attempts();
+    if (m_record.attempts == 1)
+        m_record.queueSeconds = toSeconds(steadyNow() - m_started);
+
+    const auto prepared = m_context.clients.prepareCall(buildRequest(choice), shared_from_this());
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_call = prepared;
+        if (m_cancelled || m_callerLeft)
+            prepared->cancel();
+    }
+    upstream_clients::startCall(prepared);
+}
+
+upstream_request exchange::buildRequest(const routing_choice &choice) const
+{
+    upstream_request request;
+    request.url = choice.url;
+    request.method = m_message.method();
+    request.path = m_message.relative_uri().to_string();
+    if (!m_route.repeatable)
+        request.connection = connection_use::Fresh;
+    if (m_kind) {
+        request.headers = upstreamHeaders({ m_requestId, cacheSalt(m_routing.identity), m_priority,
+                                            m_continuity.delivered() });
+        request.body = upstreamBody(m_request, m_maxTokens);
+        return request;
+    }
+    for (const auto &field : m_message.headers()) {
+        if (isForwarded(field.first))
+            request.headers.push_back({ field.first, field.second });
+    }
+    request.headers.push_back({ "X-Request-Id", m_requestId });
+    request.body = m_body;
+    return request;
+}
+
+void exchange::onHeaders(const upstream_response &response)
+{
+    m_attempt.response = response;
+    const std::string fault = checkResponse(response);
+    if (!fault.empty())
+        abandonAttempt(fault);
+    else
+        m_attempt.passThrough = response.status != 200;
+}
+
+/// Returns why the response cannot belong to this request or is no answer; empty when it can.
+std::string exchange::checkResponse(const upstream_response &response) const
+{
+    const std::string echoed = response.find("X-Request-Id");
+    if (echoed != m_requestId && (m_kind || !echoed.empty()))
+        return "the response belongs to another request";
+    if (m_route.repeatable && isEndpointFault(response.status, m_kind.has_value()))
+        return "the endpoint answered with status " + std::to_string(response.status);
+    const std::string version = response.find("X-Weights-Version");
+    if (m_kind && !version.empty() && version != m_model.version)
+        return "the endpoint serves another weights version";
+    return "";
+}
+
+bool exchange::onBytes(std::string_view bytes)
+{
+    if (!m_attempt.fault.empty())
+        return false;
+    if (m_delivery == delivery::Whole || m_attempt.passThrough) {
+        m_attempt.body += bytes;
+        return true;
+    }
+    std::vector<sse_event> events;
+    const auto parsed = m_attempt.parser.feed(bytes, events);
+    const std::int64_t before = m_continuity.delivered();
+    for (const sse_event &event : events) {
+        if (m_attempt.fault.empty() && m_continuity.state() == stream_state::Streaming)
+            deliverEvent(event);
+    }
+    if (!isOk(parsed))
+        abandonAttempt(errorOf(parsed).text);
+    return m_continuity.delivered() > before;
+}
+
+void exchange::deliverEvent(const sse_event &event)
+{
+    const event_verdict verdict = m_continuity.accept(event.data);
+    if (verdict.action == event_action::Abandon) {
+        abandonAttempt(m_continuity.reason());
+        return;
+    }
+    if (verdict.action == event_action::Drop)
+        return;
+    if (!m_reply.started()) {
+        m_record.firstTokenSeconds = toSeconds(steadyNow() - m_started);
+        m_record.status = 200;
+        m_reply.beginStream();
+    }
+    m_reply.sendEvent(verdict.text);
+}
+
+void exchange::abandonAttempt(const std::string &why)
+{
+    m_attempt.fault = why;
+    std::shared_ptr<upstream_call> running;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        running = m_call;
+    }
+    running->cancel();
+}
+
+void exchange::onEnd(const std::optional<upstream_failure> &failure)
+{
+    m_reached = m_reached || !failure || mayHaveReached(failure->code);
+    m_silent = failure && isSilence(failure->code);
+    if (m_silent)
+        m_context.clients.replaceConnections(m_attempt.choice.url);
+    if (m_attempt.fault.empty() && failure)
+        m_attempt.fault = failure->text;
+    if (m_delivery == delivery::Events && !m_attempt.passThrough)
+        afterStreamAttempt(failure);
+    else
+        afterWholeAttempt(failure);
+}
+
+void exchange::afterStreamAttempt(const std::optional<upstream_failure> &failure)
+{
+    if (m_continuity.state() == stream_state::Complete) {
+        m_record.cachedTokens = m_continuity.cachedTokens();
+        m_record.outputTokens = m_continuity.delivered();
+        m_reply.endStream();
+        settle("complete", "");
+        return;
+    }
+    const bool ended = !failure && m_attempt.fault.empty();
+    m_continuity.endAttempt(ended ? "the stream ended early" : m_attempt.fault);
+    retryOrFail();
+}
+
+void exchange::afterWholeAttempt(const std::optional<upstream_failure> & /*failure*/)
+{
+    if (m_attempt.fault.empty())
+        m_attempt.fault = checkWhole();
+    if (m_attempt.fault.empty()) {
+        deliverWhole();
+        return;
+    }
+    m_continuity.endAttempt(m_attempt.fault);
+    if (!m_route.repeatable)
+        m_continuity.giveUp(m_attempt.fault);
+    retryOrFail();
+}
+
+/// Returns why a whole completion is no answer to this request; empty when it is one.
+std::string exchange::checkWhole() const
+{
+    if (!m_kind || m_attempt.passThrough)
+        return "";
+    const auto answer = nlohmann::json::parse(m_attempt.body, nullptr, false);
+    if (!answer.is_object() || !answer.contains("choices"))
+        return "the endpoint's answer is empty or malformed";
+    return "";
+}
+
+void exchange::deliverWhole()
+{
+    std::vector<header> headers;
+    for (const header &field : m_attempt.response.headers) {
+        if (isForwarded(field.name))
+            headers.push_back(field);
+    }
+    m_record.status = m_attempt.response.status;
+    m_record.firstTokenSeconds = toSeconds(steadyNow() - m_started);
+    const auto answer = nlohmann::json::parse(m_kind ? m_attempt.body : "", nullptr, false);
+    if (answer.is_object() && answer.contains("usage") && answer["usage"].is_object()) {
+        m_record.outputTokens = answer["usage"].value("completion_tokens", std::int64_t{ 0 });
+        m_record.cachedTokens = answer["usage"].value("cached_tokens", std::int64_t{ 0 });
+    }
+    m_reply.sendWhole(m_attempt.response.status, headers, m_attempt.body);
+    settle("complete", "");
+}
+
+void exchange::retryOrFail()
+{
+    m_routing.excluded.insert(m_attempt.choice.endpoint);
+    place();
+}
+
+void exchange::failRequest()
+{
+    m_record.outputTokens = m_continuity.delivered();
+    error_reply error;
+    error.run = m_reached ? run_state::Unknown : run_state::NotRun;
+    error.status = !m_reached ? 503 : m_silent ? 504 : 502;
+    error.type = !m_reached           ? error_type::NotRun
+                 : m_route.repeatable ? error_type::Server
+                                      : error_type::OutcomeUnknown;
+    error.code = !m_reached ? "no_endpoint" : m_silent ? "endpoint_silent" : "endpoint_failed";
+    error.message = m_continuity.reason();
+    if (!m_reply.started()) {
+        m_record.status = error.status;
+        m_reply.sendError(error);
+    } else {
+        m_reply.sendEvent(formatError(error));
+        m_reply.endStream();
+    }
+    settle("failed", error.message);
+}
+
+void exchange::refuse(const error_reply &error)
+{
+    m_record.status = error.status;
+    m_reply.sendError(error);
+    settle("refused", error.code);
+}
+
+// Account limits return unused tokens here.
+void exchange::settle(const std::string &outcome, const std::string &reason)
+{
+    m_record.outcome = outcome;
+    m_record.reason = reason;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_call.reset();
+        m_idle = true;
+    }
+    finishIfIdle();
+}
+
+void exchange::cancel()
+{
+    std::shared_ptr<upstream_call> running;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_cancelled = true;
+        running = m_call;
+    }
+    if (running != nullptr)
+        running->cancel();
+}
+
+void exchange::onReplyClosed(bool delivered)
+{
+    std::shared_ptr<upstream_call> running;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_replyClosed = true;
+        m_callerLeft = !delivered;
+        // The work of a call that may not be repeated goes on: its outcome matters.
+        if (m_callerLeft && m_route.repeatable)
+            running = m_call;
+    }
+    if (running != nullptr)
+        running->cancel();
+    finishIfIdle();
+}
+
+/// Reports the end once the reply is closed and nothing runs, and writes the access line.
+void exchange::finishIfIdle()
+{
+    bool callerLeft = false;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        if (!m_replyClosed || !m_idle || m_closedReported)
+            return;
+        m_closedReported = true;
+        callerLeft = m_callerLeft;
+    }
+    if (callerLeft)
+        m_record.outcome = "caller_left";
+    m_record.totalSeconds = toSeconds(steadyNow() - m_started);
+    writeAccessLine(m_record);
+    m_closed();
+}
+
+} // namespace burdockhold
--- /dev/null
+++ b/burdockhold/exchange.h
@@ -0,0 +1,135 @@
+#ifndef BURDOCKHOLD_EXCHANGE_H
+#define BURDOCKHOLD_EXCHANGE_H
+
+// The life of one request: authenticate, read the body, admit, claim, place, call, deliver, settle.
+// Each stage is a function; a stage that refuses the request replies and ends it. An exchange keeps
+// itself alive through the callbacks it waits for. At most one call runs at a time, and the next
+// one starts only after the previous one has ended.
+
+#include "burdockhold/access_log.h"
+#include "burdockhold/caller_reply.h"
+#include "burdockhold/front_server.h"
+#include "burdockhold/sse.h"
+
+#include <cpprest/http_msg.h>
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+
+namespace burdockhold {
+
+/// What all exchanges of a server share.
+struct exchange_context
+{
+    const front_options &options;
+    const blackboard &board;
+    router &chooser;
+    upstream_clients &clients;
+};
+
+class exchange : public upstream_observer, public std::enable_shared_from_this<exchange>
+{
+public:
+    exchange(exchange_context context, web::http::http_request message, std::string requestId);
+
+    /// Runs the request. closed is called once, after the reply was written or the caller left
+    /// and no call to an endpoint runs.
+    void run(std::function<void()> closed);
+
+    /// Refuses the request without running it, because the server is stopping.
+    void refuseStopping(std::function<void()> closed);
+
+    /// Cancels the running call and ends the request with an error.
+    void cancel();
+
+    const std::string &requestId() const { return m_requestId; }
+    /// Digest of the caller's key; empty on open routes.
+    std::string keyDigest() const;
+
+    void onHeaders(const upstream_response &response) override;
+    bool onBytes(std::string_view bytes) override;
+    void onEnd(const std::optional<upstream_failure> &failure) override;
+
+private:
+    enum class delivery { Events, Whole };
+
+    /// State of the attempt that runs.
+    struct attempt
+    {
+        routing_choice choice;
+        upstream_response response;
+        sse_parser parser{ DefaultMaxEventBytes };
+        std::string body;
+        std::string fault;        ///< Why the attempt is unusable; empty while it is usable.
+        bool passThrough = false; ///< A reply of the endpoint that is final though not a success.
+    };
+
+    // Stages, in order.
+    bool identifyRoute();
+    bool authenticate();
+    void readBody();
+    void onBodyRead();
+    bool parseBody();
+    bool admit();
+    bool claim();
+    void place();
+    void call(const routing_choice &choice);
+    void deliverEvent(const sse_event &event);
+    void deliverWhole();
+    void settle(const std::string &outcome, const std::string &reason);
+
+    bool keyIsValid(const catalogue &config) const;
+    bool viewIsFresh() const;
+    std::string checkResponse(const upstream_response &response) const;
+    std::string checkWhole() const;
+    upstream_request buildRequest(const routing_choice &choice) const;
+    void abandonAttempt(const std::string &why);
+    void afterStreamAttempt(const std::optional<upstream_failure> &failure);
+    void afterWholeAttempt(const std::optional<upstream_failure> &failure);
+    void retryOrFail();
+    void failRequest();
+    void refuse(const error_reply &error);
+    void onReplyClosed(bool delivered);
+    void finishIfIdle();
+
+    exchange_context m_context;
+    web::http::http_request m_message;
+    std::string m_requestId;
+    caller_reply m_reply;
+    std::function<void()> m_closed;
+    time_point m_started;
+    access_record m_record;
+
+    std::shared_ptr<const catalogue> m_config;
+    std::optional<completion_kind> m_kind; ///< Nothing for a plain route.
+    route_entry m_route;
+    model_entry m_model;
+    account_entry m_account;
+    std::int64_t m_priority = 0;
+    completion_request m_request;
+    std::int64_t m_maxTokens = 0;
+    std::string m_body;
+    bool m_bodyTooLarge = false;
+    delivery m_delivery = delivery::Whole;
+    routing_request m_routing;
+    stream_continuity m_continuity;
+    attempt m_attempt;
+    bool m_reached = false; ///< A byte of some attempt may have reached an endpoint.
+    bool m_silent = false;  ///< The last attempt ended by a watchdog.
+
+    mutable std::mutex m_mutex; ///< Guards the members below.
+    std::string m_keyDigest;
+    std::shared_ptr<upstream_call> m_call;
+    bool m_cancelled = false;
+    bool m_callerLeft = false;
+    bool m_replyClosed = false;
+    bool m_idle = true; ///< No stage and no call is running.
+    bool m_closedReported = false;
+};
+
+} // namespace burdockhold
+
+#endif
--- /dev/null
+++ b/burdockhold/front_server.cc
@@ -0,0 +1,184 @@
+#include "burdockhold/front_server.h"
+
+#include "burdockhold/exchange.h"
+
+#include <cpprest/http_listener.h>
+#include <openssl/rand.h>
+
+#include <array>
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <thread>
+#include <utility>
+
+namespace burdockhold {
+
+namespace {
+
+using web::http::http_request;
+using web::http::experimental::listener::http_listener;
+
+/// Returns 128 random bits as hexadecimal digits. Ids are never taken from callers, because a
+/// response is matched to its request by the id.
+std::string newRequestId()
+{
+    std::array<unsigned char, 16> raw{};
+    RAND_bytes(raw.data(), static_cast<int>(raw.size()));
+    static constexpr std::string_view Digits = "0123456789abcdef";
+    std::string id;
+    for (const unsigned char byte : raw) {
+        id.push_back(Digits[byte >> 4]);
+        id.push_back(Digits[byte & 0x0f]);
+    }
+    return id;
+}
+
+/// The requests that are running. Shared with their callbacks.
+class open_requests
+{
+public:
+    void add(const std::shared_ptr<exchange> &request)
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_requests[request->requestId()] = request;
+    }
+
+    void remove(const std::string &id)
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_requests.erase(id);
+    }
+
+    std::size_t count() const
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        return m_requests.size();
+    }
+
+    std::vector<std::shared_ptr<exchange>> list() const
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        std::vector<std::shared_ptr<exchange>> all;
+        for (const auto &item : m_requests)
+            all.push_back(item.second);
+        return all;
+    }
+
+private:
+    mutable std::mutex m_mutex;
+    std::map<std::string, std::shared_ptr<exchange>> m_requests;
+};
+
+constexpr std::chrono::milliseconds StopPollInterval(5);
+
+} // namespace
+
+class front_server::impl
+{
+public:
+    impl(front_options options, const blackboard &board, router &chooser)
+        : m_options(std::move(options))
+        , m_clients(m_options.upstream)
+        , m_context{ m_options, board, chooser, m_clients }
+    {
+    }
+
+    result<success, front_error> start()
+    {
+        try {
+            m_listener = http_listener(web::uri(m_options.address));
+            m_listener.support([this](http_request message) { handle(std::move(message)); });
+            m_listener.open().wait();
+        } catch (const std::exception &error) {
+            return basic_error<front_error>{ front_error::CannotListen, error.what(),
+                                             m_options.address };
+        }
+        m_listening = true;
+        return success{};
+    }
+
+    void stopAccepting() { m_accepting = false; }
+
+    std::size_t openRequests() const { return m_open->count(); }
+
+    void cancelKey(const std::string &digest)
+    {
+        for (const auto &request : m_open->list()) {
+            if (request->keyDigest() == digest)
+                request->cancel();
+        }
+    }
+
+    void stop()
+    {
+        m_accepting = false;
+        if (!m_listening)
+            return;
+        m_listening = false;
+        // Closing the listener waits for its open connections, so running calls end first.
+        while (m_open->count() > 0) {
+            for (const auto &request : m_open->list())
+                request->cancel();
+            std::this_thread::sleep_for(StopPollInterval);
+        }
+        m_listener.close().wait();
+    }
+
+private:
+    void handle(http_request message)
+    {
+        auto request = std::make_shared<exchange>(m_context, std::move(message), newRequestId());
+        m_open->add(request);
+        auto closed = [open = m_open, id = request->requestId()] { open->remove(id); };
+        if (m_accepting)
+            request->run(closed);
+        else
+            request->refuseStopping(closed);
+    }
+
+    front_options m_options;
+    upstream_clients m_clients;
+    exchange_context m_context;
+    std::shared_ptr<open_requests> m_open = std::make_shared<open_requests>();
+    std::atomic<bool> m_accepting{ true };
+    bool m_listening = false;
+    http_listener m_listener;
+};
+
+front_server::front_server(front_options options, const blackboard &board, router &chooser)
+    : m_impl(std::make_unique<impl>(std::move(options), board, chooser))
+{
+}
+
+front_server::~front_server()
+{
+    m_impl->stop();
+}
+
+result<success, front_error> front_server::start()
+{
+    return m_impl->start();
+}
+
+void front_server::stopAccepting()
+{
+    m_impl->stopAccepting();
+}
+
+std::size_t front_server::openRequests() const
+{
+    return m_impl->openRequests();
+}
+
+void front_server::cancelKey(const std::string &digest)
+{
+    m_impl->cancelKey(digest);
+}
+
+void front_server::stop()
+{
+    m_impl->stop();
+}
+
+} // namespace burdockhold
--- /dev/null
+++ b/burdockhold/front_server.h
@@ -0,0 +1,65 @@
+#ifndef BURDOCKHOLD_FRONT_SERVER_H
+#define BURDOCKHOLD_FRONT_SERVER_H
+
+// The HTTP listener for callers. It authenticates each request, forwards it to an endpoint and
+// returns the endpoint's response; see exchange.h for the stages.
+//
+// What cpprest does not promise: it reads a request's body into memory on its own, without a
+// bound. The router refuses a body over the limit as soon as it sees the length or the excess, and
+// stops cpprest's reading by closing the buffer.
+
+#include "burdockhold/blackboard.h"
+#include "burdockhold/result.h"
+#include "burdockhold/resume.h"
+#include "burdockhold/router.h"
+#include "burdockhold/upstream.h"
+
+#include <cstddef>
+#include <memory>
+#include <string>
+
+namespace burdockhold {
+
+struct front_options
+{
+    std::string address; ///< "http://IP:PORT" to listen on.
+    std::size_t bodyLimitBytes = 16 * 1024 * 1024;
+    duration maxViewAge = std::chrono::seconds(5); ///< Keyed requests need a view this recent.
+    resume_options resume;
+    upstream_options upstream;
+};
+
+enum class front_error { CannotListen };
+
+class front_server
+{
+public:
+    /// The blackboard and the router must outlive the server.
+    front_server(front_options options, const blackboard &board, router &chooser);
+    ~front_server();
+    front_server(const front_server &) = delete;
+    front_server &operator=(const front_server &) = delete;
+
+    /// Starts listening. Blocks until the socket is open.
+    result<success, front_error> start();
+
+    /// Refuses new requests with 503 from now on; open requests run on.
+    void stopAccepting();
+
+    /// Requests received whose reply has not been written to its end.
+    std::size_t openRequests() const;
+
+    /// Cancels the running requests of a key, given by its digest. For a withdrawn key.
+    void cancelKey(const std::string &digest);
+
+    /// Closes the listener and cancels what is still running. Blocks; call after a drain.
+    void stop();
+
+private:
+    class impl;
+    std::unique_ptr<impl> m_impl;
+};
+
+} // namespace burdockhold
+
+#endif
--- /dev/null
+++ b/testing/front_server_nettest.cc
@@ -0,0 +1,722 @@
+#define BOOST_TEST_MODULE front_server
+#include <boost/test/unit_test.hpp>
+
+#include "burdockhold/digest.h"
+#include "burdockhold/front_server.h"
+
+#include <boost/asio.hpp>
+#include <cpprest/http_client.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <list>
+#include <map>
+#include <mutex>
+#include <thread>
+
+using namespace burdockhold;
+using boost::asio::ip::tcp;
+using web::http::client::http_client;
+
+namespace {
+
+constexpr std::chrono::seconds WaitLimit(20);
+
+/// Waits until a condition holds. The limit only ends a test that would hang.
+bool eventually(const std::function<bool()> &condition)
+{
+    const time_point limit = steadyNow() + WaitLimit;
+    while (!condition()) {
+        if (steadyNow() > limit)
+            return false;
+        std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    }
+    return true;
+}
+
+struct received_request
+{
+    std::string head;
+    std::string body;
+    int onConnection = 0; ///< 1 for the first request of a connection.
+
+    std::string find(const std::string &name) const
+    {
+        const std::size_t start = head.find("\r\n" + name + ":");
+        if (start == std::string::npos)
+            return "";
+        // cpprest writes most headers without a space after the colon.
+        const std::size_t value = head.find_first_not_of(' ', start + name.size() + 3);
+        return head.substr(value, head.find("\r\n", value) - value);
+    }
+};
+
+/// An endpoint that a test scripts down to the bytes of a connection. It stands on plain sockets,
+/// because an HTTP library offers no way to cut a connection in the middle of a response.
+class fake_endpoint
+{
+public:
+    /// Answers one request. Returning false closes the connection.
+    using script = std::function<bool(tcp::socket &, const received_request &)>;
+
+    explicit fake_endpoint(script answer)
+        : m_answer(std::move(answer))
+        , m_acceptor(m_service, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+        , m_thread([this] { acceptAll(); })
+    {
+    }
+
+    ~fake_endpoint()
+    {
+        m_stopping = true;
+        boost::system::error_code ignored;
+        tcp::socket wake(m_service);
+        wake.connect(m_acceptor.local_endpoint(), ignored);
+        m_thread.join();
+        for (auto &item : m_connections) {
+            item.first->shutdown(tcp::socket::shutdown_both, ignored);
+            item.second.join();
+        }
+    }
+
+    fake_endpoint(const fake_endpoint &) = delete;
+    fake_endpoint &operator=(const fake_endpoint &) = delete;
+
+    std::string url() const
+    {
+        return "http://127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    }
+
+    std::vector<received_request> requests() const
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        return m_requests;
+    }
+
+private:
+    void acceptAll()
+    {
+        for (;;) {
+            auto socket = std::make_unique<tcp::socket>(m_service);
+            boost::system::error_code error;
+            m_acceptor.accept(*socket, error);
+            if (m_stopping || error)
+                return;
+            tcp::socket &connection = *socket;
+            m_connections.emplace_back(std::move(socket),
+                                       std::thread([this, &connection] { serve(connection); }));
+        }
+    }
+
+    void serve(tcp::socket &socket)
+    {
+        boost::system::error_code error;
+        std::string pending;
+        for (int count = 1;; ++count) {
+            received_request request;
+            request.onConnection = count;
+            const std::size_t head = read_until(socket, boost::asio::dynamic_buffer(pending),
+                                                "\r\n\r\n", error);
+            if (error)
+                return;
+            request.head = pending.substr(0, head);
+            pending.erase(0, head);
+            const std::string length = request.find("Content-Length");
+            const std::size_t size = length.empty() ? 0 : std::stoul(length);
+            if (pending.size() < size) {
+                read(socket, boost::asio::dynamic_buffer(pending),
+                     boost::asio::transfer_exactly(size - pending.size()), error);
+            }
+            request.body = pending.substr(0, size);
+            pending.erase(0, size);
+            {
+                const std::lock_guard<std::mutex> lock(m_mutex);
+                m_requests.push_back(request);
+            }
+            if (!m_answer(socket, request)) {
+                socket.shutdown(tcp::socket::shutdown_both, error);
+                return;
+            }
+        }
+    }
+
+    script m_answer;
+    boost::asio::io_context m_service;
+    tcp::acceptor m_acceptor;
+    std::atomic<bool> m_stopping{ false };
+    mutable std::mutex m_mutex;
+    std::vector<received_request> m_requests;
+    std::list<std::pair<std::unique_ptr<tcp::socket>, std::thread>> m_connections;
+    std::thread m_thread;
+};
+
+bool sendBytes(tcp::socket &socket, const std::string &bytes)
+{
+    boost::system::error_code error;
+    write(socket, boost::asio::buffer(bytes), error);
+    return !error;
+}
+
+bool sendChunk(tcp::socket &socket, const std::string &bytes)
+{
+    std::ostringstream size;
+    size << std::hex << bytes.size();
+    return sendBytes(socket, size.str() + "\r\n" + bytes + "\r\n");
+}
+
+bool sendStreamHead(tcp::socket &socket, const received_request &request)
+{
+    return sendBytes(socket, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                             "Transfer-Encoding: chunked\r\nX-Weights-Version: v1\r\nX-Request-Id: "
+                                     + request.find("X-Request-Id") + "\r\n\r\n");
+}
+
+std::string tokenEvent(const received_request &request, int index)
+{
+    return R"(data: {"id":"cmpl-)" + request.find("X-Request-Id")
+           + R"(","choices":[{"index":0,"text":"t)" + std::to_string(index)
+           + R"( "}],"token_index":)" + std::to_string(index) + "}\n\n";
+}
+
+std::string usageEvent(const received_request &request, int tokens)
+{
+    return R"(data: {"id":"cmpl-)" + request.find("X-Request-Id")
+           + R"(","choices":[],"usage":{"prompt_tokens":1,"completion_tokens":)"
+           + std::to_string(tokens) + R"(,"cached_tokens":0}})" + "\n\n";
+}
+
+int resumeIndex(const received_request &request)
+{
+    const std::string from = request.find("X-Resume-From");
+    return from.empty() ? 0 : std::stoi(from);
+}
+
+bool sendEnd(tcp::socket &socket, const received_request &request, int tokens)
+{
+    return sendChunk(socket, usageEvent(request, tokens)) && sendChunk(socket, "data: [DONE]\n\n")
+           && sendBytes(socket, "0\r\n\r\n");
+}
+
+/// Streams tokens up to a total and ends properly.
+bool streamTokens(tcp::socket &socket, const received_request &request, int total)
+{
+    bool open = sendStreamHead(socket, request);
+    for (int index = resumeIndex(request); open && index < total; ++index)
+        open = sendChunk(socket, tokenEvent(request, index));
+    return open && sendEnd(socket, request, total);
+}
+
+bool sendAnswer(tcp::socket &socket, const received_request &request, const std::string &body)
+{
+    return sendBytes(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size())
+                                     + "\r\nX-Request-Id: " + request.find("X-Request-Id")
+                                     + "\r\n\r\n" + body);
+}
+
+/// Waits until the router closes the connection.
+bool waitForClose(tcp::socket &socket)
+{
+    char byte = 0;
+    boost::system::error_code error;
+    while (!error)
+        socket.read_some(boost::asio::buffer(&byte, 1), error);
+    return false;
+}
+
+std::string freeAddress()
+{
+    boost::asio::io_context service;
+    tcp::acceptor probe(service, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+    return "http://127.0.0.1:" + std::to_string(probe.local_endpoint().port());
+}
+
+struct answer
+{
+    int status = 0;
+    std::string body;
+    std::string run;
+    std::string requestId;
+    std::string retryAfter;
+};
+
+std::string headerOf(const web::http::http_response &response, const std::string &name)
+{
+    const auto found = response.headers().find(name);
+    return found == response.headers().end() ? "" : found->second;
+}
+
+/// A router with a catalogue of one account, one model and two plain routes.
+class router_fixture
+{
+public:
+    router_fixture()
+    {
+        m_config.accounts["acme"].value = { "ops", "", 1000, 1000, 1.0, 100 };
+        key_entry key;
+        key.account = "acme";
+        m_config.keys[sha256Hex("secret")].value = key;
+        key.withdrawn = true;
+        m_config.keys[sha256Hex("withdrawn")].value = key;
+        model_entry model;
+        model.pool = "engines";
+        model.version = "v1";
+        model.maxOutputTokens = 100;
+        m_config.models["m"].value = model;
+        m_config.routes["book"].value = { "ops", "POST", "/bookings", "services", false, false };
+        m_config.routes["menu"].value = { "ops", "GET", "/menu/*", "services", true, true };
+        m_options.address = freeAddress();
+    }
+
+    void addEndpoint(const std::string &name, const fake_endpoint &endpoint,
+                     endpoint_role role = endpoint_role::Engine, double weight = 1.0)
+    {
+        endpoint_entry entry;
+        entry.url = endpoint.url();
+        entry.role = role;
+        entry.pool = role == endpoint_role::Engine ? "engines" : "services";
+        entry.weight = weight;
+        m_config.endpoints[name].value = entry;
+    }
+
+    front_server &start()
+    {
+        board.config.publish(m_config);
+        board.freshness.publish({ true, steadyNow() + std::chrono::hours(1) });
+        m_server = std::make_unique<front_server>(m_options, board, m_router);
+        BOOST_REQUIRE(isOk(m_server->start()));
+        return *m_server;
+    }
+
+    answer request(const std::string &method, const std::string &path, const std::string &body,
+                   const std::string &key = "secret", const std::string &idempotencyKey = "")
+    {
+        web::http::http_request message(method);
+        message.set_request_uri(path);
+        if (!key.empty())
+            message.headers().add("Authorization", "Bearer " + key);
+        if (!idempotencyKey.empty())
+            message.headers().add("Idempotency-Key", idempotencyKey);
+        if (!body.empty())
+            message.set_body(body, std::string("application/json"));
+        http_client client(web::uri(m_options.address));
+        web::http::http_response response = client.request(message).get();
+        const auto bytes = response.extract_vector().get();
+        return { response.status_code(), std::string(bytes.begin(), bytes.end()),
+                 headerOf(response, "X-Burdockhold-Run"), headerOf(response, "X-Request-Id"),
+                 headerOf(response, "Retry-After") };
+    }
+
+    answer stream()
+    {
+        return request("POST", "/v1/completions",
+                       R"({"model":"m","prompt":"hello","stream":true,"max_tokens":20})");
+    }
+
+    front_options &options() { return m_options; }
+
+    /// Opens a plain connection to the router, for tests that control the bytes they send.
+    tcp::socket connect(boost::asio::io_context &service) const
+    {
+        tcp::socket socket(service);
+        const auto port = static_cast<unsigned short>(web::uri(m_options.address).port());
+        socket.connect(tcp::endpoint(boost::asio::ip::address_v4::loopback(), port));
+        return socket;
+    }
+
+    blackboard board;
+
+private:
+    catalogue m_config;
+    front_options m_options;
+    rendezvous_router m_router;
+    std::unique_ptr<front_server> m_server;
+};
+
+/// Returns the token texts of a stream's events in order.
+std::string tokensOf(const std::string &body)
+{
+    std::string tokens;
+    for (std::size_t at = body.find("\"text\":\""); at != std::string::npos;
+         at = body.find("\"text\":\"", at + 1)) {
+        const std::size_t start = at + 8;
+        tokens += body.substr(start, body.find('"', start) - start);
+    }
+    return tokens;
+}
+
+std::string expectedTokens(int count)
+{
+    std::string tokens;
+    for (int index = 0; index < count; ++index)
+        tokens += "t" + std::to_string(index) + " ";
+    return tokens;
+}
+
+bool endsProperly(const std::string &body)
+{
+    const std::string end = "data: [DONE]\n\n";
+    return body.size() > end.size() && body.compare(body.size() - end.size(), end.size(), end) == 0;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(front, router_fixture)
+
+// Guards against events that are lost, changed or duplicated on the way, and against a key that
+// reaches an endpoint.
+BOOST_AUTO_TEST_CASE(streamsThrough)
+{
+    fake_endpoint engine([](tcp::socket &socket, const received_request &request) {
+        return streamTokens(socket, request, 20);
+    });
+    addEndpoint("e1", engine);
+    front_server &server = start();
+    const answer reply = stream();
+    BOOST_TEST(reply.status == 200);
+    BOOST_TEST(tokensOf(reply.body) == expectedTokens(20));
+    BOOST_TEST(endsProperly(reply.body));
+    BOOST_REQUIRE(engine.requests().size() == 1u);
+    const received_request seen = engine.requests().front();
+    BOOST_TEST(seen.find("X-Request-Id") == reply.requestId);
+    BOOST_TEST(seen.find("X-Cache-Salt").size() == 64u);
+    BOOST_TEST((seen.head + seen.body).find("secret") == std::string::npos);
+    BOOST_TEST(eventually([&] { return server.openRequests() == 0; }));
+}
+
+// Guards against a stream that ends without a word, or with repeated or missing tokens, when its
+// engine dies.
+BOOST_AUTO_TEST_CASE(resumesOnAnotherEndpointWhenAnEngineDies)
+{
+    std::atomic<int> calls{ 0 };
+    const auto dieOnce = [&calls](tcp::socket &socket, const received_request &request) {
+        if (calls++ > 0)
+            return streamTokens(socket, request, 20);
+        sendStreamHead(socket, request);
+        for (int index = 0; index < 7; ++index)
+            sendChunk(socket, tokenEvent(request, index));
+        return false;
+    };
+    fake_endpoint first(dieOnce);
+    fake_endpoint second(dieOnce);
+    addEndpoint("e1", first);
+    addEndpoint("e2", second);
+    start();
+    const answer reply = stream();
+    BOOST_TEST(tokensOf(reply.body) == expectedTokens(20));
+    BOOST_TEST(endsProperly(reply.body));
+    BOOST_TEST(first.requests().size() == 1u);
+    BOOST_TEST(second.requests().size() == 1u);
+    const bool firstResumed = !first.requests().front().find("X-Resume-From").empty();
+    const fake_endpoint &resumed = firstResumed ? first : second;
+    BOOST_TEST(resumed.requests().front().find("X-Resume-From") == "7");
+}
+
+// Guards against a stream that fails for good and looks complete to its caller.
+BOOST_AUTO_TEST_CASE(endsAFailedStreamWithAnErrorEvent)
+{
+    fake_endpoint engine([](tcp::socket &socket, const received_request &request) {
+        sendStreamHead(socket, request);
+        sendChunk(socket, tokenEvent(request, resumeIndex(request)));
+        return false;
+    });
+    addEndpoint("e1", engine);
+    front_server &server = start();
+    const answer reply = stream();
+    BOOST_TEST(tokensOf(reply.body) == expectedTokens(options().resume.maxAttempts));
+    BOOST_TEST(!endsProperly(reply.body));
+    BOOST_TEST(reply.body.find(R"("code":"endpoint_failed")") != std::string::npos);
+    BOOST_TEST(eventually([&] { return server.openRequests() == 0; }));
+}
+
+// Guards against an empty success that reaches the caller as an answer.
+BOOST_AUTO_TEST_CASE(retriesAnEmptySuccess)
+{
+    std::atomic<int> calls{ 0 };
+    fake_endpoint engine([&calls](tcp::socket &socket, const received_request &request) {
+        return calls++ == 0 ? sendAnswer(socket, request, "") : streamTokens(socket, request, 20);
+    });
+    addEndpoint("e1", engine);
+    start();
+    const answer reply = stream();
+    BOOST_TEST(tokensOf(reply.body) == expectedTokens(20));
+    BOOST_TEST(engine.requests().size() == 2u);
+}
+
+// Guards against a response of another request that reaches this one's caller.
+BOOST_AUTO_TEST_CASE(discardsTheResponseOfAnotherRequest)
+{
+    std::atomic<int> calls{ 0 };
+    fake_endpoint engine([&calls](tcp::socket &socket, const received_request &request) {
+        if (calls++ > 0)
+            return streamTokens(socket, request, 20);
+        received_request other = request;
+        other.head = "POST / HTTP/1.1\r\nX-Request-Id: other\r\n\r\n";
+        return streamTokens(socket, other, 5);
+    });
+    addEndpoint("e1", engine);
+    start();
+    const answer reply = stream();
+    BOOST_TEST(tokensOf(reply.body) == expectedTokens(20));
+    BOOST_TEST(reply.body.find("other") == std::string::npos);
+}
+
+// Guards against a silent engine that holds its caller forever, before the first token and between
+// two tokens, and against resuming over the connection that went silent.
+BOOST_AUTO_TEST_CASE(leavesASilentEndpoint)
+{
+    options().upstream.firstToken = std::chrono::milliseconds(200);
+    options().upstream.betweenTokens = std::chrono::milliseconds(200);
+    std::atomic<int> calls{ 0 };
+    fake_endpoint engine([&calls](tcp::socket &socket, const received_request &request) {
+        const int call = calls++;
+        if (call == 0)
+            return waitForClose(socket);
+        if (call == 2)
+            return streamTokens(socket, request, 20);
+        sendStreamHead(socket, request);
+        sendChunk(socket, tokenEvent(request, 0));
+        return waitForClose(socket);
+    });
+    addEndpoint("e1", engine);
+    start();
+    const answer reply = stream();
+    BOOST_TEST(tokensOf(reply.body) == expectedTokens(20));
+    BOOST_TEST(endsProperly(reply.body));
+    BOOST_REQUIRE(engine.requests().size() == 3u);
+    for (const received_request &request : engine.requests())
+        BOOST_TEST(request.onConnection == 1);
+    BOOST_TEST(engine.requests().back().find("X-Resume-From") == "1");
+}
+
+// Guards against a wrong status, and a claim that nothing ran, when every attempt was silent.
+BOOST_AUTO_TEST_CASE(reportsSilenceOfAllAttempts)
+{
+    options().upstream.firstToken = std::chrono::milliseconds(50);
+    fake_endpoint engine([](tcp::socket &socket, const received_request & /*request*/) {
+        return waitForClose(socket);
+    });
+    addEndpoint("e1", engine);
+    start();
+    const answer reply = stream();
+    BOOST_TEST(reply.status == 504);
+    BOOST_TEST(reply.run == "unknown");
+}
+
+// Guards against an engine that keeps generating for a caller who left.
+BOOST_AUTO_TEST_CASE(cancelsTheCallWhenTheCallerLeaves)
+{
+    std::atomic<bool> cancelled{ false };
+    fake_endpoint engine([&cancelled](tcp::socket &socket, const received_request &request) {
+        bool open = sendStreamHead(socket, request);
+        const time_point limit = steadyNow() + WaitLimit;
+        for (int index = 0; open && steadyNow() < limit; ++index) {
+            open = sendChunk(socket, tokenEvent(request, index));
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        }
+        cancelled = !open;
+        return false;
+    });
+    addEndpoint("e1", engine);
+    front_server &server = start();
+    boost::asio::io_context service;
+    tcp::socket caller = connect(service);
+    const std::string body = R"({"model":"m","prompt":"hello","stream":true})";
+    sendBytes(caller, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer secret\r\n"
+                      "Content-Type: application/json\r\nContent-Length: "
+                              + std::to_string(body.size()) + "\r\n\r\n" + body);
+    std::string seen;
+    read_until(caller, boost::asio::dynamic_buffer(seen), "token_index");
+    caller.close();
+    BOOST_TEST(eventually([&] { return cancelled.load(); }));
+    BOOST_TEST(eventually([&] { return server.openRequests() == 0; }));
+    BOOST_TEST(engine.requests().size() == 1u);
+}
+
+// Guards against requests that run without a valid key, or whose refusal has the wrong shape.
+BOOST_AUTO_TEST_CASE(refusesInvalidRequests)
+{
+    fake_endpoint engine([](tcp::socket &socket, const received_request &request) {
+        return streamTokens(socket, request, 1);
+    });
+    addEndpoint("e1", engine);
+    start();
+    struct refusal
+    {
+        std::string path;
+        std::string key;
+        std::string body;
+        int status;
+        std::string type;
+    };
+    const std::string good = R"({"model":"m","prompt":"p"})";
+    const std::vector<refusal> refusals{
+        { "/v1/completions", "", good, 401, "authentication_error" },
+        { "/v1/completions", "unknown", good, 401, "authentication_error" },
+        { "/v1/completions", "withdrawn", good, 401, "authentication_error" },
+        { "/v1/completions", "secret", "{", 400, "invalid_request_error" },
+        { "/v1/chat/completions", "secret", good, 400, "invalid_request_error" },
+        { "/v1/completions", "secret", R"({"model":"x","prompt":"p"})", 404,
+          "invalid_request_error" },
+        { "/nowhere", "secret", good, 404, "invalid_request_error" },
+        { "/bookings", "secret", good, 400, "invalid_request_error" },
+    };
+    for (const refusal &expected : refusals) {
+        const answer reply = request("POST", expected.path, expected.body, expected.key);
+        BOOST_TEST_CONTEXT(expected.path << " " << expected.key << " " << expected.body)
+        {
+            BOOST_TEST(reply.status == expected.status);
+            BOOST_TEST(reply.run == "not-run");
+            BOOST_TEST(!reply.requestId.empty());
+            BOOST_TEST(reply.body.find(expected.type) != std::string::npos);
+        }
+    }
+    BOOST_TEST(engine.requests().empty());
+}
+
+// Guards against serving keys from a view that may miss a withdrawal.
+BOOST_AUTO_TEST_CASE(refusesKeyedRequestsWhenNotFresh)
+{
+    start();
+    board.freshness.publish({ true, steadyNow() - std::chrono::minutes(1) });
+    const answer reply = stream();
+    BOOST_TEST(reply.status == 503);
+    BOOST_TEST(reply.run == "not-run");
+    BOOST_TEST(!reply.retryAfter.empty());
+}
+
+// Guards against a body that fills the router's memory: the refusal must come before the caller
+// has sent it all, with a declared length and without one.
+BOOST_AUTO_TEST_CASE(refusesATooLongBodyEarly)
+{
+    options().bodyLimitBytes = 1000;
+    start();
+    const std::string head = "POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+                             "Authorization: Bearer secret\r\n";
+    const std::string chunk = "7d0\r\n" + std::string(2000, ' ') + "\r\n";
+    for (const std::string &rest : { "Content-Length: 100000000\r\n\r\n" + std::string(2000, ' '),
+                                     "Transfer-Encoding: chunked\r\n\r\n" + chunk + chunk }) {
+        boost::asio::io_context service;
+        tcp::socket caller = connect(service);
+        sendBytes(caller, head + rest);
+        std::string reply;
+        boost::system::error_code error;
+        read_until(caller, boost::asio::dynamic_buffer(reply), "\r\n\r\n", error);
+        BOOST_TEST(reply.find("HTTP/1.1 413") == 0u);
+        BOOST_TEST(reply.find("X-Burdockhold-Run: not-run") != std::string::npos);
+    }
+}
+
+// Guards against the HTTP library's own retry: a booking whose service dies on a kept-alive
+// connection must be executed once and reported as unknown.
+BOOST_AUTO_TEST_CASE(sendsANonRepeatableCallOnce)
+{
+    std::atomic<int> bookings{ 0 };
+    const auto book = [&bookings](tcp::socket &socket, const received_request &request) {
+        const int booking = ++bookings;
+        return booking == 1 && sendAnswer(socket, request, "booked");
+    };
+    fake_endpoint first(book);
+    fake_endpoint second(book);
+    addEndpoint("s1", first, endpoint_role::Service);
+    addEndpoint("s2", second, endpoint_role::Service, 1e-9);
+    start();
+    const answer booked = request("POST", "/bookings", "a", "secret", "k1");
+    BOOST_TEST(booked.status == 200);
+    BOOST_TEST(booked.body == "booked");
+    const answer lost = request("POST", "/bookings", "b", "secret", "k2");
+    BOOST_TEST(bookings.load() == 2);
+    BOOST_TEST(lost.status == 502);
+    BOOST_TEST(lost.run == "unknown");
+    BOOST_TEST(lost.body.find("outcome_unknown_error") != std::string::npos);
+}
+
+// Guards against "unknown" for a call that certainly did not run, which its caller could repeat.
+BOOST_AUTO_TEST_CASE(reportsNotRunWhenNothingWasSent)
+{
+    {
+        fake_endpoint gone([](tcp::socket &, const received_request &) { return false; });
+        addEndpoint("s1", gone, endpoint_role::Service);
+    }
+    start();
+    const answer reply = request("POST", "/bookings", "a", "secret", "k1");
+    BOOST_TEST(reply.status == 503);
+    BOOST_TEST(reply.run == "not-run");
+}
+
+// Guards against plain routes that need a key though open, lose the query, or are not retried.
+BOOST_AUTO_TEST_CASE(forwardsPlainRoutes)
+{
+    std::atomic<int> calls{ 0 };
+    fake_endpoint service([&calls](tcp::socket &socket, const received_request &request) {
+        return calls++ > 0 && sendAnswer(socket, request, request.head.substr(0, 20));
+    });
+    addEndpoint("s1", service, endpoint_role::Service);
+    start();
+    const answer reply = request("GET", "/menu/soup?day=3", "", "");
+    BOOST_TEST(reply.status == 200);
+    BOOST_TEST(reply.body == "GET /menu/soup?day=3");
+    BOOST_TEST(!reply.requestId.empty());
+}
+
+// Guards against a whole completion that is empty, and against its loss of fields.
+BOOST_AUTO_TEST_CASE(answersWithoutStreaming)
+{
+    std::atomic<int> calls{ 0 };
+    fake_endpoint engine([&calls](tcp::socket &socket, const received_request &request) {
+        return sendAnswer(socket, request, calls++ == 0 ? "" : R"({"choices":[],"extra":1})");
+    });
+    addEndpoint("e1", engine);
+    start();
+    const answer reply = request("POST", "/v1/chat/completions",
+                                 R"({"model":"m","messages":[{"role":"user","content":"x"}]})");
+    BOOST_TEST(reply.status == 200);
+    BOOST_TEST(reply.body == R"({"choices":[],"extra":1})");
+    BOOST_TEST(calls.load() == 2);
+}
+
+// Guards against a drain that cuts an open stream or still takes new requests.
+BOOST_AUTO_TEST_CASE(finishesOpenRequestsAfterStopAccepting)
+{
+    std::atomic<bool> proceed{ false };
+    fake_endpoint engine([&proceed](tcp::socket &socket, const received_request &request) {
+        eventually([&proceed] { return proceed.load(); });
+        return streamTokens(socket, request, 20);
+    });
+    addEndpoint("e1", engine);
+    front_server &server = start();
+    answer open;
+    std::thread caller([&] { open = stream(); });
+    BOOST_TEST(eventually([&] { return engine.requests().size() == 1; }));
+    server.stopAccepting();
+    const answer refused = stream();
+    BOOST_TEST(refused.status == 503);
+    BOOST_TEST(refused.run == "not-run");
+    BOOST_TEST(server.openRequests() >= 1u);
+    proceed = true;
+    caller.join();
+    BOOST_TEST(tokensOf(open.body) == expectedTokens(20));
+    BOOST_TEST(eventually([&] { return server.openRequests() == 0; }));
+}
+
+// Guards against a withdrawn key whose running stream goes on.
+BOOST_AUTO_TEST_CASE(cancelsTheRequestsOfAWithdrawnKey)
+{
+    fake_endpoint engine([](tcp::socket &socket, const received_request &request) {
+        sendStreamHead(socket, request);
+        sendChunk(socket, tokenEvent(request, 0));
+        return waitForClose(socket);
+    });
+    addEndpoint("e1", engine);
+    front_server &server = start();
+    answer cut;
+    std::thread caller([&] { cut = stream(); });
+    BOOST_TEST(eventually([&] { return engine.requests().size() == 1; }));
+    server.cancelKey(sha256Hex("secret"));
+    caller.join();
+    BOOST_TEST(!endsProperly(cut.body));
+    BOOST_TEST(cut.body.find("\"error\"") != std::string::npos);
+    BOOST_TEST(engine.requests().size() == 1u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
