Place prompts by nested rendezvous and the cost of a miss

A prompt should go where its prefix is cached, on every VM alike and without history. The sets of nested weighted rendezvous hashing say which endpoints other VMs will have sent a prefix to; all eligible endpoints are then compared by queue wait plus weighted time for the missing tokens. State (heat, recent requests, shares of endpoints) and the pure choice are separate.

--- /dev/null
+++ b/burdockhold/endpoint_shares.cc
@@ -0,0 +1,69 @@
+#include "burdockhold/endpoint_shares.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace burdockhold {
+namespace {
+
+/// A round that comes later than this counts as this long, so that a pause changes little.
+constexpr double LongestStepSeconds = 1.0;
+
+} // namespace
+
+endpoint_shares::endpoint_shares(const share_options &options)
+    : m_options(options)
+{
+}
+
+void endpoint_shares::update(const std::vector<endpoint_wait> &waits, time_point now)
+{
+    const double step = m_updated
+                                ? std::clamp(toSeconds(now - m_updatedAt), 0.0, LongestStepSeconds)
+                                : 0.0;
+    m_updated = true;
+    m_updatedAt = now;
+
+    double mean = 0.0;
+    for (const endpoint_wait &wait : waits)
+        mean += wait.seconds / static_cast<double>(waits.size());
+    const double unit = std::max(mean, m_options.smallestMeanSeconds);
+    const double limit = std::log(m_options.largestFactor);
+
+    std::unordered_map<std::uint64_t, double> next;
+    for (const endpoint_wait &wait : waits) {
+        const auto found = m_logFactors.find(wait.endpoint);
+        double value = found == m_logFactors.end() ? 0.0 : found->second;
+        const double excess = std::clamp((wait.seconds - mean) / unit, -2.0, 2.0);
+        value -= step * (m_options.gainPerSecond * excess + m_options.decayPerSecond * value);
+        next[wait.endpoint] = std::clamp(value, -limit, limit);
+    }
+    m_logFactors = std::move(next);
+}
+
+double endpoint_shares::factor(std::uint64_t endpoint) const
+{
+    const auto found = m_logFactors.find(endpoint);
+    return found == m_logFactors.end() ? 1.0 : std::exp(found->second);
+}
+
+std::vector<share_factor> endpoint_shares::exportFactors() const
+{
+    std::vector<share_factor> factors;
+    for (const auto &[endpoint, value] : m_logFactors)
+        factors.push_back({ endpoint, std::exp(value) });
+    std::sort(factors.begin(), factors.end(),
+              [](const share_factor &a, const share_factor &b) { return a.endpoint < b.endpoint; });
+    return factors;
+}
+
+void endpoint_shares::importFactors(const std::vector<share_factor> &factors)
+{
+    const double limit = std::log(m_options.largestFactor);
+    for (const share_factor &entry : factors) {
+        if (std::isfinite(entry.factor) && entry.factor > 0.0)
+            m_logFactors[entry.endpoint] = std::clamp(std::log(entry.factor), -limit, limit);
+    }
+}
+
+} // namespace burdockhold
--- a/testing/prefix_test.cc
+++ b/testing/prefix_test.cc
@@ -11,7 +11,7 @@
 
 namespace {
 
-const prefix_options SmallBlocks{ 2, 4, 16 };
+const prefix_options smallBlocks{ 2, 4, 16 };
 
 std::string randomText(std::mt19937_64 &random, std::size_t size)
 {
@@ -51,8 +51,8 @@
         const std::string a = randomText(random, random() % 100);
         std::string b = a.substr(0, random() % (a.size() + 1));
         b += randomText(random, random() % 40);
-        const auto pa = cutPrompt(a, 7, SmallBlocks);
-        const auto pb = cutPrompt(b, 7, SmallBlocks);
+        const auto pa = cutPrompt(a, 7, smallBlocks);
+        const auto pb = cutPrompt(b, 7, smallBlocks);
         BOOST_TEST(commonLevels(pa, pb) == commonBlocks(a, b, 8));
         BOOST_TEST(pa.levels.size() == a.size() / 8);
         BOOST_TEST(pa.promptTokens == static_cast<std::int64_t>((a.size() + 3) / 4));
@@ -76,7 +76,7 @@
     std::set<std::uint64_t> firstLevels;
     for (const auto &identity : identities) {
         seeds.insert(identitySeed(identity));
-        firstLevels.insert(cutPrompt("12345678", identitySeed(identity), SmallBlocks).levels[0]);
+        firstLevels.insert(cutPrompt("12345678", identitySeed(identity), smallBlocks).levels[0]);
     }
     BOOST_TEST(seeds.size() == identities.size());
     BOOST_TEST(firstLevels.size() == identities.size());
@@ -85,8 +85,8 @@
 // Guards against memory that grows with the prompt.
 BOOST_AUTO_TEST_CASE(levelsAreBounded)
 {
-    const auto prefix = cutPrompt(std::string(1 << 20, 'x'), 1, SmallBlocks);
-    BOOST_TEST(prefix.levels.size() == SmallBlocks.maxLevels);
+    const auto prefix = cutPrompt(std::string(1 << 20, 'x'), 1, smallBlocks);
+    BOOST_TEST(prefix.levels.size() == smallBlocks.maxLevels);
     BOOST_TEST(prefix.promptTokens == (1 << 18));
 }
 
--- /dev/null
+++ b/tools/placement_bench.cc
@@ -0,0 +1,139 @@
+// Compares placement policies in the event simulation and prints one line for each scenario and
+// policy: means over the seeds, and the worst seed's p99.
+
+#include "testing/placement_simulation.h"
+
+#include <boost/program_options.hpp>
+
+#include <algorithm>
+#include <iomanip>
+#include <iostream>
+
+using namespace burdockhold;
+using namespace burdockhold::testing;
+
+namespace options_lib = boost::program_options;
+
+namespace {
+
+struct scenario
+{
+    const char *name;
+    std::size_t engines;
+    double load;
+    double crashAt;
+    double restartAt;
+    bool copyHeat;
+};
+
+constexpr double EventAt = 90.0;
+
+const std::vector<scenario> scenarios{
+    { "9 engines, 30 %", 9, 0.3, -1.0, -1.0, true },
+    { "4 engines, 30 %", 4, 0.3, -1.0, -1.0, true },
+    { "9 engines, 90 %", 9, 0.9, -1.0, -1.0, true },
+    { "4 engines, 90 %", 4, 0.9, -1.0, -1.0, true },
+    { "9 engines, 60 %, crash", 9, 0.6, EventAt, -1.0, true },
+    { "4 engines, 60 %, crash", 4, 0.6, EventAt, -1.0, true },
+    { "9 engines, 60 %, restart, heat copied", 9, 0.6, -1.0, EventAt, true },
+    { "9 engines, 60 %, restart, no heat", 9, 0.6, -1.0, EventAt, false },
+    { "4 engines, 60 %, restart, heat copied", 4, 0.6, -1.0, EventAt, true },
+    { "4 engines, 60 %, restart, no heat", 4, 0.6, -1.0, EventAt, false },
+};
+
+struct totals
+{
+    double hitRate = 0.0;
+    double afterRestart = 0.0;
+    double p50 = 0.0;
+    double p99 = 0.0;
+    double worstP99 = 0.0;
+    double recomputed = 0.0;
+    double utilisation = 0.0;
+};
+
+totals runSeeds(simulation_options options, std::uint64_t seeds)
+{
+    totals sum;
+    const double part = 1.0 / static_cast<double>(seeds);
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        options.seed = seed;
+        const simulation_report report = simulatePlacement(options);
+        sum.hitRate += part * report.hitRate();
+        if (report.promptTokensAfterRestart > 0.0)
+            sum.afterRestart += part * report.cachedTokensAfterRestart
+                                / report.promptTokensAfterRestart;
+        sum.p50 += part * report.p50Seconds;
+        sum.p99 += part * report.p99Seconds;
+        sum.worstP99 = std::max(sum.worstP99, report.p99Seconds);
+        sum.recomputed += part * report.recomputedTokens / report.promptTokens;
+        sum.utilisation += part * report.utilisation;
+    }
+    return sum;
+}
+
+void printLine(placement_policy policy, const totals &sum)
+{
+    std::cout << "  " << std::left << std::setw(13) << nameOf(policy) << std::right << std::fixed
+              << std::setprecision(1) << std::setw(7) << 100.0 * sum.hitRate << std::setw(9)
+              << 100.0 * sum.afterRestart << std::setw(9) << 1000.0 * sum.p50 << std::setw(10)
+              << 1000.0 * sum.p99 << std::setw(10) << 1000.0 * sum.worstP99 << std::setw(9)
+              << 100.0 * sum.recomputed << std::setw(7) << 100.0 * sum.utilisation << std::endl;
+}
+
+void runScenario(const scenario &chosen, const simulation_options &base, std::uint64_t seeds)
+{
+    simulation_options options = base;
+    options.engines = chosen.engines;
+    options.requestsPerSecond = rateForUtilisation(options, chosen.load);
+    options.crashAt = chosen.crashAt;
+    options.restartAt = chosen.restartAt;
+    options.copyHeat = chosen.copyHeat;
+    std::cout << chosen.name << ": " << std::fixed << std::setprecision(1)
+              << options.requestsPerSecond << " requests/s, " << seeds << " seeds\n"
+              << "  policy        hit % restart %   p50 ms    p99 ms worst p99 recomp. %  busy %\n";
+    for (const auto &row : enum_names<placement_policy>::Table) {
+        options.policy = row.value;
+        printLine(row.value, runSeeds(options, seeds));
+    }
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    simulation_options options;
+    std::uint64_t seeds = 20;
+    std::size_t only = 0;
+
+    options_lib::options_description description("placement_bench options");
+    auto add = description.add_options();
+    add("help", "print this text");
+    add("seeds", options_lib::value(&seeds), "number of seeds");
+    add("scenario", options_lib::value(&only), "run one scenario, counted from 1; 0 runs all");
+    add("replica-factor", options_lib::value(&options.placement.replicaFactor),
+        "replicas: factor x share x endpoints");
+    add("miss-weight", options_lib::value(&options.placement.missWeight),
+        "weight of missing tokens against queue wait");
+    add("share-gain", options_lib::value(&options.shares.gainPerSecond),
+        "correction of endpoint weights per second");
+    add("load-bound-floor", options_lib::value(&options.placement.loadBoundFloorSeconds),
+        "queue wait in seconds below which the load bound does not apply");
+    options_lib::variables_map values;
+    try {
+        options_lib::store(options_lib::parse_command_line(argc, argv, description), values);
+        options_lib::notify(values);
+    } catch (const options_lib::error &error) {
+        std::cerr << "placement_bench: " << error.what() << "\n";
+        return 2;
+    }
+    if (values.count("help") > 0 || seeds == 0) {
+        std::cout << description;
+        return values.count("help") > 0 ? 0 : 2;
+    }
+    for (std::size_t i = 0; i < scenarios.size(); ++i) {
+        if (only == 0 || only == i + 1)
+            runScenario(scenarios[i], options, seeds);
+    }
+    return 0;
+}
