--- /dev/null
+++ b/burdockhold/admin_server.h
@@ -0,0 +1,56 @@
+#ifndef BURDOCKHOLD_ADMIN_SERVER_H
+#define BURDOCKHOLD_ADMIN_SERVER_H
+
+// The HTTP listener for operators and for the load balancer's health check. It knows no other
+// module: each page is a function that returns the reply. Pages run on the HTTP library's threads
+// and must not block. Unknown paths get 404, known paths with another method 405.
+
+#include "burdockhold/result.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace burdockhold {
+
+struct admin_reply
+{
+    int status = 200;
+    std::string contentType = "application/json";
+    std::string body;
+};
+
+/// One page of the listener. The handler gets the request's body.
+struct admin_page
+{
+    std::string method; ///< Upper case.
+    std::string path;   ///< Exact path.
+    std::function<admin_reply(const std::string &body)> handler;
+};
+
+enum class admin_error { CannotListen };
+
+class admin_server
+{
+public:
+    /// address is "http://IP:PORT" with a port other than 0.
+    admin_server(std::string address, std::vector<admin_page> pages);
+    ~admin_server();
+    admin_server(const admin_server &) = delete;
+    admin_server &operator=(const admin_server &) = delete;
+
+    /// Starts listening. Blocks until the socket is open.
+    result<success, admin_error> start();
+
+    /// Closes the listener. Blocks until running replies are written.
+    void stop();
+
+private:
+    class impl;
+    std::unique_ptr<impl> m_impl;
+};
+
+} // namespace burdockhold
+
+#endif
