Refuse negative options of the stand-ins and honour Connection: close

Boost converts "--retention-records=-1" into a huge number without an error, so a mistyped option left a test without its failure; such values are now refused. A caller that sends "Connection: close" and reads to the end waited for ever; the stand-ins now close.

--- a/testing/standin.cc
+++ b/testing/standin.cc
@@ -9,6 +9,7 @@
 #include <functional>
 #include <iostream>
 #include <map>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -90,15 +91,28 @@
     out << "\n`standin ROLE --help` lists the options of a role\n";
 }
 
+// Boost converts a negative number into a large unsigned one without an error.
+void refuseNegative(const po::parsed_options &parsed)
+{
+    for (const po::option &option : parsed.options) {
+        for (const std::string &text : option.value) {
+            if (!text.empty() && text.front() == '-')
+                throw std::invalid_argument("option '--" + option.string_key
+                                            + "' must not be negative");
+        }
+    }
+}
+
 int runRole(const std::string &name, const role &chosen, const std::vector<std::string> &arguments)
 {
-    po::variables_map values;
     const po::positional_options_description noPositional;
-    po::store(po::command_line_parser(arguments)
-                      .options(chosen.description)
-                      .positional(noPositional)
-                      .run(),
-              values);
+    const po::parsed_options parsed = po::command_line_parser(arguments)
+                                              .options(chosen.description)
+                                              .positional(noPositional)
+                                              .run();
+    refuseNegative(parsed);
+    po::variables_map values;
+    po::store(parsed, values);
     if (values.count("help") > 0) {
         std::cout << "standin " << name << ":\n" << chosen.description;
         return EXIT_SUCCESS;
--- a/testing/standin_http.cc
+++ b/testing/standin_http.cc
@@ -73,6 +73,8 @@
         } catch (const std::exception &error) {
             peer.respond(400, nlohmann::json{ { "error", error.what() } });
         }
+        if (sameName(request.header("Connection"), "close"))
+            peer.drop();
         request = {};
     }
 }
--- a/testing/standin_nettest.cc
+++ b/testing/standin_nettest.cc
@@ -327,6 +327,37 @@
             eventually([&] { return received(engine)["requests"][3]["outcome"] == "cancelled"; }));
 }
 
+// Guards against an engine that answers at once whatever its settings: time to first token is what
+// placement is measured by. Only lower bounds, which hold on a busy machine too.
+BOOST_AUTO_TEST_CASE(engineTakesItsTime)
+{
+    const standin_process engine = start("engine", { "--prefill-us-per-token", "20000",
+                                                     "--token-ms", "20", "--block-tokens", "1" });
+    const auto timed = [&](const std::string &prompt) {
+        const auto before = std::chrono::steady_clock::now();
+        complete(engine, prompt, {}, 2);
+        return std::chrono::steady_clock::now() - before;
+    };
+    // Four uncached tokens of 20 ms and two output tokens of 20 ms.
+    BOOST_TEST((timed("aaaabbbbccccdddd") >= std::chrono::milliseconds(120)));
+    BOOST_TEST((timed("aaaabbbbccccdddd") >= std::chrono::milliseconds(40)));
+}
+
+// Guards against lost cache events that leave no gap in the numbers: readers find losses by gaps.
+BOOST_AUTO_TEST_CASE(engineLosesCacheEventsWithAGap)
+{
+    const standin_process engine = start("engine", { "--block-tokens", "1" });
+    complete(engine, "aaaa");
+    setFaults(engine, { { "lose_cache_events", 1 } });
+    complete(engine, "bbbb");
+    complete(engine, "cccc");
+    const json page = httpCall(engine.url, "GET", "/cache_events").json();
+    BOOST_REQUIRE_EQUAL(page["events"].size(), 2);
+    BOOST_TEST(page["events"][0]["seq"] == 1);
+    BOOST_TEST(page["events"][1]["seq"] == 3);
+    BOOST_TEST(page["next"] == 4);
+}
+
 // Guards against a service that hides executions: at-most-once is judged by its counts.
 BOOST_AUTO_TEST_CASE(serviceCountsExecutions)
 {
@@ -357,6 +388,11 @@
     const standin_process late = start("vmlist", { "--lag-ms", "3600000" });
     httpCall(late.url, "PUT", "/vms", body);
     BOOST_TEST(httpCall(late.url, "GET", "/vms").json()["vms"].empty());
+    const standin_process soon = start("vmlist", { "--lag-ms", "50" });
+    httpCall(soon.url, "PUT", "/vms", body);
+    BOOST_TEST(
+            eventually([&] { return !httpCall(soon.url, "GET", "/vms").json()["vms"].empty(); }));
+    BOOST_TEST(httpCall(soon.url, "PUT", "/vms", "{").status == 400);
 }
 
 // Guards against downloads above the store's rate, and a KV store without a bound.
@@ -427,6 +463,21 @@
     BOOST_TEST(caller.readResponse().json()["first_offset"] == 1);
 }
 
+// Guards against a caller that asks for the close and waits for it in vain.
+BOOST_AUTO_TEST_CASE(connectionsCloseOnRequest)
+{
+    const standin_process log = start("log");
+    http_connection caller(log.url);
+    caller.sendRequest("GET", "/stats", {}, { { "Connection", "close" } });
+    BOOST_TEST(caller.readResponse().status == 200);
+    BOOST_TEST(closedWithoutAnswer(caller));
+    http_connection kept(log.url);
+    kept.sendRequest("GET", "/stats");
+    BOOST_TEST(kept.readResponse().status == 200);
+    kept.sendRequest("GET", "/stats");
+    BOOST_TEST(kept.readResponse().status == 200);
+}
+
 // Guards against a fleet that loads another catalogue than the test gave, or a key in clear text.
 BOOST_AUTO_TEST_CASE(fleetLoadsTheLog)
 {
