Halve the default room of the claim ledger

The defaults are now 100,000 claims and 16 MiB. Over a claim window of 24 h this is 1.1 claims/s; more needs a denser representation.

--- a/burdockhold/claim_ledger.h
+++ b/burdockhold/claim_ledger.h
@@ -106,8 +106,8 @@
     /// How long after its claim a call without an outcome counts as in progress. Later it counts as
     /// outcome unknown, because its VM has probably died.
     log_time_ms inProgressMs = 120LL * 1000;
-    std::size_t maxClaims = 200000;        ///< Keys and claim ids held, each.
-    std::size_t maxBodyBytes = 64U << 20U; ///< Sum of retained bodies; the oldest are dropped.
+    std::size_t maxClaims = 100000;        ///< Keys and claim ids held, each.
+    std::size_t maxBodyBytes = 16U << 20U; ///< Sum of retained bodies; the oldest are dropped.
 };
 
 /// What a record did to the ledger.
