Poll the log every second at most, so that a view stays fresh

A view may be as old as two poll waits, because a read that was sent just before a record says nothing about it. With a wait of 2 s and a slow log that came close to the largest view age of 5 s; it is 1 s now, and the settings are refused when two waits exceed the largest age. Log lines had quotes around the T of their time stamps, which log4cxx writes out; a space stands there now.

--- a/burdockhold/logging.cc
+++ b/burdockhold/logging.cc
@@ -15,7 +15,7 @@
 namespace {
 
 /// The message is a JSON object itself, so that it is nested, not quoted.
-constexpr const char *LinePattern = "{\"time\":\"%d{yyyy-MM-dd'T'HH:mm:ss.SSS}{UTC}Z\","
+constexpr const char *LinePattern = "{\"time\":\"%d{yyyy-MM-dd HH:mm:ss.SSS}{UTC}Z\","
                                     "\"level\":\"%p\",\"component\":\"%c\",\"data\":%m}%n";
 
 log4cxx::LevelPtr toLevel(log_level level)
--- a/burdockhold/logging.h
+++ b/burdockhold/logging.h
@@ -1,7 +1,7 @@
 #ifndef BURDOCKHOLD_LOGGING_H
 #define BURDOCKHOLD_LOGGING_H
 
-// The process's log through log4cxx. Every line is one JSON object: time (UTC, ISO 8601), level,
+// The process's log through log4cxx. Every line is one JSON object: time (UTC), level,
 // component and either the event with its fields or, for logger "access", the request's decision.
 // Keys and bodies of callers are never written.
 
--- a/burdockhold/settings.cc
+++ b/burdockhold/settings.cc
@@ -51,7 +51,7 @@
             "Longest wait for open requests at shutdown." },
           &s::drainTimeout },
         { { "log", "url", kind::HttpUrl, "", "", "", "Address of the log service." }, &s::logUrl },
-        { { "log", "poll_wait", kind::Duration, "2s", "10ms", "30s",
+        { { "log", "poll_wait", kind::Duration, "1s", "10ms", "30s",
             "How long a read at the tail waits for new records." },
           &s::logPollWait },
         { { "log", "timeout", kind::Duration, "3s", "10ms", "60s",
@@ -351,9 +351,9 @@
                              "max_view_age is shorter than two heartbeat intervals",
                              {} },
                            file, "freshness", "max_view_age");
-    if (settings.logPollWait >= settings.maxViewAge)
+    if (settings.logPollWait * 2 > settings.maxViewAge)
         return withContext(
-                { settings_error::OutOfBounds, "poll_wait is not shorter than max_view_age", {} },
+                { settings_error::OutOfBounds, "max_view_age is shorter than two poll waits", {} },
                 file, "log", "poll_wait");
     return success{};
 }
--- a/testing/support_fleet.cc
+++ b/testing/support_fleet.cc
@@ -73,7 +73,7 @@
              "admin_listen = http://127.0.0.1:0\n"
              "peer_listen = "
            + settings.peer + "\n\n[log]\nurl = " + settings.logUrl
-           + "\npoll_wait = 2s\n\n[vms]\nurl = " + settings.vmsUrl + "\n\n[logging]\nfile = "
+           + "\npoll_wait = 1s\n\n[vms]\nurl = " + settings.vmsUrl + "\n\n[logging]\nfile = "
            + settings.logFile + "\nlevel = info\n\n[limits]\nbody = 16MiB\n\n" + settings.extra;
 }
 
