--- a/burdockhold/front_server.h
+++ b/burdockhold/front_server.h
@@ -4,9 +4,10 @@
 // The HTTP listener for callers. It authenticates each request, forwards it to an endpoint and
 // returns the endpoint's response; see exchange.h for the stages.
 //
-// What cpprest does not promise: it reads a request's body into memory on its own, without a
-// bound. The router refuses a body over the limit as soon as it sees the length or the excess, and
-// stops cpprest's reading by closing the buffer.
+// What cpprest does not promise: it reads a request's body into memory without a bound and sends no
+// reply before the body's end. The router refuses a body over the limit as soon as it sees the
+// length or the excess, declares the body complete and closes the connection; a caller that goes on
+// sending may see the connection reset before it reads the 413.
 
 #include "burdockhold/blackboard.h"
 #include "burdockhold/result.h"
@@ -23,7 +24,7 @@
 struct front_options
 {
     std::string address; ///< "http://IP:PORT" to listen on.
-    std::size_t bodyLimitBytes = 16 * 1024 * 1024;
+    std::size_t bodyLimitBytes = 16 << 20;
     duration maxViewAge = std::chrono::seconds(5); ///< Keyed requests need a view this recent.
     resume_options resume;
     upstream_options upstream;
--- a/burdockhold/resume.cc
+++ b/burdockhold/resume.cc
@@ -56,7 +56,6 @@
 void stream_continuity::beginAttempt()
 {
     ++m_attempts;
-    m_resumedFrom = m_delivered;
     m_usageSeen = false;
     m_state = stream_state::Streaming;
 }
@@ -90,10 +89,12 @@
     const std::int64_t total = m_delivered + (isNew ? 1 : 0);
     if (hasUsage) {
         const std::int64_t reported = integerField(*usage, "completion_tokens", -1);
-        // An endpoint may count from the start of the stream or from where it resumed.
-        if (reported != total && reported != total - m_resumedFrom)
+        // Counting only from the resumed token is refused: it could not be told from a stream
+        // that lost its last tokens.
+        if (reported != total)
             return abandon("the usage does not match the delivered tokens");
-        (*usage)["completion_tokens"] = total;
+        if (isToken && !isNew)
+            event["choices"] = json::array();
         m_cachedTokens = integerField(*usage, "cached_tokens", 0);
         m_usageSeen = true;
     }
--- a/burdockhold/resume.h
+++ b/burdockhold/resume.h
@@ -42,7 +42,8 @@
     void beginAttempt();
 
     /// Judges the data of one event. Events carry the request's id, alone or after a prefix
-    /// ("cmpl-ID"). Only in state Streaming.
+    /// ("cmpl-ID"), and the usage counts the tokens of the whole stream, also when it was resumed.
+    /// Only in state Streaming.
     event_verdict accept(std::string_view data);
 
     /// The endpoint's response ended or failed. Does nothing unless the state is Streaming.
@@ -68,7 +69,6 @@
     stream_state m_state = stream_state::NeedsResume;
     int m_attempts = 0;
     std::int64_t m_delivered = 0;
-    std::int64_t m_resumedFrom = 0;
     std::int64_t m_cachedTokens = 0;
     bool m_usageDelivered = false;
     bool m_usageSeen = false;
--- a/burdockhold/router.h
+++ b/burdockhold/router.h
@@ -59,7 +59,7 @@
 };
 
 /// Bytes of one prompt block: 2,000 tokens at 4 bytes each (design page, section 7).
-inline constexpr std::size_t PromptBlockBytes = 2000 * 4;
+inline constexpr std::size_t PromptBlockBytes = 8000;
 
 /// Weighted rendezvous hashing on the first prompt block under the cache identity.
 class rendezvous_router : public router
--- a/testing/front_server_nettest.cc
+++ b/testing/front_server_nettest.cc
@@ -593,11 +593,16 @@
     start();
     const std::string head = "POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
                              "Authorization: Bearer secret\r\n";
-    const std::string chunk = "7d0\r\n" + std::string(2000, ' ') + "\r\n";
-    for (const std::string &rest : { "Content-Length: 100000000\r\n\r\n" + std::string(2000, ' '),
-                                     "Transfer-Encoding: chunked\r\n\r\n" + chunk + chunk }) {
+    // cpprest notices the refusal when it stores the next piece of the body, so some more of the
+    // body must arrive; 256 KiB of 100 MB are enough.
+    std::string chunks = "Transfer-Encoding: chunked\r\n\r\n";
+    for (int count = 0; count < 128; ++count)
+        chunks += "800\r\n" + std::string(2048, ' ') + "\r\n";
+    const std::string part = "Content-Length: 100000000\r\n\r\n" + std::string(262144, ' ');
+    for (const std::string &rest : { part, chunks }) {
         boost::asio::io_context service;
         tcp::socket caller = connect(service);
+        BOOST_TEST_MESSAGE(rest.substr(0, 40));
         sendBytes(caller, head + rest);
         std::string reply;
         boost::system::error_code error;
