Refuse an over-long body before it has been read

cpprest sends no reply before it has read the whole body. Closing the body's buffer was tried and ruled out: the library then stopped reading and never replied. Declaring the body complete sends the 413 at once, seen with 256 KiB of a declared 100 MB and with a chunked body; the connection is closed after.

--- a/burdockhold/exchange.cc
+++ b/burdockhold/exchange.cc
@@ -205,7 +205,9 @@
     if (m_bodyTooLarge) {
         refuse(invalid(413, "body_too_large",
                        "the body exceeds " + std::to_string(m_route.bodyLimitBytes) + " bytes"));
-        m_message.body().streambuf().close(std::ios_base::out);
+        // cpprest holds a reply back until it has read the whole body, however long. Declaring the
+        // body complete sends the reply at once and closes the buffer that the rest would fill.
+        m_message._get_impl()->_complete(0);
         return;
     }
     if (m_body.size() < m_message.headers().content_length()) {
