--- a/burdockhold/caller_reply.cc
+++ b/burdockhold/caller_reply.cc
@@ -9,8 +9,8 @@
 
 using web::http::http_response;
 
-caller_reply::caller_reply(web::http::http_request message, std::string requestId)
-    : m_message(std::move(message))
+caller_reply::caller_reply(const web::http::http_request &message, std::string requestId)
+    : m_message(message)
     , m_requestId(std::move(requestId))
 {
 }
--- a/burdockhold/caller_reply.h
+++ b/burdockhold/caller_reply.h
@@ -27,7 +27,7 @@
     /// Called once, when the reply has been written (true) or the caller left (false).
     using closed_callback = std::function<void(bool)>;
 
-    caller_reply(web::http::http_request message, std::string requestId);
+    caller_reply(const web::http::http_request &message, std::string requestId);
 
     /// Sets the callback. Before the first reply.
     void setClosed(closed_callback closed) { m_closed = std::move(closed); }
--- a/burdockhold/exchange.cc
+++ b/burdockhold/exchange.cc
@@ -76,9 +76,10 @@
 
 } // namespace
 
-exchange::exchange(exchange_context context, web::http::http_request message, std::string requestId)
+exchange::exchange(exchange_context context, const web::http::http_request &message,
+                   std::string requestId)
     : m_context(context)
-    , m_message(std::move(message))
+    , m_message(message)
     , m_requestId(std::move(requestId))
     , m_reply(m_message, m_requestId)
     , m_started(steadyNow())
--- a/burdockhold/exchange.h
+++ b/burdockhold/exchange.h
@@ -33,7 +33,8 @@
 class exchange : public upstream_observer, public std::enable_shared_from_this<exchange>
 {
 public:
-    exchange(exchange_context context, web::http::http_request message, std::string requestId);
+    exchange(exchange_context context, const web::http::http_request &message,
+             std::string requestId);
 
     /// Runs the request. closed is called once, after the reply was written or the caller left
     /// and no call to an endpoint runs.
--- a/burdockhold/front_server.cc
+++ b/burdockhold/front_server.cc
@@ -88,7 +88,7 @@
     {
         try {
             m_listener = http_listener(web::uri(m_options.address));
-            m_listener.support([this](http_request message) { handle(std::move(message)); });
+            m_listener.support([this](const http_request &message) { handle(message); });
             m_listener.open().wait();
         } catch (const std::exception &error) {
             return basic_error<front_error>{ front_error::CannotListen, error.what(),
@@ -126,9 +126,9 @@
     }
 
 private:
-    void handle(http_request message)
+    void handle(const http_request &message)
     {
-        auto request = std::make_shared<exchange>(m_context, std::move(message), newRequestId());
+        auto request = std::make_shared<exchange>(m_context, message, newRequestId());
         m_open->add(request);
         auto closed = [open = m_open, id = request->requestId()] { open->remove(id); };
         if (m_accepting)
--- a/burdockhold/stream_reader.cc
+++ b/burdockhold/stream_reader.cc
@@ -14,8 +14,8 @@
 class reader : public std::enable_shared_from_this<reader>
 {
 public:
-    reader(buffer_type buffer, stream_sink sink)
-        : m_buffer(std::move(buffer))
+    reader(const buffer_type &buffer, stream_sink sink)
+        : m_buffer(buffer)
         , m_sink(std::move(sink))
     {
     }
@@ -76,9 +76,9 @@
 
 } // namespace
 
-void readStream(buffer_type buffer, stream_sink sink)
+void readStream(const buffer_type &buffer, stream_sink sink)
 {
-    std::make_shared<reader>(std::move(buffer), std::move(sink))->readNext();
+    std::make_shared<reader>(buffer, std::move(sink))->readNext();
 }
 
 } // namespace burdockhold
--- a/burdockhold/stream_reader.h
+++ b/burdockhold/stream_reader.h
@@ -21,7 +21,7 @@
 /// Largest piece handed to the sink.
 inline constexpr std::size_t MaxPieceBytes = 64 << 10;
 
-void readStream(concurrency::streams::streambuf<std::uint8_t> buffer, stream_sink sink);
+void readStream(const concurrency::streams::streambuf<std::uint8_t> &buffer, stream_sink sink);
 
 } // namespace burdockhold
 
--- a/testing/front_server_nettest.cc
+++ b/testing/front_server_nettest.cc
@@ -602,7 +602,6 @@
     for (const std::string &rest : { part, chunks }) {
         boost::asio::io_context service;
         tcp::socket caller = connect(service);
-        BOOST_TEST_MESSAGE(rest.substr(0, 40));
         sendBytes(caller, head + rest);
         std::string reply;
         boost::system::error_code error;
