--- a/burdockhold/exchange.cc
+++ b/burdockhold/exchange.cc
@@ -76,9 +76,10 @@
 
 } // namespace
 
-exchange::exchange(exchange_context context, web::http::http_request message, std::string requestId)
+exchange::exchange(exchange_context context, const web::http::http_request &message,
+                   std::string requestId)
     : m_context(context)
-    , m_message(std::move(message))
+    , m_message(message)
     , m_requestId(std::move(requestId))
     , m_reply(m_message, m_requestId)
     , m_started(steadyNow())
@@ -185,19 +186,18 @@
 void exchange::readBody()
 {
     const auto limit = static_cast<std::size_t>(m_route.bodyLimitBytes);
-    if (m_message.headers().content_length() > limit) {
-        m_bodyTooLarge = true;
-        onBodyRead();
-        return;
-    }
+    m_bodyTooLarge = m_message.headers().content_length() > limit;
     auto self = shared_from_this();
-    readStream(m_message.body().streambuf(), { [self, limit](std::string_view bytes) {
-                                                  self->m_body += bytes;
-                                                  self->m_bodyTooLarge = self->m_body.size()
-                                                                         > limit;
-                                                  return !self->m_bodyTooLarge;
-                                              },
-                                               [self] { self->onBodyRead(); } });
+    // What exceeds the limit is read and dropped, because cpprest sends no reply before it has read
+    // the whole body.
+    const auto store = [self, limit](std::string_view bytes) {
+        if (self->m_bodyTooLarge)
+            return true;
+        self->m_body += bytes;
+        self->m_bodyTooLarge = self->m_body.size() > limit;
+        return true;
+    };
+    readStream(m_message.body().streambuf(), { store, [self] { self->onBodyRead(); } });
 }
 
 void exchange::onBodyRead()
@@ -205,7 +205,6 @@
     if (m_bodyTooLarge) {
         refuse(invalid(413, "body_too_large",
                        "the body exceeds " + std::to_string(m_route.bodyLimitBytes) + " bytes"));
-        m_message.body().streambuf().close(std::ios_base::out);
         return;
     }
     if (m_body.size() < m_message.headers().content_length()) {
--- a/burdockhold/front_server.h
+++ b/burdockhold/front_server.h
@@ -4,9 +4,9 @@
 // The HTTP listener for callers. It authenticates each request, forwards it to an endpoint and
 // returns the endpoint's response; see exchange.h for the stages.
 //
-// What cpprest does not promise: it reads a request's body into memory on its own, without a
-// bound. The router refuses a body over the limit as soon as it sees the length or the excess, and
-// stops cpprest's reading by closing the buffer.
+// What cpprest does not promise: it sends no reply before it has read the request's whole body. A
+// body over the limit is dropped as it arrives, which bounds memory, but the 413 follows only at
+// the body's end. Completing the request early through cpprest's internals crashed the process.
 
 #include "burdockhold/blackboard.h"
 #include "burdockhold/result.h"
@@ -23,7 +23,7 @@
 struct front_options
 {
     std::string address; ///< "http://IP:PORT" to listen on.
-    std::size_t bodyLimitBytes = 16 * 1024 * 1024;
+    std::size_t bodyLimitBytes = 16 << 20;
     duration maxViewAge = std::chrono::seconds(5); ///< Keyed requests need a view this recent.
     resume_options resume;
     upstream_options upstream;
