--- a/burdockhold/config_follower.cc
+++ b/burdockhold/config_follower.cc
@@ -125,15 +125,22 @@
 {
     if (m_refreshAge.count() == 0 || !m_replay.isRefreshDue(now, m_refreshAge.count()))
         return;
+    // A read sent before the last append may reach the tail after the append was answered.
+    if (m_append->running || m_replay.lastOffset() < m_append->lastOffset)
+        return;
     const std::string id = randomHex(16);
-    if (id.empty() || m_append->running.exchange(true))
+    if (id.empty())
         return;
+    m_append->running = true;
     std::vector<std::string> texts;
     for (const config_record &record : m_replay.makeRefresh(id))
         texts.push_back(formatRecord(record));
     m_client.append(ConfigStream, texts)
             .then([state = m_append](const result<append_answer, log_error> &answer) {
-                state->succeeded += isOk(answer) ? 1 : 0;
+                if (isOk(answer)) {
+                    ++state->succeeded;
+                    state->lastOffset = valueOf(answer).firstOffset + valueOf(answer).count - 1;
+                }
                 state->running = false;
             });
 }
--- a/burdockhold/config_follower.h
+++ b/burdockhold/config_follower.h
@@ -65,6 +65,7 @@
     {
         std::atomic<bool> running{ false };
         std::atomic<std::uint64_t> succeeded{ 0 };
+        std::atomic<log_offset> lastOffset{ 0 }; ///< Of the last refresh that was answered.
     };
 
     void onRecord(const log_record &record) override;
--- a/burdockhold/log_client.cc
+++ b/burdockhold/log_client.cc
@@ -56,7 +56,7 @@
                 basic_error<log_error>{ log_error::NotApplied, error.what(), url });
     }
     return client->request(request, cancelled)
-            .then([](http::http_response response) {
+            .then([](const http::http_response &response) {
                 return response.extract_utf8string(true).then([response](const std::string &body) {
                     return full_response{ response.status_code(), body };
                 });
--- a/burdockhold/replay.cc
+++ b/burdockhold/replay.cc
@@ -86,7 +86,8 @@
     const auto *part = std::get_if<refresh_record>(&valueOf(parsed).body);
     if (part == nullptr || part->asOf + 1 < m_earliest || !addPart(record.offset, *part))
         return std::nullopt;
-    startFrom(std::move(m_refreshes.at(part->refresh)));
+    const partial_refresh refresh = std::move(m_refreshes.at(part->refresh));
+    startFrom(refresh);
     return std::nullopt;
 }
 
@@ -115,7 +116,7 @@
     return !parts.empty() && std::int64_t(parts.size()) == parts.begin()->second.parts;
 }
 
-void replay::startFrom(partial_refresh refresh)
+void replay::startFrom(const partial_refresh &refresh)
 {
     m_complete = true;
     m_refreshes.clear();
@@ -160,7 +161,7 @@
         outcome.text = "the record with this id is at offset " + std::to_string(earlier->offset);
         return outcome;
     }
-    const auto outcome = applyBody(record.offset, content.body);
+    auto outcome = applyBody(record.offset, content.body);
     remember(record, content.id, outcome.value_or(appliedAt(record.offset)));
     if (outcome)
         ++(outcome->kind == outcome_kind::Applied ? m_counts.applied : m_counts.voided);
--- a/burdockhold/replay.h
+++ b/burdockhold/replay.h
@@ -167,7 +167,7 @@
                                                    const std::vector<replaced_entry> &replaced,
                                                    std::size_t &culprit) const;
     bool addPart(log_offset offset, const refresh_record &part);
-    void startFrom(partial_refresh refresh);
+    void startFrom(const partial_refresh &refresh);
     void noteBaseline(log_offset asOf);
     void remember(const log_record &record, const std::string &id, const record_outcome &outcome);
 
--- a/testing/log_follower_nettest.cc
+++ b/testing/log_follower_nettest.cc
@@ -4,7 +4,7 @@
 #include "burdockhold/config_follower.h"
 
 #include <boost/asio.hpp>
-#include <cpprest/http_listener.h>
+#include <nlohmann/json.hpp>
 
 #include <atomic>
 #include <functional>
@@ -12,44 +12,27 @@
 using namespace burdockhold;
 using namespace std::chrono_literals;
 
-namespace http = web::http;
-
 namespace {
 
-/// Returns a loopback URL whose port was free a moment ago.
-std::string freeUrl()
-{
-    using tcp = boost::asio::ip::tcp;
-    boost::asio::io_context context;
-    const tcp::endpoint any(boost::asio::ip::address_v4::loopback(), 0);
-    const tcp::acceptor acceptor(context, any);
-    return "http://127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
-}
+using boost::asio::ip::tcp;
 
-/// The log service of the design page's section 5 in one process, one stream, with faults.
+/// The log service of the design page's section 5 in one thread, one stream, one request on each
+/// connection, with faults. It is written on sockets because closing cpprest's listener while
+/// requests arrive crashed this test.
 class fake_log
 {
 public:
     fake_log()
-        : url(freeUrl())
-    {
-        open();
-    }
-
-    ~fake_log() { close(); }
-
-    void open()
+        : m_acceptor(m_context, { boost::asio::ip::address_v4::loopback(), 0 })
+        , url("http://127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port()))
+        , m_thread([this]() { run(); })
     {
-        m_listener = std::make_unique<http::experimental::listener::http_listener>(url);
-        m_listener->support([this](const http::http_request &request) { serve(request); });
-        m_listener->open().wait();
     }
 
-    void close()
+    ~fake_log()
     {
-        if (m_listener)
-            m_listener->close().wait();
-        m_listener.reset();
+        m_stopped = true;
+        m_thread.join();
     }
 
     void add(const std::string &data)
@@ -64,82 +47,124 @@
         return m_records.size();
     }
 
+private:
+    boost::asio::io_context m_context;
+    tcp::acceptor m_acceptor;
+
+public:
     const std::string url;
     std::atomic<log_offset> earliest{ 1 };
     std::atomic<log_time_ms> now{ 1000 };
+    std::atomic<bool> down{ false };   ///< Close every connection without an answer.
     std::atomic<int> failures{ 0 };    ///< Reads to answer with 500.
-    std::atomic<int> lostAnswers{ 0 }; ///< Appends to carry out and answer too late.
+    std::atomic<int> lostAnswers{ 0 }; ///< Appends to carry out without an answer.
     std::atomic<int> refusals{ 0 };    ///< Appends to refuse with 413.
     std::atomic<int> reads{ 0 };
 
 private:
-    void serve(const http::http_request &request)
+    using json = nlohmann::json;
+
+    void run()
     {
-        if (request.method() == http::methods::POST)
-            return serveAppend(request);
-        ++reads;
-        serveRead(request);
+        m_acceptor.non_blocking(true);
+        while (!m_stopped) {
+            boost::system::error_code error;
+            tcp::socket socket(m_context);
+            m_acceptor.accept(socket, error);
+            if (error) {
+                std::this_thread::sleep_for(1ms);
+                continue;
+            }
+            socket.non_blocking(false);
+            serve(socket);
+        }
+    }
+
+    void serve(tcp::socket &socket)
+    {
+        boost::system::error_code error;
+        boost::asio::streambuf buffer;
+        const std::size_t size = boost::asio::read_until(socket, buffer, "\r\n\r\n", error);
+        if (error || down)
+            return;
+        const auto *data = static_cast<const char *>(buffer.data().data());
+        const std::string head(data, size);
+        buffer.consume(size);
+        const std::string mark = "Content-Length:";
+        const auto at = head.find(mark);
+        const std::size_t length = at == std::string::npos
+                                           ? 0
+                                           : std::stoul(head.substr(at + mark.size()));
+        if (length > buffer.size())
+            boost::asio::read(socket, buffer, boost::asio::transfer_exactly(length - buffer.size()),
+                              error);
+        const std::string body(static_cast<const char *>(buffer.data().data()), length);
+        const std::string answer = head.substr(0, 4) == "POST" ? append(body) : read(head);
+        boost::asio::write(socket, boost::asio::buffer(answer), error);
+    }
+
+    static std::string response(const std::string &status, const json &body)
+    {
+        const std::string text = body.dump();
+        return "HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\nConnection: close"
+               + "\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text;
     }
 
-    void serveAppend(const http::http_request &request)
+    std::string append(const std::string &body)
     {
         if (refusals > 0) {
             --refusals;
-            request.reply(http::status_codes::RequestEntityTooLarge);
-            return;
+            return response("413 Too Large", json::object());
         }
-        const auto body = request.extract_json(true).get();
-        const auto &records = body.at("records").as_array();
+        const json records = json::parse(body)["records"];
         const std::size_t first = size() + 1;
         for (const auto &record : records)
-            add(record.as_string());
+            add(record.get<std::string>());
         if (lostAnswers > 0) {
             --lostAnswers;
-            request.reply(http::status_codes::InternalError);
-            return;
+            return {};
         }
-        web::json::value answer;
-        answer["first_offset"] = web::json::value::number(std::uint64_t(first));
-        answer["count"] = web::json::value::number(std::uint64_t(records.size()));
-        request.reply(http::status_codes::OK, answer);
+        return response("200 OK", { { "first_offset", first }, { "count", records.size() } });
     }
 
-    void serveRead(const http::http_request &request)
+    static std::size_t parameter(const std::string &head, const std::string &name)
     {
-        const auto query = web::uri::split_query(request.request_uri().query());
-        const log_offset from = std::stoull(query.at("from"));
-        const int waitMs = std::stoi(query.at("wait_ms"));
+        const auto at = head.find(name + "=");
+        return at == std::string::npos ? 0 : std::stoul(head.substr(at + name.size() + 1));
+    }
+
+    std::string read(const std::string &head)
+    {
+        ++reads;
         if (failures > 0) {
             --failures;
-            request.reply(http::status_codes::InternalError);
-            return;
-        }
-        web::json::value answer;
-        answer["earliest"] = web::json::value::number(std::uint64_t(earliest));
-        if (from < earliest) {
-            request.reply(http::status_codes::Gone, answer);
-            return;
+            return response("500 Failed", json::object());
         }
-        for (int waited = 0; waited < waitMs && size() < from; ++waited)
+        const log_offset from = parameter(head, "from");
+        if (from < earliest)
+            return response("410 Gone", { { "earliest", earliest.load() } });
+        const std::size_t waitMs = parameter(head, "wait_ms");
+        for (std::size_t waited = 0; waited < waitMs && size() < from; ++waited)
             std::this_thread::sleep_for(1ms);
         const std::lock_guard<std::mutex> lock(m_mutex);
-        const std::size_t limit = std::stoull(query.at("limit"));
-        answer["next"] = web::json::value::number(std::uint64_t(m_records.size() + 1));
-        answer["now_ms"] = web::json::value::number(std::int64_t(now));
-        answer["records"] = web::json::value::array();
-        auto &list = answer["records"].as_array();
-        for (std::size_t i = from - 1; i < m_records.size() && list.size() < limit; ++i) {
-            auto &item = list[list.size()];
-            item["offset"] = web::json::value::number(std::uint64_t(m_records[i].offset));
-            item["time_ms"] = web::json::value::number(std::int64_t(m_records[i].time));
-            item["data"] = web::json::value::string(m_records[i].data);
-        }
-        request.reply(http::status_codes::OK, answer);
+        if (down)
+            return {};
+        const std::size_t limit = parameter(head, "limit");
+        json list = json::array();
+        for (std::size_t i = from - 1; i < m_records.size() && list.size() < limit; ++i)
+            list.push_back({ { "offset", m_records[i].offset },
+                             { "time_ms", m_records[i].time },
+                             { "data", m_records[i].data } });
+        return response("200 OK", { { "earliest", earliest.load() },
+                                    { "next", m_records.size() + 1 },
+                                    { "now_ms", now.load() },
+                                    { "records", list } });
     }
 
     mutable std::mutex m_mutex;
     std::vector<log_record> m_records;
-    std::unique_ptr<http::experimental::listener::http_listener> m_listener;
+    std::atomic<bool> m_stopped{ false };
+    std::thread m_thread;
 };
 
 std::string classRecord(const std::string &id, const std::string &name, log_offset base,
@@ -196,8 +221,12 @@
     const auto refused = append();
     BOOST_REQUIRE(!isOk(refused));
     BOOST_TEST((errorOf(refused).code == log_error::NotApplied));
-    log.close();
-    const auto unreachable = append();
+    std::string unusedUrl;
+    {
+        const fake_log gone;
+        unusedUrl = gone.url;
+    }
+    const auto unreachable = log_client({ unusedUrl }).append("config", { "a" }).get();
     BOOST_REQUIRE(!isOk(unreachable));
     BOOST_TEST((errorOf(unreachable).code == log_error::NotApplied));
     BOOST_TEST(log.size() == 4U);
@@ -207,7 +236,6 @@
 // and against a timeout that is reported as "not applied".
 BOOST_AUTO_TEST_CASE(clientTimesOutWithUnknown)
 {
-    using tcp = boost::asio::ip::tcp;
     boost::asio::io_context context;
     const tcp::endpoint any(boost::asio::ip::address_v4::loopback(), 0);
     const tcp::acceptor silent(context, any);
@@ -242,13 +270,13 @@
     BOOST_REQUIRE(reaches(board, 10));
     BOOST_TEST(board.config.read()->classes.size() == 10U);
     BOOST_TEST(follower.status().errors >= 3U);
-    log.close();
+    log.down = true;
     const auto errors = follower.status().errors;
     BOOST_REQUIRE(eventually([&]() { return follower.status().errors > errors + 2; }));
     const time_point before = steadyNow();
     log.add(classRecord("x", "c0", 1, 9));
     BOOST_TEST((board.freshness.read()->asOf < before));
-    log.open();
+    log.down = false;
     BOOST_REQUIRE(reaches(board, 11));
     BOOST_TEST(board.config.read()->classes.at("c0").version == 11U);
     BOOST_REQUIRE(eventually([&]() { return board.freshness.read()->asOf > before; }));
@@ -271,11 +299,13 @@
     blackboard board;
     config_follower follower(quickOptions(log), board);
     BOOST_REQUIRE(reaches(board, 5));
-    log.close();
+    log.down = true;
+    // The read that was waiting must have ended, or it would return the records added now.
+    BOOST_REQUIRE(eventually([&]() { return follower.status().errors > 0; }));
     add(classRecord("lost", "c0", 1, 9));
     add(classRecord("kept", "c1", 2, 9));
     log.earliest = 7;
-    log.open();
+    log.down = false;
     BOOST_REQUIRE(eventually([&]() { return follower.status().incomplete; }));
     BOOST_TEST(board.config.read()->offset == 5U);
     for (const config_record &part : writer.makeRefresh("r"))
