--- a/cmake/net.cmake
+++ b/cmake/net.cmake
@@ -5,10 +5,6 @@
 target_precompile_headers(burdockhold_net PRIVATE <cpprest/http_client.h>
                           <cpprest/http_listener.h> <cpprest/producerconsumerstream.h>)
 
-# Files without cpprest need no precompiled header; clang-tidy cannot read the one that g++ makes.
-set_source_files_properties(${CMAKE_SOURCE_DIR}/burdockhold/peer_link.cc PROPERTIES
-                            SKIP_PRECOMPILE_HEADERS ON)
-
 foreach(program burdockholdd burdockholdctl)
   if(EXISTS ${CMAKE_SOURCE_DIR}/tools/${program}.cc)
     add_executable(${program} tools/${program}.cc)
