Test that stages and orders need a fresh view of the log

Cause: a trial without the freshness check in the order planner passed all tests, because the planner was still quiet when it was asked. Change: the planner is asked once more after its quiet time, and a test of the controller covers freshness, earliest time, endpoints and turn. Conclusion: both checks are guarded.

--- a/testing/version_move_test.cc
+++ b/testing/version_move_test.cc
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE version_move
 #include <boost/test/unit_test.hpp>
 
+#include "burdockhold/move_controller.h"
 #include "burdockhold/move_orders.h"
 #include "burdockhold/version_move.h"
 
@@ -180,6 +181,53 @@
     }
 }
 
+// Guards against stages that advance on an old view of the log, before their time, without an
+// endpoint to serve them or out of turn.
+BOOST_AUTO_TEST_CASE(stageIsProposedOnlyWhenAllHolds)
+{
+    const version_moves moves = startedMove();
+    const move_state &move = moves.byModel.at("m");
+    move_controller controller("vm1", 1);
+    controller.setMoves(moves);
+    move_outcome outcome;
+    outcome.choice.move = move.offset;
+    outcome.usedNew = true;
+    outcome.route = "chat";
+    for (int i = 0; i < 40; ++i)
+        controller.observe(outcome);
+    move_surroundings good;
+    good.now = planStage(move).earliest;
+    good.fresh = true;
+    good.liveVms = { "vm1" };
+    good.endpoints["m"] = 9;
+    good.newEndpoints["m"] = 1;
+    move_surroundings around = good;
+    around.fresh = false;
+    BOOST_TEST(controller.proposals(around).empty());
+    around = good;
+    around.now -= 1;
+    BOOST_TEST(controller.proposals(around).empty());
+    around = good;
+    around.newEndpoints["m"] = 0;
+    BOOST_TEST(controller.proposals(around).empty());
+    around = good;
+    around.liveVms = { "vm2" };
+    BOOST_TEST(controller.proposals(around).empty());
+    const auto records = controller.proposals(good);
+    BOOST_REQUIRE(records.size() == 1U);
+    BOOST_REQUIRE(std::holds_alternative<stage_record>(records[0]));
+    BOOST_TEST(std::get<stage_record>(records[0]).basedOn == move.latest);
+    BOOST_TEST(controller.proposals(good).empty());
+    outcome.failed = true;
+    for (int i = 0; i < 10; ++i)
+        controller.observe(outcome);
+    good.now += 4000;
+    const auto halts = controller.proposals(good);
+    BOOST_REQUIRE(halts.size() == 1U);
+    BOOST_TEST(std::holds_alternative<halt_record>(halts[0]));
+    BOOST_TEST(controller.choose("m", "any")->wanted == "v1");
+}
+
 // Guards against an endpoint with another version that is given requests or left as it is.
 BOOST_AUTO_TEST_CASE(endpointsAreOrderedByReports)
 {
@@ -194,6 +242,7 @@
     const auto later = [&](int seconds) { return start + std::chrono::seconds(seconds); };
     BOOST_TEST(planner.ordersNow(moves, reports, { "vm1" }, false, later(1)).empty());
     planner.ordersNow(moves, reports, { "vm1" }, false, later(2));
+    BOOST_TEST(planner.ordersNow(moves, reports, { "vm1" }, false, later(3)).empty());
     const auto orders = planner.ordersNow(moves, reports, { "vm1" }, true, later(3));
     BOOST_REQUIRE(orders.size() == 1U);
     BOOST_TEST(orders[0].version == "v2");
