Follow cache events of a few engines

At small sites the events fit the budget and say exactly what an engine holds, where placement otherwise relies on its own rule.

Placement takes the view as an optional input. This VM's own requests still count, because events come later than the next prompt of the same prefix.

--- a/burdockhold/placement.cc
+++ b/burdockhold/placement.cc
@@ -76,6 +76,21 @@
     return std::max(0.0, reported + own + others - age);
 }
 
+/// Lets what an engine's events say replace the expectation from the rule. This VM's own requests
+/// still count, because events come later than the next prompt of the same prefix.
+void applyCacheView(placement_candidate &candidate, const cache_view &cache,
+                    const placement_endpoint &endpoint, const prompt_prefix &prompt)
+{
+    const cached_prefix cached = cache.cachedTokens(prompt, endpoint.key, endpoint.incarnation);
+    const double held = static_cast<double>(cached.tokens);
+    if (cached.exact) {
+        candidate.ruleTokens = std::max(held, candidate.ownTokens);
+        candidate.cachedTokens = candidate.ruleTokens;
+    } else {
+        candidate.cachedTokens = std::max(candidate.cachedTokens, held);
+    }
+}
+
 placement_candidate evaluate(const placement_view &view, const placement_request &request,
                              std::size_t position, std::size_t level, std::size_t eligible,
                              const placement_options &options)
@@ -93,6 +108,8 @@
     candidate.cachedTokens = view.recent->ownConfidence() * candidate.ownTokens
                              + view.recent->ruleConfidence()
                                        * (candidate.ruleTokens - candidate.ownTokens);
+    if (view.cache != nullptr)
+        applyCacheView(candidate, *view.cache, endpoint, prompt);
     const double missing = static_cast<double>(prompt.promptTokens) - candidate.cachedTokens;
     candidate.missingSeconds = std::max(0.0, missing)
                                / std::max(endpoint.prefillTokensPerSecond, 1.0);
--- a/burdockhold/placement.h
+++ b/burdockhold/placement.h
@@ -15,6 +15,7 @@
 // last load report; memory O(N) during the call. The state has its own bounds, see heat.h and
 // recent_requests.h. Fails only when no endpoint is eligible.
 
+#include "burdockhold/cache_view.h"
 #include "burdockhold/clock.h"
 #include "burdockhold/endpoint_shares.h"
 #include "burdockhold/heat.h"
@@ -62,7 +63,8 @@
     std::size_t decisionCandidates = 4; ///< Candidates kept for the decision line.
 };
 
-/// What the choice is made from. Pointers must be valid during the call and not null.
+/// What the choice is made from. Pointers must be valid during the call and, but for `cache`, not
+/// null.
 struct placement_view
 {
     const std::vector<placement_endpoint> *endpoints = nullptr; ///< All endpoints of one pool.
@@ -72,6 +74,7 @@
     std::uint64_t pool = 0; ///< Key under which heat counts all requests of the pool.
     std::size_t vms = 1;    ///< VMs that the load balancer spreads requests over.
     time_point now{};
+    const cache_view *cache = nullptr; ///< Null when cache events are not followed.
 };
 
 struct placement_request
--- a/testing/placement_simulation.cc
+++ b/testing/placement_simulation.cc
@@ -375,8 +375,15 @@
 
     placement_view viewOf(const vm &from) const
     {
-        return { &m_endpoints, &from.heat,   &from.recent, &from.shares,
-                 PoolKey,      m_vms.size(), at(m_now) };
+        placement_view view;
+        view.endpoints = &m_endpoints;
+        view.heat = &from.heat;
+        view.recent = &from.recent;
+        view.shares = &from.shares;
+        view.pool = PoolKey;
+        view.vms = m_vms.size();
+        view.now = at(m_now);
+        return view;
     }
 
     std::size_t choose(request &sent)
--- a/testing/placement_test.cc
+++ b/testing/placement_test.cc
@@ -50,11 +50,13 @@
     heat_sketch heat;
     recent_requests recent;
     endpoint_shares shares;
+    cache_view cache;
     std::mt19937_64 random{ 1 };
 
     placement_view view() const
     {
-        return { &endpoints, &heat, &recent, &shares, Pool, 8, at(100.0) };
+        placement_view view{ &endpoints, &heat, &recent, &shares, Pool, 8, at(100.0), &cache };
+        return view;
     }
 
     placement_choice choose(const prompt_prefix &prompt,
@@ -277,3 +279,23 @@
     BOOST_TEST(!choice.chosen.overBound);
     BOOST_TEST(choice.eligible == endpoints.size());
 }
+
+// Guards against an expectation that overrides what the engine itself reports, and against one from
+// a dead engine's report.
+BOOST_FIXTURE_TEST_CASE(cacheEventsReplaceTheRule, fixture)
+{
+    const prompt_prefix prompt = randomPrompt(random, 3);
+    const std::size_t home = choose(prompt).chosen.endpoint;
+    const std::size_t holder = (home + 1) % endpoints.size();
+    cache.watch(prompt);
+    for (std::size_t i : { home, holder }) {
+        cache.begin(endpoints[i].key, endpoints[i].incarnation);
+        cache.resync(endpoints[i].key, endpoints[i].incarnation, 1,
+                     i == holder ? prompt.levels : std::vector<std::uint64_t>{});
+    }
+    BOOST_TEST(choose(prompt).chosen.endpoint == holder);
+    BOOST_TEST(choose(prompt).chosen.cachedTokens == 6000.0);
+    endpoints[holder].incarnation = 2;
+    endpoints[home].incarnation = 2;
+    BOOST_TEST(choose(prompt).chosen.endpoint == home);
+}
