--- a/testing/placement_simulation.cc
+++ b/testing/placement_simulation.cc
@@ -524,11 +524,15 @@
         const double tokens = static_cast<double>(finished.prompt.promptTokens);
         if (m_firstAfterRestart > 0 && finished.ordinal >= m_firstAfterRestart
             && finished.ordinal < m_firstAfterRestart + 100) {
-            m_report.promptTokensAfterRestart += tokens;
-            m_report.cachedTokensAfterRestart += cached;
+            m_report.afterRestart.prompt += tokens;
+            m_report.afterRestart.cached += cached;
         }
         if (finished.arrivedAt < m_options.warmSeconds)
             return;
+        if (finished.arrivedAt < m_options.restartAt) {
+            m_report.beforeRestart.prompt += tokens;
+            m_report.beforeRestart.cached += cached;
+        }
         ++m_report.requests;
         m_report.promptTokens += tokens;
         m_report.cachedTokens += cached;
--- a/testing/placement_simulation.h
+++ b/testing/placement_simulation.h
@@ -65,6 +65,14 @@
     share_options shares;
 };
 
+struct token_counts
+{
+    double prompt = 0.0;
+    double cached = 0.0;
+
+    double hitRate() const { return prompt > 0.0 ? cached / prompt : 0.0; }
+};
+
 struct simulation_report
 {
     std::size_t requests = 0;
@@ -73,10 +81,9 @@
     double recomputedTokens = 0.0; ///< Computed although some engine had computed them before.
     double p50Seconds = 0.0;       ///< Time to first token.
     double p99Seconds = 0.0;
-    double utilisation = 0.0; ///< Part of the time that engines computed prompts.
-    /// Tokens of the 100 requests that arrived first after restartAt.
-    double promptTokensAfterRestart = 0.0;
-    double cachedTokensAfterRestart = 0.0;
+    double utilisation = 0.0;   ///< Part of the time that engines computed prompts.
+    token_counts beforeRestart; ///< Of measured requests that arrived before restartAt.
+    token_counts afterRestart;  ///< Of the 100 requests that arrived first after restartAt.
 
     double hitRate() const { return promptTokens > 0.0 ? cachedTokens / promptTokens : 0.0; }
 };
--- a/testing/placement_test.cc
+++ b/testing/placement_test.cc
@@ -68,6 +68,52 @@
     }
 };
 
+constexpr std::uint64_t Seeds = 20;
+constexpr double EventAt = 90.0;
+
+/// Means over the seeds.
+struct measured
+{
+    double hitRate = 0.0;
+    double p99Seconds = 0.0;
+    double beforeRestart = 0.0;
+    double afterRestart = 0.0;
+};
+
+measured runSeeds(simulation_options options, placement_policy policy)
+{
+    measured mean;
+    options.policy = policy;
+    constexpr double Part = 1.0 / static_cast<double>(Seeds);
+    for (options.seed = 1; options.seed <= Seeds; ++options.seed) {
+        const simulation_report report = simulatePlacement(options);
+        mean.hitRate += Part * report.hitRate();
+        mean.p99Seconds += Part * report.p99Seconds;
+        mean.beforeRestart += Part * report.beforeRestart.hitRate();
+        mean.afterRestart += Part * report.afterRestart.hitRate();
+    }
+    return mean;
+}
+
+simulation_options atLoad(std::size_t engines, double load)
+{
+    simulation_options options;
+    options.engines = engines;
+    options.requestsPerSecond = rateForUtilisation(options, load);
+    return options;
+}
+
+/// Checks the targets of the design page, section 1.2.
+void checkTargets(const simulation_options &options)
+{
+    const measured own = runSeeds(options, placement_policy::Burdockhold);
+    BOOST_TEST(own.hitRate >= runSeeds(options, placement_policy::Omniscient).hitRate - 0.03);
+    for (placement_policy baseline :
+         { placement_policy::RoundRobin, placement_policy::LeastLoaded,
+           placement_policy::FirstBlock, placement_policy::WholePrefix })
+        BOOST_TEST(own.p99Seconds < runSeeds(options, baseline).p99Seconds, nameOf(baseline));
+}
+
 } // namespace
 
 // Guards against VMs that disagree: equal inputs give the same endpoint, whatever the order in
@@ -299,3 +345,38 @@
     endpoints[home].incarnation = 2;
     BOOST_TEST(choose(prompt).chosen.endpoint == home);
 }
+
+// Guards against a placement that loses cache hits or waits where engines are mostly idle.
+BOOST_AUTO_TEST_CASE(targetsHoldAtLowLoad)
+{
+    checkTargets(atLoad(9, 0.3));
+    checkTargets(atLoad(4, 0.3));
+}
+
+// Guards against scattered prefixes and hot endpoints near full load.
+BOOST_AUTO_TEST_CASE(targetsHoldNearFullLoad)
+{
+    checkTargets(atLoad(9, 0.9));
+    checkTargets(atLoad(4, 0.9));
+}
+
+// Guards against a placement that does not recover when an engine returns with an empty cache.
+BOOST_AUTO_TEST_CASE(targetsHoldThroughAnEngineCrash)
+{
+    for (std::size_t engines : { 9, 4 }) {
+        simulation_options options = atLoad(engines, 0.6);
+        options.crashAt = EventAt;
+        checkTargets(options);
+    }
+}
+
+// Guards against a cold start (invariant 3): all VMs restart at once and copy a peer's heat.
+BOOST_AUTO_TEST_CASE(restartKeepsTheHitRate)
+{
+    for (std::size_t engines : { 9, 4 }) {
+        simulation_options options = atLoad(engines, 0.6);
+        options.restartAt = EventAt;
+        const measured own = runSeeds(options, placement_policy::Burdockhold);
+        BOOST_TEST(own.afterRestart >= own.beforeRestart - 0.01);
+    }
+}
--- a/tools/placement_bench.cc
+++ b/tools/placement_bench.cc
@@ -33,6 +33,7 @@
     { "4 engines, 30 %", 4, 0.3, -1.0, -1.0, true },
     { "9 engines, 90 %", 9, 0.9, -1.0, -1.0, true },
     { "4 engines, 90 %", 4, 0.9, -1.0, -1.0, true },
+    { "64 engines, 90 %", 64, 0.9, -1.0, -1.0, true },
     { "9 engines, 60 %, crash", 9, 0.6, EventAt, -1.0, true },
     { "4 engines, 60 %, crash", 4, 0.6, EventAt, -1.0, true },
     { "9 engines, 60 %, restart, heat copied", 9, 0.6, -1.0, EventAt, true },
@@ -44,6 +45,7 @@
 struct totals
 {
     double hitRate = 0.0;
+    double beforeRestart = 0.0;
     double afterRestart = 0.0;
     double p50 = 0.0;
     double p99 = 0.0;
@@ -60,9 +62,8 @@
         options.seed = seed;
         const simulation_report report = simulatePlacement(options);
         sum.hitRate += part * report.hitRate();
-        if (report.promptTokensAfterRestart > 0.0)
-            sum.afterRestart += part * report.cachedTokensAfterRestart
-                                / report.promptTokensAfterRestart;
+        sum.beforeRestart += part * report.beforeRestart.hitRate();
+        sum.afterRestart += part * report.afterRestart.hitRate();
         sum.p50 += part * report.p50Seconds;
         sum.p99 += part * report.p99Seconds;
         sum.worstP99 = std::max(sum.worstP99, report.p99Seconds);
@@ -76,12 +77,14 @@
 {
     std::cout << "  " << std::left << std::setw(13) << nameOf(policy) << std::right << std::fixed
               << std::setprecision(1) << std::setw(7) << 100.0 * sum.hitRate << std::setw(9)
-              << 100.0 * sum.afterRestart << std::setw(9) << 1000.0 * sum.p50 << std::setw(10)
-              << 1000.0 * sum.p99 << std::setw(10) << 1000.0 * sum.worstP99 << std::setw(9)
-              << 100.0 * sum.recomputed << std::setw(7) << 100.0 * sum.utilisation << std::endl;
+              << 100.0 * sum.beforeRestart << std::setw(8) << 100.0 * sum.afterRestart
+              << std::setw(9) << 1000.0 * sum.p50 << std::setw(10) << 1000.0 * sum.p99
+              << std::setw(10) << 1000.0 * sum.worstP99 << std::setw(9) << 100.0 * sum.recomputed
+              << std::setw(7) << 100.0 * sum.utilisation << std::endl;
 }
 
-void runScenario(const scenario &chosen, const simulation_options &base, std::uint64_t seeds)
+void runScenario(const scenario &chosen, const simulation_options &base, std::uint64_t seeds,
+                 const std::string &policy)
 {
     simulation_options options = base;
     options.engines = chosen.engines;
@@ -91,10 +94,12 @@
     options.copyHeat = chosen.copyHeat;
     std::cout << chosen.name << ": " << std::fixed << std::setprecision(1)
               << options.requestsPerSecond << " requests/s, " << seeds << " seeds\n"
-              << "  policy        hit % restart %   p50 ms    p99 ms worst p99 recomp. %  busy %\n";
+              << "  policy        hit % before % after %   p50 ms    p99 ms worst p99 recomp. %  "
+                 "busy %\n";
     for (const auto &row : enum_names<placement_policy>::Table) {
         options.policy = row.value;
-        printLine(row.value, runSeeds(options, seeds));
+        if (policy.empty() || policy == row.name)
+            printLine(row.value, runSeeds(options, seeds));
     }
 }
 
@@ -105,14 +110,27 @@
     simulation_options options;
     std::uint64_t seeds = 20;
     std::size_t only = 0;
+    std::string policy;
+    double halfLifeSeconds = 10.0;
+    double lifetimeSeconds = 60.0;
 
     options_lib::options_description description("placement_bench options");
     auto add = description.add_options();
     add("help", "print this text");
     add("seeds", options_lib::value(&seeds), "number of seeds");
     add("scenario", options_lib::value(&only), "run one scenario, counted from 1; 0 runs all");
+    add("policy", options_lib::value(&policy), "run one policy; empty runs all");
     add("replica-factor", options_lib::value(&options.placement.replicaFactor),
         "replicas: factor x share x endpoints");
+    add("vms", options_lib::value(&options.vms), "number of VMs");
+    add("heat-half-life", options_lib::value(&halfLifeSeconds), "half-life of heat in seconds");
+    add("heat-capacity", options_lib::value(&options.heat.capacity), "prefixes in the heat sketch");
+    add("recent-lifetime", options_lib::value(&lifetimeSeconds),
+        "time after which own requests are forgotten, in seconds");
+    add("learning-rate", options_lib::value(&options.recent.learningRate),
+        "part by which one response moves the learned confidence");
+    add("minimum-count", options_lib::value(&options.placement.minimumCount),
+        "decayed requests below which a prefix has one replica");
     add("miss-weight", options_lib::value(&options.placement.missWeight),
         "weight of missing tokens against queue wait");
     add("share-gain", options_lib::value(&options.shares.gainPerSecond),
@@ -131,9 +149,11 @@
         std::cout << description;
         return values.count("help") > 0 ? 0 : 2;
     }
+    options.heat.halfLife = fromSeconds(halfLifeSeconds);
+    options.recent.lifetime = fromSeconds(lifetimeSeconds);
     for (std::size_t i = 0; i < scenarios.size(); ++i) {
         if (only == 0 || only == i + 1)
-            runScenario(scenarios[i], options, seeds);
+            runScenario(scenarios[i], options, seeds, policy);
     }
     return 0;
 }
