Follow all reported blocks while they fit the view

A conversation's next turn usually reaches another VM, which has never watched the blocks of the turn before. Following only watched prefixes therefore leaves out what is worth most. The view now follows every reported block up to its bound; a block it does not have is then known to be missing. Beyond the bound the oldest blocks are dropped and their engines' missing blocks become unknown. followAll = false keeps the earlier behaviour.

--- a/burdockhold/cache_view.cc
+++ b/burdockhold/cache_view.cc
@@ -1,6 +1,7 @@
 #include "burdockhold/cache_view.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace burdockhold {
 
@@ -49,19 +50,35 @@
 {
     if (m_current.count(prefix) > 0)
         return;
-    block_state state;
+    block_state state{ m_complete, 0 };
     const auto older = m_previous.find(prefix);
     if (older != m_previous.end()) {
         state = older->second;
         m_previous.erase(older);
     }
-    if (m_current.size() >= std::max<std::size_t>(m_options.maxWatched / 2, 1)) {
-        m_previous = std::move(m_current);
-        m_current.clear();
-    }
+    if (m_current.size() >= std::max<std::size_t>(m_options.maxWatched / 2, 1))
+        makeRoom();
     m_current.emplace(prefix, state);
 }
 
+void cache_view::makeRoom()
+{
+    if (m_options.followAll) {
+        // A block that no engine holds says no more than its absence does.
+        for (block_map *map : { &m_current, &m_previous }) {
+            for (auto block = map->begin(); block != map->end();)
+                block = block->second.held == 0 ? map->erase(block) : std::next(block);
+        }
+        // Less than a quarter freed would make this scan frequent.
+        if (m_current.size() < m_options.maxWatched * 3 / 8)
+            return;
+    }
+    for (const auto &[hash, block] : m_previous)
+        m_complete &= ~block.held;
+    m_previous = std::move(m_current);
+    m_current.clear();
+}
+
 cache_event_outcome cache_view::apply(std::uint64_t engine, std::uint64_t incarnation,
                                       const cache_event &event)
 {
@@ -84,6 +101,8 @@
         setAll(from.bit, true);
     }
     from.lastSequence = event.sequence;
+    if (m_options.followAll && event.kind == cache_event_kind::Added)
+        watch(event.block);
     if (block_state *block = findBlock(event.block)) {
         block->known |= from.bit;
         if (event.kind == cache_event_kind::Added)
@@ -108,6 +127,8 @@
     from.lastSequence = lastSequence;
     setAll(from.bit, true);
     for (std::uint64_t hash : held) {
+        if (m_options.followAll)
+            watch(hash);
         if (block_state *block = findBlock(hash))
             block->held |= from.bit;
     }
@@ -137,9 +158,10 @@
         return cached;
     for (std::uint64_t level : prompt.levels) {
         const block_state *block = findBlock(level);
-        if (block == nullptr || (block->known & from->bit) == 0)
+        const std::uint64_t known = block == nullptr ? m_complete : block->known;
+        if ((known & from->bit) == 0)
             return cached;
-        if ((block->held & from->bit) == 0)
+        if (block == nullptr || (block->held & from->bit) == 0)
             break;
         cached.tokens += prompt.tokensPerBlock;
     }
@@ -173,6 +195,7 @@
 
 void cache_view::setAll(std::uint64_t bit, bool known)
 {
+    m_complete = known && m_options.followAll ? m_complete | bit : m_complete & ~bit;
     for (block_map *map : { &m_current, &m_previous }) {
         for (auto &[hash, block] : *map) {
             block.held &= ~bit;
--- a/burdockhold/cache_view.h
+++ b/burdockhold/cache_view.h
@@ -5,9 +5,12 @@
 // target scale the events exceed a node's budget (docs/design.md, section 2.2). Placement uses the
 // view where it is known and its own expectation elsewhere.
 //
-// Only watched prefixes are followed: the upper levels of recent prompts and the prefixes that the
-// caller finds hot. An event for another block advances the sequence and is dropped. A prefix is
-// unknown on an engine from the time it is first watched until an event or a resync mentions it.
+// By default all reported blocks are followed up to maxWatched; beyond it the blocks that were not
+// asked for or added for longest are dropped, and their engines' missing blocks are unknown from
+// then on. Without followAll only watched prefixes are followed: the upper levels of recent prompts
+// and the prefixes that the caller finds hot. An event for another block then advances the sequence
+// and is dropped, and a prefix is unknown from the time it is first watched until an event or a
+// resync mentions it.
 //
 // Promises: events of an incarnation are applied in the order of their sequence numbers, each once.
 // After a gap the engine is unknown until resync(). Events of an incarnation other than the last
@@ -15,8 +18,8 @@
 // are part of the block hashes (prefix.h), so entries of others are never found.
 //
 // Memory: at most 64 engines and maxWatched prefixes of 24 bytes plus the table (about 400 KB at
-// the default). Time: constant for an event, linear in the levels for a prompt, linear in the
-// watched prefixes for a resync or a new incarnation. Nothing here fails; results are typed.
+// the default). Time: amortised constant for an event, linear in the levels for a prompt, linear in
+// the watched prefixes for a resync or a new incarnation. Nothing here fails; results are typed.
 
 #include "burdockhold/enum_names.h"
 #include "burdockhold/prefix.h"
@@ -62,6 +65,7 @@
 {
     std::size_t maxWatched = 8192;
     std::size_t watchedLevels = 16; ///< Upper levels of a prompt that watch() follows.
+    bool followAll = true;          ///< Whether blocks that nobody watches are followed too.
 };
 
 /// The cached part of a prompt on one engine.
@@ -134,10 +138,13 @@
     block_state *findBlock(std::uint64_t block);
     const block_state *findBlock(std::uint64_t block) const;
     void setAll(std::uint64_t bit, bool known);
+    void makeRoom();
 
     cache_view_options m_options;
     std::unordered_map<std::uint64_t, followed_engine> m_engines;
     std::uint64_t m_usedBits = 0;
+    /// Engines whose blocks are all followed, so that any other block is known to be missing there.
+    std::uint64_t m_complete = 0;
     /// Two generations, as in recent_requests.h; a prefix is in one of them only.
     block_map m_current;
     block_map m_previous;
--- a/testing/cache_view_test.cc
+++ b/testing/cache_view_test.cc
@@ -76,7 +76,8 @@
 {
     for (std::uint64_t seed = 1; seed <= 200; ++seed) {
         std::mt19937_64 random(seed);
-        cache_view view({ 64, 4 });
+        const std::size_t limit = seed % 4 < 2 ? 64 : 12; // Of 24 blocks that occur.
+        cache_view view({ limit, 4, seed % 2 == 0 });
         std::map<std::uint64_t, reference_engine> engines;
         std::map<std::uint64_t, reference_engine> dead;
         for (std::uint64_t engine = 1; engine <= 3; ++engine) {
@@ -210,15 +211,17 @@
 // Guards against memory that grows with events, prompts or engines.
 BOOST_AUTO_TEST_CASE(viewIsBounded)
 {
-    cache_view view({ 100, 4 });
-    for (std::uint64_t engine = 1; engine <= 64; ++engine)
-        BOOST_TEST(view.begin(engine, 1));
-    BOOST_TEST(!view.begin(65, 1));
-    for (std::uint64_t i = 1; i <= 10000; ++i) {
-        view.watch(promptOf({ i, i + 1, i + 2, i + 3, i + 4 }));
-        view.apply(Engine, 1, added(i, i));
+    for (bool followAll : { false, true }) {
+        cache_view view({ 100, 4, followAll });
+        for (std::uint64_t engine = 1; engine <= 64; ++engine)
+            BOOST_TEST(view.begin(engine, 1));
+        BOOST_TEST(!view.begin(65, 1));
+        for (std::uint64_t i = 1; i <= 10000; ++i) {
+            view.watch(promptOf({ i, i + 1, i + 2, i + 3, i + 4 }));
+            view.apply(Engine, 1, added(i, i));
+        }
+        BOOST_TEST(view.watched() <= 100U);
+        view.remove(3);
+        BOOST_TEST(view.begin(65, 1));
     }
-    BOOST_TEST(view.watched() <= 100U);
-    view.remove(3);
-    BOOST_TEST(view.begin(65, 1));
 }
--- a/testing/placement_simulation.cc
+++ b/testing/placement_simulation.cc
@@ -48,21 +48,26 @@
             m_order.splice(m_order.begin(), m_order, found->second);
             return;
         }
+        publish(cache_event_kind::Added, block);
         m_order.push_front(block);
         m_places.emplace(block, m_order.begin());
         if (m_order.size() > m_capacity) {
+            publish(cache_event_kind::Evicted, m_order.back());
             m_places.erase(m_order.back());
             m_order.pop_back();
         }
     }
 
-    void clear()
+    /// All events since the start, in order.
+    const std::vector<cache_event> &events() const { return m_events; }
+
+private:
+    void publish(cache_event_kind kind, std::uint64_t block)
     {
-        m_order.clear();
-        m_places.clear();
+        m_events.push_back({ m_events.size() + 1, kind, block });
     }
 
-private:
+    std::vector<cache_event> m_events;
     std::size_t m_capacity;
     std::list<std::uint64_t> m_order;
     std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> m_places;
@@ -130,6 +135,7 @@
     heat_sketch heat;
     recent_requests recent;
     endpoint_shares shares;
+    cache_view cache;
     std::size_t nextEndpoint = 0;
 };
 
@@ -266,7 +272,8 @@
     event_kind kind;
     std::size_t engine;
     std::uint64_t incarnation;
-    double queuedTokens; ///< Of ReportSeen.
+    double queuedTokens;     ///< Of ReportSeen.
+    std::size_t cacheEvents; ///< Of ReportSeen: number published by then.
 
     bool operator>(const event &other) const
     {
@@ -317,9 +324,10 @@
     static constexpr double DrainSeconds = 60.0;
 
     void schedule(double time, event_kind kind, std::size_t engine = 0,
-                  std::uint64_t incarnation = 0, double queuedTokens = 0.0)
+                  std::uint64_t incarnation = 0, double queuedTokens = 0.0,
+                  std::size_t cacheEvents = 0)
     {
-        m_events.push({ time, ++m_order, kind, engine, incarnation, queuedTokens });
+        m_events.push({ time, ++m_order, kind, engine, incarnation, queuedTokens, cacheEvents });
     }
 
     void handle(const event &next)
@@ -347,6 +355,12 @@
         }
     }
 
+    bool placesByPrefix() const
+    {
+        return m_options.policy == placement_policy::Burdockhold
+               || m_options.policy == placement_policy::CacheEvents;
+    }
+
     void arrive()
     {
         if (m_now >= m_end)
@@ -355,7 +369,7 @@
         request made = m_traffic.next(m_now);
         made.vm = m_traffic.below(m_vms.size());
         made.ordinal = ++m_arrivals;
-        if (m_options.policy == placement_policy::Burdockhold)
+        if (placesByPrefix())
             recordHeat(m_vms[made.vm].heat, made.prompt, PoolKey, at(m_now));
         dispatch(std::move(made));
     }
@@ -383,6 +397,8 @@
         view.pool = PoolKey;
         view.vms = m_vms.size();
         view.now = at(m_now);
+        if (m_options.policy == placement_policy::CacheEvents)
+            view.cache = &from.cache;
         return view;
     }
 
@@ -400,6 +416,7 @@
         case placement_policy::WholePrefix:
             return rendezvous(sent.prompt.levels.back());
         case placement_policy::Burdockhold:
+        case placement_policy::CacheEvents:
             return place(sent, sent.prompt);
         case placement_policy::Omniscient:
             return omniscient(sent);
@@ -502,7 +519,7 @@
                 server.pending.erase(waiting);
             m_computed.insert(*level);
         }
-        if (m_options.policy == placement_policy::Burdockhold)
+        if (placesByPrefix())
             m_vms[finished.vm].recent.recordReported(finished.expectation.ownTokens,
                                                      finished.expectation.ruleTokens,
                                                      server.currentCached);
@@ -558,7 +575,7 @@
         const engine &server = m_engines[index];
         if (!server.down)
             schedule(m_now + ReportLag, event_kind::ReportSeen, index, server.incarnation,
-                     server.queuedTokens(m_now));
+                     server.queuedTokens(m_now), server.cache.events().size());
         schedule(m_now + ReportInterval, event_kind::ReportTaken, index);
     }
 
@@ -571,10 +588,26 @@
         endpoint.incarnation = seen.incarnation;
         endpoint.queuedTokens = static_cast<std::int64_t>(seen.queuedTokens);
         endpoint.loadAsOf = at(seen.time - ReportLag);
+        if (m_options.policy == placement_policy::CacheEvents)
+            followEvents(seen);
         if (seen.engine == m_engines.size() - 1)
             updateShares();
     }
 
+    void followEvents(const event &seen)
+    {
+        const engine &server = m_engines[seen.engine];
+        if (server.incarnation != seen.incarnation)
+            return;
+        const std::uint64_t key = m_endpoints[seen.engine].key;
+        for (vm &each : m_vms) {
+            each.cache.begin(key, seen.incarnation);
+            const std::uint64_t next = each.cache.nextSequence(key, seen.incarnation);
+            for (std::size_t i = next - 1; i < seen.cacheEvents; ++i)
+                each.cache.apply(key, seen.incarnation, server.cache.events()[i]);
+        }
+    }
+
     void updateShares()
     {
         std::vector<endpoint_wait> waits;
--- a/testing/placement_simulation.h
+++ b/testing/placement_simulation.h
@@ -22,6 +22,7 @@
     FirstBlock,
     WholePrefix,
     Burdockhold,
+    CacheEvents, ///< The same with every VM following cache events.
     Omniscient
 };
 
@@ -32,12 +33,13 @@
 template <>
 struct enum_names<testing::placement_policy>
 {
-    static constexpr std::array<enum_name<testing::placement_policy>, 6> Table{ {
+    static constexpr std::array<enum_name<testing::placement_policy>, 7> Table{ {
             { testing::placement_policy::RoundRobin, "round_robin" },
             { testing::placement_policy::LeastLoaded, "least_loaded" },
             { testing::placement_policy::FirstBlock, "first_block" },
             { testing::placement_policy::WholePrefix, "whole_prefix" },
             { testing::placement_policy::Burdockhold, "burdockhold" },
+            { testing::placement_policy::CacheEvents, "cache_events" },
             { testing::placement_policy::Omniscient, "omniscient" },
     } };
 };
