--- a/burdockhold/placement.cc
+++ b/burdockhold/placement.cc
@@ -56,7 +56,10 @@
     const double count = view.heat->settledCount(prefix, view.now);
     if (all <= 0.0 || count < options.minimumCount)
         return 1;
-    const double wanted = options.replicaFactor * static_cast<double>(endpoints) * count / all;
+    const double fair = static_cast<double>(endpoints) * count / all;
+    if (fair < options.replicaThreshold)
+        return 1;
+    const double wanted = options.replicaFactor * fair;
     return static_cast<std::size_t>(
             std::clamp(std::ceil(wanted), 1.0, static_cast<double>(endpoints)));
 }
--- a/burdockhold/placement.h
+++ b/burdockhold/placement.h
@@ -50,7 +50,10 @@
 struct placement_options
 {
     /// Replicas for a prefix: this factor x its share of the pool's requests x endpoints.
-    double replicaFactor = 0.25;
+    double replicaFactor = 2.0;
+    /// A prefix whose share x endpoints is below this has one replica. Replicas of colder prefixes
+    /// cost more misses than they save waiting.
+    double replicaThreshold = 3.0;
     /// A prefix with fewer decayed requests on this VM has one replica: less is noise.
     double minimumCount = 4.0;
     /// Weight of the seconds spent on missing tokens against seconds of queue wait. Above 1 because
--- a/burdockhold/recent_requests.cc
+++ b/burdockhold/recent_requests.cc
@@ -58,6 +58,7 @@
 {
     const auto learn = [this](double &confidence, double share) {
         confidence += m_options.learningRate * (std::clamp(share, 0.0, 1.0) - confidence);
+        confidence = std::max(confidence, m_options.smallestConfidence);
     };
     if (ownTokens > 0.0)
         learn(m_ownConfidence, reportedTokens / ownTokens);
--- a/burdockhold/recent_requests.h
+++ b/burdockhold/recent_requests.h
@@ -30,6 +30,9 @@
     /// Part by which one response moves the learned confidence.
     double learningRate = 0.02;
     double initialConfidence = 0.8;
+    /// Confidence falls no lower. Below it prompts are scattered, which lowers the confirmed part
+    /// further.
+    double smallestConfidence = 0.75;
 };
 
 /// An endpoint that was sent a prefix. Both fields are hashes of names.
--- a/tools/placement_bench.cc
+++ b/tools/placement_bench.cc
@@ -185,6 +185,10 @@
         "part by which one response moves the learned confidence");
     add("minimum-count", options_lib::value(&options.placement.minimumCount),
         "decayed requests below which a prefix has one replica");
+    add("replica-threshold", options_lib::value(&options.placement.replicaThreshold),
+        "share x endpoints below which a prefix has one replica");
+    add("initial-confidence", options_lib::value(&options.recent.initialConfidence),
+        "confidence in the placement rule before responses");
     add("miss-weight", options_lib::value(&options.placement.missWeight),
         "weight of missing tokens against queue wait");
     add("share-gain", options_lib::value(&options.shares.gainPerSecond),
