--- a/testing/placement_simulation.cc
+++ b/testing/placement_simulation.cc
@@ -645,6 +645,7 @@
     {
         std::vector<heat_entry> copied = m_vms[0].heat.exportEntries(at(m_now));
         const std::vector<share_factor> factors = m_vms[0].shares.exportFactors();
+        const cache_view view = m_vms[0].cache;
         m_vms.assign(m_options.vms, vm(m_options));
         m_firstAfterRestart = m_arrivals + 1;
         if (!m_options.copyHeat)
@@ -652,6 +653,7 @@
         for (vm &fresh : m_vms) {
             fresh.heat.importEntries(copied, at(m_now));
             fresh.shares.importFactors(factors);
+            fresh.cache = view; // Stands for full lists read from the engines before serving.
         }
     }
 
