Test that a choice forgets a dead incarnation

The earlier test covered the table of recent requests only; leaving out the comparison of incarnations in the choice passed all tests. The new case fails then.

--- a/burdockhold/recent_requests.h
+++ b/burdockhold/recent_requests.h
@@ -6,7 +6,7 @@
 // sent since an endpoint's last load report. All of it is soft state: losing it costs some
 // precision and no correctness.
 //
-// Memory: at most maxPrefixes prefixes with four endpoints each (about 1.5 MB at the default) and
+// Memory: at most maxPrefixes prefixes with four endpoints each (about 1.2 MB at the default) and
 // maxUnreported entries of work. Time: linear in the number of levels of the request.
 
 #include "burdockhold/clock.h"
--- a/testing/placement_test.cc
+++ b/testing/placement_test.cc
@@ -226,6 +226,24 @@
     BOOST_TEST(recent.cachedTokens(prompt, endpoints[2].key, 1, at(100.0)) == 0);
 }
 
+// Guards against a choice that counts on what a dead engine held: the endpoint that was sent the
+// prompt is preferred until it reports another incarnation.
+BOOST_FIXTURE_TEST_CASE(choiceForgetsADeadIncarnation, fixture)
+{
+    for (int round = 0; round < 50; ++round) {
+        const prompt_prefix prompt = randomPrompt(random, 4);
+        const std::size_t home = choose(prompt).chosen.endpoint;
+        const std::size_t holder = (home + 1) % endpoints.size();
+        endpoints[holder].incarnation = 1;
+        recent.recordSent(prompt, endpoints[holder].key, 1, 0.0, at(99.0));
+        BOOST_TEST(choose(prompt).chosen.endpoint == holder);
+        BOOST_TEST(choose(prompt).chosen.ownTokens == 8000.0);
+        endpoints[holder].incarnation = 2;
+        BOOST_TEST(choose(prompt).chosen.endpoint == home);
+        BOOST_TEST(choose(prompt).chosen.ownTokens == 0.0);
+    }
+}
+
 // Guards against memory that grows with traffic, in every part of the state.
 BOOST_FIXTURE_TEST_CASE(stateIsBounded, fixture)
 {
