--- a/burdockhold/endpoint_shares.cc
+++ b/burdockhold/load_weights.cc
@@ -1,4 +1,4 @@
-#include "burdockhold/endpoint_shares.h"
+#include "burdockhold/load_weights.h"
 
 #include <algorithm>
 #include <cmath>
@@ -11,12 +11,12 @@
 
 } // namespace
 
-endpoint_shares::endpoint_shares(const share_options &options)
+load_weights::load_weights(const load_weight_options &options)
     : m_options(options)
 {
 }
 
-void endpoint_shares::update(const std::vector<endpoint_wait> &waits, time_point now)
+void load_weights::update(const std::vector<endpoint_wait> &waits, time_point now)
 {
     const double step = m_updated
                                 ? std::clamp(toSeconds(now - m_updatedAt), 0.0, LongestStepSeconds)
@@ -41,26 +41,26 @@
     m_logFactors = std::move(next);
 }
 
-double endpoint_shares::factor(std::uint64_t endpoint) const
+double load_weights::factor(std::uint64_t endpoint) const
 {
     const auto found = m_logFactors.find(endpoint);
     return found == m_logFactors.end() ? 1.0 : std::exp(found->second);
 }
 
-std::vector<share_factor> endpoint_shares::exportFactors() const
+std::vector<load_weight> load_weights::exportFactors() const
 {
-    std::vector<share_factor> factors;
+    std::vector<load_weight> factors;
     for (const auto &[endpoint, value] : m_logFactors)
         factors.push_back({ endpoint, std::exp(value) });
     std::sort(factors.begin(), factors.end(),
-              [](const share_factor &a, const share_factor &b) { return a.endpoint < b.endpoint; });
+              [](const load_weight &a, const load_weight &b) { return a.endpoint < b.endpoint; });
     return factors;
 }
 
-void endpoint_shares::importFactors(const std::vector<share_factor> &factors)
+void load_weights::importFactors(const std::vector<load_weight> &factors)
 {
     const double limit = std::log(m_options.largestFactor);
-    for (const share_factor &entry : factors) {
+    for (const load_weight &entry : factors) {
         if (std::isfinite(entry.factor) && entry.factor > 0.0)
             m_logFactors[entry.endpoint] = std::clamp(std::log(entry.factor), -limit, limit);
     }
--- a/burdockhold/endpoint_shares.h
+++ b/burdockhold/load_weights.h
@@ -1,5 +1,5 @@
-#ifndef BURDOCKHOLD_ENDPOINT_SHARES_H
-#define BURDOCKHOLD_ENDPOINT_SHARES_H
+#ifndef BURDOCKHOLD_LOAD_WEIGHTS_H
+#define BURDOCKHOLD_LOAD_WEIGHTS_H
 
 // Corrects the weights of rendezvous hashing by the endpoints' reported queues, so that prefixes
 // move from endpoints that are above the mean for long and stay moved. Spilling each request by
@@ -17,7 +17,7 @@
 
 namespace burdockhold {
 
-struct share_options
+struct load_weight_options
 {
     double gainPerSecond = 0.05;      ///< Change of log(factor) per second at twice the mean wait.
     double decayPerSecond = 0.01;     ///< Part of log(factor) lost per second.
@@ -32,16 +32,16 @@
     double seconds = 0.0;
 };
 
-struct share_factor
+struct load_weight
 {
     std::uint64_t endpoint = 0;
     double factor = 1.0;
 };
 
-class endpoint_shares
+class load_weights
 {
 public:
-    explicit endpoint_shares(const share_options &options = {});
+    explicit load_weights(const load_weight_options &options = {});
 
     /// Adjusts the factors of one pool's endpoints, once per round of load reports. Endpoints that
     /// are not listed are forgotten.
@@ -50,13 +50,13 @@
     /// Returns the factor on the endpoint's weight; 1 when unknown.
     double factor(std::uint64_t endpoint) const;
 
-    std::vector<share_factor> exportFactors() const;
+    std::vector<load_weight> exportFactors() const;
 
     /// Takes over a peer's factors. Values that are not finite or not positive are ignored.
-    void importFactors(const std::vector<share_factor> &factors);
+    void importFactors(const std::vector<load_weight> &factors);
 
 private:
-    share_options m_options;
+    load_weight_options m_options;
     std::unordered_map<std::uint64_t, double> m_logFactors;
     time_point m_updatedAt{};
     bool m_updated = false;
--- a/burdockhold/placement.cc
+++ b/burdockhold/placement.cc
@@ -162,7 +162,7 @@
     std::vector<scored_position> set(eligible.size());
     for (std::size_t i = 0; i < eligible.size(); ++i) {
         const placement_endpoint &endpoint = (*view.endpoints)[eligible[i]];
-        const double weight = endpoint.weight * view.shares->factor(endpoint.key);
+        const double weight = endpoint.weight * view.loadWeights->factor(endpoint.key);
         set[i] = { 0.0, endpoint.key, weight, i };
     }
 
--- a/testing/placement_simulation.cc
+++ b/testing/placement_simulation.cc
@@ -128,13 +128,13 @@
     vm(const simulation_options &options)
         : heat(options.heat)
         , recent(options.recent)
-        , shares(options.shares)
+        , loadWeights(options.loadWeights)
     {
     }
 
     heat_sketch heat;
     recent_requests recent;
-    endpoint_shares shares;
+    load_weights loadWeights;
     cache_view cache;
     std::size_t nextEndpoint = 0;
 };
@@ -393,7 +393,7 @@
         view.endpoints = &m_endpoints;
         view.heat = &from.heat;
         view.recent = &from.recent;
-        view.shares = &from.shares;
+        view.loadWeights = &from.loadWeights;
         view.pool = PoolKey;
         view.vms = m_vms.size();
         view.now = at(m_now);
@@ -591,7 +591,7 @@
         if (m_options.policy == placement_policy::CacheEvents)
             followEvents(seen);
         if (seen.engine == m_engines.size() - 1)
-            updateShares();
+            updateLoadWeights();
     }
 
     void followEvents(const event &seen)
@@ -608,7 +608,7 @@
         }
     }
 
-    void updateShares()
+    void updateLoadWeights()
     {
         std::vector<endpoint_wait> waits;
         for (const placement_endpoint &endpoint : m_endpoints) {
@@ -617,7 +617,7 @@
                                                         / endpoint.prefillTokensPerSecond });
         }
         for (vm &each : m_vms)
-            each.shares.update(waits, at(m_now));
+            each.loadWeights.update(waits, at(m_now));
     }
 
     /// Open calls fail at once, so all VMs eject the engine and send the waiting prompts again.
@@ -644,7 +644,7 @@
     void restart()
     {
         std::vector<heat_entry> copied = m_vms[0].heat.exportEntries(at(m_now));
-        const std::vector<share_factor> factors = m_vms[0].shares.exportFactors();
+        const std::vector<load_weight> factors = m_vms[0].loadWeights.exportFactors();
         const cache_view view = m_vms[0].cache;
         m_vms.assign(m_options.vms, vm(m_options));
         m_firstAfterRestart = m_arrivals + 1;
@@ -652,7 +652,7 @@
             return;
         for (vm &fresh : m_vms) {
             fresh.heat.importEntries(copied, at(m_now));
-            fresh.shares.importFactors(factors);
+            fresh.loadWeights.importFactors(factors);
             fresh.cache = view; // Stands for full lists read from the engines before serving.
         }
     }
--- a/testing/placement_test.cc
+++ b/testing/placement_test.cc
@@ -49,13 +49,13 @@
     std::vector<placement_endpoint> endpoints = idleEndpoints(9);
     heat_sketch heat;
     recent_requests recent;
-    endpoint_shares shares;
+    load_weights loadWeights;
     cache_view cache;
     std::mt19937_64 random{ 1 };
 
     placement_view view() const
     {
-        placement_view view{ &endpoints, &heat, &recent, &shares, Pool, 8, at(100.0), &cache };
+        placement_view view{ &endpoints, &heat, &recent, &loadWeights, Pool, 8, at(100.0), &cache };
         return view;
     }
 
@@ -316,21 +316,21 @@
 
 // Guards against an endpoint that stays overloaded because its prefixes never move, and against
 // factors that last after the load is even again.
-BOOST_AUTO_TEST_CASE(sharesMoveAwayFromLongQueuesAndReturn)
+BOOST_AUTO_TEST_CASE(weightsMoveAwayFromLongQueuesAndReturn)
 {
-    endpoint_shares shares;
+    load_weights loadWeights;
     double now = 0.0;
     for (; now < 30.0; now += 0.25)
-        shares.update({ { 1, 4.0 }, { 2, 1.0 }, { 3, 1.0 } }, at(now));
-    BOOST_TEST(shares.factor(1) < 0.9);
-    BOOST_TEST(shares.factor(2) > 1.0);
-    BOOST_TEST(shares.factor(4) == 1.0);
-    endpoint_shares copy;
-    copy.importFactors(shares.exportFactors());
-    BOOST_TEST(std::abs(copy.factor(1) - shares.factor(1)) < 1e-9);
+        loadWeights.update({ { 1, 4.0 }, { 2, 1.0 }, { 3, 1.0 } }, at(now));
+    BOOST_TEST(loadWeights.factor(1) < 0.9);
+    BOOST_TEST(loadWeights.factor(2) > 1.0);
+    BOOST_TEST(loadWeights.factor(4) == 1.0);
+    load_weights copy;
+    copy.importFactors(loadWeights.exportFactors());
+    BOOST_TEST(std::abs(copy.factor(1) - loadWeights.factor(1)) < 1e-9);
     for (; now < 1000.0; now += 0.25)
-        shares.update({ { 1, 1.0 }, { 2, 1.0 }, { 3, 1.0 } }, at(now));
-    BOOST_TEST(std::abs(shares.factor(1) - 1.0) < 0.01);
+        loadWeights.update({ { 1, 1.0 }, { 2, 1.0 }, { 3, 1.0 } }, at(now));
+    BOOST_TEST(std::abs(loadWeights.factor(1) - 1.0) < 0.01);
 }
 
 // Guards against a queue that grows without limit because its endpoint holds the prefix.
--- a/tools/placement_bench.cc
+++ b/tools/placement_bench.cc
@@ -121,7 +121,7 @@
     }
     heat_sketch heat;
     recent_requests recent;
-    endpoint_shares shares;
+    load_weights loadWeights;
     std::mt19937_64 random(1);
     duration spent{};
     double sink = 0.0;
@@ -134,12 +134,12 @@
         for (placement_endpoint &endpoint : pool)
             endpoint.loadAsOf = now - std::chrono::milliseconds(500);
         if (i % 23 == 0) // A round of load reports every 250 ms.
-            shares.update(waits, now);
+            loadWeights.update(waits, now);
         placement_view view;
         view.endpoints = &pool;
         view.heat = &heat;
         view.recent = &recent;
-        view.shares = &shares;
+        view.loadWeights = &loadWeights;
         view.pool = Pool;
         view.vms = 100; // The target's 1,300 VMs send to 13 pools.
         view.now = now;
@@ -191,7 +191,7 @@
         "confidence in the placement rule before responses");
     add("miss-weight", options_lib::value(&options.placement.missWeight),
         "weight of missing tokens against queue wait");
-    add("share-gain", options_lib::value(&options.shares.gainPerSecond),
+    add("weight-gain", options_lib::value(&options.loadWeights.gainPerSecond),
         "correction of endpoint weights per second");
     add("load-bound-floor", options_lib::value(&options.placement.loadBoundFloorSeconds),
         "queue wait in seconds below which the load bound does not apply");
