--- a/burdockhold/placement.h
+++ b/burdockhold/placement.h
@@ -15,9 +15,10 @@
 // last load report; memory O(N) during the call. The state has its own bounds, see heat.h and
 // recent_requests.h. Fails only when no endpoint is eligible.
 
+#include "burdockhold/cache_view.h"
 #include "burdockhold/clock.h"
-#include "burdockhold/endpoint_shares.h"
 #include "burdockhold/heat.h"
+#include "burdockhold/load_weights.h"
 #include "burdockhold/prefix.h"
 #include "burdockhold/recent_requests.h"
 #include "burdockhold/result.h"
@@ -49,7 +50,10 @@
 struct placement_options
 {
     /// Replicas for a prefix: this factor x its share of the pool's requests x endpoints.
-    double replicaFactor = 0.25;
+    double replicaFactor = 2.0;
+    /// A prefix whose share x endpoints is below this has one replica. Replicas of colder prefixes
+    /// cost more misses than they save waiting.
+    double replicaThreshold = 3.0;
     /// A prefix with fewer decayed requests on this VM has one replica: less is noise.
     double minimumCount = 4.0;
     /// Weight of the seconds spent on missing tokens against seconds of queue wait. Above 1 because
@@ -62,16 +66,18 @@
     std::size_t decisionCandidates = 4; ///< Candidates kept for the decision line.
 };
 
-/// What the choice is made from. Pointers must be valid during the call and not null.
+/// What the choice is made from. Pointers must be valid during the call and, but for `cache`, not
+/// null.
 struct placement_view
 {
     const std::vector<placement_endpoint> *endpoints = nullptr; ///< All endpoints of one pool.
     const heat_sketch *heat = nullptr;
     const recent_requests *recent = nullptr;
-    const endpoint_shares *shares = nullptr;
+    const load_weights *loadWeights = nullptr;
     std::uint64_t pool = 0; ///< Key under which heat counts all requests of the pool.
     std::size_t vms = 1;    ///< VMs that the load balancer spreads requests over.
     time_point now{};
+    const cache_view *cache = nullptr; ///< Null when cache events are not followed.
 };
 
 struct placement_request
--- a/testing/placement_simulation.cc
+++ b/testing/placement_simulation.cc
@@ -48,21 +48,26 @@
             m_order.splice(m_order.begin(), m_order, found->second);
             return;
         }
+        publish(cache_event_kind::Added, block);
         m_order.push_front(block);
         m_places.emplace(block, m_order.begin());
         if (m_order.size() > m_capacity) {
+            publish(cache_event_kind::Evicted, m_order.back());
             m_places.erase(m_order.back());
             m_order.pop_back();
         }
     }
 
-    void clear()
+    /// All events since the start, in order.
+    const std::vector<cache_event> &events() const { return m_events; }
+
+private:
+    void publish(cache_event_kind kind, std::uint64_t block)
     {
-        m_order.clear();
-        m_places.clear();
+        m_events.push_back({ m_events.size() + 1, kind, block });
     }
 
-private:
+    std::vector<cache_event> m_events;
     std::size_t m_capacity;
     std::list<std::uint64_t> m_order;
     std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> m_places;
@@ -123,13 +128,14 @@
     vm(const simulation_options &options)
         : heat(options.heat)
         , recent(options.recent)
-        , shares(options.shares)
+        , loadWeights(options.loadWeights)
     {
     }
 
     heat_sketch heat;
     recent_requests recent;
-    endpoint_shares shares;
+    load_weights loadWeights;
+    cache_view cache;
     std::size_t nextEndpoint = 0;
 };
 
@@ -266,7 +272,8 @@
     event_kind kind;
     std::size_t engine;
     std::uint64_t incarnation;
-    double queuedTokens; ///< Of ReportSeen.
+    double queuedTokens;     ///< Of ReportSeen.
+    std::size_t cacheEvents; ///< Of ReportSeen: number published by then.
 
     bool operator>(const event &other) const
     {
@@ -317,9 +324,10 @@
     static constexpr double DrainSeconds = 60.0;
 
     void schedule(double time, event_kind kind, std::size_t engine = 0,
-                  std::uint64_t incarnation = 0, double queuedTokens = 0.0)
+                  std::uint64_t incarnation = 0, double queuedTokens = 0.0,
+                  std::size_t cacheEvents = 0)
     {
-        m_events.push({ time, ++m_order, kind, engine, incarnation, queuedTokens });
+        m_events.push({ time, ++m_order, kind, engine, incarnation, queuedTokens, cacheEvents });
     }
 
     void handle(const event &next)
@@ -347,6 +355,12 @@
         }
     }
 
+    bool placesByPrefix() const
+    {
+        return m_options.policy == placement_policy::Burdockhold
+               || m_options.policy == placement_policy::CacheEvents;
+    }
+
     void arrive()
     {
         if (m_now >= m_end)
@@ -355,7 +369,7 @@
         request made = m_traffic.next(m_now);
         made.vm = m_traffic.below(m_vms.size());
         made.ordinal = ++m_arrivals;
-        if (m_options.policy == placement_policy::Burdockhold)
+        if (placesByPrefix())
             recordHeat(m_vms[made.vm].heat, made.prompt, PoolKey, at(m_now));
         dispatch(std::move(made));
     }
@@ -375,8 +389,17 @@
 
     placement_view viewOf(const vm &from) const
     {
-        return { &m_endpoints, &from.heat,   &from.recent, &from.shares,
-                 PoolKey,      m_vms.size(), at(m_now) };
+        placement_view view;
+        view.endpoints = &m_endpoints;
+        view.heat = &from.heat;
+        view.recent = &from.recent;
+        view.loadWeights = &from.loadWeights;
+        view.pool = PoolKey;
+        view.vms = m_vms.size();
+        view.now = at(m_now);
+        if (m_options.policy == placement_policy::CacheEvents)
+            view.cache = &from.cache;
+        return view;
     }
 
     std::size_t choose(request &sent)
@@ -393,6 +416,7 @@
         case placement_policy::WholePrefix:
             return rendezvous(sent.prompt.levels.back());
         case placement_policy::Burdockhold:
+        case placement_policy::CacheEvents:
             return place(sent, sent.prompt);
         case placement_policy::Omniscient:
             return omniscient(sent);
@@ -495,7 +519,7 @@
                 server.pending.erase(waiting);
             m_computed.insert(*level);
         }
-        if (m_options.policy == placement_policy::Burdockhold)
+        if (placesByPrefix())
             m_vms[finished.vm].recent.recordReported(finished.expectation.ownTokens,
                                                      finished.expectation.ruleTokens,
                                                      server.currentCached);
@@ -517,11 +541,15 @@
         const double tokens = static_cast<double>(finished.prompt.promptTokens);
         if (m_firstAfterRestart > 0 && finished.ordinal >= m_firstAfterRestart
             && finished.ordinal < m_firstAfterRestart + 100) {
-            m_report.promptTokensAfterRestart += tokens;
-            m_report.cachedTokensAfterRestart += cached;
+            m_report.afterRestart.prompt += tokens;
+            m_report.afterRestart.cached += cached;
         }
         if (finished.arrivedAt < m_options.warmSeconds)
             return;
+        if (finished.arrivedAt < m_options.restartAt) {
+            m_report.beforeRestart.prompt += tokens;
+            m_report.beforeRestart.cached += cached;
+        }
         ++m_report.requests;
         m_report.promptTokens += tokens;
         m_report.cachedTokens += cached;
@@ -547,7 +575,7 @@
         const engine &server = m_engines[index];
         if (!server.down)
             schedule(m_now + ReportLag, event_kind::ReportSeen, index, server.incarnation,
-                     server.queuedTokens(m_now));
+                     server.queuedTokens(m_now), server.cache.events().size());
         schedule(m_now + ReportInterval, event_kind::ReportTaken, index);
     }
 
@@ -560,11 +588,27 @@
         endpoint.incarnation = seen.incarnation;
         endpoint.queuedTokens = static_cast<std::int64_t>(seen.queuedTokens);
         endpoint.loadAsOf = at(seen.time - ReportLag);
+        if (m_options.policy == placement_policy::CacheEvents)
+            followEvents(seen);
         if (seen.engine == m_engines.size() - 1)
-            updateShares();
+            updateLoadWeights();
+    }
+
+    void followEvents(const event &seen)
+    {
+        const engine &server = m_engines[seen.engine];
+        if (server.incarnation != seen.incarnation)
+            return;
+        const std::uint64_t key = m_endpoints[seen.engine].key;
+        for (vm &each : m_vms) {
+            each.cache.begin(key, seen.incarnation);
+            const std::uint64_t next = each.cache.nextSequence(key, seen.incarnation);
+            for (std::size_t i = next - 1; i < seen.cacheEvents; ++i)
+                each.cache.apply(key, seen.incarnation, server.cache.events()[i]);
+        }
     }
 
-    void updateShares()
+    void updateLoadWeights()
     {
         std::vector<endpoint_wait> waits;
         for (const placement_endpoint &endpoint : m_endpoints) {
@@ -573,7 +617,7 @@
                                                         / endpoint.prefillTokensPerSecond });
         }
         for (vm &each : m_vms)
-            each.shares.update(waits, at(m_now));
+            each.loadWeights.update(waits, at(m_now));
     }
 
     /// Open calls fail at once, so all VMs eject the engine and send the waiting prompts again.
@@ -600,14 +644,16 @@
     void restart()
     {
         std::vector<heat_entry> copied = m_vms[0].heat.exportEntries(at(m_now));
-        const std::vector<share_factor> factors = m_vms[0].shares.exportFactors();
+        const std::vector<load_weight> factors = m_vms[0].loadWeights.exportFactors();
+        const cache_view view = m_vms[0].cache;
         m_vms.assign(m_options.vms, vm(m_options));
         m_firstAfterRestart = m_arrivals + 1;
         if (!m_options.copyHeat)
             return;
         for (vm &fresh : m_vms) {
             fresh.heat.importEntries(copied, at(m_now));
-            fresh.shares.importFactors(factors);
+            fresh.loadWeights.importFactors(factors);
+            fresh.cache = view; // Stands for full lists read from the engines before serving.
         }
     }
 
@@ -616,6 +662,9 @@
         m_report.utilisation = m_busy
                                / (m_options.measuredSeconds
                                   * static_cast<double>(m_options.engines));
+        for (const engine &server : m_engines)
+            m_report.cacheEventsPerSecond += static_cast<double>(server.cache.events().size())
+                                             / m_end;
         // Requests without a first token by the end count with the time they have waited.
         for (const engine &server : m_engines) {
             for (const request &waiting : server.queue)
--- a/testing/placement_simulation.h
+++ b/testing/placement_simulation.h
@@ -22,6 +22,7 @@
     FirstBlock,
     WholePrefix,
     Burdockhold,
+    CacheEvents, ///< The same with every VM following cache events.
     Omniscient
 };
 
@@ -32,12 +33,13 @@
 template <>
 struct enum_names<testing::placement_policy>
 {
-    static constexpr std::array<enum_name<testing::placement_policy>, 6> Table{ {
+    static constexpr std::array<enum_name<testing::placement_policy>, 7> Table{ {
             { testing::placement_policy::RoundRobin, "round_robin" },
             { testing::placement_policy::LeastLoaded, "least_loaded" },
             { testing::placement_policy::FirstBlock, "first_block" },
             { testing::placement_policy::WholePrefix, "whole_prefix" },
             { testing::placement_policy::Burdockhold, "burdockhold" },
+            { testing::placement_policy::CacheEvents, "cache_events" },
             { testing::placement_policy::Omniscient, "omniscient" },
     } };
 };
@@ -62,7 +64,15 @@
     placement_options placement;
     heat_options heat;
     recent_options recent;
-    share_options shares;
+    load_weight_options loadWeights;
+};
+
+struct token_counts
+{
+    double prompt = 0.0;
+    double cached = 0.0;
+
+    double hitRate() const { return prompt > 0.0 ? cached / prompt : 0.0; }
 };
 
 struct simulation_report
@@ -73,10 +83,10 @@
     double recomputedTokens = 0.0; ///< Computed although some engine had computed them before.
     double p50Seconds = 0.0;       ///< Time to first token.
     double p99Seconds = 0.0;
-    double utilisation = 0.0; ///< Part of the time that engines computed prompts.
-    /// Tokens of the 100 requests that arrived first after restartAt.
-    double promptTokensAfterRestart = 0.0;
-    double cachedTokensAfterRestart = 0.0;
+    double utilisation = 0.0;          ///< Part of the time that engines computed prompts.
+    double cacheEventsPerSecond = 0.0; ///< Published by all engines together.
+    token_counts beforeRestart;        ///< Of measured requests that arrived before restartAt.
+    token_counts afterRestart;         ///< Of the 100 requests that arrived first after restartAt.
 
     double hitRate() const { return promptTokens > 0.0 ? cachedTokens / promptTokens : 0.0; }
 };
