Claim calls on non-repeatable routes before dispatch

Cause: a call on a non-repeatable route was dispatched once by the VM that received it, but a repeat, at the same or another VM, was dispatched again.

Change: claims_controller follows the stream `claims`, steps claim_ledger and claim_writer under one lock, appends and delivers the decisions on the HTTP library's pool. claim_stage holds one call's part: claim, check of the deadline just before dispatch, stored answer or refusal, and exactly one report of the outcome. log_follower reports each page before its records, because a claim's age is judged by the log's clock of the same read. The access line gets `claim`.

Decided: - After 410 the ledger is kept, later records are applied, and no call is permitted for one claim window by the log's clock. Replaying anew and going on was ruled out: a missed claim would make its key look free while the log's retention is shorter than assumed. Stored answers are still returned. - 409 says `X-Burdockhold-Run: unknown`, because a call with the key may run. - An answer that is no longer held gives 502 answer_not_retained. - A caller without an account gets 401 on a non-repeatable route; callers that cannot be told apart would share answers. - The answer is sent without waiting for its finish record. Waiting was ruled out: a log outage would then hold back an answer that is known. - A call without an outcome counts as in progress for the claim deadline and twice the service timeout, 65 s by default.

The front server's own test uses claims that are always won.

--- a/burdockhold/access_log.cc
+++ b/burdockhold/access_log.cc
@@ -24,6 +24,7 @@
     line["first_token_s"] = record.firstTokenSeconds ? json(*record.firstTokenSeconds) : json();
     line["total_s"] = record.totalSeconds;
     line["outcome"] = record.outcome;
+    line["claim"] = record.claim;
     line["reason"] = record.reason;
     return line.dump(-1, ' ', false, json::error_handler_t::replace);
 }
--- a/burdockhold/access_log.h
+++ b/burdockhold/access_log.h
@@ -27,6 +27,7 @@
     std::optional<double> firstTokenSeconds;
     double totalSeconds = 0.0;
     std::string outcome; ///< "complete", "refused", "failed" or "caller_left".
+    std::string claim;   ///< What the claim of a non-repeatable call came to; see claim_outcome.
     std::string reason;  ///< Code of the error, or what the last failed attempt saw.
 };
 
--- a/burdockhold/caller_reply.cc
+++ b/burdockhold/caller_reply.cc
@@ -19,7 +19,7 @@
 {
     http_response response(static_cast<web::http::status_code>(error.status));
     response.headers().add("X-Burdockhold-Run", std::string(nameOf(error.run)));
-    if (error.status == 429 || error.status == 503)
+    if (error.status == 409 || error.status == 429 || error.status == 503)
         response.headers().add("Retry-After", std::to_string(error.retryAfterSeconds));
     response.set_body(formatError(error), std::string("application/json"));
     send(std::move(response));
--- a/burdockhold/completion.h
+++ b/burdockhold/completion.h
@@ -98,7 +98,7 @@
     std::string message;
     std::string param; ///< Field at fault, or empty (sent as null).
     run_state run = run_state::NotRun;
-    int retryAfterSeconds = 1; ///< Sent with 429 and 503 only.
+    int retryAfterSeconds = 1; ///< Sent with 409, 429 and 503 only.
 };
 
 /// Returns the JSON body of an error reply.
--- a/burdockhold/daemon.cc
+++ b/burdockhold/daemon.cc
@@ -2,6 +2,7 @@
 
 #include "burdockhold/admin_server.h"
 #include "burdockhold/blackboard.h"
+#include "burdockhold/claims_controller.h"
 #include "burdockhold/config_follower.h"
 #include "burdockhold/free_port.h"
 #include "burdockhold/front_server.h"
@@ -40,6 +41,27 @@
     return options;
 }
 
+log_time_ms toMilliseconds(duration d)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
+}
+
+claims_options claimsOptions(const daemon_settings &settings)
+{
+    claims_options options;
+    options.vm = settings.name;
+    options.follow.log = logOptions(settings);
+    options.follow.wait = settings.logPollWait;
+    options.follow.seed = std::random_device{}();
+    options.deadline = settings.claimDeadline;
+    options.maxViewAge = settings.maxViewAge;
+    options.ledger.claimWindowMs = toMilliseconds(settings.claimWindow);
+    // The wait for the claim, for the answer and for its last byte.
+    options.ledger.inProgressMs = toMilliseconds(settings.claimDeadline
+                                                 + 2 * settings.serviceTimeout);
+    return options;
+}
+
 front_options frontOptions(const daemon_settings &settings, const std::string &address)
 {
     front_options options;
@@ -73,8 +95,9 @@
         if (!isOk(addresses))
             return addresses;
         m_config = std::make_unique<config_follower>(followerOptions(m_settings), m_board);
+        m_claims = std::make_unique<claims_controller>(claimsOptions(m_settings));
         m_front = std::make_unique<front_server>(frontOptions(m_settings, m_url), m_board,
-                                                 m_chooser);
+                                                 m_chooser, m_claims.get());
         const result<success, front_error> front = m_front->start();
         if (!isOk(front))
             return cannotListen(errorOf(front).text, m_url);
@@ -100,6 +123,7 @@
         const std::size_t cutOff = m_front->openRequests();
         m_front->stop();
         m_admin->stop();
+        m_claims->stop();
         m_config->stop();
         logEvent(cutOff == 0 ? log_level::Info : log_level::Warn, "daemon", "stopped",
                  { { "cut_off", cutOff } });
@@ -137,7 +161,7 @@
     {
         if (m_draining || m_drainRequested)
             return { 503, "text/plain", "draining\n" };
-        if (!m_config->freshness().synced)
+        if (!m_config->freshness().synced || !m_claims->status().freshness.synced)
             return { 503, "text/plain", "starting\n" };
         return { 200, "text/plain", "ok\n" };
     }
@@ -155,6 +179,12 @@
         page["synced"] = freshness.synced;
         if (freshness.synced)
             page["view_age_seconds"] = toSeconds(steadyNow() - freshness.asOf);
+        const claims_status claims = m_claims->status();
+        page["claims_synced"] = claims.freshness.synced;
+        page["claims_offset"] = claims.offset;
+        page["claims_keys"] = claims.keys;
+        page["claims_open"] = claims.open;
+        page["claims_suspended"] = claims.suspended;
         page["log_errors"] = config.errors;
         page["last_log_error"] = config.lastError;
         return { 200, "application/json", page.dump() };
@@ -174,6 +204,7 @@
     blackboard m_board;
     rendezvous_router m_chooser;
     std::unique_ptr<config_follower> m_config;
+    std::unique_ptr<claims_controller> m_claims;
     std::unique_ptr<front_server> m_front;
     std::unique_ptr<admin_server> m_admin;
 };
--- a/burdockhold/exchange.cc
+++ b/burdockhold/exchange.cc
@@ -83,6 +83,7 @@
     , m_requestId(std::move(requestId))
     , m_reply(m_message, m_requestId)
     , m_started(steadyNow())
+    , m_claim(context.claims)
     , m_config(context.board.config.read())
     , m_continuity(m_requestId, context.options.resume)
 {
@@ -260,7 +261,37 @@
 // Claims on non-repeatable calls are made here, before anything is sent.
 void exchange::claim()
 {
-    place();
+    if (m_route.repeatable) {
+        place();
+        return;
+    }
+    const claim_subject subject = subjectOf(
+            m_record.account, headerOf(m_message, "Idempotency-Key"), m_message.method(),
+            m_message.relative_uri().to_string(), m_body);
+    m_claim.start(subject, [self = shared_from_this()](const claim_verdict &verdict) {
+        self->onClaimDecided(verdict);
+    });
+}
+
+void exchange::onClaimDecided(const claim_verdict &verdict)
+{
+    std::visit(overloaded{
+                       [this](const claim_won &) { place(); },
+                       [this](const claim_answer &answer) { replay(answer); },
+                       [this](const error_reply &error) { refuse(error); },
+               },
+               verdict);
+}
+
+/// Returns the stored answer of an earlier call with the same key and body.
+void exchange::replay(const claim_answer &answer)
+{
+    std::vector<header> headers{ { "X-Burdockhold-Replayed", "true" } };
+    if (!answer.contentType.empty())
+        headers.push_back({ "Content-Type", answer.contentType });
+    m_record.status = answer.status;
+    m_reply.sendWhole(answer.status, headers, answer.body);
+    settle("complete", "");
 }
 
 void exchange::place()
@@ -293,6 +324,11 @@
 
 void exchange::call(const routing_choice &choice)
 {
+    // The VM may have been paused since it won the claim.
+    if (!m_claim.mayDispatch(steadyNow())) {
+        refuse(unavailable("claim_expired", "the claim's deadline has passed"));
+        return;
+    }
     m_attempt = {};
     m_attempt.choice = choice;
     m_silent = false;
@@ -475,6 +511,8 @@
         m_record.outputTokens = answer["usage"].value("completion_tokens", std::int64_t{ 0 });
         m_record.cachedTokens = answer["usage"].value("cached_tokens", std::int64_t{ 0 });
     }
+    m_claim.answered(m_attempt.response.status, m_attempt.response.find("Content-Type"),
+                     m_attempt.body);
     m_reply.sendWhole(m_attempt.response.status, headers, m_attempt.body);
     settle("complete", "");
 }
@@ -516,6 +554,8 @@
 // Account limits return unused tokens here.
 void exchange::settle(const std::string &outcome, const std::string &reason)
 {
+    m_claim.close(m_reached);
+    m_record.claim = nameOf(m_claim.outcome());
     m_record.outcome = outcome;
     m_record.reason = reason;
     {
--- a/burdockhold/exchange.h
+++ b/burdockhold/exchange.h
@@ -8,6 +8,7 @@
 
 #include "burdockhold/access_log.h"
 #include "burdockhold/caller_reply.h"
+#include "burdockhold/claim_stage.h"
 #include "burdockhold/front_server.h"
 #include "burdockhold/sse.h"
 
@@ -28,6 +29,7 @@
     const blackboard &board;
     router &chooser;
     upstream_clients &clients;
+    call_claims *claims = nullptr;
 };
 
 class exchange : public upstream_observer, public std::enable_shared_from_this<exchange>
@@ -76,6 +78,8 @@
     bool parseBody();
     void admit();
     void claim();
+    void onClaimDecided(const claim_verdict &verdict);
+    void replay(const claim_answer &answer);
     void place();
     void call(const routing_choice &choice);
     void deliverEvent(const sse_event &event);
@@ -103,6 +107,7 @@
     std::function<void()> m_closed;
     time_point m_started;
     access_record m_record;
+    claim_stage m_claim;
 
     std::shared_ptr<const catalogue> m_config;
     std::optional<completion_kind> m_kind; ///< Nothing for a plain route.
--- a/burdockhold/front_server.h
+++ b/burdockhold/front_server.h
@@ -20,6 +20,8 @@
 
 namespace burdockhold {
 
+class call_claims;
+
 struct front_options
 {
     std::string address; ///< "http://IP:PORT" to listen on.
@@ -34,8 +36,10 @@
 class front_server
 {
 public:
-    /// The blackboard and the router must outlive the server.
-    front_server(front_options options, const blackboard &board, router &chooser);
+    /// The blackboard, the router and the claims must outlive the server. Without claims, calls on
+    /// non-repeatable routes are refused as not run.
+    front_server(front_options options, const blackboard &board, router &chooser,
+                 call_claims *claims = nullptr);
     ~front_server();
     front_server(const front_server &) = delete;
     front_server &operator=(const front_server &) = delete;
--- a/burdockhold/log_follower.cc
+++ b/burdockhold/log_follower.cc
@@ -91,6 +91,7 @@
 void log_follower::take(const log_page &page, time_point sent)
 {
     const bool atTail = page.reachesTail(m_next);
+    m_reader.onPage(page);
     for (const log_record &record : page.records) {
         if (record.offset < m_next)
             continue;
--- a/burdockhold/log_follower.h
+++ b/burdockhold/log_follower.h
@@ -24,6 +24,8 @@
 public:
     virtual ~stream_reader() = default;
 
+    /// A page was read; its records follow. `page.now` is the log's clock from the same read.
+    virtual void onPage(const log_page & /*page*/) { }
     /// The next record. Offsets increase until onRestart().
     virtual void onRecord(const log_record &record) = 0;
 
--- a/testing/front_server_nettest.cc
+++ b/testing/front_server_nettest.cc
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE front_server
 #include <boost/test/unit_test.hpp>
 
+#include "burdockhold/claim_stage.h"
 #include "burdockhold/digest.h"
 #include "burdockhold/front_server.h"
 
@@ -35,6 +36,23 @@
     return true;
 }
 
+/// Claims that are always won, so that the request path is tested without a log.
+class winning_claims : public call_claims
+{
+public:
+    claim_start claim(const claim_subject & /*subject*/, decided_callback decided) override
+    {
+        const std::uint64_t id = ++m_count;
+        decided(dispatch_permission{ id, std::to_string(id), steadyNow() + WaitLimit });
+        return claim_pending{};
+    }
+    void finished(const std::string & /*claimId*/, claim_answer /*answer*/) override { }
+    void released(const std::string & /*claimId*/) override { }
+
+private:
+    std::atomic<std::uint64_t> m_count{ 0 };
+};
+
 struct received_request
 {
     std::string head;
@@ -283,7 +301,7 @@
     {
         board.config.publish(m_config);
         board.freshness.publish({ true, steadyNow() + std::chrono::hours(1) });
-        m_server = std::make_unique<front_server>(m_options, board, m_router);
+        m_server = std::make_unique<front_server>(m_options, board, m_router, &m_claims);
         BOOST_REQUIRE(isOk(m_server->start()));
         return *m_server;
     }
@@ -330,6 +348,7 @@
     catalogue m_config;
     front_options m_options;
     rendezvous_router m_router;
+    winning_claims m_claims;
     std::unique_ptr<front_server> m_server;
 };
 
