Serve /metrics, /accounts and /endpoints in the daemon

The measures of metrics.h were never recorded: the request path had no reference to them and the admin listener no page.

exchange_metrics.h takes what an exchange reports (attempts, headers of an endpoint's answer, delivered tokens, the end) and decides what is counted under which labels. Routes are labelled by their entry's path; the caller's own path was ruled out because callers without a key could then use up the 128 labels. Time to first token and between tokens cover streams only: a whole answer has no first token. A request that failed before a byte reached an endpoint counts as refused, since its caller is told "not run". Wrongful refusals and claims are not counted yet; they belong to admit() and claim().

--- a/burdockhold/daemon.cc
+++ b/burdockhold/daemon.cc
@@ -1,11 +1,13 @@
 #include "burdockhold/daemon.h"
 
+#include "burdockhold/admin_pages.h"
 #include "burdockhold/admin_server.h"
 #include "burdockhold/blackboard.h"
 #include "burdockhold/config_follower.h"
 #include "burdockhold/free_port.h"
 #include "burdockhold/front_server.h"
 #include "burdockhold/logging.h"
+#include "burdockhold/metrics.h"
 #include "burdockhold/random_id.h"
 
 #include <nlohmann/json.hpp>
@@ -74,7 +76,7 @@
             return addresses;
         m_config = std::make_unique<config_follower>(followerOptions(m_settings), m_board);
         m_front = std::make_unique<front_server>(frontOptions(m_settings, m_url), m_board,
-                                                 m_chooser);
+                                                 m_chooser, &m_metrics);
         const result<success, front_error> front = m_front->start();
         if (!isOk(front))
             return cannotListen(errorOf(front).text, m_url);
@@ -129,6 +131,9 @@
         return {
             { "GET", "/healthz", [this](const std::string &) { return health(); } },
             { "GET", "/status", [this](const std::string &) { return status(); } },
+            { "GET", "/metrics", [this](const std::string &) { return metricsText(); } },
+            { "GET", "/accounts", [this](const std::string &) { return accounts(); } },
+            { "GET", "/endpoints", [this](const std::string &) { return endpoints(); } },
             { "POST", "/drain", [this](const std::string &) { return requestDrain(); } },
         };
     }
@@ -160,6 +165,23 @@
         return { 200, "application/json", page.dump() };
     }
 
+    admin_reply metricsText() const
+    {
+        return { 200, "text/plain; version=0.0.4", formatMetrics(m_metrics.snapshot()) };
+    }
+
+    admin_reply accounts() const
+    {
+        const double uptime = toSeconds(steadyNow() - m_started);
+        return { 200, "application/json",
+                 formatAccountsPage(*m_board.config.read(), m_metrics.snapshot(), uptime) };
+    }
+
+    admin_reply endpoints() const
+    {
+        return { 200, "application/json", formatEndpointsPage(*m_board.config.read()) };
+    }
+
     admin_reply requestDrain()
     {
         m_drainRequested = true;
@@ -171,6 +193,8 @@
     std::string m_adminUrl;
     std::atomic<bool> m_draining{ false };
     std::atomic<bool> m_drainRequested{ false };
+    const time_point m_started = steadyNow();
+    metrics m_metrics;
     blackboard m_board;
     rendezvous_router m_chooser;
     std::unique_ptr<config_follower> m_config;
--- a/burdockhold/exchange.cc
+++ b/burdockhold/exchange.cc
@@ -4,6 +4,7 @@
 #include "burdockhold/stream_reader.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 namespace burdockhold {
@@ -83,6 +84,7 @@
     , m_requestId(std::move(requestId))
     , m_reply(m_message, m_requestId)
     , m_started(steadyNow())
+    , m_measures(context.measures, m_started)
     , m_config(context.board.config.read())
     , m_continuity(m_requestId, context.options.resume)
 {
@@ -124,6 +126,7 @@
     else if (method == "POST" && path == "/v1/chat/completions")
         m_kind = completion_kind::Chat;
     if (m_kind) {
+        m_measures.setRoute(m_record.route);
         m_route.repeatable = true;
         m_route.bodyLimitBytes = static_cast<std::int64_t>(m_context.options.bodyLimitBytes);
         return true;
@@ -134,6 +137,7 @@
         return false;
     }
     m_route = *route;
+    m_measures.setRoute(m_route.method + " " + m_route.path);
     if (!m_route.repeatable && headerOf(m_message, "Idempotency-Key").empty()) {
         refuse(invalid(400, "idempotency_key_required",
                        "calls on this route need the header Idempotency-Key", "Idempotency-Key"));
@@ -162,6 +166,7 @@
         return false;
     }
     m_record.account = m_config->keys.find(m_keyDigest)->second.value.account;
+    m_measures.setAccount(m_record.account);
     const auto account = m_config->accounts.find(m_record.account);
     if (account != m_config->accounts.end())
         m_account = account->second.value;
@@ -303,6 +308,8 @@
     if (m_record.attempts == 1)
         m_record.queueSeconds = toSeconds(steadyNow() - m_started);
 
+    m_measures.attemptStarted(m_continuity.delivered(), steadyNow());
+
     const auto prepared = m_context.clients.prepareCall(buildRequest(choice), shared_from_this());
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
@@ -344,6 +351,18 @@
         abandonAttempt(fault);
     else
         m_attempt.passThrough = response.status != 200;
+    if (fault.empty() && m_kind && !m_attempt.passThrough)
+        m_measures.attemptAnswered(promptUse(response));
+}
+
+/// Returns what the headers of an engine's answer say about the prompt; 0 where they say nothing.
+prompt_use exchange::promptUse(const upstream_response &response) const
+{
+    const auto number = [&response](std::string_view name) {
+        return std::max<std::int64_t>(std::atoll(response.find(name).c_str()), 0);
+    };
+    return { number("X-Prompt-Tokens"), number("X-Cached-Tokens"),
+             m_attempt.choice.expectedCachedTokens };
 }
 
 /// Returns why the response cannot belong to this request or is no answer; empty when it can.
@@ -395,6 +414,7 @@
         m_reply.beginStream();
     }
     m_reply.sendEvent(verdict.text);
+    m_measures.tokensDelivered(m_continuity.delivered(), steadyNow());
 }
 
 void exchange::abandonAttempt(const std::string &why)
@@ -568,6 +588,7 @@
     if (callerLeft)
         m_record.outcome = "caller_left";
     m_record.totalSeconds = toSeconds(steadyNow() - m_started);
+    m_measures.ended(m_record, m_route.repeatable);
     writeAccessLine(m_record);
     m_closed();
 }
--- a/burdockhold/exchange.h
+++ b/burdockhold/exchange.h
@@ -8,6 +8,7 @@
 
 #include "burdockhold/access_log.h"
 #include "burdockhold/caller_reply.h"
+#include "burdockhold/exchange_metrics.h"
 #include "burdockhold/front_server.h"
 #include "burdockhold/sse.h"
 
@@ -28,6 +29,7 @@
     const blackboard &board;
     router &chooser;
     upstream_clients &clients;
+    metrics *measures = nullptr; ///< Null when nothing is measured.
 };
 
 class exchange : public upstream_observer, public std::enable_shared_from_this<exchange>
@@ -93,6 +95,7 @@
     void retryOrFail();
     void failRequest();
     void refuse(const error_reply &error);
+    prompt_use promptUse(const upstream_response &response) const;
     void onReplyClosed(bool delivered);
     void finishIfIdle();
 
@@ -103,6 +106,7 @@
     std::function<void()> m_closed;
     time_point m_started;
     access_record m_record;
+    exchange_metrics m_measures;
 
     std::shared_ptr<const catalogue> m_config;
     std::optional<completion_kind> m_kind; ///< Nothing for a plain route.
--- a/burdockhold/front_server.h
+++ b/burdockhold/front_server.h
@@ -9,6 +9,7 @@
 // the body's end. Completing the request early through cpprest's internals crashed the process.
 
 #include "burdockhold/blackboard.h"
+#include "burdockhold/metrics.h"
 #include "burdockhold/result.h"
 #include "burdockhold/resume.h"
 #include "burdockhold/router.h"
@@ -34,8 +35,10 @@
 class front_server
 {
 public:
-    /// The blackboard and the router must outlive the server.
-    front_server(front_options options, const blackboard &board, router &chooser);
+    /// The blackboard, the router and the measures must outlive the server. With null measures
+    /// nothing is measured.
+    front_server(front_options options, const blackboard &board, router &chooser,
+                 metrics *measures = nullptr);
     ~front_server();
     front_server(const front_server &) = delete;
     front_server &operator=(const front_server &) = delete;
