--- a/burdockhold/exchange.cc
+++ b/burdockhold/exchange.cc
@@ -4,6 +4,7 @@
 #include "burdockhold/stream_reader.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 namespace burdockhold {
@@ -83,7 +84,8 @@
     , m_requestId(std::move(requestId))
     , m_reply(m_message, m_requestId)
     , m_started(steadyNow())
-    , m_claim(context.claims)
+    , m_claim(context.services.claims)
+    , m_measures(context.services.measures, m_started)
     , m_config(context.board.config.read())
     , m_continuity(m_requestId, context.options.resume)
 {
@@ -125,6 +127,7 @@
     else if (method == "POST" && path == "/v1/chat/completions")
         m_kind = completion_kind::Chat;
     if (m_kind) {
+        m_measures.setRoute(m_record.route);
         m_route.repeatable = true;
         m_route.bodyLimitBytes = static_cast<std::int64_t>(m_context.options.bodyLimitBytes);
         return true;
@@ -135,6 +138,7 @@
         return false;
     }
     m_route = *route;
+    m_measures.setRoute(m_route.method + " " + m_route.path);
     if (!m_route.repeatable && headerOf(m_message, "Idempotency-Key").empty()) {
         refuse(invalid(400, "idempotency_key_required",
                        "calls on this route need the header Idempotency-Key", "Idempotency-Key"));
@@ -163,6 +167,7 @@
         return false;
     }
     m_record.account = m_config->keys.find(m_keyDigest)->second.value.account;
+    m_measures.setAccount(m_record.account);
     const auto account = m_config->accounts.find(m_record.account);
     if (account != m_config->accounts.end())
         m_account = account->second.value;
@@ -307,12 +312,12 @@
         return;
     }
     const auto config = m_context.board.config.read();
-    auto chosen = m_context.chooser.choose(*config, m_routing);
+    auto chosen = m_context.services.chooser.choose(*config, m_routing);
     if (!isOk(chosen) && !m_routing.excluded.empty()) {
         // An endpoint that failed once is still better than none: a silent connection, for
         // instance, says little about the next one. The number of attempts is bounded.
         m_routing.excluded.clear();
-        chosen = m_context.chooser.choose(*config, m_routing);
+        chosen = m_context.services.chooser.choose(*config, m_routing);
     }
     if (!isOk(chosen)) {
         m_continuity.giveUp(errorOf(chosen).text);
@@ -339,6 +344,8 @@
     if (m_record.attempts == 1)
         m_record.queueSeconds = toSeconds(steadyNow() - m_started);
 
+    m_measures.attemptStarted(m_continuity.delivered(), steadyNow());
+
     const auto prepared = m_context.clients.prepareCall(buildRequest(choice), shared_from_this());
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
@@ -380,6 +387,18 @@
         abandonAttempt(fault);
     else
         m_attempt.passThrough = response.status != 200;
+    if (fault.empty() && m_kind && !m_attempt.passThrough)
+        m_measures.attemptAnswered(promptUse(response));
+}
+
+/// Returns what the headers of an engine's answer say about the prompt; 0 where they say nothing.
+prompt_use exchange::promptUse(const upstream_response &response) const
+{
+    const auto number = [&response](std::string_view name) {
+        return std::max<std::int64_t>(std::atoll(response.find(name).c_str()), 0);
+    };
+    return { number("X-Prompt-Tokens"), number("X-Cached-Tokens"),
+             m_attempt.choice.expectedCachedTokens };
 }
 
 /// Returns why the response cannot belong to this request or is no answer; empty when it can.
@@ -431,6 +450,7 @@
         m_reply.beginStream();
     }
     m_reply.sendEvent(verdict.text);
+    m_measures.tokensDelivered(m_continuity.delivered(), steadyNow());
 }
 
 void exchange::abandonAttempt(const std::string &why)
@@ -608,6 +628,7 @@
     if (callerLeft)
         m_record.outcome = "caller_left";
     m_record.totalSeconds = toSeconds(steadyNow() - m_started);
+    m_measures.ended(m_record, m_route.repeatable);
     writeAccessLine(m_record);
     m_closed();
 }
--- a/burdockhold/exchange.h
+++ b/burdockhold/exchange.h
@@ -9,6 +9,7 @@
 #include "burdockhold/access_log.h"
 #include "burdockhold/caller_reply.h"
 #include "burdockhold/claim_stage.h"
+#include "burdockhold/exchange_metrics.h"
 #include "burdockhold/front_server.h"
 #include "burdockhold/sse.h"
 
@@ -27,9 +28,8 @@
 {
     const front_options &options;
     const blackboard &board;
-    router &chooser;
+    const front_services &services;
     upstream_clients &clients;
-    call_claims *claims = nullptr;
 };
 
 class exchange : public upstream_observer, public std::enable_shared_from_this<exchange>
@@ -97,6 +97,7 @@
     void retryOrFail();
     void failRequest();
     void refuse(const error_reply &error);
+    prompt_use promptUse(const upstream_response &response) const;
     void onReplyClosed(bool delivered);
     void finishIfIdle();
 
@@ -108,6 +109,7 @@
     time_point m_started;
     access_record m_record;
     claim_stage m_claim;
+    exchange_metrics m_measures;
 
     std::shared_ptr<const catalogue> m_config;
     std::optional<completion_kind> m_kind; ///< Nothing for a plain route.
--- a/burdockhold/front_server.cc
+++ b/burdockhold/front_server.cc
@@ -77,10 +77,11 @@
 class front_server::impl
 {
 public:
-    impl(front_options options, const blackboard &board, router &chooser, call_claims *claims)
+    impl(front_options options, const blackboard &board, front_services services)
         : m_options(std::move(options))
+        , m_services(services)
         , m_clients(m_options.upstream)
-        , m_context{ m_options, board, chooser, m_clients, claims }
+        , m_context{ m_options, board, m_services, m_clients }
     {
     }
 
@@ -138,6 +139,7 @@
     }
 
     front_options m_options;
+    front_services m_services;
     upstream_clients m_clients;
     exchange_context m_context;
     std::shared_ptr<open_requests> m_open = std::make_shared<open_requests>();
@@ -146,9 +148,8 @@
     http_listener m_listener;
 };
 
-front_server::front_server(front_options options, const blackboard &board, router &chooser,
-                           call_claims *claims)
-    : m_impl(std::make_unique<impl>(std::move(options), board, chooser, claims))
+front_server::front_server(front_options options, const blackboard &board, front_services services)
+    : m_impl(std::make_unique<impl>(std::move(options), board, services))
 {
 }
 
--- a/burdockhold/front_server.h
+++ b/burdockhold/front_server.h
@@ -9,6 +9,7 @@
 // the body's end. Completing the request early through cpprest's internals crashed the process.
 
 #include "burdockhold/blackboard.h"
+#include "burdockhold/metrics.h"
 #include "burdockhold/result.h"
 #include "burdockhold/resume.h"
 #include "burdockhold/router.h"
@@ -31,15 +32,21 @@
     upstream_options upstream;
 };
 
+/// What the request path uses besides the blackboard.
+struct front_services
+{
+    router &chooser;
+    call_claims *claims = nullptr; ///< Null: calls on non-repeatable routes are refused, not run.
+    metrics *measures = nullptr;   ///< Null: nothing is measured.
+};
+
 enum class front_error { CannotListen };
 
 class front_server
 {
 public:
-    /// The blackboard, the router and the claims must outlive the server. Without claims, calls on
-    /// non-repeatable routes are refused as not run.
-    front_server(front_options options, const blackboard &board, router &chooser,
-                 call_claims *claims = nullptr);
+    /// The blackboard and the services must outlive the server.
+    front_server(front_options options, const blackboard &board, front_services services);
     ~front_server();
     front_server(const front_server &) = delete;
     front_server &operator=(const front_server &) = delete;
--- a/testing/front_server_nettest.cc
+++ b/testing/front_server_nettest.cc
@@ -301,7 +301,8 @@
     {
         board.config.publish(m_config);
         board.freshness.publish({ true, steadyNow() + std::chrono::hours(1) });
-        m_server = std::make_unique<front_server>(m_options, board, m_router, &m_claims);
+        m_server = std::make_unique<front_server>(m_options, board,
+                                                  front_services{ m_router, &m_claims });
         BOOST_REQUIRE(isOk(m_server->start()));
         return *m_server;
     }
