--- a/burdockhold/ctl_catalogue.cc
+++ b/burdockhold/ctl_catalogue.cc
@@ -27,7 +27,7 @@
 }
 
 /// Parses JSON and refuses objects that give a field twice, of which the library keeps the last.
-ctl_result<json> parseStrictly(std::string_view text, const std::string &fileName)
+ctl_result<json> parseStrictly(std::string_view input, const std::string &fileName)
 {
     std::vector<std::set<std::string>> open;
     std::string repeated;
@@ -42,12 +42,14 @@
         return true;
     };
     try {
-        json parsed = json::parse(text, observe);
+        json parsed = json::parse(input, observe);
         if (!repeated.empty())
             return badInput("field " + repeated + " is given twice in one object", fileName);
         return parsed;
     } catch (const json::parse_error &error) {
-        return badInput(error.what(), fileName);
+        // The library's text begins with the name of its exception in brackets.
+        const std::string text = error.what();
+        return badInput(text.substr(text.find("] ") + 2), fileName);
     }
 }
 
