Let VMs share heartbeats, epochs and withdrawals

The daemons did not know each other: freshness came from the log alone, so a log outage stopped all keyed requests after maxViewAge, and a key could only be withdrawn through the log.

The membership controller polls the VM list, exchanges heartbeats with all peers, replays and proposes epochs, and publishes freshness from the log's tail or a majority of peers. A peer that has read nothing from the log does not count. POST /withdraw on the admin address sends a withdrawal to all VMs and answers with how many of how many hold it; each VM publishes it before it looks for running requests of the key, and an exchange looks its key up after its digest can be found, so no request slips between. An exchange checks key and freshness again before each call to an endpoint, since the process may have been paused. A view that is too old cancels running completions of keyed routes; calls to plain routes run on, since cancelling leaves their outcome unknown.

A withdrawal counts as logged only when this VM's own catalogue holds it: with the append's answer instead, heartbeats would stop naming it before the reported offset covers it.

Limit: epochs are not part of a refresh. A reader that began after the stream's start cannot know the epoch in force; it mints and proposes nothing and only borrows.

--- a/burdockhold/admin_server.cc
+++ b/burdockhold/admin_server.cc
@@ -30,11 +30,11 @@
 class admin_server::impl
 {
 public:
-    impl(std::string address, std::vector<admin_page> pages)
+    impl(std::string address, const std::vector<admin_page> &pages)
         : m_address(std::move(address))
     {
-        for (admin_page &page : pages)
-            m_pages[page.path][page.method] = std::move(page.handler);
+        for (const admin_page &page : pages)
+            m_pages[page.path][page.method] = page;
     }
 
     result<success, admin_error> start()
@@ -59,8 +59,6 @@
     }
 
 private:
-    using page_handler = std::function<admin_reply(const std::string &body)>;
-
     void handle(http_request message)
     {
         const auto path = m_pages.find(message.relative_uri().path());
@@ -76,26 +74,29 @@
         answer(message, page->second);
     }
 
-    static void answer(http_request message, const page_handler &handler)
+    static void answer(http_request message, const admin_page &page)
     {
-        message.extract_utf8string(true).then(
-                [message, handler](const pplx::task<std::string> &body) {
-                    try {
-                        send(message, handler(body.get()));
-                    } catch (const std::exception &error) {
-                        send(message, { 400, "text/plain", std::string(error.what()) + "\n" });
-                    }
-                });
+        message.extract_utf8string(true).then([message, page](const pplx::task<std::string> &body) {
+            try {
+                if (page.handler)
+                    send(message, page.handler(body.get()));
+                else
+                    page.slowHandler(body.get(),
+                                     [message](const admin_reply &reply) { send(message, reply); });
+            } catch (const std::exception &error) {
+                send(message, { 400, "text/plain", std::string(error.what()) + "\n" });
+            }
+        });
     }
 
     std::string m_address;
-    std::map<std::string, std::map<std::string, page_handler>> m_pages;
+    std::map<std::string, std::map<std::string, admin_page>> m_pages;
     bool m_listening = false;
     http_listener m_listener;
 };
 
-admin_server::admin_server(std::string address, std::vector<admin_page> pages)
-    : m_impl(std::make_unique<impl>(std::move(address), std::move(pages)))
+admin_server::admin_server(std::string address, const std::vector<admin_page> &pages)
+    : m_impl(std::make_unique<impl>(std::move(address), pages))
 {
 }
 
--- a/burdockhold/admin_server.h
+++ b/burdockhold/admin_server.h
@@ -21,12 +21,16 @@
     std::string body;
 };
 
-/// One page of the listener. The handler gets the request's body.
+using admin_reply_function = std::function<void(const admin_reply &reply)>;
+
+/// One page of the listener. A handler gets the request's body.
 struct admin_page
 {
     std::string method; ///< Upper case.
     std::string path;   ///< Exact path.
     std::function<admin_reply(const std::string &body)> handler;
+    /// Used when handler is empty: calls reply once, at once or later.
+    std::function<void(const std::string &body, admin_reply_function reply)> slowHandler = {};
 };
 
 enum class admin_error { CannotListen };
@@ -35,7 +39,7 @@
 {
 public:
     /// address is "http://IP:PORT" with a port other than 0.
-    admin_server(std::string address, std::vector<admin_page> pages);
+    admin_server(std::string address, const std::vector<admin_page> &pages);
     ~admin_server();
     admin_server(const admin_server &) = delete;
     admin_server &operator=(const admin_server &) = delete;
--- a/burdockhold/blackboard.h
+++ b/burdockhold/blackboard.h
@@ -9,6 +9,8 @@
 #include "burdockhold/clock.h"
 
 #include <memory>
+#include <set>
+#include <string>
 #include <utility>
 
 namespace burdockhold {
@@ -44,10 +46,17 @@
     time_point asOf;     ///< The view includes everything accepted before this time.
 };
 
+/// Keys that a VM took a withdrawal for, whether or not the config stream holds it yet.
+struct withdrawn_keys
+{
+    std::set<std::string> digests;
+};
+
 struct blackboard
 {
-    published<catalogue> config;         ///< Written by the config follower.
-    published<view_freshness> freshness; ///< Written by the membership controller.
+    published<catalogue> config;           ///< Written by the config follower.
+    published<view_freshness> freshness;   ///< Written by the membership controller.
+    published<withdrawn_keys> withdrawals; ///< Written by the membership controller.
 };
 
 } // namespace burdockhold
--- a/burdockhold/config_follower.cc
+++ b/burdockhold/config_follower.cc
@@ -68,12 +68,16 @@
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
     (m_rebuilt ? *m_rebuilt : m_replay).apply(record);
+    if (m_options.listener != nullptr)
+        m_options.listener->onConfigRecord(record);
 }
 
 void config_follower::onRestart(log_offset earliest)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
     m_rebuilt.emplace(earliest);
+    if (m_options.listener != nullptr)
+        m_options.listener->onConfigRestart(earliest);
 }
 
 void config_follower::onError(const basic_error<log_error> &error, duration)
--- a/burdockhold/config_follower.h
+++ b/burdockhold/config_follower.h
@@ -18,6 +18,21 @@
 
 namespace burdockhold {
 
+/// Sees the records of the config stream, for kinds that another controller replays. All calls come
+/// from the follower's thread, before a catalogue with these records is published, and must not
+/// call the follower.
+class config_listener
+{
+public:
+    virtual ~config_listener() = default;
+
+    /// The next record. Offsets increase until onConfigRestart().
+    virtual void onConfigRecord(const log_record &record) = 0;
+
+    /// Records before `earliest` were missed; reading goes on from there.
+    virtual void onConfigRestart(log_offset earliest) = 0;
+};
+
 struct config_follower_options
 {
     log_follower_options follow; ///< `stream` and `from` are set by the follower.
@@ -25,6 +40,7 @@
     std::chrono::milliseconds retention{ 0 };
     /// Whether to publish freshness; false when the membership controller publishes it.
     bool publishesFreshness = true;
+    config_listener *listener = nullptr; ///< May be null; must outlive the follower.
 };
 
 /// What operators may ask about the follower.
--- a/burdockhold/daemon.cc
+++ b/burdockhold/daemon.cc
@@ -6,11 +6,14 @@
 #include "burdockhold/free_port.h"
 #include "burdockhold/front_server.h"
 #include "burdockhold/logging.h"
+#include "burdockhold/membership_controller.h"
+#include "burdockhold/peer_link.h"
 #include "burdockhold/random_id.h"
 
 #include <nlohmann/json.hpp>
 
 #include <atomic>
+#include <random>
 #include <thread>
 #include <utility>
 
@@ -37,9 +40,48 @@
     options.follow.seed = std::random_device{}();
     options.retention = std::chrono::duration_cast<std::chrono::milliseconds>(
             settings.logRetention);
+    options.publishesFreshness = false;
     return options;
 }
 
+membership_options membershipOptions(const daemon_settings &settings, std::uint64_t incarnation)
+{
+    membership_options options;
+    options.self = settings.name;
+    options.incarnation = incarnation;
+    options.vmsUrl = settings.vmsUrl;
+    options.vmsInterval = settings.vmsInterval;
+    options.heartbeatInterval = settings.heartbeatInterval;
+    options.maxViewAge = settings.maxViewAge;
+    options.log = logOptions(settings);
+    return options;
+}
+
+/// Returns a number that differs between processes of the same VM.
+std::uint64_t newIncarnation()
+{
+    std::random_device random;
+    return (std::uint64_t(random()) << 32U) | random();
+}
+
+/// Returns whether a text is a SHA-256 digest in lower-case hexadecimal digits.
+bool isDigest(const std::string &text)
+{
+    constexpr std::size_t Digits = 64;
+    return text.size() == Digits && text.find_first_not_of("0123456789abcdef") == std::string::npos;
+}
+
+admin_reply withdrawalReply(const withdrawal_result &outcome)
+{
+    if (!outcome.held)
+        return { 503, "application/json", R"({"error":"this VM holds too many withdrawals"})" };
+    const nlohmann::json page{ { "accepted", outcome.accepted },
+                               { "holders", outcome.holders },
+                               { "vms", outcome.vms },
+                               { "unconfirmed", outcome.unconfirmed } };
+    return { outcome.accepted ? 200 : 202, "application/json", page.dump() };
+}
+
 front_options frontOptions(const daemon_settings &settings, const std::string &address)
 {
     front_options options;
@@ -64,7 +106,16 @@
 public:
     explicit impl(daemon_settings settings)
         : m_settings(std::move(settings))
+        , m_incarnation(newIncarnation())
+    {
+    }
+
+    ~impl()
     {
+        // Ends the threads that call others before what they call.
+        if (m_link)
+            m_link->close();
+        m_membership.stop();
     }
 
     result<success, daemon_error> start()
@@ -72,9 +123,14 @@
         result<success, daemon_error> addresses = chooseAddresses();
         if (!isOk(addresses))
             return addresses;
-        m_config = std::make_unique<config_follower>(followerOptions(m_settings), m_board);
+        config_follower_options follow = followerOptions(m_settings);
+        follow.listener = &m_membership;
+        m_config = std::make_unique<config_follower>(follow, m_board);
         m_front = std::make_unique<front_server>(frontOptions(m_settings, m_url), m_board,
                                                  m_chooser);
+        const result<success, daemon_error> linked = joinPeers();
+        if (!isOk(linked))
+            return linked;
         const result<success, front_error> front = m_front->start();
         if (!isOk(front))
             return cannotListen(errorOf(front).text, m_url);
@@ -99,6 +155,8 @@
             std::this_thread::sleep_for(DrainPollInterval);
         const std::size_t cutOff = m_front->openRequests();
         m_front->stop();
+        m_link->close();
+        m_membership.stop();
         m_admin->stop();
         m_config->stop();
         logEvent(cutOff == 0 ? log_level::Info : log_level::Warn, "daemon", "stopped",
@@ -124,12 +182,46 @@
         return success{};
     }
 
+    /// Starts what talks to other VMs.
+    result<success, daemon_error> joinPeers()
+    {
+        m_membership.setHooks(membershipHooks());
+        peer_link_options options;
+        options.address = m_settings.peerListen;
+        auto link = peer_link::open(options, [this](const peer_message &m) { return serve(m); });
+        if (!isOk(link))
+            return cannotListen(errorOf(link).text, m_settings.peerListen);
+        m_link = std::move(valueOf(link));
+        m_membership.start(*m_link);
+        return success{};
+    }
+
+    membership_hooks membershipHooks()
+    {
+        membership_hooks hooks;
+        hooks.logFreshness = [this] { return m_config->freshness(); };
+        hooks.cancelKey = [this](const std::string &digest) { m_front->cancelKey(digest); };
+        hooks.cancelKeyed = [this] { m_front->cancelKeyedCompletions(); };
+        hooks.applyShares = [](const catalogue &, const share_view &) {};
+        hooks.setFreshUntil = [](time_point) {};
+        return hooks;
+    }
+
+    peer_message serve(const peer_message &request)
+    {
+        return { m_settings.name, m_incarnation, request.messageId, m_membership.serve(request) };
+    }
+
     std::vector<admin_page> pages()
     {
         return {
             { "GET", "/healthz", [this](const std::string &) { return health(); } },
             { "GET", "/status", [this](const std::string &) { return status(); } },
             { "POST", "/drain", [this](const std::string &) { return requestDrain(); } },
+            { "POST", "/withdraw", nullptr,
+              [this](const std::string &body, const admin_reply_function &reply) {
+                  withdraw(body, reply);
+              } },
         };
     }
 
@@ -145,7 +237,8 @@
     admin_reply status() const
     {
         const config_status config = m_config->status();
-        const view_freshness freshness = m_config->freshness();
+        const view_freshness freshness = *m_board.freshness.read();
+        const membership_status membership = m_membership.status();
         nlohmann::json page;
         page["vm"] = m_settings.name;
         page["data_centre"] = m_settings.dataCentre;
@@ -155,11 +248,32 @@
         page["synced"] = freshness.synced;
         if (freshness.synced)
             page["view_age_seconds"] = toSeconds(steadyNow() - freshness.asOf);
+        page["epoch"] = membership.epoch;
+        page["epoch_known"] = membership.epochKnown;
+        page["epoch_unsettled"] = membership.unsettled;
+        page["vms"] = membership.vms;
+        page["vms_errors"] = membership.listErrors;
+        page["pending_withdrawals"] = membership.pendingWithdrawals;
         page["log_errors"] = config.errors;
         page["last_log_error"] = config.lastError;
         return { 200, "application/json", page.dump() };
     }
 
+    void withdraw(const std::string &body, const admin_reply_function &reply)
+    {
+        const auto json = nlohmann::json::parse(body, nullptr, false);
+        const bool named = json.is_object() && json.contains("digest")
+                           && json["digest"].is_string();
+        const std::string digest = named ? json["digest"].get<std::string>() : std::string();
+        if (!isDigest(digest)) {
+            reply({ 400, "application/json", R"({"error":"digest must be a key's SHA-256"})" });
+            return;
+        }
+        m_membership.withdraw(digest, [reply](const withdrawal_result &outcome) {
+            reply(withdrawalReply(outcome));
+        });
+    }
+
     admin_reply requestDrain()
     {
         m_drainRequested = true;
@@ -167,15 +281,18 @@
     }
 
     daemon_settings m_settings;
+    const std::uint64_t m_incarnation;
     std::string m_url;
     std::string m_adminUrl;
     std::atomic<bool> m_draining{ false };
     std::atomic<bool> m_drainRequested{ false };
     blackboard m_board;
     rendezvous_router m_chooser;
+    membership_controller m_membership{ membershipOptions(m_settings, m_incarnation), m_board };
     std::unique_ptr<config_follower> m_config;
     std::unique_ptr<front_server> m_front;
     std::unique_ptr<admin_server> m_admin;
+    std::unique_ptr<peer_link> m_link;
 };
 
 router_daemon::router_daemon(daemon_settings settings)
--- a/burdockhold/exchange.cc
+++ b/burdockhold/exchange.cc
@@ -114,6 +114,11 @@
     return m_keyDigest;
 }
 
+bool exchange::isKeyedCompletion() const
+{
+    return !keyDigest().empty() && m_kind.has_value();
+}
+
 bool exchange::identifyRoute()
 {
     const std::string method = m_message.method();
@@ -152,6 +157,9 @@
         m_keyDigest = sha256Hex(std::string_view(authorization).substr(BearerPrefix.size()));
     }
     m_message.headers().remove("Authorization");
+    // A withdrawal is published before running requests are searched for its key. So the key is
+    // looked up after its digest can be found.
+    m_config = m_context.board.config.read();
     if (!viewIsFresh()) {
         refuse(unavailable("not_fresh", "the router's view of the keys is out of date"));
         return false;
@@ -174,7 +182,15 @@
 bool exchange::keyIsValid(const catalogue &config) const
 {
     const auto key = config.keys.find(m_keyDigest);
-    return key != config.keys.end() && !key->second.value.withdrawn;
+    return key != config.keys.end() && !key->second.value.withdrawn
+           && m_context.board.withdrawals.read()->digests.count(m_keyDigest) == 0;
+}
+
+/// Returns whether the request may still be sent. The process may have been paused since the key
+/// was checked.
+bool exchange::keyStillServes() const
+{
+    return m_route.open || (viewIsFresh() && keyIsValid(*m_context.board.config.read()));
 }
 
 bool exchange::viewIsFresh() const
@@ -271,6 +287,8 @@
         if (m_cancelled || m_callerLeft)
             m_continuity.giveUp("the request was cancelled");
     }
+    if (!keyStillServes())
+        m_continuity.giveUp("the key was withdrawn or the view of the keys is out of date");
     if (m_continuity.state() == stream_state::Failed) {
         failRequest();
         return;
--- a/burdockhold/exchange.h
+++ b/burdockhold/exchange.h
@@ -49,6 +49,8 @@
     const std::string &requestId() const { return m_requestId; }
     /// Digest of the caller's key; empty on open routes.
     std::string keyDigest() const;
+    /// Returns whether this is a completion whose key was read.
+    bool isKeyedCompletion() const;
 
     void onHeaders(const upstream_response &response) override;
     bool onBytes(std::string_view bytes) override;
@@ -83,6 +85,7 @@
     void settle(const std::string &outcome, const std::string &reason);
 
     bool keyIsValid(const catalogue &config) const;
+    bool keyStillServes() const;
     bool viewIsFresh() const;
     std::string checkResponse(const upstream_response &response) const;
     std::string checkWhole() const;
--- a/burdockhold/front_server.cc
+++ b/burdockhold/front_server.cc
@@ -110,6 +110,14 @@
         }
     }
 
+    void cancelKeyedCompletions()
+    {
+        for (const auto &request : m_open->list()) {
+            if (request->isKeyedCompletion())
+                request->cancel();
+        }
+    }
+
     void stop()
     {
         m_accepting = false;
@@ -176,6 +184,11 @@
     m_impl->cancelKey(digest);
 }
 
+void front_server::cancelKeyedCompletions()
+{
+    m_impl->cancelKeyedCompletions();
+}
+
 void front_server::stop()
 {
     m_impl->stop();
--- a/burdockhold/front_server.h
+++ b/burdockhold/front_server.h
@@ -52,6 +52,10 @@
     /// Cancels the running requests of a key, given by its digest. For a withdrawn key.
     void cancelKey(const std::string &digest);
 
+    /// Cancels the running completions of all keys, for a view that is out of date. Calls to plain
+    /// routes run on, since cancelling one would leave its outcome unknown.
+    void cancelKeyedCompletions();
+
     /// Closes the listener and cancels what is still running. Blocks; call after a drain.
     void stop();
 
--- /dev/null
+++ b/burdockhold/vm_list.h
@@ -0,0 +1,34 @@
+#ifndef BURDOCKHOLD_VM_LIST_H
+#define BURDOCKHOLD_VM_LIST_H
+
+// The platform's VM list as its HTTP service answers it (design page, section 5).
+
+#include "burdockhold/membership.h"
+#include "burdockhold/result.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace burdockhold {
+
+/// One VM with its addresses.
+struct vm_row
+{
+    listed_vm vm;
+    std::string peer;  ///< "tcp://IP:PORT".
+    std::string admin; ///< "http://IP:PORT".
+};
+
+enum class vm_list_error { Malformed };
+
+/// Largest number of VMs in a list.
+constexpr std::size_t MaxListedVms = 4096;
+
+/// Parses the answer to GET /vms. Refuses a list with an unknown state, a name that is empty or
+/// occurs twice, or more than MaxListedVms rows: half a list would change majorities.
+result<std::vector<vm_row>, vm_list_error> parseVmList(std::string_view text);
+
+} // namespace burdockhold
+
+#endif
