--- a/testing/standin_log.cc
+++ b/testing/standin_log.cc
@@ -40,6 +40,8 @@
         , m_faults([this](field_reader &reader) {
             const std::lock_guard lock(m_mutex);
             reader.read("lose_next_append_answers", m_loseAnswers);
+            reader.read("hold_reads_of", m_heldStream);
+            m_appended.notify_all();
         })
     {
     }
@@ -105,6 +107,8 @@
         const log_stream &stream = m_streams[name];
         m_appended.wait_for(lock, std::chrono::milliseconds(wait),
                             [&] { return from < stream.next(); });
+        // Reads that do not wait are the tests' own and are never held.
+        m_appended.wait(lock, [&] { return wait == 0 || m_heldStream != name; });
         ++m_reads;
         const bool expired = from < stream.earliest;
         const nlohmann::json body = expired ? nlohmann::json{ { "earliest", stream.earliest } }
@@ -142,6 +146,7 @@
     std::condition_variable m_appended;
     std::map<std::string, log_stream> m_streams;
     std::int64_t m_loseAnswers = 0;
+    std::string m_heldStream; // Its waiting reads get no answer; appends take effect.
     std::uint64_t m_appends = 0;
     std::uint64_t m_records = 0;
     std::uint64_t m_reads = 0;
