--- a/burdockhold/admin_server.cc
+++ b/burdockhold/admin_server.cc
@@ -41,7 +41,7 @@
     {
         try {
             m_listener = http_listener(web::uri(m_address));
-            m_listener.support([this](http_request message) { handle(std::move(message)); });
+            m_listener.support([this](const http_request &message) { handle(message); });
             m_listener.open().wait();
         } catch (const std::exception &error) {
             return basic_error<admin_error>{ admin_error::CannotListen, error.what(), m_address };
@@ -61,7 +61,7 @@
 private:
     using page_handler = std::function<admin_reply(const std::string &body)>;
 
-    void handle(http_request message)
+    void handle(const http_request &message)
     {
         const auto path = m_pages.find(message.relative_uri().path());
         if (path == m_pages.end()) {
