--- a/burdockhold/blackboard.h
+++ b/burdockhold/blackboard.h
@@ -7,6 +7,7 @@
 
 #include "burdockhold/catalogue.h"
 #include "burdockhold/clock.h"
+#include "burdockhold/endpoint_loads.h"
 
 #include <memory>
 #include <utility>
@@ -48,6 +49,7 @@
 {
     published<catalogue> config;         ///< Written by the config follower.
     published<view_freshness> freshness; ///< Written by the membership controller.
+    published<endpoint_loads> loads;     ///< Written by the load controller.
 };
 
 } // namespace burdockhold
