Place requests by load, cache and health

The daemon placed requests by rendezvous hashing on the first block alone, knew nothing of queues and health, and retried without a budget. placement_router replaces it as a concrete class: it holds heat, recent requests, load weights, health and retry budget behind one lock and asks choosePlacement(). The exchange reports each attempt with what the endpoint said of itself; the load controller reports polls. Failed polls count as failed calls, so that a dead engine is ejected without requests that fail. An endpoint that has reported no weights version yet is accepted, any other only with the wanted version. A retry needs the pool's budget, else the request fails with the code and reason retry_budget. [retries] budget and minimum are now in force; they were read and not used.

Found on the way: - Prompts below one block have no prefix level, and equal costs were ordered by a constant for them: all of them, and all calls to services, went to one endpoint while queues were empty. They are now ordered by weighted rendezvous of the whole prompt. Prompts with levels are ordered as before. - prefix.h and router.h both defined cache_identity, with different fields; router.h now uses the one of prefix.h. - Latency is judged on the time beyond the expected one, and only from 1 s on: otherwise an endpoint that holds long prompts, or a queue that changed since the last report, would count as slow.

The access line has the candidates and the expected cached tokens.

--- a/burdockhold/access_log.cc
+++ b/burdockhold/access_log.cc
@@ -3,6 +3,8 @@
 #include <log4cxx/logger.h>
 #include <nlohmann/json.hpp>
 
+#include <cmath>
+
 namespace burdockhold {
 
 std::string formatAccessLine(const access_record &record)
@@ -17,6 +19,12 @@
     line["endpoint"] = record.endpoint;
     line["status"] = record.status;
     line["expected_cached_tokens"] = record.expectedCachedTokens;
+    line["candidates"] = json::array();
+    for (const routing_candidate &candidate : record.candidates)
+        line["candidates"].push_back({ { "endpoint", candidate.endpoint },
+                                       { "queue_s", candidate.queueWaitSeconds },
+                                       { "cached_tokens", std::llround(candidate.cachedTokens) },
+                                       { "score_s", candidate.scoreSeconds } });
     line["cached_tokens"] = record.cachedTokens;
     line["output_tokens"] = record.outputTokens;
     line["attempts"] = record.attempts;
--- a/burdockhold/access_log.h
+++ b/burdockhold/access_log.h
@@ -4,9 +4,12 @@
 // One line of JSON for each request, written through log4cxx to logger "access" at level INFO. The
 // line holds the whole decision and never the caller's key.
 
+#include "burdockhold/router.h"
+
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace burdockhold {
 
@@ -20,6 +23,7 @@
     std::string endpoint; ///< The last one tried.
     int status = 0;
     std::int64_t expectedCachedTokens = 0;
+    std::vector<routing_candidate> candidates; ///< Of the last attempt, in order of preference.
     std::int64_t cachedTokens = 0;
     std::int64_t outputTokens = 0;
     int attempts = 0;
--- a/burdockhold/daemon.cc
+++ b/burdockhold/daemon.cc
@@ -5,6 +5,7 @@
 #include "burdockhold/config_follower.h"
 #include "burdockhold/free_port.h"
 #include "burdockhold/front_server.h"
+#include "burdockhold/load_controller.h"
 #include "burdockhold/logging.h"
 #include "burdockhold/random_id.h"
 
@@ -52,6 +53,24 @@
     return options;
 }
 
+placement_router_options routingOptions(const daemon_settings &settings)
+{
+    placement_router_options options;
+    options.retries.share = settings.retryPercent / 100.0;
+    options.retries.minimum = settings.retryMinimum;
+    // Queues change within the age of a load report, so that small excesses say nothing.
+    options.health.minLatencyExcess = std::chrono::seconds(1);
+    return options;
+}
+
+load_controller_options loadOptions(const daemon_settings &settings)
+{
+    load_controller_options options;
+    options.interval = settings.loadInterval;
+    options.seed = std::random_device{}();
+    return options;
+}
+
 basic_error<daemon_error> cannotListen(const std::string &text, const std::string &address)
 {
     return { daemon_error::CannotListen, text, address };
@@ -64,6 +83,7 @@
 public:
     explicit impl(daemon_settings settings)
         : m_settings(std::move(settings))
+        , m_chooser(routingOptions(m_settings))
     {
     }
 
@@ -73,6 +93,11 @@
         if (!isOk(addresses))
             return addresses;
         m_config = std::make_unique<config_follower>(followerOptions(m_settings), m_board);
+        m_loads = std::make_unique<load_controller>(
+                loadOptions(m_settings), m_board,
+                [this](const std::string &endpoint, const poll_result &answer) {
+                    onPoll(endpoint, answer);
+                });
         m_front = std::make_unique<front_server>(frontOptions(m_settings, m_url), m_board,
                                                  m_chooser);
         const result<success, front_error> front = m_front->start();
@@ -100,6 +125,7 @@
         const std::size_t cutOff = m_front->openRequests();
         m_front->stop();
         m_admin->stop();
+        m_loads->stop();
         m_config->stop();
         logEvent(cutOff == 0 ? log_level::Info : log_level::Warn, "daemon", "stopped",
                  { { "cut_off", cutOff } });
@@ -124,6 +150,14 @@
         return success{};
     }
 
+    void onPoll(const std::string &endpoint, const poll_result &answer)
+    {
+        if (answer.outcome == poll_outcome::Reported)
+            m_chooser.loadReported(endpoint, answer.load, answer.sentAt, steadyNow());
+        else
+            m_chooser.loadMissed(endpoint, steadyNow());
+    }
+
     std::vector<admin_page> pages()
     {
         return {
@@ -172,8 +206,9 @@
     std::atomic<bool> m_draining{ false };
     std::atomic<bool> m_drainRequested{ false };
     blackboard m_board;
-    rendezvous_router m_chooser;
+    placement_router m_chooser;
     std::unique_ptr<config_follower> m_config;
+    std::unique_ptr<load_controller> m_loads;
     std::unique_ptr<front_server> m_front;
     std::unique_ptr<admin_server> m_admin;
 };
--- a/burdockhold/endpoint_health.cc
+++ b/burdockhold/endpoint_health.cc
@@ -12,8 +12,7 @@
 constexpr std::size_t MinOthersForLatency = 2; // A median of fewer endpoints says nothing.
 constexpr int MaxDoublings = 20;
 
-constexpr std::int64_t MinRetries = 3;
-constexpr std::int64_t RequestsPerRetry = 5; // 20 %.
+constexpr double ShareRounding = 1e-9; // 0.2 x 15 must be 3, though 0.2 has no exact double.
 constexpr duration RetryStep = std::chrono::milliseconds(100);
 
 std::int64_t secondOf(time_point now)
@@ -213,6 +212,11 @@
     return all;
 }
 
+retry_budget::retry_budget(retry_budget_options options)
+    : m_options(options)
+{
+}
+
 retry_budget::step &retry_budget::stepAt(std::int64_t number)
 {
     step &found = m_steps[static_cast<std::size_t>(number) % StepCount];
@@ -240,7 +244,9 @@
         if (counted.number > oldest)
             requests += counted.requests;
     }
-    if (retries >= std::max(MinRetries, requests / RequestsPerRetry))
+    const auto share = static_cast<std::int64_t>(
+            std::floor(m_options.share * static_cast<double>(requests) + ShareRounding));
+    if (retries >= std::max(m_options.minimum, share))
         return false;
     ++stepAt(current).retries;
     return true;
--- a/burdockhold/endpoint_health.h
+++ b/burdockhold/endpoint_health.h
@@ -136,6 +136,13 @@
     member_map m_members;
 };
 
+/// The retry budget of the design page, section 2.7.
+struct retry_budget_options
+{
+    double share = 0.2;       ///< Retries as a part of the requests.
+    std::int64_t minimum = 3; ///< Retries that are always allowed.
+};
+
 /// Budget of one pool for retries: within every window of 10 s that ends now, at most 20 % of the
 /// requests, or 3 if that is more (design, section 2.7). Over any time, a sick pool thus gets at
 /// most 1.2 times its load plus 3 calls for each 10 s. Counts are kept in steps of 100 ms, rounded
@@ -143,6 +150,8 @@
 class retry_budget
 {
 public:
+    explicit retry_budget(retry_budget_options options = {});
+
     /// Counts a first attempt.
     void countRequest(time_point now);
 
@@ -160,6 +169,7 @@
 
     step &stepAt(std::int64_t number);
 
+    retry_budget_options m_options;
     std::array<step, StepCount> m_steps;
 };
 
--- a/burdockhold/exchange.cc
+++ b/burdockhold/exchange.cc
@@ -276,12 +276,12 @@
         return;
     }
     const auto config = m_context.board.config.read();
-    auto chosen = m_context.chooser.choose(*config, m_routing);
+    auto chosen = m_context.chooser.choose(*config, m_routing, steadyNow());
     if (!isOk(chosen) && !m_routing.excluded.empty()) {
         // An endpoint that failed once is still better than none: a silent connection, for
         // instance, says little about the next one. The number of attempts is bounded.
         m_routing.excluded.clear();
-        chosen = m_context.chooser.choose(*config, m_routing);
+        chosen = m_context.chooser.choose(*config, m_routing, steadyNow());
     }
     if (!isOk(chosen)) {
         m_continuity.giveUp(errorOf(chosen).text);
@@ -295,10 +295,12 @@
 {
     m_attempt = {};
     m_attempt.choice = choice;
+    m_attempt.startedAt = steadyNow();
     m_silent = false;
     m_continuity.beginAttempt();
     m_record.endpoint = choice.endpoint;
     m_record.expectedCachedTokens = choice.expectedCachedTokens;
+    m_record.candidates = choice.candidates;
     m_record.attempts = m_continuity.attempts();
     if (m_record.attempts == 1)
         m_record.queueSeconds = toSeconds(steadyNow() - m_started);
@@ -339,6 +341,7 @@
 void exchange::onHeaders(const upstream_response &response)
 {
     m_attempt.response = response;
+    m_attempt.firstByte = steadyNow() - m_attempt.startedAt;
     const std::string fault = checkResponse(response);
     if (!fault.empty())
         abandonAttempt(fault);
@@ -354,12 +357,17 @@
         return "the response belongs to another request";
     if (m_route.repeatable && isEndpointFault(response.status, m_kind.has_value()))
         return "the endpoint answered with status " + std::to_string(response.status);
-    const std::string version = response.find("X-Weights-Version");
-    if (m_kind && !version.empty() && version != m_model.version)
+    if (servesOtherVersion(response))
         return "the endpoint serves another weights version";
     return "";
 }
 
+bool exchange::servesOtherVersion(const upstream_response &response) const
+{
+    const std::string version = response.find("X-Weights-Version");
+    return m_kind && !version.empty() && version != m_model.version;
+}
+
 bool exchange::onBytes(std::string_view bytes)
 {
     if (!m_attempt.fault.empty())
@@ -414,6 +422,10 @@
     m_silent = failure && isSilence(failure->code);
     if (m_silent)
         m_context.clients.replaceConnections(m_attempt.choice.url);
+    // An attempt that was cancelled though nothing was wrong with it ended for the caller's sake.
+    const bool cancelled = failure && failure->code == upstream_error::Cancelled;
+    m_attempt.notJudged = (cancelled && m_attempt.fault.empty())
+                          || servesOtherVersion(m_attempt.response);
     if (m_attempt.fault.empty() && failure)
         m_attempt.fault = failure->text;
     if (m_delivery == delivery::Events && !m_attempt.passThrough)
@@ -427,12 +439,14 @@
     if (m_continuity.state() == stream_state::Complete) {
         m_record.cachedTokens = m_continuity.cachedTokens();
         m_record.outputTokens = m_continuity.delivered();
+        reportAttempt(true);
         m_reply.endStream();
         settle("complete", "");
         return;
     }
     const bool ended = !failure && m_attempt.fault.empty();
     m_continuity.endAttempt(ended ? "the stream ended early" : m_attempt.fault);
+    reportAttempt(false);
     retryOrFail();
 }
 
@@ -445,6 +459,7 @@
         return;
     }
     m_continuity.endAttempt(m_attempt.fault);
+    reportAttempt(false);
     if (!m_route.repeatable)
         m_continuity.giveUp(m_attempt.fault);
     retryOrFail();
@@ -475,13 +490,34 @@
         m_record.outputTokens = answer["usage"].value("completion_tokens", std::int64_t{ 0 });
         m_record.cachedTokens = answer["usage"].value("cached_tokens", std::int64_t{ 0 });
     }
+    reportAttempt(true);
     m_reply.sendWhole(m_attempt.response.status, headers, m_attempt.body);
     settle("complete", "");
 }
 
+/// Tells placement and health how the attempt ended.
+void exchange::reportAttempt(bool succeeded)
+{
+    attempt_report report;
+    report.startedAt = m_attempt.startedAt;
+    report.firstByte = m_attempt.firstByte;
+    report.incarnation = m_attempt.response.find("X-Engine-Incarnation");
+    report.weightsVersion = m_attempt.response.find("X-Weights-Version");
+    report.cachedTokens = m_record.cachedTokens;
+    if (!m_attempt.notJudged)
+        report.outcome = succeeded ? attempt_outcome::Succeeded : attempt_outcome::Failed;
+    m_context.chooser.attemptEnded(m_routing, m_attempt.choice, report, steadyNow());
+}
+
 void exchange::retryOrFail()
 {
     m_routing.excluded.insert(m_attempt.choice.endpoint);
+    m_routing.isRetry = true;
+    const bool wanted = m_continuity.state() == stream_state::NeedsResume;
+    if (wanted && !m_context.chooser.tryRetry(m_routing, steadyNow())) {
+        m_failureCode = "retry_budget";
+        m_continuity.giveUp("too many requests to the endpoints fail; no retry is left");
+    }
     place();
 }
 
@@ -495,6 +531,8 @@
                  : m_route.repeatable ? error_type::Server
                                       : error_type::OutcomeUnknown;
     error.code = !m_reached ? "no_endpoint" : m_silent ? "endpoint_silent" : "endpoint_failed";
+    if (!m_failureCode.empty())
+        error.code = m_failureCode;
     error.message = m_continuity.reason();
     if (!m_reply.started()) {
         m_record.status = error.status;
@@ -503,7 +541,7 @@
         m_reply.sendEvent(formatError(error));
         m_reply.endStream();
     }
-    settle("failed", error.message);
+    settle("failed", m_failureCode.empty() ? error.message : m_failureCode);
 }
 
 void exchange::refuse(const error_reply &error)
--- a/burdockhold/exchange.h
+++ b/burdockhold/exchange.h
@@ -9,6 +9,7 @@
 #include "burdockhold/access_log.h"
 #include "burdockhold/caller_reply.h"
 #include "burdockhold/front_server.h"
+#include "burdockhold/placement_router.h"
 #include "burdockhold/sse.h"
 
 #include <cpprest/http_msg.h>
@@ -26,7 +27,7 @@
 {
     const front_options &options;
     const blackboard &board;
-    router &chooser;
+    placement_router &chooser;
     upstream_clients &clients;
 };
 
@@ -61,11 +62,14 @@
     struct attempt
     {
         routing_choice choice;
+        time_point startedAt{};
+        duration firstByte = duration::zero(); ///< From the start to the headers.
         upstream_response response;
         sse_parser parser{ DefaultMaxEventBytes };
         std::string body;
         std::string fault;        ///< Why the attempt is unusable; empty while it is usable.
         bool passThrough = false; ///< A reply of the endpoint that is final though not a success.
+        bool notJudged = false;   ///< How it ended says nothing about the endpoint.
     };
 
     // Stages, in order. From admit() on, each stage starts the next one, at once or later.
@@ -85,11 +89,13 @@
     bool keyIsValid(const catalogue &config) const;
     bool viewIsFresh() const;
     std::string checkResponse(const upstream_response &response) const;
+    bool servesOtherVersion(const upstream_response &response) const;
     std::string checkWhole() const;
     upstream_request buildRequest(const routing_choice &choice) const;
     void abandonAttempt(const std::string &why);
     void afterStreamAttempt(const std::optional<upstream_failure> &failure);
     void afterWholeAttempt(const std::optional<upstream_failure> &failure);
+    void reportAttempt(bool succeeded);
     void retryOrFail();
     void failRequest();
     void refuse(const error_reply &error);
@@ -118,8 +124,9 @@
     routing_request m_routing;
     stream_continuity m_continuity;
     attempt m_attempt;
-    bool m_reached = false; ///< A byte of some attempt may have reached an endpoint.
-    bool m_silent = false;  ///< The last attempt ended by a watchdog.
+    bool m_reached = false;    ///< A byte of some attempt may have reached an endpoint.
+    bool m_silent = false;     ///< The last attempt ended by a watchdog.
+    std::string m_failureCode; ///< Code of the error when it is not the last attempt's.
 
     mutable std::mutex m_mutex; ///< Guards the members below.
     std::string m_keyDigest;
--- a/burdockhold/front_server.cc
+++ b/burdockhold/front_server.cc
@@ -77,7 +77,7 @@
 class front_server::impl
 {
 public:
-    impl(front_options options, const blackboard &board, router &chooser)
+    impl(front_options options, const blackboard &board, placement_router &chooser)
         : m_options(std::move(options))
         , m_clients(m_options.upstream)
         , m_context{ m_options, board, chooser, m_clients }
@@ -146,7 +146,8 @@
     http_listener m_listener;
 };
 
-front_server::front_server(front_options options, const blackboard &board, router &chooser)
+front_server::front_server(front_options options, const blackboard &board,
+                           placement_router &chooser)
     : m_impl(std::make_unique<impl>(std::move(options), board, chooser))
 {
 }
--- a/burdockhold/front_server.h
+++ b/burdockhold/front_server.h
@@ -9,9 +9,9 @@
 // the body's end. Completing the request early through cpprest's internals crashed the process.
 
 #include "burdockhold/blackboard.h"
+#include "burdockhold/placement_router.h"
 #include "burdockhold/result.h"
 #include "burdockhold/resume.h"
-#include "burdockhold/router.h"
 #include "burdockhold/upstream.h"
 
 #include <cstddef>
@@ -35,7 +35,7 @@
 {
 public:
     /// The blackboard and the router must outlive the server.
-    front_server(front_options options, const blackboard &board, router &chooser);
+    front_server(front_options options, const blackboard &board, placement_router &chooser);
     ~front_server();
     front_server(const front_server &) = delete;
     front_server &operator=(const front_server &) = delete;
--- a/burdockhold/placement.cc
+++ b/burdockhold/placement.cc
@@ -12,7 +12,8 @@
 {
     if (endpoint.leaving || endpoint.ejected)
         return false;
-    if (!request.weightsVersion.empty() && endpoint.weightsVersion != request.weightsVersion)
+    if (!request.weightsVersion.empty() && !endpoint.weightsVersion.empty()
+        && endpoint.weightsVersion != request.weightsVersion)
         return false;
     return std::find(request.excluded.begin(), request.excluded.end(), endpoint.key)
            == request.excluded.end();
@@ -134,6 +135,18 @@
     return candidate;
 }
 
+/// Order among endpoints of equal cost and level; lowest first. Prompts below one block have no
+/// level that follows the weights, so the order has to.
+double tieRank(const placement_view &view, const placement_request &request, std::size_t position)
+{
+    const placement_endpoint &endpoint = (*view.endpoints)[position];
+    const auto &levels = request.prompt->levels;
+    if (!levels.empty())
+        return static_cast<double>(mix(levels.back(), endpoint.key));
+    const double weight = endpoint.weight * view.loadWeights->factor(endpoint.key);
+    return -rendezvousScore(request.tieKey, endpoint.key, weight);
+}
+
 void applyLoadBound(std::vector<placement_candidate> &candidates, const placement_options &options)
 {
     double total = 0.0;
@@ -209,7 +222,6 @@
 
     // Equal costs go to the deepest set, then by rendezvous of the whole prompt, so that all VMs
     // agree and idle endpoints share new prompts evenly.
-    const std::uint64_t leaf = request.prompt->levels.empty() ? 0 : request.prompt->levels.back();
     const auto preferred = [&](const placement_candidate &a, const placement_candidate &b) {
         if (a.overBound != b.overBound)
             return b.overBound;
@@ -219,7 +231,8 @@
             return a.level > b.level;
         const std::uint64_t keyA = (*view.endpoints)[a.endpoint].key;
         const std::uint64_t keyB = (*view.endpoints)[b.endpoint].key;
-        return std::make_pair(mix(leaf, keyA), keyA) < std::make_pair(mix(leaf, keyB), keyB);
+        return std::make_pair(tieRank(view, request, a.endpoint), keyA)
+               < std::make_pair(tieRank(view, request, b.endpoint), keyB);
     };
     const std::size_t kept = std::clamp<std::size_t>(options.decisionCandidates, 1,
                                                      candidates.size());
--- a/burdockhold/placement.h
+++ b/burdockhold/placement.h
@@ -35,7 +35,7 @@
     std::string name;
     std::uint64_t key = 0;
     std::uint64_t incarnation = 0; ///< Hash of the reported incarnation.
-    std::string weightsVersion;    ///< As last reported.
+    std::string weightsVersion;    ///< As last reported; empty before the first report.
     double weight = 1.0;
     double prefillTokensPerSecond = 20000.0;
     bool leaving = false;
@@ -85,6 +85,7 @@
     const prompt_prefix *prompt = nullptr;
     std::string weightsVersion;          ///< Empty accepts any version.
     std::vector<std::uint64_t> excluded; ///< Keys of endpoints where an attempt failed.
+    std::uint64_t tieKey = 0;            ///< Hash of the whole prompt, for prompts below one block.
 };
 
 /// An eligible endpoint with its cost. Tokens are parts of the prompt.
@@ -112,8 +113,8 @@
 
 enum class placement_error { NoEndpoint };
 
-/// Chooses an endpoint. Leaving, ejected and excluded endpoints and those with another weights
-/// version are never chosen.
+/// Chooses an endpoint. Leaving, ejected and excluded endpoints and those that reported another
+/// weights version are never chosen.
 result<placement_choice, placement_error> choosePlacement(const placement_view &view,
                                                           const placement_request &request,
                                                           const placement_options &options = {});
--- a/burdockhold/router.h
+++ b/burdockhold/router.h
@@ -1,28 +1,23 @@
 #ifndef BURDOCKHOLD_ROUTER_H
 #define BURDOCKHOLD_ROUTER_H
 
-// The decision for one request: which endpoint runs it, from an immutable catalogue snapshot.
-// Choosing takes time linear in the number of endpoints.
+// What the request path asks of routing, and the choice that it gets. The decision itself is made
+// by placement_router.
 
 #include "burdockhold/catalogue.h"
+#include "burdockhold/clock.h"
+#include "burdockhold/prefix.h"
 #include "burdockhold/result.h"
 
 #include <cstdint>
+#include <memory>
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace burdockhold {
 
-/// Identity under which an endpoint may share cache entries between requests.
-struct cache_identity
-{
-    std::string account;
-    std::string model;
-    std::string adapter;
-    std::string version;
-};
-
 /// Returns a digest of the identity, sent as X-Cache-Salt.
 std::string cacheSalt(const cache_identity &identity);
 
@@ -33,6 +28,18 @@
     cache_identity identity;
     std::string_view prompt;        ///< Valid for the call only. Plain routes pass the request id.
     std::set<std::string> excluded; ///< Endpoints that failed earlier attempts.
+    bool isRetry = false; ///< Whether an earlier attempt was made; it then counts no new request.
+    /// The only endpoint that may run the request, while it is eligible; empty for any.
+    std::string assigned;
+};
+
+/// An endpoint that was compared, for the decision line.
+struct routing_candidate
+{
+    std::string endpoint;
+    double queueWaitSeconds = 0.0;
+    double cachedTokens = 0.0; ///< Expected.
+    double scoreSeconds = 0.0; ///< Lowest wins.
 };
 
 struct routing_choice
@@ -40,32 +47,35 @@
     std::string endpoint;
     std::string url;
     std::int64_t expectedCachedTokens = 0;
+    double expectedSeconds = 0.0;              ///< Queue wait and the time for missing tokens.
+    std::string incarnation;                   ///< Last reported before the choice; may be empty.
+    std::vector<routing_candidate> candidates; ///< The best ones, the chosen one first.
+
+    // What the report on the attempt is compared with.
+    std::shared_ptr<const prompt_prefix> prompt;
+    double ownTokens = 0.0;
+    double ruleTokens = 0.0;
 };
 
 enum class routing_error { NoEndpoint };
 
 using routing_result = result<routing_choice, routing_error>;
 
-/// Chooses the endpoint of a request. Implementations are called from many threads.
-class router
-{
-public:
-    router() = default;
-    router(const router &) = delete;
-    router &operator=(const router &) = delete;
-    virtual ~router() = default;
-
-    virtual routing_result choose(const catalogue &config, const routing_request &request) = 0;
+enum class attempt_outcome {
+    Succeeded,
+    Failed,
+    NotJudged, ///< Says nothing about the endpoint: the caller left, or it serves other weights.
 };
 
-/// Bytes of one prompt block: 2,000 tokens at 4 bytes each (design page, section 7).
-inline constexpr std::size_t PromptBlockBytes = 8000;
-
-/// Weighted rendezvous hashing on the first prompt block under the cache identity.
-class rendezvous_router : public router
+/// How an attempt at an endpoint ended, and what the endpoint reported in its response.
+struct attempt_report
 {
-public:
-    routing_result choose(const catalogue &config, const routing_request &request) override;
+    attempt_outcome outcome = attempt_outcome::NotJudged;
+    time_point startedAt{};
+    duration firstByte = duration::zero(); ///< From the start to the response's headers.
+    std::string incarnation;               ///< Empty when the response named none.
+    std::string weightsVersion;
+    std::int64_t cachedTokens = 0; ///< Only of attempts that succeeded.
 };
 
 } // namespace burdockhold
--- a/testing/front_server_nettest.cc
+++ b/testing/front_server_nettest.cc
@@ -329,7 +329,7 @@
 private:
     catalogue m_config;
     front_options m_options;
-    rendezvous_router m_router;
+    placement_router m_router;
     std::unique_ptr<front_server> m_server;
 };
 
