--- a/burdockhold/blackboard.h
+++ b/burdockhold/blackboard.h
@@ -7,6 +7,7 @@
 
 #include "burdockhold/catalogue.h"
 #include "burdockhold/clock.h"
+#include "burdockhold/endpoint_loads.h"
 
 #include <memory>
 #include <set>
@@ -57,6 +58,7 @@
     published<catalogue> config;           ///< Written by the config follower.
     published<view_freshness> freshness;   ///< Written by the membership controller.
     published<withdrawn_keys> withdrawals; ///< Written by the membership controller.
+    published<endpoint_loads> loads;       ///< Written by the load controller.
 };
 
 } // namespace burdockhold
--- a/burdockhold/daemon.cc
+++ b/burdockhold/daemon.cc
@@ -7,6 +7,7 @@
 #include "burdockhold/config_follower.h"
 #include "burdockhold/free_port.h"
 #include "burdockhold/front_server.h"
+#include "burdockhold/load_controller.h"
 #include "burdockhold/logging.h"
 #include "burdockhold/membership_controller.h"
 #include "burdockhold/metrics.h"
@@ -118,6 +119,24 @@
     return options;
 }
 
+placement_router_options routingOptions(const daemon_settings &settings)
+{
+    placement_router_options options;
+    options.retries.share = settings.retryPercent / 100.0;
+    options.retries.minimum = settings.retryMinimum;
+    // Queues change within the age of a load report, so that small excesses say nothing.
+    options.health.minLatencyExcess = std::chrono::seconds(1);
+    return options;
+}
+
+load_controller_options loadOptions(const daemon_settings &settings)
+{
+    load_controller_options options;
+    options.interval = settings.loadInterval;
+    options.seed = std::random_device{}();
+    return options;
+}
+
 basic_error<daemon_error> cannotListen(const std::string &text, const std::string &address)
 {
     return { daemon_error::CannotListen, text, address };
@@ -131,6 +150,7 @@
     explicit impl(daemon_settings settings)
         : m_settings(std::move(settings))
         , m_incarnation(newIncarnation())
+        , m_chooser(routingOptions(m_settings))
     {
     }
 
@@ -151,6 +171,11 @@
         follow.listener = &m_membership;
         m_config = std::make_unique<config_follower>(follow, m_board);
         m_claims = std::make_unique<claims_controller>(claimsOptions(m_settings));
+        m_loads = std::make_unique<load_controller>(
+                loadOptions(m_settings), m_board,
+                [this](const std::string &endpoint, const poll_result &answer) {
+                    onPoll(endpoint, answer);
+                });
         m_front = std::make_unique<front_server>(
                 frontOptions(m_settings, m_url), m_board,
                 front_services{ m_chooser, m_claims.get(), &m_metrics });
@@ -185,6 +210,7 @@
         m_membership.stop();
         m_admin->stop();
         m_claims->stop();
+        m_loads->stop();
         m_config->stop();
         logEvent(cutOff == 0 ? log_level::Info : log_level::Warn, "daemon", "stopped",
                  { { "cut_off", cutOff } });
@@ -239,6 +265,14 @@
         return { m_settings.name, m_incarnation, request.messageId, m_membership.serve(request) };
     }
 
+    void onPoll(const std::string &endpoint, const poll_result &answer)
+    {
+        if (answer.outcome == poll_outcome::Reported)
+            m_chooser.loadReported(endpoint, answer.load, answer.sentAt, steadyNow());
+        else
+            m_chooser.loadMissed(endpoint, steadyNow());
+    }
+
     std::vector<admin_page> pages()
     {
         return {
@@ -342,10 +376,11 @@
     const time_point m_started = steadyNow();
     metrics m_metrics;
     blackboard m_board;
-    rendezvous_router m_chooser;
+    placement_router m_chooser;
     membership_controller m_membership{ membershipOptions(m_settings, m_incarnation), m_board };
     std::unique_ptr<config_follower> m_config;
     std::unique_ptr<claims_controller> m_claims;
+    std::unique_ptr<load_controller> m_loads;
     std::unique_ptr<front_server> m_front;
     std::unique_ptr<admin_server> m_admin;
     std::unique_ptr<peer_link> m_link;
--- a/burdockhold/front_server.h
+++ b/burdockhold/front_server.h
@@ -10,9 +10,9 @@
 
 #include "burdockhold/blackboard.h"
 #include "burdockhold/metrics.h"
+#include "burdockhold/placement_router.h"
 #include "burdockhold/result.h"
 #include "burdockhold/resume.h"
-#include "burdockhold/router.h"
 #include "burdockhold/upstream.h"
 
 #include <cstddef>
@@ -35,7 +35,7 @@
 /// What the request path uses besides the blackboard.
 struct front_services
 {
-    router &chooser;
+    placement_router &chooser;
     call_claims *claims = nullptr; ///< Null: calls on non-repeatable routes are refused, not run.
     metrics *measures = nullptr;   ///< Null: nothing is measured.
 };
