--- a/testing/at_most_once_nettest.cc
+++ b/testing/at_most_once_nettest.cc
@@ -306,6 +306,20 @@
     BOOST_TEST(site.executions("k") == 1);
 }
 
+// Guards against a key that stays taken although no byte can have reached the service: the
+// connection is refused, so "not run" is true and the claim is released.
+BOOST_AUTO_TEST_CASE(refusedConnectionReleasesTheKey)
+{
+    deployment site;
+    site.service().process.signal(SIGKILL);
+    BOOST_REQUIRE(site.service().process.wait(WaitLimit));
+    checkNotRun(site.pay(0, "k"));
+    site.waitForRecords("release", 1);
+    checkNotRun(site.payUntilSettled(1, "k"));
+    site.waitForRecords("release", 2);
+    BOOST_TEST(site.records("finish").empty());
+}
+
 // Guards against an answer that is kept in memory only: every VM returns it, also when all
 // processes are new.
 BOOST_AUTO_TEST_CASE(answerSurvivesRestartOfAllDaemons)
