--- a/tools/burdockholdctl.cc
+++ b/tools/burdockholdctl.cc
@@ -150,120 +150,89 @@
     return printBurnReport(given.context, options);
 }
 
+ctl_exit runApply(const invocation &given)
+{
+    return applyCatalogue(given.context, given.arguments[0]);
+}
+
+ctl_exit runList(const invocation &given)
+{
+    return listCatalogue(given.context, given.arguments.empty() ? "" : given.arguments[0]);
+}
+
+ctl_exit runShow(const invocation &given)
+{
+    return showEntry(given.context, given.arguments[0], given.arguments[1]);
+}
+
+ctl_exit runKeyList(const invocation &given)
+{
+    return listKeys(given.context);
+}
+
+ctl_exit runVms(const invocation &given)
+{
+    return listVms(given.context);
+}
+
+ctl_exit runStatus(const invocation &given)
+{
+    return showStatus(given.context);
+}
+
+ctl_exit runEndpoints(const invocation &given)
+{
+    return showPages(given.context, "/endpoints");
+}
+
+ctl_exit runAccounts(const invocation &given)
+{
+    return showPages(given.context, "/accounts");
+}
+
+ctl_exit runDrain(const invocation &given)
+{
+    return drainVm(given.context, given.arguments[0]);
+}
+
+constexpr char ApplyHelp[] =
+        "Applies the entries of a JSON file as one record: all of them or none. An entry without "
+        "\"base\" replaces the version that is current when the command reads the log; a null "
+        "value removes the entry.";
+constexpr char RemoveHelp[] = "Removes one entry, if its version is the one given by --base.";
+constexpr char IssueHelp[] = "Issues a key and prints it, once. Only its digest is stored.";
+constexpr char WithdrawHelp[] =
+        "Withdraws a key for good. With --vms each VM is told as well; VMs that did not confirm "
+        "are named.";
+constexpr char StatusHelp[] =
+        "Shows the status of each VM and, with --log, how many records its configuration is behind "
+        "the log.";
+constexpr char DrainHelp[] = "Drains one VM: its daemon ends when its requests have ended.";
+constexpr char ReportHelp[] = "Samples the measures of all VMs and prints the service-level burn.";
+
+/// Returns all commands in the order in which --help shows them.
 const std::vector<command> &commands()
 {
-    static const std::vector<command> Table{
-        { "catalogue apply",
-          "FILE",
-          1,
-          1,
-          {},
-          "Applies the entries of a JSON file as one record: all of them or none. An entry without "
-          "\"base\" replaces the version that is current when the command reads the log; a null "
-          "value removes the entry.",
-          [](const invocation &given) {
-              return applyCatalogue(given.context, given.arguments[0]);
-          } },
-        { "catalogue list",
-          "[KIND]",
-          0,
-          1,
-          {},
-          "Lists the entries, of one kind or all.",
-          [](const invocation &given) {
-              return listCatalogue(given.context,
-                                   given.arguments.empty() ? "" : given.arguments[0]);
-          } },
-        { "catalogue show",
-          "KIND NAME",
-          2,
-          2,
-          {},
-          "Shows one entry with its version.",
-          [](const invocation &given) {
-              return showEntry(given.context, given.arguments[0], given.arguments[1]);
-          } },
-        { "catalogue remove",
-          "KIND NAME",
-          2,
-          2,
-          { "base" },
-          "Removes one entry, if its version is the one given by --base.",
-          runRemove },
-        { "key issue",
-          "",
-          0,
-          0,
-          { "account", "label" },
-          "Issues a key and prints it, once. Only its digest is stored.",
-          runIssue },
-        { "key withdraw",
-          "",
-          0,
-          0,
-          { "digest-prefix", "key-stdin" },
-          "Withdraws a key for good. With --vms each VM is told as well; VMs that did not confirm "
-          "are named.",
-          runWithdraw },
-        { "key list",
-          "",
-          0,
-          0,
-          {},
-          "Lists the keys' digests, accounts and states.",
-          [](const invocation &given) { return listKeys(given.context); } },
-        { "vms",
-          "",
-          0,
-          0,
-          {},
-          "Shows the VM list.",
-          [](const invocation &given) { return listVms(given.context); } },
-        { "status",
-          "",
-          0,
-          0,
-          {},
-          "Shows the status of each VM and, with --log, how many records its configuration is "
-          "behind the log.",
-          [](const invocation &given) { return showStatus(given.context); } },
-        { "endpoints",
-          "",
-          0,
-          0,
-          {},
-          "Shows each VM's page /endpoints.",
-          [](const invocation &given) { return showPages(given.context, "/endpoints"); } },
-        { "accounts",
-          "",
-          0,
-          0,
-          {},
-          "Shows each VM's page /accounts.",
-          [](const invocation &given) { return showPages(given.context, "/accounts"); } },
-        { "drain",
-          "VM",
-          1,
-          1,
-          {},
-          "Drains one VM: its daemon ends when its requests have ended.",
-          [](const invocation &given) { return drainVm(given.context, given.arguments[0]); } },
-        { "settings check",
-          "FILE",
-          1,
-          1,
-          {},
-          "Checks a daemon's settings file.",
+    // clang-format off
+    static const std::vector<command> all{
+        { "catalogue apply", "FILE", 1, 1, {}, ApplyHelp, runApply },
+        { "catalogue list", "[KIND]", 0, 1, {}, "Lists the entries, of one kind or all.", runList },
+        { "catalogue show", "KIND NAME", 2, 2, {}, "Shows one entry with its version.", runShow },
+        { "catalogue remove", "KIND NAME", 2, 2, { "base" }, RemoveHelp, runRemove },
+        { "key issue", "", 0, 0, { "account", "label" }, IssueHelp, runIssue },
+        { "key withdraw", "", 0, 0, { "digest-prefix", "key-stdin" }, WithdrawHelp, runWithdraw },
+        { "key list", "", 0, 0, {}, "Lists the keys' digests, accounts and states.", runKeyList },
+        { "vms", "", 0, 0, {}, "Shows the VM list.", runVms },
+        { "status", "", 0, 0, {}, StatusHelp, runStatus },
+        { "endpoints", "", 0, 0, {}, "Shows each VM's page /endpoints.", runEndpoints },
+        { "accounts", "", 0, 0, {}, "Shows each VM's page /accounts.", runAccounts },
+        { "drain", "VM", 1, 1, {}, DrainHelp, runDrain },
+        { "settings check", "FILE", 1, 1, {}, "Checks a daemon's settings file.",
           runSettingsCheck },
-        { "report",
-          "",
-          0,
-          0,
-          { "profile", "samples", "interval" },
-          "Samples the measures of all VMs and prints the service-level burn.",
-          runReport },
+        { "report", "", 0, 0, { "profile", "samples", "interval" }, ReportHelp, runReport },
     };
-    return Table;
+    // clang-format on
+    return all;
 }
 
 /// Breaks a text into indented lines.
