--- a/testing/daemon_nettest.cc
+++ b/testing/daemon_nettest.cc
@@ -26,6 +26,7 @@
 std::vector<std::string> urls(const std::vector<standin_process> &standins)
 {
     std::vector<std::string> all;
+    all.reserve(standins.size());
     for (const standin_process &standin : standins)
         all.push_back(standin.url);
     return all;
