Refuse requests that crashed two engines

A request that kills the engine that runs it was retried on the next one: in crashes_nettest one call killed all four engines. After an attempt whose connection broke, the exchange now polls the endpoint on a new connection; when nothing answers or another incarnation does, the request gets a strike in crash_guard. From the second strike it is refused with 422, also within the call that earned it, and with one strike it runs on an endpoint of its own. A silent poll gives no strike.

With the strikes alone, all four engines still died and the caller was told "not run", which was false. On a reused connection cpprest sends the request again by itself, and reports the refused connection of the copy. Counting refused connections as crashes was ruled out: every request that meets a dead engine would get a strike. All calls to endpoints now use a connection of their own, which costs a connect per call; its cost was not measured.

The endpoint now answers GET /load with a report and records calls only; every check on calls is unchanged.

--- a/burdockhold/exchange.cc
+++ b/burdockhold/exchange.cc
@@ -12,6 +12,17 @@
 
 constexpr std::string_view BearerPrefix = "Bearer ";
 
+/// Time in which a live engine answers a poll after a connection to it broke.
+constexpr duration CrashProbeTimeout = std::chrono::seconds(1);
+constexpr int MaxCrashProbes = 3;
+
+log_time_ms wallClockMs()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+                   std::chrono::system_clock::now().time_since_epoch())
+            .count();
+}
+
 /// Headers of the caller that describe its own connection, or that only the router may set.
 bool isForwarded(const std::string &name)
 {
@@ -211,6 +222,7 @@
         refuse(invalid(400, "incomplete_body", "the body ended early"));
         return;
     }
+    m_digest = requestDigest(m_record.account, m_body);
     if (parseBody())
         admit();
 }
@@ -275,7 +287,10 @@
         failRequest();
         return;
     }
+    if (isKnownToCrash())
+        return;
     const auto config = m_context.board.config.read();
+    isolateSuspect(*config);
     auto chosen = m_context.chooser.choose(*config, m_routing, steadyNow());
     if (!isOk(chosen) && !m_routing.excluded.empty()) {
         // An endpoint that failed once is still better than none: a silent connection, for
@@ -291,6 +306,37 @@
     call(valueOf(chosen));
 }
 
+/// Refuses or ends a request that was running on endpoints when they died. Returns false when it
+/// may run.
+bool exchange::isKnownToCrash()
+{
+    if (!m_context.chooser.suspects().isRefused(m_digest, wallClockMs()))
+        return false;
+    m_failureCode = "crash_suspect";
+    m_continuity.giveUp("the request was running on several endpoints when they crashed");
+    if (m_continuity.attempts() == 0)
+        refuse(invalid(422, m_failureCode, m_continuity.reason()));
+    else
+        failRequest();
+    return true;
+}
+
+/// Assigns a request that saw one crash to an endpoint of its own among those left.
+void exchange::isolateSuspect(const catalogue &config)
+{
+    m_routing.assigned.clear();
+    const log_time_ms now = wallClockMs();
+    if (!m_context.chooser.suspects().isSuspect(m_digest, now))
+        return;
+    std::vector<std::string> left;
+    for (const std::string &name :
+         m_context.chooser.usableEndpoints(config, m_routing, steadyNow())) {
+        if (m_routing.excluded.count(name) == 0)
+            left.push_back(name);
+    }
+    m_routing.assigned = m_context.chooser.suspects().endpointFor(m_digest, left, now);
+}
+
 void exchange::call(const routing_choice &choice)
 {
     m_attempt = {};
@@ -321,8 +367,10 @@
     request.url = choice.url;
     request.method = m_message.method();
     request.path = m_message.relative_uri().to_string();
-    if (!m_route.repeatable)
-        request.connection = connection_use::Fresh;
+    // cpprest sends a request again by itself when a reused connection breaks, and reports only how
+    // the copy failed. On a reused connection an endpoint that died of the request looks like one
+    // that could not be reached, and "not run" would be a guess.
+    request.connection = connection_use::Fresh;
     if (m_kind) {
         request.headers = upstreamHeaders({ m_requestId, cacheSalt(m_routing.identity), m_priority,
                                             m_continuity.delivered() });
@@ -426,6 +474,8 @@
     const bool cancelled = failure && failure->code == upstream_error::Cancelled;
     m_attempt.notJudged = (cancelled && m_attempt.fault.empty())
                           || servesOtherVersion(m_attempt.response);
+    m_attempt.lost = m_attempt.fault.empty() && failure
+                     && failure->code == upstream_error::ConnectionLost;
     if (m_attempt.fault.empty() && failure)
         m_attempt.fault = failure->text;
     if (m_delivery == delivery::Events && !m_attempt.passThrough)
@@ -447,7 +497,7 @@
     const bool ended = !failure && m_attempt.fault.empty();
     m_continuity.endAttempt(ended ? "the stream ended early" : m_attempt.fault);
     reportAttempt(false);
-    retryOrFail();
+    afterFailedAttempt();
 }
 
 void exchange::afterWholeAttempt(const std::optional<upstream_failure> & /*failure*/)
@@ -462,7 +512,7 @@
     reportAttempt(false);
     if (!m_route.repeatable)
         m_continuity.giveUp(m_attempt.fault);
-    retryOrFail();
+    afterFailedAttempt();
 }
 
 /// Returns why a whole completion is no answer to this request; empty when it is one.
@@ -509,6 +559,39 @@
     m_context.chooser.attemptEnded(m_routing, m_attempt.choice, report, steadyNow());
 }
 
+void exchange::afterFailedAttempt()
+{
+    if (m_attempt.lost && m_kind)
+        probeForCrash(1);
+    else
+        retryOrFail();
+}
+
+/// Polls the endpoint after its connection broke, and continues when it is known whether it died.
+void exchange::probeForCrash(int polls)
+{
+    probeLoad(m_attempt.choice.url, CrashProbeTimeout,
+              [self = shared_from_this(), polls](const poll_result &answer) {
+                  self->onProbe(answer, polls);
+              });
+}
+
+void exchange::onProbe(const poll_result &answer, int polls)
+{
+    // A connection that a dying process still took breaks, too; the next one is refused.
+    if (answer.outcome == poll_outcome::Failed && polls < MaxCrashProbes) {
+        probeForCrash(polls + 1);
+        return;
+    }
+    std::string incarnation = m_attempt.response.find("X-Engine-Incarnation");
+    if (incarnation.empty())
+        incarnation = m_attempt.choice.incarnation;
+    if (showsCrash(incarnation, answer.outcome, answer.load))
+        m_context.chooser.suspects().noteCrash(
+                { m_digest, m_attempt.choice.endpoint, incarnation, wallClockMs() });
+    retryOrFail();
+}
+
 void exchange::retryOrFail()
 {
     m_routing.excluded.insert(m_attempt.choice.endpoint);
@@ -533,6 +616,10 @@
     error.code = !m_reached ? "no_endpoint" : m_silent ? "endpoint_silent" : "endpoint_failed";
     if (!m_failureCode.empty())
         error.code = m_failureCode;
+    if (m_failureCode == "crash_suspect") {
+        error.status = 422;
+        error.type = error_type::InvalidRequest;
+    }
     error.message = m_continuity.reason();
     if (!m_reply.started()) {
         m_record.status = error.status;
--- a/burdockhold/exchange.h
+++ b/burdockhold/exchange.h
@@ -9,6 +9,7 @@
 #include "burdockhold/access_log.h"
 #include "burdockhold/caller_reply.h"
 #include "burdockhold/front_server.h"
+#include "burdockhold/load_controller.h"
 #include "burdockhold/placement_router.h"
 #include "burdockhold/sse.h"
 
@@ -69,6 +70,7 @@
         std::string body;
         std::string fault;        ///< Why the attempt is unusable; empty while it is usable.
         bool passThrough = false; ///< A reply of the endpoint that is final though not a success.
+        bool lost = false;        ///< The connection broke; the endpoint may have died.
         bool notJudged = false;   ///< How it ended says nothing about the endpoint.
     };
 
@@ -96,6 +98,11 @@
     void afterStreamAttempt(const std::optional<upstream_failure> &failure);
     void afterWholeAttempt(const std::optional<upstream_failure> &failure);
     void reportAttempt(bool succeeded);
+    void afterFailedAttempt();
+    void probeForCrash(int polls);
+    void onProbe(const poll_result &answer, int polls);
+    bool isKnownToCrash();
+    void isolateSuspect(const catalogue &config);
     void retryOrFail();
     void failRequest();
     void refuse(const error_reply &error);
@@ -119,6 +126,7 @@
     completion_request m_request;
     std::int64_t m_maxTokens = 0;
     std::string m_body;
+    std::string m_digest; ///< By which crash suspects are known.
     bool m_bodyTooLarge = false;
     delivery m_delivery = delivery::Whole;
     routing_request m_routing;
--- a/burdockhold/placement_router.h
+++ b/burdockhold/placement_router.h
@@ -11,6 +11,7 @@
 // as choosePlacement() takes. Memory: see placement.h and recent_requests.h, and a few hundred
 // bytes for each endpoint.
 
+#include "burdockhold/crash_guard.h"
 #include "burdockhold/endpoint_health.h"
 #include "burdockhold/endpoint_loads.h"
 #include "burdockhold/placement.h"
@@ -81,6 +82,9 @@
 
     std::vector<endpoint_view> endpoints(time_point now);
 
+    /// The requests that crashed endpoints. It has a lock of its own.
+    crash_guard &suspects() { return m_suspects; }
+
 private:
     using pool_name = std::pair<std::string, endpoint_role>;
 
@@ -117,6 +121,7 @@
                                        const prompt_prefix &prompt);
     static routing_choice describe(const pool_state &pool, const placement_choice &choice);
 
+    crash_guard m_suspects;
     placement_router_options m_options;
     mutable std::mutex m_mutex; ///< Guards all below.
     log_offset m_offset = 0;
--- a/testing/front_server_nettest.cc
+++ b/testing/front_server_nettest.cc
@@ -130,6 +130,12 @@
             }
             request.body = pending.substr(0, size);
             pending.erase(0, size);
+            // The router polls an endpoint whose connection broke; the scripts and the recorded
+            // requests are about calls.
+            if (request.head.compare(0, LoadPoll.size(), LoadPoll) == 0) {
+                answerPoll(socket);
+                continue;
+            }
             {
                 const std::lock_guard<std::mutex> lock(m_mutex);
                 m_requests.push_back(request);
@@ -141,6 +147,19 @@
         }
     }
 
+    static void answerPoll(tcp::socket &socket)
+    {
+        const std::string report = R"({"incarnation":"i","weights_version":"v1"})";
+        boost::system::error_code ignored;
+        write(socket,
+              boost::asio::buffer("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+                                  "Content-Length: "
+                                  + std::to_string(report.size()) + "\r\n\r\n" + report),
+              ignored);
+    }
+
+    static constexpr std::string_view LoadPoll = "GET /load ";
+
     script m_answer;
     boost::asio::io_context m_service;
     tcp::acceptor m_acceptor;
--- a/testing/router_test.cc
+++ b/testing/router_test.cc
@@ -104,7 +104,7 @@
 
 namespace {
 
-const time_point Start(std::chrono::hours(1));
+constexpr time_point Start{ std::chrono::hours(1) };
 
 /// Returns the endpoints that 100 prompts go to.
 std::set<std::string> chosenOf100(placement_router &router, const catalogue &config, time_point now)
