Hold accounts to their rate over all VMs in the daemon

The daemons admitted every request of a known key. The limits controller now steps account_limits with the catalogue's accounts, this VM's share of the epoch in force, and grants asked from and given to peers; the exchange reserves tokens before a request runs and returns the unused ones at its end.

A completion reserves its prompt at 4 bytes a token, at least 1, plus max_tokens; a call to a plain route reserves 1. A request that failed after a byte may have reached an endpoint returns nothing, since the endpoint may have computed it. A VM is healthy only once an epoch is in force and the VM list was read or is down: before that, it refuses all requests of accounts.

--- a/burdockhold/admin_server.cc
+++ b/burdockhold/admin_server.cc
@@ -41,7 +41,7 @@
     {
         try {
             m_listener = http_listener(web::uri(m_address));
-            m_listener.support([this](http_request message) { handle(std::move(message)); });
+            m_listener.support([this](const http_request &message) { handle(message); });
             m_listener.open().wait();
         } catch (const std::exception &error) {
             return basic_error<admin_error>{ admin_error::CannotListen, error.what(), m_address };
@@ -59,7 +59,7 @@
     }
 
 private:
-    void handle(http_request message)
+    void handle(const http_request &message)
     {
         const auto path = m_pages.find(message.relative_uri().path());
         if (path == m_pages.end()) {
@@ -74,9 +74,10 @@
         answer(message, page->second);
     }
 
-    static void answer(http_request message, const admin_page &page)
+    static void answer(const http_request &message, const admin_page &page)
     {
-        message.extract_utf8string(true).then([message, page](const pplx::task<std::string> &body) {
+        http_request request = message; // Shares the request; reading its body needs a mutable one.
+        request.extract_utf8string(true).then([message, page](const pplx::task<std::string> &body) {
             try {
                 if (page.handler)
                     send(message, page.handler(body.get()));
--- a/burdockhold/daemon.cc
+++ b/burdockhold/daemon.cc
@@ -5,6 +5,7 @@
 #include "burdockhold/config_follower.h"
 #include "burdockhold/free_port.h"
 #include "burdockhold/front_server.h"
+#include "burdockhold/limits_controller.h"
 #include "burdockhold/logging.h"
 #include "burdockhold/membership_controller.h"
 #include "burdockhold/peer_link.h"
@@ -57,6 +58,17 @@
     return options;
 }
 
+limits_options limitsOptions(const daemon_settings &settings, std::uint64_t incarnation)
+{
+    limits_options options;
+    options.limits.self = settings.name;
+    options.limits.incarnation = incarnation;
+    options.limits.grantLifetime = settings.grantLifetime;
+    options.limits.maxWait = settings.maxLimitWait;
+    options.maxOpenRequests = settings.maxOpenRequests;
+    return options;
+}
+
 /// Returns a number that differs between processes of the same VM.
 std::uint64_t newIncarnation()
 {
@@ -116,6 +128,7 @@
         if (m_link)
             m_link->close();
         m_membership.stop();
+        m_limits.stop();
     }
 
     result<success, daemon_error> start()
@@ -126,9 +139,10 @@
         config_follower_options follow = followerOptions(m_settings);
         follow.listener = &m_membership;
         m_config = std::make_unique<config_follower>(follow, m_board);
-        m_front = std::make_unique<front_server>(frontOptions(m_settings, m_url), m_board,
-                                                 m_chooser);
-        const result<success, daemon_error> linked = joinPeers();
+        front_options options = frontOptions(m_settings, m_url);
+        options.limiter = &m_limits;
+        m_front = std::make_unique<front_server>(options, m_board, m_chooser);
+        result<success, daemon_error> linked = joinPeers();
         if (!isOk(linked))
             return linked;
         const result<success, front_error> front = m_front->start();
@@ -157,6 +171,7 @@
         m_front->stop();
         m_link->close();
         m_membership.stop();
+        m_limits.stop();
         m_admin->stop();
         m_config->stop();
         logEvent(cutOff == 0 ? log_level::Info : log_level::Warn, "daemon", "stopped",
@@ -192,6 +207,7 @@
         if (!isOk(link))
             return cannotListen(errorOf(link).text, m_settings.peerListen);
         m_link = std::move(valueOf(link));
+        m_limits.start(*m_link);
         m_membership.start(*m_link);
         return success{};
     }
@@ -202,14 +218,19 @@
         hooks.logFreshness = [this] { return m_config->freshness(); };
         hooks.cancelKey = [this](const std::string &digest) { m_front->cancelKey(digest); };
         hooks.cancelKeyed = [this] { m_front->cancelKeyedCompletions(); };
-        hooks.applyShares = [](const catalogue &, const share_view &) {};
-        hooks.setFreshUntil = [](time_point) {};
+        hooks.applyShares = [this](const catalogue &config, const share_view &shares) {
+            m_limits.applyShares(config, shares);
+        };
+        hooks.setFreshUntil = [this](time_point until) { m_limits.setFreshUntil(until); };
         return hooks;
     }
 
     peer_message serve(const peer_message &request)
     {
-        return { m_settings.name, m_incarnation, request.messageId, m_membership.serve(request) };
+        const bool grants = std::holds_alternative<grant_request>(request.body)
+                            || std::holds_alternative<grant_return>(request.body);
+        return { m_settings.name, m_incarnation, request.messageId,
+                 grants ? m_limits.serve(request) : m_membership.serve(request) };
     }
 
     std::vector<admin_page> pages()
@@ -231,6 +252,13 @@
             return { 503, "text/plain", "draining\n" };
         if (!m_config->freshness().synced)
             return { 503, "text/plain", "starting\n" };
+        // Without an epoch no VM mints tokens, and requests of accounts would be refused.
+        const membership_status membership = m_membership.status();
+        if (membership.epochKnown && membership.epoch == 0)
+            return { 503, "text/plain", "waiting for the first epoch\n" };
+        // A VM without a share borrows, for which it needs its peers' addresses.
+        if (membership.vms == 0 && membership.listErrors == 0)
+            return { 503, "text/plain", "reading the VM list\n" };
         return { 200, "text/plain", "ok\n" };
     }
 
@@ -254,6 +282,12 @@
         page["vms"] = membership.vms;
         page["vms_errors"] = membership.listErrors;
         page["pending_withdrawals"] = membership.pendingWithdrawals;
+        const account_limits_statistics limits = m_limits.statistics();
+        page["limits"] = { { "admitted", limits.admitted },
+                           { "refused", limits.refused },
+                           { "tokens_borrowed", limits.borrowed },
+                           { "tokens_granted", limits.granted },
+                           { "tokens_restored", limits.restored } };
         page["log_errors"] = config.errors;
         page["last_log_error"] = config.lastError;
         return { 200, "application/json", page.dump() };
@@ -288,6 +322,7 @@
     std::atomic<bool> m_drainRequested{ false };
     blackboard m_board;
     rendezvous_router m_chooser;
+    limits_controller m_limits{ limitsOptions(m_settings, m_incarnation) };
     membership_controller m_membership{ membershipOptions(m_settings, m_incarnation), m_board };
     std::unique_ptr<config_follower> m_config;
     std::unique_ptr<front_server> m_front;
--- a/burdockhold/exchange.cc
+++ b/burdockhold/exchange.cc
@@ -84,6 +84,7 @@
     , m_reply(m_message, m_requestId)
     , m_started(steadyNow())
     , m_config(context.board.config.read())
+    , m_limits(context.options.limiter)
     , m_continuity(m_requestId, context.options.resume)
 {
     m_record.requestId = m_requestId;
@@ -270,7 +271,14 @@
 // Account limits take tokens here and return the unused ones in settle().
 void exchange::admit()
 {
-    claim();
+    auto next = [self = shared_from_this()](const std::optional<error_reply> &refusal) {
+        if (refusal)
+            self->refuse(*refusal);
+        else
+            self->claim();
+    };
+    const std::size_t promptBytes = m_kind ? m_request.prompt.size() : 0;
+    m_limits.admit(m_record.account, promptBytes, m_kind ? m_maxTokens : 0, std::move(next));
 }
 
 // Claims on non-repeatable calls are made here, before anything is sent.
@@ -531,9 +539,20 @@
     settle("refused", error.code);
 }
 
+/// Returns how the tokens of a request that ended with this outcome are counted.
+token_use exchange::tokenUse(const std::string &outcome) const
+{
+    if (outcome != "complete")
+        return m_reached ? token_use::Unknown : token_use::None;
+    // An answer that does not state its output may hold all that was reserved.
+    const bool stated = m_record.outputTokens > 0 || m_attempt.passThrough;
+    return stated || !m_kind ? token_use::Counted : token_use::Unknown;
+}
+
 // Account limits return unused tokens here.
 void exchange::settle(const std::string &outcome, const std::string &reason)
 {
+    m_limits.settle(tokenUse(outcome), m_record.outputTokens);
     m_record.outcome = outcome;
     m_record.reason = reason;
     {
--- a/burdockhold/exchange.h
+++ b/burdockhold/exchange.h
@@ -83,6 +83,7 @@
     void deliverEvent(const sse_event &event);
     void deliverWhole();
     void settle(const std::string &outcome, const std::string &reason);
+    token_use tokenUse(const std::string &outcome) const;
 
     bool keyIsValid(const catalogue &config) const;
     bool keyStillServes() const;
@@ -119,6 +120,7 @@
     bool m_bodyTooLarge = false;
     delivery m_delivery = delivery::Whole;
     routing_request m_routing;
+    limit_stage m_limits;
     stream_continuity m_continuity;
     attempt m_attempt;
     bool m_reached = false; ///< A byte of some attempt may have reached an endpoint.
--- a/burdockhold/front_server.h
+++ b/burdockhold/front_server.h
@@ -9,6 +9,7 @@
 // the body's end. Completing the request early through cpprest's internals crashed the process.
 
 #include "burdockhold/blackboard.h"
+#include "burdockhold/limit_stage.h"
 #include "burdockhold/result.h"
 #include "burdockhold/resume.h"
 #include "burdockhold/router.h"
@@ -27,6 +28,8 @@
     duration maxViewAge = std::chrono::seconds(5); ///< Keyed requests need a view this recent.
     resume_options resume;
     upstream_options upstream;
+    request_limiter *limiter =
+            nullptr; ///< Must outlive the server; without one nothing is limited.
 };
 
 enum class front_error { CannotListen };
--- a/burdockhold/membership_controller.cc
+++ b/burdockhold/membership_controller.cc
@@ -176,12 +176,13 @@
 
     void withdraw(const std::string &digest, withdrawal_callback done)
     {
-        bool held = false;
+        withdrawal_callback refused;
         {
             const std::lock_guard<std::mutex> lock(m_mutex);
             m_pending.add(digest);
-            held = m_pending.contains(digest) && !m_stopped;
-            if (held) {
+            if (!m_pending.contains(digest) || m_stopped) {
+                refused = std::move(done);
+            } else {
                 const time_point now = steadyNow();
                 m_appendFrom[digest] = now;
                 publishWithdrawals({ digest });
@@ -190,10 +191,10 @@
                 sendWithdrawal(digest);
             }
         }
-        if (held)
-            cancelAll({ digest });
+        if (refused)
+            refused({});
         else
-            done({});
+            cancelAll({ digest });
     }
 
     membership_status status() const
@@ -433,7 +434,7 @@
     /// Merges withdrawals that a peer holds and publishes the new ones. Returns the new ones.
     std::vector<std::string> take(const std::string &peer, const std::vector<std::string> &digests)
     {
-        const auto added = m_pending.merge(peer, digests);
+        auto added = m_pending.merge(peer, digests);
         for (const std::string &digest : added) {
             m_appendFrom[digest] = steadyNow() + ForeignAppendDelay;
             if (isKeyWithdrawn(*m_config, digest))
