--- a/burdockhold/admin_server.cc
+++ b/burdockhold/admin_server.cc
@@ -76,7 +76,7 @@
 
     static void answer(const http_request &message, const admin_page &page)
     {
-        http_request request = message;
+        http_request request = message; // Shares the request; reading its body needs a mutable one.
         request.extract_utf8string(true).then([message, page](const pplx::task<std::string> &body) {
             try {
                 if (page.handler)
--- a/burdockhold/front_server.h
+++ b/burdockhold/front_server.h
@@ -9,6 +9,7 @@
 // the body's end. Completing the request early through cpprest's internals crashed the process.
 
 #include "burdockhold/blackboard.h"
+#include "burdockhold/limit_stage.h"
 #include "burdockhold/metrics.h"
 #include "burdockhold/placement_router.h"
 #include "burdockhold/result.h"
@@ -37,7 +38,8 @@
 {
     placement_router &chooser;
     call_claims *claims = nullptr; ///< Null: calls on non-repeatable routes are refused, not run.
-    metrics *measures = nullptr;   ///< Null: nothing is measured.
+    request_limiter *limiter = nullptr; ///< Null: nothing is limited.
+    metrics *measures = nullptr;        ///< Null: nothing is measured.
 };
 
 enum class front_error { CannotListen };
