Give whole answers and plain services their own time limits

The first-token limit (10 s) also ended completion calls that are not streamed, whose first byte comes only when all tokens have been generated, and the setting service_timeout had no effect on calls to services. The setting connect_timeout is gone: the library has no such limit, so it had no effect.

Two tests added to front_server_nettest; they were not run on the old code.

--- a/burdockhold/daemon.cc
+++ b/burdockhold/daemon.cc
@@ -5,6 +5,7 @@
 #include "burdockhold/blackboard.h"
 #include "burdockhold/claims_controller.h"
 #include "burdockhold/config_follower.h"
+#include "burdockhold/daemon_options.h"
 #include "burdockhold/free_port.h"
 #include "burdockhold/front_server.h"
 #include "burdockhold/limits_controller.h"
@@ -28,72 +29,6 @@
 
 constexpr std::chrono::milliseconds DrainPollInterval(20);
 
-log_client_options logOptions(const daemon_settings &settings)
-{
-    log_client_options options;
-    options.url = settings.logUrl;
-    options.appendTimeout = settings.logTimeout;
-    options.readTimeout = settings.logTimeout;
-    return options;
-}
-
-config_follower_options followerOptions(const daemon_settings &settings)
-{
-    config_follower_options options;
-    options.follow.log = logOptions(settings);
-    options.follow.wait = settings.logPollWait;
-    options.follow.seed = std::random_device{}();
-    options.retention = std::chrono::duration_cast<std::chrono::milliseconds>(
-            settings.logRetention);
-    options.publishesFreshness = false;
-    return options;
-}
-
-log_time_ms toMilliseconds(duration d)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(d).count();
-}
-
-claims_options claimsOptions(const daemon_settings &settings)
-{
-    claims_options options;
-    options.vm = settings.name;
-    options.follow.log = logOptions(settings);
-    options.follow.wait = settings.logPollWait;
-    options.follow.seed = std::random_device{}();
-    options.deadline = settings.claimDeadline;
-    options.maxViewAge = settings.maxViewAge;
-    options.ledger.claimWindowMs = toMilliseconds(settings.claimWindow);
-    // The wait for the claim, for the answer and for its last byte.
-    options.ledger.inProgressMs = toMilliseconds(settings.claimDeadline
-                                                 + 2 * settings.serviceTimeout);
-    return options;
-}
-
-membership_options membershipOptions(const daemon_settings &settings, std::uint64_t incarnation)
-{
-    membership_options options;
-    options.self = settings.name;
-    options.incarnation = incarnation;
-    options.vmsUrl = settings.vmsUrl;
-    options.vmsInterval = settings.vmsInterval;
-    options.heartbeatInterval = settings.heartbeatInterval;
-    options.maxViewAge = settings.maxViewAge;
-    options.log = logOptions(settings);
-    return options;
-}
-
-limits_options limitsOptions(const daemon_settings &settings, std::uint64_t incarnation)
-{
-    limits_options options;
-    options.limits.self = settings.name;
-    options.limits.incarnation = incarnation;
-    options.limits.grantLifetime = settings.grantLifetime;
-    options.limits.maxWait = settings.maxLimitWait;
-    options.maxOpenRequests = settings.maxOpenRequests;
-    return options;
-}
-
 /// Returns a number that differs between processes of the same VM.
 std::uint64_t newIncarnation()
 {
@@ -119,36 +54,6 @@
     return { outcome.accepted ? 200 : 202, "application/json", page.dump() };
 }
 
-front_options frontOptions(const daemon_settings &settings, const std::string &address)
-{
-    front_options options;
-    options.address = address;
-    options.bodyLimitBytes = static_cast<std::size_t>(settings.bodyLimitBytes);
-    options.maxViewAge = settings.maxViewAge;
-    options.resume.maxAttempts = static_cast<int>(settings.maxAttempts);
-    options.upstream.firstToken = settings.firstTokenTimeout;
-    options.upstream.betweenTokens = settings.interTokenTimeout;
-    return options;
-}
-
-placement_router_options routingOptions(const daemon_settings &settings)
-{
-    placement_router_options options;
-    options.retries.share = settings.retryPercent / 100.0;
-    options.retries.minimum = settings.retryMinimum;
-    // Queues change within the age of a load report, so that small excesses say nothing.
-    options.health.minLatencyExcess = std::chrono::seconds(1);
-    return options;
-}
-
-load_controller_options loadOptions(const daemon_settings &settings)
-{
-    load_controller_options options;
-    options.interval = settings.loadInterval;
-    options.seed = std::random_device{}();
-    return options;
-}
-
 basic_error<daemon_error> cannotListen(const std::string &text, const std::string &address)
 {
     return { daemon_error::CannotListen, text, address };
--- a/burdockhold/exchange.cc
+++ b/burdockhold/exchange.cc
@@ -444,6 +444,8 @@
         request.headers = upstreamHeaders({ m_requestId, cacheSalt(m_routing.identity), m_priority,
                                             m_continuity.delivered() });
         request.body = upstreamBody(m_request, m_maxTokens);
+        if (m_delivery == delivery::Whole)
+            request.silence = m_context.options.wholeTimeout;
         return request;
     }
     for (const auto &field : m_message.headers()) {
@@ -452,6 +454,7 @@
     }
     request.headers.push_back({ "X-Request-Id", m_requestId });
     request.body = m_body;
+    request.silence = m_context.options.serviceTimeout;
     return request;
 }
 
--- a/burdockhold/front_server.h
+++ b/burdockhold/front_server.h
@@ -28,7 +28,9 @@
 {
     std::string address; ///< "http://IP:PORT" to listen on.
     std::size_t bodyLimitBytes = 16 << 20;
-    duration maxViewAge = std::chrono::seconds(5); ///< Keyed requests need a view this recent.
+    duration maxViewAge = std::chrono::seconds(5);      ///< Keyed requests need a view this recent.
+    duration wholeTimeout = std::chrono::minutes(5);    ///< Completion that is not streamed.
+    duration serviceTimeout = std::chrono::seconds(30); ///< Answer of a plain service.
     resume_options resume;
     upstream_options upstream;
 };
--- a/burdockhold/settings.h
+++ b/burdockhold/settings.h
@@ -61,9 +61,9 @@
     duration grantLifetime{};
     duration maxLimitWait{}; ///< Longest wait for granted tokens before a refusal.
 
-    duration connectTimeout{};
     duration firstTokenTimeout{};
     duration interTokenTimeout{};
+    duration wholeTimeout{};   ///< Wait for a completion that is not streamed.
     duration serviceTimeout{}; ///< Silence allowed on a call to a plain service.
     duration loadInterval{};
 
--- a/burdockhold/upstream.cc
+++ b/burdockhold/upstream.cc
@@ -49,7 +49,7 @@
 
     void start()
     {
-        setDeadline(m_options.firstToken);
+        setDeadline(m_request.silence.value_or(m_options.firstToken));
         watch();
         if (m_client == nullptr) {
             finish(upstream_failure{ upstream_error::NotConnected, "the endpoint's URL is invalid",
@@ -125,7 +125,7 @@
                 return false;
         }
         if (m_observer->onBytes(bytes))
-            setDeadline(m_options.betweenTokens);
+            setDeadline(m_request.silence.value_or(m_options.betweenTokens));
         return true;
     }
 
--- a/burdockhold/upstream.h
+++ b/burdockhold/upstream.h
@@ -54,6 +54,9 @@
     std::vector<header> headers;
     std::string body;
     connection_use connection = connection_use::Pooled;
+    /// Silence allowed at any time, in place of the two limits of upstream_options. For answers
+    /// that are not streamed, whose first byte comes only when all is done.
+    std::optional<duration> silence;
 };
 
 struct upstream_options
--- a/testing/front_server_nettest.cc
+++ b/testing/front_server_nettest.cc
@@ -716,6 +716,41 @@
     BOOST_TEST(calls.load() == 2);
 }
 
+// Guards against the first-token limit ending a completion that isn't streamed: its first byte
+// comes only when all tokens have been generated.
+BOOST_AUTO_TEST_CASE(waitsLongerForAWholeCompletion)
+{
+    options().upstream.firstToken = std::chrono::milliseconds(50);
+    std::atomic<int> calls{ 0 };
+    fake_endpoint engine([&calls](tcp::socket &socket, const received_request &request) {
+        ++calls;
+        std::this_thread::sleep_for(std::chrono::milliseconds(400));
+        return sendAnswer(socket, request, R"({"choices":[]})");
+    });
+    addEndpoint("e1", engine);
+    start();
+    const answer reply = request("POST", "/v1/chat/completions",
+                                 R"({"model":"m","messages":[{"role":"user","content":"x"}]})");
+    BOOST_TEST(reply.status == 200);
+    BOOST_TEST(calls.load() == 1);
+}
+
+// Guards against a plain service held to the limit of tokens, and against one that is silent for
+// ever: the setting for services decides.
+BOOST_AUTO_TEST_CASE(limitsTheSilenceOfAService)
+{
+    options().upstream.firstToken = std::chrono::minutes(10);
+    options().serviceTimeout = std::chrono::milliseconds(200);
+    fake_endpoint service([](tcp::socket &socket, const received_request & /*request*/) {
+        return waitForClose(socket);
+    });
+    addEndpoint("s1", service, endpoint_role::Service);
+    start();
+    const answer reply = request("POST", "/bookings", "a", "secret", "k1");
+    BOOST_TEST(reply.status == 504);
+    BOOST_TEST(reply.run == "unknown");
+}
+
 // Guards against a drain that cuts an open stream or still takes new requests.
 BOOST_AUTO_TEST_CASE(finishesOpenRequestsAfterStopAccepting)
 {
