--- a/burdockhold/exchange.cc
+++ b/burdockhold/exchange.cc
@@ -1,6 +1,7 @@
 #include "burdockhold/exchange.h"
 
 #include "burdockhold/digest.h"
+#include "burdockhold/forwarding.h"
 #include "burdockhold/stream_reader.h"
 
 #include <algorithm>
@@ -24,43 +25,6 @@
             .count();
 }
 
-/// Headers of the caller that describe its own connection, or that only the router may set.
-bool isForwarded(const std::string &name)
-{
-    static const std::vector<std::string> dropped{
-        "authorization", "proxy-authorization", "connection",   "keep-alive",   "te",
-        "trailer",       "transfer-encoding",   "upgrade",      "host",         "content-length",
-        "expect",        "accept-encoding",     "x-request-id", "x-cache-salt", "x-priority",
-        "x-resume-from",
-    };
-    std::string lower = name;
-    std::transform(lower.begin(), lower.end(), lower.begin(),
-                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-    return std::find(dropped.begin(), dropped.end(), lower) == dropped.end();
-}
-
-bool pathMatches(const std::string &pattern, const std::string &path)
-{
-    if (pattern.size() >= 2 && pattern.compare(pattern.size() - 2, 2, "/*") == 0)
-        return path.compare(0, pattern.size() - 1, pattern, 0, pattern.size() - 1) == 0;
-    return pattern == path;
-}
-
-/// Returns the route with the longest matching path, or null.
-const route_entry *findRoute(const catalogue &config, const std::string &method,
-                             const std::string &path)
-{
-    const route_entry *best = nullptr;
-    for (const auto &item : config.routes) {
-        const route_entry &route = item.second.value;
-        if (route.method != method || !pathMatches(route.path, path))
-            continue;
-        if (best == nullptr || route.path.size() > best->path.size())
-            best = &route;
-    }
-    return best;
-}
-
 std::string headerOf(const web::http::http_request &message, const std::string &name)
 {
     const auto found = message.headers().find(name);
@@ -78,14 +42,6 @@
     return { 503, error_type::NotRun, code, message, "" };
 }
 
-/// Statuses with which an endpoint says that it could not run the request.
-bool isEndpointFault(int status, bool completion)
-{
-    if (completion)
-        return status >= 500 || status == 408 || status == 429;
-    return status == 502 || status == 503 || status == 504;
-}
-
 } // namespace
 
 exchange::exchange(exchange_context context, const web::http::http_request &message,
@@ -449,7 +405,7 @@
         return request;
     }
     for (const auto &field : m_message.headers()) {
-        if (isForwarded(field.first))
+        if (isForwardedHeader(field.first))
             request.headers.push_back({ field.first, field.second });
     }
     request.headers.push_back({ "X-Request-Id", m_requestId });
@@ -614,7 +570,7 @@
 {
     std::vector<header> headers;
     for (const header &field : m_attempt.response.headers) {
-        if (isForwarded(field.name))
+        if (isForwardedHeader(field.name))
             headers.push_back(field);
     }
     m_record.status = m_attempt.response.status;
