Read the catalogue for one entry in one place

'catalogue show' and 'catalogue remove' repeated the same eight lines: check the kind, read the config stream to its tail, form the entry's id.

--- a/burdockhold/ctl_catalogue.cc
+++ b/burdockhold/ctl_catalogue.cc
@@ -106,6 +106,19 @@
     return ctl_error{ ctl_exit::Usage, "unknown kind of entry; known are " + known, text };
 }
 
+/// Checks the kind, then reads the config stream to its tail. Returns the entry's id.
+ctl_result<entry_id> readForEntry(config_session &session, const std::string &kind,
+                                  const std::string &name)
+{
+    const auto parsed = parseKind(kind);
+    if (!isOk(parsed))
+        return errorOf(parsed);
+    const auto read = session.readToTail();
+    if (!isOk(read))
+        return errorOf(read);
+    return entry_id{ valueOf(parsed), name };
+}
+
 std::string ownerOf(const entry_value &value)
 {
     return std::visit([](const auto &entry) { return entry.owner; }, value);
@@ -248,14 +261,11 @@
 
 ctl_exit showEntry(ctl_context &context, const std::string &kind, const std::string &name)
 {
-    const auto parsed = parseKind(kind);
-    if (!isOk(parsed))
-        return reportError(context, errorOf(parsed));
     config_session session(context);
-    const auto read = session.readToTail();
+    const auto read = readForEntry(session, kind, name);
     if (!isOk(read))
         return reportError(context, errorOf(read));
-    const entry_id id{ valueOf(parsed), name };
+    const entry_id &id = valueOf(read);
     const auto entry = findEntry(session.state(), id);
     if (!entry)
         return reportError(context, { ctl_exit::NotFound, "no such entry", describe(id) });
@@ -267,14 +277,11 @@
 ctl_exit removeEntry(ctl_context &context, const std::string &kind, const std::string &name,
                      log_offset base)
 {
-    const auto parsed = parseKind(kind);
-    if (!isOk(parsed))
-        return reportError(context, errorOf(parsed));
     config_session session(context);
-    const auto read = session.readToTail();
+    const auto read = readForEntry(session, kind, name);
     if (!isOk(read))
         return reportError(context, errorOf(read));
-    const entry_id id{ valueOf(parsed), name };
+    const entry_id &id = valueOf(read);
     if (!findEntry(session.state(), id))
         return reportError(context, { ctl_exit::NotFound, "no such entry", describe(id) });
     return submitChanges(context, session, { { { id, base, std::nullopt } } });
