--- /dev/null
+++ b/burdockhold/attempt_rules.h
@@ -0,0 +1,92 @@
+#ifndef BURDOCKHOLD_ATTEMPT_RULES_H
+#define BURDOCKHOLD_ATTEMPT_RULES_H
+
+// What follows when a call to an endpoint has ended: another endpoint, the final answer, or the end
+// of a stream that has begun. Pure functions of what is known of the call.
+//
+// Promises:
+// - A call that may have run is sent again only if its kind may be repeated.
+// - "Not run" is said only if no byte reached an endpoint, or every endpoint that got the call said
+//   that it did not run it.
+// - A stream that has begun continues only where its route is resumable.
+
+#include "burdockhold/clock.h"
+#include "burdockhold/deployment.h"
+
+#include <array>
+#include <string_view>
+#include <variant>
+
+#include "burdockhold/enum_names.h"
+
+namespace burdockhold {
+
+enum class call_end {
+    Complete,        ///< The whole answer has been delivered or is ready to be.
+    NotSent,         ///< No byte of the request can have reached the endpoint.
+    SaidNotRun,      ///< The endpoint refused and stated that it did not run the call.
+    Failed,          ///< The endpoint's own failure, with its signature.
+    Broken,          ///< Reset, closed or silent before the answer was whole.
+    WrongAnswer,     ///< Bytes that are not this call's answer.
+};
+
+template <>
+struct enum_names<call_end>
+{
+    static constexpr std::array<enum_name<call_end>, 6> Table{ {
+            { call_end::Complete, "complete" },
+            { call_end::NotSent, "not_sent" },
+            { call_end::SaidNotRun, "said_not_run" },
+            { call_end::Failed, "failed" },
+            { call_end::Broken, "broken" },
+            { call_end::WrongAnswer, "wrong_answer" },
+    } };
+};
+
+/// What is known when a call ends.
+struct attempt_facts
+{
+    call_end end = call_end::Broken;
+    call_kind kind = call_kind::AtMostOnce;
+    bool resumable = false;    ///< Of a stream's route.
+    bool answerBegun = false;  ///< The caller has got the head of the answer.
+    bool mayHaveRun = false;   ///< Some endpoint may have run this request, this call included.
+    int runsLeft = 0;          ///< Endpoints that may still run it.
+    int sendsLeft = 0;         ///< Calls that may still be made, refused ones included.
+    bool repeatsLeft = false;  ///< The budget for repeats has room.
+    duration timeLeft = duration::zero();
+};
+
+struct try_another
+{
+};
+/// Deliver the endpoint's own answer.
+struct deliver_answer
+{
+};
+/// Refuse and promise that the request has not run and will not.
+struct refuse_not_run
+{
+};
+/// Answer that the outcome is unknown (bad gateway).
+struct answer_unknown
+{
+};
+/// Close the caller's connection: an answer has begun and cannot be made whole.
+struct cut_off
+{
+};
+
+using next_step = std::variant<try_another, deliver_answer, refuse_not_run, answer_unknown, cut_off>;
+
+/// Least time for which another call is worth making.
+inline constexpr duration MinTimeForRepeat = std::chrono::milliseconds(30);
+
+next_step afterCall(const attempt_facts &facts);
+
+/// True if the route's calls may run more than once.
+bool mayRepeat(call_kind kind, bool resumable);
+
+} // namespace burdockhold
+
+#endif
--- /dev/null
+++ b/burdockhold/caller_request.h
@@ -0,0 +1,79 @@
+#ifndef BURDOCKHOLD_CALLER_REQUEST_H
+#define BURDOCKHOLD_CALLER_REQUEST_H
+
+// One request of a caller, decoded once into types whose fields say what they hold. The request
+// path decides on these alone; the dialect that was spoken stays in the adapter.
+
+#include "burdockhold/clock.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace burdockhold {
+
+/// A part of a prompt. Requests that name the same parts from the start share what an engine has
+/// computed of them.
+struct prompt_part
+{
+    std::string id;
+    std::int64_t tokens = 0;
+};
+
+struct http_field
+{
+    std::string name;
+    std::string value;
+};
+
+struct caller_request
+{
+    std::string method;
+    std::string target; ///< Path and query, unchanged.
+    std::string host;
+    std::string callId;                ///< The caller's id of this attempt; endpoints echo it.
+    std::string key;                   ///< Never passed to an endpoint.
+    std::optional<duration> deadline;  ///< How long the caller waits, from its arrival here.
+    std::string model;
+    std::int64_t promptTokens = 0;
+    std::int64_t maxOutputTokens = 0;
+    bool statesTokens = false;
+    std::vector<prompt_part> prefix;   ///< The last part belongs to this request alone.
+    std::string resumeAfter;           ///< Id of the last event that the caller has; may be empty.
+    std::vector<http_field> passedOn;  ///< End-to-end fields as the caller sent them.
+    std::string body;
+
+    std::int64_t tokens() const { return promptTokens + maxOutputTokens; }
+};
+
+/// What the router states about a call to the endpoint that it chose.
+struct endpoint_orders
+{
+    std::string endpointId;
+    duration timeLeft = duration::zero();
+    std::string account; ///< Empty on public routes.
+    int priority = 5;
+    std::string cacheSalt;                    ///< Empty for calls without cached parts.
+    std::optional<std::int64_t> weights;      ///< Version that must run the call.
+    std::string copyPartsFrom;                ///< Address to copy cached parts from; may be empty.
+    std::string saveParts;                    ///< Address of a store that gets the parts, or empty.
+    std::string resumeAfter;                  ///< Last event that the caller has; may be empty.
+};
+
+/// Head of an endpoint's answer.
+struct endpoint_answer_head
+{
+    int status = 0;
+    std::string callId;    ///< Echo of the caller's id; empty when absent.
+    std::string signature; ///< Empty when absent.
+    bool saysNotRun = false;
+    bool encoded = false; ///< Has a content coding, which no engine uses.
+    bool eventStream = false;
+    std::optional<std::int64_t> weights;
+    std::vector<http_field> passedOn;
+};
+
+} // namespace burdockhold
+
+#endif
--- /dev/null
+++ b/burdockhold/decision_log.h
@@ -0,0 +1,113 @@
+#ifndef BURDOCKHOLD_DECISION_LOG_H
+#define BURDOCKHOLD_DECISION_LOG_H
+
+// Structured log lines of the event loop: one JSON object a line, for each decision on a request
+// and each change of what the process believes.
+//
+// Promises:
+// - Writing never blocks: lines wait in a bounded queue and go out as the descriptor takes them.
+// - A budget bounds lines a second. Successes are dropped first, then failures of requests; changes
+//   of belief only when the queue is full. Dropped lines are counted and the count is logged.
+// Its text comes from nlohmann-json, not from log4cxx, whose appenders write in the caller's thread.
+
+#include "burdockhold/clock.h"
+#include "burdockhold/enum_names.h"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <string>
+
+namespace burdockhold {
+
+/// What a line tells. docs/OPERATIONS.md lists the fields of each.
+enum class log_event {
+    Started,
+    Stopping,
+    Stopped,
+    SettingsReloaded,
+    DependencyLost,
+    DependencyRegained,
+    DeploymentApplied,
+    DeploymentRefused,
+    WeightsWanted,
+    EndpointChanged,
+    EndpointRefused,
+    DutyChanged,
+    OrderGiven,
+    OrderAnswered,
+    RequestEnded,
+    CallEnded,
+    LinesDropped,
+};
+
+template <>
+struct enum_names<log_event>
+{
+    static constexpr std::array<enum_name<log_event>, 17> Table{ {
+            { log_event::Started, "started" },
+            { log_event::Stopping, "stopping" },
+            { log_event::Stopped, "stopped" },
+            { log_event::SettingsReloaded, "settings_reloaded" },
+            { log_event::DependencyLost, "dependency_lost" },
+            { log_event::DependencyRegained, "dependency_regained" },
+            { log_event::DeploymentApplied, "deployment_applied" },
+            { log_event::DeploymentRefused, "deployment_refused" },
+            { log_event::WeightsWanted, "weights_wanted" },
+            { log_event::EndpointChanged, "endpoint_changed" },
+            { log_event::EndpointRefused, "endpoint_refused" },
+            { log_event::DutyChanged, "duty_changed" },
+            { log_event::OrderGiven, "order_given" },
+            { log_event::OrderAnswered, "order_answered" },
+            { log_event::RequestEnded, "request_ended" },
+            { log_event::CallEnded, "call_ended" },
+            { log_event::LinesDropped, "lines_dropped" },
+    } };
+};
+
+/// How much a line matters when not all can be kept.
+enum class log_weight { Success, Failure, Belief };
+
+struct decision_log_options
+{
+    int descriptor = 1;
+    double linesPerSecond = 50.0; ///< Of successes; failures get four times as many.
+    std::size_t queueBytes = 256 * 1024;
+};
+
+class decision_log
+{
+public:
+    explicit decision_log(std::string vm, decision_log_options options = {});
+
+    /// True if a line of this weight would be kept now. Lets callers skip building it.
+    bool accepts(log_weight weight, time_point now);
+
+    /// Queues the line. Call accepts() first; the fields must form a JSON object.
+    void write(log_event event, nlohmann::ordered_json fields, time_point now);
+
+    /// Writes as much as the descriptor takes without blocking.
+    void flush();
+
+    std::uint64_t dropped() const { return m_dropped; }
+
+private:
+    void refill(time_point now);
+
+    std::string m_vm;
+    decision_log_options m_options;
+    std::deque<std::string> m_queue;
+    std::size_t m_queuedBytes = 0;
+    std::size_t m_writtenOfFirst = 0;
+    double m_successLines;
+    double m_failureLines;
+    time_point m_refilledAt;
+    std::uint64_t m_dropped = 0;
+    std::uint64_t m_droppedReported = 0;
+};
+
+} // namespace burdockhold
+
+#endif
--- /dev/null
+++ b/burdockhold/deployment.cc
@@ -0,0 +1,65 @@
+#include "burdockhold/deployment.h"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace burdockhold {
+
+namespace {
+
+std::string normalisedHost(std::string_view host)
+{
+    std::string text(host.substr(0, host.find(':')));
+    std::transform(text.begin(), text.end(), text.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return text;
+}
+
+} // namespace
+
+deployment_index::deployment_index(deployment source)
+    : m_source(std::move(source))
+{
+    for (const deployment_route &route : m_source.routes)
+        m_routesByHost[normalisedHost(route.host)].push_back(&route);
+    for (auto &[host, routes] : m_routesByHost) {
+        std::stable_sort(routes.begin(), routes.end(), [](const auto *a, const auto *b) {
+            return a->pathPrefix.size() > b->pathPrefix.size();
+        });
+    }
+    for (const deployment_account &account : m_source.accounts) {
+        for (const std::string &key : account.keys)
+            m_accountsByKey.emplace(key, &account);
+    }
+    for (const deployment_pool &pool : m_source.pools)
+        m_pools.emplace(pool.name, &pool);
+}
+
+const deployment_route *deployment_index::findRoute(std::string_view host,
+                                                    std::string_view path) const
+{
+    const auto found = m_routesByHost.find(normalisedHost(host));
+    if (found == m_routesByHost.end())
+        return nullptr;
+    const std::string_view bare = path.substr(0, path.find('?'));
+    for (const deployment_route *route : found->second) {
+        if (bare.substr(0, route->pathPrefix.size()) == route->pathPrefix)
+            return route;
+    }
+    return nullptr;
+}
+
+const deployment_account *deployment_index::findAccount(std::string_view key) const
+{
+    const auto found = m_accountsByKey.find(std::string(key));
+    return found == m_accountsByKey.end() ? nullptr : found->second;
+}
+
+const deployment_pool *deployment_index::findPool(std::string_view name) const
+{
+    const auto found = m_pools.find(std::string(name));
+    return found == m_pools.end() ? nullptr : found->second;
+}
+
+} // namespace burdockhold
--- /dev/null
+++ b/burdockhold/endpoint_choice.cc
@@ -0,0 +1,115 @@
+#include "burdockhold/endpoint_choice.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace burdockhold {
+
+namespace {
+
+double engineMs(const endpoint_candidate &candidate, const placement_need &need, bool holds,
+                bool canCopy, const endpoint_choice_options &options)
+{
+    double ms = static_cast<double>(candidate.unreadTokens + need.ownTokens)
+            / options.readTokensPerMs;
+    if (!holds) {
+        const auto tokens = static_cast<double>(need.partTokens);
+        ms += canCopy ? tokens / options.copyTokensPerMs
+                      : options.rereadWeight * tokens / options.readTokensPerMs;
+    }
+    ms += options.runningMs * candidate.running;
+    const double need0 = static_cast<double>(candidate.heldTokens + need.promptTokens
+                                             + need.outputTokens);
+    const double memory = options.memoryShare * static_cast<double>(candidate.cacheTokens);
+    if (memory > 0.0 && need0 > memory)
+        ms += options.overMemoryMs * (1.0 + (need0 - memory) / memory);
+    return ms;
+}
+
+double serviceMs(const endpoint_candidate &candidate, const endpoint_choice_options &options)
+{
+    const double each = candidate.latencyMs > 0.0 ? candidate.latencyMs : options.serviceMs;
+    const double ahead = static_cast<double>(candidate.running) / std::max(1, candidate.slots);
+    return each * (1.0 + ahead);
+}
+
+double penaltyMs(const endpoint_candidate &candidate, const endpoint_choice_options &options)
+{
+    const double failures = candidate.failureShare * candidate.recentCalls
+            / (candidate.recentCalls + options.priorCalls);
+    double ms = options.failureMs * failures;
+    if (candidate.suspect)
+        ms += options.suspectMs;
+    if (candidate.oldWeights)
+        ms += options.oldWeightsMs;
+    if (!candidate.sameDataCentre)
+        ms += options.crossDataCentreMs;
+    return ms;
+}
+
+/// Returns a candidate that holds the part and can be reached, other than the given one.
+std::optional<std::size_t> holderBeside(const std::vector<endpoint_candidate> &candidates,
+                                        std::size_t chosen, std::optional<std::size_t> home)
+{
+    const auto usable = [&](std::size_t index) {
+        const endpoint_candidate &candidate = candidates[index];
+        return index != chosen && candidate.holdsPart && !candidate.suspect
+                && !candidate.oldWeights;
+    };
+    if (home && usable(*home))
+        return home;
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        if (usable(index))
+            return index;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::optional<std::size_t> homeOf(const std::vector<endpoint_candidate> &candidates,
+                                  std::string_view key)
+{
+    std::optional<std::size_t> best;
+    std::uint64_t bestScore = 0;
+    const std::uint64_t keyHash = XXH64(key.data(), key.size(), 0);
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        const std::string_view id = candidates[index].id;
+        const std::uint64_t score = XXH64(id.data(), id.size(), keyHash);
+        if (!best || score > bestScore) {
+            best = index;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+std::optional<endpoint_choice> chooseEndpoint(const std::vector<endpoint_candidate> &candidates,
+                                              const placement_need &need, std::uint64_t seed,
+                                              const endpoint_choice_options &options)
+{
+    const bool plain = need.homeKey.empty();
+    const std::optional<std::size_t> home = plain ? std::nullopt : homeOf(candidates, need.homeKey);
+    std::optional<endpoint_choice> best;
+    for (std::size_t step = 0; step < candidates.size(); ++step) {
+        const std::size_t index = (step + seed) % candidates.size();
+        const endpoint_candidate &candidate = candidates[index];
+        if (candidate.excluded || candidate.running >= candidate.slots)
+            continue;
+        const bool holds = candidate.holdsPart || index == home;
+        endpoint_choice choice;
+        choice.index = index;
+        if (!plain && !holds)
+            choice.copyFrom = holderBeside(candidates, index, home);
+        choice.expectedMs = penaltyMs(candidate, options)
+                + (plain ? serviceMs(candidate, options)
+                         : engineMs(candidate, need, holds, choice.copyFrom.has_value(), options));
+        choice.expectedCachedTokens = holds ? need.promptTokens - need.ownTokens : 0;
+        if (!best || choice.expectedMs < best->expectedMs)
+            best = choice;
+    }
+    return best;
+}
+
+} // namespace burdockhold
--- /dev/null
+++ b/burdockhold/endpoint_choice.h
@@ -0,0 +1,89 @@
+#ifndef BURDOCKHOLD_ENDPOINT_CHOICE_H
+#define BURDOCKHOLD_ENDPOINT_CHOICE_H
+
+// Which endpoint of a pool gets a request now.
+//
+// The choice is the endpoint with the least expected time to the first event, in milliseconds. A
+// prompt has a home: the endpoint that rendezvous hashing of its deepest shared part names, the
+// same on every VM, so that its parts are cached there without any exchange between VMs. Another
+// endpoint is chosen when waiting at the home costs more than reading the part again, or copying it
+// from the home. The function is pure; equal inputs give equal choices. Time is linear in the
+// number of candidates.
+
+#include "burdockhold/clock.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace burdockhold {
+
+/// An endpoint as the request path sees it at the moment of the choice.
+struct endpoint_candidate
+{
+    std::string_view id;
+    bool sameDataCentre = false;
+    bool excluded = false; ///< Leaving, gone, in back-off, loading weights or already tried.
+    bool suspect = false;  ///< Has running requests but has been silent, or others cannot reach it.
+    int slots = 1;
+    int running = 0;                 ///< Requests of all VMs.
+    std::int64_t unreadTokens = 0;   ///< Prompt tokens of requests without a first event.
+    std::int64_t heldTokens = 0;     ///< Prompt and output tokens of all running requests.
+    std::int64_t cacheTokens = 0;    ///< Memory; 0 for plain services.
+    double failureShare = 0.0;       ///< Of recent calls, as all VMs saw them.
+    double recentCalls = 0.0;        ///< Weight of failureShare.
+    double latencyMs = 0.0;          ///< Moving average; plain services only.
+    bool oldWeights = false;         ///< Older than the wanted version.
+    bool holdsPart = false;          ///< Has read the deepest shared part for these weights.
+};
+
+/// What the choice needs to know of a request.
+struct placement_need
+{
+    std::string homeKey;           ///< Deepest shared part with model; empty for plain services.
+    std::int64_t partTokens = 0;   ///< Of the deepest shared part.
+    std::int64_t ownTokens = 0;    ///< Of the prompt beyond shared parts.
+    std::int64_t outputTokens = 0;
+    std::int64_t promptTokens = 0;
+};
+
+struct endpoint_choice_options
+{
+    double readTokensPerMs = 50.0;  ///< Prefill rate of an engine; engines state none.
+    double copyTokensPerMs = 350.0; ///< Link of 740 Gbit/s at 262 KB a token.
+    /// Reading a part again delays the requests behind it too, so it weighs more than its own time.
+    double rereadWeight = 2.0;
+    double runningMs = 1.0;        ///< Each running request slows the steps of all.
+    double overMemoryMs = 600.0;   ///< Preempted requests are read in again.
+    double memoryShare = 0.92;     ///< Usable part of the memory: blocks are filled partly.
+    double suspectMs = 3000.0;
+    double oldWeightsMs = 250.0;   ///< Half of the usual latency target.
+    double failureMs = 800.0;      ///< A failed call costs about a latency target and a repeat.
+    double priorCalls = 3.0;       ///< Calls without failure that are assumed of each endpoint.
+    double crossDataCentreMs = 1.0;
+    double serviceMs = 20.0;       ///< Assumed of plain services before their first answer.
+};
+
+struct endpoint_choice
+{
+    std::size_t index = 0; ///< Into the candidates.
+    double expectedMs = 0.0;
+    std::int64_t expectedCachedTokens = 0;
+    std::optional<std::size_t> copyFrom; ///< Candidate that holds the part that the chosen lacks.
+};
+
+/// Returns the choice, or nothing when every candidate is excluded or out of slots. The seed breaks
+/// ties between plain services.
+std::optional<endpoint_choice> chooseEndpoint(const std::vector<endpoint_candidate> &candidates,
+                                              const placement_need &need, std::uint64_t seed,
+                                              const endpoint_choice_options &options = {});
+
+/// Returns the home of the key: the candidate with the highest rendezvous score.
+std::optional<std::size_t> homeOf(const std::vector<endpoint_candidate> &candidates,
+                                  std::string_view key);
+
+} // namespace burdockhold
+
+#endif
--- /dev/null
+++ b/burdockhold/endpoint_table.cc
@@ -0,0 +1,397 @@
+#include "burdockhold/endpoint_table.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace burdockhold {
+
+namespace {
+
+constexpr double CountScale = 10.0; // Digests carry decayed counts in tenths.
+constexpr double LatencyWeight = 0.2; // Of the newest call in the moving average.
+
+std::uint32_t clamped(std::int64_t value)
+{
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(value, 0, UINT32_MAX));
+}
+
+} // namespace
+
+endpoint_table::endpoint_table(std::string dataCentre, endpoint_table_options options)
+    : m_dataCentre(std::move(dataCentre))
+    , m_options(options)
+{
+}
+
+bool endpoint_table::update(const endpoint_report &report, time_point now)
+{
+    const auto [row, isNew] = m_entries.try_emplace(report.id);
+    table_entry &entry = row->second;
+    const bool restarted = !isNew && report.incarnation != entry.report.incarnation;
+    if (restarted || isNew) {
+        entry = table_entry {};
+        entry.hash = shortHash(report.id);
+        entry.heardAt = now;
+        m_idsByHash[entry.hash] = report.id;
+    }
+    const bool changed = isNew || restarted || entry.removed
+            || entry.report.leaving != report.leaving || entry.report.address != report.address;
+    entry.report = report;
+    entry.removed = false;
+    for (const auto &[model, version] : report.weights) {
+        auto &known = entry.weights[model];
+        known = std::max(known, version);
+    }
+    return changed;
+}
+
+void endpoint_table::remove(std::string_view id, time_point now)
+{
+    table_entry *entry = entryOf(id);
+    if (entry == nullptr || entry->removed)
+        return;
+    entry->removed = true;
+    entry->removedAt = now;
+}
+
+void endpoint_table::keepOnly(const std::set<std::string> &ids, time_point now)
+{
+    for (const auto &[id, entry] : m_entries) {
+        if (ids.count(id) == 0)
+            remove(id, now);
+    }
+}
+
+const endpoint_report *endpoint_table::find(std::string_view id) const
+{
+    const table_entry *entry = entryOf(id);
+    return entry == nullptr ? nullptr : &entry->report;
+}
+
+std::vector<const endpoint_report *> endpoint_table::ofPool(std::string_view pool) const
+{
+    std::vector<const endpoint_report *> found;
+    for (const auto &[id, entry] : m_entries) {
+        if (entry.report.pool == pool && !entry.removed)
+            found.push_back(&entry.report);
+    }
+    return found;
+}
+
+bool endpoint_table::isUsable(const table_entry &entry, bool poolIsEmpty, time_point now) const
+{
+    if (entry.report.leaving)
+        return false;
+    if (!entry.removed)
+        return true;
+    return poolIsEmpty && now - entry.removedAt < m_options.removalGrace;
+}
+
+std::vector<endpoint_candidate> endpoint_table::candidates(std::string_view pool,
+                                                           std::string_view model,
+                                                           std::int64_t wantedVersion,
+                                                           std::string_view partKey,
+                                                           const std::set<std::string> &tried,
+                                                           time_point now) const
+{
+    const bool poolIsEmpty = ofPool(pool).empty();
+    std::vector<endpoint_candidate> found;
+    for (const auto &[id, entry] : m_entries) {
+        if (entry.report.pool != pool || !isUsable(entry, poolIsEmpty, now))
+            continue;
+        endpoint_candidate candidate = candidateOf(entry, model, wantedVersion, partKey, now);
+        candidate.id = id;
+        if (tried.count(id) != 0)
+            candidate.excluded = true;
+        found.push_back(candidate);
+    }
+    return found;
+}
+
+endpoint_candidate endpoint_table::candidateOf(const table_entry &entry, std::string_view model,
+                                               std::int64_t wantedVersion,
+                                               std::string_view partKey, time_point now) const
+{
+    peer_sum others;
+    if (const auto sum = m_peerSums.find(entry.hash); sum != m_peerSums.end())
+        others = sum->second;
+    decayed_count recent = entry.recent;
+    decay(recent, m_options.callHalfLife, now);
+
+    endpoint_candidate candidate;
+    candidate.sameDataCentre = entry.report.dataCentre == m_dataCentre;
+    candidate.slots = entry.report.slots;
+    candidate.running = entry.running + static_cast<int>(others.running);
+    candidate.unreadTokens = entry.unreadTokens + others.unreadTokens;
+    candidate.heldTokens = entry.heldTokens + others.heldTokens;
+    candidate.recentCalls = recent.calls + others.calls;
+    if (candidate.recentCalls > 0.0)
+        candidate.failureShare = (recent.failures + others.failures) / candidate.recentCalls;
+    candidate.latencyMs = entry.latencyMs;
+    candidate.suspect = candidate.running > 0 && now - entry.heardAt > m_options.suspectAfter;
+    const bool loading = !model.empty() && now < entry.loadingUntil;
+    candidate.excluded = loading || now < entry.backOffUntil;
+    candidate.oldWeights = !model.empty() && versionOf(entry, model) < wantedVersion;
+    candidate.holdsPart = !partKey.empty() && entry.parts.count(std::string(partKey)) != 0;
+    return candidate;
+}
+
+std::vector<ordered_engine> endpoint_table::orderedEngines(std::string_view pool,
+                                                           std::string_view model,
+                                                           time_point now) const
+{
+    std::vector<ordered_engine> engines;
+    for (const auto &[id, entry] : m_entries) {
+        if (entry.report.pool != pool || !isUsable(entry, false, now))
+            continue;
+        std::int64_t held = entry.heldTokens;
+        if (const auto sum = m_peerSums.find(entry.hash); sum != m_peerSums.end())
+            held += sum->second.heldTokens;
+        engines.push_back({ id, entry.report.address, entry.report.incarnation, std::string(model),
+                            versionOf(entry, model), held });
+    }
+    return engines;
+}
+
+std::int64_t endpoint_table::versionOf(const table_entry &entry, std::string_view model)
+{
+    const auto found = entry.weights.find(model);
+    return found == entry.weights.end() ? 0 : found->second;
+}
+
+std::int64_t endpoint_table::weightsOf(std::string_view id, std::string_view model) const
+{
+    const table_entry *entry = entryOf(id);
+    return entry == nullptr ? 0 : versionOf(*entry, model);
+}
+
+void endpoint_table::weightsSeen(std::string_view id, std::string_view model, std::int64_t version)
+{
+    table_entry *entry = entryOf(id);
+    if (entry == nullptr)
+        return;
+    std::int64_t &known = entry->weights[std::string(model)];
+    if (version <= known)
+        return;
+    known = version;
+    // New weights empty the engine.
+    entry->parts.clear();
+    entry->partOrder.clear();
+    entry->loadingUntil = {};
+}
+
+void endpoint_table::setLoading(std::string_view id, time_point now)
+{
+    if (table_entry *entry = entryOf(id))
+        entry->loadingUntil = now + m_options.loadingLapse;
+}
+
+bool endpoint_table::isLoading(std::string_view id, time_point now) const
+{
+    const table_entry *entry = entryOf(id);
+    return entry != nullptr && now < entry->loadingUntil;
+}
+
+void endpoint_table::callStarted(std::string_view id, const call_load &load, time_point now)
+{
+    table_entry *entry = entryOf(id);
+    if (entry == nullptr)
+        return;
+    if (entry->running == 0)
+        entry->heardAt = std::max(entry->heardAt, now);
+    ++entry->running;
+    entry->unreadTokens += load.unreadTokens;
+    entry->heldTokens += load.heldTokens;
+}
+
+void endpoint_table::promptRead(std::string_view id, const call_load &load)
+{
+    if (table_entry *entry = entryOf(id))
+        entry->unreadTokens = std::max<std::int64_t>(0, entry->unreadTokens - load.unreadTokens);
+}
+
+void endpoint_table::callEnded(std::string_view id, const call_load &load, bool promptWasRead)
+{
+    table_entry *entry = entryOf(id);
+    if (entry == nullptr)
+        return;
+    // A restarted endpoint has lost its counts already.
+    entry->running = std::max(0, entry->running - 1);
+    entry->heldTokens = std::max<std::int64_t>(0, entry->heldTokens - load.heldTokens);
+    if (!promptWasRead)
+        entry->unreadTokens = std::max<std::int64_t>(0, entry->unreadTokens - load.unreadTokens);
+}
+
+void endpoint_table::heard(std::string_view id, time_point now)
+{
+    table_entry *entry = entryOf(id);
+    if (entry == nullptr)
+        return;
+    entry->heardAt = now;
+    entry->connectFailures = 0;
+}
+
+void endpoint_table::callJudged(std::string_view id, bool succeeded, double latencyMs,
+                                time_point now)
+{
+    table_entry *entry = entryOf(id);
+    if (entry == nullptr)
+        return;
+    decay(entry->recent, m_options.callHalfLife, now);
+    entry->recent.calls += 1.0;
+    if (!succeeded) {
+        entry->recent.failures += 1.0;
+        return;
+    }
+    entry->latencyMs = entry->latencyMs == 0.0
+            ? latencyMs
+            : entry->latencyMs + LatencyWeight * (latencyMs - entry->latencyMs);
+}
+
+void endpoint_table::connectFailed(std::string_view id, time_point now)
+{
+    table_entry *entry = entryOf(id);
+    if (entry == nullptr)
+        return;
+    constexpr int MaxDoublings = 8;
+    const int doublings = std::min(entry->connectFailures, MaxDoublings);
+    const duration pause = m_options.firstBackOff * (1 << doublings);
+    entry->backOffUntil = now + std::min(pause, m_options.longestBackOff);
+    ++entry->connectFailures;
+}
+
+void endpoint_table::partHeld(std::string_view id, const std::string &partKey)
+{
+    table_entry *entry = entryOf(id);
+    if (entry == nullptr || !entry->parts.insert(partKey).second)
+        return;
+    entry->partOrder.push_back(partKey);
+    if (entry->partOrder.size() > m_options.partsPerEndpoint) {
+        entry->parts.erase(entry->partOrder.front());
+        entry->partOrder.pop_front();
+    }
+}
+
+void endpoint_table::fillDigest(vm_digest &digest, time_point now) const
+{
+    for (const auto &[id, entry] : m_entries) {
+        decayed_count recent = entry.recent;
+        decay(recent, m_options.callHalfLife, now);
+        const auto calls = clamped(std::llround(recent.calls * CountScale));
+        if (entry.running > 0 || calls > 0) {
+            const auto silent = std::chrono::duration_cast<std::chrono::milliseconds>(
+                    now - entry.heardAt);
+            digest.endpoints.push_back({ entry.hash, clamped(entry.running),
+                                         clamped(entry.unreadTokens), clamped(entry.heldTokens),
+                                         calls, clamped(std::llround(recent.failures * CountScale)),
+                                         clamped(silent.count()) });
+        }
+        if (entry.removed)
+            continue;
+        for (const auto &[model, version] : entry.weights) {
+            const auto stated = entry.report.weights.find(model);
+            const bool ahead = stated == entry.report.weights.end() || stated->second < version;
+            const bool loading = now < entry.loadingUntil;
+            if (ahead || loading)
+                digest.weights.push_back({ entry.hash, shortHash(model), version, loading });
+        }
+    }
+}
+
+void endpoint_table::addRows(const vm_digest &digest, int sign)
+{
+    for (const endpoint_row &row : digest.endpoints) {
+        peer_sum &sum = m_peerSums[row.endpoint];
+        sum.running += sign * static_cast<std::int64_t>(row.running);
+        sum.unreadTokens += sign * static_cast<std::int64_t>(row.unreadTokens);
+        sum.heldTokens += sign * static_cast<std::int64_t>(row.heldTokens);
+        sum.calls += sign * row.recentCalls / CountScale;
+        sum.failures += sign * row.recentFailures / CountScale;
+    }
+}
+
+void endpoint_table::peerDigest(const vm_digest &digest, time_point now)
+{
+    peer_view &view = m_peers[digest.vm];
+    addRows(view.digest, -1);
+    view = { digest, now };
+    addRows(digest, 1);
+    for (const endpoint_row &row : digest.endpoints) {
+        const auto id = m_idsByHash.find(row.endpoint);
+        if (id == m_idsByHash.end())
+            continue;
+        if (table_entry *entry = entryOf(id->second))
+            entry->heardAt = std::max(entry->heardAt,
+                                      now - std::chrono::milliseconds(row.silentMs));
+    }
+    for (const weights_row &row : digest.weights)
+        peerWeights(row, now);
+}
+
+void endpoint_table::peerWeights(const weights_row &row, time_point now)
+{
+    const auto id = m_idsByHash.find(row.endpoint);
+    if (id == m_idsByHash.end())
+        return;
+    const table_entry *entry = entryOf(id->second);
+    if (entry == nullptr)
+        return;
+    for (const auto &[model, version] : entry->report.weights) {
+        if (shortHash(model) != row.model)
+            continue;
+        weightsSeen(id->second, model, row.version);
+        // A load that is known to have ended is not marked again by a digest sent before.
+        if (row.loading && versionOf(*entry, model) <= row.version)
+            setLoading(id->second, now);
+        return;
+    }
+}
+
+void endpoint_table::step(time_point now)
+{
+    for (auto peer = m_peers.begin(); peer != m_peers.end();) {
+        if (now - peer->second.at <= m_options.peerLapse) {
+            ++peer;
+            continue;
+        }
+        addRows(peer->second.digest, -1);
+        peer = m_peers.erase(peer);
+    }
+    constexpr duration ForgetRemoved = std::chrono::seconds(30);
+    for (auto entry = m_entries.begin(); entry != m_entries.end();) {
+        const bool forget = entry->second.removed && entry->second.running == 0
+                && now - entry->second.removedAt > ForgetRemoved;
+        if (forget)
+            m_idsByHash.erase(entry->second.hash);
+        entry = forget ? m_entries.erase(entry) : std::next(entry);
+    }
+}
+
+int endpoint_table::ownRunning(std::string_view id) const
+{
+    const table_entry *entry = entryOf(id);
+    return entry == nullptr ? 0 : entry->running;
+}
+
+endpoint_table::table_entry *endpoint_table::entryOf(std::string_view id)
+{
+    const auto found = m_entries.find(id);
+    return found == m_entries.end() ? nullptr : &found->second;
+}
+
+const endpoint_table::table_entry *endpoint_table::entryOf(std::string_view id) const
+{
+    const auto found = m_entries.find(id);
+    return found == m_entries.end() ? nullptr : &found->second;
+}
+
+void endpoint_table::decay(decayed_count &count, duration halfLife, time_point now)
+{
+    const double factor = std::exp2(-toSeconds(now - count.at) / toSeconds(halfLife));
+    count.calls *= factor;
+    count.failures *= factor;
+    count.at = now;
+}
+
+} // namespace burdockhold
--- /dev/null
+++ b/burdockhold/event_splitter.cc
@@ -0,0 +1,73 @@
+#include "burdockhold/event_splitter.h"
+
+#include <charconv>
+#include <optional>
+
+namespace burdockhold {
+
+namespace {
+
+constexpr std::size_t MaxEventBytes = 1024 * 1024;
+constexpr std::string_view EventEnd = "\n\n";
+
+std::string_view idOf(std::string_view event)
+{
+    while (!event.empty()) {
+        const std::size_t end = std::min(event.find('\n'), event.size());
+        std::string_view line = event.substr(0, end);
+        if (line.substr(0, 3) == "id:") {
+            line.remove_prefix(3);
+            if (!line.empty() && line.front() == ' ')
+                line.remove_prefix(1);
+            return line;
+        }
+        event.remove_prefix(std::min(end + 1, event.size()));
+    }
+    return {};
+}
+
+std::optional<std::uint64_t> numberOf(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (text.empty() || error != std::errc() || end != text.data() + text.size())
+        return std::nullopt;
+    return value;
+}
+
+} // namespace
+
+std::string event_splitter::add(std::string_view bytes)
+{
+    std::string whole;
+    if (m_failed)
+        return whole;
+    m_partial.append(bytes);
+    std::size_t begin = 0;
+    for (std::size_t end = m_partial.find(EventEnd); end != std::string::npos;
+         end = m_partial.find(EventEnd, begin)) {
+        const std::size_t next = end + EventEnd.size();
+        const std::string_view event = std::string_view(m_partial).substr(begin, next - begin);
+        if (accept(event))
+            whole.append(event);
+        begin = next;
+    }
+    m_partial.erase(0, begin);
+    m_failed = m_partial.size() > MaxEventBytes;
+    return whole;
+}
+
+bool event_splitter::accept(std::string_view event)
+{
+    const std::string_view id = idOf(event);
+    const auto number = numberOf(id);
+    const auto last = numberOf(m_lastId);
+    if (number && last && *number <= *last)
+        return false;
+    if (!id.empty())
+        m_lastId = std::string(id);
+    ++m_events;
+    return true;
+}
+
+} // namespace burdockhold
--- /dev/null
+++ b/burdockhold/loop_exchange.cc
@@ -0,0 +1,639 @@
+#include "burdockhold/loop_exchange.h"
+
+#include "burdockhold/enum_names.h"
+#include "platform/request_codec.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace burdockhold {
+
+using boost::system::error_code;
+
+namespace {
+
+constexpr int StatusOk = 200;
+constexpr int MaxSends = 4; // Calls of one request, refused ones included.
+constexpr std::size_t MaxAnswerBytes = 8 * 1024 * 1024;
+// A view this much older than a deployment may take to be in force names neither routes nor keys
+// as unknown.
+constexpr duration ViewSlack = std::chrono::milliseconds(800);
+// Keys stop this long before the bound: the request itself takes time to its endpoint.
+constexpr duration RevocationMargin = std::chrono::milliseconds(300);
+// Least pause that a refusal asks for: a connection and the balancer's choice take part of it.
+constexpr duration MinRetryAfter = std::chrono::milliseconds(50);
+
+std::uint64_t hashOf(std::string_view text)
+{
+    return XXH64(text.data(), text.size(), 0);
+}
+
+/// Spreads the returns of refused callers over half of the pause more, by the hash of the call.
+duration spread(duration pause, std::string_view callId)
+{
+    const double share = static_cast<double>(hashOf(callId) % 1000) / 1000.0;
+    return pause + fromSeconds(0.5 * share * toSeconds(pause));
+}
+
+std::string secondsText(duration time)
+{
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+    std::string text = std::to_string(ms / 1000) + ".";
+    const std::string rest = std::to_string(ms % 1000);
+    return text + std::string(3 - rest.size(), '0') + rest;
+}
+
+} // namespace
+
+void waiting_room::enter(std::shared_ptr<exchange> waiting)
+{
+    const auto place = std::upper_bound(
+            m_waiting.begin(), m_waiting.end(), waiting, [](const auto &a, const auto &b) {
+                return std::make_pair(a->priority(), a->arrival())
+                        < std::make_pair(b->priority(), b->arrival());
+            });
+    m_waiting.insert(place, std::move(waiting));
+}
+
+void waiting_room::leave(const exchange *waiting)
+{
+    m_waiting.erase(std::remove_if(m_waiting.begin(), m_waiting.end(),
+                                   [waiting](const auto &other) { return other.get() == waiting; }),
+                    m_waiting.end());
+}
+
+void waiting_room::retry()
+{
+    const auto trying = m_waiting;
+    for (const auto &waiting : trying)
+        waiting->place();
+}
+
+exchange::exchange(exchange_context context, caller_request request, reply_port port,
+                   time_point arrival)
+    : m_context(context)
+    , m_request(std::move(request))
+    , m_port(std::move(port))
+    , m_arrival(arrival)
+    , m_timer(context.io)
+{
+}
+
+void exchange::start()
+{
+    m_context.board.metrics.count(router_counter::Requests);
+    m_deployment = m_context.board.deployment;
+    if (!m_deployment) {
+        refuse(503, "no_deployment", std::chrono::milliseconds(300));
+        return;
+    }
+    if (!findRoute() || !authenticate() || !admitTokens())
+        return;
+    duration limit = m_route->timeout;
+    if (m_request.deadline)
+        limit = std::min(limit, *m_request.deadline);
+    m_deadline = m_arrival + limit;
+    m_poolName = choosePool();
+    m_pool = m_deployment->findPool(m_poolName);
+    m_priority = m_account != nullptr && m_account->priority ? *m_account->priority
+                                                             : m_route->priority;
+    m_context.board.repeatsOf(m_poolName).countRequest(steadyNow());
+    startTimer();
+    if (!place())
+        waitForEndpoint();
+}
+
+bool exchange::findRoute()
+{
+    m_route = m_deployment->findRoute(m_request.host, m_request.target);
+    if (m_route != nullptr && !m_route->pools.empty())
+        return true;
+    const router_board &board = m_context.board;
+    if (board.deploymentAge() > board.settings.configBound + ViewSlack)
+        refuse(503, "stale_view", std::chrono::milliseconds(300));
+    else
+        fail(404, "no_route");
+    return false;
+}
+
+bool exchange::authenticate()
+{
+    const router_board &board = m_context.board;
+    if (m_route->publicAccess || m_deployment->source().accounts.empty())
+        return true;
+    if (board.deploymentAge() > board.settings.revocationBound - RevocationMargin) {
+        refuse(503, "stale_view", std::chrono::milliseconds(300));
+        return false;
+    }
+    m_account = m_deployment->findAccount(m_request.key);
+    if (m_account != nullptr)
+        return true;
+    if (board.deploymentAge() > board.settings.configBound + ViewSlack)
+        refuse(503, "stale_view", std::chrono::milliseconds(300));
+    else
+        fail(401, "unknown_key");
+    return false;
+}
+
+bool exchange::admitTokens()
+{
+    if (m_account == nullptr || m_account->ratePerSecond <= 0.0)
+        return true;
+    double cost = m_account->defaultCost;
+    if (m_account->countsTokens && m_request.statesTokens)
+        cost = static_cast<double>(m_request.tokens());
+    const time_point now = steadyNow();
+    quota_ledger &quota = m_context.board.quotaOf(*m_account, now);
+    if (quota.tryAdmit(cost, now))
+        return true;
+    refuse(429, "over_quota", std::max<duration>(MinRetryAfter, quota.timeUntil(cost, now)));
+    return false;
+}
+
+void exchange::startTimer()
+{
+    m_timer.expires_at(m_deadline);
+    m_timer.async_wait([self = shared_from_this()](error_code error) {
+        if (!error && !self->m_ended)
+            self->timeLimitReached();
+    });
+}
+
+void exchange::timeLimitReached()
+{
+    if (m_link)
+        releaseCall();
+    if (m_answerBegun) {
+        m_port.cutOff();
+        finish(router_counter::Failed, 0, "time_limit_in_stream");
+    } else if (m_mayHaveRun) {
+        fail(504, "time_limit");
+    } else {
+        refuse(503, "time_limit_waiting", MinRetryAfter);
+    }
+}
+
+void exchange::waitForEndpoint()
+{
+    m_waiting = true;
+    m_context.waiting.enter(shared_from_this());
+    // Half of the latency target: a caller that comes back later than that is late anyway.
+    const duration longest = m_route->latencyTarget / 2;
+    m_timer.expires_at(std::min(m_deadline, steadyNow() + longest));
+    m_timer.async_wait([self = shared_from_this()](error_code error) {
+        if (error || self->m_ended || !self->m_waiting)
+            return;
+        self->m_context.waiting.leave(self.get());
+        self->m_waiting = false;
+        if (self->m_mayHaveRun && !self->m_answerBegun)
+            self->fail(502, "no_endpoint_for_repeat");
+        else if (self->m_answerBegun)
+            self->takeStep(cut_off {});
+        else
+            self->refuse(503, "no_endpoint", self->m_route->latencyTarget / 2);
+    });
+}
+
+const std::string &exchange::choosePool()
+{
+    double total = 0.0;
+    for (const weighted_pool &pool : m_route->pools)
+        total += pool.weight;
+    double point = total * static_cast<double>(hashOf(m_request.callId) % 10000) / 10000.0;
+    for (const weighted_pool &pool : m_route->pools) {
+        point -= pool.weight;
+        if (point < 0.0)
+            return pool.pool;
+    }
+    return m_route->pools.back().pool;
+}
+
+std::string exchange::cacheSalt(std::int64_t version) const
+{
+    const bool isolated = m_account != nullptr && m_account->isolated;
+    return (isolated ? "a." + m_account->name : std::string("s")) + "." + std::to_string(version);
+}
+
+std::string exchange::partKey(std::int64_t version) const
+{
+    if (m_request.prefix.size() < 2)
+        return {};
+    const prompt_part &deepest = m_request.prefix[m_request.prefix.size() - 2];
+    return m_request.model + "/" + cacheSalt(version) + "/" + deepest.id;
+}
+
+placement_need exchange::needOf() const
+{
+    placement_need need;
+    if (m_pool == nullptr || !m_pool->engine || m_request.model.empty())
+        return need;
+    need.promptTokens = m_request.promptTokens;
+    need.outputTokens = m_request.maxOutputTokens;
+    need.ownTokens = m_request.promptTokens;
+    // The key does not name the version: a prompt keeps its home when the weights change.
+    const bool isolated = m_account != nullptr && m_account->isolated;
+    need.homeKey = m_request.model + (isolated ? "/" + m_account->name : std::string());
+    if (m_request.prefix.size() < 2) {
+        need.homeKey += "/" + m_request.callId;
+        return need;
+    }
+    const prompt_part &deepest = m_request.prefix[m_request.prefix.size() - 2];
+    need.homeKey += "/" + deepest.id;
+    need.partTokens = deepest.tokens;
+    need.ownTokens = m_request.prefix.back().tokens;
+    return need;
+}
+
+bool exchange::place()
+{
+    if (m_ended)
+        return true;
+    const time_point now = steadyNow();
+    const std::int64_t wanted = m_context.board.wantedVersion(m_request.model);
+    const placement_need need = needOf();
+    const std::string model = need.homeKey.empty() ? std::string() : m_request.model;
+    const auto candidates = m_context.board.endpoints.candidates(
+            m_poolName, model, wanted, partKey(wanted), m_tried, now);
+    const auto choice = chooseEndpoint(candidates, need, hashOf(m_request.callId));
+    if (!choice)
+        return false;
+    if (m_waiting) {
+        m_waiting = false;
+        m_context.waiting.leave(this);
+        startTimer();
+    }
+    if (m_sends == 0) {
+        m_waited = now - m_arrival;
+        m_context.board.metrics.waited(m_waited);
+    }
+    startCall(candidates, *choice, need);
+    return true;
+}
+
+endpoint_orders exchange::ordersFor(const std::string &endpointId,
+                                    const std::string &copyFrom) const
+{
+    endpoint_orders orders;
+    orders.endpointId = endpointId;
+    orders.timeLeft = m_deadline - steadyNow();
+    if (m_account != nullptr)
+        orders.account = m_account->name;
+    orders.resumeAfter = m_events.lastId().empty() ? m_request.resumeAfter : m_events.lastId();
+    if (m_pool != nullptr && m_pool->engine) {
+        orders.priority = std::clamp(m_priority, 0, 9);
+        orders.cacheSalt = cacheSalt(m_expectedWeights);
+        if (m_expectedWeights > 0)
+            orders.weights = m_expectedWeights;
+        orders.copyPartsFrom = copyFrom;
+    }
+    return orders;
+}
+
+void exchange::startCall(const std::vector<endpoint_candidate> &candidates,
+                         const endpoint_choice &choice, const placement_need &need)
+{
+    router_board &board = m_context.board;
+    m_endpointId = std::string(candidates[choice.index].id);
+    m_address = board.endpoints.find(m_endpointId)->address;
+    m_tried.insert(m_endpointId);
+    ++m_sends;
+    board.metrics.count(router_counter::Calls);
+    if (m_sends > 1)
+        board.metrics.count(router_counter::Repeats);
+    board.metrics.count(router_counter::CachedTokens,
+                        static_cast<std::uint64_t>(choice.expectedCachedTokens));
+    m_load = { need.promptTokens - choice.expectedCachedTokens,
+               need.promptTokens + need.outputTokens };
+    board.metrics.count(router_counter::UncachedTokens,
+                        static_cast<std::uint64_t>(m_load.unreadTokens));
+    m_promptRead = false;
+    m_headArrived = false;
+    m_wrongAnswer = false;
+    m_head = {};
+    m_body.clear();
+    m_callStarted = steadyNow();
+    m_expectedWeights = board.endpoints.weightsOf(m_endpointId, m_request.model);
+    if (m_expectedWeights == 0)
+        m_expectedWeights = board.wantedVersion(m_request.model);
+    m_partKey = partKey(m_expectedWeights);
+    std::string copyFrom;
+    if (choice.copyFrom) {
+        const auto *source = board.endpoints.find(candidates[*choice.copyFrom].id);
+        const bool sameWeights = source != nullptr
+                && board.endpoints.weightsOf(source->id, m_request.model) == m_expectedWeights;
+        if (sameWeights)
+            copyFrom = source->address;
+    }
+    board.endpoints.callStarted(m_endpointId, m_load, m_callStarted);
+    const bool repeatable = mayRepeat(m_route->kind, m_route->resumable);
+    m_link = m_context.links.take(m_address, repeatable);
+    if (!m_link) {
+        callEnded(call_end::NotSent);
+        return;
+    }
+    if (!m_link->isConnected())
+        board.metrics.count(router_counter::NewConnections);
+    m_link->call(platform::encodeCall(m_request, ordersFor(m_endpointId, copyFrom)),
+                 handlersOfCall());
+}
+
+link_handlers exchange::handlersOfCall()
+{
+    const auto self = shared_from_this();
+    return { [self](const answer_message &message) { return self->headArrived(message); },
+             [self](std::string_view bytes) { self->bodyArrived(bytes); },
+             [self](link_end end) { self->linkEnded(end); } };
+}
+
+bool exchange::isOwnAnswer(const endpoint_answer_head &head) const
+{
+    const bool success = head.status >= 200 && head.status < 300;
+    if (!success)
+        return true;
+    return head.callId == m_request.callId && !head.signature.empty() && !head.encoded;
+}
+
+bool exchange::headArrived(const answer_message &message)
+{
+    endpoint_answer_head head = platform::decodeAnswerHead(message);
+    m_context.board.endpoints.heard(m_endpointId, steadyNow());
+    // An answer to another request may stand before ours on a reused connection.
+    if (!head.callId.empty() && head.callId != m_request.callId)
+        return false;
+    m_head = std::move(head);
+    m_headArrived = true;
+    if (!isOwnAnswer(m_head)) {
+        m_wrongAnswer = true;
+        const auto link = m_link;
+        link->close();
+        callEnded(call_end::WrongAnswer);
+        return true;
+    }
+    if (m_head.weights)
+        m_context.board.endpoints.weightsSeen(m_endpointId, m_request.model, *m_head.weights);
+    return true;
+}
+
+void exchange::bodyArrived(std::string_view bytes)
+{
+    m_context.board.endpoints.heard(m_endpointId, steadyNow());
+    if (!m_promptRead)
+        firstByteArrived();
+    const bool success = m_head.status >= 200 && m_head.status < 300;
+    if (m_route->kind == call_kind::Stream && success) {
+        relayEvents(bytes);
+        return;
+    }
+    m_body.append(bytes);
+    if (m_body.size() > MaxAnswerBytes) {
+        m_link->close();
+        callEnded(call_end::WrongAnswer);
+    }
+}
+
+void exchange::firstByteArrived()
+{
+    m_promptRead = true;
+    router_board &board = m_context.board;
+    board.endpoints.promptRead(m_endpointId, m_load);
+    if (!m_partKey.empty() && m_head.status == StatusOk)
+        board.endpoints.partHeld(m_endpointId, m_partKey);
+    if (!m_answerBegun)
+        board.metrics.firstByte(steadyNow() - m_arrival);
+}
+
+void exchange::relayEvents(std::string_view bytes)
+{
+    std::string whole = m_events.add(bytes);
+    if (m_events.failed()) {
+        m_link->close();
+        callEnded(call_end::WrongAnswer);
+        return;
+    }
+    if (whole.empty())
+        return;
+    if (!m_answerBegun) {
+        m_answerBegun = true;
+        m_port.beginStream(m_head.status, m_head.passedOn);
+    }
+    m_port.streamBytes(std::move(whole));
+}
+
+void exchange::linkEnded(link_end end)
+{
+    callEnded(judge(end));
+}
+
+call_end exchange::judge(link_end end) const
+{
+    if (end == link_end::NotConnected)
+        return call_end::NotSent;
+    if (end == link_end::Malformed)
+        return call_end::WrongAnswer;
+    if (end != link_end::Complete || !m_headArrived)
+        return call_end::Broken;
+    const bool success = m_head.status >= 200 && m_head.status < 300;
+    if (success)
+        return m_route->kind == call_kind::Stream && m_events.hasPartial() ? call_end::Broken
+                                                                           : call_end::Complete;
+    return m_head.saysNotRun ? call_end::SaidNotRun : call_end::Failed;
+}
+
+void exchange::learnFromRefusal()
+{
+    router_board &board = m_context.board;
+    if (m_head.status != 421) {
+        // Full, loading weights or past the deadline: others are better for a moment.
+        if (m_pool != nullptr && m_pool->engine)
+            board.endpoints.setLoading(m_endpointId, steadyNow());
+        return;
+    }
+    const std::int64_t wanted = board.wantedVersion(m_request.model);
+    if (m_expectedWeights > 0 && m_expectedWeights < wanted)
+        board.endpoints.weightsSeen(m_endpointId, m_request.model, wanted);
+    else
+        board.endpoints.connectFailed(m_endpointId, steadyNow());
+}
+
+void exchange::callEnded(call_end end)
+{
+    if (m_ended || m_endpointId.empty())
+        return;
+    router_board &board = m_context.board;
+    const time_point now = steadyNow();
+    const bool judged = end != call_end::SaidNotRun;
+    if (judged) {
+        const bool good = end == call_end::Complete;
+        board.endpoints.callJudged(m_endpointId, good, 1000.0 * toSeconds(now - m_callStarted), now);
+    }
+    if (end == call_end::NotSent)
+        board.endpoints.connectFailed(m_endpointId, now);
+    else if (end == call_end::SaidNotRun)
+        learnFromRefusal();
+    else {
+        m_mayHaveRun = true;
+        ++m_runs;
+    }
+    logCall(end);
+    releaseCall();
+
+    attempt_facts facts;
+    facts.end = end;
+    facts.kind = m_route->kind;
+    facts.resumable = m_route->resumable;
+    facts.answerBegun = m_answerBegun;
+    facts.mayHaveRun = m_mayHaveRun;
+    facts.runsLeft = m_route->maxEndpoints - m_runs;
+    facts.sendsLeft = MaxSends - m_sends;
+    facts.timeLeft = m_deadline - now;
+    if (end != call_end::Complete && end != call_end::NotSent)
+        facts.repeatsLeft = board.repeatsOf(m_poolName).tryRetry(now);
+    takeStep(afterCall(facts));
+}
+
+void exchange::takeStep(const next_step &step)
+{
+    std::visit(overloaded { [this](const try_another &) {
+                               m_events.dropPartial();
+                               if (m_answerBegun)
+                                   m_context.board.metrics.count(router_counter::Resumes);
+                               if (!place())
+                                   waitForEndpoint();
+                           },
+                            [this](const deliver_answer &) { deliver(); },
+                            [this](const refuse_not_run &) {
+                                refuse(503, "not_run", m_route->latencyTarget / 4);
+                            },
+                            [this](const answer_unknown &) { fail(502, "outcome_unknown"); },
+                            [this](const cut_off &) {
+                                m_port.cutOff();
+                                finish(router_counter::Failed, 0, "stream_cut_off");
+                            } },
+               step);
+}
+
+void exchange::releaseCall()
+{
+    if (m_endpointId.empty())
+        return;
+    m_context.board.endpoints.callEnded(m_endpointId, m_load, m_promptRead);
+    m_endpointId.clear();
+    if (!m_link)
+        return;
+    const auto link = std::exchange(m_link, nullptr);
+    m_context.links.giveBack(m_address, link);
+    m_context.waiting.retry();
+}
+
+void exchange::deliver()
+{
+    if (m_answerBegun) {
+        m_port.endStream();
+        finish(router_counter::Served, m_head.status, "served");
+        return;
+    }
+    const bool success = m_head.status >= 200 && m_head.status < 300;
+    m_port.whole(m_head.status, m_head.passedOn, std::move(m_body));
+    finish(success ? router_counter::Served : router_counter::Failed, m_head.status,
+           success ? "served" : "endpoint_failed");
+}
+
+void exchange::refuse(int status, std::string_view reason, duration retryAfter)
+{
+    const duration pause = spread(std::max(retryAfter, MinRetryAfter), m_request.callId);
+    m_port.whole(status, { { "Retry-After", secondsText(pause) } }, {});
+    const router_counter counter = status == 429 ? router_counter::RefusedQuota
+            : reason == "stale_view"             ? router_counter::RefusedStale
+                                                 : router_counter::RefusedNotRun;
+    finish(counter, status, reason);
+}
+
+void exchange::fail(int status, std::string_view reason)
+{
+    m_port.whole(status, {}, {});
+    const router_counter counter = status == 404 ? router_counter::RefusedRoute
+            : status == 401                      ? router_counter::RefusedKey
+                                                 : router_counter::Failed;
+    finish(counter, status, reason);
+}
+
+void exchange::callerLeft()
+{
+    if (m_ended)
+        return;
+    if (m_link) {
+        const auto link = m_link;
+        link->close();
+    }
+    releaseCall();
+    finish(router_counter::CallerLeft, 0, "caller_left");
+}
+
+void exchange::pause()
+{
+    if (m_link)
+        m_link->pauseReading();
+}
+
+void exchange::resume()
+{
+    if (m_link)
+        m_link->resumeReading();
+}
+
+void exchange::finish(router_counter counter, int status, std::string_view reason)
+{
+    if (m_ended)
+        return;
+    m_ended = true;
+    m_timer.cancel();
+    if (m_waiting) {
+        m_waiting = false;
+        m_context.waiting.leave(this);
+    }
+    router_board &board = m_context.board;
+    board.metrics.count(counter);
+    const time_point now = steadyNow();
+    const bool good = counter == router_counter::Served;
+    if (board.log.accepts(good ? log_weight::Success : log_weight::Failure, now)) {
+        board.log.write(log_event::RequestEnded,
+                        { { "id", m_request.callId },
+                          { "route", m_route == nullptr ? "" : m_route->name },
+                          { "account", m_account == nullptr ? "" : m_account->name },
+                          { "pool", m_poolName },
+                          { "status", status },
+                          { "reason", reason },
+                          { "calls", m_sends },
+                          { "runs", m_runs },
+                          { "waited_ms", 1000.0 * toSeconds(m_waited) },
+                          { "total_ms", 1000.0 * toSeconds(now - m_arrival) },
+                          { "events", m_events.events() },
+                          { "deployment", m_deployment ? m_deployment->source().version : 0 },
+                          { "view_age_ms", std::llround(1000.0 * toSeconds(board.deploymentAge())) } },
+                        now);
+    }
+    m_port = {};
+}
+
+void exchange::logCall(call_end end)
+{
+    router_board &board = m_context.board;
+    const time_point now = steadyNow();
+    if (end == call_end::Complete || !board.log.accepts(log_weight::Failure, now))
+        return;
+    board.log.write(log_event::CallEnded,
+                    { { "id", m_request.callId },
+                      { "endpoint", m_endpointId },
+                      { "end", nameOf(end) },
+                      { "status", m_head.status },
+                      { "weights", m_expectedWeights },
+                      { "call", m_sends },
+                      { "events", m_events.events() },
+                      { "after_ms", 1000.0 * toSeconds(now - m_callStarted) } },
+                    now);
+}
+
+} // namespace burdockhold
--- /dev/null
+++ b/burdockhold/loop_exchange.h
@@ -0,0 +1,164 @@
+#ifndef BURDOCKHOLD_LOOP_EXCHANGE_H
+#define BURDOCKHOLD_LOOP_EXCHANGE_H
+
+// The life of one request on the event loop: admit, place, call, relay, finish. The decisions are
+// functions of other headers; this file carries them out in order.
+//
+// Promises:
+// - Exactly one final answer, unless the caller leaves: then the endpoint's connection is closed at
+//   once and nothing more is sent.
+// - A final answer no later than the route's time limit or the caller's deadline.
+// - An answer that is not whole never looks complete.
+
+#include "burdockhold/attempt_rules.h"
+#include "burdockhold/caller_request.h"
+#include "burdockhold/event_splitter.h"
+#include "burdockhold/loop_links.h"
+#include "burdockhold/router_board.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace burdockhold {
+
+/// How an exchange answers its caller. The connection that owns the caller implements each.
+struct reply_port
+{
+    std::function<void(int status, const std::vector<http_field> &fields, std::string body)> whole;
+    std::function<void(int status, const std::vector<http_field> &fields)> beginStream;
+    std::function<void(std::string bytes)> streamBytes;
+    std::function<void()> endStream;
+    std::function<void()> cutOff; ///< Closes the connection so that the answer looks incomplete.
+};
+
+class exchange;
+
+/// Requests that wait until an endpoint of their pool can take them, the most urgent first.
+class waiting_room
+{
+public:
+    void enter(std::shared_ptr<exchange> waiting);
+    void leave(const exchange *waiting);
+
+    /// Lets the waiting requests try again, in order.
+    void retry();
+
+    std::size_t size() const { return m_waiting.size(); }
+
+private:
+    std::vector<std::shared_ptr<exchange>> m_waiting;
+};
+
+/// Parts of the process that exchanges use.
+struct exchange_context
+{
+    boost::asio::io_context &io;
+    router_board &board;
+    link_pool &links;
+    waiting_room &waiting;
+};
+
+class exchange : public std::enable_shared_from_this<exchange>
+{
+public:
+    exchange(exchange_context context, caller_request request, reply_port port,
+             time_point arrival);
+
+    void start();
+
+    /// The caller has closed its connection.
+    void callerLeft();
+
+    /// Too many bytes wait for the caller, or have been delivered.
+    void pause();
+    void resume();
+
+    /// Tries to place a waiting request; false when it goes on waiting.
+    bool place();
+
+    int priority() const { return m_priority; }
+    time_point arrival() const { return m_arrival; }
+
+private:
+    bool findRoute();
+    bool authenticate();
+    bool admitTokens();
+    void startTimer();
+    void timeLimitReached();
+    void waitForEndpoint();
+
+    placement_need needOf() const;
+    std::string cacheSalt(std::int64_t version) const;
+    std::string partKey(std::int64_t version) const;
+    const std::string &choosePool();
+
+    void startCall(const std::vector<endpoint_candidate> &candidates,
+                   const endpoint_choice &choice, const placement_need &need);
+    endpoint_orders ordersFor(const std::string &endpointId, const std::string &copyFrom) const;
+    link_handlers handlersOfCall();
+    bool headArrived(const answer_message &message);
+    bool isOwnAnswer(const endpoint_answer_head &head) const;
+    void bodyArrived(std::string_view bytes);
+    void firstByteArrived();
+    void relayEvents(std::string_view bytes);
+    void linkEnded(link_end end);
+    call_end judge(link_end end) const;
+    void learnFromRefusal();
+    void callEnded(call_end end);
+    void takeStep(const next_step &step);
+    void releaseCall();
+
+    void deliver();
+    void refuse(int status, std::string_view reason, duration retryAfter);
+    void fail(int status, std::string_view reason);
+    void finish(router_counter counter, int status, std::string_view reason);
+    void logCall(call_end end);
+
+    exchange_context m_context;
+    caller_request m_request;
+    reply_port m_port;
+    time_point m_arrival;
+    time_point m_deadline;
+    boost::asio::steady_timer m_timer;
+    std::shared_ptr<const deployment_index> m_deployment;
+    const deployment_route *m_route = nullptr;
+    const deployment_account *m_account = nullptr;
+    const deployment_pool *m_pool = nullptr;
+    std::string m_poolName;
+    int m_priority = 5;
+
+    // The call in progress.
+    std::shared_ptr<http_link> m_link;
+    std::string m_endpointId;
+    std::string m_address;
+    call_load m_load;
+    bool m_promptRead = false;
+    time_point m_callStarted;
+    endpoint_answer_head m_head;
+    bool m_headArrived = false;
+    bool m_wrongAnswer = false;
+    std::string m_body;
+    std::string m_partKey;
+    std::int64_t m_expectedWeights = 0;
+
+    // Of all calls.
+    std::set<std::string> m_tried;
+    int m_sends = 0;
+    int m_runs = 0;
+    bool m_mayHaveRun = false;
+    bool m_answerBegun = false;
+    bool m_waiting = false;
+    bool m_ended = false;
+    duration m_waited = duration::zero();
+    event_splitter m_events;
+};
+
+} // namespace burdockhold
+
+#endif
--- /dev/null
+++ b/burdockhold/loop_http.cc
@@ -0,0 +1,307 @@
+#include "burdockhold/loop_http.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace burdockhold {
+
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+// An idle connection is reused for at most half of the time that the server states, and for this
+// long when it states none.
+constexpr duration DefaultMaxIdle = std::chrono::seconds(2);
+constexpr std::uint32_t MaxAnswerHeadBytes = 16384;
+
+void setNumber(tcp::socket &socket, int level, int option, int value)
+{
+    // A system without the option still works; only dead peers are noticed later.
+    ::setsockopt(socket.native_handle(), level, option, &value, sizeof value);
+}
+
+/// Returns the time that a Keep-Alive field names.
+std::optional<duration> keepAliveTimeout(const answer_message &message)
+{
+    const auto field = message[http::field::keep_alive];
+    const std::string_view text(field.data(), field.size());
+    const std::size_t at = text.find("timeout=");
+    if (at == std::string_view::npos)
+        return std::nullopt;
+    int seconds = 0;
+    const char *begin = text.data() + at + 8;
+    if (std::from_chars(begin, text.data() + text.size(), seconds).ec != std::errc())
+        return std::nullopt;
+    return std::chrono::seconds(seconds);
+}
+
+} // namespace
+
+std::optional<tcp::endpoint> parseAddress(std::string_view text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos)
+        return std::nullopt;
+    error_code error;
+    const auto address
+            = boost::asio::ip::make_address_v4(std::string(text.substr(0, colon)), error);
+    unsigned short port = 0;
+    const std::string_view digits = text.substr(colon + 1);
+    const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    if (error || parsed.ec != std::errc() || parsed.ptr != digits.data() + digits.size())
+        return std::nullopt;
+    return tcp::endpoint(address, port);
+}
+
+http_link::http_link(boost::asio::io_context &context, tcp::endpoint server, link_options options)
+    : m_socket(context)
+    , m_connectTimer(context)
+    , m_server(std::move(server))
+    , m_options(options)
+    , m_chunk()
+{
+}
+
+void http_link::call(std::string request, link_handlers handlers)
+{
+    m_request = std::move(request);
+    m_handlers = std::move(handlers);
+    m_active = true;
+    m_keepAlive = false;
+    m_paused = false;
+    ++m_calls;
+    newParser();
+    if (m_connected)
+        writeRequest();
+    else
+        connect();
+}
+
+void http_link::newParser()
+{
+    m_parser.emplace();
+    m_parser->eager(true);
+    m_parser->header_limit(MaxAnswerHeadBytes);
+    m_parser->body_limit(boost::none);
+    m_headPassed = false;
+    if (m_request.compare(0, 5, "HEAD ") == 0)
+        m_parser->skip(true);
+}
+
+void http_link::connect()
+{
+    error_code error;
+    m_socket.open(tcp::v4(), error);
+    if (error) {
+        // No descriptor is left; the caller sees the same as for an unreachable server.
+        boost::asio::post(m_socket.get_executor(),
+                          [self = shared_from_this()] { self->finish(link_end::NotConnected); });
+        return;
+    }
+    setSocketOptions();
+    m_connectTimer.expires_after(m_options.connectTimeout);
+    m_connectTimer.async_wait([self = shared_from_this()](error_code waitError) {
+        if (!waitError && !self->m_connected && !self->m_closed)
+            self->finish(link_end::NotConnected);
+    });
+    m_socket.async_connect(m_server, [self = shared_from_this()](error_code connectError) {
+        if (self->m_closed || !self->m_active)
+            return;
+        self->m_connectTimer.cancel();
+        if (connectError) {
+            self->finish(link_end::NotConnected);
+            return;
+        }
+        self->m_connected = true;
+        self->writeRequest();
+    });
+}
+
+void http_link::setSocketOptions()
+{
+    constexpr int ProbeIdleSeconds = 1;
+    constexpr int ProbeIntervalSeconds = 1;
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(m_options.silenceTimeout);
+    setNumber(m_socket, IPPROTO_TCP, TCP_NODELAY, 1);
+    setNumber(m_socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setNumber(m_socket, IPPROTO_TCP, TCP_KEEPIDLE, ProbeIdleSeconds);
+    setNumber(m_socket, IPPROTO_TCP, TCP_KEEPINTVL, ProbeIntervalSeconds);
+    setNumber(m_socket, IPPROTO_TCP, TCP_KEEPCNT,
+              std::max(1, static_cast<int>(ms.count() / 1000) - 1));
+    setNumber(m_socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(ms.count()));
+}
+
+void http_link::writeRequest()
+{
+    m_writing = true;
+    boost::asio::async_write(m_socket, boost::asio::buffer(m_request),
+                             [self = shared_from_this()](error_code error, std::size_t) {
+                                 self->m_writing = false;
+                                 // An answer that came before the failure is read on; the read
+                                 // reports the end of the connection.
+                                 if (error && !self->m_closed && !self->m_reading)
+                                     self->finish(link_end::Broken);
+                             });
+    readMore();
+}
+
+void http_link::readMore()
+{
+    if (m_reading || m_paused || m_closed || !m_active)
+        return;
+    m_reading = true;
+    m_socket.async_read_some(boost::asio::buffer(m_chunk),
+                             [self = shared_from_this()](error_code error, std::size_t bytes) {
+                                 self->m_reading = false;
+                                 if (self->m_closed || !self->m_active)
+                                     return;
+                                 if (error == boost::asio::error::eof)
+                                     self->serverClosed();
+                                 else if (error)
+                                     self->finish(link_end::Broken);
+                                 else
+                                     self->received(bytes);
+                             });
+}
+
+void http_link::received(std::size_t bytes)
+{
+    m_input.append(m_chunk.data(), bytes);
+    consume();
+    readMore();
+}
+
+void http_link::consume()
+{
+    const auto self = shared_from_this();
+    while (m_active && !m_input.empty()) {
+        if (!parseSome())
+            return;
+    }
+}
+
+/// Feeds the parser once. Returns false when more bytes are needed or the call has ended.
+bool http_link::parseSome()
+{
+    error_code error;
+    const std::size_t used = m_parser->put(boost::asio::buffer(m_input), error);
+    m_input.erase(0, used);
+    if (error && error != http::error::need_more) {
+        finish(link_end::Malformed);
+        return false;
+    }
+    if (m_parser->is_header_done() && !m_headPassed) {
+        m_headPassed = true;
+        const bool interim = m_parser->get().result_int() < 200;
+        if (interim || !m_handlers.onHead(m_parser->get())) {
+            if (!m_active)
+                return false;
+            // The rest of an answer to another request cannot be told from ours without its end.
+            if (!m_parser->is_done()) {
+                finish(link_end::Malformed);
+                return false;
+            }
+            newParser();
+            return true;
+        }
+        if (!m_active)
+            return false;
+    }
+    passBody();
+    if (!m_active)
+        return false;
+    if (m_parser->is_done()) {
+        m_keepAlive = m_parser->keep_alive();
+        m_maxIdle = DefaultMaxIdle;
+        if (const auto stated = keepAliveTimeout(m_parser->get()))
+            m_maxIdle = std::min(m_maxIdle, *stated / 2);
+        finish(link_end::Complete);
+        return false;
+    }
+    return used > 0;
+}
+
+void http_link::passBody()
+{
+    std::string &body = m_parser->get().body();
+    if (!m_headPassed || body.empty())
+        return;
+    std::string piece;
+    piece.swap(body);
+    m_handlers.onBody(piece);
+}
+
+void http_link::serverClosed()
+{
+    if (!m_headPassed) {
+        finish(link_end::Broken);
+        return;
+    }
+    error_code error;
+    m_parser->put_eof(error);
+    m_keepAlive = false;
+    finish(error || !m_parser->is_done() ? link_end::Broken : link_end::Complete);
+}
+
+void http_link::finish(link_end end)
+{
+    if (!m_active)
+        return;
+    const auto self = shared_from_this();
+    m_active = false;
+    m_idleSince = steadyNow();
+    const bool reusable = end == link_end::Complete && m_keepAlive && !m_writing && m_input.empty();
+    const link_handlers handlers = std::exchange(m_handlers, {});
+    if (!reusable)
+        close();
+    handlers.onEnd(end);
+}
+
+void http_link::close()
+{
+    if (m_closed)
+        return;
+    m_closed = true;
+    m_active = false;
+    m_connected = false;
+    m_connectTimer.cancel();
+    // The handlers keep their owner alive and one of them may be running now.
+    boost::asio::post(m_socket.get_executor(), [handlers = std::exchange(m_handlers, {})] {});
+    error_code ignored; // Closing a connection that is already broken is fine.
+    m_socket.close(ignored);
+}
+
+bool http_link::isReusable()
+{
+    if (m_closed || m_active || !m_connected)
+        return false;
+    if (steadyNow() - m_idleSince > m_maxIdle)
+        return false;
+    // Bytes or a close since the last answer spoil the connection.
+    char byte = 0;
+    const auto seen = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return seen < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void http_link::pauseReading()
+{
+    m_paused = true;
+}
+
+void http_link::resumeReading()
+{
+    m_paused = false;
+    readMore();
+}
+
+} // namespace burdockhold
--- /dev/null
+++ b/burdockhold/loop_http.h
@@ -0,0 +1,139 @@
+#ifndef BURDOCKHOLD_LOOP_HTTP_H
+#define BURDOCKHOLD_LOOP_HTTP_H
+
+// One HTTP connection to an endpoint or to the log, on the event loop.
+//
+// Promises:
+// - A request is written once and never sent again by this layer.
+// - After close(), no handler is called.
+// - An answer counts as complete only if its framing says so: its length, its last chunk, or an
+//   orderly close where it has neither.
+// - A connection is reused only after a complete answer, with the request fully written, no byte
+//   beyond the answer, and the server's consent.
+// Not thread-safe; everything runs on the loop's thread.
+
+#include "burdockhold/clock.h"
+#include "burdockhold/enum_names.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace burdockhold {
+
+using answer_message = boost::beast::http::response<boost::beast::http::string_body>;
+
+/// How the exchange on a connection ended.
+enum class link_end {
+    Complete,
+    NotConnected, ///< No byte of the request was written.
+    Broken,       ///< Reset, closed or failed after bytes may have been written.
+    Malformed,    ///< Bytes that are not HTTP.
+};
+
+template <>
+struct enum_names<link_end>
+{
+    static constexpr std::array<enum_name<link_end>, 4> Table{ {
+            { link_end::Complete, "complete" },
+            { link_end::NotConnected, "not_connected" },
+            { link_end::Broken, "broken" },
+            { link_end::Malformed, "malformed" },
+    } };
+};
+
+/// What the owner of a call wants to hear. A handler may close the link.
+struct link_handlers
+{
+    /// The head has arrived. Returning false skips this answer and reads the next one: it belongs
+    /// to another request.
+    std::function<bool(const answer_message &)> onHead;
+    std::function<void(std::string_view)> onBody;
+    std::function<void(link_end)> onEnd;
+};
+
+struct link_options
+{
+    duration connectTimeout = std::chrono::milliseconds(400); ///< Far above any route's round trip.
+    /// Unacknowledged bytes or unanswered keep-alive probes after which the kernel gives the
+    /// connection up: connections may go silent for good.
+    duration silenceTimeout = std::chrono::seconds(3);
+};
+
+/// Parses "IP:PORT". Returns nothing when it is not one.
+std::optional<boost::asio::ip::tcp::endpoint> parseAddress(std::string_view text);
+
+class http_link : public std::enable_shared_from_this<http_link>
+{
+public:
+    http_link(boost::asio::io_context &context, boost::asio::ip::tcp::endpoint server,
+              link_options options = {});
+
+    /// Connects if needed, writes the request, and reads one answer.
+    void call(std::string request, link_handlers handlers);
+
+    /// Ends everything without calling handlers. With `abort`, the peer sees a reset.
+    void close();
+
+    /// True if another call may be made on this connection now.
+    bool isReusable();
+
+    /// When the connection was last in use, and whether it has carried a call before.
+    time_point idleSince() const { return m_idleSince; }
+    bool isFresh() const { return m_calls <= 1; }
+    bool isConnected() const { return m_connected; }
+
+    /// Stops and restarts reading, while the owner has too many bytes to deliver.
+    void pauseReading();
+    void resumeReading();
+
+private:
+    using parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+    void connect();
+    void setSocketOptions();
+    void writeRequest();
+    void readMore();
+    void received(std::size_t bytes);
+    void consume();
+    bool parseSome();
+    void passBody();
+    void serverClosed();
+    void finish(link_end end);
+    void newParser();
+
+    boost::asio::ip::tcp::socket m_socket;
+    boost::asio::steady_timer m_connectTimer;
+    boost::asio::ip::tcp::endpoint m_server;
+    link_options m_options;
+    link_handlers m_handlers;
+    std::string m_request;
+    std::optional<parser> m_parser;
+    std::array<char, 4096> m_chunk;
+    std::string m_input;
+    bool m_connected = false;
+    bool m_writing = false;
+    bool m_reading = false;
+    bool m_paused = false;
+    bool m_headPassed = false;
+    bool m_active = false;
+    bool m_keepAlive = false;
+    bool m_closed = false;
+    int m_calls = 0;
+    time_point m_idleSince;
+    duration m_maxIdle = std::chrono::seconds(2);
+};
+
+} // namespace burdockhold
+
+#endif
--- /dev/null
+++ b/burdockhold/loop_links.h
@@ -0,0 +1,40 @@
+#ifndef BURDOCKHOLD_LOOP_LINKS_H
+#define BURDOCKHOLD_LOOP_LINKS_H
+
+// Idle connections to endpoints, by address. Only calls that may be repeated travel on a reused
+// connection: one that dies after the request went out leaves its outcome unknown.
+
+#include "burdockhold/loop_http.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace burdockhold {
+
+class link_pool
+{
+public:
+    explicit link_pool(boost::asio::io_context &context)
+        : m_context(context)
+    {
+    }
+
+    /// Returns a connection that was used before, or a new one. Null when the address is not one.
+    std::shared_ptr<http_link> take(const std::string &address, bool mayReuse);
+
+    /// Keeps the connection if it can be used again, and closes it otherwise.
+    void giveBack(const std::string &address, std::shared_ptr<http_link> link);
+
+    /// Closes connections that have been idle for too long.
+    void sweep();
+
+private:
+    boost::asio::io_context &m_context;
+    std::map<std::string, std::vector<std::shared_ptr<http_link>>> m_idle;
+};
+
+} // namespace burdockhold
+
+#endif
--- /dev/null
+++ b/burdockhold/loop_log.h
@@ -0,0 +1,100 @@
+#ifndef BURDOCKHOLD_LOOP_LOG_H
+#define BURDOCKHOLD_LOOP_LOG_H
+
+// The router's client of the platform's log, on the event loop: calls, and followers of topics.
+//
+// A follower first loads the newest record of each key, then reads on from the end that its first
+// page named; what changed while it loaded is read again. It keeps trying through outages, starts
+// anew when records were deleted before it read them, and gives every reader the time at which the
+// read was sent that proved its view.
+
+#include "burdockhold/loop_http.h"
+#include "platform/log_codec.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace burdockhold {
+
+/// What a call to the log came to. Status 0 means no answer: it may have been carried out.
+struct log_answer
+{
+    int status = 0;
+    std::string body;
+};
+
+/// Makes one call at a time over one connection.
+class log_lane : public std::enable_shared_from_this<log_lane>
+{
+public:
+    log_lane(boost::asio::io_context &context, boost::asio::ip::tcp::endpoint server);
+
+    void call(const platform::log_call &call, duration timeout,
+              std::function<void(log_answer)> done);
+
+private:
+    void finish(log_answer answer);
+
+    boost::asio::io_context &m_context;
+    boost::asio::ip::tcp::endpoint m_server;
+    boost::asio::steady_timer m_timer;
+    std::shared_ptr<http_link> m_link;
+    std::function<void(log_answer)> m_done;
+    log_answer m_answer;
+};
+
+struct follower_options
+{
+    std::string topic;
+    duration readWait = duration::zero();  ///< How long a read waits at the log for a record.
+    duration readPause = duration::zero(); ///< Between reads.
+    duration retryPause = std::chrono::milliseconds(250); ///< After a failed call.
+    duration callTimeout = std::chrono::milliseconds(1500); ///< Beyond readWait.
+};
+
+/// What a follower tells its reader.
+struct follower_handlers
+{
+    /// All keys and their newest values; the reader drops what is not listed.
+    std::function<void(const std::vector<platform::keyed_record> &)> loaded;
+    std::function<void(const platform::keyed_record &)> changed;
+    /// The view was that of the log at this time, on the clock that counts suspensions.
+    std::function<void(duration provenAt)> proven;
+    std::function<void(int status)> failed;
+};
+
+class topic_follower : public std::enable_shared_from_this<topic_follower>
+{
+public:
+    topic_follower(boost::asio::io_context &context, boost::asio::ip::tcp::endpoint server,
+                   follower_options options, follower_handlers handlers);
+
+    void start();
+
+private:
+    void loadPage(const std::string &after);
+    void pageArrived(const log_answer &answer);
+    void read();
+    void readArrived(const log_answer &answer);
+    void retryAfterPause(int status);
+    void continueAfter(duration pause);
+
+    follower_options m_options;
+    follower_handlers m_handlers;
+    std::shared_ptr<log_lane> m_lane;
+    boost::asio::steady_timer m_timer;
+    std::vector<platform::keyed_record> m_loading;
+    std::optional<std::uint64_t> m_loadEnd;
+    std::optional<std::uint64_t> m_next; // Offset to read from; nothing while loading.
+    duration m_sentAt = duration::zero();
+    duration m_loadStartedAt = duration::zero();
+};
+
+} // namespace burdockhold
+
+#endif
--- /dev/null
+++ b/burdockhold/loop_peers.cc
@@ -0,0 +1,137 @@
+#include "burdockhold/loop_peers.h"
+
+#include "burdockhold/loop_http.h"
+
+#include <boost/asio/buffer.hpp>
+
+#include <algorithm>
+#include <random>
+
+namespace burdockhold {
+
+using boost::asio::ip::udp;
+using boost::system::error_code;
+
+digest_link::digest_link(boost::asio::io_context &context, router_board &board,
+                         peer_link_options options)
+    : m_socket(context)
+    , m_board(board)
+    , m_options(options)
+    , m_buffer()
+    , m_incarnation(std::random_device {}())
+{
+}
+
+std::string digest_link::open()
+{
+    error_code error;
+    m_socket.open(udp::v4(), error);
+    const auto ip = boost::asio::ip::make_address_v4(m_board.settings.ip, error);
+    if (!error)
+        m_socket.bind({ ip, static_cast<unsigned short>(m_board.settings.firstPeerPort) }, error);
+    if (!error)
+        m_socket.non_blocking(true, error);
+    if (error)
+        return error.message();
+    receive();
+    return {};
+}
+
+void digest_link::addPeer(const std::string &vm, const std::string &address)
+{
+    const auto parsed = parseAddress(address);
+    if (vm == m_board.settings.vmName || !parsed)
+        return;
+    peer &added = m_peers[vm];
+    const udp::endpoint endpoint(parsed->address(), parsed->port());
+    if (added.address == endpoint)
+        return;
+    added.address = endpoint;
+    added.heardAt = steadyNow();
+    m_board.knownPeers = m_peers.size();
+}
+
+void digest_link::step(time_point now)
+{
+    if (now < m_dueAt)
+        return;
+    const double peers = static_cast<double>(m_peers.size());
+    m_dueAt = now + std::max(m_options.interval, fromSeconds(peers / m_options.sendsPerSecond));
+    for (auto row = m_peers.begin(); row != m_peers.end();)
+        row = now - row->second.heardAt > m_options.forgetAfter ? m_peers.erase(row)
+                                                                : std::next(row);
+    m_board.knownPeers = m_peers.size();
+    if (m_peers.empty())
+        return;
+    const std::string bytes = encodeDigest(ownDigest(now));
+    for (const auto &[vm, other] : m_peers) {
+        error_code ignored; // A lost digest is made up for by the next one.
+        m_socket.send_to(boost::asio::buffer(bytes), other.address, 0, ignored);
+    }
+}
+
+vm_digest digest_link::ownDigest(time_point now)
+{
+    vm_digest digest;
+    digest.vm = m_board.settings.vmName;
+    digest.incarnation = m_incarnation;
+    digest.number = ++m_number;
+    digest.leaving = m_board.leaving;
+    for (const auto &[account, quota] : m_board.quotas) {
+        const auto admitted = static_cast<std::uint64_t>(quota.admittedTotal());
+        digest.accounts.push_back({ shortHash(account), admitted });
+    }
+    m_board.endpoints.fillDigest(digest, now);
+    return digest;
+}
+
+void digest_link::receive()
+{
+    m_socket.async_receive_from(boost::asio::buffer(m_buffer), m_sender,
+                                [this](error_code error, std::size_t bytes) {
+                                    if (error == boost::asio::error::operation_aborted)
+                                        return;
+                                    if (!error)
+                                        received(bytes);
+                                    receive();
+                                });
+}
+
+void digest_link::received(std::size_t bytes)
+{
+    const auto decoded = decodeDigest({ m_buffer.data(), bytes });
+    if (!isOk(decoded))
+        return; // Not a digest: the port is open to any sender in the network.
+    const vm_digest &digest = valueOf(decoded);
+    if (digest.vm.empty() || digest.vm == m_board.settings.vmName)
+        return;
+    const time_point now = steadyNow();
+    peer &from = m_peers[digest.vm];
+    const bool older = digest.incarnation == from.incarnation && digest.number <= from.number;
+    if (older)
+        return;
+    from.address = m_sender;
+    apply(digest, from, now);
+}
+
+void digest_link::apply(const vm_digest &digest, peer &from, time_point now)
+{
+    const bool restarted = from.incarnation != 0 && from.incarnation != digest.incarnation;
+    from.incarnation = digest.incarnation;
+    from.number = digest.number;
+    from.heardAt = now;
+    m_board.endpoints.peerDigest(digest, now);
+    for (auto &[account, quota] : m_board.quotas) {
+        const std::uint32_t hash = shortHash(account);
+        const auto row = std::find_if(digest.accounts.begin(), digest.accounts.end(),
+                                      [hash](const auto &r) { return r.account == hash; });
+        if (restarted)
+            quota.peerRestarted(digest.vm);
+        // A VM that has admitted nothing yet states no row.
+        const double total = row == digest.accounts.end() ? 0.0
+                                                          : static_cast<double>(row->admitted);
+        quota.peerTotal(digest.vm, total, now);
+    }
+}
+
+} // namespace burdockhold
--- /dev/null
+++ b/burdockhold/loop_router.cc
@@ -0,0 +1,411 @@
+#include "burdockhold/loop_router.h"
+
+#include "platform/deployment_codec.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include <csignal>
+
+#include <algorithm>
+#include <utility>
+
+namespace burdockhold {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr duration TickInterval = std::chrono::milliseconds(50);
+constexpr duration SweepInterval = std::chrono::seconds(1);
+constexpr duration AnnounceRetry = std::chrono::milliseconds(700);
+// The balancer asks each second and stops sending after two misses.
+constexpr duration BalancerDelay = std::chrono::milliseconds(2600);
+// A process ends this long before it would be killed.
+constexpr duration EndMargin = std::chrono::milliseconds(300);
+// Part of the revocation bound after which a VM without the log asks for no new callers.
+constexpr int ReadyAgeTenths = 6;
+constexpr std::size_t MaxProbeBytes = 4096;
+constexpr int StatusOk = 200;
+
+} // namespace
+
+event_router::event_router(router_settings settings)
+    : m_io(1)
+    , m_board(std::move(settings))
+    , m_links(m_io)
+    , m_digests(m_io, m_board)
+    , m_callerAcceptor(m_io)
+    , m_readyAcceptor(m_io)
+    , m_signals(m_io, SIGTERM, SIGHUP, SIGINT)
+    , m_tickTimer(m_io)
+    , m_announceTimer(m_io)
+{
+}
+
+std::string event_router::run()
+{
+    const std::string error = open();
+    if (!error.empty())
+        return error;
+    const time_point now = steadyNow();
+    if (m_board.log.accepts(log_weight::Belief, now))
+        m_board.log.write(log_event::Started, { { "callers", m_board.settings.callerAddress } },
+                          now);
+    waitForSignal();
+    acceptCallers();
+    acceptReadiness();
+    followLog();
+    announce();
+    m_duties->start();
+    scheduleTick();
+    m_io.run();
+    return {};
+}
+
+std::string event_router::open()
+{
+    const auto logServer = parseAddress(m_board.settings.logAddress);
+    if (!logServer)
+        return "log.address: not an address: " + m_board.settings.logAddress;
+    m_duties = std::make_unique<duty_controller>(m_io, m_board, m_digests, *logServer);
+    m_announceLane = std::make_shared<log_lane>(m_io, *logServer);
+    std::string error = listen(m_callerAcceptor, m_board.settings.callerAddress);
+    if (error.empty())
+        error = listen(m_readyAcceptor, m_board.settings.readyAddress);
+    if (error.empty()) {
+        error = m_digests.open();
+        if (!error.empty())
+            error = "peer port: " + error;
+    }
+    return error;
+}
+
+std::string event_router::listen(tcp::acceptor &acceptor, const std::string &address)
+{
+    const auto endpoint = parseAddress(address);
+    if (!endpoint)
+        return "not an address: " + address;
+    error_code error;
+    acceptor.open(tcp::v4(), error);
+    if (!error)
+        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        acceptor.bind(*endpoint, error);
+    if (!error)
+        acceptor.listen(tcp::acceptor::max_listen_connections, error);
+    return error ? address + ": " + error.message() : std::string();
+}
+
+void event_router::acceptCallers()
+{
+    m_callerAcceptor.async_accept([this](error_code error, tcp::socket socket) {
+        if (error == boost::asio::error::operation_aborted)
+            return;
+        // Any other failure concerns one connection or a moment without descriptors.
+        if (!error) {
+            const exchange_context context { m_io, m_board, m_links, m_waiting };
+            std::make_shared<caller_connection>(std::move(socket), context, m_callers)->start();
+        }
+        acceptCallers();
+    });
+}
+
+void event_router::acceptReadiness()
+{
+    m_readyAcceptor.async_accept([this](error_code error, tcp::socket socket) {
+        if (error == boost::asio::error::operation_aborted)
+            return;
+        if (!error)
+            answerReadiness(std::make_shared<tcp::socket>(std::move(socket)));
+        acceptReadiness();
+    });
+}
+
+void event_router::answerReadiness(std::shared_ptr<tcp::socket> socket)
+{
+    const auto request = std::make_shared<std::string>();
+    boost::asio::async_read_until(
+            *socket, boost::asio::dynamic_buffer(*request, MaxProbeBytes), "\r\n\r\n",
+            [this, socket, request](error_code error, std::size_t) {
+                if (error)
+                    return;
+                const auto answer = std::make_shared<std::string>(probeAnswer(*request));
+                boost::asio::async_write(*socket, boost::asio::buffer(*answer),
+                                         [this, socket, answer](error_code failed, std::size_t) {
+                                             if (!failed)
+                                                 answerReadiness(socket);
+                                         });
+            });
+}
+
+std::string event_router::probeAnswer(std::string_view request) const
+{
+    const bool metrics = request.substr(0, 13) == "GET /metrics ";
+    const std::string body = metrics ? m_board.metrics.text() : std::string();
+    const std::string status = metrics || isReady() ? "200 OK" : "503 Service Unavailable";
+    return "HTTP/1.1 " + status + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+            + body;
+}
+
+bool event_router::isReady() const
+{
+    const duration oldest = m_board.settings.revocationBound * ReadyAgeTenths / 10;
+    return !m_board.leaving && m_board.deployment && m_board.endpoints.size() > 0
+            && m_board.deploymentAge() < oldest;
+}
+
+void event_router::followLog()
+{
+    const tcp::endpoint server = *parseAddress(m_board.settings.logAddress);
+    follower_options operatorOptions;
+    operatorOptions.topic = std::string(platform::OperatorTopic);
+    operatorOptions.readWait = m_board.settings.revocationBound * 3 / 10;
+    m_operatorFollower = std::make_shared<topic_follower>(
+            m_io, server, operatorOptions,
+            follower_handlers {
+                    [this](const auto &records) {
+                        for (const auto &record : records)
+                            operatorRecord(record);
+                    },
+                    [this](const auto &record) { operatorRecord(record); },
+                    [this](duration at) {
+                        m_board.deploymentProvenAt = std::max(m_board.deploymentProvenAt, at);
+                        logState(platform::OperatorTopic, StatusOk);
+                    },
+                    [this](int status) { logState(platform::OperatorTopic, status); } });
+    m_operatorFollower->start();
+
+    follower_options endpointOptions;
+    endpointOptions.topic = std::string(platform::EndpointTopic);
+    // Two reads within the time that an endpoint's leaving may take to be noticed.
+    endpointOptions.readPause = m_board.settings.leavingBound * 2 / 5;
+    m_endpointFollower = std::make_shared<topic_follower>(
+            m_io, server, endpointOptions,
+            follower_handlers {
+                    [this](const auto &records) {
+                        std::set<std::string> ids;
+                        for (const auto &record : records) {
+                            ids.insert(record.key);
+                            endpointRecord(record);
+                        }
+                        m_board.endpoints.keepOnly(ids, steadyNow());
+                    },
+                    [this](const auto &record) { endpointRecord(record); },
+                    [this](duration at) {
+                        m_board.endpointsProvenAt = std::max(m_board.endpointsProvenAt, at);
+                        logState(platform::EndpointTopic, StatusOk);
+                    },
+                    [this](int status) { logState(platform::EndpointTopic, status); } });
+    m_endpointFollower->start();
+}
+
+void event_router::announce()
+{
+    const std::string address
+            = m_board.settings.ip + ":" + std::to_string(m_board.settings.firstPeerPort);
+    m_announceLane->call(
+            platform::appendKeyedCall(platform::VmTopic, { m_board.settings.vmName, address }),
+            std::chrono::seconds(2), [this](const log_answer &answer) {
+                const bool announced = answer.status == StatusOk;
+                m_announceTimer.expires_after(announced ? duration::zero() : AnnounceRetry);
+                m_announceTimer.async_wait([this, announced](error_code error) {
+                    if (error)
+                        return;
+                    if (!announced) {
+                        announce();
+                        return;
+                    }
+                    // Read after the own announcement: of two VMs, one always sees the other.
+                    m_announceLane->call(platform::newestCall(platform::VmTopic, {}),
+                                         std::chrono::seconds(2), [this](const log_answer &page) {
+                                             const auto vms = platform::decodeNewest(page.body);
+                                             if (page.status != StatusOk || !isOk(vms))
+                                                 return;
+                                             for (const auto &vm : valueOf(vms).records)
+                                                 m_digests.addPeer(vm.key,
+                                                                   vm.value.value_or(""));
+                                         });
+                });
+            });
+}
+
+void event_router::operatorRecord(const platform::keyed_record &record)
+{
+    if (!record.value)
+        return;
+    switch (platform::subjectOf(record.key)) {
+    case platform::operator_subject::Deployment:
+        applyDeployment(*record.value);
+        break;
+    case platform::operator_subject::WantedWeights:
+        applyWantedWeights(*record.value);
+        break;
+    case platform::operator_subject::Other:
+        break;
+    }
+}
+
+void event_router::applyDeployment(std::string_view body)
+{
+    const time_point now = steadyNow();
+    auto decoded = platform::decodeDeployment(body);
+    if (!isOk(decoded)) {
+        const auto &error = errorOf(decoded);
+        if (m_board.log.accepts(log_weight::Belief, now))
+            m_board.log.write(log_event::DeploymentRefused, { { "reason", error.text } }, now);
+        return;
+    }
+    deployment &next = valueOf(decoded);
+    // A deployment never goes back, whatever is read.
+    if (m_board.deployment && next.version <= m_board.deployment->source().version)
+        return;
+    const std::uint64_t version = next.version;
+    m_board.deployment = std::make_shared<const deployment_index>(std::move(next));
+    for (const deployment_account &account : m_board.deployment->source().accounts) {
+        const auto quota = m_board.quotas.find(account.name);
+        if (quota != m_board.quotas.end())
+            quota->second.setLimit({ account.ratePerSecond, account.burst }, now);
+        else if (account.ratePerSecond > 0.0)
+            m_board.quotaOf(account, now);
+    }
+    if (m_board.log.accepts(log_weight::Belief, now))
+        m_board.log.write(log_event::DeploymentApplied, { { "version", version } }, now);
+}
+
+void event_router::applyWantedWeights(std::string_view body)
+{
+    const auto decoded = platform::decodeWantedWeights(body);
+    if (!isOk(decoded))
+        return;
+    const platform::wanted_weights &wanted = valueOf(decoded);
+    std::int64_t &known = m_board.wantedWeights[wanted.model];
+    if (wanted.version <= known)
+        return;
+    known = wanted.version;
+    const time_point now = steadyNow();
+    if (m_board.log.accepts(log_weight::Belief, now))
+        m_board.log.write(log_event::WeightsWanted,
+                          { { "model", wanted.model }, { "weights", wanted.version } }, now);
+}
+
+void event_router::endpointRecord(const platform::keyed_record &record)
+{
+    const time_point now = steadyNow();
+    if (!record.value) {
+        m_board.endpoints.remove(record.key, now);
+        if (m_board.log.accepts(log_weight::Belief, now))
+            m_board.log.write(log_event::EndpointChanged,
+                              { { "endpoint", record.key }, { "state", "gone" } }, now);
+        return;
+    }
+    const auto decoded = platform::decodeEndpoint(record.key, *record.value);
+    if (!isOk(decoded)) {
+        const auto &error = errorOf(decoded);
+        if (m_board.log.accepts(log_weight::Failure, now))
+            m_board.log.write(log_event::EndpointRefused,
+                              { { "endpoint", record.key }, { "reason", error.text } }, now);
+        return;
+    }
+    const endpoint_report &report = valueOf(decoded);
+    if (!m_board.endpoints.update(report, now) || !m_board.log.accepts(log_weight::Belief, now))
+        return;
+    m_board.log.write(log_event::EndpointChanged,
+                      { { "endpoint", report.id },
+                        { "pool", report.pool },
+                        { "address", report.address },
+                        { "state", report.leaving ? "leaving" : "ready" } },
+                      now);
+}
+
+void event_router::logState(std::string_view topic, int status)
+{
+    bool &lost = m_logLost[std::string(topic)];
+    const bool isLost = status != StatusOk;
+    if (lost == isLost)
+        return;
+    lost = isLost;
+    const time_point now = steadyNow();
+    if (m_board.log.accepts(log_weight::Belief, now))
+        m_board.log.write(isLost ? log_event::DependencyLost : log_event::DependencyRegained,
+                          { { "topic", topic }, { "status", status } }, now);
+}
+
+void event_router::scheduleTick()
+{
+    m_tickTimer.expires_after(TickInterval);
+    m_tickTimer.async_wait([this](error_code error) {
+        if (error)
+            return;
+        tick();
+        scheduleTick();
+    });
+}
+
+void event_router::tick()
+{
+    const time_point now = steadyNow();
+    m_board.endpoints.step(now);
+    for (auto &[account, quota] : m_board.quotas)
+        quota.step(m_board.knownPeers, now);
+    m_duties->step(now);
+    m_digests.step(now);
+    if (m_waiting.size() > 0)
+        m_waiting.retry();
+    if (now - m_sweptAt >= SweepInterval) {
+        m_sweptAt = now;
+        m_links.sweep();
+    }
+    if (m_board.leaving)
+        stepShutdown(now);
+    m_board.log.flush();
+}
+
+void event_router::waitForSignal()
+{
+    m_signals.async_wait([this](error_code error, int signal) {
+        if (error)
+            return;
+        if (signal == SIGHUP) {
+            const time_point now = steadyNow();
+            // Addresses and bounds of a running process do not change; a new start reads them.
+            if (m_board.log.accepts(log_weight::Belief, now))
+                m_board.log.write(log_event::SettingsReloaded, { { "changed", false } }, now);
+        } else if (!m_board.leaving) {
+            beginShutdown();
+        }
+        waitForSignal();
+    });
+}
+
+void event_router::beginShutdown()
+{
+    m_board.leaving = true;
+    m_leavingSince = steadyNow();
+    m_duties->leave();
+    m_digests.sendSoon();
+    if (m_board.log.accepts(log_weight::Belief, m_leavingSince))
+        m_board.log.write(log_event::Stopping, { { "callers", m_callers.size() } },
+                          m_leavingSince);
+}
+
+void event_router::stepShutdown(time_point now)
+{
+    const duration since = now - m_leavingSince;
+    if (since < BalancerDelay)
+        return;
+    const caller_set callers = m_callers;
+    for (const auto &caller : callers)
+        caller->closeIfIdle();
+    const bool overdue = since >= m_board.settings.shutdownGrace - EndMargin;
+    if (!m_callers.empty() && !overdue)
+        return;
+    if (m_board.log.accepts(log_weight::Belief, now))
+        m_board.log.write(log_event::Stopped, { { "cut_off", m_callers.size() } }, now);
+    m_board.log.flush();
+    m_io.stop();
+}
+
+} // namespace burdockhold
--- /dev/null
+++ b/burdockhold/loop_router.h
@@ -0,0 +1,75 @@
+#ifndef BURDOCKHOLD_LOOP_ROUTER_H
+#define BURDOCKHOLD_LOOP_ROUTER_H
+
+// The event-loop router: one thread, one loop, for callers, endpoints, the log and the other VMs.
+// Wires the parts together, follows the log, answers the load balancer, and shuts down.
+
+#include "burdockhold/loop_caller.h"
+#include "burdockhold/loop_duties.h"
+#include "burdockhold/loop_log.h"
+#include "burdockhold/loop_peers.h"
+#include "burdockhold/router_board.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <memory>
+#include <string>
+
+namespace burdockhold {
+
+class event_router
+{
+public:
+    explicit event_router(router_settings settings);
+
+    /// Runs until SIGTERM has been carried out. Returns an error text, or an empty string.
+    std::string run();
+
+private:
+    std::string open();
+    std::string listen(boost::asio::ip::tcp::acceptor &acceptor, const std::string &address);
+    void acceptCallers();
+    void acceptReadiness();
+    void answerReadiness(std::shared_ptr<boost::asio::ip::tcp::socket> socket);
+    std::string probeAnswer(std::string_view request) const;
+    bool isReady() const;
+
+    void followLog();
+    void announce();
+    void operatorRecord(const platform::keyed_record &record);
+    void applyDeployment(std::string_view body);
+    void applyWantedWeights(std::string_view body);
+    void endpointRecord(const platform::keyed_record &record);
+    void logState(std::string_view topic, int status);
+
+    void scheduleTick();
+    void tick();
+    void waitForSignal();
+    void beginShutdown();
+    void stepShutdown(time_point now);
+
+    boost::asio::io_context m_io;
+    router_board m_board;
+    link_pool m_links;
+    waiting_room m_waiting;
+    caller_set m_callers;
+    digest_link m_digests;
+    std::unique_ptr<duty_controller> m_duties;
+    boost::asio::ip::tcp::acceptor m_callerAcceptor;
+    boost::asio::ip::tcp::acceptor m_readyAcceptor;
+    boost::asio::signal_set m_signals;
+    boost::asio::steady_timer m_tickTimer;
+    boost::asio::steady_timer m_announceTimer;
+    std::shared_ptr<log_lane> m_announceLane;
+    std::shared_ptr<topic_follower> m_operatorFollower;
+    std::shared_ptr<topic_follower> m_endpointFollower;
+    std::shared_ptr<topic_follower> m_vmFollower;
+    std::map<std::string, bool, std::less<>> m_logLost; // By topic.
+    time_point m_sweptAt;
+    time_point m_leavingSince;
+};
+
+} // namespace burdockhold
+
+#endif
--- /dev/null
+++ b/burdockhold/quota_ledger.cc
@@ -0,0 +1,120 @@
+#include "burdockhold/quota_ledger.h"
+
+#include <algorithm>
+
+namespace burdockhold {
+
+namespace {
+
+// A request passes with half of its cost in the bucket: a bucket smaller than the largest requests
+// would never pass them otherwise. The bucket pays the rest back before the next one passes.
+constexpr double PassShare = 0.5;
+// A digest newer than this against the one before it gives no usable rate.
+constexpr double MinRateSeconds = 0.05;
+
+} // namespace
+
+quota_ledger::quota_ledger(quota_ledger_options options, quota_limit limit, time_point now)
+    : m_options(options)
+    , m_limit(limit)
+    , m_level(limit.burst * options.startShare)
+    , m_refilledAt(now)
+{
+}
+
+void quota_ledger::setLimit(quota_limit limit, time_point now)
+{
+    refill(now);
+    m_limit = limit;
+    m_level = std::min(m_level, cap());
+}
+
+bool quota_ledger::tryAdmit(double cost, time_point now)
+{
+    refill(now);
+    if (m_limit.ratePerSecond > 0.0 && m_level < PassShare * std::min(cost, cap()))
+        return false;
+    m_level -= cost;
+    m_admitted += cost;
+    return true;
+}
+
+void quota_ledger::peerTotal(const std::string &peer, double total, time_point now)
+{
+    const auto [found, isNew] = m_peers.try_emplace(peer);
+    peer_account &account = found->second;
+    if (isNew) {
+        // What it admitted before it was known is in the past; only the rest is charged.
+        account = { total, 0.0, 0.0, now, now };
+        return;
+    }
+    if (total < account.reported)
+        return;
+    const double seconds = toSeconds(now - account.reportedAt);
+    if (seconds >= MinRateSeconds)
+        account.ratePerSecond = (total - account.reported) / seconds;
+    m_level = std::min(cap(), m_level - (total - account.reported - account.assumed));
+    account.reported = total;
+    account.assumed = 0.0;
+    account.reportedAt = now;
+    account.chargedAt = now;
+}
+
+void quota_ledger::peerRestarted(std::string_view peer)
+{
+    const auto found = m_peers.find(peer);
+    if (found == m_peers.end())
+        return;
+    found->second.reported = 0.0;
+    found->second.assumed = 0.0;
+}
+
+void quota_ledger::step(std::size_t knownPeers, time_point now)
+{
+    refill(now);
+    const auto isSilent = [&](const auto &row) {
+        return now - row.second.reportedAt > m_options.silenceAfter;
+    };
+    const auto silent = static_cast<std::size_t>(
+            std::count_if(m_peers.begin(), m_peers.end(), isSilent));
+    const bool hearsHalf = 2 * (m_peers.size() - silent) >= m_peers.size();
+    for (auto row = m_peers.begin(); row != m_peers.end();) {
+        if (!isSilent(*row)) {
+            ++row;
+            continue;
+        }
+        if (hearsHalf && now - row->second.reportedAt > m_options.forgetAfter) {
+            row = m_peers.erase(row);
+            continue;
+        }
+        peer_account &account = row->second;
+        const double even = m_limit.ratePerSecond / static_cast<double>(knownPeers + 1);
+        const double charge = std::max(account.ratePerSecond, even)
+                * toSeconds(now - account.chargedAt);
+        account.chargedAt = now;
+        // Assumptions alone never put the bucket into debt: beyond that nothing would ever pass.
+        if (m_level > 0.0) {
+            account.assumed += charge;
+            m_level -= charge;
+        }
+        ++row;
+    }
+}
+
+duration quota_ledger::timeUntil(double cost, time_point now) const
+{
+    if (m_limit.ratePerSecond <= 0.0)
+        return duration::zero();
+    const double level = m_level + toSeconds(now - m_refilledAt) * m_limit.ratePerSecond;
+    const double missing = PassShare * std::min(cost, cap()) - level;
+    return fromSeconds(std::max(0.0, missing / m_limit.ratePerSecond));
+}
+
+void quota_ledger::refill(time_point now)
+{
+    const double seconds = toSeconds(now - m_refilledAt);
+    m_refilledAt = now;
+    m_level = std::min(cap(), m_level + seconds * m_limit.ratePerSecond);
+}
+
+} // namespace burdockhold
--- /dev/null
+++ b/burdockhold/quota_ledger.h
@@ -0,0 +1,92 @@
+#ifndef BURDOCKHOLD_QUOTA_LEDGER_H
+#define BURDOCKHOLD_QUOTA_LEDGER_H
+
+// One account's limit over all VMs, as one VM keeps it: a bucket for the whole account, charged
+// with this VM's admissions at once and with those of the other VMs as their digests arrive.
+//
+// Promises:
+// - Counters in digests are totals, so lost or doubled digests change nothing once a later one
+//   arrives.
+// - A silent VM is charged as if it went on at its last rate, or at an even part of the limit if
+//   that is more. A VM that hears fewer than half of the others keeps charging for all of them, so
+//   that both sides of a partition together stay near the limit.
+// - In any window, all VMs together admit at most rate x window + burst, plus what each admits
+//   within the age of the others' digests.
+// Memory is linear in the number of VMs that serve the account.
+
+#include "burdockhold/clock.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace burdockhold {
+
+struct quota_limit
+{
+    double ratePerSecond = 0.0; ///< 0 means no limit.
+    double burst = 0.0;
+};
+
+struct quota_ledger_options
+{
+    double burstShare = 0.8;   ///< Part of the burst that is used; the rest covers stale digests.
+    double startShare = 0.1;   ///< Part of the burst that a started VM assumes to be left.
+    duration silenceAfter = std::chrono::milliseconds(600); ///< Three lost digests.
+    /// A silent VM is forgotten after this; by then one without the log has stopped serving keys.
+    duration forgetAfter = std::chrono::seconds(6);
+};
+
+class quota_ledger
+{
+public:
+    quota_ledger(quota_ledger_options options, quota_limit limit, time_point now);
+
+    /// A lower limit holds from the next admission; a higher one lets the bucket fill further.
+    void setLimit(quota_limit limit, time_point now);
+
+    /// Charges the cost and returns true if the request is within the limit.
+    bool tryAdmit(double cost, time_point now);
+
+    /// Returns what was admitted here since the start, for digests.
+    double admittedTotal() const { return m_admitted; }
+
+    /// A digest of another VM's incarnation has arrived.
+    void peerTotal(const std::string &peer, double total, time_point now);
+
+    /// The VM counts from zero again; what it did before is charged already.
+    void peerRestarted(std::string_view peer);
+
+    /// Charges silent VMs and forgets those that are gone. Called several times a second.
+    void step(std::size_t knownPeers, time_point now);
+
+    /// Returns how long until a request of this cost would be admitted if nobody else sent any.
+    duration timeUntil(double cost, time_point now) const;
+
+    double level() const { return m_level; }
+
+private:
+    struct peer_account
+    {
+        double reported = 0.0;
+        double assumed = 0.0; // Charged beyond the reported total.
+        double ratePerSecond = 0.0;
+        time_point reportedAt;
+        time_point chargedAt;
+    };
+
+    double cap() const { return m_limit.burst * m_options.burstShare; }
+    void refill(time_point now);
+
+    quota_ledger_options m_options;
+    quota_limit m_limit;
+    double m_level = 0.0;
+    double m_admitted = 0.0;
+    time_point m_refilledAt;
+    std::map<std::string, peer_account, std::less<>> m_peers;
+};
+
+} // namespace burdockhold
+
+#endif
--- /dev/null
+++ b/burdockhold/router_board.cc
@@ -0,0 +1,60 @@
+#include "burdockhold/router_board.h"
+
+#include <ctime>
+
+#include <algorithm>
+#include <utility>
+
+namespace burdockhold {
+
+namespace {
+
+/// Part of the shared budget that is planned with; the rest covers windows that do not line up.
+constexpr double BudgetShare = 0.8;
+
+} // namespace
+
+duration bootNow()
+{
+    timespec now {};
+    ::clock_gettime(CLOCK_BOOTTIME, &now);
+    return std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
+}
+
+router_board::router_board(router_settings source)
+    : settings(std::move(source))
+    , endpoints(settings.dataCentre)
+    , log(settings.vmName)
+{
+}
+
+std::int64_t router_board::wantedVersion(const std::string &model) const
+{
+    const auto found = wantedWeights.find(model);
+    return found == wantedWeights.end() ? 0 : found->second;
+}
+
+retry_budget &router_board::repeatsOf(const std::string &pool)
+{
+    const auto found = repeats.find(pool);
+    if (found != repeats.end())
+        return found->second;
+    // The slack is a sum over all VMs; VMs that come later find their part unused.
+    const double vms = static_cast<double>(std::max<std::size_t>(knownPeers + 1, 8));
+    const retry_budget_options options {
+        BudgetShare * settings.repeatRatio,
+        std::max<std::int64_t>(1, static_cast<std::int64_t>(BudgetShare * settings.repeatSlack / vms))
+    };
+    return repeats.emplace(pool, retry_budget(options)).first->second;
+}
+
+quota_ledger &router_board::quotaOf(const deployment_account &account, time_point now)
+{
+    const auto found = quotas.find(account.name);
+    if (found != quotas.end())
+        return found->second;
+    const quota_limit limit { account.ratePerSecond, account.burst };
+    return quotas.emplace(account.name, quota_ledger({}, limit, now)).first->second;
+}
+
+} // namespace burdockhold
--- /dev/null
+++ b/burdockhold/router_board.h
@@ -0,0 +1,73 @@
+#ifndef BURDOCKHOLD_ROUTER_BOARD_H
+#define BURDOCKHOLD_ROUTER_BOARD_H
+
+// The blackboard of the event-loop router: what the process believes now. Each field names its one
+// writer; everything runs on the loop's thread, so readers need no lock.
+//
+// Ages of views run on the clock that counts suspensions: a suspended VM wakes with old views.
+
+#include "burdockhold/clock.h"
+#include "burdockhold/decision_log.h"
+#include "burdockhold/deployment.h"
+#include "burdockhold/endpoint_health.h"
+#include "burdockhold/endpoint_table.h"
+#include "burdockhold/quota_ledger.h"
+#include "burdockhold/router_metrics.h"
+#include "burdockhold/router_settings.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace burdockhold {
+
+/// Time since the machine's start, suspensions included. For the loop only.
+duration bootNow();
+
+struct router_board
+{
+    explicit router_board(router_settings source);
+
+    /// Age of the newest proof that the deployment is the log's newest.
+    duration deploymentAge() const { return bootNow() - deploymentProvenAt; }
+
+    /// Version of the model's weights that the operator wants; 0 when none was named.
+    std::int64_t wantedVersion(const std::string &model) const;
+
+    /// Repeats of the pool's calls; made on first use.
+    retry_budget &repeatsOf(const std::string &pool);
+
+    /// The account's limit over all VMs; made on first use.
+    quota_ledger &quotaOf(const deployment_account &account, time_point now);
+
+    const router_settings settings;
+
+    // Written by the log follower.
+    std::shared_ptr<const deployment_index> deployment;
+    duration deploymentProvenAt = duration::min() / 2;
+    duration endpointsProvenAt = duration::min() / 2;
+    std::map<std::string, std::int64_t> wantedWeights;
+
+    // Written by the log follower (entries), the exchanges (calls), the order controller (loads)
+    // and the peer link (digests), each through methods of its own.
+    endpoint_table endpoints;
+
+    // Written by the exchanges and the peer link.
+    std::map<std::string, quota_ledger> quotas;
+    std::map<std::string, retry_budget> repeats;
+
+    // Written by the peer link.
+    std::size_t knownPeers = 0;
+
+    // Written by the shutdown controller.
+    bool leaving = false;
+
+    // Written by all.
+    decision_log log;
+    router_metrics metrics;
+};
+
+} // namespace burdockhold
+
+#endif
--- /dev/null
+++ b/burdockhold/router_metrics.cc
@@ -0,0 +1,72 @@
+#include "burdockhold/router_metrics.h"
+
+#include <sstream>
+#include <string_view>
+
+namespace burdockhold {
+
+namespace {
+
+// From a loopback answer to the longest deadline of a request, three bins an octave.
+constexpr unsigned Bins = 45;
+constexpr double ShortestSeconds = 0.001;
+constexpr double LongestSeconds = 32.768;
+
+template <typename Histogram>
+void writeHistogram(std::ostream &out, std::string_view name, const Histogram &histogram)
+{
+    double total = 0.0;
+    out << "# TYPE burdockhold_" << name << "_seconds histogram\n";
+    for (const auto &bin : boost::histogram::indexed(histogram,
+                                                     boost::histogram::coverage::all)) {
+        total += *bin;
+        const double upper = bin.bin().upper();
+        if (upper <= LongestSeconds * 1.0001)
+            out << "burdockhold_" << name << "_seconds_bucket{le=\"" << upper << "\"} " << total
+                << "\n";
+    }
+    out << "burdockhold_" << name << "_seconds_bucket{le=\"+Inf\"} " << total << "\n";
+    out << "burdockhold_" << name << "_seconds_count " << total << "\n";
+}
+
+} // namespace
+
+router_metrics::router_metrics()
+    : m_firstByte(boost::histogram::make_histogram(axis(Bins, ShortestSeconds, LongestSeconds)))
+    , m_waits(boost::histogram::make_histogram(axis(Bins, ShortestSeconds, LongestSeconds)))
+{
+}
+
+void router_metrics::count(router_counter counter, std::uint64_t by)
+{
+    m_counters[static_cast<std::size_t>(counter)] += by;
+}
+
+std::uint64_t router_metrics::valueOf(router_counter counter) const
+{
+    return m_counters[static_cast<std::size_t>(counter)];
+}
+
+void router_metrics::firstByte(duration time)
+{
+    m_firstByte(toSeconds(time));
+}
+
+void router_metrics::waited(duration time)
+{
+    m_waits(toSeconds(time));
+}
+
+std::string router_metrics::text() const
+{
+    std::ostringstream out;
+    for (const auto &row : enum_names<router_counter>::Table) {
+        out << "# TYPE burdockhold_" << row.name << "_total counter\n";
+        out << "burdockhold_" << row.name << "_total " << valueOf(row.value) << "\n";
+    }
+    writeHistogram(out, "first_byte", m_firstByte);
+    writeHistogram(out, "queue_wait", m_waits);
+    return out.str();
+}
+
+} // namespace burdockhold
--- /dev/null
+++ b/burdockhold/router_metrics.h
@@ -0,0 +1,85 @@
+#ifndef BURDOCKHOLD_ROUTER_METRICS_H
+#define BURDOCKHOLD_ROUTER_METRICS_H
+
+// Counters and latency histograms of the event-loop router, in the usual text format. The set of
+// series is fixed, so the page has a bounded size whatever the number of accounts and endpoints.
+
+#include "burdockhold/clock.h"
+#include "burdockhold/enum_names.h"
+
+#include <boost/histogram.hpp>
+
+#include <array>
+#include <cstdint>
+#include <string>
+
+namespace burdockhold {
+
+enum class router_counter {
+    Requests,
+    Served,
+    RefusedNotRun,
+    RefusedQuota,
+    RefusedStale,
+    RefusedKey,
+    RefusedRoute,
+    Failed,
+    CallerLeft,
+    Calls,
+    Repeats,
+    Resumes,
+    NewConnections,
+    CachedTokens,
+    UncachedTokens,
+    OrdersGiven,
+};
+
+template <>
+struct enum_names<router_counter>
+{
+    static constexpr std::array<enum_name<router_counter>, 16> Table{ {
+            { router_counter::Requests, "requests" },
+            { router_counter::Served, "served" },
+            { router_counter::RefusedNotRun, "refused_not_run" },
+            { router_counter::RefusedQuota, "refused_quota" },
+            { router_counter::RefusedStale, "refused_stale_view" },
+            { router_counter::RefusedKey, "refused_key" },
+            { router_counter::RefusedRoute, "refused_route" },
+            { router_counter::Failed, "failed" },
+            { router_counter::CallerLeft, "caller_left" },
+            { router_counter::Calls, "endpoint_calls" },
+            { router_counter::Repeats, "repeats" },
+            { router_counter::Resumes, "stream_resumes" },
+            { router_counter::NewConnections, "new_connections" },
+            { router_counter::CachedTokens, "expected_cached_tokens" },
+            { router_counter::UncachedTokens, "expected_read_tokens" },
+            { router_counter::OrdersGiven, "orders_given" },
+    } };
+};
+
+class router_metrics
+{
+public:
+    router_metrics();
+
+    void count(router_counter counter, std::uint64_t by = 1);
+    std::uint64_t valueOf(router_counter counter) const;
+
+    void firstByte(duration time);
+    void waited(duration time);
+
+    /// Returns the page. Gauges of the caller follow the counters.
+    std::string text() const;
+
+private:
+    using axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+    using histogram = decltype(boost::histogram::make_histogram(axis()));
+
+    std::array<std::uint64_t, enum_names<router_counter>::Table.size()> m_counters {};
+    histogram m_firstByte;
+    histogram m_waits;
+};
+
+} // namespace burdockhold
+
+#endif
--- /dev/null
+++ b/burdockhold/router_settings.cc
@@ -0,0 +1,93 @@
+#include "burdockhold/router_settings.h"
+
+#include <boost/property_tree/ini_parser.hpp>
+#include <boost/property_tree/ptree.hpp>
+
+#include <optional>
+#include <sstream>
+#include <type_traits>
+#include <utility>
+#include <variant>
+
+namespace burdockhold {
+
+namespace {
+
+using boost::property_tree::ptree;
+using settings_error = basic_error<router_settings_error>;
+
+/// Collects the first error while the keys are read one after the other.
+struct settings_reader
+{
+    const ptree &tree;
+    std::optional<settings_error> error;
+
+    template <typename Value>
+    void read(const char *key, Value &value)
+    {
+        if (error)
+            return;
+        const auto text = tree.get_optional<std::string>(key);
+        if (!text || text->empty()) {
+            error = settings_error { router_settings_error::Missing, "the key has no value", key };
+            return;
+        }
+        const auto parsed = tree.get_optional<Value>(key);
+        if (!parsed) {
+            error = settings_error { router_settings_error::Invalid, "cannot read " + *text, key };
+            return;
+        }
+        value = *parsed;
+    }
+
+    void readMs(const char *key, duration &value)
+    {
+        std::int64_t ms = 0;
+        read(key, ms);
+        if (!error && ms <= 0)
+            error = settings_error { router_settings_error::Invalid, "must be above 0", key };
+        value = std::chrono::milliseconds(ms);
+    }
+};
+
+} // namespace
+
+result<router_settings, router_settings_error> parseRouterSettings(std::string_view text)
+{
+    ptree tree;
+    try {
+        std::istringstream stream { std::string(text) };
+        boost::property_tree::read_ini(stream, tree);
+    } catch (const boost::property_tree::ini_parser_error &error) {
+        return settings_error { router_settings_error::NotReadable, error.message(),
+                                "line " + std::to_string(error.line()) };
+    }
+    router_settings settings;
+    settings_reader reader { tree, {} };
+    reader.read("vm.name", settings.vmName);
+    reader.read("vm.data_centre", settings.dataCentre);
+    reader.read("vm.ip", settings.ip);
+    reader.read("listen.callers", settings.callerAddress);
+    reader.read("listen.ready", settings.readyAddress);
+    reader.read("listen.first_peer_port", settings.firstPeerPort);
+    reader.read("log.address", settings.logAddress);
+    reader.read("log.partitions", settings.logPartitions);
+    reader.readMs("bounds.leaving_ms", settings.leavingBound);
+    reader.readMs("bounds.config_ms", settings.configBound);
+    reader.readMs("bounds.revocation_ms", settings.revocationBound);
+    reader.readMs("bounds.lease_ms", settings.leaseTime);
+    double graceSeconds = 0.0;
+    reader.read("bounds.shutdown_grace_s", graceSeconds);
+    settings.shutdownGrace = fromSeconds(graceSeconds);
+    reader.read("repeats.ratio", settings.repeatRatio);
+    reader.read("repeats.slack", settings.repeatSlack);
+    double memoryMb = 0.0;
+    reader.read("limits.memory_mb", memoryMb);
+    settings.memoryBytes = static_cast<std::size_t>(memoryMb * 1024 * 1024);
+    reader.read("limits.descriptors", settings.descriptors);
+    if (reader.error)
+        return *reader.error;
+    return settings;
+}
+
+} // namespace burdockhold
--- /dev/null
+++ b/burdockhold/vm_digest.h
@@ -0,0 +1,86 @@
+#ifndef BURDOCKHOLD_VM_DIGEST_H
+#define BURDOCKHOLD_VM_DIGEST_H
+
+// What a VM tells the others several times a second, in one datagram: its counters and what it knows
+// first of endpoints. A digest states the whole, so a lost, doubled or late one does no harm;
+// digests of an older incarnation or an older number are dropped by the receiver.
+//
+// A digest of 5 accounts and 13 endpoints takes about 300 bytes. One that does not fit into a
+// datagram is split by the sender into several that each state other rows.
+
+#include "burdockhold/result.h"
+
+#include <msgpack.hpp>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace burdockhold {
+
+/// Totals of one account since the sender's start.
+struct account_row
+{
+    std::uint32_t account = 0; ///< shortHash of the name.
+    std::uint64_t admitted = 0;
+    MSGPACK_DEFINE_ARRAY(account, admitted)
+};
+
+/// The sender's own requests at one endpoint, and how its recent calls went.
+struct endpoint_row
+{
+    std::uint32_t endpoint = 0; ///< shortHash of the id.
+    std::uint32_t running = 0;
+    std::uint32_t unreadTokens = 0;
+    std::uint32_t heldTokens = 0;
+    std::uint32_t recentCalls = 0; ///< Decayed count, in tenths.
+    std::uint32_t recentFailures = 0;
+    std::uint32_t silentMs = 0; ///< Since the endpoint was last heard, while requests run there.
+    MSGPACK_DEFINE_ARRAY(endpoint, running, unreadTokens, heldTokens, recentCalls, recentFailures,
+                         silentMs)
+};
+
+/// Weights of an engine, known from its answers or from an order to it.
+struct weights_row
+{
+    std::uint32_t endpoint = 0;
+    std::uint32_t model = 0; ///< shortHash of the name.
+    std::int64_t version = 0;
+    bool loading = false; ///< An order is being carried out; new calls would be refused.
+    MSGPACK_DEFINE_ARRAY(endpoint, model, version, loading)
+};
+
+/// A request known by its digest that was running on an endpoint when it died.
+struct crash_row
+{
+    std::uint64_t request = 0;
+    std::uint32_t endpoint = 0;
+    std::int64_t incarnation = 0;
+    MSGPACK_DEFINE_ARRAY(request, endpoint, incarnation)
+};
+
+struct vm_digest
+{
+    std::string vm;
+    std::uint64_t incarnation = 0;
+    std::uint64_t number = 0;
+    bool leaving = false;
+    std::vector<account_row> accounts;
+    std::vector<endpoint_row> endpoints;
+    std::vector<weights_row> weights;
+    std::vector<crash_row> crashes;
+    MSGPACK_DEFINE_ARRAY(vm, incarnation, number, leaving, accounts, endpoints, weights, crashes)
+};
+
+enum class digest_error { NotReadable };
+
+std::string encodeDigest(const vm_digest &digest);
+result<vm_digest, digest_error> decodeDigest(std::string_view bytes);
+
+/// Returns a 32-bit hash by which digests name accounts and endpoints.
+std::uint32_t shortHash(std::string_view name);
+
+} // namespace burdockhold
+
+#endif
--- /dev/null
+++ b/burdockhold/weights_orders.cc
@@ -0,0 +1,140 @@
+#include "burdockhold/weights_orders.h"
+
+#include <algorithm>
+
+namespace burdockhold {
+
+weights_planner::weights_planner(weights_order_options options)
+    : m_options(options)
+{
+}
+
+std::vector<order_action> weights_planner::step(const std::vector<ordered_engine> &engines,
+                                                std::int64_t wantedVersion,
+                                                std::optional<std::int64_t> fencingToken,
+                                                time_point now)
+{
+    if (!fencingToken || isFenced(*fencingToken)) {
+        m_engines.clear();
+        return {};
+    }
+    m_token = *fencingToken;
+    forgetMissing(engines);
+
+    std::vector<const ordered_engine *> sorted;
+    for (const ordered_engine &engine : engines)
+        sorted.push_back(&engine);
+    std::stable_sort(sorted.begin(), sorted.end(), [](const auto *a, const auto *b) {
+        return a->heldTokens < b->heldTokens;
+    });
+
+    std::vector<order_action> actions;
+    int loading = loadingCount(now);
+    for (const ordered_engine *engine : sorted) {
+        engine_entry &entry = m_engines[engine->id];
+        entry.incarnation = engine->incarnation;
+        if (engine->version >= wantedVersion)
+            entry.loading = false;
+        if (entry.callOpen || now < entry.nextAction)
+            continue;
+        if (!entry.acceptedOrders || entry.loading) {
+            entry.callOpen = true;
+            actions.emplace_back(ask_engine_state { engine->id, engine->address });
+            continue;
+        }
+        if (engine->version >= wantedVersion || loading >= m_options.maxLoading)
+            continue;
+        ++loading;
+        entry.callOpen = true;
+        entry.loading = true;
+        entry.loadingSince = now;
+        actions.emplace_back(weights_order { engine->id, engine->address, engine->model,
+                                             wantedVersion, *fencingToken,
+                                             *entry.acceptedOrders });
+    }
+    return actions;
+}
+
+void weights_planner::stateArrived(std::string_view endpointId, const engine_state &state,
+                                   time_point now)
+{
+    const auto found = m_engines.find(endpointId);
+    if (found == m_engines.end())
+        return;
+    engine_entry &entry = found->second;
+    entry.callOpen = false;
+    // A report from before the last accepted order says nothing of its progress.
+    const bool older = entry.acceptedOrders && state.acceptedOrders < *entry.acceptedOrders;
+    if (!older) {
+        entry.acceptedOrders = state.acceptedOrders;
+        entry.loading = state.busy;
+        if (state.busy && entry.loadingSince == time_point())
+            entry.loadingSince = now;
+    }
+    entry.nextAction = state.busy || older ? now + m_options.checkInterval : now;
+}
+
+void weights_planner::stateFailed(std::string_view endpointId, time_point now)
+{
+    const auto found = m_engines.find(endpointId);
+    if (found == m_engines.end())
+        return;
+    found->second.callOpen = false;
+    found->second.nextAction = now + m_options.retryPause;
+}
+
+void weights_planner::orderAnswered(std::string_view endpointId, order_answer answer,
+                                    time_point now)
+{
+    if (answer == order_answer::Fenced)
+        m_fencedToken = std::max(m_fencedToken, m_token);
+    const auto found = m_engines.find(endpointId);
+    if (found == m_engines.end())
+        return;
+    engine_entry &entry = found->second;
+    entry.callOpen = false;
+    if (answer == order_answer::Accepted) {
+        entry.acceptedOrders = entry.acceptedOrders.value_or(0) + 1;
+        entry.nextAction = now + m_options.firstCheck;
+        return;
+    }
+    // Without an answer the order may yet be carried out, so the engine keeps its place among the
+    // loading ones until its state has been read.
+    entry.loading = answer == order_answer::None;
+    entry.acceptedOrders.reset();
+    entry.nextAction = now + m_options.retryPause;
+}
+
+void weights_planner::forgetMissing(const std::vector<ordered_engine> &engines)
+{
+    std::map<std::string_view, std::int64_t> present;
+    for (const ordered_engine &engine : engines)
+        present.emplace(engine.id, engine.incarnation);
+    for (auto entry = m_engines.begin(); entry != m_engines.end();) {
+        const auto found = present.find(entry->first);
+        const bool same = found != present.end() && found->second == entry->second.incarnation;
+        entry = same ? std::next(entry) : m_engines.erase(entry);
+    }
+}
+
+bool weights_planner::countsAsLoading(const engine_entry &entry, time_point now) const
+{
+    return entry.loading && now - entry.loadingSince < m_options.loadTimeout;
+}
+
+std::vector<std::string> weights_planner::loadingEngines(time_point now) const
+{
+    std::vector<std::string> ids;
+    for (const auto &[id, entry] : m_engines) {
+        if (countsAsLoading(entry, now))
+            ids.push_back(id);
+    }
+    return ids;
+}
+
+int weights_planner::loadingCount(time_point now) const
+{
+    return static_cast<int>(loadingEngines(now).size());
+}
+
+} // namespace burdockhold
--- /dev/null
+++ b/burdockhold/weights_orders.h
@@ -0,0 +1,139 @@
+#ifndef BURDOCKHOLD_WEIGHTS_ORDERS_H
+#define BURDOCKHOLD_WEIGHTS_ORDERS_H
+
+// Which engine is ordered to load which weights, and when. Stepped by the VM that holds the duty.
+//
+// Promises:
+// - At most maxLoading engines of a pool load at once, so that the others serve.
+// - Every order names the number of orders that the engine has accepted, so that a late copy of an
+//   older order finds another number and is refused by the engine.
+// - After an order without an answer the engine is asked for its state before it is ordered again.
+// - After an engine has refused a fencing token, no order carries that token again.
+// Time of a step is linear in the number of engines of the pool.
+
+#include "burdockhold/clock.h"
+#include "burdockhold/enum_names.h"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace burdockhold {
+
+/// State that an engine reports of itself, a few hundred milliseconds old.
+struct engine_state
+{
+    std::int64_t acceptedOrders = 0;
+    bool busy = false; ///< An order is being carried out.
+    std::map<std::string, std::int64_t> weights;
+};
+
+struct weights_order
+{
+    std::string endpointId;
+    std::string address;
+    std::string model;
+    std::int64_t version = 0;
+    std::int64_t fencingToken = 0;
+    std::int64_t expectedOrders = 0;
+};
+
+enum class order_answer { Accepted, AlreadyHolds, Conflict, Fenced, OtherEngine, Refused, None };
+
+template <>
+struct enum_names<order_answer>
+{
+    static constexpr std::array<enum_name<order_answer>, 7> Table{ {
+            { order_answer::Accepted, "accepted" },
+            { order_answer::AlreadyHolds, "already_holds" },
+            { order_answer::Conflict, "conflict" },
+            { order_answer::Fenced, "fenced" },
+            { order_answer::OtherEngine, "other_engine" },
+            { order_answer::Refused, "refused" },
+            { order_answer::None, "none" },
+    } };
+};
+
+struct ask_engine_state
+{
+    std::string endpointId;
+    std::string address;
+};
+
+using order_action = std::variant<ask_engine_state, weights_order>;
+
+/// An engine as the planner sees it in one step.
+struct ordered_engine
+{
+    std::string id;
+    std::string address;
+    std::int64_t incarnation = 0;
+    std::string model;
+    std::int64_t version = 0;  ///< Newest known; 0 when unknown.
+    std::int64_t heldTokens = 0; ///< Of its running requests; engines with less go first.
+};
+
+struct weights_order_options
+{
+    /// Engines that drain or load at once. An engine waits longer for its weights while more than
+    /// two load, and drains for about as long as it loads.
+    int maxLoading = 3;
+    /// Least age of a load before the engine is asked whether it is done: its reports lag.
+    duration firstCheck = std::chrono::milliseconds(700);
+    duration checkInterval = std::chrono::milliseconds(350);
+    /// Pause after a refusal, a conflict or a missing answer, at least the lag of reports.
+    duration retryPause = std::chrono::milliseconds(450);
+    /// A load without an end for this long no longer counts against maxLoading.
+    duration loadTimeout = std::chrono::seconds(6);
+};
+
+class weights_planner
+{
+public:
+    explicit weights_planner(weights_order_options options = {});
+
+    /// Returns what to do now. The token is that of the held duty; without one nothing is done and
+    /// all that was known of engines is forgotten.
+    std::vector<order_action> step(const std::vector<ordered_engine> &engines,
+                                   std::int64_t wantedVersion,
+                                   std::optional<std::int64_t> fencingToken, time_point now);
+
+    void stateArrived(std::string_view endpointId, const engine_state &state, time_point now);
+    void stateFailed(std::string_view endpointId, time_point now);
+    void orderAnswered(std::string_view endpointId, order_answer answer, time_point now);
+
+    /// Engines that drain or load now, as far as is known.
+    std::vector<std::string> loadingEngines(time_point now) const;
+
+    /// True when an engine has refused the token in favour of a higher one.
+    bool isFenced(std::int64_t token) const { return token <= m_fencedToken; }
+
+private:
+    struct engine_entry
+    {
+        std::int64_t incarnation = 0;
+        std::optional<std::int64_t> acceptedOrders;
+        bool callOpen = false;
+        bool loading = false;
+        time_point loadingSince;
+        time_point nextAction;
+    };
+
+    void forgetMissing(const std::vector<ordered_engine> &engines);
+    bool countsAsLoading(const engine_entry &entry, time_point now) const;
+    int loadingCount(time_point now) const;
+
+    weights_order_options m_options;
+    std::map<std::string, engine_entry, std::less<>> m_engines;
+    std::int64_t m_fencedToken = -1;
+    std::int64_t m_token = -1;
+};
+
+} // namespace burdockhold
+
+#endif
