--- a/burdockhold/endpoint_choice.cc
+++ b/burdockhold/endpoint_choice.cc
@@ -104,7 +104,7 @@
             choice.copyFrom = holderBeside(candidates, index, home);
         choice.expectedMs = penaltyMs(candidate, options)
                 + (plain ? serviceMs(candidate, options)
-                         : engineMs(candidate, need, holds, choice.copyFrom.has_value(), options));
+                         : engineMs(candidate, need, holds, need.storeHoldsPart || choice.copyFrom, options));
         choice.expectedCachedTokens = holds ? need.promptTokens - need.ownTokens : 0;
         if (!best || choice.expectedMs < best->expectedMs)
             best = choice;
--- a/burdockhold/endpoint_choice.h
+++ b/burdockhold/endpoint_choice.h
@@ -47,6 +47,7 @@
     std::int64_t ownTokens = 0;    ///< Of the prompt beyond shared parts.
     std::int64_t outputTokens = 0;
     std::int64_t promptTokens = 0;
+    bool storeHoldsPart = false; ///< The part can be copied from the store of cached parts.
 };
 
 struct endpoint_choice_options
--- a/burdockhold/loop_duties.cc
+++ b/burdockhold/loop_duties.cc
@@ -11,6 +11,8 @@
 constexpr std::string_view DutyGroup = "burdockhold-duties";
 constexpr int StatusOk = 200;
 constexpr duration EngineCallTimeout = std::chrono::milliseconds(1200);
+constexpr duration StoreCheckInterval = std::chrono::milliseconds(500);
+constexpr duration StoreCheckTimeout = std::chrono::milliseconds(300);
 constexpr duration JoinTimeout = std::chrono::milliseconds(1200);
 
 duty_lease_options leaseOptions(const router_settings &settings)
@@ -74,10 +76,47 @@
                [](const log_answer &) {}); // Without an answer the lease lapses by itself.
 }
 
+void duty_controller::checkStores(time_point now)
+{
+    if (now - m_storesCheckedAt < StoreCheckInterval)
+        return;
+    m_storesCheckedAt = now;
+    for (const deployment_pool &pool : m_board.deployment->source().pools) {
+        if (pool.store && !m_leaving && m_lease.tokenFor(pool.name, bootNow()))
+            checkStore(pool.store->address);
+    }
+}
+
+/// A store that accepts no connection makes every copy from it a wait of some hundred milliseconds.
+void duty_controller::checkStore(const std::string &address)
+{
+    const auto server = parseAddress(address);
+    if (!server)
+        return;
+    const auto socket = std::make_shared<boost::asio::ip::tcp::socket>(m_context);
+    const auto timer = std::make_shared<boost::asio::steady_timer>(m_context, StoreCheckTimeout);
+    timer->async_wait([socket](error_code error) {
+        error_code ignored; // The connect reports the end of a socket closed here.
+        if (!error)
+            socket->close(ignored);
+    });
+    socket->async_connect(*server, [this, socket, timer, address](error_code error) {
+        timer->cancel();
+        if (!error) {
+            m_board.ownStoreFinding.erase(address);
+            return;
+        }
+        m_board.ownStoreFinding.insert(address);
+        m_board.storeIsAway(address, steadyNow());
+        m_digests.sendSoon();
+    });
+}
+
 void duty_controller::step(time_point now)
 {
     if (!m_board.deployment)
         return;
+    checkStores(now);
     for (const deployment_pool &pool : m_board.deployment->source().pools) {
         if (!pool.engine)
             continue;
--- a/burdockhold/loop_duties.h
+++ b/burdockhold/loop_duties.h
@@ -35,6 +35,8 @@
     void leave();
 
 private:
+    void checkStores(time_point now);
+    void checkStore(const std::string &address);
     void join();
     void joinAfter(duration pause);
     void stepPool(const std::string &pool, const std::string &model, time_point now);
@@ -56,6 +58,7 @@
     boost::asio::steady_timer m_joinTimer;
     std::map<std::string, weights_planner> m_planners; // By pool and model.
     bool m_leaving = false;
+    time_point m_storesCheckedAt;
 };
 
 } // namespace burdockhold
--- a/burdockhold/loop_exchange.cc
+++ b/burdockhold/loop_exchange.cc
@@ -164,8 +164,12 @@
 
 void exchange::timeLimitReached()
 {
-    if (m_link)
+    if (m_link) {
+        // A connected call has been written, so the endpoint may run it.
+        m_mayHaveRun = m_mayHaveRun || m_link->isConnected();
+        m_link->close();
         releaseCall();
+    }
     if (m_answerBegun) {
         m_port.cutOff();
         finish(router_counter::Failed, 0, "time_limit_in_stream");
@@ -247,13 +251,56 @@
     return need;
 }
 
+std::vector<std::string> exchange::sharedPartKeys(std::int64_t version) const
+{
+    std::vector<std::string> keys;
+    const std::string start = m_request.model + "/" + cacheSalt(version) + "/";
+    for (std::size_t index = 0; index + 1 < m_request.prefix.size(); ++index)
+        keys.push_back(start + m_request.prefix[index].id);
+    return keys;
+}
+
+bool exchange::storeHoldsPart(std::int64_t version) const
+{
+    const time_point now = steadyNow();
+    const std::string key = partKey(version);
+    return !key.empty() && !m_context.board.storeAddress(now).empty()
+            && m_context.board.savedParts.isSaved(key, now);
+}
+
+/// Copies shared parts from the store where it has any, and saves those that it lacks.
+void exchange::useStore(endpoint_orders &orders)
+{
+    router_board &board = m_context.board;
+    const time_point now = steadyNow();
+    const std::string store = board.storeAddress(now);
+    if (store.empty())
+        return;
+    bool missing = false;
+    bool present = false;
+    for (const std::string &key : sharedPartKeys(m_expectedWeights)) {
+        const bool saved = board.savedParts.isSaved(key, now);
+        missing = missing || !saved;
+        present = present || saved;
+        if (saved)
+            board.savedParts.touch(key, now);
+        else
+            board.savedParts.save(key, now);
+    }
+    if (missing)
+        orders.saveParts = store;
+    if (present)
+        orders.copyPartsFrom = store;
+}
+
 bool exchange::place()
 {
     if (m_ended)
         return true;
     const time_point now = steadyNow();
     const std::int64_t wanted = m_context.board.wantedVersion(m_request.model);
-    const placement_need need = needOf();
+    placement_need need = needOf();
+    need.storeHoldsPart = storeHoldsPart(wanted);
     const std::string model = need.homeKey.empty() ? std::string() : m_request.model;
     const auto candidates = m_context.board.endpoints.candidates(
             m_poolName, model, wanted, partKey(wanted), m_tried, now);
@@ -336,8 +383,10 @@
     }
     if (!m_link->isConnected())
         board.metrics.count(router_counter::NewConnections);
-    m_link->call(platform::encodeCall(m_request, ordersFor(m_endpointId, copyFrom)),
-                 handlersOfCall());
+    endpoint_orders orders = ordersFor(m_endpointId, copyFrom);
+    if (!m_partKey.empty() && m_pool != nullptr && m_pool->engine)
+        useStore(orders);
+    m_link->call(platform::encodeCall(m_request, orders), handlersOfCall());
 }
 
 link_handlers exchange::handlersOfCall()
--- a/burdockhold/loop_peers.cc
+++ b/burdockhold/loop_peers.cc
@@ -82,6 +82,11 @@
         digest.accounts.push_back({ shortHash(account), admitted });
     }
     m_board.endpoints.fillDigest(digest, now);
+    digest.savedParts = m_board.savedParts.announced(now);
+    for (const auto &[address, until] : m_board.storeAwayUntil) {
+        if (now < until && m_board.ownStoreFinding.count(address) != 0)
+            digest.deadStores.push_back(shortHash(address));
+    }
     return digest;
 }
 
@@ -121,6 +126,12 @@
     from.number = digest.number;
     from.heardAt = now;
     m_board.endpoints.peerDigest(digest, now);
+    for (const std::uint32_t part : digest.savedParts)
+        m_board.savedParts.peerSaved(part, now);
+    const std::string store = m_board.storeAddress(now);
+    const std::uint32_t storeHash = shortHash(store);
+    if (std::count(digest.deadStores.begin(), digest.deadStores.end(), storeHash) != 0)
+        m_board.storeIsAway(store, now);
     for (auto &[account, quota] : m_board.quotas) {
         const std::uint32_t hash = shortHash(account);
         const auto row = std::find_if(digest.accounts.begin(), digest.accounts.end(),
--- a/burdockhold/router_board.cc
+++ b/burdockhold/router_board.cc
@@ -11,6 +11,8 @@
 
 /// Part of the shared budget that is planned with; the rest covers windows that do not line up.
 constexpr double BudgetShare = 0.8;
+/// A store counts as away for two missed checks after the last word of it.
+constexpr duration StoreAwayLapse = std::chrono::milliseconds(1200);
 
 } // namespace
 
@@ -34,6 +36,26 @@
     return found == wantedWeights.end() ? 0 : found->second;
 }
 
+std::string router_board::storeAddress(time_point now) const
+{
+    if (!deployment)
+        return {};
+    for (const deployment_pool &pool : deployment->source().pools) {
+        if (!pool.store)
+            continue;
+        const auto away = storeAwayUntil.find(pool.store->address);
+        if (away == storeAwayUntil.end() || now >= away->second)
+            return pool.store->address;
+    }
+    return {};
+}
+
+void router_board::storeIsAway(const std::string &address, time_point now)
+{
+    storeAwayUntil[address] = now + StoreAwayLapse;
+    savedParts.clear();
+}
+
 retry_budget &router_board::repeatsOf(const std::string &pool)
 {
     const auto found = repeats.find(pool);
--- a/burdockhold/router_board.h
+++ b/burdockhold/router_board.h
@@ -14,10 +14,12 @@
 #include "burdockhold/quota_ledger.h"
 #include "burdockhold/router_metrics.h"
 #include "burdockhold/router_settings.h"
+#include "burdockhold/saved_parts.h"
 
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace burdockhold {
@@ -35,6 +37,13 @@
     /// Version of the model's weights that the operator wants; 0 when none was named.
     std::int64_t wantedVersion(const std::string &model) const;
 
+    /// Address of the store of cached parts that the deployment names, or an empty string while there
+    /// is none or it is away.
+    std::string storeAddress(time_point now) const;
+
+    /// Marks the store as away for a moment, and forgets what it held.
+    void storeIsAway(const std::string &address, time_point now);
+
     /// Repeats of the pool's calls; made on first use.
     retry_budget &repeatsOf(const std::string &pool);
 
@@ -57,6 +66,16 @@
     std::map<std::string, quota_ledger> quotas;
     std::map<std::string, retry_budget> repeats;
 
+    // Written by the exchanges (own saves) and the peer link (those of others).
+    saved_parts savedParts;
+
+    // Written by the duty controller (own finding) and the peer link (that of others): until when a
+    // store of cached parts counts as away, by its address.
+    std::map<std::string, time_point> storeAwayUntil;
+
+    // Written by the duty controller: stores whose absence this VM found itself.
+    std::set<std::string> ownStoreFinding;
+
     // Written by the peer link.
     std::size_t knownPeers = 0;
 
--- /dev/null
+++ b/burdockhold/saved_parts.h
@@ -0,0 +1,64 @@
+#ifndef BURDOCKHOLD_SAVED_PARTS_H
+#define BURDOCKHOLD_SAVED_PARTS_H
+
+// Which shared parts of prompts lie in the store of cached parts, as the VMs have told each other.
+//
+// The first VM that sends a part to an engine asks the engine to save it; the others then ask
+// engines that lack it to copy it from the store instead of reading it again. The view is a hint: a
+// part that is wrongly thought saved costs one miss, one wrongly thought missing is saved twice.
+// An entry lapses after `lapse` without use, since the store drops what was used least recently.
+// Memory is bounded by maxParts.
+
+#include "burdockhold/clock.h"
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace burdockhold {
+
+struct saved_parts_options
+{
+    duration lapse = std::chrono::seconds(20);
+    duration announceFor = std::chrono::milliseconds(700); ///< Three digests, one of which arrives.
+    std::size_t maxParts = 20000;
+};
+
+class saved_parts
+{
+public:
+    explicit saved_parts(saved_parts_options options = {});
+
+    bool isSaved(const std::string &part, time_point now) const;
+
+    /// The part is being saved by a call of this VM.
+    void save(const std::string &part, time_point now);
+
+    /// A part is in use again, so the store keeps it longer.
+    void touch(const std::string &part, time_point now);
+
+    /// Another VM has saved the part with this hash.
+    void peerSaved(std::uint32_t hash, time_point now);
+
+    /// Hashes of the parts that this VM has saved lately, for digests.
+    std::vector<std::uint32_t> announced(time_point now);
+
+    /// The store has lost everything.
+    void clear();
+
+private:
+    struct saved_at
+    {
+        std::uint32_t hash = 0;
+        time_point at;
+    };
+
+    saved_parts_options m_options;
+    std::unordered_map<std::uint32_t, time_point> m_usedAt;
+    std::vector<saved_at> m_own;
+};
+
+} // namespace burdockhold
+
+#endif
--- a/burdockhold/vm_digest.h
+++ b/burdockhold/vm_digest.h
@@ -70,7 +70,10 @@
     std::vector<endpoint_row> endpoints;
     std::vector<weights_row> weights;
     std::vector<crash_row> crashes;
-    MSGPACK_DEFINE_ARRAY(vm, incarnation, number, leaving, accounts, endpoints, weights, crashes)
+    std::vector<std::uint32_t> savedParts; ///< Hashes of parts that went to the store lately.
+    std::vector<std::uint32_t> deadStores; ///< Hashes of the addresses of stores that are away.
+    MSGPACK_DEFINE_ARRAY(vm, incarnation, number, leaving, accounts, endpoints, weights, crashes,
+                         savedParts, deadStores)
 };
 
 enum class digest_error { NotReadable };
--- a/burdockhold/weights_orders.cc
+++ b/burdockhold/weights_orders.cc
@@ -1,6 +1,7 @@
 #include "burdockhold/weights_orders.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace burdockhold {
 
@@ -30,6 +31,8 @@
 
     std::vector<order_action> actions;
     int loading = loadingCount(now);
+    const int mostLoading = static_cast<int>(
+            std::ceil(m_options.loadingShare * static_cast<double>(engines.size())));
     for (const ordered_engine *engine : sorted) {
         engine_entry &entry = m_engines[engine->id];
         entry.incarnation = engine->incarnation;
@@ -42,7 +45,7 @@
             actions.emplace_back(ask_engine_state { engine->id, engine->address });
             continue;
         }
-        if (engine->version >= wantedVersion || loading >= m_options.maxLoading)
+        if (engine->version >= wantedVersion || loading >= mostLoading)
             continue;
         ++loading;
         entry.callOpen = true;
--- a/burdockhold/weights_orders.h
+++ b/burdockhold/weights_orders.h
@@ -4,7 +4,7 @@
 // Which engine is ordered to load which weights, and when. Stepped by the VM that holds the duty.
 //
 // Promises:
-// - At most maxLoading engines of a pool load at once, so that the others serve.
+// - At most loadingShare of a pool's engines, rounded up, load at once, so that the others serve.
 // - Every order names the number of orders that the engine has accepted, so that a late copy of an
 //   older order finds another number and is refused by the engine.
 // - After an order without an answer the engine is asked for its state before it is ordered again.
@@ -80,15 +80,15 @@
 
 struct weights_order_options
 {
-    /// Engines that drain or load at once. An engine waits longer for its weights while more than
-    /// two load, and drains for about as long as it loads.
-    int maxLoading = 3;
-    /// Least age of a load before the engine is asked whether it is done: its reports lag.
-    duration firstCheck = std::chrono::milliseconds(700);
-    duration checkInterval = std::chrono::milliseconds(350);
+    /// Part of a pool's engines that drain or load at once. With about half of them, the rest serve
+    /// meanwhile; once these are done they take all traffic, and the rest drain by themselves.
+    double loadingShare = 0.55;
+    /// Least age of a load before the engine is asked whether it is done: weights take longer.
+    duration firstCheck = std::chrono::milliseconds(500);
+    duration checkInterval = std::chrono::milliseconds(150);
     /// Pause after a refusal, a conflict or a missing answer, at least the lag of reports.
     duration retryPause = std::chrono::milliseconds(450);
-    /// A load without an end for this long no longer counts against maxLoading.
+    /// A load without an end for this long no longer counts against loadingShare.
     duration loadTimeout = std::chrono::seconds(6);
 };
 
