--- a/burdockhold/duty_lease.cc
+++ b/burdockhold/duty_lease.cc
@@ -31,14 +31,22 @@
     }
 }
 
-std::optional<std::int64_t> duty_lease::tokenFor(std::string_view duty, duration now) const
+std::optional<std::int64_t> duty_lease::tokenFor(std::string_view duty, duration othersActedAt,
+                                                 duration now) const
 {
-    const auto since = m_heldSince[static_cast<std::size_t>(partitionOf(duty))];
-    if (!since || now >= m_validUntil || now < *since + m_options.takeoverWait)
+    if (!holds(duty, now))
+        return std::nullopt;
+    const duration since = *m_heldSince[static_cast<std::size_t>(partitionOf(duty))];
+    if (now < since + m_options.ttl || now < othersActedAt + m_options.takeoverWait)
         return std::nullopt;
     return m_generation;
 }
 
+bool duty_lease::holds(std::string_view duty, duration now) const
+{
+    return m_heldSince[static_cast<std::size_t>(partitionOf(duty))] && now < m_validUntil;
+}
+
 void duty_lease::release()
 {
     m_validUntil = duration::zero();
--- a/burdockhold/duty_lease.h
+++ b/burdockhold/duty_lease.h
@@ -9,7 +9,8 @@
 // - The lease ends at the holder no later than at the log: it runs from before the join was sent,
 //   on a clock that counts suspensions.
 // - A new holder waits until orders of the former one are at least one lease old, because the log
-//   may deal partitions anew without asking their holders.
+//   may deal partitions anew without asking their holders. If the former holder had nothing to order
+//   for a lease before that, the end of its own lease is enough.
 // Every method takes the time of the suspension-counting clock. Nothing here reads a clock.
 
 #include "burdockhold/clock.h"
@@ -36,8 +37,13 @@
     /// A join that was sent at sentAt has been answered.
     void joined(std::int64_t generation, const std::vector<int> &partitions, duration sentAt);
 
-    /// Returns the fencing token if this VM may act on the duty now.
-    std::optional<std::int64_t> tokenFor(std::string_view duty, duration now) const;
+    /// Returns the fencing token if this VM may act on the duty now. The second time is when another
+    /// VM may last have acted on it.
+    std::optional<std::int64_t> tokenFor(std::string_view duty, duration othersActedAt,
+                                         duration now) const;
+
+    /// True while this VM is the holder, even if it may not act yet.
+    bool holds(std::string_view duty, duration now) const;
 
     std::int64_t generation() const { return m_generation; }
 
--- a/burdockhold/endpoint_table.cc
+++ b/burdockhold/endpoint_table.cc
@@ -182,9 +182,26 @@
 }
 
 void endpoint_table::setLoading(std::string_view id, time_point now)
+{
+    table_entry *entry = entryOf(id);
+    if (entry == nullptr)
+        return;
+    if (now >= entry->loadingUntil)
+        entry->loadingSince = now;
+    entry->loadingUntil = now + m_options.loadingLapse;
+}
+
+duration endpoint_table::loadingFor(std::string_view id, time_point now) const
+{
+    const table_entry *entry = entryOf(id);
+    return entry == nullptr || now >= entry->loadingUntil ? duration::zero()
+                                                          : now - entry->loadingSince;
+}
+
+void endpoint_table::callRefused(std::string_view id, time_point now)
 {
     if (table_entry *entry = entryOf(id))
-        entry->loadingUntil = now + m_options.loadingLapse;
+        entry->backOffUntil = std::max(entry->backOffUntil, now + m_options.refusalPause);
 }
 
 bool endpoint_table::isLoading(std::string_view id, time_point now) const
--- a/burdockhold/endpoint_table.h
+++ b/burdockhold/endpoint_table.h
@@ -38,6 +38,7 @@
     duration firstBackOff = std::chrono::milliseconds(300); ///< Doubles with each failure to connect.
     duration longestBackOff = std::chrono::seconds(4);
     duration callHalfLife = std::chrono::seconds(3);      ///< Of the counts of recent calls.
+    duration refusalPause = std::chrono::milliseconds(150); ///< About the time of a few steps.
     duration loadingLapse = std::chrono::milliseconds(900); ///< After the last word of a load.
     duration removalGrace = std::chrono::milliseconds(1500); ///< Entries return within two seconds.
     std::size_t partsPerEndpoint = 400; ///< Remembered parts; more than an engine's memory holds.
@@ -80,6 +81,10 @@
     void weightsSeen(std::string_view id, std::string_view model, std::int64_t version);
     void setLoading(std::string_view id, time_point now);
     bool isLoading(std::string_view id, time_point now) const;
+    /// How long the endpoint has been draining or loading; zero when it is not.
+    duration loadingFor(std::string_view id, time_point now) const;
+    /// The endpoint refused a call that it did not run: others are better for a moment.
+    void callRefused(std::string_view id, time_point now);
 
     void callStarted(std::string_view id, const call_load &load, time_point now);
     void promptRead(std::string_view id, const call_load &load);
@@ -119,6 +124,7 @@
         int connectFailures = 0;
         time_point backOffUntil;
         time_point heardAt;
+        time_point loadingSince;
         time_point loadingUntil;
         std::map<std::string, std::int64_t, std::less<>> weights;
         std::unordered_set<std::string> parts;
--- a/burdockhold/loop_duties.cc
+++ b/burdockhold/loop_duties.cc
@@ -1,5 +1,6 @@
 #include "burdockhold/loop_duties.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace burdockhold {
@@ -82,7 +83,7 @@
         return;
     m_storesCheckedAt = now;
     for (const deployment_pool &pool : m_board.deployment->source().pools) {
-        if (pool.store && !m_leaving && m_lease.tokenFor(pool.name, bootNow()))
+        if (pool.store && !m_leaving && m_lease.holds(pool.name, bootNow()))
             checkStore(pool.store->address);
     }
 }
@@ -130,8 +131,10 @@
     const std::int64_t wanted = m_board.wantedVersion(model);
     const std::string plan = pool + "/" + model;
     weights_planner &planner = m_planners[plan];
-    const auto token = m_leaving ? std::nullopt : m_lease.tokenFor(pool, bootNow());
     const auto engines = m_board.endpoints.orderedEngines(pool, model, now);
+    noteOthers(pool, engines, wanted, planner, now);
+    const auto token = m_leaving ? std::nullopt
+                                 : m_lease.tokenFor(pool, m_othersActedAt[pool], bootNow());
     const auto actions = planner.step(engines, wanted, token, now);
     for (const std::string &id : planner.loadingEngines(now))
         m_board.endpoints.setLoading(id, now);
@@ -139,6 +142,23 @@
         std::visit([&](const auto &taken) { carryOut(plan, taken); }, action);
 }
 
+/// Another holder may have acted while one was needed, or an engine loads that was not ordered here.
+void duty_controller::noteOthers(const std::string &pool,
+                                 const std::vector<ordered_engine> &engines, std::int64_t wanted,
+                                 const weights_planner &planner, time_point now)
+{
+    const duration bootTime = bootNow();
+    const auto own = planner.loadingEngines(now);
+    const bool holds = m_lease.holds(pool, bootTime);
+    for (const ordered_engine &engine : engines) {
+        const bool isOwn = std::find(own.begin(), own.end(), engine.id) != own.end();
+        const bool othersLoad = !isOwn && !planner.isActing()
+                && m_board.endpoints.isLoading(engine.id, now);
+        if (othersLoad || (!holds && engine.version < wanted))
+            m_othersActedAt[pool] = bootTime;
+    }
+}
+
 void duty_controller::carryOut(const std::string &plan, const ask_engine_state &action)
 {
     callEngine(action.address, platform::reportCall(action.endpointId),
--- a/burdockhold/loop_duties.h
+++ b/burdockhold/loop_duties.h
@@ -35,6 +35,8 @@
     void leave();
 
 private:
+    void noteOthers(const std::string &pool, const std::vector<ordered_engine> &engines,
+                    std::int64_t wanted, const weights_planner &planner, time_point now);
     void checkStores(time_point now);
     void checkStore(const std::string &address);
     void join();
@@ -57,6 +59,7 @@
     std::shared_ptr<log_lane> m_lane;
     boost::asio::steady_timer m_joinTimer;
     std::map<std::string, weights_planner> m_planners; // By pool and model.
+    std::map<std::string, duration> m_othersActedAt;   // By pool; suspension-counting clock.
     bool m_leaving = false;
     time_point m_storesCheckedAt;
 };
--- a/burdockhold/loop_exchange.cc
+++ b/burdockhold/loop_exchange.cc
@@ -24,6 +24,10 @@
 // Keys stop this long before the bound: the request itself takes time to its endpoint.
 constexpr duration RevocationMargin = std::chrono::milliseconds(300);
 // Least pause that a refusal asks for: a connection and the balancer's choice take part of it.
+// Short answers end within this time of an order; what runs on may run for seconds more.
+constexpr duration MoveStreamAfter = std::chrono::milliseconds(350);
+// A stream moves only where its next event comes within the usual pause, old weights allowed.
+constexpr double MaxMoveMs = 450.0;
 constexpr duration MinRetryAfter = std::chrono::milliseconds(50);
 
 std::uint64_t hashOf(std::string_view text)
@@ -101,6 +105,7 @@
     m_priority = m_account != nullptr && m_account->priority ? *m_account->priority
                                                              : m_route->priority;
     m_context.board.repeatsOf(m_poolName).countRequest(steadyNow());
+    m_context.board.movesOf(m_poolName).countRequest(steadyNow());
     startTimer();
     if (!place())
         waitForEndpoint();
@@ -356,6 +361,7 @@
                need.promptTokens + need.outputTokens };
     board.metrics.count(router_counter::UncachedTokens,
                         static_cast<std::uint64_t>(m_load.unreadTokens));
+    m_expectedMs = choice.expectedMs;
     m_promptRead = false;
     m_headArrived = false;
     m_wrongAnswer = false;
@@ -376,6 +382,8 @@
     }
     board.endpoints.callStarted(m_endpointId, m_load, m_callStarted);
     const bool repeatable = mayRepeat(m_route->kind, m_route->resumable);
+    if (m_route->kind == call_kind::Stream && m_route->resumable)
+        m_context.movable.insert(shared_from_this());
     m_link = m_context.links.take(m_address, repeatable);
     if (!m_link) {
         callEnded(call_end::NotSent);
@@ -386,6 +394,8 @@
     endpoint_orders orders = ordersFor(m_endpointId, copyFrom);
     if (!m_partKey.empty() && m_pool != nullptr && m_pool->engine)
         useStore(orders);
+    m_copied = !orders.copyPartsFrom.empty();
+    m_saved = !orders.saveParts.empty();
     m_link->call(platform::encodeCall(m_request, orders), handlersOfCall());
 }
 
@@ -450,8 +460,10 @@
     board.endpoints.promptRead(m_endpointId, m_load);
     if (!m_partKey.empty() && m_head.status == StatusOk)
         board.endpoints.partHeld(m_endpointId, m_partKey);
-    if (!m_answerBegun)
-        board.metrics.firstByte(steadyNow() - m_arrival);
+    if (!m_answerBegun) {
+        m_firstByte = steadyNow() - m_arrival;
+        board.metrics.firstByte(m_firstByte);
+    }
 }
 
 void exchange::relayEvents(std::string_view bytes)
@@ -495,9 +507,7 @@
 {
     router_board &board = m_context.board;
     if (m_head.status != 421) {
-        // Full, loading weights or past the deadline: others are better for a moment.
-        if (m_pool != nullptr && m_pool->engine)
-            board.endpoints.setLoading(m_endpointId, steadyNow());
+        board.endpoints.callRefused(m_endpointId, steadyNow());
         return;
     }
     const std::int64_t wanted = board.wantedVersion(m_request.model);
@@ -564,8 +574,33 @@
                step);
 }
 
+void exchange::leaveLoadingEndpoint()
+{
+    router_board &board = m_context.board;
+    const time_point now = steadyNow();
+    if (m_ended || m_endpointId.empty() || !m_link || !m_link->isConnected())
+        return;
+    if (board.endpoints.loadingFor(m_endpointId, now) < MoveStreamAfter)
+        return;
+    if (m_route->maxEndpoints - m_runs < 2 || m_sends >= MaxSends)
+        return;
+    const placement_need need = needOf();
+    const auto candidates = board.endpoints.candidates(
+            m_poolName, m_request.model, board.wantedVersion(m_request.model), {}, m_tried, now);
+    const auto choice = chooseEndpoint(candidates, need, hashOf(m_request.callId));
+    if (!choice || choice->expectedMs > MaxMoveMs || !board.movesOf(m_poolName).tryRetry(now))
+        return;
+    ++m_runs;
+    m_mayHaveRun = true;
+    const auto link = m_link;
+    link->close();
+    releaseCall();
+    takeStep(try_another {});
+}
+
 void exchange::releaseCall()
 {
+    m_context.movable.erase(shared_from_this());
     if (m_endpointId.empty())
         return;
     m_context.board.endpoints.callEnded(m_endpointId, m_load, m_promptRead);
@@ -659,6 +694,13 @@
                           { "runs", m_runs },
                           { "waited_ms", 1000.0 * toSeconds(m_waited) },
                           { "total_ms", 1000.0 * toSeconds(now - m_arrival) },
+                          { "first_ms", 1000.0 * toSeconds(m_firstByte) },
+                          { "expected_ms", m_expectedMs },
+                          { "prompt", m_request.promptTokens },
+                          { "unread", m_load.unreadTokens },
+                          { "copied", m_copied },
+                          { "saved", m_saved },
+                          { "weights", m_expectedWeights },
                           { "events", m_events.events() },
                           { "deployment", m_deployment ? m_deployment->source().version : 0 },
                           { "view_age_ms", std::llround(1000.0 * toSeconds(board.deploymentAge())) } },
--- a/burdockhold/loop_exchange.h
+++ b/burdockhold/loop_exchange.h
@@ -55,6 +55,9 @@
     std::vector<std::shared_ptr<exchange>> m_waiting;
 };
 
+/// Streams that could go on at another endpoint.
+using movable_streams = std::set<std::shared_ptr<exchange>>;
+
 /// Parts of the process that exchanges use.
 struct exchange_context
 {
@@ -62,6 +65,7 @@
     router_board &board;
     link_pool &links;
     waiting_room &waiting;
+    movable_streams &movable;
 };
 
 class exchange : public std::enable_shared_from_this<exchange>
@@ -82,6 +86,10 @@
     /// Tries to place a waiting request; false when it goes on waiting.
     bool place();
 
+    /// Goes on at another endpoint if this one is about to load weights: it would otherwise wait for
+    /// the end of the stream, and the pool for it.
+    void leaveLoadingEndpoint();
+
     int priority() const { return m_priority; }
     time_point arrival() const { return m_arrival; }
 
@@ -159,6 +167,10 @@
     bool m_waiting = false;
     bool m_ended = false;
     duration m_waited = duration::zero();
+    duration m_firstByte = duration::zero(); ///< From the arrival to the answer's first byte.
+    double m_expectedMs = 0.0;               ///< What the last placement expected of the call.
+    bool m_copied = false;
+    bool m_saved = false;
     event_splitter m_events;
 };
 
--- a/burdockhold/loop_router.cc
+++ b/burdockhold/loop_router.cc
@@ -106,7 +106,8 @@
             return;
         // Any other failure concerns one connection or a moment without descriptors.
         if (!error) {
-            const exchange_context context { m_io, m_board, m_links, m_waiting };
+            const exchange_context context { m_io, m_board, m_links, m_waiting,
+                                             m_movable };
             std::make_shared<caller_connection>(std::move(socket), context, m_callers)->start();
         }
         acceptCallers();
@@ -352,6 +353,9 @@
         quota.step(m_board.knownPeers, now);
     m_duties->step(now);
     m_digests.step(now);
+    const movable_streams movable = m_movable;
+    for (const auto &stream : movable)
+        stream->leaveLoadingEndpoint();
     if (m_waiting.size() > 0)
         m_waiting.retry();
     if (now - m_sweptAt >= SweepInterval) {
--- a/burdockhold/loop_router.h
+++ b/burdockhold/loop_router.h
@@ -53,6 +53,7 @@
     router_board m_board;
     link_pool m_links;
     waiting_room m_waiting;
+    movable_streams m_movable;
     caller_set m_callers;
     digest_link m_digests;
     std::unique_ptr<duty_controller> m_duties;
--- a/burdockhold/weights_orders.cc
+++ b/burdockhold/weights_orders.cc
@@ -15,7 +15,8 @@
                                                 std::optional<std::int64_t> fencingToken,
                                                 time_point now)
 {
-    if (!fencingToken || isFenced(*fencingToken)) {
+    m_acting = fencingToken && !isFenced(*fencingToken);
+    if (!m_acting) {
         m_engines.clear();
         return {};
     }
--- a/burdockhold/weights_orders.h
+++ b/burdockhold/weights_orders.h
@@ -110,6 +110,9 @@
     /// Engines that drain or load now, as far as is known.
     std::vector<std::string> loadingEngines(time_point now) const;
 
+    /// True while the duty is held: the planner knows of every order that is given.
+    bool isActing() const { return m_acting; }
+
     /// True when an engine has refused the token in favour of a higher one.
     bool isFenced(std::int64_t token) const { return token <= m_fencedToken; }
 
@@ -132,6 +135,7 @@
     std::map<std::string, engine_entry, std::less<>> m_engines;
     std::int64_t m_fencedToken = -1;
     std::int64_t m_token = -1;
+    bool m_acting = false;
 };
 
 } // namespace burdockhold
