--- a/burdockhold/duty_lease.cc
+++ b/burdockhold/duty_lease.cc
@@ -3,12 +3,24 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace burdockhold {
 
-duty_lease::duty_lease(duty_lease_options options, int partitionCount)
+namespace {
+
+std::uint64_t hashOf(std::string_view text, std::uint64_t seed)
+{
+    return XXH64(text.data(), text.size(), seed);
+}
+
+} // namespace
+
+duty_lease::duty_lease(duty_lease_options options, std::string duty, int partitionCount)
     : m_options(options)
-    , m_heldSince(static_cast<std::size_t>(std::max(1, partitionCount)))
+    , m_duty(std::move(duty))
+    , m_partition(static_cast<int>(hashOf(m_duty, 0)
+                                   % static_cast<std::uint64_t>(std::max(1, partitionCount))))
 {
 }
 
@@ -21,41 +33,49 @@
     const bool lapsed = sentAt >= m_validUntil;
     m_generation = generation;
     m_validUntil = sentAt + m_options.ttl;
-    for (std::size_t number = 0; number < m_heldSince.size(); ++number) {
-        const bool held = std::find(partitions.begin(), partitions.end(), static_cast<int>(number))
-                != partitions.end();
-        if (!held)
-            m_heldSince[number].reset();
-        else if (!m_heldSince[number] || lapsed)
-            m_heldSince[number] = sentAt;
-    }
+    const bool held = std::find(partitions.begin(), partitions.end(), m_partition)
+            != partitions.end();
+    if (!held)
+        m_heldSince.reset();
+    else if (!m_heldSince || lapsed)
+        m_heldSince = sentAt;
 }
 
-std::optional<std::int64_t> duty_lease::tokenFor(std::string_view duty, duration othersActedAt,
-                                                 duration now) const
+bool duty_lease::holds(duration now) const
 {
-    if (!holds(duty, now))
-        return std::nullopt;
-    const duration since = *m_heldSince[static_cast<std::size_t>(partitionOf(duty))];
-    if (now < since + m_options.ttl || now < othersActedAt + m_options.takeoverWait)
+    return m_heldSince && now < m_validUntil;
+}
+
+std::optional<std::int64_t> duty_lease::token(duration now, duration othersOrderAge) const
+{
+    if (!holds(now) || now < *m_heldSince + m_options.takeoverWait
+        || othersOrderAge < m_options.orderSpacing)
         return std::nullopt;
     return m_generation;
 }
 
-bool duty_lease::holds(std::string_view duty, duration now) const
+bool duty_lease::shouldJoin(duration now, duration holderSilence, std::size_t rank) const
 {
-    return m_heldSince[static_cast<std::size_t>(partitionOf(duty))] && now < m_validUntil;
+    return holds(now)
+            || holderSilence > m_options.claimLapse
+                    + m_options.rankDelay * static_cast<std::int64_t>(rank);
 }
 
 void duty_lease::release()
 {
     m_validUntil = duration::zero();
-    std::fill(m_heldSince.begin(), m_heldSince.end(), std::nullopt);
+    m_heldSince.reset();
 }
 
-int duty_lease::partitionOf(std::string_view duty) const
+std::size_t dutyRank(std::string_view duty, const std::string &ownVm,
+                     const std::vector<std::string> &otherVms)
 {
-    return static_cast<int>(XXH64(duty.data(), duty.size(), 0) % m_heldSince.size());
+    const std::uint64_t seed = hashOf(duty, 1);
+    const std::uint64_t own = hashOf(ownVm, seed);
+    return static_cast<std::size_t>(
+            std::count_if(otherVms.begin(), otherVms.end(), [&](const std::string &vm) {
+                return hashOf(vm, seed) < own;
+            }));
 }
 
 } // namespace burdockhold
--- a/burdockhold/duty_lease.h
+++ b/burdockhold/duty_lease.h
@@ -1,22 +1,24 @@
 #ifndef BURDOCKHOLD_DUTY_LEASE_H
 #define BURDOCKHOLD_DUTY_LEASE_H
 
-// Whether this VM holds a duty, from its membership of a group on the log. The group gives each
-// partition to one member; a duty belongs to a partition, and the group's generation is the fencing
-// token.
+// Whether this VM holds a duty, and whether it should try to. Each duty has a group on the log; its
+// holder is the group's only member, as a rule. A VM joins when no other has claimed the duty for a
+// while, the VMs one after the other in an order of the duty's own. The group's generation, which
+// grows with each change, is the fencing token.
 //
 // Promises:
 // - The lease ends at the holder no later than at the log: it runs from before the join was sent,
 //   on a clock that counts suspensions.
-// - A new holder waits until orders of the former one are at least one lease old, because the log
-//   may deal partitions anew without asking their holders. If the former holder had nothing to order
-//   for a lease before that, the end of its own lease is enough.
-// Every method takes the time of the suspension-counting clock. Nothing here reads a clock.
+// - Where engines check fencing tokens, a new holder acts after a short wait, and an order of the
+//   former holder that is still under way is refused. Where they do not, it waits until any order
+//   of another VM is one lease old.
+// Nothing here reads a clock.
 
 #include "burdockhold/clock.h"
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -26,39 +28,52 @@
 {
     duration ttl = std::chrono::milliseconds(1600);         ///< As stated in each join.
     duration joinInterval = std::chrono::milliseconds(450); ///< Under a third of the ttl.
-    duration takeoverWait = std::chrono::milliseconds(3300); ///< The platform's lease time and 10 %.
+    /// Silence of the holder, about the ttl, after which the first VM tries to take the duty.
+    duration claimLapse = std::chrono::milliseconds(1000);
+    duration rankDelay = std::chrono::milliseconds(300); ///< Between the tries of two VMs.
+    /// Least time from the gain of a duty to the first order.
+    duration takeoverWait = std::chrono::milliseconds(500);
+    /// Least age of another VM's last order; zero where engines check fencing tokens.
+    duration orderSpacing = std::chrono::milliseconds(0);
 };
 
 class duty_lease
 {
 public:
-    explicit duty_lease(duty_lease_options options, int partitionCount);
+    duty_lease(duty_lease_options options, std::string duty, int partitionCount);
 
-    /// A join that was sent at sentAt has been answered.
+    /// A join that was sent at sentAt has been answered. Times are of the suspension-counting clock.
     void joined(std::int64_t generation, const std::vector<int> &partitions, duration sentAt);
 
-    /// Returns the fencing token if this VM may act on the duty now. The second time is when another
-    /// VM may last have acted on it.
-    std::optional<std::int64_t> tokenFor(std::string_view duty, duration othersActedAt,
-                                         duration now) const;
-
     /// True while this VM is the holder, even if it may not act yet.
-    bool holds(std::string_view duty, duration now) const;
+    bool holds(duration now) const;
+
+    /// Returns the fencing token if this VM may act now. The second time is the age of another VM's
+    /// last order.
+    std::optional<std::int64_t> token(duration now, duration othersOrderAge) const;
+
+    /// True when this VM should join: it holds the duty, or the holder has been silent for long
+    /// enough, considering how many VMs come before this one.
+    bool shouldJoin(duration now, duration holderSilence, std::size_t rank) const;
 
     std::int64_t generation() const { return m_generation; }
 
-    /// Ends all duties at once, before the VM leaves the group.
+    /// Ends the duty at once, before the VM leaves the group.
     void release();
 
-    int partitionOf(std::string_view duty) const;
-
 private:
     duty_lease_options m_options;
-    std::vector<std::optional<duration>> m_heldSince; // By partition.
+    std::string m_duty;
+    int m_partition;
+    std::optional<duration> m_heldSince;
     std::int64_t m_generation = 0;
     duration m_validUntil = duration::zero();
 };
 
+/// Returns how many of the other VMs come before this one for the duty.
+std::size_t dutyRank(std::string_view duty, const std::string &ownVm,
+                     const std::vector<std::string> &otherVms);
+
 } // namespace burdockhold
 
 #endif
--- a/burdockhold/endpoint_choice.cc
+++ b/burdockhold/endpoint_choice.cc
@@ -27,6 +27,23 @@
     return ms;
 }
 
+/// True if the engine can take the request without slowing down those that it runs.
+bool hasRoom(const endpoint_candidate &candidate, const placement_need &need, bool holds,
+             const endpoint_choice_options &options)
+{
+    if (candidate.running >= candidate.slots)
+        return false;
+    if (need.homeKey.empty() || candidate.running == 0)
+        return true;
+    const std::int64_t unread = need.ownTokens + (holds ? 0 : need.partTokens);
+    if (candidate.unreadTokens + unread > options.maxUnreadTokens && candidate.unreadTokens > 0)
+        return false;
+    const auto held = static_cast<double>(candidate.heldTokens + need.promptTokens
+                                          + need.outputTokens);
+    return candidate.cacheTokens <= 0
+            || held <= options.maxHeldShare * static_cast<double>(candidate.cacheTokens);
+}
+
 double serviceMs(const endpoint_candidate &candidate, const endpoint_choice_options &options)
 {
     const double each = candidate.latencyMs > 0.0 ? candidate.latencyMs : options.serviceMs;
@@ -95,9 +112,9 @@
     for (std::size_t step = 0; step < candidates.size(); ++step) {
         const std::size_t index = (step + seed) % candidates.size();
         const endpoint_candidate &candidate = candidates[index];
-        if (candidate.excluded || candidate.running >= candidate.slots)
-            continue;
         const bool holds = candidate.holdsPart || index == home;
+        if (candidate.excluded || !hasRoom(candidate, need, holds || need.storeHoldsPart, options))
+            continue;
         endpoint_choice choice;
         choice.index = index;
         if (!plain && !holds)
--- a/burdockhold/endpoint_choice.h
+++ b/burdockhold/endpoint_choice.h
@@ -59,6 +59,13 @@
     double runningMs = 1.0;        ///< Each running request slows the steps of all.
     double overMemoryMs = 600.0;   ///< Preempted requests are read in again.
     double memoryShare = 0.92;     ///< Usable part of the memory: blocks are filled partly.
+    /// Prompt tokens that may wait at an engine, about 240 ms of reading. Beyond it requests wait at
+    /// the router, where the most urgent goes first and a caller that leaves costs nothing: an
+    /// engine that always reads prompts slows the streams that it makes to a tenth.
+    std::int64_t maxUnreadTokens = 12000;
+    /// Part of an engine's memory for running requests. The rest keeps shared parts: without them
+    /// every prompt is read whole, and the pool does not get out of an overload by itself.
+    double maxHeldShare = 0.6;
     double suspectMs = 3000.0;
     double oldWeightsMs = 250.0;   ///< Half of the usual latency target.
     double failureMs = 800.0;      ///< A failed call costs about a latency target and a repeat.
@@ -75,7 +82,8 @@
     std::optional<std::size_t> copyFrom; ///< Candidate that holds the part that the chosen lacks.
 };
 
-/// Returns the choice, or nothing when every candidate is excluded or out of slots. The seed breaks
+/// Returns the choice, or nothing when every candidate is excluded or full: out of slots, or an
+/// engine at its limits of waiting or held tokens. An idle engine is never full. The seed breaks
 /// ties between plain services.
 std::optional<endpoint_choice> chooseEndpoint(const std::vector<endpoint_candidate> &candidates,
                                               const placement_need &need, std::uint64_t seed,
--- a/burdockhold/endpoint_table.cc
+++ b/burdockhold/endpoint_table.cc
@@ -129,6 +129,8 @@
     if (candidate.recentCalls > 0.0)
         candidate.failureShare = (recent.failures + others.failures) / candidate.recentCalls;
     candidate.latencyMs = entry.latencyMs;
+    if (const auto memory = m_cacheTokens.find(entry.report.pool); memory != m_cacheTokens.end())
+        candidate.cacheTokens = memory->second;
     candidate.suspect = candidate.running > 0 && now - entry.heardAt > m_options.suspectAfter;
     const bool loading = !model.empty() && now < entry.loadingUntil;
     candidate.excluded = loading || now < entry.backOffUntil;
@@ -148,8 +150,10 @@
         std::int64_t held = entry.heldTokens;
         if (const auto sum = m_peerSums.find(entry.hash); sum != m_peerSums.end())
             held += sum->second.heldTokens;
+        const bool silent = now < entry.backOffUntil
+                || (entry.running > 0 && now - entry.heardAt > m_options.suspectAfter);
         engines.push_back({ id, entry.report.address, entry.report.incarnation, std::string(model),
-                            versionOf(entry, model), held });
+                            versionOf(entry, model), held, silent });
     }
     return engines;
 }
--- a/burdockhold/endpoint_table.h
+++ b/burdockhold/endpoint_table.h
@@ -73,6 +73,9 @@
                                                const std::set<std::string> &tried,
                                                time_point now) const;
 
+    /// Memory of each of a pool's engines, as the deployment states it.
+    void setCacheTokens(const std::string &pool, std::int64_t tokens) { m_cacheTokens[pool] = tokens; }
+
     std::vector<ordered_engine> orderedEngines(std::string_view pool, std::string_view model,
                                                time_point now) const;
 
@@ -156,6 +159,7 @@
     static std::int64_t versionOf(const table_entry &entry, std::string_view model);
 
     std::string m_dataCentre;
+    std::map<std::string, std::int64_t> m_cacheTokens; // By pool.
     endpoint_table_options m_options;
     std::map<std::string, table_entry, std::less<>> m_entries;
     std::unordered_map<std::uint32_t, std::string> m_idsByHash;
--- a/burdockhold/loop_duties.cc
+++ b/burdockhold/loop_duties.cc
@@ -9,72 +9,135 @@
 
 namespace {
 
-constexpr std::string_view DutyGroup = "burdockhold-duties";
+constexpr std::string_view GroupPrefix = "burdockhold-orders/";
 constexpr int StatusOk = 200;
 constexpr duration EngineCallTimeout = std::chrono::milliseconds(1200);
 constexpr duration StoreCheckInterval = std::chrono::milliseconds(500);
 constexpr duration StoreCheckTimeout = std::chrono::milliseconds(300);
 constexpr duration JoinTimeout = std::chrono::milliseconds(1200);
+constexpr duration OrderMemory = std::chrono::seconds(10); ///< How long digests tell of an order.
 
 duty_lease_options leaseOptions(const router_settings &settings)
 {
     duty_lease_options options;
-    options.takeoverWait = settings.leaseTime + settings.leaseTime / 10;
+    if (!settings.enginesCheckFences)
+        options.orderSpacing = settings.leaseTime + settings.leaseTime / 10;
     return options;
 }
 
+std::string groupOf(const std::string &pool)
+{
+    return std::string(GroupPrefix) + pool;
+}
+
 } // namespace
 
+duty_controller::held_duty::held_duty(boost::asio::io_context &context,
+                                      const boost::asio::ip::tcp::endpoint &logServer,
+                                      const duty_lease_options &options, const std::string &pool,
+                                      int partitions)
+    : lease(options, pool, partitions)
+    , lane(std::make_shared<log_lane>(context, logServer))
+{
+}
+
 duty_controller::duty_controller(boost::asio::io_context &context, router_board &board,
                                  digest_link &digests, boost::asio::ip::tcp::endpoint logServer)
     : m_context(context)
     , m_board(board)
     , m_digests(digests)
+    , m_logServer(std::move(logServer))
     , m_leaseOptions(leaseOptions(board.settings))
-    , m_lease(m_leaseOptions, board.settings.logPartitions)
-    , m_lane(std::make_shared<log_lane>(context, std::move(logServer)))
-    , m_joinTimer(context)
 {
 }
 
-void duty_controller::start()
+duty_controller::held_duty &duty_controller::dutyOf(const std::string &pool, time_point now)
 {
-    join();
+    const auto [row, isNew] = m_duties.try_emplace(pool, m_context, m_logServer, m_leaseOptions,
+                                                   pool, m_board.settings.logPartitions);
+    if (isNew)
+        row->second.startedAt = now;
+    return row->second;
 }
 
-void duty_controller::join()
+void duty_controller::stepMembership(const std::string &pool, held_duty &duty, time_point now)
 {
+    const time_point claimed = std::max(duty.startedAt, m_board.otherClaims[shortHash(pool)].heldAt);
+    const std::size_t rank = dutyRank(pool, m_board.settings.vmName, m_board.livePeers);
+    logHolding(pool, duty, now);
+    const bool joins = duty.lease.shouldJoin(bootNow(), now - claimed, rank);
+    if (joins && !duty.joining && now >= duty.nextJoin)
+        join(pool, duty, now);
+    if (!joins && duty.member && !duty.joining)
+        leaveGroup(pool, duty);
+}
+
+void duty_controller::join(const std::string &pool, held_duty &duty, time_point now)
+{
+    duty.joining = true;
+    duty.member = true;
+    duty.nextJoin = now + m_leaseOptions.joinInterval;
     const duration sentAt = bootNow();
     const auto ttl = std::chrono::duration_cast<std::chrono::milliseconds>(m_leaseOptions.ttl);
-    m_lane->call(platform::joinCall(DutyGroup, m_board.settings.vmName, ttl, m_lease.generation()),
-                 JoinTimeout, [this, sentAt](const log_answer &answer) {
-                     if (m_leaving)
-                         return;
-                     const auto joined = platform::decodeJoin(answer.body);
-                     if (answer.status == StatusOk && isOk(joined))
-                         m_lease.joined(valueOf(joined).generation, valueOf(joined).partitions,
-                                        sentAt);
-                     joinAfter(m_leaseOptions.joinInterval);
-                 });
-}
-
-void duty_controller::joinAfter(duration pause)
-{
-    m_joinTimer.expires_after(pause);
-    m_joinTimer.async_wait([this](error_code error) {
-        if (!error && !m_leaving)
-            join();
-    });
+    duty.lane->call(platform::joinCall(groupOf(pool), m_board.settings.vmName, ttl,
+                                       duty.lease.generation()),
+                    JoinTimeout, [this, &duty, sentAt](const log_answer &answer) {
+                        duty.joining = false;
+                        if (m_leaving)
+                            return;
+                        const auto joined = platform::decodeJoin(answer.body);
+                        if (answer.status == StatusOk && isOk(joined))
+                            duty.lease.joined(valueOf(joined).generation,
+                                              valueOf(joined).partitions, sentAt);
+                    });
+}
+
+void duty_controller::leaveGroup(const std::string &pool, held_duty &duty)
+{
+    duty.member = false;
+    duty.lease.release();
+    const auto lane = std::make_shared<log_lane>(m_context, m_logServer);
+    lane->call(platform::leaveCall(groupOf(pool), m_board.settings.vmName), JoinTimeout,
+               [](const log_answer &) {}); // Without an answer the membership lapses by itself.
+}
+
+void duty_controller::logHolding(const std::string &pool, held_duty &duty, time_point now)
+{
+    const bool holds = duty.lease.holds(bootNow());
+    if (holds == duty.held)
+        return;
+    duty.held = holds;
+    if (m_board.log.accepts(log_weight::Belief, now))
+        m_board.log.write(log_event::DutyChanged,
+                          { { "pool", pool },
+                            { "holds", holds },
+                            { "token", duty.lease.generation() } },
+                          now);
+}
+
+void duty_controller::publishDuties(time_point now)
+{
+    m_board.ownDuties.clear();
+    for (const auto &[pool, duty] : m_duties) {
+        const auto ago = std::chrono::duration_cast<std::chrono::milliseconds>(now - duty.orderedAt);
+        const bool ordered = duty.orderedAt != time_point() && ago < OrderMemory;
+        const bool holds = duty.lease.holds(bootNow());
+        if (!holds && !ordered)
+            continue;
+        m_board.ownDuties.push_back({ shortHash(pool), holds,
+                                      ordered ? static_cast<std::uint32_t>(ago.count())
+                                              : duty_row::NoOrder });
+    }
 }
 
 void duty_controller::leave()
 {
     m_leaving = true;
-    m_joinTimer.cancel();
-    m_lease.release();
-    const auto lane = std::make_shared<log_lane>(m_context, *parseAddress(m_board.settings.logAddress));
-    lane->call(platform::leaveCall(DutyGroup, m_board.settings.vmName), JoinTimeout,
-               [](const log_answer &) {}); // Without an answer the lease lapses by itself.
+    for (auto &[pool, duty] : m_duties) {
+        if (duty.member)
+            leaveGroup(pool, duty);
+    }
+    publishDuties(steadyNow());
 }
 
 void duty_controller::checkStores(time_point now)
@@ -83,7 +146,7 @@
         return;
     m_storesCheckedAt = now;
     for (const deployment_pool &pool : m_board.deployment->source().pools) {
-        if (pool.store && !m_leaving && m_lease.holds(pool.name, bootNow()))
+        if (pool.store && dutyOf(pool.name, now).lease.holds(bootNow()))
             checkStore(pool.store->address);
     }
 }
@@ -115,75 +178,65 @@
 
 void duty_controller::step(time_point now)
 {
-    if (!m_board.deployment)
+    if (!m_board.deployment || m_leaving)
         return;
-    checkStores(now);
     for (const deployment_pool &pool : m_board.deployment->source().pools) {
+        if (!pool.engine && !pool.store)
+            continue;
+        held_duty &duty = dutyOf(pool.name, now);
+        stepMembership(pool.name, duty, now);
         if (!pool.engine)
             continue;
         for (const std::string &model : pool.engine->models)
-            stepPool(pool.name, model, now);
+            stepModel(pool, duty, model, now);
     }
+    checkStores(now);
+    publishDuties(now);
 }
 
-void duty_controller::stepPool(const std::string &pool, const std::string &model, time_point now)
+void duty_controller::stepModel(const deployment_pool &pool, held_duty &duty,
+                                const std::string &model, time_point now)
 {
     const std::int64_t wanted = m_board.wantedVersion(model);
-    const std::string plan = pool + "/" + model;
-    weights_planner &planner = m_planners[plan];
-    const auto engines = m_board.endpoints.orderedEngines(pool, model, now);
-    noteOthers(pool, engines, wanted, planner, now);
-    const auto token = m_leaving ? std::nullopt
-                                 : m_lease.tokenFor(pool, m_othersActedAt[pool], bootNow());
-    const auto actions = planner.step(engines, wanted, token, now);
+    weights_planner &planner = duty.planners[model];
+    const auto engines = m_board.endpoints.orderedEngines(pool.name, model, now);
+    const duration othersOrderAge = now - m_board.otherClaims[shortHash(pool.name)].orderAt;
+    const auto token = duty.lease.token(bootNow(), othersOrderAge);
+    const auto actions = planner.step(engines, wanted, pool.engine->cacheTokens, token, now);
     for (const std::string &id : planner.loadingEngines(now))
         m_board.endpoints.setLoading(id, now);
     for (const order_action &action : actions)
-        std::visit([&](const auto &taken) { carryOut(plan, taken); }, action);
-}
-
-/// Another holder may have acted while one was needed, or an engine loads that was not ordered here.
-void duty_controller::noteOthers(const std::string &pool,
-                                 const std::vector<ordered_engine> &engines, std::int64_t wanted,
-                                 const weights_planner &planner, time_point now)
-{
-    const duration bootTime = bootNow();
-    const auto own = planner.loadingEngines(now);
-    const bool holds = m_lease.holds(pool, bootTime);
-    for (const ordered_engine &engine : engines) {
-        const bool isOwn = std::find(own.begin(), own.end(), engine.id) != own.end();
-        const bool othersLoad = !isOwn && !planner.isActing()
-                && m_board.endpoints.isLoading(engine.id, now);
-        if (othersLoad || (!holds && engine.version < wanted))
-            m_othersActedAt[pool] = bootTime;
-    }
+        std::visit([&](const auto &taken) { carryOut(pool.name, model, taken); }, action);
 }
 
-void duty_controller::carryOut(const std::string &plan, const ask_engine_state &action)
+void duty_controller::carryOut(const std::string &pool, const std::string &model,
+                               const ask_engine_state &action)
 {
     callEngine(action.address, platform::reportCall(action.endpointId),
-               [this, plan, id = action.endpointId](const log_answer &answer) {
-                   stateArrived(plan, id, answer);
+               [this, pool, model, id = action.endpointId](const log_answer &answer) {
+                   stateArrived(pool, model, id, answer);
                });
 }
 
-void duty_controller::carryOut(const std::string &plan, const weights_order &action)
+void duty_controller::carryOut(const std::string &pool, const std::string &model,
+                               const weights_order &action)
 {
     const time_point now = steadyNow();
+    dutyOf(pool, now).orderedAt = now;
     m_board.metrics.count(router_counter::OrdersGiven);
     m_board.endpoints.setLoading(action.endpointId, now);
     m_digests.sendSoon();
     if (m_board.log.accepts(log_weight::Belief, now))
         m_board.log.write(log_event::OrderGiven,
                           { { "endpoint", action.endpointId },
-                            { "model", action.model },
+                            { "model", model },
                             { "weights", action.version },
                             { "token", action.fencingToken },
                             { "expected", action.expectedOrders } },
                           now);
     callEngine(action.address, platform::loadWeightsCall(action, m_board.settings.vmName),
-               [this, plan, action](const log_answer &answer) {
-                   orderAnswered(plan, action, answer);
+               [this, pool, action](const log_answer &answer) {
+                   orderAnswered(pool, action, answer);
                });
 }
 
@@ -200,28 +253,29 @@
                std::move(done));
 }
 
-void duty_controller::stateArrived(const std::string &plan, const std::string &endpointId,
-                                   const log_answer &answer)
+void duty_controller::stateArrived(const std::string &pool, const std::string &model,
+                                   const std::string &endpointId, const log_answer &answer)
 {
     const time_point now = steadyNow();
+    weights_planner &planner = dutyOf(pool, now).planners[model];
     const auto state = platform::decodeReport(answer.body);
     if (answer.status != StatusOk || !isOk(state)) {
-        m_planners[plan].stateFailed(endpointId, now);
+        planner.stateFailed(endpointId, now);
         return;
     }
-    for (const auto &[model, version] : valueOf(state).weights)
-        m_board.endpoints.weightsSeen(endpointId, model, version);
-    m_planners[plan].stateArrived(endpointId, valueOf(state), now);
+    for (const auto &[loaded, version] : valueOf(state).weights)
+        m_board.endpoints.weightsSeen(endpointId, loaded, version);
+    planner.stateArrived(endpointId, valueOf(state), now);
     m_digests.sendSoon();
 }
 
-void duty_controller::orderAnswered(const std::string &plan, const weights_order &order,
+void duty_controller::orderAnswered(const std::string &pool, const weights_order &order,
                                     const log_answer &answer)
 {
     const time_point now = steadyNow();
     const order_answer meaning = answer.status == 0 ? order_answer::None
                                                     : platform::decodeOrderAnswer(answer.status);
-    m_planners[plan].orderAnswered(order.endpointId, meaning, now);
+    dutyOf(pool, now).planners[order.model].orderAnswered(order.endpointId, meaning, now);
     if (meaning == order_answer::AlreadyHolds)
         m_board.endpoints.weightsSeen(order.endpointId, order.model, order.version);
     if (m_board.log.accepts(log_weight::Belief, now))
--- a/burdockhold/loop_duties.h
+++ b/burdockhold/loop_duties.h
@@ -2,7 +2,7 @@
 #define BURDOCKHOLD_LOOP_DUTIES_H
 
 // Carries out what one VM at a time does for all: orders to engines. Each pool's orders are a duty
-// of their own; the VM that holds the pool's partition of the group on the log carries them out.
+// of their own, whose holder duty_lease.h tells.
 
 #include "burdockhold/duty_lease.h"
 #include "burdockhold/loop_log.h"
@@ -11,8 +11,6 @@
 #include "burdockhold/weights_orders.h"
 #include "platform/engine_codec.h"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <functional>
 #include <map>
 #include <memory>
@@ -26,8 +24,6 @@
     duty_controller(boost::asio::io_context &context, router_board &board, digest_link &digests,
                     boost::asio::ip::tcp::endpoint logServer);
 
-    void start();
-
     /// Plans and gives orders. Called on every tick.
     void step(time_point now);
 
@@ -35,31 +31,49 @@
     void leave();
 
 private:
-    void noteOthers(const std::string &pool, const std::vector<ordered_engine> &engines,
-                    std::int64_t wanted, const weights_planner &planner, time_point now);
+    /// A duty of this VM's: the orders of one pool.
+    struct held_duty
+    {
+        held_duty(boost::asio::io_context &context, const boost::asio::ip::tcp::endpoint &logServer,
+                  const duty_lease_options &options, const std::string &pool, int partitions);
+
+        duty_lease lease;
+        std::shared_ptr<log_lane> lane;
+        bool joining = false;
+        bool member = false;
+        bool held = false;
+        time_point nextJoin;
+        time_point startedAt;
+        time_point orderedAt;
+        std::map<std::string, weights_planner> planners; // By model.
+    };
+
+    held_duty &dutyOf(const std::string &pool, time_point now);
+    void stepMembership(const std::string &pool, held_duty &duty, time_point now);
+    void join(const std::string &pool, held_duty &duty, time_point now);
+    void leaveGroup(const std::string &pool, held_duty &duty);
+    void logHolding(const std::string &pool, held_duty &duty, time_point now);
+    void publishDuties(time_point now);
     void checkStores(time_point now);
     void checkStore(const std::string &address);
-    void join();
-    void joinAfter(duration pause);
-    void stepPool(const std::string &pool, const std::string &model, time_point now);
-    void carryOut(const std::string &plan, const ask_engine_state &action);
-    void carryOut(const std::string &plan, const weights_order &action);
+    void stepModel(const deployment_pool &pool, held_duty &duty, const std::string &model,
+                   time_point now);
+    void carryOut(const std::string &pool, const std::string &model,
+                  const ask_engine_state &action);
+    void carryOut(const std::string &pool, const std::string &model, const weights_order &action);
     void callEngine(const std::string &address, const platform::engine_call &call,
                     std::function<void(log_answer)> done);
-    void stateArrived(const std::string &plan, const std::string &endpointId,
-                      const log_answer &answer);
-    void orderAnswered(const std::string &plan, const weights_order &order,
+    void stateArrived(const std::string &pool, const std::string &model,
+                      const std::string &endpointId, const log_answer &answer);
+    void orderAnswered(const std::string &pool, const weights_order &order,
                        const log_answer &answer);
 
     boost::asio::io_context &m_context;
     router_board &m_board;
     digest_link &m_digests;
+    boost::asio::ip::tcp::endpoint m_logServer;
     duty_lease_options m_leaseOptions;
-    duty_lease m_lease;
-    std::shared_ptr<log_lane> m_lane;
-    boost::asio::steady_timer m_joinTimer;
-    std::map<std::string, weights_planner> m_planners; // By pool and model.
-    std::map<std::string, duration> m_othersActedAt;   // By pool; suspension-counting clock.
+    std::map<std::string, held_duty> m_duties; // By pool.
     bool m_leaving = false;
     time_point m_storesCheckedAt;
 };
--- a/burdockhold/loop_exchange.cc
+++ b/burdockhold/loop_exchange.cc
@@ -3,6 +3,7 @@
 #include "burdockhold/enum_names.h"
 #include "platform/request_codec.h"
 
+#include <boost/asio/post.hpp>
 #include <xxhash.h>
 
 #include <algorithm>
@@ -23,6 +24,10 @@
 constexpr duration ViewSlack = std::chrono::milliseconds(800);
 // Keys stop this long before the bound: the request itself takes time to its endpoint.
 constexpr duration RevocationMargin = std::chrono::milliseconds(300);
+// A request waits at the router for this part of its latency target: what is placed later is late
+// before its prompt is read, and delays others that are not.
+constexpr int LongestWaitTenths = 6;
+constexpr duration MaxWaitForDeployment = std::chrono::milliseconds(600);
 // Least pause that a refusal asks for: a connection and the balancer's choice take part of it.
 // Short answers end within this time of an order; what runs on may run for seconds more.
 constexpr duration MoveStreamAfter = std::chrono::milliseconds(350);
@@ -88,12 +93,14 @@
 
 void exchange::start()
 {
-    m_context.board.metrics.count(router_counter::Requests);
     m_deployment = m_context.board.deployment;
     if (!m_deployment) {
-        refuse(503, "no_deployment", std::chrono::milliseconds(300));
+        waitForDeployment();
         return;
     }
+    if (!m_waiting)
+        m_context.board.metrics.count(router_counter::Requests);
+    m_waiting = false;
     if (!findRoute() || !authenticate() || !admitTokens())
         return;
     duration limit = m_route->timeout;
@@ -111,6 +118,24 @@
         waitForEndpoint();
 }
 
+/// A VM that has just started knows the deployment within some ten milliseconds.
+void exchange::waitForDeployment()
+{
+    if (!m_waiting) {
+        m_context.board.metrics.count(router_counter::Requests);
+        m_waiting = true;
+        m_context.waiting.enter(shared_from_this());
+        m_timer.expires_after(MaxWaitForDeployment);
+        m_timer.async_wait([self = shared_from_this()](error_code error) {
+            if (error || self->m_ended || self->m_deployment)
+                return;
+            self->m_context.waiting.leave(self.get());
+            self->m_waiting = false;
+            self->refuse(503, "no_deployment", std::chrono::milliseconds(300));
+        });
+    }
+}
+
 bool exchange::findRoute()
 {
     m_route = m_deployment->findRoute(m_request.host, m_request.target);
@@ -189,9 +214,8 @@
 {
     m_waiting = true;
     m_context.waiting.enter(shared_from_this());
-    // Half of the latency target: a caller that comes back later than that is late anyway.
-    const duration longest = m_route->latencyTarget / 2;
-    m_timer.expires_at(std::min(m_deadline, steadyNow() + longest));
+    const duration longest = m_route->latencyTarget * LongestWaitTenths / 10;
+    m_timer.expires_at(std::min(m_deadline, std::max(m_arrival, steadyNow()) + longest));
     m_timer.async_wait([self = shared_from_this()](error_code error) {
         if (error || self->m_ended || !self->m_waiting)
             return;
@@ -202,7 +226,7 @@
         else if (self->m_answerBegun)
             self->takeStep(cut_off {});
         else
-            self->refuse(503, "no_endpoint", self->m_route->latencyTarget / 2);
+            self->refuse(503, "no_endpoint", self->m_route->latencyTarget);
     });
 }
 
@@ -302,13 +326,25 @@
 {
     if (m_ended)
         return true;
+    if (!m_deployment) {
+        if (!m_context.board.deployment)
+            return false;
+        m_context.waiting.leave(this);
+        m_timer.cancel();
+        start();
+        return true;
+    }
     const time_point now = steadyNow();
     const std::int64_t wanted = m_context.board.wantedVersion(m_request.model);
     placement_need need = needOf();
     need.storeHoldsPart = storeHoldsPart(wanted);
     const std::string model = need.homeKey.empty() ? std::string() : m_request.model;
-    const auto candidates = m_context.board.endpoints.candidates(
-            m_poolName, model, wanted, partKey(wanted), m_tried, now);
+    auto candidates = m_context.board.endpoints.candidates(m_poolName, model, wanted,
+                                                           partKey(wanted), m_tried, now);
+    if (m_context.board.oldWeightsExpired(m_request.model)) {
+        for (endpoint_candidate &candidate : candidates)
+            candidate.excluded = candidate.excluded || candidate.oldWeights;
+    }
     const auto choice = chooseEndpoint(candidates, need, hashOf(m_request.callId));
     if (!choice)
         return false;
@@ -458,6 +494,8 @@
     m_promptRead = true;
     router_board &board = m_context.board;
     board.endpoints.promptRead(m_endpointId, m_load);
+    if (m_context.waiting.size() > 0)
+        boost::asio::post(m_context.io, [&waiting = m_context.waiting] { waiting.retry(); });
     if (!m_partKey.empty() && m_head.status == StatusOk)
         board.endpoints.partHeld(m_endpointId, m_partKey);
     if (!m_answerBegun) {
--- a/burdockhold/loop_exchange.h
+++ b/burdockhold/loop_exchange.h
@@ -94,6 +94,7 @@
     time_point arrival() const { return m_arrival; }
 
 private:
+    void waitForDeployment();
     bool findRoute();
     bool authenticate();
     bool admitTokens();
--- a/burdockhold/loop_peers.cc
+++ b/burdockhold/loop_peers.cc
@@ -12,6 +12,12 @@
 using boost::asio::ip::udp;
 using boost::system::error_code;
 
+namespace {
+
+constexpr duration LiveWithin = std::chrono::seconds(1); ///< Five digests.
+
+} // namespace
+
 digest_link::digest_link(boost::asio::io_context &context, router_board &board,
                          peer_link_options options)
     : m_socket(context)
@@ -61,6 +67,11 @@
         row = now - row->second.heardAt > m_options.forgetAfter ? m_peers.erase(row)
                                                                 : std::next(row);
     m_board.knownPeers = m_peers.size();
+    m_board.livePeers.clear();
+    for (const auto &[vm, other] : m_peers) {
+        if (now - other.heardAt < LiveWithin && !other.leaving)
+            m_board.livePeers.push_back(vm);
+    }
     if (m_peers.empty())
         return;
     const std::string bytes = encodeDigest(ownDigest(now));
@@ -82,6 +93,7 @@
         digest.accounts.push_back({ shortHash(account), admitted });
     }
     m_board.endpoints.fillDigest(digest, now);
+    digest.duties = m_board.ownDuties;
     digest.savedParts = m_board.savedParts.announced(now);
     for (const auto &[address, until] : m_board.storeAwayUntil) {
         if (now < until && m_board.ownStoreFinding.count(address) != 0)
@@ -125,7 +137,16 @@
     from.incarnation = digest.incarnation;
     from.number = digest.number;
     from.heardAt = now;
+    from.leaving = digest.leaving;
     m_board.endpoints.peerDigest(digest, now);
+    for (const duty_row &row : digest.duties) {
+        duty_claim &claim = m_board.otherClaims[row.pool];
+        if (row.holds && !digest.leaving)
+            claim.heldAt = now;
+        if (row.orderedAgoMs != duty_row::NoOrder)
+            claim.orderAt = std::max(claim.orderAt,
+                                     now - std::chrono::milliseconds(row.orderedAgoMs));
+    }
     for (const std::uint32_t part : digest.savedParts)
         m_board.savedParts.peerSaved(part, now);
     const std::string store = m_board.storeAddress(now);
--- a/burdockhold/loop_peers.h
+++ b/burdockhold/loop_peers.h
@@ -53,6 +53,7 @@
         std::uint64_t incarnation = 0;
         std::uint64_t number = 0;
         time_point heardAt;
+        bool leaving = false;
     };
 
     void receive();
--- a/burdockhold/loop_router.cc
+++ b/burdockhold/loop_router.cc
@@ -59,7 +59,6 @@
     acceptReadiness();
     followLog();
     announce();
-    m_duties->start();
     scheduleTick();
     m_io.run();
     return {};
@@ -264,6 +263,10 @@
     if (m_board.deployment && next.version <= m_board.deployment->source().version)
         return;
     const std::uint64_t version = next.version;
+    for (const deployment_pool &pool : next.pools) {
+        if (pool.engine)
+            m_board.endpoints.setCacheTokens(pool.name, pool.engine->cacheTokens);
+    }
     m_board.deployment = std::make_shared<const deployment_index>(std::move(next));
     for (const deployment_account &account : m_board.deployment->source().accounts) {
         const auto quota = m_board.quotas.find(account.name);
@@ -282,10 +285,13 @@
     if (!isOk(decoded))
         return;
     const platform::wanted_weights &wanted = valueOf(decoded);
-    std::int64_t &known = m_board.wantedWeights[wanted.model];
-    if (wanted.version <= known)
+    wanted_version &known = m_board.wantedWeights[wanted.model];
+    if (wanted.version <= known.version)
         return;
-    known = wanted.version;
+    // What a started VM finds may have been named any time before.
+    const bool atStart = m_board.deploymentProvenAt < duration::zero();
+    known.version = wanted.version;
+    known.namedAt = bootNow() - (atStart ? m_board.settings.weightsBound / 2 : duration::zero());
     const time_point now = steadyNow();
     if (m_board.log.accepts(log_weight::Belief, now))
         m_board.log.write(log_event::WeightsWanted,
--- a/burdockhold/router_board.cc
+++ b/burdockhold/router_board.cc
@@ -9,6 +9,8 @@
 
 namespace {
 
+/// A call begins some time after it was placed.
+constexpr duration OldWeightsMargin = std::chrono::milliseconds(1000);
 /// Parts of the shared budget; the rest covers windows that do not line up.
 constexpr double FailureShare = 0.45;
 constexpr double MoveShare = 0.4;
@@ -34,7 +36,14 @@
 std::int64_t router_board::wantedVersion(const std::string &model) const
 {
     const auto found = wantedWeights.find(model);
-    return found == wantedWeights.end() ? 0 : found->second;
+    return found == wantedWeights.end() ? 0 : found->second.version;
+}
+
+bool router_board::oldWeightsExpired(const std::string &model) const
+{
+    const auto found = wantedWeights.find(model);
+    return found != wantedWeights.end()
+            && bootNow() - found->second.namedAt > settings.weightsBound - OldWeightsMargin;
 }
 
 std::string router_board::storeAddress(time_point now) const
--- a/burdockhold/router_board.h
+++ b/burdockhold/router_board.h
@@ -21,9 +21,25 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace burdockhold {
 
+/// Version of a model's weights that the operator wants, and when it was named, on the clock that
+/// counts suspensions.
+struct wanted_version
+{
+    std::int64_t version = 0;
+    duration namedAt = duration::zero();
+};
+
+/// What other VMs have said of a duty.
+struct duty_claim
+{
+    time_point heldAt;  ///< When another VM last said that it holds the duty.
+    time_point orderAt; ///< When another VM last gave an order for it.
+};
+
 /// Time since the machine's start, suspensions included. For the loop only.
 duration bootNow();
 
@@ -37,6 +53,9 @@
     /// Version of the model's weights that the operator wants; 0 when none was named.
     std::int64_t wantedVersion(const std::string &model) const;
 
+    /// True when calls may no longer begin on weights older than the wanted ones.
+    bool oldWeightsExpired(const std::string &model) const;
+
     /// Address of the store of cached parts that the deployment names, or an empty string while there
     /// is none or it is away.
     std::string storeAddress(time_point now) const;
@@ -65,7 +84,7 @@
     std::shared_ptr<const deployment_index> deployment;
     duration deploymentProvenAt = duration::min() / 2;
     duration endpointsProvenAt = duration::min() / 2;
-    std::map<std::string, std::int64_t> wantedWeights;
+    std::map<std::string, wanted_version> wantedWeights;
 
     // Written by the log follower (entries), the exchanges (calls), the order controller (loads)
     // and the peer link (digests), each through methods of its own.
@@ -88,6 +107,11 @@
 
     // Written by the peer link.
     std::size_t knownPeers = 0;
+    std::vector<std::string> livePeers; ///< Names of the VMs that were heard lately.
+    std::map<std::uint32_t, duty_claim> otherClaims; ///< By shortHash of the pool.
+
+    // Written by the duty controller.
+    std::vector<duty_row> ownDuties;
 
     // Written by the shutdown controller.
     bool leaving = false;
--- a/burdockhold/router_settings.cc
+++ b/burdockhold/router_settings.cc
@@ -75,6 +75,10 @@
     reader.readMs("bounds.leaving_ms", settings.leavingBound);
     reader.readMs("bounds.config_ms", settings.configBound);
     reader.readMs("bounds.revocation_ms", settings.revocationBound);
+    reader.readMs("bounds.weights_ms", settings.weightsBound);
+    std::string fences;
+    reader.read("bounds.engines_check_fences", fences);
+    settings.enginesCheckFences = fences == "true";
     reader.readMs("bounds.lease_ms", settings.leaseTime);
     double graceSeconds = 0.0;
     reader.read("bounds.shutdown_grace_s", graceSeconds);
--- a/burdockhold/router_settings.h
+++ b/burdockhold/router_settings.h
@@ -27,7 +27,9 @@
     duration configBound = std::chrono::seconds(2);    ///< A deployment is in force.
     duration revocationBound = std::chrono::seconds(5); ///< A withdrawn key stops working.
     duration shutdownGrace = std::chrono::seconds(8);  ///< From SIGTERM to SIGKILL.
+    duration weightsBound = std::chrono::seconds(8); ///< No call begins on older weights after it.
     duration leaseTime = std::chrono::seconds(3);      ///< Orders of two holders stay this far apart.
+    bool enginesCheckFences = false; ///< Engines refuse an order with an older fencing token.
     double repeatRatio = 0.2;                          ///< Repeats as a part of the requests.
     double repeatSlack = 50.0;                         ///< Repeats beyond it, over all VMs.
     std::size_t memoryBytes = 128 * 1024 * 1024;
--- a/burdockhold/vm_digest.h
+++ b/burdockhold/vm_digest.h
@@ -60,6 +60,16 @@
     MSGPACK_DEFINE_ARRAY(request, endpoint, incarnation)
 };
 
+/// A duty that the sender holds, or gave orders for lately.
+struct duty_row
+{
+    std::uint32_t pool = 0;
+    bool holds = false;
+    std::uint32_t orderedAgoMs = 0; ///< Since its last order; NoOrder when there was none lately.
+    static constexpr std::uint32_t NoOrder = UINT32_MAX;
+    MSGPACK_DEFINE_ARRAY(pool, holds, orderedAgoMs)
+};
+
 struct vm_digest
 {
     std::string vm;
@@ -72,8 +82,9 @@
     std::vector<crash_row> crashes;
     std::vector<std::uint32_t> savedParts; ///< Hashes of parts that went to the store lately.
     std::vector<std::uint32_t> deadStores; ///< Hashes of the addresses of stores that are away.
+    std::vector<duty_row> duties;
     MSGPACK_DEFINE_ARRAY(vm, incarnation, number, leaving, accounts, endpoints, weights, crashes,
-                         savedParts, deadStores)
+                         savedParts, deadStores, duties)
 };
 
 enum class digest_error { NotReadable };
--- a/burdockhold/weights_orders.cc
+++ b/burdockhold/weights_orders.cc
@@ -12,11 +12,11 @@
 
 std::vector<order_action> weights_planner::step(const std::vector<ordered_engine> &engines,
                                                 std::int64_t wantedVersion,
+                                                std::int64_t cacheTokens,
                                                 std::optional<std::int64_t> fencingToken,
                                                 time_point now)
 {
-    m_acting = fencingToken && !isFenced(*fencingToken);
-    if (!m_acting) {
+    if (!fencingToken || isFenced(*fencingToken)) {
         m_engines.clear();
         return {};
     }
@@ -32,8 +32,7 @@
 
     std::vector<order_action> actions;
     int loading = loadingCount(now);
-    const int mostLoading = static_cast<int>(
-            std::ceil(m_options.loadingShare * static_cast<double>(engines.size())));
+    const int most = mostLoading(engines, cacheTokens, now);
     for (const ordered_engine *engine : sorted) {
         engine_entry &entry = m_engines[engine->id];
         entry.incarnation = engine->incarnation;
@@ -46,7 +45,7 @@
             actions.emplace_back(ask_engine_state { engine->id, engine->address });
             continue;
         }
-        if (engine->version >= wantedVersion || loading >= mostLoading)
+        if (engine->version >= wantedVersion || loading >= most)
             continue;
         ++loading;
         entry.callOpen = true;
@@ -121,6 +120,30 @@
     }
 }
 
+/// Engines that may load at once while the others can hold what all hold now.
+int weights_planner::mostLoading(const std::vector<ordered_engine> &engines,
+                                 std::int64_t cacheTokens, time_point now) const
+{
+    double serving = 0.0;
+    double held = 0.0;
+    for (const ordered_engine &engine : engines) {
+        const auto entry = m_engines.find(engine.id);
+        const bool overdue = entry != m_engines.end() && entry->second.loading
+                && !countsAsLoading(entry->second, now);
+        if (engine.silent || overdue)
+            continue;
+        serving += 1.0;
+        held += static_cast<double>(engine.heldTokens);
+    }
+    const double needed = cacheTokens > 0
+            ? held / (m_options.heldShare * static_cast<double>(cacheTokens))
+            : 0.0;
+    const double most = std::min(std::ceil(m_options.loadingShare * serving),
+                                 std::floor(serving - needed));
+    const int least = std::min(m_options.leastLoading, std::max(1, static_cast<int>(serving) / 2));
+    return std::max(least, static_cast<int>(most));
+}
+
 bool weights_planner::countsAsLoading(const engine_entry &entry, time_point now) const
 {
     return entry.loading && now - entry.loadingSince < m_options.loadTimeout;
--- a/burdockhold/weights_orders.h
+++ b/burdockhold/weights_orders.h
@@ -76,13 +76,18 @@
     std::string model;
     std::int64_t version = 0;  ///< Newest known; 0 when unknown.
     std::int64_t heldTokens = 0; ///< Of its running requests; engines with less go first.
+    bool silent = false;         ///< Does not serve now; it may be dead.
 };
 
 struct weights_order_options
 {
-    /// Part of a pool's engines that drain or load at once. With about half of them, the rest serve
-    /// meanwhile; once these are done they take all traffic, and the rest drain by themselves.
+    /// Part of a pool's serving engines that drain or load at once. With about half of them, the rest
+    /// serve meanwhile; once these are done they take all traffic, and the rest drain by themselves.
     double loadingShare = 0.55;
+    /// Part of the memory of the engines that serve meanwhile that running requests may take.
+    double heldShare = 0.5;
+    /// Engines that may load at once at any load: as many as the weight store serves at full rate.
+    int leastLoading = 2;
     /// Least age of a load before the engine is asked whether it is done: weights take longer.
     duration firstCheck = std::chrono::milliseconds(500);
     duration checkInterval = std::chrono::milliseconds(150);
@@ -100,7 +105,7 @@
     /// Returns what to do now. The token is that of the held duty; without one nothing is done and
     /// all that was known of engines is forgotten.
     std::vector<order_action> step(const std::vector<ordered_engine> &engines,
-                                   std::int64_t wantedVersion,
+                                   std::int64_t wantedVersion, std::int64_t cacheTokens,
                                    std::optional<std::int64_t> fencingToken, time_point now);
 
     void stateArrived(std::string_view endpointId, const engine_state &state, time_point now);
@@ -110,9 +115,6 @@
     /// Engines that drain or load now, as far as is known.
     std::vector<std::string> loadingEngines(time_point now) const;
 
-    /// True while the duty is held: the planner knows of every order that is given.
-    bool isActing() const { return m_acting; }
-
     /// True when an engine has refused the token in favour of a higher one.
     bool isFenced(std::int64_t token) const { return token <= m_fencedToken; }
 
@@ -128,6 +130,8 @@
     };
 
     void forgetMissing(const std::vector<ordered_engine> &engines);
+    int mostLoading(const std::vector<ordered_engine> &engines, std::int64_t cacheTokens,
+                    time_point now) const;
     bool countsAsLoading(const engine_entry &entry, time_point now) const;
     int loadingCount(time_point now) const;
 
@@ -135,7 +139,6 @@
     std::map<std::string, engine_entry, std::less<>> m_engines;
     std::int64_t m_fencedToken = -1;
     std::int64_t m_token = -1;
-    bool m_acting = false;
 };
 
 } // namespace burdockhold
