Load weights in two waves, hand duties over at once, use the operator's tolerance of limits

Cause: loads of all engines overlapped with long drains; moved streams were cut when their new place was taken in between (LOST); requests within an account's limit were refused since the bucket was smaller than the limit.

--- a/burdockhold/endpoint_health.cc
+++ b/burdockhold/endpoint_health.cc
@@ -246,7 +246,7 @@
     }
     const auto share = static_cast<std::int64_t>(
             std::floor(m_options.share * static_cast<double>(requests) + ShareRounding));
-    if (retries >= std::max(m_options.minimum, share))
+    if (retries >= std::max(m_options.minimum, share) + m_options.extra)
         return false;
     ++stepAt(current).retries;
     return true;
--- a/burdockhold/endpoint_health.h
+++ b/burdockhold/endpoint_health.h
@@ -141,6 +141,7 @@
 {
     double share = 0.2;       ///< Retries as a part of the requests.
     std::int64_t minimum = 3; ///< Retries that are always allowed.
+    std::int64_t extra = 0;   ///< Retries beyond the share and the minimum.
 };
 
 /// Budget of one pool for retries: within every window of 10 s that ends now, at most 20 % of the
--- a/burdockhold/endpoint_table.cc
+++ b/burdockhold/endpoint_table.cc
@@ -148,12 +148,15 @@
         if (entry.report.pool != pool || !isUsable(entry, false, now))
             continue;
         std::int64_t held = entry.heldTokens;
-        if (const auto sum = m_peerSums.find(entry.hash); sum != m_peerSums.end())
+        int running = entry.running;
+        if (const auto sum = m_peerSums.find(entry.hash); sum != m_peerSums.end()) {
             held += sum->second.heldTokens;
+            running += static_cast<int>(sum->second.running);
+        }
         const bool silent = now < entry.backOffUntil
                 || (entry.running > 0 && now - entry.heardAt > m_options.suspectAfter);
         engines.push_back({ id, entry.report.address, entry.report.incarnation, std::string(model),
-                            versionOf(entry, model), held, silent });
+                            versionOf(entry, model), held, silent, running });
     }
     return engines;
 }
--- a/burdockhold/loop_duties.cc
+++ b/burdockhold/loop_duties.cc
@@ -62,7 +62,9 @@
 
 void duty_controller::stepMembership(const std::string &pool, held_duty &duty, time_point now)
 {
-    const time_point claimed = std::max(duty.startedAt, m_board.otherClaims[shortHash(pool)].heldAt);
+    const duty_claim &claim = m_board.otherClaims[shortHash(pool)];
+    const bool anyClaim = !claim.holder.empty();
+    const time_point claimed = anyClaim ? claim.heldAt : duty.startedAt;
     const std::size_t rank = dutyRank(pool, m_board.settings.vmName, m_board.livePeers);
     logHolding(pool, duty, now);
     const bool joins = duty.lease.shouldJoin(bootNow(), now - claimed, rank);
@@ -197,12 +199,14 @@
 void duty_controller::stepModel(const deployment_pool &pool, held_duty &duty,
                                 const std::string &model, time_point now)
 {
-    const std::int64_t wanted = m_board.wantedVersion(model);
+    const wanted_version named = m_board.wantedWeights[model];
+    const wanted_load wanted { named.version, bootNow() - named.namedAt,
+                               pool.engine->cacheTokens };
     weights_planner &planner = duty.planners[model];
     const auto engines = m_board.endpoints.orderedEngines(pool.name, model, now);
     const duration othersOrderAge = now - m_board.otherClaims[shortHash(pool.name)].orderAt;
     const auto token = duty.lease.token(bootNow(), othersOrderAge);
-    const auto actions = planner.step(engines, wanted, pool.engine->cacheTokens, token, now);
+    const auto actions = planner.step(engines, wanted, token, now);
     for (const std::string &id : planner.loadingEngines(now))
         m_board.endpoints.setLoading(id, now);
     for (const order_action &action : actions)
--- a/burdockhold/loop_exchange.cc
+++ b/burdockhold/loop_exchange.cc
@@ -27,6 +27,8 @@
 // A request waits at the router for this part of its latency target: what is placed later is late
 // before its prompt is read, and delays others that are not.
 constexpr int LongestWaitTenths = 6;
+// Callers give a stream up after two seconds without an event.
+constexpr duration StreamPauseLimit = std::chrono::milliseconds(1900);
 constexpr duration MaxWaitForDeployment = std::chrono::milliseconds(600);
 // Least pause that a refusal asks for: a connection and the balancer's choice take part of it.
 // Short answers end within this time of an order; what runs on may run for seconds more.
@@ -214,8 +216,7 @@
 {
     m_waiting = true;
     m_context.waiting.enter(shared_from_this());
-    const duration longest = m_route->latencyTarget * LongestWaitTenths / 10;
-    m_timer.expires_at(std::min(m_deadline, std::max(m_arrival, steadyNow()) + longest));
+    m_timer.expires_at(std::min(m_deadline, steadyNow() + longestWait()));
     m_timer.async_wait([self = shared_from_this()](error_code error) {
         if (error || self->m_ended || !self->m_waiting)
             return;
@@ -277,9 +278,33 @@
     need.homeKey += "/" + deepest.id;
     need.partTokens = deepest.tokens;
     need.ownTokens = m_request.prefix.back().tokens;
+    need.storeHoldsPart = storeHoldsPart(m_context.board.wantedVersion(m_request.model));
     return need;
 }
 
+std::vector<endpoint_candidate> exchange::candidatesNow() const
+{
+    const router_board &board = m_context.board;
+    const bool engines = m_pool != nullptr && m_pool->engine && !m_request.model.empty();
+    const std::int64_t wanted = board.wantedVersion(m_request.model);
+    auto candidates = board.endpoints.candidates(m_poolName, engines ? m_request.model : "", wanted,
+                                                 partKey(wanted), m_tried, steadyNow());
+    if (board.oldWeightsExpired(m_request.model)) {
+        for (endpoint_candidate &candidate : candidates)
+            candidate.excluded = candidate.excluded || candidate.oldWeights;
+    }
+    return candidates;
+}
+
+/// A stream that has begun may wait until its caller gives it up; a request waits for a part of its
+/// latency target.
+duration exchange::longestWait() const
+{
+    if (m_answerBegun)
+        return StreamPauseLimit;
+    return m_route->latencyTarget * LongestWaitTenths / 10;
+}
+
 std::vector<std::string> exchange::sharedPartKeys(std::int64_t version) const
 {
     std::vector<std::string> keys;
@@ -335,16 +360,8 @@
         return true;
     }
     const time_point now = steadyNow();
-    const std::int64_t wanted = m_context.board.wantedVersion(m_request.model);
-    placement_need need = needOf();
-    need.storeHoldsPart = storeHoldsPart(wanted);
-    const std::string model = need.homeKey.empty() ? std::string() : m_request.model;
-    auto candidates = m_context.board.endpoints.candidates(m_poolName, model, wanted,
-                                                           partKey(wanted), m_tried, now);
-    if (m_context.board.oldWeightsExpired(m_request.model)) {
-        for (endpoint_candidate &candidate : candidates)
-            candidate.excluded = candidate.excluded || candidate.oldWeights;
-    }
+    const placement_need need = needOf();
+    const auto candidates = candidatesNow();
     const auto choice = chooseEndpoint(candidates, need, hashOf(m_request.callId));
     if (!choice)
         return false;
@@ -622,10 +639,7 @@
         return;
     if (m_route->maxEndpoints - m_runs < 2 || m_sends >= MaxSends)
         return;
-    const placement_need need = needOf();
-    const auto candidates = board.endpoints.candidates(
-            m_poolName, m_request.model, board.wantedVersion(m_request.model), {}, m_tried, now);
-    const auto choice = chooseEndpoint(candidates, need, hashOf(m_request.callId));
+    const auto choice = chooseEndpoint(candidatesNow(), needOf(), hashOf(m_request.callId));
     if (!choice || choice->expectedMs > MaxMoveMs || !board.movesOf(m_poolName).tryRetry(now))
         return;
     ++m_runs;
--- a/burdockhold/loop_exchange.h
+++ b/burdockhold/loop_exchange.h
@@ -103,6 +103,8 @@
     void waitForEndpoint();
 
     placement_need needOf() const;
+    std::vector<endpoint_candidate> candidatesNow() const;
+    duration longestWait() const;
     std::string cacheSalt(std::int64_t version) const;
     std::string partKey(std::int64_t version) const;
     const std::string &choosePool();
--- a/burdockhold/loop_peers.cc
+++ b/burdockhold/loop_peers.cc
@@ -141,12 +141,19 @@
     m_board.endpoints.peerDigest(digest, now);
     for (const duty_row &row : digest.duties) {
         duty_claim &claim = m_board.otherClaims[row.pool];
-        if (row.holds && !digest.leaving)
+        if (row.holds && !digest.leaving) {
             claim.heldAt = now;
+            claim.holder = digest.vm;
+        }
         if (row.orderedAgoMs != duty_row::NoOrder)
             claim.orderAt = std::max(claim.orderAt,
                                      now - std::chrono::milliseconds(row.orderedAgoMs));
     }
+    // A VM that leaves has given up its duties; the next one need not wait for its silence.
+    for (auto &[pool, claim] : m_board.otherClaims) {
+        if (digest.leaving && claim.holder == digest.vm)
+            claim.heldAt = time_point();
+    }
     for (const std::uint32_t part : digest.savedParts)
         m_board.savedParts.peerSaved(part, now);
     const std::string store = m_board.storeAddress(now);
--- a/burdockhold/quota_ledger.cc
+++ b/burdockhold/quota_ledger.cc
@@ -32,7 +32,7 @@
 bool quota_ledger::tryAdmit(double cost, time_point now)
 {
     refill(now);
-    if (m_limit.ratePerSecond > 0.0 && m_level < PassShare * std::min(cost, cap()))
+    if (m_limit.ratePerSecond > 0.0 && m_level - underWay(now) < PassShare * std::min(cost, cap()))
         return false;
     m_level -= cost;
     m_admitted += cost;
@@ -51,8 +51,11 @@
     if (total < account.reported)
         return;
     const double seconds = toSeconds(now - account.reportedAt);
-    if (seconds >= MinRateSeconds)
-        account.ratePerSecond = (total - account.reported) / seconds;
+    if (seconds >= MinRateSeconds) {
+        const double weight = std::min(1.0, seconds / toSeconds(m_options.rateWindow));
+        const double newest = (total - account.reported) / seconds;
+        account.ratePerSecond += weight * (newest - account.ratePerSecond);
+    }
     m_level = std::min(cap(), m_level - (total - account.reported - account.assumed));
     account.reported = total;
     account.assumed = 0.0;
@@ -105,16 +108,33 @@
 {
     if (m_limit.ratePerSecond <= 0.0)
         return duration::zero();
-    const double level = m_level + toSeconds(now - m_refilledAt) * m_limit.ratePerSecond;
+    const double level = m_level + toSeconds(now - m_refilledAt) * rate();
     const double missing = PassShare * std::min(cost, cap()) - level;
-    return fromSeconds(std::max(0.0, missing / m_limit.ratePerSecond));
+    return fromSeconds(std::max(0.0, missing / rate()));
+}
+
+/// The operator's amount is used only in proportion to the burst: it is the same for all accounts.
+double quota_ledger::cap() const
+{
+    return m_limit.burst + std::min(m_options.amountTolerance / 2.0, m_limit.burst / 2.0);
+}
+
+/// What the other VMs have probably admitted since their digests.
+double quota_ledger::underWay(time_point now) const
+{
+    double tokens = 0.0;
+    for (const auto &[name, account] : m_peers) {
+        if (now - account.reportedAt <= m_options.silenceAfter)
+            tokens += account.ratePerSecond * toSeconds(now - account.reportedAt);
+    }
+    return tokens;
 }
 
 void quota_ledger::refill(time_point now)
 {
     const double seconds = toSeconds(now - m_refilledAt);
     m_refilledAt = now;
-    m_level = std::min(cap(), m_level + seconds * m_limit.ratePerSecond);
+    m_level = std::min(cap(), m_level + seconds * rate());
 }
 
 } // namespace burdockhold
--- a/burdockhold/router_board.cc
+++ b/burdockhold/router_board.cc
@@ -10,10 +10,10 @@
 namespace {
 
 /// A call begins some time after it was placed.
-constexpr duration OldWeightsMargin = std::chrono::milliseconds(1000);
+constexpr duration OldWeightsMargin = std::chrono::milliseconds(1500);
 /// Parts of the shared budget; the rest covers windows that do not line up.
-constexpr double FailureShare = 0.45;
-constexpr double MoveShare = 0.4;
+constexpr double FailureShare = 0.4;
+constexpr double MoveShare = 0.5;
 /// A store counts as away for two missed checks after the last word of it.
 constexpr duration StoreAwayLapse = std::chrono::milliseconds(1200);
 
@@ -87,7 +87,7 @@
     // The slack is a sum over all VMs; VMs that come later find their part unused.
     const double vms = static_cast<double>(std::max<std::size_t>(knownPeers + 1, 8));
     const auto slack = static_cast<std::int64_t>(share * settings.repeatSlack / vms);
-    return retry_budget({ share * settings.repeatRatio, std::max<std::int64_t>(1, slack) });
+    return retry_budget({ share * settings.repeatRatio, 0, std::max<std::int64_t>(1, slack) });
 }
 
 quota_ledger &router_board::quotaOf(const deployment_account &account, time_point now)
@@ -96,7 +96,10 @@
     if (found != quotas.end())
         return found->second;
     const quota_limit limit { account.ratePerSecond, account.burst };
-    return quotas.emplace(account.name, quota_ledger({}, limit, now)).first->second;
+    quota_ledger_options options;
+    options.rateTolerance = settings.limitTolerance;
+    options.amountTolerance = account.countsTokens ? settings.limitToleranceTokens : 0.0;
+    return quotas.emplace(account.name, quota_ledger(options, limit, now)).first->second;
 }
 
 } // namespace burdockhold
--- a/burdockhold/router_board.h
+++ b/burdockhold/router_board.h
@@ -36,6 +36,7 @@
 /// What other VMs have said of a duty.
 struct duty_claim
 {
+    std::string holder; ///< Name of that VM.
     time_point heldAt;  ///< When another VM last said that it holds the duty.
     time_point orderAt; ///< When another VM last gave an order for it.
 };
--- a/burdockhold/router_settings.cc
+++ b/burdockhold/router_settings.cc
@@ -85,6 +85,8 @@
     settings.shutdownGrace = fromSeconds(graceSeconds);
     reader.read("repeats.ratio", settings.repeatRatio);
     reader.read("repeats.slack", settings.repeatSlack);
+    reader.read("accounts.tolerance", settings.limitTolerance);
+    reader.read("accounts.tolerance_tokens", settings.limitToleranceTokens);
     double memoryMb = 0.0;
     reader.read("limits.memory_mb", memoryMb);
     settings.memoryBytes = static_cast<std::size_t>(memoryMb * 1024 * 1024);
--- a/burdockhold/weights_orders.cc
+++ b/burdockhold/weights_orders.cc
@@ -11,8 +11,7 @@
 }
 
 std::vector<order_action> weights_planner::step(const std::vector<ordered_engine> &engines,
-                                                std::int64_t wantedVersion,
-                                                std::int64_t cacheTokens,
+                                                const wanted_load &wanted,
                                                 std::optional<std::int64_t> fencingToken,
                                                 time_point now)
 {
@@ -32,11 +31,12 @@
 
     std::vector<order_action> actions;
     int loading = loadingCount(now);
-    const int most = mostLoading(engines, cacheTokens, now);
+    const int most = mostLoading(engines, wanted.cacheTokens, now);
+    int firstWaveLeft = firstWave(engines, wanted.version);
     for (const ordered_engine *engine : sorted) {
         engine_entry &entry = m_engines[engine->id];
         entry.incarnation = engine->incarnation;
-        if (engine->version >= wantedVersion)
+        if (engine->version >= wanted.version)
             entry.loading = false;
         if (entry.callOpen || now < entry.nextAction)
             continue;
@@ -45,14 +45,18 @@
             actions.emplace_back(ask_engine_state { engine->id, engine->address });
             continue;
         }
-        if (engine->version >= wantedVersion || loading >= most)
+        if (engine->version >= wanted.version || loading >= most)
             continue;
+        const bool drained = engine->running <= m_options.fewRunning;
+        if (!drained && firstWaveLeft <= 0 && wanted.age < m_options.forceAfter)
+            continue;
+        --firstWaveLeft;
         ++loading;
         entry.callOpen = true;
         entry.loading = true;
         entry.loadingSince = now;
         actions.emplace_back(weights_order { engine->id, engine->address, engine->model,
-                                             wantedVersion, *fencingToken,
+                                             wanted.version, *fencingToken,
                                              *entry.acceptedOrders });
     }
     return actions;
@@ -144,6 +148,20 @@
     return std::max(least, static_cast<int>(most));
 }
 
+/// Engines that are still to be ordered before the rest may drain.
+int weights_planner::firstWave(const std::vector<ordered_engine> &engines,
+                               std::int64_t version) const
+{
+    int begun = 0;
+    for (const ordered_engine &engine : engines) {
+        const auto entry = m_engines.find(engine.id);
+        const bool loading = entry != m_engines.end() && entry->second.loading;
+        begun += engine.version >= version || loading ? 1 : 0;
+    }
+    const double share = m_options.firstWaveShare * static_cast<double>(engines.size());
+    return static_cast<int>(std::ceil(share)) - begun;
+}
+
 bool weights_planner::countsAsLoading(const engine_entry &entry, time_point now) const
 {
     return entry.loading && now - entry.loadingSince < m_options.loadTimeout;
--- a/burdockhold/weights_orders.h
+++ b/burdockhold/weights_orders.h
@@ -77,6 +77,7 @@
     std::int64_t version = 0;  ///< Newest known; 0 when unknown.
     std::int64_t heldTokens = 0; ///< Of its running requests; engines with less go first.
     bool silent = false;         ///< Does not serve now; it may be dead.
+    int running = 0;             ///< Requests that it runs.
 };
 
 struct weights_order_options
@@ -86,6 +87,11 @@
     double loadingShare = 0.55;
     /// Part of the memory of the engines that serve meanwhile that running requests may take.
     double heldShare = 0.5;
+    /// Part of the pool that is ordered at once. The rest drain while the first ones take the traffic,
+    /// and are ordered when they run no more than fewRunning or forceAfter has passed.
+    double firstWaveShare = 0.45;
+    int fewRunning = 2;
+    duration forceAfter = std::chrono::milliseconds(3500);
     /// Engines that may load at once at any load: as many as the weight store serves at full rate.
     int leastLoading = 2;
     /// Least age of a load before the engine is asked whether it is done: weights take longer.
@@ -97,6 +103,14 @@
     duration loadTimeout = std::chrono::seconds(6);
 };
 
+/// What the engines of a pool are to load.
+struct wanted_load
+{
+    std::int64_t version = 0;
+    duration age = duration::zero(); ///< Since it was named.
+    std::int64_t cacheTokens = 0;    ///< Memory of each engine.
+};
+
 class weights_planner
 {
 public:
@@ -105,7 +119,7 @@
     /// Returns what to do now. The token is that of the held duty; without one nothing is done and
     /// all that was known of engines is forgotten.
     std::vector<order_action> step(const std::vector<ordered_engine> &engines,
-                                   std::int64_t wantedVersion, std::int64_t cacheTokens,
+                                   const wanted_load &wanted,
                                    std::optional<std::int64_t> fencingToken, time_point now);
 
     void stateArrived(std::string_view endpointId, const engine_state &state, time_point now);
@@ -132,6 +146,7 @@
     void forgetMissing(const std::vector<ordered_engine> &engines);
     int mostLoading(const std::vector<ordered_engine> &engines, std::int64_t cacheTokens,
                     time_point now) const;
+    int firstWave(const std::vector<ordered_engine> &engines, std::int64_t version) const;
     bool countsAsLoading(const engine_entry &entry, time_point now) const;
     int loadingCount(time_point now) const;
 
