--- a/burdockhold/loop_duties.cc
+++ b/burdockhold/loop_duties.cc
@@ -199,9 +199,7 @@
 void duty_controller::stepModel(const deployment_pool &pool, held_duty &duty,
                                 const std::string &model, time_point now)
 {
-    const wanted_version named = m_board.wantedWeights[model];
-    const wanted_load wanted { named.version, bootNow() - named.namedAt,
-                               pool.engine->cacheTokens };
+    const wanted_load wanted { m_board.wantedVersion(model), pool.engine->cacheTokens };
     weights_planner &planner = duty.planners[model];
     const auto engines = m_board.endpoints.orderedEngines(pool.name, model, now);
     const duration othersOrderAge = now - m_board.otherClaims[shortHash(pool.name)].orderAt;
--- a/burdockhold/loop_exchange.cc
+++ b/burdockhold/loop_exchange.cc
@@ -289,9 +289,11 @@
     const std::int64_t wanted = board.wantedVersion(m_request.model);
     auto candidates = board.endpoints.candidates(m_poolName, engines ? m_request.model : "", wanted,
                                                  partKey(wanted), m_tried, steadyNow());
-    if (board.oldWeightsExpired(m_request.model)) {
-        for (endpoint_candidate &candidate : candidates)
-            candidate.excluded = candidate.excluded || candidate.oldWeights;
+    for (endpoint_candidate &candidate : candidates) {
+        if (candidate.oldWeights
+            && board.weightsExpired(m_request.model,
+                                    board.endpoints.weightsOf(candidate.id, m_request.model)))
+            candidate.excluded = true;
     }
     return candidates;
 }
@@ -749,6 +751,7 @@
                           { "first_ms", 1000.0 * toSeconds(m_firstByte) },
                           { "expected_ms", m_expectedMs },
                           { "prompt", m_request.promptTokens },
+                          { "output", m_request.maxOutputTokens },
                           { "unread", m_load.unreadTokens },
                           { "copied", m_copied },
                           { "saved", m_saved },
--- a/burdockhold/loop_router.cc
+++ b/burdockhold/loop_router.cc
@@ -27,6 +27,7 @@
 constexpr duration EndMargin = std::chrono::milliseconds(300);
 // Part of the revocation bound after which a VM without the log asks for no new callers.
 constexpr int ReadyAgeTenths = 6;
+constexpr std::size_t MaxVersionsKept = 16; // Engines further behind are as stale as these.
 constexpr std::size_t MaxProbeBytes = 4096;
 constexpr int StatusOk = 200;
 
@@ -285,13 +286,15 @@
     if (!isOk(decoded))
         return;
     const platform::wanted_weights &wanted = valueOf(decoded);
-    wanted_version &known = m_board.wantedWeights[wanted.model];
-    if (wanted.version <= known.version)
+    if (wanted.version <= m_board.wantedVersion(wanted.model))
         return;
     // What a started VM finds may have been named any time before.
     const bool atStart = m_board.deploymentProvenAt < duration::zero();
-    known.version = wanted.version;
-    known.namedAt = bootNow() - (atStart ? m_board.settings.weightsBound / 2 : duration::zero());
+    const duration age = atStart ? m_board.settings.weightsBound / 2 : duration::zero();
+    auto &versions = m_board.wantedWeights[wanted.model];
+    versions.push_back({ wanted.version, bootNow() - age });
+    if (versions.size() > MaxVersionsKept)
+        versions.erase(versions.begin());
     const time_point now = steadyNow();
     if (m_board.log.accepts(log_weight::Belief, now))
         m_board.log.write(log_event::WeightsWanted,
--- a/burdockhold/router_board.cc
+++ b/burdockhold/router_board.cc
@@ -36,14 +36,19 @@
 std::int64_t router_board::wantedVersion(const std::string &model) const
 {
     const auto found = wantedWeights.find(model);
-    return found == wantedWeights.end() ? 0 : found->second.version;
+    return found == wantedWeights.end() ? 0 : found->second.back().version;
 }
 
-bool router_board::oldWeightsExpired(const std::string &model) const
+bool router_board::weightsExpired(const std::string &model, std::int64_t version) const
 {
     const auto found = wantedWeights.find(model);
-    return found != wantedWeights.end()
-            && bootNow() - found->second.namedAt > settings.weightsBound - OldWeightsMargin;
+    if (found == wantedWeights.end())
+        return false;
+    for (const wanted_version &named : found->second) {
+        if (named.version > version)
+            return bootNow() - named.namedAt > settings.weightsBound - OldWeightsMargin;
+    }
+    return false;
 }
 
 std::string router_board::storeAddress(time_point now) const
--- a/burdockhold/router_board.h
+++ b/burdockhold/router_board.h
@@ -25,8 +25,8 @@
 
 namespace burdockhold {
 
-/// Version of a model's weights that the operator wants, and when it was named, on the clock that
-/// counts suspensions.
+/// A version of a model's weights that the operator has named, and when, on the clock that counts
+/// suspensions.
 struct wanted_version
 {
     std::int64_t version = 0;
@@ -54,8 +54,8 @@
     /// Version of the model's weights that the operator wants; 0 when none was named.
     std::int64_t wantedVersion(const std::string &model) const;
 
-    /// True when calls may no longer begin on weights older than the wanted ones.
-    bool oldWeightsExpired(const std::string &model) const;
+    /// True when calls may no longer begin on this version: a newer one was named too long ago.
+    bool weightsExpired(const std::string &model, std::int64_t version) const;
 
     /// Address of the store of cached parts that the deployment names, or an empty string while there
     /// is none or it is away.
@@ -85,7 +85,7 @@
     std::shared_ptr<const deployment_index> deployment;
     duration deploymentProvenAt = duration::min() / 2;
     duration endpointsProvenAt = duration::min() / 2;
-    std::map<std::string, wanted_version> wantedWeights;
+    std::map<std::string, std::vector<wanted_version>> wantedWeights; ///< By model; newest last.
 
     // Written by the log follower (entries), the exchanges (calls), the order controller (loads)
     // and the peer link (digests), each through methods of its own.
--- a/burdockhold/weights_orders.cc
+++ b/burdockhold/weights_orders.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace burdockhold {
 
@@ -26,7 +27,8 @@
     for (const ordered_engine &engine : engines)
         sorted.push_back(&engine);
     std::stable_sort(sorted.begin(), sorted.end(), [](const auto *a, const auto *b) {
-        return a->heldTokens < b->heldTokens;
+        return std::make_pair(a->version, a->heldTokens)
+                < std::make_pair(b->version, b->heldTokens);
     });
 
     std::vector<order_action> actions;
@@ -36,7 +38,11 @@
     for (const ordered_engine *engine : sorted) {
         engine_entry &entry = m_engines[engine->id];
         entry.incarnation = engine->incarnation;
-        if (engine->version >= wanted.version)
+        const bool behind = engine->version < wanted.version;
+        if (behind && !entry.behind)
+            entry.behindSince = now;
+        entry.behind = behind;
+        if (!behind)
             entry.loading = false;
         if (entry.callOpen || now < entry.nextAction)
             continue;
@@ -48,7 +54,7 @@
         if (engine->version >= wanted.version || loading >= most)
             continue;
         const bool drained = engine->running <= m_options.fewRunning;
-        if (!drained && firstWaveLeft <= 0 && wanted.age < m_options.forceAfter)
+        if (!drained && firstWaveLeft <= 0 && now - entry.behindSince < m_options.forceAfter)
             continue;
         --firstWaveLeft;
         ++loading;
--- a/burdockhold/weights_orders.h
+++ b/burdockhold/weights_orders.h
@@ -88,7 +88,7 @@
     /// Part of the memory of the engines that serve meanwhile that running requests may take.
     double heldShare = 0.5;
     /// Part of the pool that is ordered at once. The rest drain while the first ones take the traffic,
-    /// and are ordered when they run no more than fewRunning or forceAfter has passed.
+    /// and are ordered when they run no more than fewRunning, or have been behind for forceAfter.
     double firstWaveShare = 0.45;
     int fewRunning = 2;
     duration forceAfter = std::chrono::milliseconds(3500);
@@ -107,7 +107,6 @@
 struct wanted_load
 {
     std::int64_t version = 0;
-    duration age = duration::zero(); ///< Since it was named.
     std::int64_t cacheTokens = 0;    ///< Memory of each engine.
 };
 
@@ -140,6 +139,8 @@
         bool callOpen = false;
         bool loading = false;
         time_point loadingSince;
+        time_point behindSince; ///< First seen with older weights than wanted.
+        bool behind = false;
         time_point nextAction;
     };
 
