Tell started VMs when versions were named; log why no endpoint took a request

Cause: a restarted VM assumed that the newest version had been named half of the bound ago and sent nothing to engines on older weights 2.5 s later, on a rolling restart all VMs at once.

--- a/burdockhold/decision_log.h
+++ b/burdockhold/decision_log.h
@@ -40,13 +40,14 @@
     OrderAnswered,
     RequestEnded,
     CallEnded,
+    PoolFull,
     LinesDropped,
 };
 
 template <>
 struct enum_names<log_event>
 {
-    static constexpr std::array<enum_name<log_event>, 17> Table{ {
+    static constexpr std::array<enum_name<log_event>, 18> Table{ {
             { log_event::Started, "started" },
             { log_event::Stopping, "stopping" },
             { log_event::Stopped, "stopped" },
@@ -63,6 +64,7 @@
             { log_event::OrderAnswered, "order_answered" },
             { log_event::RequestEnded, "request_ended" },
             { log_event::CallEnded, "call_ended" },
+            { log_event::PoolFull, "pool_full" },
             { log_event::LinesDropped, "lines_dropped" },
     } };
 };
--- a/burdockhold/duty_lease.h
+++ b/burdockhold/duty_lease.h
@@ -32,7 +32,7 @@
     duration claimLapse = std::chrono::milliseconds(1000);
     duration rankDelay = std::chrono::milliseconds(300); ///< Between the tries of two VMs.
     /// Least time from the gain of a duty to the first order.
-    duration takeoverWait = std::chrono::milliseconds(500);
+    duration takeoverWait = std::chrono::milliseconds(200);
     /// Least age of another VM's last order; zero where engines check fencing tokens.
     duration orderSpacing = std::chrono::milliseconds(0);
 };
--- a/burdockhold/loop_exchange.cc
+++ b/burdockhold/loop_exchange.cc
@@ -761,9 +761,37 @@
                           { "view_age_ms", std::llround(1000.0 * toSeconds(board.deploymentAge())) } },
                         now);
     }
+    if (reason == "no_endpoint" && board.log.accepts(log_weight::Failure, now))
+        logFullPool(now);
     m_port = {};
 }
 
+/// Why no endpoint could take the request: the inputs of the choice, the most loaded last.
+void exchange::logFullPool(time_point now)
+{
+    constexpr std::size_t MaxListed = 16;
+    auto candidates = candidatesNow();
+    std::sort(candidates.begin(), candidates.end(), [](const auto &a, const auto &b) {
+        return std::make_pair(a.excluded, a.heldTokens) < std::make_pair(b.excluded, b.heldTokens);
+    });
+    nlohmann::ordered_json listed = nlohmann::ordered_json::array();
+    for (std::size_t index = 0; index < std::min(MaxListed, candidates.size()); ++index) {
+        const endpoint_candidate &candidate = candidates[index];
+        listed.push_back({ { "endpoint", candidate.id },
+                           { "excluded", candidate.excluded },
+                           { "suspect", candidate.suspect },
+                           { "running", candidate.running },
+                           { "unread", candidate.unreadTokens },
+                           { "held", candidate.heldTokens } });
+    }
+    m_context.board.log.write(log_event::PoolFull,
+                              { { "id", m_request.callId },
+                                { "pool", m_poolName },
+                                { "endpoints", candidates.size() },
+                                { "listed", std::move(listed) } },
+                              now);
+}
+
 void exchange::logCall(call_end end)
 {
     router_board &board = m_context.board;
--- a/burdockhold/loop_exchange.h
+++ b/burdockhold/loop_exchange.h
@@ -132,6 +132,7 @@
     void refuse(int status, std::string_view reason, duration retryAfter);
     void fail(int status, std::string_view reason);
     void finish(router_counter counter, int status, std::string_view reason);
+    void logFullPool(time_point now);
     void logCall(call_end end);
 
     exchange_context m_context;
--- a/burdockhold/loop_peers.cc
+++ b/burdockhold/loop_peers.cc
@@ -94,6 +94,7 @@
     }
     m_board.endpoints.fillDigest(digest, now);
     digest.duties = m_board.ownDuties;
+    addNamed(digest);
     digest.savedParts = m_board.savedParts.announced(now);
     for (const auto &[address, until] : m_board.storeAwayUntil) {
         if (now < until && m_board.ownStoreFinding.count(address) != 0)
@@ -102,6 +103,22 @@
     return digest;
 }
 
+/// States the newest versions of each model: engines are rarely further behind.
+void digest_link::addNamed(vm_digest &digest) const
+{
+    constexpr std::size_t MaxStated = 3;
+    const duration bootTime = bootNow();
+    for (const auto &[model, versions] : m_board.wantedWeights) {
+        const std::size_t first = versions.size() - std::min(MaxStated, versions.size());
+        for (std::size_t index = first; index < versions.size(); ++index) {
+            const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+                    bootTime - versions[index].namedAt);
+            digest.named.push_back({ shortHash(model), versions[index].version,
+                                     static_cast<std::uint32_t>(age.count()) });
+        }
+    }
+}
+
 void digest_link::receive()
 {
     m_socket.async_receive_from(boost::asio::buffer(m_buffer), m_sender,
@@ -149,6 +166,14 @@
             claim.orderAt = std::max(claim.orderAt,
                                      now - std::chrono::milliseconds(row.orderedAgoMs));
     }
+    for (const named_row &row : digest.named) {
+        const auto model = std::find_if(m_board.wantedWeights.begin(), m_board.wantedWeights.end(),
+                                        [&](const auto &known) {
+                                            return shortHash(known.first) == row.model;
+                                        });
+        if (model != m_board.wantedWeights.end())
+            m_board.noteNamed(model->first, row.version, std::chrono::milliseconds(row.ageMs));
+    }
     // A VM that leaves has given up its duties; the next one need not wait for its silence.
     for (auto &[pool, claim] : m_board.otherClaims) {
         if (digest.leaving && claim.holder == digest.vm)
--- a/burdockhold/loop_router.cc
+++ b/burdockhold/loop_router.cc
@@ -27,7 +27,6 @@
 constexpr duration EndMargin = std::chrono::milliseconds(300);
 // Part of the revocation bound after which a VM without the log asks for no new callers.
 constexpr int ReadyAgeTenths = 6;
-constexpr std::size_t MaxVersionsKept = 16; // Engines further behind are as stale as these.
 constexpr std::size_t MaxProbeBytes = 4096;
 constexpr int StatusOk = 200;
 
@@ -286,15 +285,12 @@
     if (!isOk(decoded))
         return;
     const platform::wanted_weights &wanted = valueOf(decoded);
-    if (wanted.version <= m_board.wantedVersion(wanted.model))
-        return;
-    // What a started VM finds may have been named any time before.
+
+    // What a started VM finds may have been named any time before; the others' digests tell.
     const bool atStart = m_board.deploymentProvenAt < duration::zero();
-    const duration age = atStart ? m_board.settings.weightsBound / 2 : duration::zero();
-    auto &versions = m_board.wantedWeights[wanted.model];
-    versions.push_back({ wanted.version, bootNow() - age });
-    if (versions.size() > MaxVersionsKept)
-        versions.erase(versions.begin());
+    const duration age = atStart ? m_board.settings.weightsBound / 4 : duration::zero();
+    if (!m_board.noteNamed(wanted.model, wanted.version, age))
+        return;
     const time_point now = steadyNow();
     if (m_board.log.accepts(log_weight::Belief, now))
         m_board.log.write(log_event::WeightsWanted,
--- a/burdockhold/router_board.cc
+++ b/burdockhold/router_board.cc
@@ -9,6 +9,8 @@
 
 namespace {
 
+/// Engines further behind are as stale as these.
+constexpr std::size_t MaxVersionsKept = 16;
 /// A call begins some time after it was placed.
 constexpr duration OldWeightsMargin = std::chrono::milliseconds(1500);
 /// Parts of the shared budget; the rest covers windows that do not line up.
@@ -39,6 +41,24 @@
     return found == wantedWeights.end() ? 0 : found->second.back().version;
 }
 
+bool router_board::noteNamed(const std::string &model, std::int64_t version, duration age)
+{
+    const duration namedAt = bootNow() - age;
+    auto &versions = wantedWeights[model];
+    for (wanted_version &known : versions) {
+        if (known.version != version)
+            continue;
+        known.namedAt = std::min(known.namedAt, namedAt);
+        return false;
+    }
+    if (!versions.empty() && version < versions.back().version)
+        return false;
+    versions.push_back({ version, namedAt });
+    if (versions.size() > MaxVersionsKept)
+        versions.erase(versions.begin());
+    return true;
+}
+
 bool router_board::weightsExpired(const std::string &model, std::int64_t version) const
 {
     const auto found = wantedWeights.find(model);
--- a/burdockhold/router_board.h
+++ b/burdockhold/router_board.h
@@ -54,6 +54,10 @@
     /// Version of the model's weights that the operator wants; 0 when none was named.
     std::int64_t wantedVersion(const std::string &model) const;
 
+    /// Notes that a version was named this long ago. An older time replaces a newer one: the first
+    /// VM that saw it knows best. Returns true when the version is the newest and was not known.
+    bool noteNamed(const std::string &model, std::int64_t version, duration age);
+
     /// True when calls may no longer begin on this version: a newer one was named too long ago.
     bool weightsExpired(const std::string &model, std::int64_t version) const;
 
@@ -81,7 +85,7 @@
 
 public:
 
-    // Written by the log follower.
+    // Written by the log follower; times of versions also by the peer link, through noteNamed().
     std::shared_ptr<const deployment_index> deployment;
     duration deploymentProvenAt = duration::min() / 2;
     duration endpointsProvenAt = duration::min() / 2;
--- a/burdockhold/vm_digest.h
+++ b/burdockhold/vm_digest.h
@@ -70,6 +70,16 @@
     MSGPACK_DEFINE_ARRAY(pool, holds, orderedAgoMs)
 };
 
+/// How long ago the operator named a version of a model's weights. A VM that starts finds only the
+/// newest version in the log, without its time.
+struct named_row
+{
+    std::uint32_t model = 0;
+    std::int64_t version = 0;
+    std::uint32_t ageMs = 0;
+    MSGPACK_DEFINE_ARRAY(model, version, ageMs)
+};
+
 struct vm_digest
 {
     std::string vm;
@@ -83,8 +93,9 @@
     std::vector<std::uint32_t> savedParts; ///< Hashes of parts that went to the store lately.
     std::vector<std::uint32_t> deadStores; ///< Hashes of the addresses of stores that are away.
     std::vector<duty_row> duties;
+    std::vector<named_row> named;
     MSGPACK_DEFINE_ARRAY(vm, incarnation, number, leaving, accounts, endpoints, weights, crashes,
-                         savedParts, deadStores, duties)
+                         savedParts, deadStores, duties, named)
 };
 
 enum class digest_error { NotReadable };
