--- a/burdockhold/loop_exchange.cc
+++ b/burdockhold/loop_exchange.cc
@@ -30,6 +30,8 @@
 // Callers give a stream up after two seconds without an event.
 constexpr duration StreamPauseLimit = std::chrono::milliseconds(1900);
 constexpr duration MaxWaitForDeployment = std::chrono::milliseconds(600);
+// What comes later after the notice to stop could outlast the process.
+constexpr duration LastRequestAfterNotice = std::chrono::milliseconds(2700);
 // Least pause that a refusal asks for: a connection and the balancer's choice take part of it.
 // Short answers end within this time of an order; what runs on may run for seconds more.
 constexpr duration MoveStreamAfter = std::chrono::milliseconds(350);
@@ -103,6 +105,11 @@
     if (!m_waiting)
         m_context.board.metrics.count(router_counter::Requests);
     m_waiting = false;
+    const router_board &board = m_context.board;
+    if (board.leaving && steadyNow() - board.leavingSince > LastRequestAfterNotice) {
+        refuse(503, "leaving", MinRetryAfter);
+        return;
+    }
     if (!findRoute() || !authenticate() || !admitTokens())
         return;
     duration limit = m_route->timeout;
@@ -663,7 +670,9 @@
         return;
     const auto link = std::exchange(m_link, nullptr);
     m_context.links.giveBack(m_address, link);
-    m_context.waiting.retry();
+    // A stream that moves takes its new place before the waiting requests try again.
+    if (m_context.waiting.size() > 0)
+        boost::asio::post(m_context.io, [&waiting = m_context.waiting] { waiting.retry(); });
 }
 
 void exchange::deliver()
--- a/burdockhold/loop_router.cc
+++ b/burdockhold/loop_router.cc
@@ -392,17 +392,17 @@
 void event_router::beginShutdown()
 {
     m_board.leaving = true;
-    m_leavingSince = steadyNow();
+    m_board.leavingSince = steadyNow();
     m_duties->leave();
     m_digests.sendSoon();
-    if (m_board.log.accepts(log_weight::Belief, m_leavingSince))
+    if (m_board.log.accepts(log_weight::Belief, m_board.leavingSince))
         m_board.log.write(log_event::Stopping, { { "callers", m_callers.size() } },
-                          m_leavingSince);
+                          m_board.leavingSince);
 }
 
 void event_router::stepShutdown(time_point now)
 {
-    const duration since = now - m_leavingSince;
+    const duration since = now - m_board.leavingSince;
     if (since < BalancerDelay)
         return;
     const caller_set callers = m_callers;
--- a/burdockhold/loop_router.h
+++ b/burdockhold/loop_router.h
@@ -68,7 +68,6 @@
     std::shared_ptr<topic_follower> m_vmFollower;
     std::map<std::string, bool, std::less<>> m_logLost; // By topic.
     time_point m_sweptAt;
-    time_point m_leavingSince;
 };
 
 } // namespace burdockhold
--- a/burdockhold/router_board.h
+++ b/burdockhold/router_board.h
@@ -120,6 +120,7 @@
 
     // Written by the shutdown controller.
     bool leaving = false;
+    time_point leavingSince;
 
     // Written by all.
     decision_log log;
