--- a/burdockhold/caller_request.h
+++ b/burdockhold/caller_request.h
@@ -6,6 +6,7 @@
 
 #include "burdockhold/clock.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -39,12 +40,19 @@
     std::int64_t promptTokens = 0;
     std::int64_t maxOutputTokens = 0;
     bool statesTokens = false;
+    std::optional<std::int64_t> outputEstimate; ///< The caller's, in tokens; right at the median.
     std::vector<prompt_part> prefix;   ///< The last part belongs to this request alone.
     std::string resumeAfter;           ///< Id of the last event that the caller has; may be empty.
     std::vector<http_field> passedOn;  ///< End-to-end fields as the caller sent them.
     std::string body;
 
     std::int64_t tokens() const { return promptTokens + maxOutputTokens; }
+
+    /// Output tokens to plan with. Without an estimate, a third of the most: few answers are longer.
+    std::int64_t expectedOutput() const
+    {
+        return std::min(maxOutputTokens, outputEstimate.value_or(maxOutputTokens / 3));
+    }
 };
 
 /// What the router states about a call to the endpoint that it chose.
--- a/burdockhold/loop_duties.cc
+++ b/burdockhold/loop_duties.cc
@@ -42,10 +42,9 @@
 }
 
 duty_controller::duty_controller(boost::asio::io_context &context, router_board &board,
-                                 digest_link &digests, boost::asio::ip::tcp::endpoint logServer)
+                                 boost::asio::ip::tcp::endpoint logServer)
     : m_context(context)
     , m_board(board)
-    , m_digests(digests)
     , m_logServer(std::move(logServer))
     , m_leaseOptions(leaseOptions(board.settings))
 {
@@ -174,7 +173,7 @@
         }
         m_board.ownStoreFinding.insert(address);
         m_board.storeIsAway(address, steadyNow());
-        m_digests.sendSoon();
+        m_board.digestWanted = true;
     });
 }
 
@@ -227,7 +226,7 @@
     dutyOf(pool, now).orderedAt = now;
     m_board.metrics.count(router_counter::OrdersGiven);
     m_board.endpoints.setLoading(action.endpointId, now);
-    m_digests.sendSoon();
+    m_board.digestWanted = true;
     if (m_board.log.accepts(log_weight::Belief, now))
         m_board.log.write(log_event::OrderGiven,
                           { { "endpoint", action.endpointId },
@@ -268,7 +267,7 @@
     for (const auto &[loaded, version] : valueOf(state).weights)
         m_board.endpoints.weightsSeen(endpointId, loaded, version);
     planner.stateArrived(endpointId, valueOf(state), now);
-    m_digests.sendSoon();
+    m_board.digestWanted = true;
 }
 
 void duty_controller::orderAnswered(const std::string &pool, const weights_order &order,
--- a/burdockhold/loop_duties.h
+++ b/burdockhold/loop_duties.h
@@ -6,7 +6,6 @@
 
 #include "burdockhold/duty_lease.h"
 #include "burdockhold/loop_log.h"
-#include "burdockhold/loop_peers.h"
 #include "burdockhold/router_board.h"
 #include "burdockhold/weights_orders.h"
 #include "platform/engine_codec.h"
@@ -21,7 +20,7 @@
 class duty_controller
 {
 public:
-    duty_controller(boost::asio::io_context &context, router_board &board, digest_link &digests,
+    duty_controller(boost::asio::io_context &context, router_board &board,
                     boost::asio::ip::tcp::endpoint logServer);
 
     /// Plans and gives orders. Called on every tick.
@@ -70,7 +69,6 @@
 
     boost::asio::io_context &m_context;
     router_board &m_board;
-    digest_link &m_digests;
     boost::asio::ip::tcp::endpoint m_logServer;
     duty_lease_options m_leaseOptions;
     std::map<std::string, held_duty> m_duties; // By pool.
--- a/burdockhold/loop_exchange.cc
+++ b/burdockhold/loop_exchange.cc
@@ -32,6 +32,9 @@
 constexpr duration MaxWaitForDeployment = std::chrono::milliseconds(600);
 // What comes later after the notice to stop could outlast the process.
 constexpr duration LastRequestAfterNotice = std::chrono::milliseconds(2700);
+// The other VMs hear at once of prompts that keep an engine busy for this many tokens: within one
+// interval of digests they would all choose the same idle engine.
+constexpr std::int64_t NotedUnreadTokens = 2000;
 // Least pause that a refusal asks for: a connection and the balancer's choice take part of it.
 // Short answers end within this time of an order; what runs on may run for seconds more.
 constexpr duration MoveStreamAfter = std::chrono::milliseconds(350);
@@ -272,7 +275,7 @@
     if (m_pool == nullptr || !m_pool->engine || m_request.model.empty())
         return need;
     need.promptTokens = m_request.promptTokens;
-    need.outputTokens = m_request.maxOutputTokens;
+    need.outputTokens = m_request.expectedOutput();
     need.ownTokens = m_request.promptTokens;
     // The key does not name the version: a prompt keeps its home when the weights change.
     const bool isolated = m_account != nullptr && m_account->isolated;
@@ -443,6 +446,8 @@
             copyFrom = source->address;
     }
     board.endpoints.callStarted(m_endpointId, m_load, m_callStarted);
+    if (m_load.unreadTokens >= NotedUnreadTokens)
+        board.digestWanted = true;
     const bool repeatable = mayRepeat(m_route->kind, m_route->resumable);
     if (m_route->kind == call_kind::Stream && m_route->resumable)
         m_context.movable.insert(shared_from_this());
--- a/burdockhold/loop_peers.cc
+++ b/burdockhold/loop_peers.cc
@@ -59,8 +59,9 @@
 
 void digest_link::step(time_point now)
 {
-    if (now < m_dueAt)
+    if (now < m_dueAt && !m_board.digestWanted)
         return;
+    m_board.digestWanted = false;
     const double peers = static_cast<double>(m_peers.size());
     m_dueAt = now + std::max(m_options.interval, fromSeconds(peers / m_options.sendsPerSecond));
     for (auto row = m_peers.begin(); row != m_peers.end();)
--- a/burdockhold/loop_peers.h
+++ b/burdockhold/loop_peers.h
@@ -43,9 +43,6 @@
     /// Sends digests when they are due. Called on every tick.
     void step(time_point now);
 
-    /// Sends a digest at the next step: something changed that others should not wait for.
-    void sendSoon() { m_dueAt = time_point(); }
-
 private:
     struct peer
     {
--- a/burdockhold/loop_router.cc
+++ b/burdockhold/loop_router.cc
@@ -69,7 +69,7 @@
     const auto logServer = parseAddress(m_board.settings.logAddress);
     if (!logServer)
         return "log.address: not an address: " + m_board.settings.logAddress;
-    m_duties = std::make_unique<duty_controller>(m_io, m_board, m_digests, *logServer);
+    m_duties = std::make_unique<duty_controller>(m_io, m_board, *logServer);
     m_announceLane = std::make_shared<log_lane>(m_io, *logServer);
     std::string error = listen(m_callerAcceptor, m_board.settings.callerAddress);
     if (error.empty())
@@ -394,7 +394,7 @@
     m_board.leaving = true;
     m_board.leavingSince = steadyNow();
     m_duties->leave();
-    m_digests.sendSoon();
+    m_board.digestWanted = true;
     if (m_board.log.accepts(log_weight::Belief, m_board.leavingSince))
         m_board.log.write(log_event::Stopping, { { "callers", m_callers.size() } },
                           m_board.leavingSince);
--- a/burdockhold/router_board.h
+++ b/burdockhold/router_board.h
@@ -115,6 +115,10 @@
     std::vector<std::string> livePeers; ///< Names of the VMs that were heard lately.
     std::map<std::uint32_t, duty_claim> otherClaims; ///< By shortHash of the pool.
 
+    // Written by the exchanges and the duty controller, cleared by the peer link: something changed
+    // that the other VMs should not wait for.
+    bool digestWanted = false;
+
     // Written by the duty controller.
     std::vector<duty_row> ownDuties;
 
