--- a/burdockhold/endpoint_choice.h
+++ b/burdockhold/endpoint_choice.h
@@ -65,7 +65,7 @@
     std::int64_t maxUnreadTokens = 12000;
     /// Part of an engine's memory for running requests. The rest keeps shared parts: without them
     /// every prompt is read whole, and the pool does not get out of an overload by itself.
-    double maxHeldShare = 0.6;
+    double maxHeldShare = 0.75;
     double suspectMs = 3000.0;
     double oldWeightsMs = 250.0;   ///< Half of the usual latency target.
     double failureMs = 800.0;      ///< A failed call costs about a latency target and a repeat.
