--- a/burdockhold/caller_request.h
+++ b/burdockhold/caller_request.h
@@ -73,6 +73,7 @@
 struct endpoint_answer_head
 {
     int status = 0;
+    std::string endpointId; ///< Of the endpoint that answered, where it says so.
     std::string callId;    ///< Echo of the caller's id; empty when absent.
     std::string signature; ///< Empty when absent.
     bool saysNotRun = false;
--- a/burdockhold/endpoint_health.cc
+++ b/burdockhold/endpoint_health.cc
@@ -231,25 +231,41 @@
 }
 
 bool retry_budget::tryRetry(time_point now)
+{
+    const usage used = usageNow(now);
+    if (used.retries >= used.allowed)
+        return false;
+    ++stepAt(now.time_since_epoch() / RetryStep).retries;
+    return true;
+}
+
+bool retry_budget::tryOptionalRetry(time_point now)
+{
+    const usage used = usageNow(now);
+    if (2 * used.retries >= used.allowed)
+        return false;
+    ++stepAt(now.time_since_epoch() / RetryStep).retries;
+    return true;
+}
+
+retry_budget::usage retry_budget::usageNow(time_point now) const
 {
     const std::int64_t current = now.time_since_epoch() / RetryStep;
     const auto oldest = current - static_cast<std::int64_t>(StepCount) + 1;
     std::int64_t requests = 0;
-    std::int64_t retries = 0;
+    usage used;
     for (const auto &counted : m_steps) {
         if (counted.number < oldest)
             continue;
-        retries += counted.retries;
+        used.retries += counted.retries;
         // The oldest step may lie outside the window: its requests must not add to the budget.
         if (counted.number > oldest)
             requests += counted.requests;
     }
     const auto share = static_cast<std::int64_t>(
             std::floor(m_options.share * static_cast<double>(requests) + ShareRounding));
-    if (retries >= std::max(m_options.minimum, share) + m_options.extra)
-        return false;
-    ++stepAt(current).retries;
-    return true;
+    used.allowed = std::max(m_options.minimum, share) + m_options.extra;
+    return used;
 }
 
 } // namespace burdockhold
--- a/burdockhold/endpoint_health.h
+++ b/burdockhold/endpoint_health.h
@@ -159,6 +159,9 @@
     /// Takes one retry from the budget. Returns false when none is left.
     bool tryRetry(time_point now);
 
+    /// As tryRetry(), for a retry that is only useful: it leaves at least half of the budget.
+    bool tryOptionalRetry(time_point now);
+
 private:
     static constexpr std::size_t StepCount = 101; // 10 s and the step that is partly within them.
     struct step
@@ -168,7 +171,14 @@
         std::int64_t retries = 0;
     };
 
+    struct usage
+    {
+        std::int64_t retries = 0;
+        std::int64_t allowed = 0;
+    };
+
     step &stepAt(std::int64_t number);
+    usage usageNow(time_point now) const;
 
     retry_budget_options m_options;
     std::array<step, StepCount> m_steps;
--- a/burdockhold/endpoint_table.cc
+++ b/burdockhold/endpoint_table.cc
@@ -35,6 +35,8 @@
         entry.heardAt = now;
         m_idsByHash[entry.hash] = report.id;
     }
+    if (isNew || restarted)
+        removeFormerHolders(report, now);
     const bool changed = isNew || restarted || entry.removed
             || entry.report.leaving != report.leaving || entry.report.address != report.address;
     entry.report = report;
@@ -46,6 +48,17 @@
     return changed;
 }
 
+/// An endpoint that started later at the same address shows that the others there have ended.
+void endpoint_table::removeFormerHolders(const endpoint_report &report, time_point now)
+{
+    for (const auto &[id, entry] : m_entries) {
+        const bool former = id != report.id && entry.report.address == report.address
+                && entry.report.incarnation < report.incarnation;
+        if (former)
+            remove(id, now);
+    }
+}
+
 void endpoint_table::remove(std::string_view id, time_point now)
 {
     table_entry *entry = entryOf(id);
--- a/burdockhold/endpoint_table.h
+++ b/burdockhold/endpoint_table.h
@@ -147,6 +147,7 @@
         time_point at;
     };
 
+    void removeFormerHolders(const endpoint_report &report, time_point now);
     table_entry *entryOf(std::string_view id);
     const table_entry *entryOf(std::string_view id) const;
     void addRows(const vm_digest &digest, int sign);
--- a/burdockhold/loop_duties.cc
+++ b/burdockhold/loop_duties.cc
@@ -11,7 +11,8 @@
 
 constexpr std::string_view GroupPrefix = "burdockhold-orders/";
 constexpr int StatusOk = 200;
-constexpr duration EngineCallTimeout = std::chrono::milliseconds(1200);
+// Engines answer within a few round trips; a later answer is asked for again by the state.
+constexpr duration EngineCallTimeout = std::chrono::milliseconds(400);
 constexpr duration StoreCheckInterval = std::chrono::milliseconds(500);
 constexpr duration StoreCheckTimeout = std::chrono::milliseconds(300);
 constexpr duration JoinTimeout = std::chrono::milliseconds(1200);
--- a/burdockhold/loop_exchange.cc
+++ b/burdockhold/loop_exchange.cc
@@ -124,7 +124,6 @@
     m_priority = m_account != nullptr && m_account->priority ? *m_account->priority
                                                              : m_route->priority;
     m_context.board.repeatsOf(m_poolName).countRequest(steadyNow());
-    m_context.board.movesOf(m_poolName).countRequest(steadyNow());
     startTimer();
     if (!place())
         waitForEndpoint();
@@ -579,6 +578,11 @@
         board.endpoints.callRefused(m_endpointId, steadyNow());
         return;
     }
+    // Another endpoint has the address: the one that was meant has ended.
+    if (!m_head.endpointId.empty() && m_head.endpointId != m_endpointId) {
+        board.endpoints.remove(m_endpointId, steadyNow());
+        return;
+    }
     const std::int64_t wanted = board.wantedVersion(m_request.model);
     if (m_expectedWeights > 0 && m_expectedWeights < wanted)
         board.endpoints.weightsSeen(m_endpointId, m_request.model, wanted);
@@ -654,7 +658,7 @@
     if (m_route->maxEndpoints - m_runs < 2 || m_sends >= MaxSends)
         return;
     const auto choice = chooseEndpoint(candidatesNow(), needOf(), hashOf(m_request.callId));
-    if (!choice || choice->expectedMs > MaxMoveMs || !board.movesOf(m_poolName).tryRetry(now))
+    if (!choice || choice->expectedMs > MaxMoveMs || !board.repeatsOf(m_poolName).tryOptionalRetry(now))
         return;
     ++m_runs;
     m_mayHaveRun = true;
--- a/burdockhold/router_board.cc
+++ b/burdockhold/router_board.cc
@@ -13,9 +13,8 @@
 constexpr std::size_t MaxVersionsKept = 16;
 /// A call begins some time after it was placed.
 constexpr duration OldWeightsMargin = std::chrono::milliseconds(1500);
-/// Parts of the shared budget; the rest covers windows that do not line up.
-constexpr double FailureShare = 0.4;
-constexpr double MoveShare = 0.5;
+/// Part of the shared budget that is planned with; the rest covers windows that do not line up.
+constexpr double BudgetShare = 0.9;
 /// A store counts as away for two missed checks after the last word of it.
 constexpr duration StoreAwayLapse = std::chrono::milliseconds(1200);
 
@@ -96,23 +95,15 @@
     const auto found = repeats.find(pool);
     if (found != repeats.end())
         return found->second;
-    return repeats.emplace(pool, newBudget(FailureShare)).first->second;
+    return repeats.emplace(pool, newBudget()).first->second;
 }
 
-retry_budget &router_board::movesOf(const std::string &pool)
-{
-    const auto found = moves.find(pool);
-    if (found != moves.end())
-        return found->second;
-    return moves.emplace(pool, newBudget(MoveShare)).first->second;
-}
-
-retry_budget router_board::newBudget(double share) const
+retry_budget router_board::newBudget() const
 {
     // The slack is a sum over all VMs; VMs that come later find their part unused.
     const double vms = static_cast<double>(std::max<std::size_t>(knownPeers + 1, 8));
-    const auto slack = static_cast<std::int64_t>(share * settings.repeatSlack / vms);
-    return retry_budget({ share * settings.repeatRatio, 0, std::max<std::int64_t>(1, slack) });
+    const auto slack = static_cast<std::int64_t>(BudgetShare * settings.repeatSlack / vms);
+    return retry_budget({ BudgetShare * settings.repeatRatio, 0, std::max<std::int64_t>(1, slack) });
 }
 
 quota_ledger &router_board::quotaOf(const deployment_account &account, time_point now)
--- a/burdockhold/router_board.h
+++ b/burdockhold/router_board.h
@@ -71,17 +71,13 @@
     /// Repeats of the pool's calls; made on first use.
     retry_budget &repeatsOf(const std::string &pool);
 
-    /// Moves of streams away from endpoints that load weights: a part of the budget of their own, so
-    /// that they leave enough of it for failures. Made on first use.
-    retry_budget &movesOf(const std::string &pool);
-
     /// The account's limit over all VMs; made on first use.
     quota_ledger &quotaOf(const deployment_account &account, time_point now);
 
     const router_settings settings;
 
 private:
-    retry_budget newBudget(double share) const;
+    retry_budget newBudget() const;
 
 public:
 
@@ -98,7 +94,6 @@
     // Written by the exchanges and the peer link.
     std::map<std::string, quota_ledger> quotas;
     std::map<std::string, retry_budget> repeats;
-    std::map<std::string, retry_budget> moves;
 
     // Written by the exchanges (own saves) and the peer link (those of others).
     saved_parts savedParts;
--- a/burdockhold/weights_orders.h
+++ b/burdockhold/weights_orders.h
@@ -98,7 +98,7 @@
     duration firstCheck = std::chrono::milliseconds(500);
     duration checkInterval = std::chrono::milliseconds(150);
     /// Pause after a refusal, a conflict or a missing answer, at least the lag of reports.
-    duration retryPause = std::chrono::milliseconds(450);
+    duration retryPause = std::chrono::milliseconds(250);
     /// A load without an end for this long no longer counts against loadingShare.
     duration loadTimeout = std::chrono::seconds(6);
 };
