--- a/burdockhold/endpoint_choice.cc
+++ b/burdockhold/endpoint_choice.cc
@@ -113,7 +113,7 @@
         const std::size_t index = (step + seed) % candidates.size();
         const endpoint_candidate &candidate = candidates[index];
         const bool holds = candidate.holdsPart || index == home;
-        if (candidate.excluded || !hasRoom(candidate, need, holds || need.storeHoldsPart, options))
+        if (candidate.excluded != exclusion::None || !hasRoom(candidate, need, holds || need.storeHoldsPart, options))
             continue;
         endpoint_choice choice;
         choice.index = index;
--- a/burdockhold/endpoint_choice.h
+++ b/burdockhold/endpoint_choice.h
@@ -11,7 +11,9 @@
 // number of candidates.
 
 #include "burdockhold/clock.h"
+#include "burdockhold/enum_names.h"
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -20,12 +22,27 @@
 
 namespace burdockhold {
 
+/// Why an endpoint gets no call now.
+enum class exclusion { None, Tried, Loading, BackOff, ExpiredWeights };
+
+template <>
+struct enum_names<exclusion>
+{
+    static constexpr std::array<enum_name<exclusion>, 5> Table{ {
+            { exclusion::None, "none" },
+            { exclusion::Tried, "tried" },
+            { exclusion::Loading, "loading" },
+            { exclusion::BackOff, "back_off" },
+            { exclusion::ExpiredWeights, "expired_weights" },
+    } };
+};
+
 /// An endpoint as the request path sees it at the moment of the choice.
 struct endpoint_candidate
 {
     std::string_view id;
     bool sameDataCentre = false;
-    bool excluded = false; ///< Leaving, gone, in back-off, loading weights or already tried.
+    exclusion excluded = exclusion::None; ///< Why it gets no call now.
     bool suspect = false;  ///< Has running requests but has been silent, or others cannot reach it.
     int slots = 1;
     int running = 0;                 ///< Requests of all VMs.
--- a/burdockhold/endpoint_table.cc
+++ b/burdockhold/endpoint_table.cc
@@ -116,7 +116,7 @@
         endpoint_candidate candidate = candidateOf(entry, model, wantedVersion, partKey, now);
         candidate.id = id;
         if (tried.count(id) != 0)
-            candidate.excluded = true;
+            candidate.excluded = exclusion::Tried;
         found.push_back(candidate);
     }
     return found;
@@ -146,7 +146,10 @@
         candidate.cacheTokens = memory->second;
     candidate.suspect = candidate.running > 0 && now - entry.heardAt > m_options.suspectAfter;
     const bool loading = !model.empty() && now < entry.loadingUntil;
-    candidate.excluded = loading || now < entry.backOffUntil;
+    if (loading)
+        candidate.excluded = exclusion::Loading;
+    else if (now < entry.backOffUntil)
+        candidate.excluded = exclusion::BackOff;
     candidate.oldWeights = !model.empty() && versionOf(entry, model) < wantedVersion;
     candidate.holdsPart = !partKey.empty() && entry.parts.count(std::string(partKey)) != 0;
     return candidate;
@@ -199,6 +202,7 @@
     entry->parts.clear();
     entry->partOrder.clear();
     entry->loadingUntil = {};
+    entry->ownOrderUntil = {};
 }
 
 void endpoint_table::setLoading(std::string_view id, time_point now)
@@ -206,9 +210,15 @@
     table_entry *entry = entryOf(id);
     if (entry == nullptr)
         return;
-    if (now >= entry->loadingUntil)
-        entry->loadingSince = now;
-    entry->loadingUntil = now + m_options.loadingLapse;
+    markLoading(*entry, now);
+    entry->ownOrderUntil = entry->loadingUntil;
+}
+
+void endpoint_table::markLoading(table_entry &entry, time_point now) const
+{
+    if (now >= entry.loadingUntil)
+        entry.loadingSince = now;
+    entry.loadingUntil = now + m_options.loadingLapse;
 }
 
 duration endpoint_table::loadingFor(std::string_view id, time_point now) const
@@ -329,7 +339,7 @@
         for (const auto &[model, version] : entry.weights) {
             const auto stated = entry.report.weights.find(model);
             const bool ahead = stated == entry.report.weights.end() || stated->second < version;
-            const bool loading = now < entry.loadingUntil;
+            const bool loading = now < entry.ownOrderUntil;
             if (ahead || loading)
                 digest.weights.push_back({ entry.hash, shortHash(model), version, loading });
         }
@@ -371,7 +381,7 @@
     const auto id = m_idsByHash.find(row.endpoint);
     if (id == m_idsByHash.end())
         return;
-    const table_entry *entry = entryOf(id->second);
+    table_entry *entry = entryOf(id->second);
     if (entry == nullptr)
         return;
     for (const auto &[model, version] : entry->report.weights) {
@@ -380,7 +390,7 @@
         weightsSeen(id->second, model, row.version);
         // A load that is known to have ended is not marked again by a digest sent before.
         if (row.loading && versionOf(*entry, model) <= row.version)
-            setLoading(id->second, now);
+            markLoading(*entry, now);
         return;
     }
 }
--- a/burdockhold/endpoint_table.h
+++ b/burdockhold/endpoint_table.h
@@ -82,6 +82,8 @@
     /// Newest version of the model that the endpoint is known to have; 0 when unknown.
     std::int64_t weightsOf(std::string_view id, std::string_view model) const;
     void weightsSeen(std::string_view id, std::string_view model, std::int64_t version);
+    /// The endpoint drains or loads on this VM's order. Only the VM that ordered it tells the others:
+    /// a word that is passed on would never end.
     void setLoading(std::string_view id, time_point now);
     bool isLoading(std::string_view id, time_point now) const;
     /// How long the endpoint has been draining or loading; zero when it is not.
@@ -129,6 +131,7 @@
         time_point heardAt;
         time_point loadingSince;
         time_point loadingUntil;
+        time_point ownOrderUntil; // As loadingUntil, for an order of this VM.
         std::map<std::string, std::int64_t, std::less<>> weights;
         std::unordered_set<std::string> parts;
         std::deque<std::string> partOrder;
@@ -151,6 +154,7 @@
     table_entry *entryOf(std::string_view id);
     const table_entry *entryOf(std::string_view id) const;
     void addRows(const vm_digest &digest, int sign);
+    void markLoading(table_entry &entry, time_point now) const;
     void peerWeights(const weights_row &row, time_point now);
     bool isUsable(const table_entry &entry, bool poolIsEmpty, time_point now) const;
     endpoint_candidate candidateOf(const table_entry &entry, std::string_view model,
--- a/burdockhold/loop_exchange.cc
+++ b/burdockhold/loop_exchange.cc
@@ -302,7 +302,7 @@
         if (candidate.oldWeights
             && board.weightsExpired(m_request.model,
                                     board.endpoints.weightsOf(candidate.id, m_request.model)))
-            candidate.excluded = true;
+            candidate.excluded = exclusion::ExpiredWeights;
     }
     return candidates;
 }
@@ -796,7 +796,7 @@
     for (std::size_t index = 0; index < std::min(MaxListed, candidates.size()); ++index) {
         const endpoint_candidate &candidate = candidates[index];
         listed.push_back({ { "endpoint", candidate.id },
-                           { "excluded", candidate.excluded },
+                           { "excluded", nameOf(candidate.excluded) },
                            { "suspect", candidate.suspect },
                            { "running", candidate.running },
                            { "unread", candidate.unreadTokens },
