--- a/burdockhold/router_board.cc
+++ b/burdockhold/router_board.cc
@@ -50,12 +50,15 @@
         known.namedAt = std::min(known.namedAt, namedAt);
         return false;
     }
-    if (!versions.empty() && version < versions.back().version)
-        return false;
-    versions.push_back({ version, namedAt });
+    const bool newest = versions.empty() || version > versions.back().version;
+    const auto place = std::upper_bound(versions.begin(), versions.end(), version,
+                                        [](std::int64_t value, const wanted_version &known) {
+                                            return value < known.version;
+                                        });
+    versions.insert(place, { version, namedAt });
     if (versions.size() > MaxVersionsKept)
         versions.erase(versions.begin());
-    return true;
+    return newest;
 }
 
 bool router_board::weightsExpired(const std::string &model, std::int64_t version) const
