--- a/burdockhold/attempt_rules.cc
+++ b/burdockhold/attempt_rules.cc
@@ -28,20 +28,20 @@
 next_step afterCall(const attempt_facts &facts)
 {
     if (facts.end == call_end::Complete)
-        return deliver_answer {};
+        return deliver_answer{};
     // The endpoint's own failure of a stream is final; a repeat of an idempotent call may succeed.
     const bool repeatsFailure = facts.kind == call_kind::Idempotent;
     if (facts.end == call_end::Failed && !repeatsFailure)
-        return deliver_answer {};
+        return deliver_answer{};
     if (canTryAnother(facts))
-        return try_another {};
+        return try_another{};
     if (facts.answerBegun)
-        return cut_off {};
+        return cut_off{};
     if (facts.end == call_end::Failed)
-        return deliver_answer {};
+        return deliver_answer{};
     if (!facts.mayHaveRun)
-        return refuse_not_run {};
-    return answer_unknown {};
+        return refuse_not_run{};
+    return answer_unknown{};
 }
 
 } // namespace burdockhold
--- a/burdockhold/attempt_rules.h
+++ b/burdockhold/attempt_rules.h
@@ -22,12 +22,12 @@
 namespace burdockhold {
 
 enum class call_end {
-    Complete,        ///< The whole answer has been delivered or is ready to be.
-    NotSent,         ///< No byte of the request can have reached the endpoint.
-    SaidNotRun,      ///< The endpoint refused and stated that it did not run the call.
-    Failed,          ///< The endpoint's own failure, with its signature.
-    Broken,          ///< Reset, closed or silent before the answer was whole.
-    WrongAnswer,     ///< Bytes that are not this call's answer.
+    Complete,    ///< The whole answer has been delivered or is ready to be.
+    NotSent,     ///< No byte of the request can have reached the endpoint.
+    SaidNotRun,  ///< The endpoint refused and stated that it did not run the call.
+    Failed,      ///< The endpoint's own failure, with its signature.
+    Broken,      ///< Reset, closed or silent before the answer was whole.
+    WrongAnswer, ///< Bytes that are not this call's answer.
 };
 
 template <>
@@ -48,12 +48,12 @@
 {
     call_end end = call_end::Broken;
     call_kind kind = call_kind::AtMostOnce;
-    bool resumable = false;    ///< Of a stream's route.
-    bool answerBegun = false;  ///< The caller has got the head of the answer.
-    bool mayHaveRun = false;   ///< Some endpoint may have run this request, this call included.
-    int runsLeft = 0;          ///< Endpoints that may still run it.
-    int sendsLeft = 0;         ///< Calls that may still be made, refused ones included.
-    bool repeatsLeft = false;  ///< The budget for repeats has room.
+    bool resumable = false;   ///< Of a stream's route.
+    bool answerBegun = false; ///< The caller has got the head of the answer.
+    bool mayHaveRun = false;  ///< Some endpoint may have run this request, this call included.
+    int runsLeft = 0;         ///< Endpoints that may still run it.
+    int sendsLeft = 0;        ///< Calls that may still be made, refused ones included.
+    bool repeatsLeft = false; ///< The budget for repeats has room.
     duration timeLeft = duration::zero();
 };
 
@@ -77,7 +77,8 @@
 {
 };
 
-using next_step = std::variant<try_another, deliver_answer, refuse_not_run, answer_unknown, cut_off>;
+using next_step =
+        std::variant<try_another, deliver_answer, refuse_not_run, answer_unknown, cut_off>;
 
 /// Least time for which another call is worth making.
 inline constexpr duration MinTimeForRepeat = std::chrono::milliseconds(30);
--- a/burdockhold/caller_request.h
+++ b/burdockhold/caller_request.h
@@ -33,22 +33,23 @@
     std::string method;
     std::string target; ///< Path and query, unchanged.
     std::string host;
-    std::string callId;                ///< The caller's id of this attempt; endpoints echo it.
-    std::string key;                   ///< Never passed to an endpoint.
-    std::optional<duration> deadline;  ///< How long the caller waits, from its arrival here.
+    std::string callId;               ///< The caller's id of this attempt; endpoints echo it.
+    std::string key;                  ///< Never passed to an endpoint.
+    std::optional<duration> deadline; ///< How long the caller waits, from its arrival here.
     std::string model;
     std::int64_t promptTokens = 0;
     std::int64_t maxOutputTokens = 0;
     bool statesTokens = false;
     std::optional<std::int64_t> outputEstimate; ///< The caller's, in tokens; right at the median.
-    std::vector<prompt_part> prefix;   ///< The last part belongs to this request alone.
-    std::string resumeAfter;           ///< Id of the last event that the caller has; may be empty.
-    std::vector<http_field> passedOn;  ///< End-to-end fields as the caller sent them.
+    std::vector<prompt_part> prefix;            ///< The last part belongs to this request alone.
+    std::string resumeAfter;          ///< Id of the last event that the caller has; may be empty.
+    std::vector<http_field> passedOn; ///< End-to-end fields as the caller sent them.
     std::string body;
 
     std::int64_t tokens() const { return promptTokens + maxOutputTokens; }
 
-    /// Output tokens to plan with. Without an estimate, a third of the most: few answers are longer.
+    /// Output tokens to plan with. Without an estimate, a third of the most: few answers are
+    /// longer.
     std::int64_t expectedOutput() const
     {
         return std::min(maxOutputTokens, outputEstimate.value_or(maxOutputTokens / 3));
@@ -62,11 +63,11 @@
     duration timeLeft = duration::zero();
     std::string account; ///< Empty on public routes.
     int priority = 5;
-    std::string cacheSalt;                    ///< Empty for calls without cached parts.
-    std::optional<std::int64_t> weights;      ///< Version that must run the call.
-    std::string copyPartsFrom;                ///< Address to copy cached parts from; may be empty.
-    std::string saveParts;                    ///< Address of a store that gets the parts, or empty.
-    std::string resumeAfter;                  ///< Last event that the caller has; may be empty.
+    std::string cacheSalt;               ///< Empty for calls without cached parts.
+    std::optional<std::int64_t> weights; ///< Version that must run the call.
+    std::string copyPartsFrom;           ///< Address to copy cached parts from; may be empty.
+    std::string saveParts;               ///< Address of a store that gets the parts, or empty.
+    std::string resumeAfter;             ///< Last event that the caller has; may be empty.
 };
 
 /// Head of an endpoint's answer.
@@ -74,8 +75,8 @@
 {
     int status = 0;
     std::string endpointId; ///< Of the endpoint that answered, where it says so.
-    std::string callId;    ///< Echo of the caller's id; empty when absent.
-    std::string signature; ///< Empty when absent.
+    std::string callId;     ///< Echo of the caller's id; empty when absent.
+    std::string signature;  ///< Empty when absent.
     bool saysNotRun = false;
     bool encoded = false; ///< Has a content coding, which no engine uses.
     bool eventStream = false;
--- a/burdockhold/decision_log.cc
+++ b/burdockhold/decision_log.cc
@@ -50,10 +50,10 @@
 
 void decision_log::write(log_event event, nlohmann::ordered_json fields, time_point now)
 {
-    nlohmann::ordered_json line { { "t", wallClockMs() },
-                                  { "up_ms", now.time_since_epoch().count() / 1000000 },
-                                  { "vm", m_vm },
-                                  { "event", nameOf(event) } };
+    nlohmann::ordered_json line{ { "t", wallClockMs() },
+                                 { "up_ms", now.time_since_epoch().count() / 1000000 },
+                                 { "vm", m_vm },
+                                 { "event", nameOf(event) } };
     line.update(fields);
     std::string text = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     text += '\n';
@@ -90,7 +90,8 @@
     m_refilledAt = now;
     const double most = m_options.linesPerSecond;
     m_successLines = std::min(most, m_successLines + seconds * most);
-    m_failureLines = std::min(FailureFactor * most, m_failureLines + seconds * FailureFactor * most);
+    m_failureLines = std::min(FailureFactor * most,
+                              m_failureLines + seconds * FailureFactor * most);
 }
 
 } // namespace burdockhold
--- a/burdockhold/decision_log.h
+++ b/burdockhold/decision_log.h
@@ -8,7 +8,8 @@
 // - Writing never blocks: lines wait in a bounded queue and go out as the descriptor takes them.
 // - A budget bounds lines a second. Successes are dropped first, then failures of requests; changes
 //   of belief only when the queue is full. Dropped lines are counted and the count is logged.
-// Its text comes from nlohmann-json, not from log4cxx, whose appenders write in the caller's thread.
+// Its text comes from nlohmann-json, not from log4cxx, whose appenders write in the caller's
+// thread.
 
 #include "burdockhold/clock.h"
 #include "burdockhold/enum_names.h"
--- a/burdockhold/deployment.h
+++ b/burdockhold/deployment.h
@@ -70,12 +70,12 @@
 {
     std::string name;
     std::vector<std::string> keys;
-    std::optional<int> priority;    ///< Goes before the route's.
-    bool isolated = false;          ///< Shares no cached part with another account.
-    double ratePerSecond = 0.0;     ///< Tokens or requests; 0 means no limit.
-    double burst = 0.0;             ///< In the unit of the rate.
-    bool countsTokens = false;      ///< False: each request counts as one.
-    double defaultCost = 1.0;       ///< Of a request that states no token count.
+    std::optional<int> priority; ///< Goes before the route's.
+    bool isolated = false;       ///< Shares no cached part with another account.
+    double ratePerSecond = 0.0;  ///< Tokens or requests; 0 means no limit.
+    double burst = 0.0;          ///< In the unit of the rate.
+    bool countsTokens = false;   ///< False: each request counts as one.
+    double defaultCost = 1.0;    ///< Of a request that states no token count.
 };
 
 /// Bounds on what callers may send.
@@ -129,7 +129,7 @@
     std::string dataCentre;
     int slots = 1;
     bool leaving = false;
-    std::int64_t incarnation = 0;              ///< Unix milliseconds of its start; 0 when unknown.
+    std::int64_t incarnation = 0; ///< Unix milliseconds of its start; 0 when unknown.
     std::map<std::string, std::int64_t> weights; ///< Version of each loaded model.
 };
 
--- a/burdockhold/duty_lease.cc
+++ b/burdockhold/duty_lease.cc
@@ -34,7 +34,7 @@
     m_generation = generation;
     m_validUntil = sentAt + m_options.ttl;
     const bool held = std::find(partitions.begin(), partitions.end(), m_partition)
-            != partitions.end();
+                      != partitions.end();
     if (!held)
         m_heldSince.reset();
     else if (!m_heldSince || lapsed)
@@ -57,8 +57,8 @@
 bool duty_lease::shouldJoin(duration now, duration holderSilence, std::size_t rank) const
 {
     return holds(now)
-            || holderSilence > m_options.claimLapse
-                    + m_options.rankDelay * static_cast<std::int64_t>(rank);
+           || holderSilence > m_options.claimLapse
+                                      + m_options.rankDelay * static_cast<std::int64_t>(rank);
 }
 
 void duty_lease::release()
@@ -73,9 +73,8 @@
     const std::uint64_t seed = hashOf(duty, 1);
     const std::uint64_t own = hashOf(ownVm, seed);
     return static_cast<std::size_t>(
-            std::count_if(otherVms.begin(), otherVms.end(), [&](const std::string &vm) {
-                return hashOf(vm, seed) < own;
-            }));
+            std::count_if(otherVms.begin(), otherVms.end(),
+                          [&](const std::string &vm) { return hashOf(vm, seed) < own; }));
 }
 
 } // namespace burdockhold
--- a/burdockhold/duty_lease.h
+++ b/burdockhold/duty_lease.h
@@ -42,7 +42,8 @@
 public:
     duty_lease(duty_lease_options options, std::string duty, int partitionCount);
 
-    /// A join that was sent at sentAt has been answered. Times are of the suspension-counting clock.
+    /// A join that was sent at sentAt has been answered. Times are of the suspension-counting
+    /// clock.
     void joined(std::int64_t generation, const std::vector<int> &partitions, duration sentAt);
 
     /// True while this VM is the holder, even if it may not act yet.
--- a/burdockhold/endpoint_choice.cc
+++ b/burdockhold/endpoint_choice.cc
@@ -12,7 +12,7 @@
                 bool canCopy, const endpoint_choice_options &options)
 {
     double ms = static_cast<double>(candidate.unreadTokens + need.ownTokens)
-            / options.readTokensPerMs;
+                / options.readTokensPerMs;
     if (!holds) {
         const auto tokens = static_cast<double>(need.partTokens);
         ms += canCopy ? tokens / options.copyTokensPerMs
@@ -35,13 +35,13 @@
         return false;
     if (need.homeKey.empty() || candidate.running == 0)
         return true;
-    const std::int64_t unread = need.ownTokens + (holds ? 0 : need.partTokens);
+    const std::int64_t unread = holds ? need.ownTokens : need.promptTokens;
     if (candidate.unreadTokens + unread > options.maxUnreadTokens && candidate.unreadTokens > 0)
         return false;
     const auto held = static_cast<double>(candidate.heldTokens + need.promptTokens
                                           + need.outputTokens);
     return candidate.cacheTokens <= 0
-            || held <= options.maxHeldShare * static_cast<double>(candidate.cacheTokens);
+           || held <= options.maxHeldShare * static_cast<double>(candidate.cacheTokens);
 }
 
 double serviceMs(const endpoint_candidate &candidate, const endpoint_choice_options &options)
@@ -54,7 +54,7 @@
 double penaltyMs(const endpoint_candidate &candidate, const endpoint_choice_options &options)
 {
     const double failures = candidate.failureShare * candidate.recentCalls
-            / (candidate.recentCalls + options.priorCalls);
+                            / (candidate.recentCalls + options.priorCalls);
     double ms = options.failureMs * failures;
     if (candidate.suspect)
         ms += options.suspectMs;
@@ -72,7 +72,7 @@
     const auto usable = [&](std::size_t index) {
         const endpoint_candidate &candidate = candidates[index];
         return index != chosen && candidate.holdsPart && !candidate.suspect
-                && !candidate.oldWeights;
+               && !candidate.oldWeights;
     };
     if (home && usable(*home))
         return home;
@@ -113,15 +113,17 @@
         const std::size_t index = (step + seed) % candidates.size();
         const endpoint_candidate &candidate = candidates[index];
         const bool holds = candidate.holdsPart || index == home;
-        if (candidate.excluded != exclusion::None || !hasRoom(candidate, need, holds || need.storeHoldsPart, options))
+        if (candidate.excluded != exclusion::None
+            || !hasRoom(candidate, need, holds || need.storeHoldsPart, options))
             continue;
         endpoint_choice choice;
         choice.index = index;
         if (!plain && !holds)
             choice.copyFrom = holderBeside(candidates, index, home);
         choice.expectedMs = penaltyMs(candidate, options)
-                + (plain ? serviceMs(candidate, options)
-                         : engineMs(candidate, need, holds, need.storeHoldsPart || choice.copyFrom, options));
+                            + (plain ? serviceMs(candidate, options)
+                                     : engineMs(candidate, need, holds,
+                                                need.storeHoldsPart || choice.copyFrom, options));
         choice.expectedCachedTokens = holds ? need.promptTokens - need.ownTokens : 0;
         if (!best || choice.expectedMs < best->expectedMs)
             best = choice;
--- a/burdockhold/endpoint_table.cc
+++ b/burdockhold/endpoint_table.cc
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr double CountScale = 10.0; // Digests carry decayed counts in tenths.
+constexpr double CountScale = 10.0;   // Digests carry decayed counts in tenths.
 constexpr double LatencyWeight = 0.2; // Of the newest call in the moving average.
 
 std::uint32_t clamped(std::int64_t value)
@@ -30,7 +30,7 @@
     table_entry &entry = row->second;
     const bool restarted = !isNew && report.incarnation != entry.report.incarnation;
     if (restarted || isNew) {
-        entry = table_entry {};
+        entry = table_entry{};
         entry.hash = shortHash(report.id);
         entry.heardAt = now;
         m_idsByHash[entry.hash] = report.id;
@@ -38,7 +38,8 @@
     if (isNew || restarted)
         removeFormerHolders(report, now);
     const bool changed = isNew || restarted || entry.removed
-            || entry.report.leaving != report.leaving || entry.report.address != report.address;
+                         || entry.report.leaving != report.leaving
+                         || entry.report.address != report.address;
     entry.report = report;
     entry.removed = false;
     for (const auto &[model, version] : report.weights) {
@@ -53,7 +54,7 @@
 {
     for (const auto &[id, entry] : m_entries) {
         const bool former = id != report.id && entry.report.address == report.address
-                && entry.report.incarnation < report.incarnation;
+                            && entry.report.incarnation < report.incarnation;
         if (former)
             remove(id, now);
     }
@@ -101,12 +102,9 @@
     return poolIsEmpty && now - entry.removedAt < m_options.removalGrace;
 }
 
-std::vector<endpoint_candidate> endpoint_table::candidates(std::string_view pool,
-                                                           std::string_view model,
-                                                           std::int64_t wantedVersion,
-                                                           std::string_view partKey,
-                                                           const std::set<std::string> &tried,
-                                                           time_point now) const
+std::vector<endpoint_candidate> endpoint_table::candidates(
+        std::string_view pool, std::string_view model, std::int64_t wantedVersion,
+        std::string_view partKey, const std::set<std::string> &tried, time_point now) const
 {
     const bool poolIsEmpty = ofPool(pool).empty();
     std::vector<endpoint_candidate> found;
@@ -123,8 +121,8 @@
 }
 
 endpoint_candidate endpoint_table::candidateOf(const table_entry &entry, std::string_view model,
-                                               std::int64_t wantedVersion,
-                                               std::string_view partKey, time_point now) const
+                                               std::int64_t wantedVersion, std::string_view partKey,
+                                               time_point now) const
 {
     peer_sum others;
     if (const auto sum = m_peerSums.find(entry.hash); sum != m_peerSums.end())
@@ -170,7 +168,7 @@
             running += static_cast<int>(sum->second.running);
         }
         const bool silent = now < entry.backOffUntil
-                || (entry.running > 0 && now - entry.heardAt > m_options.suspectAfter);
+                            || (entry.running > 0 && now - entry.heardAt > m_options.suspectAfter);
         engines.push_back({ id, entry.report.address, entry.report.incarnation, std::string(model),
                             versionOf(entry, model), held, silent, running });
     }
@@ -292,8 +290,8 @@
         return;
     }
     entry->latencyMs = entry->latencyMs == 0.0
-            ? latencyMs
-            : entry->latencyMs + LatencyWeight * (latencyMs - entry->latencyMs);
+                               ? latencyMs
+                               : entry->latencyMs + LatencyWeight * (latencyMs - entry->latencyMs);
 }
 
 void endpoint_table::connectFailed(std::string_view id, time_point now)
@@ -408,7 +406,7 @@
     constexpr duration ForgetRemoved = std::chrono::seconds(30);
     for (auto entry = m_entries.begin(); entry != m_entries.end();) {
         const bool forget = entry->second.removed && entry->second.running == 0
-                && now - entry->second.removedAt > ForgetRemoved;
+                            && now - entry->second.removedAt > ForgetRemoved;
         if (forget)
             m_idsByHash.erase(entry->second.hash);
         entry = forget ? m_entries.erase(entry) : std::next(entry);
--- a/burdockhold/endpoint_table.h
+++ b/burdockhold/endpoint_table.h
@@ -35,11 +35,12 @@
     /// Silence of an endpoint with running requests after which it is suspected: an engine makes
     /// events every few milliseconds, and reads the longest prompts in under 400 ms.
     duration suspectAfter = std::chrono::milliseconds(500);
-    duration firstBackOff = std::chrono::milliseconds(300); ///< Doubles with each failure to connect.
+    duration firstBackOff = std::chrono::milliseconds(
+            300); ///< Doubles with each failure to connect.
     duration longestBackOff = std::chrono::seconds(4);
-    duration callHalfLife = std::chrono::seconds(3);      ///< Of the counts of recent calls.
-    duration refusalPause = std::chrono::milliseconds(150); ///< About the time of a few steps.
-    duration loadingLapse = std::chrono::milliseconds(900); ///< After the last word of a load.
+    duration callHalfLife = std::chrono::seconds(3);         ///< Of the counts of recent calls.
+    duration refusalPause = std::chrono::milliseconds(150);  ///< About the time of a few steps.
+    duration loadingLapse = std::chrono::milliseconds(900);  ///< After the last word of a load.
     duration removalGrace = std::chrono::milliseconds(1500); ///< Entries return within two seconds.
     std::size_t partsPerEndpoint = 400; ///< Remembered parts; more than an engine's memory holds.
 };
@@ -68,13 +69,15 @@
 
     /// Candidates for a request. Endpoints in tried are excluded. The ids point into the table.
     std::vector<endpoint_candidate> candidates(std::string_view pool, std::string_view model,
-                                               std::int64_t wantedVersion,
-                                               std::string_view partKey,
+                                               std::int64_t wantedVersion, std::string_view partKey,
                                                const std::set<std::string> &tried,
                                                time_point now) const;
 
     /// Memory of each of a pool's engines, as the deployment states it.
-    void setCacheTokens(const std::string &pool, std::int64_t tokens) { m_cacheTokens[pool] = tokens; }
+    void setCacheTokens(const std::string &pool, std::int64_t tokens)
+    {
+        m_cacheTokens[pool] = tokens;
+    }
 
     std::vector<ordered_engine> orderedEngines(std::string_view pool, std::string_view model,
                                                time_point now) const;
@@ -82,8 +85,8 @@
     /// Newest version of the model that the endpoint is known to have; 0 when unknown.
     std::int64_t weightsOf(std::string_view id, std::string_view model) const;
     void weightsSeen(std::string_view id, std::string_view model, std::int64_t version);
-    /// The endpoint drains or loads on this VM's order. Only the VM that ordered it tells the others:
-    /// a word that is passed on would never end.
+    /// The endpoint drains or loads on this VM's order. Only the VM that ordered it tells the
+    /// others: a word that is passed on would never end.
     void setLoading(std::string_view id, time_point now);
     bool isLoading(std::string_view id, time_point now) const;
     /// How long the endpoint has been draining or loading; zero when it is not.
--- a/burdockhold/loop_caller.cc
+++ b/burdockhold/loop_caller.cc
@@ -47,6 +47,15 @@
 
 } // namespace
 
+bool statesLengthTwice(const http::fields &fields)
+{
+    const auto range = fields.equal_range(http::field::content_length);
+    if (std::distance(range.first, range.second) > 1)
+        return true;
+    return range.first != range.second
+           && range.first->value().find(',') != boost::beast::string_view::npos;
+}
+
 caller_connection::caller_connection(tcp::socket socket, exchange_context context, caller_set &open)
     : m_socket(std::move(socket))
     , m_context(context)
@@ -73,7 +82,7 @@
 caller_limits caller_connection::limits() const
 {
     const auto &deployment = m_context.board.deployment;
-    return deployment ? deployment->source().limits : caller_limits {};
+    return deployment ? deployment->source().limits : caller_limits{};
 }
 
 void caller_connection::newParser()
@@ -157,6 +166,10 @@
             refuseMessage(error);
             return;
         }
+        if (!headWasDone && m_parser->is_header_done() && statesLengthTwice(m_parser->get())) {
+            refuseMessage(http::error::bad_content_length);
+            return;
+        }
         if (m_parser->is_done()) {
             serve();
             return;
--- a/burdockhold/loop_caller.h
+++ b/burdockhold/loop_caller.h
@@ -27,6 +27,9 @@
 
 class caller_connection;
 
+/// True if the length of the body is stated more than once: readers may differ on which one holds.
+bool statesLengthTwice(const boost::beast::http::fields &fields);
+
 /// All open connections of callers.
 using caller_set = std::set<std::shared_ptr<caller_connection>>;
 
--- a/burdockhold/loop_duties.cc
+++ b/burdockhold/loop_duties.cc
@@ -110,25 +110,25 @@
         return;
     duty.held = holds;
     if (m_board.log.accepts(log_weight::Belief, now))
-        m_board.log.write(log_event::DutyChanged,
-                          { { "pool", pool },
-                            { "holds", holds },
-                            { "token", duty.lease.generation() } },
-                          now);
+        m_board.log.write(
+                log_event::DutyChanged,
+                { { "pool", pool }, { "holds", holds }, { "token", duty.lease.generation() } },
+                now);
 }
 
 void duty_controller::publishDuties(time_point now)
 {
     m_board.ownDuties.clear();
     for (const auto &[pool, duty] : m_duties) {
-        const auto ago = std::chrono::duration_cast<std::chrono::milliseconds>(now - duty.orderedAt);
+        const auto ago = std::chrono::duration_cast<std::chrono::milliseconds>(now
+                                                                               - duty.orderedAt);
         const bool ordered = duty.orderedAt != time_point() && ago < OrderMemory;
         const bool holds = duty.lease.holds(bootNow());
         if (!holds && !ordered)
             continue;
-        m_board.ownDuties.push_back({ shortHash(pool), holds,
-                                      ordered ? static_cast<std::uint32_t>(ago.count())
-                                              : duty_row::NoOrder });
+        m_board.ownDuties.push_back(
+                { shortHash(pool), holds,
+                  ordered ? static_cast<std::uint32_t>(ago.count()) : duty_row::NoOrder });
     }
 }
 
@@ -199,7 +199,7 @@
 void duty_controller::stepModel(const deployment_pool &pool, held_duty &duty,
                                 const std::string &model, time_point now)
 {
-    const wanted_load wanted { m_board.wantedVersion(model), pool.engine->cacheTokens };
+    const wanted_load wanted{ m_board.wantedVersion(model), pool.engine->cacheTokens };
     weights_planner &planner = duty.planners[model];
     const auto engines = m_board.endpoints.orderedEngines(pool.name, model, now);
     const duration othersOrderAge = now - m_board.otherClaims[shortHash(pool.name)].orderAt;
--- a/burdockhold/loop_exchange.cc
+++ b/burdockhold/loop_exchange.cc
@@ -66,11 +66,11 @@
 
 void waiting_room::enter(std::shared_ptr<exchange> waiting)
 {
-    const auto place = std::upper_bound(
-            m_waiting.begin(), m_waiting.end(), waiting, [](const auto &a, const auto &b) {
-                return std::make_pair(a->priority(), a->arrival())
-                        < std::make_pair(b->priority(), b->arrival());
-            });
+    const auto place = std::upper_bound(m_waiting.begin(), m_waiting.end(), waiting,
+                                        [](const auto &a, const auto &b) {
+                                            return std::make_pair(a->priority(), a->arrival())
+                                                   < std::make_pair(b->priority(), b->arrival());
+                                        });
     m_waiting.insert(place, std::move(waiting));
 }
 
@@ -234,7 +234,7 @@
         if (self->m_mayHaveRun && !self->m_answerBegun)
             self->fail(502, "no_endpoint_for_repeat");
         else if (self->m_answerBegun)
-            self->takeStep(cut_off {});
+            self->takeStep(cut_off{});
         else
             self->refuse(503, "no_endpoint", self->m_route->latencyTarget);
     });
@@ -330,7 +330,7 @@
     const time_point now = steadyNow();
     const std::string key = partKey(version);
     return !key.empty() && !m_context.board.storeAddress(now).empty()
-            && m_context.board.savedParts.isSaved(key, now);
+           && m_context.board.savedParts.isSaved(key, now);
 }
 
 /// Copies shared parts from the store where it has any, and saves those that it lacks.
@@ -440,7 +440,8 @@
     if (choice.copyFrom) {
         const auto *source = board.endpoints.find(candidates[*choice.copyFrom].id);
         const bool sameWeights = source != nullptr
-                && board.endpoints.weightsOf(source->id, m_request.model) == m_expectedWeights;
+                                 && board.endpoints.weightsOf(source->id, m_request.model)
+                                            == m_expectedWeights;
         if (sameWeights)
             copyFrom = source->address;
     }
@@ -599,7 +600,8 @@
     const bool judged = end != call_end::SaidNotRun;
     if (judged) {
         const bool good = end == call_end::Complete;
-        board.endpoints.callJudged(m_endpointId, good, 1000.0 * toSeconds(now - m_callStarted), now);
+        board.endpoints.callJudged(m_endpointId, good, 1000.0 * toSeconds(now - m_callStarted),
+                                   now);
     }
     if (end == call_end::NotSent)
         board.endpoints.connectFailed(m_endpointId, now);
@@ -628,22 +630,22 @@
 
 void exchange::takeStep(const next_step &step)
 {
-    std::visit(overloaded { [this](const try_another &) {
-                               m_events.dropPartial();
-                               if (m_answerBegun)
-                                   m_context.board.metrics.count(router_counter::Resumes);
-                               if (!place())
-                                   waitForEndpoint();
+    std::visit(overloaded{ [this](const try_another &) {
+                              m_events.dropPartial();
+                              if (m_answerBegun)
+                                  m_context.board.metrics.count(router_counter::Resumes);
+                              if (!place())
+                                  waitForEndpoint();
+                          },
+                           [this](const deliver_answer &) { deliver(); },
+                           [this](const refuse_not_run &) {
+                               refuse(503, "not_run", m_route->latencyTarget / 4);
                            },
-                            [this](const deliver_answer &) { deliver(); },
-                            [this](const refuse_not_run &) {
-                                refuse(503, "not_run", m_route->latencyTarget / 4);
-                            },
-                            [this](const answer_unknown &) { fail(502, "outcome_unknown"); },
-                            [this](const cut_off &) {
-                                m_port.cutOff();
-                                finish(router_counter::Failed, 0, "stream_cut_off");
-                            } },
+                           [this](const answer_unknown &) { fail(502, "outcome_unknown"); },
+                           [this](const cut_off &) {
+                               m_port.cutOff();
+                               finish(router_counter::Failed, 0, "stream_cut_off");
+                           } },
                step);
 }
 
@@ -658,14 +660,15 @@
     if (m_route->maxEndpoints - m_runs < 2 || m_sends >= MaxSends)
         return;
     const auto choice = chooseEndpoint(candidatesNow(), needOf(), hashOf(m_request.callId));
-    if (!choice || choice->expectedMs > MaxMoveMs || !board.repeatsOf(m_poolName).tryOptionalRetry(now))
+    if (!choice || choice->expectedMs > MaxMoveMs
+        || !board.repeatsOf(m_poolName).tryOptionalRetry(now))
         return;
     ++m_runs;
     m_mayHaveRun = true;
     const auto link = m_link;
     link->close();
     releaseCall();
-    takeStep(try_another {});
+    takeStep(try_another{});
 }
 
 void exchange::releaseCall()
@@ -701,18 +704,18 @@
 {
     const duration pause = spread(std::max(retryAfter, MinRetryAfter), m_request.callId);
     m_port.whole(status, { { "Retry-After", secondsText(pause) } }, {});
-    const router_counter counter = status == 429 ? router_counter::RefusedQuota
-            : reason == "stale_view"             ? router_counter::RefusedStale
-                                                 : router_counter::RefusedNotRun;
+    const router_counter counter = status == 429            ? router_counter::RefusedQuota
+                                   : reason == "stale_view" ? router_counter::RefusedStale
+                                                            : router_counter::RefusedNotRun;
     finish(counter, status, reason);
 }
 
 void exchange::fail(int status, std::string_view reason)
 {
     m_port.whole(status, {}, {});
-    const router_counter counter = status == 404 ? router_counter::RefusedRoute
-            : status == 401                      ? router_counter::RefusedKey
-                                                 : router_counter::Failed;
+    const router_counter counter = status == 404   ? router_counter::RefusedRoute
+                                   : status == 401 ? router_counter::RefusedKey
+                                                   : router_counter::Failed;
     finish(counter, status, reason);
 }
 
@@ -755,29 +758,30 @@
     const time_point now = steadyNow();
     const bool good = counter == router_counter::Served;
     if (board.log.accepts(good ? log_weight::Success : log_weight::Failure, now)) {
-        board.log.write(log_event::RequestEnded,
-                        { { "id", m_request.callId },
-                          { "route", m_route == nullptr ? "" : m_route->name },
-                          { "account", m_account == nullptr ? "" : m_account->name },
-                          { "pool", m_poolName },
-                          { "status", status },
-                          { "reason", reason },
-                          { "calls", m_sends },
-                          { "runs", m_runs },
-                          { "waited_ms", 1000.0 * toSeconds(m_waited) },
-                          { "total_ms", 1000.0 * toSeconds(now - m_arrival) },
-                          { "first_ms", 1000.0 * toSeconds(m_firstByte) },
-                          { "expected_ms", m_expectedMs },
-                          { "prompt", m_request.promptTokens },
-                          { "output", m_request.maxOutputTokens },
-                          { "unread", m_load.unreadTokens },
-                          { "copied", m_copied },
-                          { "saved", m_saved },
-                          { "weights", m_expectedWeights },
-                          { "events", m_events.events() },
-                          { "deployment", m_deployment ? m_deployment->source().version : 0 },
-                          { "view_age_ms", std::llround(1000.0 * toSeconds(board.deploymentAge())) } },
-                        now);
+        board.log.write(
+                log_event::RequestEnded,
+                { { "id", m_request.callId },
+                  { "route", m_route == nullptr ? "" : m_route->name },
+                  { "account", m_account == nullptr ? "" : m_account->name },
+                  { "pool", m_poolName },
+                  { "status", status },
+                  { "reason", reason },
+                  { "calls", m_sends },
+                  { "runs", m_runs },
+                  { "waited_ms", 1000.0 * toSeconds(m_waited) },
+                  { "total_ms", 1000.0 * toSeconds(now - m_arrival) },
+                  { "first_ms", 1000.0 * toSeconds(m_firstByte) },
+                  { "expected_ms", m_expectedMs },
+                  { "prompt", m_request.promptTokens },
+                  { "output", m_request.maxOutputTokens },
+                  { "unread", m_load.unreadTokens },
+                  { "copied", m_copied },
+                  { "saved", m_saved },
+                  { "weights", m_expectedWeights },
+                  { "events", m_events.events() },
+                  { "deployment", m_deployment ? m_deployment->source().version : 0 },
+                  { "view_age_ms", std::llround(1000.0 * toSeconds(board.deploymentAge())) } },
+                now);
     }
     if (reason == "no_endpoint" && board.log.accepts(log_weight::Failure, now))
         logFullPool(now);
--- a/burdockhold/loop_exchange.h
+++ b/burdockhold/loop_exchange.h
@@ -71,8 +71,7 @@
 class exchange : public std::enable_shared_from_this<exchange>
 {
 public:
-    exchange(exchange_context context, caller_request request, reply_port port,
-             time_point arrival);
+    exchange(exchange_context context, caller_request request, reply_port port, time_point arrival);
 
     void start();
 
@@ -86,8 +85,8 @@
     /// Tries to place a waiting request; false when it goes on waiting.
     bool place();
 
-    /// Goes on at another endpoint if this one is about to load weights: it would otherwise wait for
-    /// the end of the stream, and the pool for it.
+    /// Goes on at another endpoint if this one is about to load weights: it would otherwise wait
+    /// for the end of the stream, and the pool for it.
     void leaveLoadingEndpoint();
 
     int priority() const { return m_priority; }
@@ -109,8 +108,8 @@
     std::string partKey(std::int64_t version) const;
     const std::string &choosePool();
 
-    void startCall(const std::vector<endpoint_candidate> &candidates,
-                   const endpoint_choice &choice, const placement_need &need);
+    void startCall(const std::vector<endpoint_candidate> &candidates, const endpoint_choice &choice,
+                   const placement_need &need);
     endpoint_orders ordersFor(const std::string &endpointId, const std::string &copyFrom) const;
     std::vector<std::string> sharedPartKeys(std::int64_t version) const;
     bool storeHoldsPart(std::int64_t version) const;
--- a/burdockhold/loop_http.cc
+++ b/burdockhold/loop_http.cc
@@ -53,8 +53,8 @@
     if (colon == std::string_view::npos)
         return std::nullopt;
     error_code error;
-    const auto address
-            = boost::asio::ip::make_address_v4(std::string(text.substr(0, colon)), error);
+    const auto address = boost::asio::ip::make_address_v4(std::string(text.substr(0, colon)),
+                                                          error);
     unsigned short port = 0;
     const std::string_view digits = text.substr(colon + 1);
     const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), port);
--- a/burdockhold/loop_log.cc
+++ b/burdockhold/loop_log.cc
@@ -13,10 +13,11 @@
 constexpr int StatusOk = 200;
 constexpr int StatusGone = 410; // Records were deleted before they were read.
 
-std::string requestText(const platform::log_call &call, const boost::asio::ip::tcp::endpoint &server)
+std::string requestText(const platform::log_call &call,
+                        const boost::asio::ip::tcp::endpoint &server)
 {
-    std::string text = call.method + " " + call.target + " HTTP/1.1\r\nHost: "
-            + server.address().to_string() + "\r\n";
+    std::string text = call.method + " " + call.target
+                       + " HTTP/1.1\r\nHost: " + server.address().to_string() + "\r\n";
     if (!call.field.empty())
         text += call.field + "\r\n";
     if (call.method == "POST") {
@@ -60,7 +61,7 @@
                    [self](std::string_view bytes) { self->m_answer.body.append(bytes); },
                    [self](link_end end) {
                        self->finish(end == link_end::Complete ? std::move(self->m_answer)
-                                                              : log_answer {});
+                                                              : log_answer{});
                    } });
 }
 
@@ -93,10 +94,9 @@
 
 void topic_follower::loadPage(const std::string &after)
 {
-    m_lane->call(platform::newestCall(m_options.topic, after), m_options.callTimeout,
-                 [self = shared_from_this()](const log_answer &answer) {
-                     self->pageArrived(answer);
-                 });
+    m_lane->call(
+            platform::newestCall(m_options.topic, after), m_options.callTimeout,
+            [self = shared_from_this()](const log_answer &answer) { self->pageArrived(answer); });
 }
 
 void topic_follower::pageArrived(const log_answer &answer)
@@ -125,11 +125,10 @@
 {
     m_sentAt = bootNow();
     const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(m_options.readWait);
-    m_lane->call(platform::readCall(m_options.topic, *m_next, wait),
-                 m_options.readWait + m_options.callTimeout,
-                 [self = shared_from_this()](const log_answer &answer) {
-                     self->readArrived(answer);
-                 });
+    m_lane->call(
+            platform::readCall(m_options.topic, *m_next, wait),
+            m_options.readWait + m_options.callTimeout,
+            [self = shared_from_this()](const log_answer &answer) { self->readArrived(answer); });
 }
 
 void topic_follower::readArrived(const log_answer &answer)
--- a/burdockhold/loop_peers.cc
+++ b/burdockhold/loop_peers.cc
@@ -24,7 +24,7 @@
     , m_board(board)
     , m_options(options)
     , m_buffer()
-    , m_incarnation(std::random_device {}())
+    , m_incarnation(std::random_device{}())
 {
 }
 
@@ -168,10 +168,9 @@
                                      now - std::chrono::milliseconds(row.orderedAgoMs));
     }
     for (const named_row &row : digest.named) {
-        const auto model = std::find_if(m_board.wantedWeights.begin(), m_board.wantedWeights.end(),
-                                        [&](const auto &known) {
-                                            return shortHash(known.first) == row.model;
-                                        });
+        const auto model = std::find_if(
+                m_board.wantedWeights.begin(), m_board.wantedWeights.end(),
+                [&](const auto &known) { return shortHash(known.first) == row.model; });
         if (model != m_board.wantedWeights.end())
             m_board.noteNamed(model->first, row.version, std::chrono::milliseconds(row.ageMs));
     }
--- a/burdockhold/loop_router.cc
+++ b/burdockhold/loop_router.cc
@@ -105,8 +105,7 @@
             return;
         // Any other failure concerns one connection or a moment without descriptors.
         if (!error) {
-            const exchange_context context { m_io, m_board, m_links, m_waiting,
-                                             m_movable };
+            const exchange_context context{ m_io, m_board, m_links, m_waiting, m_movable };
             std::make_shared<caller_connection>(std::move(socket), context, m_callers)->start();
         }
         acceptCallers();
@@ -147,14 +146,14 @@
     const std::string body = metrics ? m_board.metrics.text() : std::string();
     const std::string status = metrics || isReady() ? "200 OK" : "503 Service Unavailable";
     return "HTTP/1.1 " + status + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
-            + body;
+           + body;
 }
 
 bool event_router::isReady() const
 {
     const duration oldest = m_board.settings.revocationBound * ReadyAgeTenths / 10;
     return !m_board.leaving && m_board.deployment && m_board.endpoints.size() > 0
-            && m_board.deploymentAge() < oldest;
+           && m_board.deploymentAge() < oldest;
 }
 
 void event_router::followLog()
@@ -165,17 +164,17 @@
     operatorOptions.readWait = m_board.settings.revocationBound * 3 / 10;
     m_operatorFollower = std::make_shared<topic_follower>(
             m_io, server, operatorOptions,
-            follower_handlers {
-                    [this](const auto &records) {
-                        for (const auto &record : records)
-                            operatorRecord(record);
-                    },
-                    [this](const auto &record) { operatorRecord(record); },
-                    [this](duration at) {
-                        m_board.deploymentProvenAt = std::max(m_board.deploymentProvenAt, at);
-                        logState(platform::OperatorTopic, StatusOk);
-                    },
-                    [this](int status) { logState(platform::OperatorTopic, status); } });
+            follower_handlers{ [this](const auto &records) {
+                                  for (const auto &record : records)
+                                      operatorRecord(record);
+                              },
+                               [this](const auto &record) { operatorRecord(record); },
+                               [this](duration at) {
+                                   m_board.deploymentProvenAt = std::max(m_board.deploymentProvenAt,
+                                                                         at);
+                                   logState(platform::OperatorTopic, StatusOk);
+                               },
+                               [this](int status) { logState(platform::OperatorTopic, status); } });
     m_operatorFollower->start();
 
     follower_options endpointOptions;
@@ -184,28 +183,28 @@
     endpointOptions.readPause = m_board.settings.leavingBound * 2 / 5;
     m_endpointFollower = std::make_shared<topic_follower>(
             m_io, server, endpointOptions,
-            follower_handlers {
-                    [this](const auto &records) {
-                        std::set<std::string> ids;
-                        for (const auto &record : records) {
-                            ids.insert(record.key);
-                            endpointRecord(record);
-                        }
-                        m_board.endpoints.keepOnly(ids, steadyNow());
-                    },
-                    [this](const auto &record) { endpointRecord(record); },
-                    [this](duration at) {
-                        m_board.endpointsProvenAt = std::max(m_board.endpointsProvenAt, at);
-                        logState(platform::EndpointTopic, StatusOk);
-                    },
-                    [this](int status) { logState(platform::EndpointTopic, status); } });
+            follower_handlers{ [this](const auto &records) {
+                                  std::set<std::string> ids;
+                                  for (const auto &record : records) {
+                                      ids.insert(record.key);
+                                      endpointRecord(record);
+                                  }
+                                  m_board.endpoints.keepOnly(ids, steadyNow());
+                              },
+                               [this](const auto &record) { endpointRecord(record); },
+                               [this](duration at) {
+                                   m_board.endpointsProvenAt = std::max(m_board.endpointsProvenAt,
+                                                                        at);
+                                   logState(platform::EndpointTopic, StatusOk);
+                               },
+                               [this](int status) { logState(platform::EndpointTopic, status); } });
     m_endpointFollower->start();
 }
 
 void event_router::announce()
 {
-    const std::string address
-            = m_board.settings.ip + ":" + std::to_string(m_board.settings.firstPeerPort);
+    const std::string address = m_board.settings.ip + ":"
+                                + std::to_string(m_board.settings.firstPeerPort);
     m_announceLane->call(
             platform::appendKeyedCall(platform::VmTopic, { m_board.settings.vmName, address }),
             std::chrono::seconds(2), [this](const log_answer &answer) {
@@ -225,8 +224,7 @@
                                              if (page.status != StatusOk || !isOk(vms))
                                                  return;
                                              for (const auto &vm : valueOf(vms).records)
-                                                 m_digests.addPeer(vm.key,
-                                                                   vm.value.value_or(""));
+                                                 m_digests.addPeer(vm.key, vm.value.value_or(""));
                                          });
                 });
             });
--- a/burdockhold/quota_ledger.cc
+++ b/burdockhold/quota_ledger.cc
@@ -93,7 +93,7 @@
         peer_account &account = row->second;
         const double even = m_limit.ratePerSecond / static_cast<double>(knownPeers + 1);
         const double charge = std::max(account.ratePerSecond, even)
-                * toSeconds(now - account.chargedAt);
+                              * toSeconds(now - account.chargedAt);
         account.chargedAt = now;
         // Assumptions alone never put the bucket into debt: beyond that nothing would ever pass.
         if (m_level > 0.0) {
--- a/burdockhold/quota_ledger.h
+++ b/burdockhold/quota_ledger.h
@@ -10,7 +10,8 @@
 // - A silent VM is charged as if it went on at its last rate, or at an even part of the limit if
 //   that is more. A VM that hears fewer than half of the others keeps charging for all of them, so
 //   that both sides of a partition together stay near the limit.
-// - In any window, all VMs together admit at most rate x window + burst, with half of the operator's
+// - In any window, all VMs together admit at most rate x window + burst, with half of the
+// operator's
 //   tolerance, plus what each admits beyond its recent rate within the age of the others' digests.
 // Memory is linear in the number of VMs that serve the account.
 
@@ -31,9 +32,9 @@
 
 struct quota_ledger_options
 {
-    double startShare = 0.5;    ///< Part of the burst that a started VM assumes to be left.
-    /// Tolerance that the operator grants to the enforcement over all VMs: a part of the rate, and an
-    /// amount. Half of each is used; the rest covers stale digests.
+    double startShare = 0.5; ///< Part of the burst that a started VM assumes to be left.
+    /// Tolerance that the operator grants to the enforcement over all VMs: a part of the rate, and
+    /// an amount. Half of each is used; the rest covers stale digests.
     double rateTolerance = 0.0;
     double amountTolerance = 0.0;
     duration rateWindow = std::chrono::seconds(1); ///< Over which the others' rates are averaged.
--- a/burdockhold/router_board.cc
+++ b/burdockhold/router_board.cc
@@ -22,7 +22,7 @@
 
 duration bootNow()
 {
-    timespec now {};
+    timespec now{};
     ::clock_gettime(CLOCK_BOOTTIME, &now);
     return std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
 }
@@ -51,10 +51,9 @@
         return false;
     }
     const bool newest = versions.empty() || version > versions.back().version;
-    const auto place = std::upper_bound(versions.begin(), versions.end(), version,
-                                        [](std::int64_t value, const wanted_version &known) {
-                                            return value < known.version;
-                                        });
+    const auto place = std::upper_bound(
+            versions.begin(), versions.end(), version,
+            [](std::int64_t value, const wanted_version &known) { return value < known.version; });
     versions.insert(place, { version, namedAt });
     if (versions.size() > MaxVersionsKept)
         versions.erase(versions.begin());
@@ -106,7 +105,8 @@
     // The slack is a sum over all VMs; VMs that come later find their part unused.
     const double vms = static_cast<double>(std::max<std::size_t>(knownPeers + 1, 8));
     const auto slack = static_cast<std::int64_t>(BudgetShare * settings.repeatSlack / vms);
-    return retry_budget({ BudgetShare * settings.repeatRatio, 0, std::max<std::int64_t>(1, slack) });
+    return retry_budget(
+            { BudgetShare * settings.repeatRatio, 0, std::max<std::int64_t>(1, slack) });
 }
 
 quota_ledger &router_board::quotaOf(const deployment_account &account, time_point now)
@@ -114,7 +114,7 @@
     const auto found = quotas.find(account.name);
     if (found != quotas.end())
         return found->second;
-    const quota_limit limit { account.ratePerSecond, account.burst };
+    const quota_limit limit{ account.ratePerSecond, account.burst };
     quota_ledger_options options;
     options.rateTolerance = settings.limitTolerance;
     options.amountTolerance = account.countsTokens ? settings.limitToleranceTokens : 0.0;
--- a/burdockhold/router_board.h
+++ b/burdockhold/router_board.h
@@ -61,8 +61,8 @@
     /// True when calls may no longer begin on this version: a newer one was named too long ago.
     bool weightsExpired(const std::string &model, std::int64_t version) const;
 
-    /// Address of the store of cached parts that the deployment names, or an empty string while there
-    /// is none or it is away.
+    /// Address of the store of cached parts that the deployment names, or an empty string while
+    /// there is none or it is away.
     std::string storeAddress(time_point now) const;
 
     /// Marks the store as away for a moment, and forgets what it held.
@@ -80,7 +80,6 @@
     retry_budget newBudget() const;
 
 public:
-
     // Written by the log follower; times of versions also by the peer link, through noteNamed().
     std::shared_ptr<const deployment_index> deployment;
     duration deploymentProvenAt = duration::min() / 2;
@@ -107,7 +106,7 @@
 
     // Written by the peer link.
     std::size_t knownPeers = 0;
-    std::vector<std::string> livePeers; ///< Names of the VMs that were heard lately.
+    std::vector<std::string> livePeers;              ///< Names of the VMs that were heard lately.
     std::map<std::uint32_t, duty_claim> otherClaims; ///< By shortHash of the pool.
 
     // Written by the exchanges and the duty controller, cleared by the peer link: something changed
--- a/burdockhold/router_metrics.cc
+++ b/burdockhold/router_metrics.cc
@@ -17,8 +17,7 @@
 {
     double total = 0.0;
     out << "# TYPE burdockhold_" << name << "_seconds histogram\n";
-    for (const auto &bin : boost::histogram::indexed(histogram,
-                                                     boost::histogram::coverage::all)) {
+    for (const auto &bin : boost::histogram::indexed(histogram, boost::histogram::coverage::all)) {
         total += *bin;
         const double upper = bin.bin().upper();
         if (upper <= LongestSeconds * 1.0001)
--- a/burdockhold/router_metrics.h
+++ b/burdockhold/router_metrics.h
@@ -75,7 +75,7 @@
     using axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
     using histogram = decltype(boost::histogram::make_histogram(axis()));
 
-    std::array<std::uint64_t, enum_names<router_counter>::Table.size()> m_counters {};
+    std::array<std::uint64_t, enum_names<router_counter>::Table.size()> m_counters{};
     histogram m_firstByte;
     histogram m_waits;
 };
--- a/burdockhold/router_settings.cc
+++ b/burdockhold/router_settings.cc
@@ -29,12 +29,12 @@
             return;
         const auto text = tree.get_optional<std::string>(key);
         if (!text || text->empty()) {
-            error = settings_error { router_settings_error::Missing, "the key has no value", key };
+            error = settings_error{ router_settings_error::Missing, "the key has no value", key };
             return;
         }
         const auto parsed = tree.get_optional<Value>(key);
         if (!parsed) {
-            error = settings_error { router_settings_error::Invalid, "cannot read " + *text, key };
+            error = settings_error{ router_settings_error::Invalid, "cannot read " + *text, key };
             return;
         }
         value = *parsed;
@@ -45,7 +45,7 @@
         std::int64_t ms = 0;
         read(key, ms);
         if (!error && ms <= 0)
-            error = settings_error { router_settings_error::Invalid, "must be above 0", key };
+            error = settings_error{ router_settings_error::Invalid, "must be above 0", key };
         value = std::chrono::milliseconds(ms);
     }
 };
@@ -56,14 +56,14 @@
 {
     ptree tree;
     try {
-        std::istringstream stream { std::string(text) };
+        std::istringstream stream{ std::string(text) };
         boost::property_tree::read_ini(stream, tree);
     } catch (const boost::property_tree::ini_parser_error &error) {
-        return settings_error { router_settings_error::NotReadable, error.message(),
-                                "line " + std::to_string(error.line()) };
+        return settings_error{ router_settings_error::NotReadable, error.message(),
+                               "line " + std::to_string(error.line()) };
     }
     router_settings settings;
-    settings_reader reader { tree, {} };
+    settings_reader reader{ tree, {} };
     reader.read("vm.name", settings.vmName);
     reader.read("vm.data_centre", settings.dataCentre);
     reader.read("vm.ip", settings.ip);
--- a/burdockhold/saved_parts.cc
+++ b/burdockhold/saved_parts.cc
@@ -41,10 +41,9 @@
 
 std::vector<std::uint32_t> saved_parts::announced(time_point now)
 {
-    m_own.erase(std::remove_if(m_own.begin(), m_own.end(),
-                               [&](const saved_at &own) {
-                                   return now - own.at > m_options.announceFor;
-                               }),
+    m_own.erase(std::remove_if(
+                        m_own.begin(), m_own.end(),
+                        [&](const saved_at &own) { return now - own.at > m_options.announceFor; }),
                 m_own.end());
     std::vector<std::uint32_t> hashes;
     for (const saved_at &own : m_own)
--- a/burdockhold/vm_digest.cc
+++ b/burdockhold/vm_digest.cc
@@ -17,7 +17,7 @@
         const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
         return handle.get().as<vm_digest>();
     } catch (const std::exception &error) {
-        return basic_error<digest_error> { digest_error::NotReadable, error.what(), "digest" };
+        return basic_error<digest_error>{ digest_error::NotReadable, error.what(), "digest" };
     }
 }
 
--- a/burdockhold/vm_digest.h
+++ b/burdockhold/vm_digest.h
@@ -1,8 +1,8 @@
 #ifndef BURDOCKHOLD_VM_DIGEST_H
 #define BURDOCKHOLD_VM_DIGEST_H
 
-// What a VM tells the others several times a second, in one datagram: its counters and what it knows
-// first of endpoints. A digest states the whole, so a lost, doubled or late one does no harm;
+// What a VM tells the others several times a second, in one datagram: its counters and what it
+// knows first of endpoints. A digest states the whole, so a lost, doubled or late one does no harm;
 // digests of an older incarnation or an older number are dropped by the receiver.
 //
 // A digest of 5 accounts and 13 endpoints takes about 300 bytes. One that does not fit into a
--- a/burdockhold/weights_orders.cc
+++ b/burdockhold/weights_orders.cc
@@ -28,7 +28,7 @@
         sorted.push_back(&engine);
     std::stable_sort(sorted.begin(), sorted.end(), [](const auto *a, const auto *b) {
         return std::make_pair(a->version, a->heldTokens)
-                < std::make_pair(b->version, b->heldTokens);
+               < std::make_pair(b->version, b->heldTokens);
     });
 
     std::vector<order_action> actions;
@@ -48,7 +48,7 @@
             continue;
         if (!entry.acceptedOrders || entry.loading) {
             entry.callOpen = true;
-            actions.emplace_back(ask_engine_state { engine->id, engine->address });
+            actions.emplace_back(ask_engine_state{ engine->id, engine->address });
             continue;
         }
         if (engine->version >= wanted.version || loading >= most)
@@ -61,9 +61,8 @@
         entry.callOpen = true;
         entry.loading = true;
         entry.loadingSince = now;
-        actions.emplace_back(weights_order { engine->id, engine->address, engine->model,
-                                             wanted.version, *fencingToken,
-                                             *entry.acceptedOrders });
+        actions.emplace_back(weights_order{ engine->id, engine->address, engine->model,
+                                            wanted.version, *fencingToken, *entry.acceptedOrders });
     }
     return actions;
 }
@@ -139,15 +138,15 @@
     for (const ordered_engine &engine : engines) {
         const auto entry = m_engines.find(engine.id);
         const bool overdue = entry != m_engines.end() && entry->second.loading
-                && !countsAsLoading(entry->second, now);
+                             && !countsAsLoading(entry->second, now);
         if (engine.silent || overdue)
             continue;
         serving += 1.0;
         held += static_cast<double>(engine.heldTokens);
     }
     const double needed = cacheTokens > 0
-            ? held / (m_options.heldShare * static_cast<double>(cacheTokens))
-            : 0.0;
+                                  ? held / (m_options.heldShare * static_cast<double>(cacheTokens))
+                                  : 0.0;
     const double most = std::min(std::ceil(m_options.loadingShare * serving),
                                  std::floor(serving - needed));
     const int least = std::min(m_options.leastLoading, std::max(1, static_cast<int>(serving) / 2));
--- a/burdockhold/weights_orders.h
+++ b/burdockhold/weights_orders.h
@@ -74,7 +74,7 @@
     std::string address;
     std::int64_t incarnation = 0;
     std::string model;
-    std::int64_t version = 0;  ///< Newest known; 0 when unknown.
+    std::int64_t version = 0;    ///< Newest known; 0 when unknown.
     std::int64_t heldTokens = 0; ///< Of its running requests; engines with less go first.
     bool silent = false;         ///< Does not serve now; it may be dead.
     int running = 0;             ///< Requests that it runs.
@@ -82,13 +82,15 @@
 
 struct weights_order_options
 {
-    /// Part of a pool's serving engines that drain or load at once. With about half of them, the rest
-    /// serve meanwhile; once these are done they take all traffic, and the rest drain by themselves.
+    /// Part of a pool's serving engines that drain or load at once. With about half of them, the
+    /// rest serve meanwhile; once these are done they take all traffic, and the rest drain by
+    /// themselves.
     double loadingShare = 0.55;
     /// Part of the memory of the engines that serve meanwhile that running requests may take.
     double heldShare = 0.5;
-    /// Part of the pool that is ordered at once. The rest drain while the first ones take the traffic,
-    /// and are ordered when they run no more than fewRunning, or have been behind for forceAfter.
+    /// Part of the pool that is ordered at once. The rest drain while the first ones take the
+    /// traffic, and are ordered when they run no more than fewRunning, or have been behind for
+    /// forceAfter.
     double firstWaveShare = 0.45;
     int fewRunning = 2;
     duration forceAfter = std::chrono::milliseconds(3500);
@@ -107,7 +109,7 @@
 struct wanted_load
 {
     std::int64_t version = 0;
-    std::int64_t cacheTokens = 0;    ///< Memory of each engine.
+    std::int64_t cacheTokens = 0; ///< Memory of each engine.
 };
 
 class weights_planner
--- a/cmake/router.cmake
+++ b/cmake/router.cmake
@@ -8,9 +8,36 @@
 file(GLOB PLATFORM_SOURCES CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/platform/*.cc)
 file(GLOB LOOP_SOURCES CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/burdockhold/loop_*.cc)
 
-add_library(burdockhold_router STATIC ${ROUTER_DECISIONS} ${PLATFORM_SOURCES} ${LOOP_SOURCES}
-            ${CMAKE_SOURCE_DIR}/burdockhold/router_board.cc)
+if(TARGET burdockhold_core)
+  add_library(burdockhold_router STATIC ${PLATFORM_SOURCES} ${LOOP_SOURCES}
+              ${CMAKE_SOURCE_DIR}/burdockhold/router_board.cc)
+  target_link_libraries(burdockhold_router PUBLIC burdockhold_core)
+else()
+  add_library(burdockhold_router STATIC ${ROUTER_DECISIONS} ${PLATFORM_SOURCES} ${LOOP_SOURCES}
+              ${CMAKE_SOURCE_DIR}/burdockhold/router_board.cc)
+endif()
 target_link_libraries(burdockhold_router PUBLIC Boost::boost Threads::Threads xxhash
                       nlohmann_json::nlohmann_json)
 add_executable(burdockhold-router ${CMAKE_SOURCE_DIR}/tools/burdockhold_router.cc)
 target_link_libraries(burdockhold-router PRIVATE burdockhold_router Boost::program_options)
+
+# Tests of the adapter and the loop: testing/NAME_looptest.cc.
+file(GLOB LOOP_TESTS CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/testing/*_looptest.cc)
+if(TARGET burdockhold_core)
+  add_library(router_test_support STATIC ${CMAKE_SOURCE_DIR}/testing/support_platform.cc)
+  target_compile_definitions(router_test_support PRIVATE
+                             BURDOCKHOLD_ROUTER="$<TARGET_FILE:burdockhold-router>")
+  target_link_libraries(router_test_support PUBLIC burdockhold_core
+                        PRIVATE Boost::unit_test_framework)
+  foreach(test_source ${LOOP_TESTS})
+    get_filename_component(test_name ${test_source} NAME_WE)
+    add_executable(${test_name} ${test_source})
+    target_compile_definitions(${test_name} PRIVATE BOOST_TEST_DYN_LINK
+                               BURDOCKHOLD_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
+    target_link_libraries(${test_name} PRIVATE burdockhold_router router_test_support
+                          Boost::unit_test_framework)
+    add_dependencies(${test_name} burdockhold-router)
+    add_test(NAME ${test_name} COMMAND ${test_name})
+    set_tests_properties(${test_name} PROPERTIES LABELS loop TIMEOUT 120 RUN_SERIAL TRUE)
+  endforeach()
+endif()
--- /dev/null
+++ b/testing/attempt_rules_test.cc
@@ -0,0 +1,113 @@
+#define BOOST_TEST_MODULE attempt_rules
+#include "burdockhold/attempt_rules.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <vector>
+
+using namespace burdockhold;
+
+namespace {
+
+const std::vector<call_end> AllEnds{ call_end::Complete, call_end::NotSent, call_end::SaidNotRun,
+                                     call_end::Failed,   call_end::Broken,  call_end::WrongAnswer };
+const std::vector<call_kind> AllKinds{ call_kind::Idempotent, call_kind::AtMostOnce,
+                                       call_kind::Stream };
+
+/// Calls the function with every combination of the facts that the rules read.
+template <typename Function>
+void forAllFacts(Function function)
+{
+    for (const call_end end : AllEnds) {
+        for (const call_kind kind : AllKinds) {
+            for (int bits = 0; bits < 64; ++bits) {
+                attempt_facts facts;
+                facts.end = end;
+                facts.kind = kind;
+                facts.resumable = (bits & 1) != 0;
+                facts.answerBegun = (bits & 2) != 0;
+                facts.mayHaveRun = (bits & 4) != 0 || facts.answerBegun;
+                facts.runsLeft = (bits & 8) != 0 ? 1 : 0;
+                facts.sendsLeft = (bits & 16) != 0 ? 1 : 0;
+                facts.repeatsLeft = (bits & 32) != 0;
+                facts.timeLeft = std::chrono::seconds(1);
+                const bool ranNow = end == call_end::Failed || end == call_end::Broken
+                                    || end == call_end::WrongAnswer;
+                facts.mayHaveRun = facts.mayHaveRun || ranNow;
+                function(facts, afterCall(facts));
+            }
+        }
+    }
+}
+
+} // namespace
+
+// Guards against a payment that runs twice after its endpoint crashed.
+BOOST_AUTO_TEST_CASE(callThatMayHaveRunIsRepeatedOnlyIfItsKindAllows)
+{
+    forAllFacts([](const attempt_facts &facts, const next_step &step) {
+        const bool ranNow = facts.end == call_end::Failed || facts.end == call_end::Broken
+                            || facts.end == call_end::WrongAnswer;
+        if (ranNow && std::holds_alternative<try_another>(step))
+            BOOST_TEST(mayRepeat(facts.kind, facts.resumable));
+    });
+}
+
+// Guards against a refusal "not run" for a request that some endpoint may have run.
+BOOST_AUTO_TEST_CASE(notRunIsSaidOnlyWhenNothingMayHaveRun)
+{
+    forAllFacts([](const attempt_facts &facts, const next_step &step) {
+        if (std::holds_alternative<refuse_not_run>(step))
+            BOOST_TEST(!facts.mayHaveRun);
+    });
+}
+
+// Guards against a second status line in a stream that has begun.
+BOOST_AUTO_TEST_CASE(answerThatHasBegunIsNeverFollowedByAStatus)
+{
+    forAllFacts([](const attempt_facts &facts, const next_step &step) {
+        if (!facts.answerBegun)
+            return;
+        BOOST_TEST(!std::holds_alternative<refuse_not_run>(step));
+        BOOST_TEST(!std::holds_alternative<answer_unknown>(step));
+    });
+}
+
+// Guards against repeats beyond the budget that all VMs share.
+BOOST_AUTO_TEST_CASE(repeatNeedsTheBudgetUnlessNothingWasSent)
+{
+    forAllFacts([](const attempt_facts &facts, const next_step &step) {
+        if (std::holds_alternative<try_another>(step))
+            BOOST_TEST((facts.repeatsLeft || facts.end == call_end::NotSent));
+    });
+}
+
+// Guards against more runs than the route allows.
+BOOST_AUTO_TEST_CASE(runsBeyondTheRoutesLimitAreNotMade)
+{
+    forAllFacts([](const attempt_facts &facts, const next_step &step) {
+        const bool ranNow = facts.end == call_end::Failed || facts.end == call_end::Broken
+                            || facts.end == call_end::WrongAnswer;
+        if (ranNow && std::holds_alternative<try_another>(step))
+            BOOST_TEST(facts.runsLeft > 0);
+    });
+}
+
+// Guards against a complete answer that is thrown away.
+BOOST_AUTO_TEST_CASE(completeAnswerIsDelivered)
+{
+    forAllFacts([](const attempt_facts &facts, const next_step &step) {
+        if (facts.end == call_end::Complete)
+            BOOST_TEST(std::holds_alternative<deliver_answer>(step));
+    });
+}
+
+// Guards against a call that is sent when its answer could no longer arrive in time.
+BOOST_AUTO_TEST_CASE(noRepeatWithoutTime)
+{
+    attempt_facts facts;
+    facts.end = call_end::NotSent;
+    facts.sendsLeft = 3;
+    facts.timeLeft = MinTimeForRepeat - duration(1);
+    BOOST_TEST(std::holds_alternative<refuse_not_run>(afterCall(facts)));
+}
--- /dev/null
+++ b/testing/endpoint_table_test.cc
@@ -0,0 +1,182 @@
+#define BOOST_TEST_MODULE endpoint_table
+#include "burdockhold/endpoint_table.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+
+using namespace burdockhold;
+
+namespace {
+
+constexpr const char *Model = "m";
+
+time_point at(double seconds)
+{
+    return time_point{} + fromSeconds(seconds);
+}
+
+endpoint_report report(const std::string &id, std::int64_t incarnation = 1,
+                       const std::string &address = "127.0.0.1:1")
+{
+    endpoint_report made;
+    made.id = id;
+    made.pool = "pool";
+    made.address = address;
+    made.slots = 8;
+    made.incarnation = incarnation;
+    made.weights[Model] = 1;
+    return made;
+}
+
+endpoint_candidate candidate(const endpoint_table &table, const std::string &id, time_point now,
+                             std::int64_t wanted = 1)
+{
+    for (const auto &found : table.candidates("pool", Model, wanted, "", {}, now)) {
+        if (found.id == id)
+            return found;
+    }
+    return {};
+}
+
+std::size_t candidates(const endpoint_table &table, time_point now)
+{
+    return table.candidates("pool", Model, 1, "", {}, now).size();
+}
+
+vm_digest digestOf(const endpoint_table &table, const std::string &vm, time_point now)
+{
+    vm_digest digest;
+    digest.vm = vm;
+    table.fillDigest(digest, now);
+    return digest;
+}
+
+} // namespace
+
+// Guards against an engine that stays excluded for good: VMs passed the word of its load on to each
+// other and each word renewed the others.
+BOOST_AUTO_TEST_CASE(wordOfALoadIsNotPassedOn)
+{
+    endpoint_table holder("dc1");
+    endpoint_table other("dc1");
+    endpoint_table third("dc1");
+    for (endpoint_table *table : { &holder, &other, &third })
+        table->update(report("e1"), at(0));
+    holder.setLoading("e1", at(1));
+    other.peerDigest(digestOf(holder, "holder", at(1)), at(1));
+    third.peerDigest(digestOf(other, "other", at(1.1)), at(1.1));
+    BOOST_TEST((candidate(other, "e1", at(1.2)).excluded == exclusion::Loading));
+    BOOST_TEST((candidate(third, "e1", at(1.2)).excluded == exclusion::None));
+    BOOST_TEST((candidate(other, "e1", at(3)).excluded == exclusion::None));
+}
+
+// Guards against an engine with new weights that others still take for loading or old.
+BOOST_AUTO_TEST_CASE(newWeightsEndALoadEverywhere)
+{
+    endpoint_table holder("dc1");
+    endpoint_table other("dc1");
+    holder.update(report("e1"), at(0));
+    other.update(report("e1"), at(0));
+    holder.setLoading("e1", at(1));
+    other.peerDigest(digestOf(holder, "holder", at(1)), at(1));
+    holder.weightsSeen("e1", Model, 2);
+    other.peerDigest(digestOf(holder, "holder", at(1.2)), at(1.2));
+    BOOST_TEST(other.weightsOf("e1", Model) == 2);
+    BOOST_TEST((candidate(other, "e1", at(1.25), 2).excluded == exclusion::None));
+    BOOST_TEST(!candidate(other, "e1", at(1.25), 2).oldWeights);
+}
+
+// Guards against calls to an endpoint that has announced its leaving.
+BOOST_AUTO_TEST_CASE(leavingEndpointIsNoCandidate)
+{
+    endpoint_table table("dc1");
+    table.update(report("e1"), at(0));
+    endpoint_report leaving = report("e1");
+    leaving.leaving = true;
+    table.update(leaving, at(1));
+    BOOST_TEST(candidates(table, at(1)) == 0U);
+}
+
+// Guards against a pool without endpoints after an outage of the log in which all entries lapsed,
+// and against calls to gone endpoints after that.
+BOOST_AUTO_TEST_CASE(lastEntriesStayForAMoment)
+{
+    endpoint_table table("dc1");
+    table.update(report("e1"), at(0));
+    table.update(report("e2", 1, "127.0.0.1:2"), at(0));
+    table.remove("e1", at(10));
+    BOOST_TEST(candidates(table, at(10)) == 1U);
+    table.remove("e2", at(10.1));
+    BOOST_TEST(candidates(table, at(10.2)) == 2U);
+    BOOST_TEST(candidates(table, at(12)) == 0U);
+}
+
+// Guards against calls to an ended endpoint whose address another one has now.
+BOOST_AUTO_TEST_CASE(laterEndpointAtAnAddressEndsTheFormer)
+{
+    endpoint_table table("dc1");
+    table.update(report("old", 100), at(0));
+    table.update(report("other", 100, "127.0.0.1:2"), at(0));
+    table.update(report("new", 200), at(5));
+    BOOST_TEST(candidates(table, at(5)) == 2U);
+    BOOST_TEST(candidate(table, "old", at(5)).id.empty());
+}
+
+// Guards against knowledge of a former start that is applied to a new one under the same id.
+BOOST_AUTO_TEST_CASE(newIncarnationStartsAnew)
+{
+    endpoint_table table("dc1");
+    table.update(report("e1", 1), at(0));
+    table.weightsSeen("e1", Model, 4);
+    table.partHeld("e1", "part");
+    table.callStarted("e1", { 100, 200 }, at(0));
+    table.update(report("e1", 2), at(1));
+    BOOST_TEST(table.weightsOf("e1", Model) == 1);
+    BOOST_TEST(table.ownRunning("e1") == 0);
+    BOOST_TEST(!candidate(table, "e1", at(1)).holdsPart);
+    // The call that was running there ends later.
+    table.callEnded("e1", { 100, 200 }, false);
+    BOOST_TEST(table.ownRunning("e1") == 0);
+    BOOST_TEST(candidate(table, "e1", at(1)).heldTokens == 0);
+}
+
+// Guards against load of a VM that has died and is counted for ever.
+BOOST_AUTO_TEST_CASE(loadOfASilentVmLapses)
+{
+    endpoint_table own("dc1");
+    endpoint_table other("dc1");
+    own.update(report("e1"), at(0));
+    other.update(report("e1"), at(0));
+    other.callStarted("e1", { 1000, 2000 }, at(0));
+    own.peerDigest(digestOf(other, "other", at(0.1)), at(0.1));
+    own.peerDigest(digestOf(other, "other", at(0.3)), at(0.3));
+    BOOST_TEST(candidate(own, "e1", at(0.4)).heldTokens == 2000);
+    own.step(at(3));
+    BOOST_TEST(candidate(own, "e1", at(3)).heldTokens == 0);
+}
+
+// Guards against new calls to an engine that went silent with calls running, before its entry
+// lapses.
+BOOST_AUTO_TEST_CASE(silentEngineIsSuspected)
+{
+    endpoint_table table("dc1");
+    table.update(report("e1"), at(0));
+    table.callStarted("e1", { 0, 10 }, at(1));
+    BOOST_TEST(!candidate(table, "e1", at(1.3)).suspect);
+    BOOST_TEST(candidate(table, "e1", at(1.7)).suspect);
+    table.heard("e1", at(1.8));
+    BOOST_TEST(!candidate(table, "e1", at(1.9)).suspect);
+}
+
+// Guards against an unreachable endpoint that is tried again by every request.
+BOOST_AUTO_TEST_CASE(backOffGrowsAndEndsWithAnAnswer)
+{
+    endpoint_table table("dc1");
+    table.update(report("e1"), at(0));
+    table.connectFailed("e1", at(0));
+    BOOST_TEST((candidate(table, "e1", at(0.2)).excluded == exclusion::BackOff));
+    BOOST_TEST((candidate(table, "e1", at(0.4)).excluded == exclusion::None));
+    table.connectFailed("e1", at(0.4));
+    BOOST_TEST((candidate(table, "e1", at(0.8)).excluded == exclusion::BackOff));
+}
--- /dev/null
+++ b/testing/platform_codec_looptest.cc
@@ -0,0 +1,217 @@
+#define BOOST_TEST_MODULE platform_codec
+#include "burdockhold/loop_caller.h"
+#include "platform/deployment_codec.h"
+#include "platform/engine_codec.h"
+#include "platform/log_codec.h"
+#include "platform/request_codec.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace burdockhold;
+
+namespace http = boost::beast::http;
+
+namespace {
+
+/// Parses a caller's bytes as the router does. Nothing is returned for what it refuses.
+std::optional<platform::http_request> parsed(const std::string &bytes)
+{
+    http::request_parser<http::string_body> parser;
+    parser.eager(true);
+    boost::system::error_code error;
+    std::string rest = bytes;
+    while (!rest.empty() && !parser.is_done()) {
+        const std::size_t used = parser.put(boost::asio::buffer(rest), error);
+        rest.erase(0, used);
+        if (error && error != http::error::need_more)
+            return std::nullopt;
+        if (used == 0)
+            break;
+    }
+    if (!parser.is_done() || statesLengthTwice(parser.get()))
+        return std::nullopt;
+    return parser.release();
+}
+
+std::string request(const std::string &fields, const std::string &body = {})
+{
+    return "POST /a/b?c=d HTTP/1.1\r\nHost: h.example\r\n" + fields + "\r\n" + body;
+}
+
+const std::string Entry = R"({"service":"p","address":"10.0.0.1:80","zone":"z","version":"v1",)"
+                          R"("slots":8,"state":"ready","cold_remaining_ms":0,"born":5,)"
+                          R"("models":[{"name":"m","version":3,"adapters":[]}],"seq":4})";
+
+std::string changed(std::string text, const std::string &from, const std::string &to)
+{
+    text.replace(text.find(from), from.size(), to);
+    return text;
+}
+
+} // namespace
+
+// Guards against a request that a strict reader at the endpoint sees as two.
+BOOST_AUTO_TEST_CASE(ambiguousFramingIsRefused)
+{
+    const std::vector<std::string> refused{
+        request("Content-Length: 3\r\nContent-Length: 4\r\n", "abcd"),
+        request("Content-Length: 3\r\nContent-Length: 3\r\n", "abc"),
+        request("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n", "0\r\n\r\n"),
+        request("Transfer-Encoding: chunked\r\nContent-Length: 3\r\n", "0\r\n\r\n"),
+        request("Content-Length: +3\r\n", "abc"),
+        request("Content-Length: -3\r\n", "abc"),
+        request("Content-Length: 3, 3\r\n", "abc"),
+        request("Content-Length: 0x3\r\n", "abc"),
+        request("Content-Length : 3\r\n", "abc"),
+        "POST /a HTTP/1.1\nHost: h\nContent-Length: 0\n\n",
+        "POST /a b HTTP/1.1\r\nHost: h\r\n\r\n",
+        "POST  /a HTTP/1.1\r\nHost: h\r\n\r\n",
+        request("Transfer-Encoding: chunked\r\n", "zz\r\nabc\r\n0\r\n\r\n"),
+    };
+    for (const std::string &bytes : refused)
+        BOOST_TEST(!parsed(bytes).has_value(), bytes);
+}
+
+// Guards against fields that only the router may set and that a caller sends.
+BOOST_AUTO_TEST_CASE(callersCannotSetTheRoutersFields)
+{
+    auto message = parsed(request("X-Burdockhold-Attempt-Id: 1\r\n"
+                                  "X-Burdockhold-Tenant: other\r\n"
+                                  "x-burdockhold-cache-salt: theirs\r\n"
+                                  "X-Burdockhold-Hold: h\r\n"
+                                  "X-Burdockhold-Pin-Ms: 100\r\n"
+                                  "X-Burdockhold-Kv-Backup: 1.2.3.4:5\r\n"
+                                  "Kv-From: 1.2.3.4:5/6\r\n"
+                                  "X-Burdockhold-Target-Instance: x\r\n"
+                                  "X-Burdockhold-Credential: secret\r\n"
+                                  "X-Burdockhold-Request-Priority: 0\r\n"
+                                  "X-Burdockhold-Expect-Version: 1\r\n"
+                                  "X-Burdockhold-Kv-Source: 1.2.3.4:5\r\n"
+                                  "X-Burdockhold-Kv-Target: 1.2.3.4:5\r\n"
+                                  "X-Own: kept\r\n"
+                                  "Content-Length: 0\r\n"));
+    BOOST_REQUIRE(message.has_value());
+    const caller_request decoded = platform::decodeRequest(std::move(*message));
+    BOOST_TEST(decoded.key == "secret");
+    endpoint_orders orders;
+    orders.endpointId = "e1";
+    orders.account = "own";
+    orders.timeLeft = std::chrono::milliseconds(1500);
+    const std::string call = platform::encodeCall(decoded, orders);
+    for (const char *absent : { "other", "theirs", "Hold", "Pin-Ms", "Backup", "Kv-From", "secret",
+                                "Priority", "Expect-Version", "Kv-Source", "Kv-Target" })
+        BOOST_TEST(call.find(absent) == std::string::npos, absent);
+    BOOST_TEST(call.find("POST /a/b?c=d HTTP/1.1\r\n") == 0U);
+    BOOST_TEST(call.find("X-Burdockhold-Tenant: own\r\n") != std::string::npos);
+    BOOST_TEST(call.find("X-Burdockhold-Target-Instance: e1\r\n") != std::string::npos);
+    BOOST_TEST(call.find("X-Burdockhold-Deadline-Ms: 1500\r\n") != std::string::npos);
+    BOOST_TEST(call.find("X-Own: kept\r\n") != std::string::npos);
+}
+
+// Guards against a caller that has the router drop the fields by which the endpoint knows a
+// request.
+BOOST_AUTO_TEST_CASE(connectionFieldCannotRemoveWhatTheEndpointNeeds)
+{
+    auto message = parsed(request("Connection: close, X-Gone, X-Burdockhold-Attempt-Id, "
+                                  "X-Burdockhold-Model, Host\r\n"
+                                  "X-Burdockhold-Attempt-Id: 42\r\nX-Burdockhold-Model: m\r\n"
+                                  "X-Gone: x\r\nContent-Length: 0\r\n"));
+    BOOST_REQUIRE(message.has_value());
+    const std::string call = platform::encodeCall(platform::decodeRequest(std::move(*message)), {});
+    BOOST_TEST(call.find("X-Burdockhold-Attempt-Id: 42") != std::string::npos);
+    BOOST_TEST(call.find("X-Burdockhold-Model: m") != std::string::npos);
+    BOOST_TEST(call.find("Host: h.example") != std::string::npos);
+    BOOST_TEST(call.find("X-Gone") == std::string::npos);
+    BOOST_TEST(call.find("Connection") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(promptPartsAndTokensAreDecoded)
+{
+    auto message = parsed(request("X-Burdockhold-Token-Count: 1460,80\r\n"
+                                  "X-Burdockhold-Length-Hint: 30\r\n"
+                                  "X-Burdockhold-Prompt-Prefix: 5c:800, 91:410,e4:250\r\n"
+                                  "X-Burdockhold-Deadline-Ms: 5000\r\nContent-Length: 2\r\n",
+                                  "ab"));
+    const caller_request decoded = platform::decodeRequest(std::move(*message));
+    BOOST_TEST(decoded.promptTokens == 1460);
+    BOOST_TEST(decoded.maxOutputTokens == 80);
+    BOOST_TEST(decoded.expectedOutput() == 30);
+    BOOST_REQUIRE(decoded.prefix.size() == 3U);
+    BOOST_TEST(decoded.prefix[1].id == "91");
+    BOOST_TEST(decoded.prefix[1].tokens == 410);
+    BOOST_TEST((*decoded.deadline == std::chrono::seconds(5)));
+    BOOST_TEST(decoded.body == "ab");
+}
+
+// Guards against an entry of another writer that names an engine to use.
+BOOST_AUTO_TEST_CASE(unreadableEndpointEntriesAreRefused)
+{
+    const auto good = platform::decodeEndpoint("e1", Entry);
+    BOOST_REQUIRE(isOk(good));
+    BOOST_TEST(valueOf(good).weights.at("m") == 3);
+    BOOST_TEST(valueOf(good).incarnation == 5);
+    const std::vector<std::string> refused{
+        "",
+        "\x81\xa4",
+        "[]",
+        changed(Entry, R"("slots":8)", R"("slots":"8")"),
+        changed(Entry, R"("state":"ready")", R"("state":"well")"),
+        changed(Entry, R"("address":"10.0.0.1:80",)", ""),
+        changed(Entry, R"("born":5,)", ""),
+        changed(Entry, R"("version":3)", R"("version":"3")"),
+    };
+    for (const std::string &body : refused)
+        BOOST_TEST(!isOk(platform::decodeEndpoint("e1", body)), body);
+}
+
+// Guards against reads that end inside a record, and keys or values that lose bytes.
+BOOST_AUTO_TEST_CASE(logRecordsAreReadWholeOrNotAtAll)
+{
+    const auto call = platform::appendKeyedCall("keyed.t", { "key", "va\0lue" });
+    const std::string end(7, '\0');
+    const std::string page = end + '\x05' + std::string(8, '\0') + call.body;
+    const auto read = platform::decodeRead(page);
+    BOOST_REQUIRE(isOk(read));
+    BOOST_TEST(valueOf(read).end == 5U);
+    BOOST_TEST(valueOf(read).records.at(0).key == "key");
+    BOOST_TEST(*valueOf(read).records.at(0).value == "va");
+    for (std::size_t size = 17; size < page.size(); ++size)
+        BOOST_TEST(!isOk(platform::decodeRead(page.substr(0, size))));
+}
+
+BOOST_AUTO_TEST_CASE(newestRecordsAreDecodedFromBase64)
+{
+    const auto page = platform::decodeNewest(
+            R"({"items":[{"key":"a","value":"aGVsbG8=","offset":1}],"has_more":true,"end":9})");
+    BOOST_REQUIRE(isOk(page));
+    BOOST_TEST(*valueOf(page).records.at(0).value == "hello");
+    BOOST_TEST(valueOf(page).hasMore);
+    BOOST_TEST(!isOk(platform::decodeNewest(R"({"items":[{"key":"a"}],"end":9})")));
+    BOOST_TEST(!isOk(platform::decodeNewest("no")));
+}
+
+// Guards against an unknown kind of route whose calls would be repeated.
+BOOST_AUTO_TEST_CASE(unknownKindIsTreatedAsNotRepeatable)
+{
+    const auto decoded = platform::decodeDeployment(
+            R"({"version":3,"routes":[{"host":"h","path_prefix":"/","kind":"new","service":"p"}],)"
+            R"("services":[{"name":"p"}],"limits":{}})");
+    BOOST_REQUIRE(isOk(decoded));
+    BOOST_TEST((valueOf(decoded).routes.at(0).kind == call_kind::AtMostOnce));
+    BOOST_TEST(!isOk(platform::decodeDeployment(R"({"version":"3"})")));
+}
+
+BOOST_AUTO_TEST_CASE(orderAnswersAreTold)
+{
+    BOOST_TEST((platform::decodeOrderAnswer(202) == order_answer::Accepted));
+    BOOST_TEST((platform::decodeOrderAnswer(200) == order_answer::AlreadyHolds));
+    BOOST_TEST((platform::decodeOrderAnswer(409) == order_answer::Conflict));
+    BOOST_TEST((platform::decodeOrderAnswer(412) == order_answer::Fenced));
+    BOOST_TEST((platform::decodeOrderAnswer(421) == order_answer::OtherEngine));
+    BOOST_TEST((platform::decodeOrderAnswer(500) == order_answer::Refused));
+}
--- /dev/null
+++ b/testing/quota_ledger_test.cc
@@ -0,0 +1,167 @@
+#define BOOST_TEST_MODULE quota_ledger
+#include "burdockhold/quota_ledger.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <random>
+#include <vector>
+
+using namespace burdockhold;
+
+namespace {
+
+constexpr double Rate = 20000.0;
+constexpr double Burst = 40000.0;
+
+time_point at(double seconds)
+{
+    return time_point{} + fromSeconds(seconds);
+}
+
+struct admission
+{
+    double seconds;
+    double tokens;
+};
+
+/// Several VMs that exchange totals each 200 ms and may lose digests or be cut off.
+struct fleet
+{
+    explicit fleet(std::size_t vms)
+    {
+        for (std::size_t vm = 0; vm < vms; ++vm)
+            ledgers.emplace_back(quota_ledger_options{}, quota_limit{ Rate, Burst }, at(0));
+    }
+
+    void exchange(double seconds, double lossShare, const std::vector<bool> &cut)
+    {
+        std::uniform_real_distribution<double> chance(0.0, 1.0);
+        for (std::size_t from = 0; from < ledgers.size(); ++from) {
+            for (std::size_t to = 0; to < ledgers.size(); ++to) {
+                const bool reached = from != to && cut[from] == cut[to]
+                                     && chance(random) >= lossShare;
+                if (reached)
+                    ledgers[to].peerTotal("vm" + std::to_string(from),
+                                          ledgers[from].admittedTotal(), at(seconds));
+            }
+        }
+    }
+
+    void step(double seconds)
+    {
+        for (quota_ledger &ledger : ledgers)
+            ledger.step(ledgers.size() - 1, at(seconds));
+    }
+
+    std::vector<quota_ledger> ledgers;
+    std::mt19937 random{ 11 };
+};
+
+/// Largest excess of any window of the given length over rate x window + burst.
+double largestExcess(const std::vector<admission> &admitted, double window)
+{
+    double excess = -Burst;
+    double sum = 0.0;
+    std::size_t first = 0;
+    for (const admission &last : admitted) {
+        sum += last.tokens;
+        while (admitted[first].seconds < last.seconds - window)
+            sum -= admitted[first++].tokens;
+        excess = std::max(excess, sum - Rate * window - Burst);
+    }
+    return excess;
+}
+
+/// Runs the fleet at `load` times the rate and returns what was admitted.
+std::vector<admission> run(fleet &vms, double load, double lossShare, double cutFrom, double cutTo)
+{
+    std::vector<admission> admitted;
+    std::vector<bool> cut(vms.ledgers.size(), false);
+    std::uniform_int_distribution<std::size_t> pick(0, vms.ledgers.size() - 1);
+    std::exponential_distribution<double> size(1.0 / 3000.0);
+    double nextRequest = 0.0;
+    for (int tick = 0; tick < 1200; ++tick) {
+        const double now = tick * 0.05;
+        cut[0] = now >= cutFrom && now < cutTo;
+        if (tick % 4 == 0)
+            vms.exchange(now, lossShare, cut);
+        vms.step(now);
+        while (nextRequest < now) {
+            const double tokens = std::min(12000.0, size(vms.random));
+            if (vms.ledgers[pick(vms.random)].tryAdmit(tokens, at(now)))
+                admitted.push_back({ now, tokens });
+            nextRequest += 3000.0 / (Rate * load);
+        }
+    }
+    return admitted;
+}
+
+double total(const std::vector<admission> &admitted)
+{
+    double sum = 0.0;
+    for (const admission &one : admitted)
+        sum += one.tokens;
+    return sum;
+}
+
+} // namespace
+
+// Guards against an account that gets a part of its limit from each of many VMs.
+BOOST_AUTO_TEST_CASE(eightVmsTogetherStayNearTheLimit)
+{
+    fleet vms(8);
+    const auto admitted = run(vms, 6.0, 0.0, 0.0, 0.0);
+    // The platform tolerates a tenth of a window's limit and 72,000 tokens.
+    BOOST_TEST(largestExcess(admitted, 8.0) <= 0.1 * (Rate * 8.0 + Burst) + 72000.0);
+    BOOST_TEST(total(admitted) >= 0.9 * Rate * 60.0);
+}
+
+// Guards against requests refused although the account is within its limit.
+BOOST_AUTO_TEST_CASE(loadWithinTheLimitIsAdmitted)
+{
+    fleet vms(8);
+    const double offered = Rate * 0.55 * 60.0;
+    BOOST_TEST(total(run(vms, 0.55, 0.0, 0.0, 0.0)) >= 0.97 * offered);
+}
+
+// Guards against lost digests that let VMs admit what others have admitted already.
+BOOST_AUTO_TEST_CASE(lostDigestsDoNotRaiseTheLimit)
+{
+    fleet vms(8);
+    const auto admitted = run(vms, 6.0, 0.3, 0.0, 0.0);
+    BOOST_TEST(largestExcess(admitted, 8.0) <= 0.1 * (Rate * 8.0 + Burst) + 72000.0);
+}
+
+// Guards against a VM that is cut off and spends the whole limit by itself, beside the others.
+BOOST_AUTO_TEST_CASE(vmThatIsCutOffStaysWithinItsPart)
+{
+    fleet vms(8);
+    const auto admitted = run(vms, 6.0, 0.0, 20.0, 32.0);
+    BOOST_TEST(largestExcess(admitted, 8.0) <= 0.1 * (Rate * 8.0 + Burst) + 72000.0);
+}
+
+// Guards against a lower limit that holds only once the old bucket is empty.
+BOOST_AUTO_TEST_CASE(lowerLimitHoldsAtOnce)
+{
+    quota_ledger ledger({}, { 1000.0, 100000.0 }, at(0));
+    ledger.setLimit({ 10.0, 100.0 }, at(1));
+    BOOST_TEST(ledger.tryAdmit(100.0, at(1)));
+    BOOST_TEST(!ledger.tryAdmit(100.0, at(1)));
+    BOOST_TEST(toSeconds(ledger.timeUntil(100.0, at(1))) > 1.0);
+}
+
+// Guards against double charging when a VM restarts and counts from zero.
+BOOST_AUTO_TEST_CASE(restartedVmIsChargedOnce)
+{
+    quota_ledger ledger({}, { Rate, Burst }, at(0));
+    ledger.peerTotal("vm1", 0.0, at(0));
+    ledger.peerTotal("vm1", 5000.0, at(0.2));
+    const double before = ledger.level();
+    ledger.peerRestarted("vm1");
+    ledger.peerTotal("vm1", 0.0, at(0.2));
+    BOOST_TEST(ledger.level() == before);
+    ledger.peerTotal("vm1", 1000.0, at(0.2));
+    BOOST_TEST(ledger.level() == before - 1000.0);
+}
--- /dev/null
+++ b/testing/router_looptest.cc
@@ -0,0 +1,418 @@
+#define BOOST_TEST_MODULE router_loop
+#include "testing/support_platform.h"
+
+#include <nlohmann/json.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <mutex>
+#include <set>
+#include <sstream>
+#include <string>
+#include <thread>
+
+using namespace burdockhold::testing;
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr int PatienceMs = 8000; // Far above any wait of the router; no verdict depends on speed.
+
+/// What the stand-in engines do with one call. The default serves it.
+using engine_behaviour =
+        std::function<bool(const std::string &engine, const seen_request &, answer_socket &)>;
+
+std::string answerHead(const seen_request &request, const std::string &framing)
+{
+    return "HTTP/1.1 200 OK\r\nX-Burdockhold-Attempt-Id: "
+           + request.field("X-Burdockhold-Attempt-Id") + "\r\nX-Burdockhold-Server-Stamp: s1\r\n"
+           + framing + "\r\n\r\n";
+}
+
+std::string wholeAnswer(const seen_request &request, const std::string &body)
+{
+    return answerHead(request, "Content-Length: " + std::to_string(body.size())) + body;
+}
+
+std::string chunk(const std::string &bytes)
+{
+    std::ostringstream size;
+    size << std::hex << bytes.size();
+    return size.str() + "\r\n" + bytes + "\r\n";
+}
+
+std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: x\n\n";
+}
+
+std::string events(int first, int last)
+{
+    std::string text;
+    for (int id = first; id <= last; ++id)
+        text += event(id);
+    return text;
+}
+
+/// One platform: log, two engines, one router.
+struct fixture
+{
+    fixture()
+        : first([this](const seen_request &r, answer_socket &s) { return engine("e1", r, s); })
+        , second([this](const seen_request &r, answer_socket &s) { return engine("e2", r, s); })
+    {
+        putDeployment(1, { "key-1", "key-2" });
+        log.put("keyed.servers", "e1", entry(first.address(), "ready"));
+        log.put("keyed.servers", "e2", entry(second.address(), "ready"));
+        router = std::make_unique<router_process>(log.address());
+        BOOST_REQUIRE(router->waitReady(true));
+    }
+
+    static std::string entry(const std::string &address, const std::string &state)
+    {
+        return json{
+            { "service", "desk" },      { "address", address }, { "zone", "dc1" },
+            { "version", "v1" },        { "slots", 6 },         { "state", state },
+            { "cold_remaining_ms", 0 }, { "born", 1000 },       { "seq", 1 }
+        }.dump();
+    }
+
+    void putDeployment(int version, const std::vector<std::string> &keys)
+    {
+        const auto route = [](const char *prefix, const char *kind, int attempts, bool resumable) {
+            return json{
+                { "name", prefix },     { "host", "h" },           { "path_prefix", prefix },
+                { "kind", kind },       { "timeout_ms", 3000 },    { "target_latency_ms", 400 },
+                { "priority", 1 },      { "service", "desk" },     { "max_attempts", attempts },
+                { "anonymous", false }, { "resumable", resumable }
+            };
+        };
+        const json body{ { "version", version },
+                         { "routes",
+                           { route("/safe/", "safe", 2, false), route("/pay/", "unsafe", 1, false),
+                             route("/resume/", "stream", 2, true),
+                             route("/once/", "stream", 1, false) } },
+                         { "services", { { { "name", "desk" } } } },
+                         { "limits",
+                           { { "max_header_bytes", 16384 },
+                             { "max_body_bytes", 100000 },
+                             { "header_timeout_ms", 3000 },
+                             { "idle_timeout_ms", 15000 } } },
+                         { "tenants", { { { "name", "acct" }, { "api_keys", keys } } } } };
+        log.put("keyed.op", "config", body.dump());
+    }
+
+    bool engine(const std::string &name, const seen_request &request, answer_socket &socket)
+    {
+        engine_behaviour act;
+        {
+            const std::lock_guard lock(mutex);
+            calls.push_back(request);
+            engines.push_back(name);
+            act = behaviour;
+        }
+        return act ? act(name, request, socket) : socket.write(wholeAnswer(request, "body"));
+    }
+
+    void behave(engine_behaviour act)
+    {
+        const std::lock_guard lock(mutex);
+        behaviour = std::move(act);
+    }
+
+    std::size_t callCount()
+    {
+        const std::lock_guard lock(mutex);
+        return calls.size();
+    }
+
+    static std::string request(const std::string &path, const std::string &key = "key-1",
+                               const std::string &more = {}, const std::string &body = {})
+    {
+        return "POST " + path + " HTTP/1.1\r\nHost: h\r\nX-Burdockhold-Attempt-Id: id1\r\n"
+               + "X-Burdockhold-Credential: " + key + "\r\nX-Burdockhold-Deadline-Ms: 3000\r\n"
+               + more + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
+    std::string ask(const std::string &bytes) const
+    {
+        return exchangeBytes(router->callerAddress(), bytes, PatienceMs);
+    }
+
+    /// Sends the request again until its answer begins so, at most for the patience.
+    bool becomes(const std::string &bytes, const std::string &begin) const
+    {
+        const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(PatienceMs);
+        while (std::chrono::steady_clock::now() < until) {
+            if (ask(bytes).rfind(begin, 0) == 0)
+                return true;
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        }
+        return false;
+    }
+
+    std::mutex mutex;
+    engine_behaviour behaviour;
+    std::vector<seen_request> calls;
+    std::vector<std::string> engines;
+    standin_log_service log;
+    standin_server first;
+    standin_server second;
+    std::unique_ptr<router_process> router;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(requestReachesAnEngineUnchanged, fixture)
+{
+    const std::string answer = ask(request("/safe/a%20b?c=d", "key-1", "X-Own: 1\r\n", "hello"));
+    BOOST_TEST(answer.rfind("HTTP/1.1 200", 0) == 0U);
+    BOOST_TEST(answer.find("X-Burdockhold-Server-Stamp: s1") != std::string::npos);
+    BOOST_REQUIRE(callCount() == 1U);
+    BOOST_TEST(calls[0].target == "/safe/a%20b?c=d");
+    BOOST_TEST(calls[0].body == "hello");
+    BOOST_TEST(calls[0].field("X-Own") == "1");
+    BOOST_TEST(calls[0].field("X-Burdockhold-Tenant") == "acct");
+    BOOST_TEST(calls[0].field("X-Burdockhold-Credential").empty());
+    BOOST_TEST(calls[0].field("X-Burdockhold-Target-Instance") == engines[0]);
+}
+
+BOOST_FIXTURE_TEST_CASE(unknownRouteAndKeyAreRefused, fixture)
+{
+    BOOST_TEST(ask(request("/none/")).rfind("HTTP/1.1 404", 0) == 0U);
+    BOOST_TEST(ask(request("/safe/", "wrong")).rfind("HTTP/1.1 401", 0) == 0U);
+    BOOST_TEST(callCount() == 0U);
+}
+
+// Guards against a withdrawn key that goes on working, and a deployment that comes back.
+BOOST_FIXTURE_TEST_CASE(withdrawnKeyStopsAndStaysWithdrawn, fixture)
+{
+    putDeployment(5, { "key-2" });
+    BOOST_TEST(becomes(request("/safe/"), "HTTP/1.1 401"));
+    putDeployment(3, { "key-1", "key-2" });
+    BOOST_TEST(becomes(request("/safe/", "key-2"), "HTTP/1.1 200"));
+    BOOST_TEST(ask(request("/safe/")).rfind("HTTP/1.1 401", 0) == 0U);
+}
+
+// Guards against a payment that is sent again after its endpoint reset the connection.
+BOOST_FIXTURE_TEST_CASE(callThatMayHaveRunIsNotRepeated, fixture)
+{
+    behave([](const std::string &, const seen_request &, answer_socket &socket) {
+        socket.reset();
+        return false;
+    });
+    BOOST_TEST(ask(request("/pay/")).rfind("HTTP/1.1 502", 0) == 0U);
+    BOOST_TEST(callCount() == 1U);
+}
+
+// Guards against a lookup that fails although another endpoint could serve it.
+BOOST_FIXTURE_TEST_CASE(idempotentCallIsRepeatedElsewhere, fixture)
+{
+    behave([this](const std::string &name, const seen_request &request, answer_socket &socket) {
+        if (callCount() > 1)
+            return socket.write(wholeAnswer(request, name));
+        socket.reset();
+        return false;
+    });
+    BOOST_TEST(ask(request("/safe/")).rfind("HTTP/1.1 200", 0) == 0U);
+    BOOST_REQUIRE(callCount() == 2U);
+    BOOST_TEST(engines[0] != engines[1]);
+}
+
+// Guards against a refusal that is passed on although the other endpoint would take the call.
+BOOST_FIXTURE_TEST_CASE(refusedCallIsOfferedToTheOtherEndpoint, fixture)
+{
+    behave([this](const std::string &, const seen_request &request, answer_socket &socket) {
+        if (callCount() > 1)
+            return socket.write(wholeAnswer(request, "ok"));
+        return socket.write("HTTP/1.1 503 X\r\nX-Burdockhold-Not-Executed: 1\r\n"
+                            "Content-Length: 0\r\n\r\n");
+    });
+    BOOST_TEST(ask(request("/pay/")).rfind("HTTP/1.1 200", 0) == 0U);
+    BOOST_TEST(callCount() == 2U);
+}
+
+// Guards against an answer to another request, a body without a signature, and a coded body.
+BOOST_FIXTURE_TEST_CASE(answersThatAreNotTheCallsAreNotDelivered, fixture)
+{
+    const std::vector<std::string> wrong{
+        "HTTP/1.1 200 OK\r\nX-Burdockhold-Attempt-Id: id1\r\nContent-Length: 3\r\n\r\nbad",
+        "HTTP/1.1 200 OK\r\nX-Burdockhold-Server-Stamp: s\r\nContent-Length: 3\r\n\r\nbad",
+        "HTTP/1.1 200 OK\r\nX-Burdockhold-Attempt-Id: id1\r\nX-Burdockhold-Server-Stamp: s\r\n"
+        "Content-Encoding: gzip\r\nContent-Length: 3\r\n\r\nbad",
+        "HTTP/1.1 200 OK\r\nX-Burdockhold-Attempt-Id: id1\r\nX-Burdockhold-Server-Stamp: s\r\n"
+        "Content-Length: 30\r\n\r\nbad",
+        "\x01\x02garbage\r\n\r\n",
+    };
+    for (const std::string &bytes : wrong) {
+        behave([bytes](const std::string &, const seen_request &, answer_socket &socket) {
+            socket.write(bytes);
+            return false;
+        });
+        const std::string answer = ask(request("/pay/"));
+        BOOST_TEST(answer.rfind("HTTP/1.1 502", 0) == 0U, answer);
+    }
+}
+
+// Guards against a late second answer that the next caller gets.
+BOOST_FIXTURE_TEST_CASE(lateAnswerIsNotGivenToTheNextRequest, fixture)
+{
+    behave([](const std::string &, const seen_request &request, answer_socket &socket) {
+        const std::string own = wholeAnswer(request, "own");
+        std::string late = own;
+        late.replace(late.find("own"), 3, "###");
+        late.replace(late.find("id1"), 3, "id0");
+        return socket.write(own) && socket.write(late);
+    });
+    for (int round = 0; round < 4; ++round) {
+        test_caller caller(router->callerAddress());
+        caller.send(request("/safe/"));
+        const std::string answer = caller.readUntil("own", PatienceMs);
+        BOOST_TEST(answer.rfind("HTTP/1.1 200", 0) == 0U);
+        BOOST_TEST(answer.find("###") == std::string::npos);
+    }
+}
+
+// Guards against a stream that has a gap, a repeated event or a second head after its engine died.
+BOOST_FIXTURE_TEST_CASE(streamGoesOnAtAnotherEngine, fixture)
+{
+    behave([this](const std::string &, const seen_request &request, answer_socket &socket) {
+        const std::string last = request.field("Last-Event-Id");
+        socket.write(answerHead(request,
+                                "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked"));
+        if (callCount() == 1) {
+            socket.write(chunk(events(1, 3) + "id: 4\nda"));
+            return false;
+        }
+        const int from = last.empty() ? 1 : std::stoi(last);
+        return socket.write(chunk(events(from, 6)) + "0\r\n\r\n");
+    });
+    test_caller caller(router->callerAddress());
+    caller.send(request("/resume/"));
+    const std::string answer = caller.readUntil("0\r\n\r\n", PatienceMs);
+    for (int id = 1; id <= 6; ++id) {
+        const std::size_t at = answer.find(event(id));
+        BOOST_TEST(at != std::string::npos);
+        BOOST_TEST(answer.find(event(id), at + 1) == std::string::npos);
+    }
+    BOOST_TEST(answer.find("HTTP/1.1", 9) == std::string::npos);
+    BOOST_REQUIRE(callCount() == 2U);
+    BOOST_TEST(calls[1].field("Last-Event-Id") == "3");
+}
+
+// Guards against a broken stream that looks complete to its caller.
+BOOST_FIXTURE_TEST_CASE(streamThatCannotGoOnIsVisiblyIncomplete, fixture)
+{
+    behave([](const std::string &, const seen_request &request, answer_socket &socket) {
+        socket.write(answerHead(request, "Transfer-Encoding: chunked") + chunk(events(1, 2)));
+        return false;
+    });
+    test_caller caller(router->callerAddress());
+    caller.send(request("/once/"));
+    const std::string answer = caller.readUntil("never there", PatienceMs);
+    BOOST_TEST(caller.closedByPeer());
+    BOOST_TEST(answer.find(event(2)) != std::string::npos);
+    BOOST_TEST(answer.find("0\r\n\r\n") == std::string::npos);
+    BOOST_TEST(callCount() == 1U);
+}
+
+// Guards against engines that work on for callers who left before the first event.
+BOOST_FIXTURE_TEST_CASE(callersLeavingEndsTheCall, fixture)
+{
+    std::atomic<bool> arrived{ false };
+    std::atomic<bool> noticed{ false };
+    behave([&](const std::string &, const seen_request &, answer_socket &socket) {
+        arrived = true;
+        noticed = socket.peerClosed(PatienceMs);
+        return false;
+    });
+    test_caller caller(router->callerAddress());
+    caller.send(request("/resume/"));
+    for (int wait = 0; wait < PatienceMs / 10 && !arrived; ++wait)
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    BOOST_REQUIRE(arrived);
+    caller.close();
+    for (int wait = 0; wait < PatienceMs / 10 && !noticed; ++wait)
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    BOOST_TEST(noticed);
+}
+
+// Guards against an answer held until after the route's time limit, and a false "not run" for it.
+BOOST_FIXTURE_TEST_CASE(timeLimitOfACallThatRunsIsNoRefusal, fixture)
+{
+    behave([](const std::string &, const seen_request &, answer_socket &socket) {
+        socket.peerClosed(PatienceMs);
+        return false;
+    });
+    BOOST_TEST(ask(request("/pay/")).rfind("HTTP/1.1 504", 0) == 0U);
+    BOOST_TEST(callCount() == 1U);
+}
+
+// Guards against new calls to an endpoint that has announced its leaving.
+BOOST_FIXTURE_TEST_CASE(leavingEndpointGetsNoNewCalls, fixture)
+{
+    log.put("keyed.servers", "e1", entry(first.address(), "draining"));
+    // Two seconds are the platform's bound for it.
+    std::this_thread::sleep_for(std::chrono::milliseconds(2000));
+    for (int call = 0; call < 20; ++call)
+        ask(request("/safe/"));
+    const std::lock_guard lock(mutex);
+    BOOST_TEST(std::set<std::string>(engines.begin(), engines.end()).count("e1") == 0U);
+}
+
+// Guards against keys that work on while nobody can tell whether they were withdrawn.
+BOOST_FIXTURE_TEST_CASE(keysAreRefusedWhileTheLogIsAway, fixture)
+{
+    log.setDown(true);
+    BOOST_TEST(becomes(request("/safe/"), "HTTP/1.1 503"));
+    BOOST_TEST(router->waitReady(false));
+    log.setDown(false);
+    BOOST_TEST(becomes(request("/safe/"), "HTTP/1.1 200"));
+}
+
+// Guards against a stop that cuts off what it serves, and a stopping VM that still asks for
+// callers.
+BOOST_FIXTURE_TEST_CASE(stopServesWhatItHasAndEnds, fixture)
+{
+    behave([this](const std::string &, const seen_request &request, answer_socket &socket) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+        return socket.write(wholeAnswer(request, "late"));
+    });
+    test_caller caller(router->callerAddress());
+    caller.send(request("/safe/"));
+    for (int wait = 0; wait < PatienceMs / 10 && callCount() == 0; ++wait)
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    router->terminate();
+    BOOST_TEST(router->waitReady(false));
+    BOOST_TEST(caller.readUntil("late", PatienceMs).rfind("HTTP/1.1 200", 0) == 0U);
+    for (int wait = 0; wait < PatienceMs / 10 && !router->hasEnded(); ++wait)
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    BOOST_TEST(router->hasEnded());
+}
+
+// Guards against a body that is stored although it is over the limit, and against endless headers.
+BOOST_FIXTURE_TEST_CASE(limitsOfMessagesHold, fixture)
+{
+    const std::string tooLong = "POST /safe/ HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n";
+    BOOST_TEST(ask(tooLong).rfind("HTTP/1.1 413", 0) == 0U);
+    const std::string longHead = "GET /safe/ HTTP/1.1\r\nHost: h\r\nX: " + std::string(40000, 'x');
+    BOOST_TEST(ask(longHead).rfind("HTTP/1.1 431", 0) == 0U);
+    BOOST_TEST(ask("nonsense\r\n\r\n").rfind("HTTP/1.1 400", 0) == 0U);
+    BOOST_TEST(callCount() == 0U);
+}
+
+// Guards against a second request on a connection that is lost or answered in the wrong order.
+BOOST_FIXTURE_TEST_CASE(requestsOnOneConnectionAreAnsweredInOrder, fixture)
+{
+    behave([](const std::string &, const seen_request &request, answer_socket &socket) {
+        return socket.write(wholeAnswer(request, "<" + request.body + ">"));
+    });
+    test_caller caller(router->callerAddress());
+    caller.send(request("/safe/", "key-1", "", "one") + request("/safe/", "key-1", "", "two"));
+    const std::string answer = caller.readUntil("<two>", PatienceMs);
+    BOOST_TEST(answer.find("<one>") < answer.find("<two>"));
+    BOOST_TEST(answer.find("<two>") != std::string::npos);
+}
--- /dev/null
+++ b/testing/router_parts_test.cc
@@ -0,0 +1,203 @@
+#define BOOST_TEST_MODULE router_parts
+#include "burdockhold/decision_log.h"
+#include "burdockhold/router_metrics.h"
+#include "burdockhold/router_settings.h"
+#include "burdockhold/vm_digest.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <array>
+#include <chrono>
+#include <random>
+#include <string>
+
+using namespace burdockhold;
+
+namespace {
+
+const std::string GoodSettings = R"([vm]
+name = vm-1
+data_centre = dc1
+ip = 127.0.0.1
+[listen]
+callers = 127.0.0.1:1
+ready = 127.0.0.1:2
+first_peer_port = 3
+[log]
+address = 127.0.0.1:4
+partitions = 12
+[bounds]
+leaving_ms = 2000
+config_ms = 2000
+revocation_ms = 5000
+weights_ms = 8000
+engines_check_fences = true
+lease_ms = 3000
+shutdown_grace_s = 8
+[repeats]
+ratio = 0.2
+slack = 54
+[accounts]
+tolerance = 0.1
+tolerance_tokens = 72000
+[limits]
+memory_mb = 110
+descriptors = 4100
+)";
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    text.replace(text.find(from), from.size(), to);
+    return text;
+}
+
+/// A pipe whose reading end nobody reads, unless told to.
+struct test_pipe
+{
+    test_pipe() { BOOST_REQUIRE(::pipe(ends.data()) == 0); }
+    ~test_pipe()
+    {
+        ::close(ends[0]);
+        ::close(ends[1]);
+    }
+
+    std::string readAll() const
+    {
+        std::string text;
+        std::array<char, 65536> buffer;
+        ::fcntl(ends[0], F_SETFL, O_NONBLOCK);
+        for (ssize_t got = ::read(ends[0], buffer.data(), buffer.size()); got > 0;
+             got = ::read(ends[0], buffer.data(), buffer.size()))
+            text.append(buffer.data(), static_cast<std::size_t>(got));
+        return text;
+    }
+
+    std::array<int, 2> ends{};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(settingsAreRead)
+{
+    const auto settings = parseRouterSettings(GoodSettings);
+    BOOST_REQUIRE(isOk(settings));
+    BOOST_TEST(valueOf(settings).vmName == "vm-1");
+    BOOST_TEST(valueOf(settings).enginesCheckFences);
+    BOOST_TEST(toSeconds(valueOf(settings).weightsBound) == 8.0);
+}
+
+// Guards against a start with a default in place of a setting that was mistyped or left out.
+BOOST_AUTO_TEST_CASE(wrongSettingsNameTheirKey)
+{
+    const auto missing = parseRouterSettings(replaced(GoodSettings, "lease_ms = 3000\n", ""));
+    BOOST_REQUIRE(!isOk(missing));
+    BOOST_TEST(errorOf(missing).context == "bounds.lease_ms");
+    const auto wrong = parseRouterSettings(replaced(GoodSettings, "5000", "soon"));
+    BOOST_REQUIRE(!isOk(wrong));
+    BOOST_TEST(errorOf(wrong).context == "bounds.revocation_ms");
+    BOOST_TEST(!isOk(parseRouterSettings("[vm\nname")));
+    BOOST_TEST(
+            !isOk(parseRouterSettings(replaced(GoodSettings, "lease_ms = 3000", "lease_ms = 0"))));
+}
+
+// Guards against a start that fails because the platform has added a field.
+BOOST_AUTO_TEST_CASE(unknownSettingsAreIgnored)
+{
+    BOOST_TEST(isOk(parseRouterSettings(GoodSettings + "[new]\nkey = value\n")));
+}
+
+// Guards against a reader of standard output that stalls and stops the router.
+BOOST_AUTO_TEST_CASE(stalledReaderNeitherBlocksNorGrowsMemory)
+{
+    const test_pipe pipe;
+    decision_log_options options;
+    options.descriptor = pipe.ends[1];
+    options.linesPerSecond = 1e9;
+    decision_log log("vm-1", options);
+    const auto begin = std::chrono::steady_clock::now();
+    int kept = 0;
+    for (int line = 0; line < 20000; ++line) {
+        const time_point now = time_point{} + std::chrono::milliseconds(line);
+        if (log.accepts(log_weight::Belief, now)) {
+            log.write(log_event::Started, { { "text", std::string(100, 'x') } }, now);
+            ++kept;
+        }
+        log.flush();
+    }
+    const auto spent = std::chrono::steady_clock::now() - begin;
+    BOOST_TEST(kept < 5000);
+    BOOST_TEST(log.dropped() == static_cast<std::uint64_t>(20000 - kept));
+    BOOST_TEST(toSeconds(std::chrono::duration_cast<duration>(spent)) < 30.0);
+}
+
+// Guards against successes that displace failures and changes of belief, and drops without a trace.
+BOOST_AUTO_TEST_CASE(budgetDropsSuccessesFirstAndCountsThem)
+{
+    const test_pipe pipe;
+    decision_log_options options;
+    options.descriptor = pipe.ends[1];
+    options.linesPerSecond = 10.0;
+    decision_log log("vm-1", options);
+    const time_point now = time_point{} + std::chrono::seconds(1);
+    int successes = 0;
+    int failures = 0;
+    int beliefs = 0;
+    for (int line = 0; line < 100; ++line) {
+        successes += log.accepts(log_weight::Success, now) ? 1 : 0;
+        failures += log.accepts(log_weight::Failure, now) ? 1 : 0;
+        beliefs += log.accepts(log_weight::Belief, now) ? 1 : 0;
+    }
+    BOOST_TEST(successes == 10);
+    BOOST_TEST(failures == 40);
+    BOOST_TEST(beliefs == 100);
+    log.flush();
+    log.flush();
+    BOOST_TEST(pipe.readAll().find("\"event\":\"lines_dropped\",\"total\":150")
+               != std::string::npos);
+}
+
+// Guards against digests that are read as something else, and against crashes on any bytes.
+BOOST_AUTO_TEST_CASE(digestSurvivesItsCodecAndOtherBytesAreRefused)
+{
+    vm_digest digest;
+    digest.vm = "vm-1";
+    digest.number = 7;
+    digest.accounts.push_back({ 1, 2 });
+    digest.endpoints.push_back({ 1, 2, 3, 4, 5, 6, 7 });
+    digest.weights.push_back({ 1, 2, 3, true });
+    digest.duties.push_back({ 1, true, 20 });
+    digest.named.push_back({ 1, 2, 3 });
+    digest.savedParts = { 9 };
+    const std::string bytes = encodeDigest(digest);
+    const auto decoded = decodeDigest(bytes);
+    BOOST_REQUIRE(isOk(decoded));
+    BOOST_TEST(encodeDigest(valueOf(decoded)) == bytes);
+    std::mt19937 random(1);
+    for (int round = 0; round < 2000; ++round) {
+        std::string other = bytes.substr(0, random() % bytes.size());
+        for (char &c : other) {
+            if (random() % 20 == 0)
+                c = static_cast<char>(random());
+        }
+        decodeDigest(other);
+    }
+    BOOST_TEST(!isOk(decodeDigest("")));
+    BOOST_TEST(!isOk(decodeDigest("hello")));
+}
+
+// Guards against a page of metrics whose size grows with what is served.
+BOOST_AUTO_TEST_CASE(metricsPageIsBounded)
+{
+    router_metrics metrics;
+    for (int number = 0; number < 100000; ++number) {
+        metrics.count(router_counter::Served);
+        metrics.firstByte(std::chrono::microseconds(number * 97));
+    }
+    const std::string page = metrics.text();
+    BOOST_TEST(page.size() < 10000U);
+    BOOST_TEST(page.find("burdockhold_served_total 100000\n") != std::string::npos);
+    BOOST_TEST(page.find("burdockhold_first_byte_seconds_count 100000\n") != std::string::npos);
+}
--- /dev/null
+++ b/testing/saved_parts_test.cc
@@ -0,0 +1,58 @@
+#define BOOST_TEST_MODULE saved_parts
+#include "burdockhold/saved_parts.h"
+#include "burdockhold/vm_digest.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace burdockhold;
+
+namespace {
+
+time_point at(double seconds)
+{
+    return time_point{} + fromSeconds(seconds);
+}
+
+} // namespace
+
+// Guards against a part that every VM saves for itself.
+BOOST_AUTO_TEST_CASE(savesOfOtherVmsAreKnown)
+{
+    saved_parts own;
+    saved_parts other;
+    own.save("m/s.1/a", at(1));
+    for (const std::uint32_t hash : own.announced(at(1.1)))
+        other.peerSaved(hash, at(1.1));
+    BOOST_TEST(other.isSaved("m/s.1/a", at(2)));
+    BOOST_TEST(!other.isSaved("m/s.2/a", at(2)));
+}
+
+// Guards against digests that grow with everything ever saved.
+BOOST_AUTO_TEST_CASE(savesAreAnnouncedForAShortTime)
+{
+    saved_parts parts;
+    for (int number = 0; number < 100; ++number)
+        parts.save(std::to_string(number), at(number));
+    BOOST_TEST(parts.announced(at(100)).size() <= 1U);
+}
+
+// Guards against copies that are asked of a store that has dropped the part long ago.
+BOOST_AUTO_TEST_CASE(unusedPartLapsesAndUsedOneStays)
+{
+    saved_parts parts;
+    parts.save("used", at(0));
+    parts.save("unused", at(0));
+    parts.touch("used", at(15));
+    BOOST_TEST(parts.isSaved("used", at(30)));
+    BOOST_TEST(!parts.isSaved("unused", at(30)));
+}
+
+// Guards against copies from a store that restarted empty.
+BOOST_AUTO_TEST_CASE(lostStoreHoldsNothing)
+{
+    saved_parts parts;
+    parts.save("a", at(0));
+    parts.clear();
+    BOOST_TEST(!parts.isSaved("a", at(0.1)));
+    BOOST_TEST(parts.announced(at(0.1)).empty());
+}
--- /dev/null
+++ b/testing/support_platform.cc
@@ -0,0 +1,448 @@
+#include "testing/support_platform.h"
+
+#include "burdockhold/free_port.h"
+
+#include <nlohmann/json.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <spawn.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+
+extern char **environ;
+
+namespace burdockhold::testing {
+
+namespace {
+
+using json = nlohmann::json;
+using steady = std::chrono::steady_clock;
+
+constexpr int PollMs = 20;
+
+std::string lowered(std::string text)
+{
+    std::transform(text.begin(), text.end(), text.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return text;
+}
+
+/// Reads more bytes; returns false at the end of the connection.
+bool readMore(int descriptor, std::string &buffer)
+{
+    char chunk[4096];
+    const ssize_t got = ::recv(descriptor, chunk, sizeof chunk, 0);
+    if (got <= 0)
+        return false;
+    buffer.append(chunk, static_cast<std::size_t>(got));
+    return true;
+}
+
+bool readRequest(int descriptor, std::string &buffer, seen_request &request)
+{
+    while (buffer.find("\r\n\r\n") == std::string::npos) {
+        if (!readMore(descriptor, buffer))
+            return false;
+    }
+    const std::size_t headEnd = buffer.find("\r\n\r\n");
+    const std::string head = buffer.substr(0, headEnd + 2);
+    buffer.erase(0, headEnd + 4);
+    std::size_t at = head.find("\r\n");
+    const std::string line = head.substr(0, at);
+    request.method = line.substr(0, line.find(' '));
+    request.target = line.substr(request.method.size() + 1,
+                                 line.rfind(' ') - request.method.size() - 1);
+    for (at += 2; at < head.size();) {
+        const std::size_t end = head.find("\r\n", at);
+        const std::string field = head.substr(at, end - at);
+        const std::size_t colon = field.find(": ");
+        request.fields[lowered(field.substr(0, colon))] = field.substr(colon + 2);
+        at = end + 2;
+    }
+    const std::string length = request.field("content-length");
+    const std::size_t size = length.empty() ? 0 : std::stoul(length);
+    while (buffer.size() < size) {
+        if (!readMore(descriptor, buffer))
+            return false;
+    }
+    request.body = buffer.substr(0, size);
+    buffer.erase(0, size);
+    return true;
+}
+
+std::string bigEndian(std::uint64_t value, int bytes)
+{
+    std::string out;
+    for (int shift = 8 * (bytes - 1); shift >= 0; shift -= 8)
+        out += static_cast<char>(value >> shift & 0xff);
+    return out;
+}
+
+std::string base64(const std::string &bytes)
+{
+    static const char Letters[] =
+            "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    std::string out;
+    for (std::size_t at = 0; at < bytes.size(); at += 3) {
+        std::uint32_t group = 0;
+        for (std::size_t offset = 0; offset < 3; ++offset) {
+            group <<= 8;
+            if (at + offset < bytes.size())
+                group |= static_cast<unsigned char>(bytes[at + offset]);
+        }
+        for (std::size_t letter = 0; letter < 4; ++letter) {
+            const bool padding = at + letter > bytes.size();
+            out += padding ? '=' : Letters[group >> (18 - 6 * letter) & 63];
+        }
+    }
+    return out;
+}
+
+std::string queryValue(const std::string &target, const std::string &name)
+{
+    const std::size_t at = target.find(name + "=");
+    if (at == std::string::npos)
+        return {};
+    const std::size_t begin = at + name.size() + 1;
+    return target.substr(begin, target.find('&', begin) - begin);
+}
+
+std::string whole(int status, const std::string &body)
+{
+    return "HTTP/1.1 " + std::to_string(status)
+           + " X\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string freeAddress()
+{
+    const std::string scheme = "http://";
+    const auto address = withFreePort(scheme + "127.0.0.1:0");
+    BOOST_REQUIRE(isOk(address));
+    return valueOf(address).substr(scheme.size());
+}
+
+int connectTo(const std::string &address)
+{
+    const std::size_t colon = address.find(':');
+    sockaddr_in target{};
+    target.sin_family = AF_INET;
+    target.sin_port = htons(static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))));
+    ::inet_pton(AF_INET, address.substr(0, colon).c_str(), &target.sin_addr);
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+    if (::connect(descriptor, reinterpret_cast<sockaddr *>(&target), sizeof target) == 0)
+        return descriptor;
+    ::close(descriptor);
+    return -1;
+}
+
+void sendAll(int descriptor, const std::string &bytes)
+{
+    std::size_t sent = 0;
+    while (sent < bytes.size()) {
+        const ssize_t count = ::send(descriptor, bytes.data() + sent, bytes.size() - sent,
+                                     MSG_NOSIGNAL);
+        if (count <= 0)
+            return;
+        sent += static_cast<std::size_t>(count);
+    }
+}
+
+} // namespace
+
+std::string seen_request::field(const std::string &name) const
+{
+    const auto found = fields.find(lowered(name));
+    return found == fields.end() ? std::string() : found->second;
+}
+
+bool answer_socket::write(const std::string &bytes)
+{
+    return ::send(m_descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL)
+           == static_cast<ssize_t>(bytes.size());
+}
+
+bool answer_socket::peerClosed(int milliseconds)
+{
+    pollfd waiting{ m_descriptor, POLLIN, 0 };
+    if (::poll(&waiting, 1, milliseconds) <= 0)
+        return false;
+    char byte = 0;
+    return ::recv(m_descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0;
+}
+
+void answer_socket::reset()
+{
+    const linger abort{ 1, 0 };
+    ::setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &abort, sizeof abort);
+}
+
+standin_server::standin_server(request_handler handler)
+    : m_handler(std::move(handler))
+{
+    m_listener = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    BOOST_REQUIRE(::bind(m_listener, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0);
+    BOOST_REQUIRE(::listen(m_listener, 64) == 0);
+    socklen_t size = sizeof address;
+    ::getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &size);
+    m_port = ntohs(address.sin_port);
+    m_acceptor = std::thread([this] { accept(); });
+}
+
+standin_server::~standin_server()
+{
+    m_stopping = true;
+    m_acceptor.join();
+    ::close(m_listener);
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const int descriptor : m_open)
+            ::shutdown(descriptor, SHUT_RDWR);
+    }
+    for (std::thread &thread : m_threads)
+        thread.join();
+}
+
+void standin_server::accept()
+{
+    while (!m_stopping) {
+        pollfd waiting{ m_listener, POLLIN, 0 };
+        if (::poll(&waiting, 1, PollMs) <= 0)
+            continue;
+        const int descriptor = ::accept(m_listener, nullptr, nullptr);
+        if (descriptor < 0)
+            continue;
+        const std::lock_guard lock(m_mutex);
+        m_open.push_back(descriptor);
+        m_threads.emplace_back([this, descriptor] { serve(descriptor); });
+    }
+}
+
+void standin_server::serve(int descriptor)
+{
+    std::string buffer;
+    seen_request request;
+    while (readRequest(descriptor, buffer, request)) {
+        answer_socket socket(descriptor);
+        if (!m_handler(request, socket))
+            break;
+        request = {};
+    }
+    const std::lock_guard lock(m_mutex);
+    m_open.erase(std::find(m_open.begin(), m_open.end(), descriptor));
+    ::close(descriptor);
+}
+
+standin_log_service::standin_log_service()
+    : m_server([this](const seen_request &request, answer_socket &socket) {
+        return answer(request, socket);
+    })
+{
+}
+
+void standin_log_service::put(const std::string &topic, const std::string &key,
+                              const std::string &value)
+{
+    const std::lock_guard lock(m_mutex);
+    m_topics[topic].push_back({ key, value });
+}
+
+void standin_log_service::remove(const std::string &topic, const std::string &key)
+{
+    const std::lock_guard lock(m_mutex);
+    m_topics[topic].push_back({ key, {}, true });
+}
+
+bool standin_log_service::answer(const seen_request &request, answer_socket &socket)
+{
+    const std::string topic = queryValue(request.target, "topic");
+    if (m_down)
+        return socket.write(whole(503, ""));
+    if (request.target.rfind("/log-newest", 0) == 0)
+        return socket.write(whole(200, newest(topic)));
+    if (request.target.rfind("/log-join", 0) == 0)
+        return socket.write(whole(200, join(request.body)));
+    if (request.target.rfind("/log-append", 0) == 0) {
+        const auto keySize = static_cast<unsigned char>(request.body[4]);
+        put(topic, request.body.substr(5, keySize), request.body.substr(5 + keySize));
+        return socket.write(whole(200, R"({"offset":0,"end":1})"));
+    }
+    if (request.target.rfind("/log-read", 0) != 0)
+        return socket.write(whole(200, "{}"));
+    const std::uint64_t from = std::stoull(queryValue(request.target, "from"));
+    const std::string wait = queryValue(request.target, "wait_ms");
+    const auto until = steady::now()
+                       + std::chrono::milliseconds(wait.empty() ? 0 : std::stoi(wait));
+    std::string page = read(topic, from);
+    while (page.size() <= 16 && steady::now() < until && !m_down) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        page = read(topic, from);
+    }
+    return socket.write(whole(200, page));
+}
+
+std::string standin_log_service::newest(const std::string &topic)
+{
+    const std::lock_guard lock(m_mutex);
+    std::map<std::string, record> last;
+    for (const record &one : m_topics[topic])
+        last[one.key] = one;
+    json items = json::array();
+    for (const auto &[key, one] : last) {
+        if (!one.removed)
+            items.push_back({ { "key", key }, { "value", base64(one.value) }, { "offset", 0 } });
+    }
+    return json{
+        { "items", items }, { "has_more", false }, { "end", m_topics[topic].size() }
+    }.dump();
+}
+
+std::string standin_log_service::read(const std::string &topic, std::uint64_t from)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto &records = m_topics[topic];
+    std::string page = bigEndian(records.size(), 8) + bigEndian(0, 8);
+    for (std::size_t at = from; at < records.size(); ++at) {
+        const std::string body = bigEndian(records[at].key.size(), 1) + records[at].key
+                                 + (records[at].removed ? std::string() : records[at].value);
+        page += bigEndian(body.size(), 4) + body;
+    }
+    return page;
+}
+
+std::string standin_log_service::join(const std::string &body)
+{
+    const std::lock_guard lock(m_mutex);
+    const json call = json::parse(body);
+    const std::string group = call.at("group");
+    const std::string member = call.at("member");
+    if (m_holders.emplace(group, member).second)
+        ++m_generations[group];
+    json parts = json::array();
+    for (int part = 0; part < 12 && m_holders[group] == member; ++part)
+        parts.push_back({ "t", part, 0 });
+    return json{
+        { "generation", m_generations[group] }, { "ttl_ms", 1600 }, { "parts", parts }
+    }.dump();
+}
+
+router_process::router_process(const std::string &logAddress)
+    : m_callers(freeAddress())
+    , m_ready(freeAddress())
+    , m_settingsFile("/tmp/burdockhold-router-" + std::to_string(::getpid()) + ".ini")
+{
+    const std::string peers = freeAddress();
+    std::ofstream(m_settingsFile)
+            << "[vm]\nname = vm-1\ndata_centre = dc1\nip = 127.0.0.1\n[listen]\ncallers = "
+            << m_callers << "\nready = " << m_ready
+            << "\nfirst_peer_port = " << peers.substr(peers.find(':') + 1)
+            << "\n[log]\naddress = " << logAddress
+            << "\npartitions = 12\n[bounds]\nleaving_ms = 2000\nconfig_ms = 2000\n"
+               "revocation_ms = 5000\nweights_ms = 8000\nengines_check_fences = true\n"
+               "lease_ms = 3000\nshutdown_grace_s = 8\n[repeats]\nratio = 0.2\nslack = 400\n"
+               "[accounts]\ntolerance = 0.1\ntolerance_tokens = 72000\n"
+               "[limits]\nmemory_mb = 110\ndescriptors = 1024\n";
+    const std::string option = "--settings=" + m_settingsFile;
+    std::string program = BURDOCKHOLD_ROUTER;
+    std::string argument = option;
+    char *arguments[] = { program.data(), argument.data(), nullptr };
+    posix_spawn_file_actions_t actions;
+    ::posix_spawn_file_actions_init(&actions);
+    ::posix_spawn_file_actions_addopen(&actions, 1, "/dev/null", O_WRONLY, 0);
+    BOOST_REQUIRE(::posix_spawn(&m_process, program.c_str(), &actions, nullptr, arguments, environ)
+                  == 0);
+    ::posix_spawn_file_actions_destroy(&actions);
+}
+
+router_process::~router_process()
+{
+    ::kill(m_process, SIGKILL);
+    ::waitpid(m_process, nullptr, 0);
+    ::unlink(m_settingsFile.c_str());
+}
+
+void router_process::terminate() const
+{
+    ::kill(m_process, SIGTERM);
+}
+
+bool router_process::hasEnded() const
+{
+    siginfo_t info{};
+    ::waitid(P_PID, static_cast<id_t>(m_process), &info, WEXITED | WNOHANG | WNOWAIT);
+    return info.si_pid == m_process;
+}
+
+bool router_process::waitReady(bool ready) const
+{
+    const auto until = steady::now() + std::chrono::seconds(10);
+    while (steady::now() < until) {
+        const std::string answer = exchangeBytes(m_ready, "GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n",
+                                                 100);
+        const bool isReady = answer.rfind("HTTP/1.1 200", 0) == 0;
+        if (!answer.empty() && isReady == ready)
+            return true;
+        std::this_thread::sleep_for(std::chrono::milliseconds(PollMs));
+    }
+    return false;
+}
+
+std::string exchangeBytes(const std::string &address, const std::string &bytes, int milliseconds)
+{
+    test_caller caller(address);
+    caller.send(bytes);
+    return caller.readUntil("\r\n\r\n", milliseconds);
+}
+
+test_caller::test_caller(const std::string &address)
+    : m_descriptor(connectTo(address))
+{
+}
+
+test_caller::~test_caller()
+{
+    close();
+}
+
+void test_caller::send(const std::string &bytes) const
+{
+    if (m_descriptor >= 0)
+        sendAll(m_descriptor, bytes);
+}
+
+std::string test_caller::readUntil(const std::string &text, int milliseconds)
+{
+    const auto until = steady::now() + std::chrono::milliseconds(milliseconds);
+    while (m_descriptor >= 0 && !m_closed && m_received.find(text) == std::string::npos) {
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(until
+                                                                                - steady::now());
+        pollfd waiting{ m_descriptor, POLLIN, 0 };
+        if (left.count() <= 0 || ::poll(&waiting, 1, static_cast<int>(left.count())) <= 0)
+            break;
+        m_closed = !readMore(m_descriptor, m_received);
+    }
+    return m_received;
+}
+
+void test_caller::close()
+{
+    if (m_descriptor >= 0)
+        ::close(m_descriptor);
+    m_descriptor = -1;
+}
+
+} // namespace burdockhold::testing
--- /dev/null
+++ b/testing/weights_orders_test.cc
@@ -0,0 +1,227 @@
+#define BOOST_TEST_MODULE weights_orders
+#include "burdockhold/weights_orders.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace burdockhold;
+
+namespace {
+
+time_point at(double seconds)
+{
+    return time_point{} + fromSeconds(seconds);
+}
+
+/// An order that reaches its engine at a time of its own.
+struct order_on_its_way
+{
+    weights_order order;
+    double arrives = 0.0;
+    bool answered = true;
+};
+
+/// An engine as the platform's page states it: checks the token, the number of orders, one at a
+/// time.
+struct engine_model
+{
+    std::string id;
+    std::int64_t version = 1;
+    std::int64_t accepted = 0;
+    std::int64_t highestToken = -1;
+    std::int64_t loadingVersion = 0;
+    double loadedAt = -1.0;
+    int running = 5;
+
+    order_answer take(const weights_order &order, double now, double loadSeconds)
+    {
+        if (order.fencingToken < highestToken)
+            return order_answer::Fenced;
+        highestToken = order.fencingToken;
+        if (loadedAt > now || order.expectedOrders != accepted)
+            return order_answer::Conflict;
+        if (version == order.version)
+            return order_answer::AlreadyHolds;
+        ++accepted;
+        loadingVersion = order.version;
+        loadedAt = now + loadSeconds;
+        return order_answer::Accepted;
+    }
+
+    void step(double now)
+    {
+        if (loadingVersion != 0 && now >= loadedAt) {
+            BOOST_REQUIRE(loadingVersion > version);
+            version = loadingVersion;
+            loadingVersion = 0;
+        }
+    }
+
+    engine_state state() const { return { accepted, loadingVersion != 0, { { "m", version } } }; }
+};
+
+struct simulation
+{
+    explicit simulation(std::uint32_t seed, double lostShare)
+        : random(seed)
+        , lost(lostShare)
+    {
+        for (int number = 0; number < 9; ++number)
+            engines.push_back({ "e" + std::to_string(number) });
+    }
+
+    std::vector<ordered_engine> view() const
+    {
+        std::vector<ordered_engine> seen;
+        for (const engine_model &engine : engines)
+            seen.push_back(
+                    { engine.id, "127.0.0.1:1", 1, "m", engine.version, 0, false, engine.running });
+        return seen;
+    }
+
+    engine_model &engine(const std::string &id)
+    {
+        return *std::find_if(engines.begin(), engines.end(),
+                             [&](const engine_model &e) { return e.id == id; });
+    }
+
+    void act(const ask_engine_state &ask, double now)
+    {
+        planner.stateArrived(ask.endpointId, engine(ask.endpointId).state(), at(now));
+    }
+
+    void act(const weights_order &order, double now)
+    {
+        std::uniform_real_distribution<double> chance(0.0, 1.0);
+        if (chance(random) < lost) {
+            late.push_back({ order, now + 2.0 + 10.0 * chance(random), false });
+            planner.orderAnswered(order.endpointId, order_answer::None, at(now));
+            return;
+        }
+        const auto answer = engine(order.endpointId).take(order, now, 0.5 + chance(random));
+        planner.orderAnswered(order.endpointId, answer, at(now));
+    }
+
+    void step(double now, std::int64_t wanted, std::optional<std::int64_t> token)
+    {
+        for (engine_model &model : engines)
+            model.step(now);
+        for (auto order = late.begin(); order != late.end();) {
+            const bool arrives = now >= order->arrives;
+            if (arrives)
+                engine(order->order.endpointId).take(order->order, now, 0.5);
+            order = arrives ? late.erase(order) : std::next(order);
+        }
+        for (const order_action &action : planner.step(view(), { wanted, 95573 }, token, at(now)))
+            std::visit([&](const auto &taken) { act(taken, now); }, action);
+    }
+
+    int loading() const
+    {
+        return static_cast<int>(std::count_if(engines.begin(), engines.end(),
+                                              [](const auto &e) { return e.loadingVersion != 0; }));
+    }
+
+    bool allAt(std::int64_t version) const
+    {
+        return std::all_of(engines.begin(), engines.end(),
+                           [&](const auto &e) { return e.version == version; });
+    }
+
+    std::mt19937 random;
+    double lost;
+    std::vector<engine_model> engines;
+    std::vector<order_on_its_way> late;
+    weights_planner planner;
+};
+
+} // namespace
+
+// Guards against new weights that are not everywhere within the platform's eight seconds.
+BOOST_AUTO_TEST_CASE(allEnginesLoadInTime)
+{
+    for (std::uint32_t seed = 0; seed < 50; ++seed) {
+        simulation run(seed, 0.0);
+        double now = 0.0;
+        for (; now < 8.0 && !run.allAt(2); now += 0.05)
+            run.step(now, 2, 7);
+        BOOST_TEST(run.allAt(2));
+    }
+}
+
+// Guards against a pool that loads as a whole and serves nothing.
+BOOST_AUTO_TEST_CASE(someEnginesServeWhileOthersLoad)
+{
+    for (std::uint32_t seed = 0; seed < 50; ++seed) {
+        simulation run(seed, 0.0);
+        for (double now = 0.0; now < 10.0; now += 0.05) {
+            run.step(now, 2, 7);
+            BOOST_REQUIRE(run.loading() <= 5);
+        }
+    }
+}
+
+// Guards against orders without an answer that are carried out late, and against waiting for them.
+BOOST_AUTO_TEST_CASE(lateOrdersNeitherUndoNorStopTheNewest)
+{
+    for (std::uint32_t seed = 0; seed < 100; ++seed) {
+        simulation run(seed, 0.5);
+        for (double now = 0.0; now < 30.0; now += 0.05) {
+            const std::int64_t wanted = now < 4.0 ? 2 : now < 8.0 ? 3 : 4;
+            run.step(now, wanted, 7);
+        }
+        BOOST_TEST(run.allAt(4));
+    }
+}
+
+// Guards against a holder that goes on with a token that an engine has refused.
+BOOST_AUTO_TEST_CASE(refusedTokenIsNotUsedAgain)
+{
+    simulation run(1, 0.0);
+    for (engine_model &engine : run.engines)
+        engine.highestToken = 9;
+    int orders = 0;
+    for (double now = 0.0; now < 5.0; now += 0.05) {
+        for (const order_action &action : run.planner.step(run.view(), { 2, 95573 }, 7, at(now))) {
+            orders += std::holds_alternative<weights_order>(action) ? 1 : 0;
+            std::visit([&](const auto &taken) { run.act(taken, now); }, action);
+        }
+        if (run.planner.isFenced(7))
+            break;
+    }
+    BOOST_TEST(run.planner.isFenced(7));
+    BOOST_TEST(orders <= 5);
+    BOOST_TEST(run.planner.step(run.view(), { 2, 95573 }, 7, at(6)).empty());
+    BOOST_TEST(!run.planner.step(run.view(), { 2, 95573 }, 10, at(7)).empty());
+}
+
+// Guards against orders of a VM that does not hold the duty.
+BOOST_AUTO_TEST_CASE(nothingIsDoneWithoutAToken)
+{
+    simulation run(1, 0.0);
+    BOOST_TEST(run.planner.step(run.view(), { 2, 95573 }, std::nullopt, at(0)).empty());
+}
+
+// Guards against an engine that stays behind because it never runs few requests, while versions
+// follow each other within seconds.
+BOOST_AUTO_TEST_CASE(busyEngineIsOrderedInTimeThroughManyVersions)
+{
+    simulation run(3, 0.0);
+    for (engine_model &engine : run.engines)
+        engine.running = 40;
+    std::vector<double> behindSince(run.engines.size(), 0.0);
+    for (double now = 0.0; now < 30.0; now += 0.05) {
+        const auto wanted = 2 + static_cast<std::int64_t>(now / 3.2);
+        run.step(now, wanted, 7);
+        for (std::size_t index = 0; index < run.engines.size(); ++index) {
+            // The version that was wanted eight seconds ago must be there by now.
+            const std::int64_t due = now < 8.0 ? 1
+                                               : 2 + static_cast<std::int64_t>((now - 8.0) / 3.2);
+            BOOST_REQUIRE(run.engines[index].version >= due);
+        }
+    }
+}
