--- a/burdockhold/endpoint_table.cc
+++ b/burdockhold/endpoint_table.cc
@@ -42,6 +42,9 @@
                          || entry.report.address != report.address;
     entry.report = report;
     entry.removed = false;
+    entry.toldLeaving = false;
+    if (report.leaving && changed)
+        entry.leavingSeenAt = now;
     for (const auto &[model, version] : report.weights) {
         auto &known = entry.weights[model];
         known = std::max(known, version);
@@ -67,6 +70,7 @@
         return;
     entry->removed = true;
     entry->removedAt = now;
+    entry->leavingSeenAt = now;
 }
 
 void endpoint_table::keepOnly(const std::set<std::string> &ids, time_point now)
@@ -95,7 +99,7 @@
 
 bool endpoint_table::isUsable(const table_entry &entry, bool poolIsEmpty, time_point now) const
 {
-    if (entry.report.leaving)
+    if (entry.report.leaving || entry.toldLeaving)
         return false;
     if (!entry.removed)
         return true;
@@ -332,6 +336,9 @@
                                          calls, clamped(std::llround(recent.failures * CountScale)),
                                          clamped(silent.count()) });
         }
+        const bool leaves = entry.removed || entry.report.leaving;
+        if (leaves && now - entry.leavingSeenAt < m_options.goneTold)
+            digest.goneEndpoints.push_back(entry.hash);
         if (entry.removed)
             continue;
         for (const auto &[model, version] : entry.weights) {
@@ -372,6 +379,10 @@
     }
     for (const weights_row &row : digest.weights)
         peerWeights(row, now);
+    for (const std::uint32_t gone : digest.goneEndpoints) {
+        if (const auto id = m_idsByHash.find(gone); id != m_idsByHash.end())
+            entryOf(id->second)->toldLeaving = true;
+    }
 }
 
 void endpoint_table::peerWeights(const weights_row &row, time_point now)
--- a/burdockhold/endpoint_table.h
+++ b/burdockhold/endpoint_table.h
@@ -42,6 +42,8 @@
     duration refusalPause = std::chrono::milliseconds(150);  ///< About the time of a few steps.
     duration loadingLapse = std::chrono::milliseconds(900);  ///< After the last word of a load.
     duration removalGrace = std::chrono::milliseconds(1500); ///< Entries return within two seconds.
+    /// How long others are told that an endpoint leaves: longer than they wait between reads.
+    duration goneTold = std::chrono::seconds(10);
     std::size_t partsPerEndpoint = 400; ///< Remembered parts; more than an engine's memory holds.
 };
 
@@ -124,6 +126,8 @@
         std::uint32_t hash = 0;
         bool removed = false;
         time_point removedAt;
+        time_point leavingSeenAt; // When this VM read that it leaves or is gone.
+        bool toldLeaving = false; // Another VM has read it; this VM's own entry is older.
         int running = 0;
         std::int64_t unreadTokens = 0;
         std::int64_t heldTokens = 0;
--- a/burdockhold/loop_log.cc
+++ b/burdockhold/loop_log.cc
@@ -118,7 +118,7 @@
     m_loading.clear();
     m_next = m_loadEnd;
     m_handlers.proven(m_loadStartedAt);
-    continueAfter(m_options.readPause);
+    continueAfter(m_options.readPause());
 }
 
 void topic_follower::read()
@@ -151,7 +151,7 @@
     const bool atTail = *m_next >= records.end;
     if (atTail)
         m_handlers.proven(m_sentAt);
-    continueAfter(atTail ? m_options.readPause : duration::zero());
+    continueAfter(atTail ? m_options.readPause() : duration::zero());
 }
 
 void topic_follower::retryAfterPause(int status)
--- a/burdockhold/loop_log.h
+++ b/burdockhold/loop_log.h
@@ -52,7 +52,7 @@
 {
     std::string topic;
     duration readWait = duration::zero();  ///< How long a read waits at the log for a record.
-    duration readPause = duration::zero(); ///< Between reads.
+    std::function<duration()> readPause;   ///< Between reads; asked before each.
     duration retryPause = std::chrono::milliseconds(250);   ///< After a failed call.
     duration callTimeout = std::chrono::milliseconds(1500); ///< Beyond readWait.
 };
--- a/burdockhold/loop_peers.cc
+++ b/burdockhold/loop_peers.cc
@@ -59,11 +59,14 @@
 
 void digest_link::step(time_point now)
 {
-    if (now < m_dueAt && !m_board.digestWanted)
+    if (now < m_dueAt && !(m_board.digestWanted && now >= m_urgentAt))
         return;
     m_board.digestWanted = false;
     const double peers = static_cast<double>(m_peers.size());
-    m_dueAt = now + std::max(m_options.interval, fromSeconds(peers / m_options.sendsPerSecond));
+    const duration interval
+            = std::max(m_options.interval, fromSeconds(peers / m_options.sendsPerSecond));
+    m_dueAt = now + interval;
+    m_urgentAt = now + fromSeconds(toSeconds(interval) * m_options.urgentShare);
     for (auto row = m_peers.begin(); row != m_peers.end();)
         row = now - row->second.heardAt > m_options.forgetAfter ? m_peers.erase(row)
                                                                 : std::next(row);
--- a/burdockhold/loop_peers.h
+++ b/burdockhold/loop_peers.h
@@ -25,6 +25,8 @@
     duration interval = std::chrono::milliseconds(200);
     /// Datagrams a second that a VM sends at most; more VMs are told less often.
     double sendsPerSecond = 60.0;
+    /// Part of the interval after which an urgent change may be told; more often it costs too much.
+    double urgentShare = 0.25;
     duration forgetAfter = std::chrono::seconds(30);
 };
 
@@ -68,6 +70,7 @@
     std::uint64_t m_incarnation;
     std::uint64_t m_number = 0;
     time_point m_dueAt;
+    time_point m_urgentAt;
 };
 
 } // namespace burdockhold
--- a/burdockhold/loop_router.cc
+++ b/burdockhold/loop_router.cc
@@ -161,6 +161,7 @@
     const tcp::endpoint server = *parseAddress(m_board.settings.logAddress);
     follower_options operatorOptions;
     operatorOptions.topic = std::string(platform::OperatorTopic);
+    operatorOptions.readPause = [] { return duration::zero(); };
     operatorOptions.readWait = m_board.settings.revocationBound * 3 / 10;
     m_operatorFollower = std::make_shared<topic_follower>(
             m_io, server, operatorOptions,
@@ -179,8 +180,7 @@
 
     follower_options endpointOptions;
     endpointOptions.topic = std::string(platform::EndpointTopic);
-    // Two reads within the time that an endpoint's leaving may take to be noticed.
-    endpointOptions.readPause = m_board.settings.leavingBound * 2 / 5;
+    endpointOptions.readPause = [this] { return endpointReadPause(); };
     m_endpointFollower = std::make_shared<topic_follower>(
             m_io, server, endpointOptions,
             follower_handlers{ [this](const auto &records) {
@@ -201,6 +201,18 @@
     m_endpointFollower->start();
 }
 
+/// Two reads within the time that an endpoint's leaving may take to be noticed. VMs tell each other
+/// of endpoints that leave, so each reads less often the more of them there are.
+duration event_router::endpointReadPause() const
+{
+    constexpr double LeastShare = 1.0;
+    constexpr double MostShare = 6.0; // New endpoints are found by own reads only.
+    constexpr double VmsForOne = 2.5; // Reads of this many VMs stand for one's own.
+    const double share = static_cast<double>(m_board.livePeers.size()) / VmsForOne;
+    return fromSeconds(toSeconds(m_board.settings.leavingBound) * 0.4
+                       * std::clamp(share, LeastShare, MostShare));
+}
+
 void event_router::announce()
 {
     const std::string address = m_board.settings.ip + ":"
--- a/burdockhold/vm_digest.h
+++ b/burdockhold/vm_digest.h
@@ -84,8 +84,10 @@
     std::vector<std::uint32_t> deadStores; ///< Hashes of the addresses of stores that are away.
     std::vector<duty_row> duties;
     std::vector<named_row> named;
+    /// Hashes of endpoints that were seen to leave or vanish in the last seconds.
+    std::vector<std::uint32_t> goneEndpoints;
     MSGPACK_DEFINE_ARRAY(vm, incarnation, number, leaving, accounts, endpoints, weights, savedParts,
-                         deadStores, duties, named)
+                         deadStores, duties, named, goneEndpoints)
 };
 
 enum class digest_error { NotReadable };
--- a/testing/endpoint_table_test.cc
+++ b/testing/endpoint_table_test.cc
@@ -98,6 +98,24 @@
     BOOST_TEST(candidates(table, at(1)) == 0U);
 }
 
+// Guards against calls to a leaving endpoint by a VM that reads the log more seldom than others.
+BOOST_AUTO_TEST_CASE(leavingIsToldToTheOthers)
+{
+    endpoint_table reader("dc1");
+    endpoint_table other("dc1");
+    reader.update(report("e1"), at(0));
+    other.update(report("e1"), at(0));
+    endpoint_report leaving = report("e1");
+    leaving.leaving = true;
+    reader.update(leaving, at(1));
+    other.peerDigest(digestOf(reader, "reader", at(1.1)), at(1.1));
+    BOOST_TEST(candidates(other, at(1.1)) == 0U);
+    BOOST_TEST(digestOf(other, "other", at(1.2)).goneEndpoints.empty());
+    // It is back: the other's own read says so.
+    other.update(report("e1", 2), at(3));
+    BOOST_TEST(candidates(other, at(3)) == 1U);
+}
+
 // Guards against a pool without endpoints after an outage of the log in which all entries lapsed,
 // and against calls to gone endpoints after that.
 BOOST_AUTO_TEST_CASE(lastEntriesStayForAMoment)
