--- a/burdockhold/loop_exchange.cc
+++ b/burdockhold/loop_exchange.cc
@@ -449,7 +449,9 @@
     const bool repeatable = mayRepeat(m_route->kind, m_route->resumable);
     if (m_route->kind == call_kind::Stream && m_route->resumable)
         m_context.movable.insert(shared_from_this());
-    m_link = m_context.links.take(m_address, repeatable);
+    // A repeat takes a new connection: endpoints crash together, and an idle connection to one that
+    // has just crashed fails after the request went out.
+    m_link = m_context.links.take(m_address, repeatable && m_sends == 1);
     if (!m_link) {
         callEnded(call_end::NotSent);
         return;
@@ -754,6 +756,8 @@
     router_board &board = m_context.board;
     board.metrics.count(counter);
     const time_point now = steadyNow();
+    if (m_sends == 0)
+        m_waited = now - m_arrival;
     const bool good = counter == router_counter::Served;
     if (board.log.accepts(good ? log_weight::Success : log_weight::Failure, now)) {
         board.log.write(
--- a/burdockhold/loop_log.h
+++ b/burdockhold/loop_log.h
@@ -51,8 +51,8 @@
 struct follower_options
 {
     std::string topic;
-    duration readWait = duration::zero();  ///< How long a read waits at the log for a record.
-    std::function<duration()> readPause;   ///< Between reads; asked before each.
+    duration readWait = duration::zero(); ///< How long a read waits at the log for a record.
+    std::function<duration()> readPause;  ///< Between reads; asked before each.
     duration retryPause = std::chrono::milliseconds(250);   ///< After a failed call.
     duration callTimeout = std::chrono::milliseconds(1500); ///< Beyond readWait.
 };
--- a/burdockhold/loop_peers.cc
+++ b/burdockhold/loop_peers.cc
@@ -63,8 +63,8 @@
         return;
     m_board.digestWanted = false;
     const double peers = static_cast<double>(m_peers.size());
-    const duration interval
-            = std::max(m_options.interval, fromSeconds(peers / m_options.sendsPerSecond));
+    const duration interval = std::max(m_options.interval,
+                                       fromSeconds(peers / m_options.sendsPerSecond));
     m_dueAt = now + interval;
     m_urgentAt = now + fromSeconds(toSeconds(interval) * m_options.urgentShare);
     for (auto row = m_peers.begin(); row != m_peers.end();)
--- a/tools/burdockholdctl.cc
+++ b/tools/burdockholdctl.cc
@@ -1,4 +1,4 @@
-// The operators' tool. Every command and exit code is listed by --help; see docs/operating.md.
+// The operators' tool. Every command and exit code is listed by --help; see docs/OPERATIONS.md.
 
 #include "burdockhold/ctl_catalogue.h"
 #include "burdockhold/ctl_http.h"
