--- a/burdockhold/loop_exchange.cc
+++ b/burdockhold/loop_exchange.cc
@@ -316,6 +316,14 @@
     return m_route->latencyTarget * LongestWaitTenths / 10;
 }
 
+/// Id of the deepest shared part; the store that keeps it gets all parts before it too.
+std::string_view exchange::partId() const
+{
+    if (m_request.prefix.size() < 2)
+        return {};
+    return m_request.prefix[m_request.prefix.size() - 2].id;
+}
+
 std::vector<std::string> exchange::sharedPartKeys(std::int64_t version) const
 {
     std::vector<std::string> keys;
@@ -329,8 +337,9 @@
 {
     const time_point now = steadyNow();
     const std::string key = partKey(version);
-    return !key.empty() && !m_context.board.storeAddress(now).empty()
-           && m_context.board.savedParts.isSaved(key, now);
+    const std::string store = m_context.board.storeFor(partId(), now);
+    return !key.empty() && !store.empty()
+           && m_context.board.savedParts.isSaved(store + "/" + key, now);
 }
 
 /// Copies shared parts from the store, and saves those that it lacks.
@@ -338,11 +347,12 @@
 {
     router_board &board = m_context.board;
     const time_point now = steadyNow();
-    const std::string store = board.storeAddress(now);
+    const std::string store = board.storeFor(partId(), now);
     if (store.empty())
         return;
     bool missing = false;
-    for (const std::string &key : sharedPartKeys(m_expectedWeights)) {
+    for (const std::string &shared : sharedPartKeys(m_expectedWeights)) {
+        const std::string key = store + "/" + shared;
         const bool saved = board.savedParts.isSaved(key, now);
         missing = missing || !saved;
         if (saved)
--- a/burdockhold/loop_exchange.h
+++ b/burdockhold/loop_exchange.h
@@ -112,6 +112,7 @@
     void startCall(const std::vector<endpoint_candidate> &candidates, const endpoint_choice &choice,
                    const placement_need &need);
     endpoint_orders ordersFor(const std::string &endpointId, const std::string &copyFrom) const;
+    std::string_view partId() const;
     std::vector<std::string> sharedPartKeys(std::int64_t version) const;
     bool storeHoldsPart(std::int64_t version) const;
     void useStore(endpoint_orders &orders);
--- a/burdockhold/loop_peers.cc
+++ b/burdockhold/loop_peers.cc
@@ -107,6 +107,19 @@
     return digest;
 }
 
+void digest_link::noteDeadStores(const vm_digest &digest, time_point now)
+{
+    if (digest.deadStores.empty() || !m_board.deployment)
+        return;
+    for (const deployment_pool &pool : m_board.deployment->source().pools) {
+        if (!pool.store)
+            continue;
+        const std::uint32_t hash = shortHash(pool.store->address);
+        if (std::count(digest.deadStores.begin(), digest.deadStores.end(), hash) != 0)
+            m_board.storeIsAway(pool.store->address, now);
+    }
+}
+
 /// States the newest versions of each model: engines are rarely further behind.
 void digest_link::addNamed(vm_digest &digest) const
 {
@@ -118,7 +131,8 @@
             const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
                     bootTime - versions[index].namedAt);
             digest.named.push_back({ shortHash(model), versions[index].version,
-                                     static_cast<std::uint32_t>(age.count()) });
+                                     static_cast<std::uint32_t>(age.count()),
+                                     versions[index].guessed });
         }
     }
 }
@@ -175,7 +189,8 @@
                 m_board.wantedWeights.begin(), m_board.wantedWeights.end(),
                 [&](const auto &known) { return shortHash(known.first) == row.model; });
         if (model != m_board.wantedWeights.end())
-            m_board.noteNamed(model->first, row.version, std::chrono::milliseconds(row.ageMs));
+            m_board.noteNamed(model->first, row.version, std::chrono::milliseconds(row.ageMs),
+                              row.guessed);
     }
     // A VM that leaves has given up its duties; the next one need not wait for its silence.
     for (auto &[pool, claim] : m_board.otherClaims) {
@@ -184,10 +199,7 @@
     }
     for (const std::uint32_t part : digest.savedParts)
         m_board.savedParts.peerSaved(part, now);
-    const std::string store = m_board.storeAddress(now);
-    const std::uint32_t storeHash = shortHash(store);
-    if (std::count(digest.deadStores.begin(), digest.deadStores.end(), storeHash) != 0)
-        m_board.storeIsAway(store, now);
+    noteDeadStores(digest, now);
     for (auto &[account, quota] : m_board.quotas) {
         const std::uint32_t hash = shortHash(account);
         const auto row = std::find_if(digest.accounts.begin(), digest.accounts.end(),
--- a/burdockhold/loop_peers.h
+++ b/burdockhold/loop_peers.h
@@ -59,6 +59,7 @@
     void received(std::size_t bytes);
     void apply(const vm_digest &digest, peer &from, time_point now);
     vm_digest ownDigest(time_point now);
+    void noteDeadStores(const vm_digest &digest, time_point now);
     void addNamed(vm_digest &digest) const;
 
     boost::asio::ip::udp::socket m_socket;
--- a/burdockhold/loop_router.cc
+++ b/burdockhold/loop_router.cc
@@ -27,6 +27,9 @@
 constexpr duration EndMargin = std::chrono::milliseconds(300);
 // Part of the revocation bound after which a VM without the log asks for no new callers.
 constexpr int ReadyAgeTenths = 6;
+// Calls on weights of an unknown age go on this long, less the margin of the bound, after a start:
+// enough for the first digests, and less than the platform allows a started VM.
+constexpr duration GraceOfGuess = std::chrono::milliseconds(4000);
 constexpr std::size_t MaxProbeBytes = 4096;
 constexpr int StatusOk = 200;
 
@@ -296,10 +299,11 @@
         return;
     const platform::wanted_weights &wanted = valueOf(decoded);
 
-    // What a started VM finds may have been named any time before; the others' digests tell.
+    // What a started VM finds may have been named any time before. Unless the digests of others
+    // tell the time, calls on older weights end a moment after the start.
     const bool atStart = m_board.deploymentProvenAt < duration::zero();
-    const duration age = atStart ? m_board.settings.weightsBound / 4 : duration::zero();
-    if (!m_board.noteNamed(wanted.model, wanted.version, age))
+    const duration age = atStart ? m_board.settings.weightsBound - GraceOfGuess : duration::zero();
+    if (!m_board.noteNamed(wanted.model, wanted.version, age, atStart))
         return;
     const time_point now = steadyNow();
     if (m_board.log.accepts(log_weight::Belief, now))
--- a/burdockhold/router_board.cc
+++ b/burdockhold/router_board.cc
@@ -1,5 +1,7 @@
 #include "burdockhold/router_board.h"
 
+#include <xxhash.h>
+
 #include <ctime>
 
 #include <algorithm>
@@ -40,21 +42,25 @@
     return found == wantedWeights.end() ? 0 : found->second.back().version;
 }
 
-bool router_board::noteNamed(const std::string &model, std::int64_t version, duration age)
+bool router_board::noteNamed(const std::string &model, std::int64_t version, duration age,
+                             bool guessed)
 {
     const duration namedAt = bootNow() - age;
     auto &versions = wantedWeights[model];
     for (wanted_version &known : versions) {
         if (known.version != version)
             continue;
-        known.namedAt = std::min(known.namedAt, namedAt);
+        if (known.guessed && !guessed)
+            known = { version, namedAt, false };
+        else if (known.guessed == guessed)
+            known.namedAt = std::min(known.namedAt, namedAt);
         return false;
     }
     const bool newest = versions.empty() || version > versions.back().version;
     const auto place = std::upper_bound(
             versions.begin(), versions.end(), version,
             [](std::int64_t value, const wanted_version &known) { return value < known.version; });
-    versions.insert(place, { version, namedAt });
+    versions.insert(place, { version, namedAt, guessed });
     if (versions.size() > MaxVersionsKept)
         versions.erase(versions.begin());
     return newest;
@@ -72,18 +78,26 @@
     return false;
 }
 
-std::string router_board::storeAddress(time_point now) const
+std::string router_board::storeFor(std::string_view part, time_point now) const
 {
+    std::string best;
+    std::uint64_t bestScore = 0;
     if (!deployment)
-        return {};
+        return best;
+    const std::uint64_t seed = XXH64(part.data(), part.size(), 0);
     for (const deployment_pool &pool : deployment->source().pools) {
         if (!pool.store)
             continue;
-        const auto away = storeAwayUntil.find(pool.store->address);
-        if (away == storeAwayUntil.end() || now >= away->second)
-            return pool.store->address;
+        const std::string &address = pool.store->address;
+        const auto away = storeAwayUntil.find(address);
+        const std::uint64_t score = XXH64(address.data(), address.size(), seed);
+        const bool usable = away == storeAwayUntil.end() || now >= away->second;
+        if (usable && (best.empty() || score > bestScore)) {
+            best = address;
+            bestScore = score;
+        }
     }
-    return {};
+    return best;
 }
 
 void router_board::storeIsAway(const std::string &address, time_point now)
--- a/burdockhold/router_board.h
+++ b/burdockhold/router_board.h
@@ -31,6 +31,7 @@
 {
     std::int64_t version = 0;
     duration namedAt = duration::zero();
+    bool guessed = false; ///< The VM started after it was named, and no other VM has told the time.
 };
 
 /// What other VMs have said of a duty.
@@ -54,16 +55,17 @@
     /// Version of the model's weights that the operator wants; 0 when none was named.
     std::int64_t wantedVersion(const std::string &model) const;
 
-    /// Notes that a version was named this long ago. An older time replaces a newer one: the first
-    /// VM that saw it knows best. Returns true when the version is the newest and was not known.
-    bool noteNamed(const std::string &model, std::int64_t version, duration age);
+    /// Notes that a version was named this long ago. A known time replaces a guessed one; of two
+    /// known ones the older holds: the first VM that saw it knows best. Returns true when the
+    /// version is the newest and was not known.
+    bool noteNamed(const std::string &model, std::int64_t version, duration age, bool guessed);
 
     /// True when calls may no longer begin on this version: a newer one was named too long ago.
     bool weightsExpired(const std::string &model, std::int64_t version) const;
 
-    /// Address of the store of cached parts that the deployment names, or an empty string while
-    /// there is none or it is away.
-    std::string storeAddress(time_point now) const;
+    /// Address of the store that keeps this part, of those that the deployment names and that are
+    /// not away; an empty string when there is none. All VMs choose the same one.
+    std::string storeFor(std::string_view part, time_point now) const;
 
     /// Marks the store as away for a moment, and forgets what it held.
     void storeIsAway(const std::string &address, time_point now);
--- a/burdockhold/vm_digest.h
+++ b/burdockhold/vm_digest.h
@@ -68,7 +68,8 @@
     std::uint32_t model = 0;
     std::int64_t version = 0;
     std::uint32_t ageMs = 0;
-    MSGPACK_DEFINE_ARRAY(model, version, ageMs)
+    bool guessed = false; ///< The sender started after it was named.
+    MSGPACK_DEFINE_ARRAY(model, version, ageMs, guessed)
 };
 
 struct vm_digest
--- a/testing/router_looptest.cc
+++ b/testing/router_looptest.cc
@@ -238,6 +238,8 @@
 // Guards against an answer to another request, a body without a signature, and a coded body.
 BOOST_FIXTURE_TEST_CASE(answersThatAreNotTheCallsAreNotDelivered, fixture)
 {
+    const std::string signedHead = "HTTP/1.1 200 OK\r\nX-Burdockhold-Attempt-Id: id1\r\n"
+                                   "X-Burdockhold-Server-Stamp: s\r\n";
     const std::vector<std::string> wrong{
         "HTTP/1.1 200 OK\r\nX-Burdockhold-Attempt-Id: id1\r\nContent-Length: 3\r\n\r\nbad",
         "HTTP/1.1 200 OK\r\nX-Burdockhold-Server-Stamp: s\r\nContent-Length: 3\r\n\r\nbad",
--- a/testing/router_parts_test.cc
+++ b/testing/router_parts_test.cc
@@ -169,7 +169,7 @@
     digest.endpoints.push_back({ 1, 2, 3, 4, 5, 6, 7 });
     digest.weights.push_back({ 1, 2, 3, true });
     digest.duties.push_back({ 1, true, 20 });
-    digest.named.push_back({ 1, 2, 3 });
+    digest.named.push_back({ 1, 2, 3, true });
     digest.savedParts = { 9 };
     const std::string bytes = encodeDigest(digest);
     const auto decoded = decodeDigest(bytes);
