Share no parts that were made under unknown weights

Found by reading: where neither an entry nor the operator names a version, all such parts had one salt, and the store of cached parts would have kept them beyond a change of weights.

--- a/burdockhold/loop_exchange.cc
+++ b/burdockhold/loop_exchange.cc
@@ -256,6 +256,9 @@
 
 std::string exchange::cacheSalt(std::int64_t version) const
 {
+    // Parts made under weights that nobody knows are shared with no other request.
+    if (version == 0)
+        return "u." + m_request.callId;
     const bool isolated = m_account != nullptr && m_account->isolated;
     return (isolated ? "a." + m_account->name : std::string("s")) + "." + std::to_string(version);
 }
@@ -348,7 +351,7 @@
     router_board &board = m_context.board;
     const time_point now = steadyNow();
     const std::string store = board.storeFor(partId(), now);
-    if (store.empty())
+    if (store.empty() || m_expectedWeights == 0)
         return;
     bool missing = false;
     for (const std::string &shared : sharedPartKeys(m_expectedWeights)) {
