--- a/burdockhold/loop_router.cc
+++ b/burdockhold/loop_router.cc
@@ -209,7 +209,8 @@
 duration event_router::endpointReadPause() const
 {
     constexpr double LeastShare = 1.0;
-    constexpr double MostShare = 6.0; // New endpoints are found by own reads only.
+    // Own reads alone keep the bound: digests may be lost, and do not tell of new endpoints.
+    constexpr double MostShare = 2.0;
     constexpr double VmsForOne = 2.5; // Reads of this many VMs stand for one's own.
     const double share = static_cast<double>(m_board.livePeers.size()) / VmsForOne;
     return fromSeconds(toSeconds(m_board.settings.leavingBound) * 0.4
