--- a/burdockhold/loop_exchange.cc
+++ b/burdockhold/loop_exchange.cc
@@ -439,7 +439,6 @@
     m_expectedMs = choice.expectedMs;
     m_promptRead = false;
     m_headArrived = false;
-    m_wrongAnswer = false;
     m_head = {};
     m_body.clear();
     m_callStarted = steadyNow();
@@ -505,7 +504,6 @@
     m_head = std::move(head);
     m_headArrived = true;
     if (!isOwnAnswer(m_head)) {
-        m_wrongAnswer = true;
         const auto link = m_link;
         link->close();
         callEnded(call_end::WrongAnswer);
--- a/burdockhold/loop_exchange.h
+++ b/burdockhold/loop_exchange.h
@@ -158,7 +158,6 @@
     time_point m_callStarted;
     endpoint_answer_head m_head;
     bool m_headArrived = false;
-    bool m_wrongAnswer = false;
     std::string m_body;
     std::string m_partKey;
     std::int64_t m_expectedWeights = 0;
