Order loads of weights in time for large pools

Cause: with running requests near the engines' memory the planner fell back to two loads at once. Ruled out: refused or lost orders (60 orders, all accepted but two); the duty, which was held throughout. Change: at least as many engines load at once as the time left needs; engines whose weights have ended are ordered at once; what waits at an engine beyond its memory no longer counts as held. Tests: a pool of 9, 60 and 300 engines at full memory loads within the bound; both new tests fail without it. Streams still wait 1.9 s for the store's link after it.

--- a/burdockhold/loop_duties.cc
+++ b/burdockhold/loop_duties.cc
@@ -201,7 +201,9 @@
 {
     const wanted_load wanted{ m_board.wantedVersion(model), pool.engine->cacheTokens };
     weights_planner &planner = duty.planners[model];
-    const auto engines = m_board.endpoints.orderedEngines(pool.name, model, now);
+    auto engines = m_board.endpoints.orderedEngines(pool.name, model, now);
+    for (ordered_engine &engine : engines)
+        engine.usableFor = m_board.weightsUsableFor(model, engine.version);
     const duration othersOrderAge = now - m_board.otherClaims[shortHash(pool.name)].orderAt;
     const auto token = duty.lease.token(bootNow(), othersOrderAge);
     const auto actions = planner.step(engines, wanted, token, now);
--- a/burdockhold/router_board.cc
+++ b/burdockhold/router_board.cc
@@ -66,16 +66,16 @@
     return newest;
 }
 
-bool router_board::weightsExpired(const std::string &model, std::int64_t version) const
+duration router_board::weightsUsableFor(const std::string &model, std::int64_t version) const
 {
     const auto found = wantedWeights.find(model);
     if (found == wantedWeights.end())
-        return false;
+        return duration::max();
     for (const wanted_version &named : found->second) {
         if (named.version > version)
-            return bootNow() - named.namedAt > settings.weightsBound - OldWeightsMargin;
+            return settings.weightsBound - OldWeightsMargin - (bootNow() - named.namedAt);
     }
-    return false;
+    return duration::max();
 }
 
 std::string router_board::storeFor(std::string_view part, time_point now) const
--- a/burdockhold/router_board.h
+++ b/burdockhold/router_board.h
@@ -60,8 +60,14 @@
     /// version is the newest and was not known.
     bool noteNamed(const std::string &model, std::int64_t version, duration age, bool guessed);
 
-    /// True when calls may no longer begin on this version: a newer one was named too long ago.
-    bool weightsExpired(const std::string &model, std::int64_t version) const;
+    /// How long calls may still begin on this version after a newer one was named; zero or less
+    /// when none may, and the longest duration when there is no newer one.
+    duration weightsUsableFor(const std::string &model, std::int64_t version) const;
+
+    bool weightsExpired(const std::string &model, std::int64_t version) const
+    {
+        return weightsUsableFor(model, version) < duration::zero();
+    }
 
     /// Address of the store that keeps this part, of those that the deployment names and that are
     /// not away; an empty string when there is none. All VMs choose the same one.
--- a/burdockhold/weights_orders.cc
+++ b/burdockhold/weights_orders.cc
@@ -35,6 +35,7 @@
     std::vector<order_action> actions;
     int loading = loadingCount(now);
     const int most = mostLoading(engines, wanted.cacheTokens, now);
+    const int inTime = leastInTime(engines, wanted.version);
     int firstWaveLeft = firstWave(engines, wanted.version);
     for (const ordered_engine *engine : sorted) {
         engine_entry &entry = m_engines[engine->id];
@@ -52,10 +53,13 @@
             actions.emplace_back(ask_engine_state{ engine->id, engine->address });
             continue;
         }
-        if (engine->version >= wanted.version || loading >= most)
+        if (engine->version >= wanted.version)
             continue;
+        const bool isDue = loading < inTime || engine->usableFor <= duration::zero();
         const bool drained = engine->running <= m_options.fewRunning;
-        if (!drained && firstWaveLeft <= 0 && now - entry.behindSince < m_options.forceAfter)
+        const bool mayWait = !drained && firstWaveLeft <= 0
+                             && now - entry.behindSince < m_options.forceAfter;
+        if (!isDue && (loading >= most || mayWait))
             continue;
         --firstWaveLeft;
         ++loading;
@@ -143,7 +147,10 @@
         if (engine.silent || overdue)
             continue;
         serving += 1.0;
-        held += static_cast<double>(engine.heldTokens);
+        // What waits at an engine beyond its memory is not held.
+        const std::int64_t holds = cacheTokens > 0 ? std::min(engine.heldTokens, cacheTokens)
+                                                   : engine.heldTokens;
+        held += static_cast<double>(holds);
     }
     const double needed = cacheTokens > 0
                                   ? held / (m_options.heldShare * static_cast<double>(cacheTokens))
@@ -168,6 +175,23 @@
     return static_cast<int>(std::ceil(share)) - begun;
 }
 
+/// Engines that have to load at once so that the last one is done before its weights end.
+int weights_planner::leastInTime(const std::vector<ordered_engine> &engines,
+                                 std::int64_t version) const
+{
+    double behind = 0.0;
+    duration timeLeft = duration::max();
+    for (const ordered_engine &engine : engines) {
+        if (engine.version >= version || engine.silent || engine.usableFor <= duration::zero())
+            continue;
+        behind += 1.0;
+        timeLeft = std::min(timeLeft, engine.usableFor);
+    }
+    // One load time is left for the last ones to finish.
+    const double rounds = std::max(1.0, toSeconds(timeLeft) / toSeconds(m_options.loadTime) - 1.0);
+    return static_cast<int>(std::ceil(behind / rounds));
+}
+
 bool weights_planner::countsAsLoading(const engine_entry &entry, time_point now) const
 {
     return entry.loading && now - entry.loadingSince < m_options.loadTimeout;
--- a/burdockhold/weights_orders.h
+++ b/burdockhold/weights_orders.h
@@ -5,6 +5,8 @@
 //
 // Promises:
 // - At most loadingShare of a pool's engines, rounded up, load at once, so that the others serve.
+//   More load only if the rest would otherwise reach the end of their weights' use first, after
+//   which an engine serves nothing until it has loaded.
 // - Every order names the number of orders that the engine has accepted, so that a late copy of an
 //   older order finds another number and is refused by the engine.
 // - After an order without an answer the engine is asked for its state before it is ordered again.
@@ -78,6 +80,8 @@
     std::int64_t heldTokens = 0; ///< Of its running requests; engines with less go first.
     bool silent = false;         ///< Does not serve now; it may be dead.
     int running = 0;             ///< Requests that it runs.
+    /// How long calls may still begin on its weights; zero or less when none may.
+    duration usableFor = duration::max();
 };
 
 struct weights_order_options
@@ -101,6 +105,8 @@
     duration checkInterval = std::chrono::milliseconds(150);
     /// Pause after a refusal, a conflict or a missing answer, at least the lag of reports.
     duration retryPause = std::chrono::milliseconds(250);
+    /// Usual time from an order to the first call: running requests end, then the weights load.
+    duration loadTime = std::chrono::milliseconds(1200);
     /// A load without an end for this long no longer counts against loadingShare.
     duration loadTimeout = std::chrono::seconds(6);
 };
@@ -150,6 +156,7 @@
     int mostLoading(const std::vector<ordered_engine> &engines, std::int64_t cacheTokens,
                     time_point now) const;
     int firstWave(const std::vector<ordered_engine> &engines, std::int64_t version) const;
+    int leastInTime(const std::vector<ordered_engine> &engines, std::int64_t version) const;
     bool countsAsLoading(const engine_entry &entry, time_point now) const;
     int loadingCount(time_point now) const;
 
--- a/testing/weights_orders_test.cc
+++ b/testing/weights_orders_test.cc
@@ -66,11 +66,11 @@
 
 struct simulation
 {
-    explicit simulation(std::uint32_t seed, double lostShare)
+    explicit simulation(std::uint32_t seed, double lostShare, int engineCount = 9)
         : random(seed)
         , lost(lostShare)
     {
-        for (int number = 0; number < 9; ++number)
+        for (int number = 0; number < engineCount; ++number)
             engines.push_back({ "e" + std::to_string(number) });
     }
 
@@ -78,8 +78,8 @@
     {
         std::vector<ordered_engine> seen;
         for (const engine_model &engine : engines)
-            seen.push_back(
-                    { engine.id, "127.0.0.1:1", 1, "m", engine.version, 0, false, engine.running });
+            seen.push_back({ engine.id, "127.0.0.1:1", 1, "m", engine.version, heldTokens, false,
+                             engine.running, engine.version < 2 ? usableFor : duration::max() });
         return seen;
     }
 
@@ -134,6 +134,8 @@
 
     std::mt19937 random;
     double lost;
+    std::int64_t heldTokens = 0;          // Of each engine.
+    duration usableFor = duration::max(); // Of version 1.
     std::vector<engine_model> engines;
     std::vector<order_on_its_way> late;
     weights_planner planner;
@@ -225,3 +227,33 @@
         }
     }
 }
+
+// Guards against a large pool at high load that loads two engines at a time: calls may no longer
+// begin on the old weights of the others long before their turn, and the pool stands still.
+BOOST_AUTO_TEST_CASE(largePoolAtHighLoadLoadsBeforeItsWeightsEnd)
+{
+    for (const int count : { 9, 60, 300 }) {
+        simulation run(5, 0.0, count);
+        run.heldTokens = 95573;
+        for (engine_model &engine : run.engines)
+            engine.running = 30;
+        double now = 0.0;
+        for (; now < 8.5; now += 0.05) {
+            run.usableFor = fromSeconds(8.5 - now);
+            run.step(now, 2, 7);
+            BOOST_REQUIRE(run.loading() <= count / 2 + 1);
+        }
+        BOOST_TEST(run.allAt(2));
+    }
+}
+
+// Guards against engines that wait for their turn although no call may begin on their weights.
+BOOST_AUTO_TEST_CASE(enginesWithEndedWeightsAreOrderedAtOnce)
+{
+    simulation run(5, 0.0, 60);
+    run.heldTokens = 95573;
+    run.usableFor = duration::zero();
+    for (double now = 0.0; now < 2.5; now += 0.05)
+        run.step(now, 2, 7);
+    BOOST_TEST(run.allAt(2));
+}
