Let the second wave of loads drain again

Change: the time left only raises the number of loads at once; an engine with running requests waits for its turn unless its weights have ended.

--- a/burdockhold/weights_orders.cc
+++ b/burdockhold/weights_orders.cc
@@ -34,8 +34,8 @@
 
     std::vector<order_action> actions;
     int loading = loadingCount(now);
-    const int most = mostLoading(engines, wanted.cacheTokens, now);
-    const int inTime = leastInTime(engines, wanted.version);
+    const int most = std::max(mostLoading(engines, wanted.cacheTokens, now),
+                              leastInTime(engines, wanted.version));
     int firstWaveLeft = firstWave(engines, wanted.version);
     for (const ordered_engine *engine : sorted) {
         engine_entry &entry = m_engines[engine->id];
@@ -55,11 +55,11 @@
         }
         if (engine->version >= wanted.version)
             continue;
-        const bool isDue = loading < inTime || engine->usableFor <= duration::zero();
+        const bool ended = engine->usableFor <= duration::zero();
         const bool drained = engine->running <= m_options.fewRunning;
         const bool mayWait = !drained && firstWaveLeft <= 0
                              && now - entry.behindSince < m_options.forceAfter;
-        if (!isDue && (loading >= most || mayWait))
+        if (!ended && (loading >= most || mayWait))
             continue;
         --firstWaveLeft;
         ++loading;
