Plan transfers of cached parts by the load of the stores' links

Cause: every call to an engine copied its shared parts from the store. A copy counted as a seventh of a read, so prompts left their homes at a difference of ten requests, and each VM saved each part for itself, since digests a second apart carried an announcement of 0.7 s. Ruled out: the engines' rate of reading (a quarter in use) and waiting at the router (409 of 17,446 requests). Change: part_transfer.h decides what is copied and saved; a ledger over all VMs holds what is ordered below twice the link's rate; the store in the data centre of the home comes first; a saved part is told in three digests; an engine that lacks a part costs as much as reading it; in pools over 16 engines the home and six others are compared.

--- a/burdockhold/deployment.cc
+++ b/burdockhold/deployment.cc
@@ -62,4 +62,13 @@
     return found == m_pools.end() ? nullptr : found->second;
 }
 
+double deployment_index::tokensPerSecond(const cache_store &store) const
+{
+    for (const deployment_pool &pool : m_source.pools) {
+        if (pool.engine && pool.engine->tokenBytes > 0)
+            return store.linkBytesPerSecond / static_cast<double>(pool.engine->tokenBytes);
+    }
+    return 0.0;
+}
+
 } // namespace burdockhold
--- a/burdockhold/deployment.h
+++ b/burdockhold/deployment.h
@@ -48,6 +48,7 @@
 {
     int slots = 1;
     std::int64_t cacheTokens = 0; ///< Memory of running requests and cached parts together.
+    std::int64_t tokenBytes = 0;  ///< Size of a cached token; 0 when not stated.
     std::vector<std::string> models;
 };
 
@@ -56,6 +57,7 @@
 {
     std::string address; ///< IP:PORT.
     std::string dataCentre;
+    double linkBytesPerSecond = 0.0; ///< 0 when not stated.
 };
 
 struct deployment_pool
@@ -113,6 +115,10 @@
 
     const deployment_pool *findPool(std::string_view name) const;
 
+    /// Returns cached tokens a second that the store's link carries within a data centre; 0 when
+    /// the deployment does not state it.
+    double tokensPerSecond(const cache_store &store) const;
+
 private:
     deployment m_source;
     std::unordered_map<std::string, std::vector<const deployment_route *>> m_routesByHost;
--- a/burdockhold/endpoint_choice.cc
+++ b/burdockhold/endpoint_choice.cc
@@ -65,14 +65,15 @@
     return ms;
 }
 
-/// Returns a candidate that holds the part and can be reached, other than the given one.
+/// Returns a candidate that holds the part, or should, and can be reached, other than the given
+/// one. A home that has lost the part costs a millisecond.
 std::optional<std::size_t> holderBeside(const std::vector<endpoint_candidate> &candidates,
                                         std::size_t chosen, std::optional<std::size_t> home)
 {
     const auto usable = [&](std::size_t index) {
         const endpoint_candidate &candidate = candidates[index];
-        return index != chosen && candidate.holdsPart && !candidate.suspect
-               && !candidate.oldWeights;
+        return index != chosen && (candidate.holdsPart || index == home) && !candidate.suspect
+               && !candidate.oldWeights && candidate.excluded == exclusion::None;
     };
     if (home && usable(*home))
         return home;
@@ -83,6 +84,36 @@
     return std::nullopt;
 }
 
+/// What a call at the candidate would cost, or nothing if it cannot take the request.
+std::optional<endpoint_choice> expectedOf(const std::vector<endpoint_candidate> &candidates,
+                                          std::size_t index, std::optional<std::size_t> home,
+                                          const placement_need &need,
+                                          const endpoint_choice_options &options)
+{
+    const endpoint_candidate &candidate = candidates[index];
+    const bool plain = need.homeKey.empty();
+    const bool holds = candidate.holdsPart || index == home;
+    if (candidate.excluded != exclusion::None
+        || !hasRoom(candidate, need, holds || need.storeHoldsPart, options))
+        return std::nullopt;
+    endpoint_choice choice;
+    choice.index = index;
+    if (!plain && !holds)
+        choice.copyFrom = holderBeside(candidates, index, home);
+    const bool canCopy = need.storeHoldsPart || choice.copyFrom;
+    choice.expectedMs = penaltyMs(candidate, options)
+                        + (plain ? serviceMs(candidate, options)
+                                 : engineMs(candidate, need, holds, canCopy, options));
+    choice.expectedCachedTokens = holds ? need.promptTokens - need.ownTokens : 0;
+    return choice;
+}
+
+void keepBetter(std::optional<endpoint_choice> &best, const std::optional<endpoint_choice> &other)
+{
+    if (other && (!best || other->expectedMs < best->expectedMs))
+        best = other;
+}
+
 } // namespace
 
 std::optional<std::size_t> homeOf(const std::vector<endpoint_candidate> &candidates,
@@ -108,25 +139,20 @@
 {
     const bool plain = need.homeKey.empty();
     const std::optional<std::size_t> home = plain ? std::nullopt : homeOf(candidates, need.homeKey);
+    const bool sampled = !plain && candidates.size() > options.comparedWhole;
     std::optional<endpoint_choice> best;
+    if (home)
+        keepBetter(best, expectedOf(candidates, *home, home, need, options));
+    std::size_t compared = 0;
     for (std::size_t step = 0; step < candidates.size(); ++step) {
         const std::size_t index = (step + seed) % candidates.size();
-        const endpoint_candidate &candidate = candidates[index];
-        const bool holds = candidate.holdsPart || index == home;
-        if (candidate.excluded != exclusion::None
-            || !hasRoom(candidate, need, holds || need.storeHoldsPart, options))
+        if (index == home)
             continue;
-        endpoint_choice choice;
-        choice.index = index;
-        if (!plain && !holds)
-            choice.copyFrom = holderBeside(candidates, index, home);
-        choice.expectedMs = penaltyMs(candidate, options)
-                            + (plain ? serviceMs(candidate, options)
-                                     : engineMs(candidate, need, holds,
-                                                need.storeHoldsPart || choice.copyFrom, options));
-        choice.expectedCachedTokens = holds ? need.promptTokens - need.ownTokens : 0;
-        if (!best || choice.expectedMs < best->expectedMs)
-            best = choice;
+        if (sampled && compared >= options.sampleSize && best)
+            break;
+        const auto choice = expectedOf(candidates, index, home, need, options);
+        compared += candidates[index].excluded == exclusion::None ? 1 : 0;
+        keepBetter(best, choice);
     }
     return best;
 }
--- a/burdockhold/endpoint_choice.h
+++ b/burdockhold/endpoint_choice.h
@@ -9,6 +9,10 @@
 // endpoint is chosen when waiting at the home costs more than reading the part again, or copying it
 // from the home. The function is pure; equal inputs give equal choices. Time is linear in the
 // number of candidates.
+//
+// In a pool of more than comparedWhole endpoints only the home and a sample that the seed draws are
+// compared: many VMs with views of the same age would otherwise all choose the same idle endpoint.
+// The others are looked at only when none of the sample has room.
 
 #include "burdockhold/clock.h"
 #include "burdockhold/enum_names.h"
@@ -69,8 +73,12 @@
 
 struct endpoint_choice_options
 {
-    double readTokensPerMs = 50.0;  ///< Prefill rate of an engine; engines state none.
-    double copyTokensPerMs = 350.0; ///< Link of 740 Gbit/s at 262 KB a token.
+    double readTokensPerMs = 50.0; ///< Prefill rate of an engine; engines state none.
+    /// What an engine that lacks a part costs when it can copy it. The copy itself takes a seventh
+    /// of the time of reading; the rest stands for those that wait behind it at the link, and for
+    /// the part that yields for it. At the bare time of the copy prompts leave their homes at the
+    /// least load, and the store's link is the first thing that is full.
+    double copyTokensPerMs = 50.0;
     /// Reading a part again delays the requests behind it too, so it weighs more than its own time.
     double rereadWeight = 2.0;
     double runningMs = 1.0;      ///< Each running request slows the steps of all.
@@ -89,6 +97,8 @@
     double priorCalls = 3.0;     ///< Calls without failure that are assumed of each endpoint.
     double crossDataCentreMs = 1.0;
     double serviceMs = 20.0; ///< Assumed of plain services before their first answer.
+    std::size_t comparedWhole = 16;
+    std::size_t sampleSize = 6; ///< Beside the home.
 };
 
 struct endpoint_choice
--- a/burdockhold/loop_exchange.cc
+++ b/burdockhold/loop_exchange.cc
@@ -271,7 +271,7 @@
     return m_request.model + "/" + cacheSalt(version) + "/" + deepest.id;
 }
 
-placement_need exchange::needOf() const
+placement_need exchange::needOf(const std::vector<endpoint_candidate> &candidates) const
 {
     placement_need need;
     if (m_pool == nullptr || !m_pool->engine || m_request.model.empty())
@@ -290,7 +290,10 @@
     need.homeKey += "/" + deepest.id;
     need.partTokens = deepest.tokens;
     need.ownTokens = m_request.prefix.back().tokens;
-    need.storeHoldsPart = storeHoldsPart(m_context.board.wantedVersion(m_request.model));
+    const cache_store *store = storeOfParts(candidates, need.homeKey);
+    need.storeHoldsPart = store != nullptr
+                          && storeHoldsParts(*store,
+                                             m_context.board.wantedVersion(m_request.model));
     return need;
 }
 
@@ -336,37 +339,74 @@
     return keys;
 }
 
-bool exchange::storeHoldsPart(std::int64_t version) const
+/// The store that keeps the request's shared parts, chosen by the home's data centre.
+const cache_store *exchange::storeOfParts(const std::vector<endpoint_candidate> &candidates,
+                                          const std::string &homeKey) const
 {
+    const auto home = homeOf(candidates, homeKey);
+    const endpoint_report *report = home ? m_context.board.endpoints.find(candidates[*home].id)
+                                         : nullptr;
+    return m_context.board.storeFor(partId(), report == nullptr ? "" : report->dataCentre,
+                                    steadyNow());
+}
+
+/// True when the store has all shared parts, as far as is known.
+bool exchange::storeHoldsParts(const cache_store &store, std::int64_t version) const
+{
+    const saved_parts &saved = m_context.board.savedParts;
     const time_point now = steadyNow();
-    const std::string key = partKey(version);
-    const std::string store = m_context.board.storeFor(partId(), now);
-    return !key.empty() && !store.empty()
-           && m_context.board.savedParts.isSaved(store + "/" + key, now);
+    const auto keys = sharedPartKeys(version);
+    return std::all_of(keys.begin(), keys.end(), [&](const std::string &key) {
+        return saved.isSaved(store.address + "/" + key, now);
+    });
 }
 
-/// Copies shared parts from the store, and saves those that it lacks.
-void exchange::useStore(endpoint_orders &orders)
+/// Notes the shared parts as used, or as being saved.
+void exchange::noteSharedParts(const std::string &store, bool beingSaved)
+{
+    saved_parts &saved = m_context.board.savedParts;
+    const time_point now = steadyNow();
+    for (const std::string &key : sharedPartKeys(m_expectedWeights)) {
+        const std::string name = store + "/" + key;
+        if (saved.isSaved(name, now))
+            saved.touch(name, now);
+        else if (beingSaved)
+            saved.save(name, now);
+    }
+}
+
+/// Names where the engine gets the shared parts that it lacks, and where it saves them.
+void exchange::moveParts(endpoint_orders &orders, const placement_need &need,
+                         const std::vector<endpoint_candidate> &candidates,
+                         const std::string &holder)
 {
     router_board &board = m_context.board;
+    const cache_store *store = m_expectedWeights > 0 ? storeOfParts(candidates, need.homeKey)
+                                                     : nullptr;
+    part_facts facts;
+    facts.tokens = need.partTokens;
+    facts.promptTokens = need.promptTokens;
+    facts.holder = holder;
+    facts.expectedHeld = m_load.unreadTokens < need.promptTokens;
+    if (store != nullptr) {
+        const endpoint_report *engine = board.endpoints.find(m_endpointId);
+        facts.store = store->address;
+        facts.crossesDataCentres = engine != nullptr && engine->dataCentre != store->dataCentre;
+        facts.storeHoldsAll = storeHoldsParts(*store, m_expectedWeights);
+        facts.linkRoom = board.linkOf(*store, steadyNow()).room();
+    }
+    part_transfer transfer = planTransfer(facts);
     const time_point now = steadyNow();
-    const std::string store = board.storeFor(partId(), now);
-    if (store.empty() || m_expectedWeights == 0)
-        return;
-    bool missing = false;
-    for (const std::string &shared : sharedPartKeys(m_expectedWeights)) {
-        const std::string key = store + "/" + shared;
-        const bool saved = board.savedParts.isSaved(key, now);
-        missing = missing || !saved;
-        if (saved)
-            board.savedParts.touch(key, now);
-        else
-            board.savedParts.save(key, now);
+    if (transfer.storeLoad > 0.0 && !board.linkOf(*store, now).tryAdmit(transfer.storeLoad, now)) {
+        board.metrics.count(router_counter::TransfersWithoutRoom);
+        transfer = planWithoutStore(facts);
+    } else if (transfer.storeLoad > 0.0) {
+        noteSharedParts(store->address, !transfer.saveTo.empty());
     }
-    if (missing)
-        orders.saveParts = store;
-    // A part that another VM has just saved may not be known yet; a miss costs a millisecond.
-    orders.copyPartsFrom = store;
+    orders.copyPartsFrom = transfer.copyFrom;
+    orders.saveParts = transfer.saveTo;
+    m_copied = !orders.copyPartsFrom.empty();
+    m_saved = !orders.saveParts.empty();
 }
 
 bool exchange::place()
@@ -382,8 +422,8 @@
         return true;
     }
     const time_point now = steadyNow();
-    const placement_need need = needOf();
     const auto candidates = candidatesNow();
+    const placement_need need = needOf(candidates);
     const auto choice = chooseEndpoint(candidates, need, hashOf(m_request.callId));
     if (!choice)
         return false;
@@ -400,8 +440,7 @@
     return true;
 }
 
-endpoint_orders exchange::ordersFor(const std::string &endpointId,
-                                    const std::string &copyFrom) const
+endpoint_orders exchange::ordersFor(const std::string &endpointId) const
 {
     endpoint_orders orders;
     orders.endpointId = endpointId;
@@ -414,11 +453,20 @@
         orders.cacheSalt = cacheSalt(m_expectedWeights);
         if (m_expectedWeights > 0)
             orders.weights = m_expectedWeights;
-        orders.copyPartsFrom = copyFrom;
     }
     return orders;
 }
 
+/// Address of an engine with the same weights as the call's; empty when it has others.
+std::string exchange::holderAddress(std::string_view engine) const
+{
+    const endpoint_table &endpoints = m_context.board.endpoints;
+    const auto *source = endpoints.find(engine);
+    const bool sameWeights = source != nullptr
+                             && endpoints.weightsOf(engine, m_request.model) == m_expectedWeights;
+    return sameWeights ? source->address : std::string();
+}
+
 void exchange::startCall(const std::vector<endpoint_candidate> &candidates,
                          const endpoint_choice &choice, const placement_need &need)
 {
@@ -446,15 +494,8 @@
     if (m_expectedWeights == 0)
         m_expectedWeights = board.wantedVersion(m_request.model);
     m_partKey = partKey(m_expectedWeights);
-    std::string copyFrom;
-    if (choice.copyFrom) {
-        const auto *source = board.endpoints.find(candidates[*choice.copyFrom].id);
-        const bool sameWeights = source != nullptr
-                                 && board.endpoints.weightsOf(source->id, m_request.model)
-                                            == m_expectedWeights;
-        if (sameWeights)
-            copyFrom = source->address;
-    }
+    const std::string holder = choice.copyFrom ? holderAddress(candidates[*choice.copyFrom].id)
+                                               : std::string();
     board.endpoints.callStarted(m_endpointId, m_load, m_callStarted);
     if (m_load.unreadTokens >= NotedUnreadTokens)
         board.digestWanted = true;
@@ -470,11 +511,9 @@
     }
     if (!m_link->isConnected())
         board.metrics.count(router_counter::NewConnections);
-    endpoint_orders orders = ordersFor(m_endpointId, copyFrom);
+    endpoint_orders orders = ordersFor(m_endpointId);
     if (!m_partKey.empty() && m_pool != nullptr && m_pool->engine)
-        useStore(orders);
-    m_copied = !orders.copyPartsFrom.empty();
-    m_saved = !orders.saveParts.empty();
+        moveParts(orders, need, candidates, holder);
     m_link->call(platform::encodeCall(m_request, orders), handlersOfCall());
 }
 
@@ -670,7 +709,8 @@
         return;
     if (m_route->maxEndpoints - m_runs < 2 || m_sends >= MaxSends)
         return;
-    const auto choice = chooseEndpoint(candidatesNow(), needOf(), hashOf(m_request.callId));
+    const auto candidates = candidatesNow();
+    const auto choice = chooseEndpoint(candidates, needOf(candidates), hashOf(m_request.callId));
     if (!choice || choice->expectedMs > MaxMoveMs
         || !board.repeatsOf(m_poolName).tryOptionalRetry(now))
         return;
--- a/burdockhold/loop_exchange.h
+++ b/burdockhold/loop_exchange.h
@@ -14,6 +14,7 @@
 #include "burdockhold/caller_request.h"
 #include "burdockhold/event_splitter.h"
 #include "burdockhold/loop_links.h"
+#include "burdockhold/part_transfer.h"
 #include "burdockhold/router_board.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -102,7 +103,7 @@
     void timeLimitReached();
     void waitForEndpoint();
 
-    placement_need needOf() const;
+    placement_need needOf(const std::vector<endpoint_candidate> &candidates) const;
     std::vector<endpoint_candidate> candidatesNow() const;
     duration longestWait() const;
     std::string cacheSalt(std::int64_t version) const;
@@ -111,11 +112,16 @@
 
     void startCall(const std::vector<endpoint_candidate> &candidates, const endpoint_choice &choice,
                    const placement_need &need);
-    endpoint_orders ordersFor(const std::string &endpointId, const std::string &copyFrom) const;
+    endpoint_orders ordersFor(const std::string &endpointId) const;
+    std::string holderAddress(std::string_view engine) const;
     std::string_view partId() const;
     std::vector<std::string> sharedPartKeys(std::int64_t version) const;
-    bool storeHoldsPart(std::int64_t version) const;
-    void useStore(endpoint_orders &orders);
+    const cache_store *storeOfParts(const std::vector<endpoint_candidate> &candidates,
+                                    const std::string &homeKey) const;
+    bool storeHoldsParts(const cache_store &store, std::int64_t version) const;
+    void noteSharedParts(const std::string &store, bool beingSaved);
+    void moveParts(endpoint_orders &orders, const placement_need &need,
+                   const std::vector<endpoint_candidate> &candidates, const std::string &holder);
     link_handlers handlersOfCall();
     bool headArrived(const answer_message &message);
     bool isOwnAnswer(const endpoint_answer_head &head) const;
--- a/burdockhold/loop_peers.cc
+++ b/burdockhold/loop_peers.cc
@@ -92,14 +92,16 @@
     digest.incarnation = m_incarnation;
     digest.number = ++m_number;
     digest.leaving = m_board.leaving;
-    for (const auto &[account, quota] : m_board.quotas) {
-        const auto admitted = static_cast<std::uint64_t>(quota.admittedTotal());
-        digest.accounts.push_back({ shortHash(account), admitted });
+    for (const auto *ledgers : { &m_board.quotas, &m_board.storeLinks }) {
+        for (const auto &[name, ledger] : *ledgers) {
+            const auto admitted = static_cast<std::uint64_t>(ledger.admittedTotal());
+            digest.accounts.push_back({ shortHash(name), admitted });
+        }
     }
     m_board.endpoints.fillDigest(digest, now);
     digest.duties = m_board.ownDuties;
     addNamed(digest);
-    digest.savedParts = m_board.savedParts.announced(now);
+    digest.savedParts = m_board.savedParts.nextAnnouncement();
     for (const auto &[address, until] : m_board.storeAwayUntil) {
         if (now < until && m_board.ownStoreFinding.count(address) != 0)
             digest.deadStores.push_back(shortHash(address));
@@ -200,16 +202,23 @@
     for (const std::uint32_t part : digest.savedParts)
         m_board.savedParts.peerSaved(part, now);
     noteDeadStores(digest, now);
-    for (auto &[account, quota] : m_board.quotas) {
-        const std::uint32_t hash = shortHash(account);
+    noteTotals(m_board.quotas, digest, restarted, now);
+    noteTotals(m_board.storeLinks, digest, restarted, now);
+}
+
+void digest_link::noteTotals(std::map<std::string, quota_ledger> &ledgers, const vm_digest &digest,
+                             bool restarted, time_point now)
+{
+    for (auto &[name, ledger] : ledgers) {
+        const std::uint32_t hash = shortHash(name);
         const auto row = std::find_if(digest.accounts.begin(), digest.accounts.end(),
                                       [hash](const auto &r) { return r.account == hash; });
         if (restarted)
-            quota.peerRestarted(digest.vm);
+            ledger.peerRestarted(digest.vm);
         // A VM that has admitted nothing yet states no row.
         const double total = row == digest.accounts.end() ? 0.0
                                                           : static_cast<double>(row->admitted);
-        quota.peerTotal(digest.vm, total, now);
+        ledger.peerTotal(digest.vm, total, now);
     }
 }
 
--- a/burdockhold/loop_peers.h
+++ b/burdockhold/loop_peers.h
@@ -61,6 +61,8 @@
     vm_digest ownDigest(time_point now);
     void noteDeadStores(const vm_digest &digest, time_point now);
     void addNamed(vm_digest &digest) const;
+    static void noteTotals(std::map<std::string, quota_ledger> &ledgers, const vm_digest &digest,
+                           bool restarted, time_point now);
 
     boost::asio::ip::udp::socket m_socket;
     router_board &m_board;
--- a/burdockhold/loop_router.cc
+++ b/burdockhold/loop_router.cc
@@ -282,13 +282,7 @@
             m_board.endpoints.setCacheTokens(pool.name, pool.engine->cacheTokens);
     }
     m_board.deployment = std::make_shared<const deployment_index>(std::move(next));
-    for (const deployment_account &account : m_board.deployment->source().accounts) {
-        const auto quota = m_board.quotas.find(account.name);
-        if (quota != m_board.quotas.end())
-            quota->second.setLimit({ account.ratePerSecond, account.burst }, now);
-        else if (account.ratePerSecond > 0.0)
-            m_board.quotaOf(account, now);
-    }
+    m_board.applyLimits(now);
     if (m_board.log.accepts(log_weight::Belief, now))
         m_board.log.write(log_event::DeploymentApplied, { { "version", version } }, now);
 }
@@ -369,8 +363,10 @@
 {
     const time_point now = steadyNow();
     m_board.endpoints.step(now);
-    for (auto &[account, quota] : m_board.quotas)
-        quota.step(m_board.knownPeers, now);
+    for (auto *ledgers : { &m_board.quotas, &m_board.storeLinks }) {
+        for (auto &[name, ledger] : *ledgers)
+            ledger.step(m_board.knownPeers, now);
+    }
     m_duties->step(now);
     m_digests.step(now);
     const movable_streams movable = m_movable;
--- a/burdockhold/quota_ledger.h
+++ b/burdockhold/quota_ledger.h
@@ -71,6 +71,9 @@
 
     double level() const { return m_level; }
 
+    /// What is left of the burst, as a part of it; 1 where there is no limit.
+    double room() const { return m_limit.ratePerSecond > 0.0 ? m_level / cap() : 1.0; }
+
 private:
     struct peer_account
     {
--- a/burdockhold/router_board.cc
+++ b/burdockhold/router_board.cc
@@ -19,6 +19,11 @@
 constexpr double BudgetShare = 0.9;
 /// A store counts as away for two missed checks after the last word of it.
 constexpr duration StoreAwayLapse = std::chrono::milliseconds(1200);
+/// Transfers that may be ordered, as a multiple of the link's rate. The link sends and receives at
+/// the same time, and engines and the store often have what is ordered.
+constexpr double UsedLinkShare = 2.0;
+/// Transfers that may be ordered at once, as time of the link.
+constexpr duration LinkBurst = std::chrono::milliseconds(200);
 
 } // namespace
 
@@ -78,10 +83,11 @@
     return duration::max();
 }
 
-std::string router_board::storeFor(std::string_view part, time_point now) const
+const cache_store *router_board::storeFor(std::string_view part, std::string_view homeDataCentre,
+                                          time_point now) const
 {
-    std::string best;
-    std::uint64_t bestScore = 0;
+    const cache_store *best = nullptr;
+    std::pair<bool, std::uint64_t> bestScore;
     if (!deployment)
         return best;
     const std::uint64_t seed = XXH64(part.data(), part.size(), 0);
@@ -90,16 +96,53 @@
             continue;
         const std::string &address = pool.store->address;
         const auto away = storeAwayUntil.find(address);
-        const std::uint64_t score = XXH64(address.data(), address.size(), seed);
-        const bool usable = away == storeAwayUntil.end() || now >= away->second;
-        if (usable && (best.empty() || score > bestScore)) {
-            best = address;
+        if (away != storeAwayUntil.end() && now < away->second)
+            continue;
+        const std::pair<bool, std::uint64_t> score{ pool.store->dataCentre == homeDataCentre,
+                                                    XXH64(address.data(), address.size(), seed) };
+        if (best == nullptr || score > bestScore) {
+            best = &*pool.store;
             bestScore = score;
         }
     }
     return best;
 }
 
+std::string linkName(const std::string &storeAddress)
+{
+    return "link/" + storeAddress;
+}
+
+quota_ledger &router_board::linkOf(const cache_store &store, time_point now)
+{
+    const std::string name = linkName(store.address);
+    const auto found = storeLinks.find(name);
+    if (found != storeLinks.end())
+        return found->second;
+    return storeLinks.emplace(name, quota_ledger({}, linkLimit(store), now)).first->second;
+}
+
+quota_limit router_board::linkLimit(const cache_store &store) const
+{
+    const double rate = deployment ? UsedLinkShare * deployment->tokensPerSecond(store) : 0.0;
+    return { rate, rate * toSeconds(LinkBurst) };
+}
+
+void router_board::applyLimits(time_point now)
+{
+    for (const deployment_account &account : deployment->source().accounts) {
+        const auto quota = quotas.find(account.name);
+        if (quota != quotas.end())
+            quota->second.setLimit({ account.ratePerSecond, account.burst }, now);
+        else if (account.ratePerSecond > 0.0)
+            quotaOf(account, now);
+    }
+    for (const deployment_pool &pool : deployment->source().pools) {
+        if (pool.store)
+            linkOf(*pool.store, now).setLimit(linkLimit(*pool.store), now);
+    }
+}
+
 void router_board::storeIsAway(const std::string &address, time_point now)
 {
     storeAwayUntil[address] = now + StoreAwayLapse;
--- a/burdockhold/router_board.h
+++ b/burdockhold/router_board.h
@@ -45,6 +45,9 @@
 /// Time since the machine's start, suspensions included. For the loop only.
 duration bootNow();
 
+/// Name by which digests tell of a store's link.
+std::string linkName(const std::string &storeAddress);
+
 struct router_board
 {
     explicit router_board(router_settings source);
@@ -69,9 +72,15 @@
         return weightsUsableFor(model, version) < duration::zero();
     }
 
-    /// Address of the store that keeps this part, of those that the deployment names and that are
-    /// not away; an empty string when there is none. All VMs choose the same one.
-    std::string storeFor(std::string_view part, time_point now) const;
+    /// The store that keeps this part, of those that the deployment names and that are not away;
+    /// nullptr when there is none. All VMs choose the same one: a store in the data centre of the
+    /// part's home if there is any, since transfers between data centres take twice as long.
+    const cache_store *storeFor(std::string_view part, std::string_view homeDataCentre,
+                                time_point now) const;
+
+    /// What all VMs together may move over the store's link; made on first use. Its unit is one
+    /// token moved within a data centre.
+    quota_ledger &linkOf(const cache_store &store, time_point now);
 
     /// Marks the store as away for a moment, and forgets what it held.
     void storeIsAway(const std::string &address, time_point now);
@@ -79,6 +88,9 @@
     /// Repeats of the pool's calls; made on first use.
     retry_budget &repeatsOf(const std::string &pool);
 
+    /// Sets the limits of the accounts and of the stores' links as the deployment states them.
+    void applyLimits(time_point now);
+
     /// The account's limit over all VMs; made on first use.
     quota_ledger &quotaOf(const deployment_account &account, time_point now);
 
@@ -86,6 +98,7 @@
 
 private:
     retry_budget newBudget() const;
+    quota_limit linkLimit(const cache_store &store) const;
 
 public:
     // Written by the log follower; times of versions also by the peer link, through noteNamed().
@@ -100,6 +113,7 @@
 
     // Written by the exchanges and the peer link.
     std::map<std::string, quota_ledger> quotas;
+    std::map<std::string, quota_ledger> storeLinks; ///< By linkName of the store's address.
     std::map<std::string, retry_budget> repeats;
 
     // Written by the exchanges (own saves) and the peer link (those of others).
--- a/burdockhold/router_metrics.h
+++ b/burdockhold/router_metrics.h
@@ -32,12 +32,13 @@
     CachedTokens,
     UncachedTokens,
     OrdersGiven,
+    TransfersWithoutRoom,
 };
 
 template <>
 struct enum_names<router_counter>
 {
-    static constexpr std::array<enum_name<router_counter>, 16> Table{ {
+    static constexpr std::array<enum_name<router_counter>, 17> Table{ {
             { router_counter::Requests, "requests" },
             { router_counter::Served, "served" },
             { router_counter::RefusedNotRun, "refused_not_run" },
@@ -54,6 +55,7 @@
             { router_counter::CachedTokens, "expected_cached_tokens" },
             { router_counter::UncachedTokens, "expected_read_tokens" },
             { router_counter::OrdersGiven, "orders_given" },
+            { router_counter::TransfersWithoutRoom, "transfers_without_room" },
     } };
 };
 
--- a/burdockhold/saved_parts.cc
+++ b/burdockhold/saved_parts.cc
@@ -21,7 +21,7 @@
 {
     const std::uint32_t hash = shortHash(part);
     peerSaved(hash, now);
-    m_own.push_back({ hash, now });
+    m_own.push_back({ hash, m_options.announcements });
 }
 
 void saved_parts::touch(const std::string &part, time_point now)
@@ -39,15 +39,16 @@
     m_usedAt[hash] = now;
 }
 
-std::vector<std::uint32_t> saved_parts::announced(time_point now)
+std::vector<std::uint32_t> saved_parts::nextAnnouncement()
 {
-    m_own.erase(std::remove_if(
-                        m_own.begin(), m_own.end(),
-                        [&](const saved_at &own) { return now - own.at > m_options.announceFor; }),
-                m_own.end());
     std::vector<std::uint32_t> hashes;
-    for (const saved_at &own : m_own)
+    for (announced_part &own : m_own) {
         hashes.push_back(own.hash);
+        --own.left;
+    }
+    m_own.erase(std::remove_if(m_own.begin(), m_own.end(),
+                               [](const announced_part &own) { return own.left <= 0; }),
+                m_own.end());
     return hashes;
 }
 
--- a/burdockhold/saved_parts.h
+++ b/burdockhold/saved_parts.h
@@ -21,7 +21,7 @@
 struct saved_parts_options
 {
     duration lapse = std::chrono::seconds(20);
-    duration announceFor = std::chrono::milliseconds(700); ///< Three digests, one of which arrives.
+    int announcements = 3; ///< Digests that tell of a part; one of them arrives.
     std::size_t maxParts = 20000;
 };
 
@@ -41,22 +41,22 @@
     /// Another VM has saved the part with this hash.
     void peerSaved(std::uint32_t hash, time_point now);
 
-    /// Hashes of the parts that this VM has saved lately, for digests.
-    std::vector<std::uint32_t> announced(time_point now);
+    /// Hashes of the parts that this VM has saved lately, for one digest.
+    std::vector<std::uint32_t> nextAnnouncement();
 
     /// The store has lost everything.
     void clear();
 
 private:
-    struct saved_at
+    struct announced_part
     {
         std::uint32_t hash = 0;
-        time_point at;
+        int left = 0; // Digests that will tell of it.
     };
 
     saved_parts_options m_options;
     std::unordered_map<std::uint32_t, time_point> m_usedAt;
-    std::vector<saved_at> m_own;
+    std::vector<announced_part> m_own;
 };
 
 } // namespace burdockhold
--- a/burdockhold/vm_digest.h
+++ b/burdockhold/vm_digest.h
@@ -19,10 +19,10 @@
 
 namespace burdockhold {
 
-/// Totals of one account since the sender's start.
+/// Totals of one account, or of the transfers over one store's link, since the sender's start.
 struct account_row
 {
-    std::uint32_t account = 0; ///< shortHash of the name.
+    std::uint32_t account = 0; ///< shortHash of the account's or the link's name.
     std::uint64_t admitted = 0;
     MSGPACK_DEFINE_ARRAY(account, admitted)
 };
--- /dev/null
+++ b/testing/part_transfer_test.cc
@@ -0,0 +1,126 @@
+#define BOOST_TEST_MODULE part_transfer
+#include "burdockhold/part_transfer.h"
+#include "burdockhold/quota_ledger.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <random>
+
+using namespace burdockhold;
+
+namespace {
+
+constexpr double ReadTokensPerMs = 50.0;
+constexpr double LinkTokensPerMs = 150.0;
+constexpr double LongestWaitMs = 2000.0;
+constexpr double LatencyTargetMs = 600.0;
+
+part_facts longPart()
+{
+    part_facts facts;
+    facts.tokens = 3780;
+    facts.promptTokens = 9190;
+    facts.store = "10.0.0.1:1";
+    return facts;
+}
+
+/// A link that serves one transfer after the other; the engine reads what would wait too long.
+struct link_model
+{
+    double freeAt = 0.0;
+
+    double timeOf(double tokens, double now)
+    {
+        const double wait = std::max(0.0, freeAt - now);
+        if (wait > LongestWaitMs)
+            return tokens / ReadTokensPerMs;
+        freeAt = now + wait + tokens / LinkTokensPerMs;
+        return freeAt - now;
+    }
+};
+
+struct replay_result
+{
+    double longMs = 0.0; // Mean time until the parts are there.
+    double shortMs = 0.0;
+};
+
+/// One store, a prompt of 3,780 shared tokens each 20 ms and one of 80 each 10 ms, 40 s, no engine
+/// holds anything: 189,000 tokens a second over a link of 150,000.
+replay_result replay(bool limited)
+{
+    std::mt19937 random(4);
+    std::uniform_real_distribution<double> jitter(0.5, 1.5);
+    link_model link;
+    quota_ledger ledger({}, { 1000.0 * LinkTokensPerMs, 200.0 * LinkTokensPerMs }, time_point{});
+    replay_result sums;
+    int longs = 0;
+    int shorts = 0;
+    double nextLong = 0.0;
+    double nextShort = 0.0;
+    while (nextLong < 40000.0) {
+        const bool isLong = nextLong <= nextShort;
+        double &next = isLong ? nextLong : nextShort;
+        const double now = next;
+        next += (isLong ? 20.0 : 10.0) * jitter(random);
+        part_facts facts = longPart();
+        facts.tokens = isLong ? 3780 : 80;
+        facts.storeHoldsAll = true;
+        const time_point at = time_point{} + fromSeconds(now / 1000.0);
+        ledger.step(0, at);
+        facts.linkRoom = ledger.room();
+        const part_transfer transfer = planTransfer(facts);
+        const auto tokens = static_cast<double>(facts.tokens);
+        const bool copies = !limited
+                            || (transfer.storeLoad > 0.0
+                                && ledger.tryAdmit(transfer.storeLoad, at));
+        const double ms = copies ? link.timeOf(tokens, now) : tokens / ReadTokensPerMs;
+        (isLong ? sums.longMs : sums.shortMs) += ms;
+        ++(isLong ? longs : shorts);
+    }
+    return { sums.longMs / longs, sums.shortMs / shorts };
+}
+
+} // namespace
+
+// Guards against prompts that wait behind others at a full link although an engine could have read
+// them meanwhile: copying always, as the baseline does, makes all wait near the longest time.
+BOOST_AUTO_TEST_CASE(fullLinkDoesNotDelayPrompts)
+{
+    const replay_result always = replay(false);
+    const replay_result planned = replay(true);
+    BOOST_TEST(always.longMs > LatencyTargetMs);
+    BOOST_TEST(always.shortMs > LatencyTargetMs);
+    BOOST_TEST(planned.longMs < 300.0);
+    BOOST_TEST(planned.shortMs < 30.0);
+}
+
+// Guards against copies from an engine that may have yielded the part, while the store has it.
+BOOST_AUTO_TEST_CASE(storeThatHasAllComesBeforeAnotherEngine)
+{
+    part_facts facts = longPart();
+    facts.holder = "10.0.0.2:1";
+    BOOST_TEST(planTransfer(facts).copyFrom == facts.holder);
+    BOOST_TEST(planTransfer(facts).saveTo == facts.store);
+    facts.storeHoldsAll = true;
+    BOOST_TEST(planTransfer(facts).copyFrom == facts.store);
+    BOOST_TEST(planTransfer(facts).saveTo.empty());
+    BOOST_TEST(planWithoutStore(facts).copyFrom == facts.holder);
+}
+
+// Guards against a link that looks idle because transfers between data centres count as others.
+BOOST_AUTO_TEST_CASE(chargesFollowWhatIsMoved)
+{
+    part_facts facts = longPart();
+    BOOST_TEST(planTransfer(facts).storeLoad == 9190.0);
+    facts.storeHoldsAll = true;
+    BOOST_TEST(planTransfer(facts).storeLoad == 3780.0);
+    facts.crossesDataCentres = true;
+    BOOST_TEST(planTransfer(facts).storeLoad == 7560.0);
+    facts.expectedHeld = true;
+    BOOST_TEST(planTransfer(facts).storeLoad < 3780.0);
+    facts.store.clear();
+    BOOST_TEST(planTransfer(facts).storeLoad == 0.0);
+    BOOST_TEST(planTransfer(facts).copyFrom.empty());
+}
--- a/testing/router_board_looptest.cc
+++ b/testing/router_board_looptest.cc
@@ -67,16 +67,52 @@
 {
     router_board board(settings());
     const time_point now = steadyNow();
-    BOOST_TEST(board.storeFor("part", now).empty());
+    BOOST_TEST(board.storeFor("part", "dc1", now) == nullptr);
     board.deployment = std::make_shared<const deployment_index>(withStores(3));
     std::map<std::string, int> parts;
     for (int part = 0; part < 300; ++part)
-        ++parts[board.storeFor(std::to_string(part), now)];
+        ++parts[board.storeFor(std::to_string(part), "dc1", now)->address];
     BOOST_TEST(parts.size() == 3U);
     for (const auto &[address, count] : parts)
         BOOST_TEST(count > 50);
-    const std::string lost = board.storeFor("part", now);
+    const std::string lost = board.storeFor("part", "dc1", now)->address;
     board.storeIsAway(lost, now);
-    BOOST_TEST(board.storeFor("part", now) != lost);
-    BOOST_TEST(board.storeFor("part", now + seconds(5)) == lost);
+    BOOST_TEST(board.storeFor("part", "dc1", now)->address != lost);
+    BOOST_TEST(board.storeFor("part", "dc1", now + seconds(5))->address == lost);
+}
+
+// Guards against transfers between data centres, which take twice as long, where a store stands
+// beside the part's home.
+BOOST_AUTO_TEST_CASE(storeOfTheHomesDataCentreComesFirst)
+{
+    router_board board(settings());
+    const time_point now = steadyNow();
+    deployment stores = withStores(3);
+    stores.pools[1].store->dataCentre = "dc2";
+    board.deployment = std::make_shared<const deployment_index>(stores);
+    for (int part = 0; part < 50; ++part)
+        BOOST_TEST(board.storeFor(std::to_string(part), "dc2", now)->dataCentre == "dc2");
+    board.storeIsAway(stores.pools[1].store->address, now);
+    BOOST_TEST(board.storeFor("part", "dc2", now)->dataCentre == "dc1");
+}
+
+// Guards against transfers without a limit, or without room, after a deployment states the rates.
+BOOST_AUTO_TEST_CASE(linksAreLimitedByTheRatesOfTheDeployment)
+{
+    router_board board(settings());
+    const time_point now = steadyNow();
+    deployment stores = withStores(1);
+    deployment_pool engines;
+    engines.name = "engines";
+    engines.engine = engine_traits{ 32, 75612, 262144, { "m" } };
+    stores.pools.push_back(engines);
+    stores.pools[0].store->linkBytesPerSecond = 262144.0 * 100000.0; // 100,000 tokens a second.
+    board.deployment = std::make_shared<const deployment_index>(stores);
+    board.applyLimits(now);
+    quota_ledger &link = board.linkOf(*stores.pools[0].store, now);
+    double admitted = 0.0;
+    for (int transfer = 0; transfer < 1000; ++transfer)
+        admitted += link.tryAdmit(5000.0, now) ? 5000.0 : 0.0;
+    BOOST_TEST(admitted > 0.0);
+    BOOST_TEST(admitted <= 50000.0); // The burst: 0.2 s at twice the rate, and one transfer more.
 }
