Exchange digests within data centres and summaries between them

Cause: with 61 VMs each told every other one each second. Loads in other VMs' views were a second old, so one engine got 294,000 waiting tokens while others were idle; the lapses of 0.6 to 1.5 s took VMs for silent and moved duties (22 changes of one duty in 35 s); digests were two thirds of the bytes between data centres. Change: over 16 other VMs, digests go to the own data centre each 0.2 s; one VM, the speaker, sends their sums to the speaker of each other data centre, which passes them on. All lapses follow the interval. Ledgers weigh a total by the VMs behind it. Tests: sums against single digests at random; nine VMs in three data centres on loopback whose speakers end one by one; limits through cuts, new speakers and common starts.

--- a/burdockhold/duty_lease.cc
+++ b/burdockhold/duty_lease.cc
@@ -67,14 +67,14 @@
     m_heldSince.reset();
 }
 
-std::size_t dutyRank(std::string_view duty, const std::string &ownVm,
-                     const std::vector<std::string> &otherVms)
+std::size_t dutyRank(std::string_view duty, std::uint32_t ownVm,
+                     const std::vector<std::uint32_t> &otherVms)
 {
     const std::uint64_t seed = hashOf(duty, 1);
-    const std::uint64_t own = hashOf(ownVm, seed);
-    return static_cast<std::size_t>(
-            std::count_if(otherVms.begin(), otherVms.end(),
-                          [&](const std::string &vm) { return hashOf(vm, seed) < own; }));
+    const auto score = [seed](std::uint32_t vm) { return XXH64(&vm, sizeof vm, seed); };
+    const std::uint64_t own = score(ownVm);
+    return static_cast<std::size_t>(std::count_if(
+            otherVms.begin(), otherVms.end(), [&](std::uint32_t vm) { return score(vm) < own; }));
 }
 
 } // namespace burdockhold
--- a/burdockhold/duty_lease.h
+++ b/burdockhold/duty_lease.h
@@ -71,9 +71,10 @@
     duration m_validUntil = duration::zero();
 };
 
-/// Returns how many of the other VMs come before this one for the duty.
-std::size_t dutyRank(std::string_view duty, const std::string &ownVm,
-                     const std::vector<std::string> &otherVms);
+/// Returns how many of the other VMs come before this one for the duty. VMs are given by the
+/// shortHash of their names.
+std::size_t dutyRank(std::string_view duty, std::uint32_t ownVm,
+                     const std::vector<std::uint32_t> &otherVms);
 
 } // namespace burdockhold
 
--- a/burdockhold/endpoint_table.cc
+++ b/burdockhold/endpoint_table.cc
@@ -404,10 +404,11 @@
     }
 }
 
-void endpoint_table::step(time_point now)
+void endpoint_table::step(duration digestInterval, time_point now)
 {
+    const duration lapse = std::max<duration>(m_options.peerLapse, 4 * digestInterval);
     for (auto peer = m_peers.begin(); peer != m_peers.end();) {
-        if (now - peer->second.at <= m_options.peerLapse) {
+        if (now - peer->second.at <= lapse) {
             ++peer;
             continue;
         }
--- a/burdockhold/endpoint_table.h
+++ b/burdockhold/endpoint_table.h
@@ -107,7 +107,8 @@
     /// Fills the endpoint and weights rows of this VM's digest.
     void fillDigest(vm_digest &digest, time_point now) const;
     void peerDigest(const vm_digest &digest, time_point now);
-    void step(time_point now);
+    /// The interval is the longest between two digests; several lost ones make a VM silent.
+    void step(duration digestInterval, time_point now);
 
     std::size_t size() const { return m_entries.size(); }
     /// Calls of this VM that run at the endpoint.
--- a/burdockhold/loop_duties.cc
+++ b/burdockhold/loop_duties.cc
@@ -65,7 +65,7 @@
     const duty_claim &claim = m_board.otherClaims[shortHash(pool)];
     const bool anyClaim = !claim.holder.empty();
     const time_point claimed = anyClaim ? claim.heldAt : duty.startedAt;
-    const std::size_t rank = dutyRank(pool, m_board.settings.vmName, m_board.livePeers);
+    const std::size_t rank = dutyRank(pool, shortHash(m_board.settings.vmName), m_board.liveVms);
     logHolding(pool, duty, now);
     const bool joins = duty.lease.shouldJoin(bootNow(), now - claimed, rank);
     if (joins && !duty.joining && now >= duty.nextJoin)
--- a/burdockhold/loop_peers.cc
+++ b/burdockhold/loop_peers.cc
@@ -1,11 +1,13 @@
 #include "burdockhold/loop_peers.h"
 
+#include "burdockhold/digest_summary.h"
 #include "burdockhold/loop_http.h"
 
 #include <boost/asio/buffer.hpp>
 
 #include <algorithm>
 #include <random>
+#include <set>
 
 namespace burdockhold {
 
@@ -43,12 +45,20 @@
     return {};
 }
 
-void digest_link::addPeer(const std::string &vm, const std::string &address)
+std::string digest_link::announcementOf(const router_settings &settings)
 {
-    const auto parsed = parseAddress(address);
+    return settings.ip + ":" + std::to_string(settings.firstPeerPort) + " " + settings.dataCentre;
+}
+
+void digest_link::addPeer(const std::string &vm, const std::string &announcement)
+{
+    const std::size_t space = announcement.find(' ');
+    const auto parsed = parseAddress(announcement.substr(0, space));
     if (vm == m_board.settings.vmName || !parsed)
         return;
     peer &added = m_peers[vm];
+    if (space != std::string::npos)
+        added.dataCentre = announcement.substr(space + 1);
     const udp::endpoint endpoint(parsed->address(), parsed->port());
     if (added.address == endpoint)
         return;
@@ -57,34 +67,132 @@
     m_board.knownPeers = m_peers.size();
 }
 
+/// A VM whose data centre is not known is told as one of the own.
+bool digest_link::isLocal(const peer &other) const
+{
+    return other.dataCentre.empty() || other.dataCentre == m_board.settings.dataCentre;
+}
+
 void digest_link::step(time_point now)
 {
-    if (now < m_dueAt && !(m_board.digestWanted && now >= m_urgentAt))
-        return;
-    m_board.digestWanted = false;
-    const double peers = static_cast<double>(m_peers.size());
-    const duration interval = std::max(m_options.interval,
-                                       fromSeconds(peers / m_options.sendsPerSecond));
-    m_dueAt = now + interval;
-    m_urgentAt = now + fromSeconds(toSeconds(interval) * m_options.urgentShare);
+    const bool isDue = now >= m_dueAt || (m_board.digestWanted && now >= m_urgentAt);
+    if (isDue) {
+        forgetSilentPeers(now);
+        publishPeers(now);
+        sendOwnDigest(now);
+    }
+    const bool speaks = isGrouped()
+                        && isSpeaker(shortHash(m_board.settings.vmName), liveLocalVms(now));
+    if (speaks && now >= m_summaryDueAt) {
+        m_summaryDueAt = now + m_options.interval;
+        sendSummary(now);
+    }
+}
+
+void digest_link::forgetSilentPeers(time_point now)
+{
     for (auto row = m_peers.begin(); row != m_peers.end();)
         row = now - row->second.heardAt > m_options.forgetAfter ? m_peers.erase(row)
                                                                 : std::next(row);
-    m_board.knownPeers = m_peers.size();
-    m_board.livePeers.clear();
+    if (!isGrouped())
+        m_groups.clear();
+}
+
+std::vector<std::uint32_t> digest_link::liveLocalVms(time_point now) const
+{
+    const duration lapse = std::max<duration>(LiveWithin, 4 * m_interval);
+    std::vector<std::uint32_t> live;
     for (const auto &[vm, other] : m_peers) {
-        if (now - other.heardAt < LiveWithin && !other.leaving)
-            m_board.livePeers.push_back(vm);
+        const bool told = !isGrouped() || isLocal(other);
+        if (told && now - other.heardAt < lapse && !other.leaving)
+            live.push_back(shortHash(vm));
     }
+    return live;
+}
+
+void digest_link::publishPeers(time_point now)
+{
+    std::size_t told = 0;
+    for (const auto &[vm, other] : m_peers)
+        told += !isGrouped() || isLocal(other) ? 1 : 0;
+    m_interval = std::max(m_options.interval,
+                          fromSeconds(static_cast<double>(told) / m_options.sendsPerSecond));
+    // A summary adds up digests that are one interval old.
+    m_board.digestInterval = isGrouped() ? m_interval + m_options.interval : m_interval;
+    m_board.knownPeers = told;
+    m_board.liveVms = liveLocalVms(now);
+    for (const auto &[dataCentre, group] : m_groups) {
+        m_board.knownPeers += group.vms.size();
+        if (now - group.heardAt < m_options.speakerLapse)
+            m_board.liveVms.insert(m_board.liveVms.end(), group.vms.begin(), group.vms.end());
+    }
+}
+
+void digest_link::sendTo(const udp::endpoint &address, std::string_view bytes)
+{
+    error_code ignored; // A lost digest is made up for by the next one.
+    m_socket.send_to(boost::asio::buffer(bytes), address, 0, ignored);
+}
+
+void digest_link::sendOwnDigest(time_point now)
+{
+    m_board.digestWanted = false;
+    m_dueAt = now + m_interval;
+    m_urgentAt = now + fromSeconds(toSeconds(m_interval) * m_options.urgentShare);
     if (m_peers.empty())
         return;
     const std::string bytes = encodeDigest(ownDigest(now));
     for (const auto &[vm, other] : m_peers) {
-        error_code ignored; // A lost digest is made up for by the next one.
-        m_socket.send_to(boost::asio::buffer(bytes), other.address, 0, ignored);
+        if (!isGrouped() || isLocal(other))
+            sendTo(other.address, bytes);
+    }
+}
+
+/// Sends to the speaker of each other data centre, or to all of its VMs while none is known.
+void digest_link::sendSummary(time_point now)
+{
+    const std::string bytes = encodeDigest(ownSummary(now));
+    const auto speakerOf = [&](const std::string &dataCentre) {
+        const auto group = m_groups.find(dataCentre);
+        const bool known = group != m_groups.end()
+                           && now - group->second.heardAt < m_options.speakerLapse;
+        return known ? &group->second.speaker : nullptr;
+    };
+    std::set<std::string> sent;
+    for (const auto &[vm, other] : m_peers) {
+        if (isLocal(other))
+            continue;
+        const udp::endpoint *speaker = speakerOf(other.dataCentre);
+        if (speaker == nullptr)
+            sendTo(other.address, bytes);
+        else if (sent.insert(other.dataCentre).second)
+            sendTo(*speaker, bytes);
     }
 }
 
+vm_digest digest_link::ownSummary(time_point now)
+{
+    const duration lapse = std::max<duration>(LiveWithin, 4 * m_interval);
+    const vm_digest own = ownDigest(now);
+    std::vector<const vm_digest *> members{ &own };
+    for (const auto &[vm, other] : m_peers) {
+        if (isLocal(other) && now - other.heardAt < lapse && !other.digest.vm.empty())
+            members.push_back(&other.digest);
+    }
+    vm_digest summary = summarize(members);
+    summary.vm = "data-centre/" + m_board.settings.dataCentre;
+    summary.incarnation = m_incarnation;
+    summary.number = ++m_number;
+    summary.dataCentre = m_board.settings.dataCentre;
+    summary.speaker = m_board.settings.ip + ":" + std::to_string(m_board.settings.firstPeerPort);
+    for (const auto *ledgers : { &m_board.quotas, &m_board.storeLinks }) {
+        for (const auto &[name, ledger] : *ledgers)
+            summary.accounts.push_back(
+                    { shortHash(name), static_cast<std::uint64_t>(ledger.groupTotal()) });
+    }
+    return summary;
+}
+
 vm_digest digest_link::ownDigest(time_point now)
 {
     vm_digest digest;
@@ -92,6 +200,7 @@
     digest.incarnation = m_incarnation;
     digest.number = ++m_number;
     digest.leaving = m_board.leaving;
+    digest.dataCentre = m_board.settings.dataCentre;
     for (const auto *ledgers : { &m_board.quotas, &m_board.storeLinks }) {
         for (const auto &[name, ledger] : *ledgers) {
             const auto admitted = static_cast<std::uint64_t>(ledger.admittedTotal());
@@ -153,28 +262,78 @@
 
 void digest_link::received(std::size_t bytes)
 {
-    const auto decoded = decodeDigest({ m_buffer.data(), bytes });
+    const std::string_view datagram(m_buffer.data(), bytes);
+    const auto decoded = decodeDigest(datagram);
     if (!isOk(decoded))
         return; // Not a digest: the port is open to any sender in the network.
     const vm_digest &digest = valueOf(decoded);
     if (digest.vm.empty() || digest.vm == m_board.settings.vmName)
         return;
     const time_point now = steadyNow();
+    if (digest.isSummary())
+        summaryArrived(digest, datagram, now);
+    else
+        digestArrived(digest, now);
+}
+
+void digest_link::digestArrived(const vm_digest &digest, time_point now)
+{
     peer &from = m_peers[digest.vm];
     const bool older = digest.incarnation == from.incarnation && digest.number <= from.number;
     if (older)
         return;
-    from.address = m_sender;
-    apply(digest, from, now);
-}
-
-void digest_link::apply(const vm_digest &digest, peer &from, time_point now)
-{
     const bool restarted = from.incarnation != 0 && from.incarnation != digest.incarnation;
+    from.address = m_sender;
     from.incarnation = digest.incarnation;
     from.number = digest.number;
     from.heardAt = now;
     from.leaving = digest.leaving;
+    from.dataCentre = digest.dataCentre;
+    // A VM that still tells all others directly is counted in the summary of its data centre.
+    if (m_groups.count(digest.dataCentre) != 0)
+        return;
+    if (isGrouped())
+        from.digest = digest;
+    apply(digest, now);
+    noteTotals(digest, restarted, isLocal(from), now);
+}
+
+void digest_link::summaryArrived(const vm_digest &summary, std::string_view bytes, time_point now)
+{
+    const auto speaker = parseAddress(summary.speaker);
+    if (!isGrouped() || summary.dataCentre == m_board.settings.dataCentre || !speaker)
+        return;
+    peer_group &group = m_groups[summary.dataCentre];
+    const bool sameSpeaker = group.incarnation == summary.incarnation;
+    // Of two speakers the one that was heard goes on, until it has been silent for a moment.
+    const bool superseded = !sameSpeaker && now - group.heardAt < 2 * m_options.interval;
+    if ((sameSpeaker && summary.number <= group.number) || superseded)
+        return;
+    const bool replaced = group.incarnation != 0 && !sameSpeaker;
+    group.incarnation = summary.incarnation;
+    group.number = summary.number;
+    group.heardAt = now;
+    group.speaker = udp::endpoint(speaker->address(), speaker->port());
+    group.vms = summary.vms;
+    const std::set<std::uint32_t> named(summary.vms.begin(), summary.vms.end());
+    for (auto &[vm, other] : m_peers) {
+        if (named.count(shortHash(vm)) != 0)
+            other.heardAt = now;
+    }
+    apply(summary, now);
+    noteTotals(summary, replaced, false, now);
+    if (m_sender != group.speaker
+        || !isSpeaker(shortHash(m_board.settings.vmName), liveLocalVms(now)))
+        return;
+    for (const auto &[vm, other] : m_peers) {
+        if (isLocal(other))
+            sendTo(other.address, bytes);
+    }
+}
+
+/// Takes over what the digest states of endpoints, duties, weights and stores.
+void digest_link::apply(const vm_digest &digest, time_point now)
+{
     m_board.endpoints.peerDigest(digest, now);
     for (const duty_row &row : digest.duties) {
         duty_claim &claim = m_board.otherClaims[row.pool];
@@ -202,23 +361,26 @@
     for (const std::uint32_t part : digest.savedParts)
         m_board.savedParts.peerSaved(part, now);
     noteDeadStores(digest, now);
-    noteTotals(m_board.quotas, digest, restarted, now);
-    noteTotals(m_board.storeLinks, digest, restarted, now);
-}
-
-void digest_link::noteTotals(std::map<std::string, quota_ledger> &ledgers, const vm_digest &digest,
-                             bool restarted, time_point now)
-{
-    for (auto &[name, ledger] : ledgers) {
-        const std::uint32_t hash = shortHash(name);
-        const auto row = std::find_if(digest.accounts.begin(), digest.accounts.end(),
-                                      [hash](const auto &r) { return r.account == hash; });
-        if (restarted)
-            ledger.peerRestarted(digest.vm);
-        // A VM that has admitted nothing yet states no row.
-        const double total = row == digest.accounts.end() ? 0.0
-                                                          : static_cast<double>(row->admitted);
-        ledger.peerTotal(digest.vm, total, now);
+}
+
+void digest_link::noteTotals(const vm_digest &digest, bool restarted, bool isLocalVm,
+                             time_point now)
+{
+    const quota_peer kind{ std::max<std::size_t>(1, digest.vms.size()), isLocalVm };
+    for (auto *ledgers : { &m_board.quotas, &m_board.storeLinks }) {
+        for (auto &[name, ledger] : *ledgers) {
+            const std::uint32_t hash = shortHash(name);
+            const auto row = std::find_if(digest.accounts.begin(), digest.accounts.end(),
+                                          [hash](const auto &r) { return r.account == hash; });
+            // A VM that has admitted nothing yet states no row.
+            const double total = row == digest.accounts.end() ? 0.0
+                                                              : static_cast<double>(row->admitted);
+            if (restarted && digest.isSummary())
+                ledger.peerReplaced(digest.vm, total, now);
+            else if (restarted)
+                ledger.peerRestarted(digest.vm);
+            ledger.peerTotal(digest.vm, total, now, kind);
+        }
     }
 }
 
--- a/burdockhold/loop_peers.h
+++ b/burdockhold/loop_peers.h
@@ -2,7 +2,12 @@
 #define BURDOCKHOLD_LOOP_PEERS_H
 
 // Exchanges digests with the other VMs over datagrams. A VM learns the others once from the log and
-// then from their digests; a VM that has been silent for forgetAfter is no longer sent to.
+// then from their digests; a VM that nobody has heard of for forgetAfter is no longer sent to.
+//
+// Up to directPeers other VMs are told directly. With more, a VM tells those of its data centre,
+// and the data centres exchange summaries (digest_summary.h): the speaker of one sends to the
+// speaker of the other, which passes them on. While the other's speaker is not known, all known VMs
+// there are sent to.
 //
 // Datagrams rather than nng: a digest states the whole, so a lost one needs no resending, and a
 // dead or cut-off VM holds no connection, queue or thread here.
@@ -28,6 +33,9 @@
     /// Part of the interval after which an urgent change may be told; more often it costs too much.
     double urgentShare = 0.25;
     duration forgetAfter = std::chrono::seconds(30);
+    std::size_t directPeers = 16;
+    /// Several lost summaries: the speaker of the other data centre may have ended.
+    duration speakerLapse = std::chrono::milliseconds(1200);
 };
 
 class digest_link
@@ -39,8 +47,11 @@
     /// Binds the socket. Returns an error text, or an empty string.
     std::string open();
 
-    /// A VM has been announced in the log.
-    void addPeer(const std::string &vm, const std::string &address);
+    /// A VM has been announced in the log, by its address and its data centre.
+    void addPeer(const std::string &vm, const std::string &announcement);
+
+    /// What a VM announces of itself.
+    static std::string announcementOf(const router_settings &settings);
 
     /// Sends digests when they are due. Called on every tick.
     void step(time_point now);
@@ -51,28 +62,53 @@
         boost::asio::ip::udp::endpoint address;
         std::uint64_t incarnation = 0;
         std::uint64_t number = 0;
-        time_point heardAt;
+        time_point heardAt; // Of the VM itself, or that a summary named it.
         bool leaving = false;
+        std::string dataCentre;
+        vm_digest digest; // Its last one.
     };
+    /// Another data centre, as its summaries state it.
+    struct peer_group
+    {
+        std::uint64_t incarnation = 0;
+        std::uint64_t number = 0;
+        time_point heardAt;
+        boost::asio::ip::udp::endpoint speaker;
+        std::vector<std::uint32_t> vms;
+    };
+
+    bool isGrouped() const { return m_peers.size() > m_options.directPeers; }
+    bool isLocal(const peer &other) const;
+    void forgetSilentPeers(time_point now);
+    void publishPeers(time_point now);
+    std::vector<std::uint32_t> liveLocalVms(time_point now) const;
+    void sendOwnDigest(time_point now);
+    void sendSummary(time_point now);
+    void sendTo(const boost::asio::ip::udp::endpoint &address, std::string_view bytes);
+    vm_digest ownSummary(time_point now);
 
     void receive();
     void received(std::size_t bytes);
-    void apply(const vm_digest &digest, peer &from, time_point now);
+    void digestArrived(const vm_digest &digest, time_point now);
+    void summaryArrived(const vm_digest &summary, std::string_view bytes, time_point now);
+    void apply(const vm_digest &digest, time_point now);
     vm_digest ownDigest(time_point now);
     void noteDeadStores(const vm_digest &digest, time_point now);
     void addNamed(vm_digest &digest) const;
-    static void noteTotals(std::map<std::string, quota_ledger> &ledgers, const vm_digest &digest,
-                           bool restarted, time_point now);
+    void noteTotals(const vm_digest &digest, bool restarted, bool isLocalVm, time_point now);
 
     boost::asio::ip::udp::socket m_socket;
     router_board &m_board;
     peer_link_options m_options;
     std::map<std::string, peer> m_peers;
+    std::map<std::string, peer_group> m_groups; // By data centre; never the own one.
     boost::asio::ip::udp::endpoint m_sender;
     std::array<char, 65536> m_buffer;
     std::uint64_t m_incarnation;
     std::uint64_t m_number = 0;
+    duration m_interval = duration::zero(); // Between own digests.
     time_point m_dueAt;
+    time_point m_summaryDueAt;
     time_point m_urgentAt;
 };
 
--- a/burdockhold/loop_router.cc
+++ b/burdockhold/loop_router.cc
@@ -212,17 +212,17 @@
     // Own reads alone keep the bound: digests may be lost, and do not tell of new endpoints.
     constexpr double MostShare = 2.0;
     constexpr double VmsForOne = 2.5; // Reads of this many VMs stand for one's own.
-    const double share = static_cast<double>(m_board.livePeers.size()) / VmsForOne;
+    const double share = static_cast<double>(m_board.liveVms.size()) / VmsForOne;
     return fromSeconds(toSeconds(m_board.settings.leavingBound) * 0.4
                        * std::clamp(share, LeastShare, MostShare));
 }
 
 void event_router::announce()
 {
-    const std::string address = m_board.settings.ip + ":"
-                                + std::to_string(m_board.settings.firstPeerPort);
     m_announceLane->call(
-            platform::appendKeyedCall(platform::VmTopic, { m_board.settings.vmName, address }),
+            platform::appendKeyedCall(
+                    platform::VmTopic,
+                    { m_board.settings.vmName, digest_link::announcementOf(m_board.settings) }),
             std::chrono::seconds(2), [this](const log_answer &answer) {
                 const bool announced = answer.status == StatusOk;
                 m_announceTimer.expires_after(announced ? duration::zero() : AnnounceRetry);
@@ -362,10 +362,12 @@
 void event_router::tick()
 {
     const time_point now = steadyNow();
-    m_board.endpoints.step(now);
+    m_board.endpoints.step(m_board.digestInterval, now);
     for (auto *ledgers : { &m_board.quotas, &m_board.storeLinks }) {
-        for (auto &[name, ledger] : *ledgers)
+        for (auto &[name, ledger] : *ledgers) {
+            ledger.expectTotalsEach(m_board.digestInterval);
             ledger.step(m_board.knownPeers, now);
+        }
     }
     m_duties->step(now);
     m_digests.step(now);
--- a/burdockhold/quota_ledger.h
+++ b/burdockhold/quota_ledger.h
@@ -19,6 +19,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -33,6 +34,11 @@
 struct quota_ledger_options
 {
     double startShare = 0.5; ///< Part of the burst that a started VM assumes to be left.
+    /// How long a started VM keeps to an even part of the limit, unless it hears half of the others
+    /// sooner. When all VMs start at once, none has heard of what the others admit.
+    duration startGuard = std::chrono::milliseconds(0);
+    std::size_t leastVms =
+            8; ///< VMs that the even part assumes at least; the list may not be read.
     /// Tolerance that the operator grants to the enforcement over all VMs: a part of the rate, and
     /// an amount. Half of each is used; the rest covers stale digests.
     double rateTolerance = 0.0;
@@ -43,6 +49,13 @@
     duration forgetAfter = std::chrono::seconds(6);
 };
 
+/// What stands behind a total that a ledger is told.
+struct quota_peer
+{
+    std::size_t vms = 1;     ///< More than one for the summary of a data centre.
+    bool inOwnGroup = false; ///< A VM of the own data centre, for groupTotal().
+};
+
 class quota_ledger
 {
 public:
@@ -57,8 +70,23 @@
     /// Returns what was admitted here since the start, for digests.
     double admittedTotal() const { return m_admitted; }
 
+    /// Returns the same with what the VMs of the own data centre have admitted since they were
+    /// heard first; it never falls, whichever of them end.
+    double groupTotal() const { return m_admitted + m_groupHeard; }
+
+    /// The others state their totals about this often; three lost ones make a VM silent.
+    void expectTotalsEach(duration interval)
+    {
+        m_silenceAfter = std::max<duration>(m_options.silenceAfter, 3 * interval);
+    }
+
     /// A digest of another VM's incarnation has arrived.
-    void peerTotal(const std::string &peer, double total, time_point now);
+    void peerTotal(const std::string &peer, double total, time_point now,
+                   const quota_peer &kind = {});
+
+    /// Another VM now states the total of this group of VMs, from a count of its own: the time
+    /// since the last total is charged at the group's rate.
+    void peerReplaced(const std::string &peer, double total, time_point now);
 
     /// The VM counts from zero again; what it did before is charged already.
     void peerRestarted(std::string_view peer);
@@ -82,9 +110,10 @@
         double ratePerSecond = 0.0;
         time_point reportedAt;
         time_point chargedAt;
+        std::size_t vms = 1;
     };
 
-    double rate() const { return m_limit.ratePerSecond * (1.0 + m_options.rateTolerance / 2.0); }
+    double rate() const;
     double cap() const;
     double underWay(time_point now) const;
     void refill(time_point now);
@@ -93,6 +122,10 @@
     quota_limit m_limit;
     double m_level = 0.0;
     double m_admitted = 0.0;
+    std::optional<time_point> m_guardUntil;
+    double m_evenShare = 1.0;  // While m_guardUntil is set.
+    double m_groupHeard = 0.0; // Admitted by other VMs of the own data centre.
+    duration m_silenceAfter;
     time_point m_refilledAt;
     std::map<std::string, peer_account, std::less<>> m_peers;
 };
--- a/burdockhold/router_board.cc
+++ b/burdockhold/router_board.cc
@@ -17,6 +17,8 @@
 constexpr duration OldWeightsMargin = std::chrono::milliseconds(1500);
 /// Part of the shared budget that is planned with; the rest covers windows that do not line up.
 constexpr double BudgetShare = 0.9;
+/// Several digests of every other VM.
+constexpr duration StartGuard = std::chrono::seconds(1);
 /// A store counts as away for two missed checks after the last word of it.
 constexpr duration StoreAwayLapse = std::chrono::milliseconds(1200);
 /// Transfers that may be ordered, as a multiple of the link's rate. The link sends and receives at
@@ -173,6 +175,7 @@
         return found->second;
     const quota_limit limit{ account.ratePerSecond, account.burst };
     quota_ledger_options options;
+    options.startGuard = StartGuard;
     options.rateTolerance = settings.limitTolerance;
     options.amountTolerance = account.countsTokens ? settings.limitToleranceTokens : 0.0;
     return quotas.emplace(account.name, quota_ledger(options, limit, now)).first->second;
--- a/burdockhold/router_board.h
+++ b/burdockhold/router_board.h
@@ -128,7 +128,9 @@
 
     // Written by the peer link.
     std::size_t knownPeers = 0;
-    std::vector<std::string> livePeers;              ///< Names of the VMs that were heard lately.
+    std::vector<std::uint32_t> liveVms; ///< shortHashes of the others that were heard of lately.
+    /// Longest time between two digests of a VM or of a data centre, if none is lost.
+    duration digestInterval = std::chrono::milliseconds(200);
     std::map<std::uint32_t, duty_claim> otherClaims; ///< By shortHash of the pool.
 
     // Written by the exchanges and the duty controller, cleared by the peer link: something changed
--- a/burdockhold/vm_digest.h
+++ b/burdockhold/vm_digest.h
@@ -5,8 +5,8 @@
 // knows first of endpoints. A digest states the whole, so a lost, doubled or late one does no harm;
 // digests of an older incarnation or an older number are dropped by the receiver.
 //
-// A digest of 5 accounts and 13 endpoints takes about 300 bytes. One that does not fit into a
-// datagram is split by the sender into several that each state other rows.
+// A digest of 5 accounts and 13 endpoints takes about 300 bytes. Between the data centres of a
+// large deployment go summaries (digest_summary.h): digests that state the sums of one data centre.
 
 #include "burdockhold/result.h"
 
@@ -87,8 +87,15 @@
     std::vector<named_row> named;
     /// Hashes of endpoints that were seen to leave or vanish in the last seconds.
     std::vector<std::uint32_t> goneEndpoints;
+    std::string dataCentre;
+    /// Of a summary: the address of the VM that made it, and the shortHashes of the names of the
+    /// VMs that it covers. Empty in the digest of a single VM.
+    std::string speaker;
+    std::vector<std::uint32_t> vms;
     MSGPACK_DEFINE_ARRAY(vm, incarnation, number, leaving, accounts, endpoints, weights, savedParts,
-                         deadStores, duties, named, goneEndpoints)
+                         deadStores, duties, named, goneEndpoints, dataCentre, speaker, vms)
+
+    bool isSummary() const { return !speaker.empty(); }
 };
 
 enum class digest_error { NotReadable };
--- a/cmake/router.cmake
+++ b/cmake/router.cmake
@@ -1,7 +1,7 @@
 # The event-loop router and its adapter to the platform. It needs neither cpprest nor nng nor
 # log4cxx, so the platform builds it alone: -DBURDOCKHOLD_ROUTER_ONLY=ON.
 set(ROUTER_DECISIONS
-    attempt_rules.cc decision_log.cc deployment.cc duty_lease.cc endpoint_choice.cc
+    attempt_rules.cc decision_log.cc deployment.cc digest_summary.cc duty_lease.cc endpoint_choice.cc
     endpoint_health.cc endpoint_table.cc event_splitter.cc part_transfer.cc quota_ledger.cc
     router_metrics.cc router_settings.cc saved_parts.cc vm_digest.cc weights_orders.cc)
 list(TRANSFORM ROUTER_DECISIONS PREPEND ${CMAKE_SOURCE_DIR}/burdockhold/)
--- /dev/null
+++ b/testing/digest_summary_test.cc
@@ -0,0 +1,154 @@
+#define BOOST_TEST_MODULE digest_summary
+#include "burdockhold/digest_summary.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace burdockhold;
+
+namespace {
+
+vm_digest randomDigest(std::mt19937 &random, int number)
+{
+    vm_digest digest;
+    digest.vm = "vm-" + std::to_string(number);
+    digest.leaving = random() % 5 == 0;
+    for (std::uint32_t endpoint = 0; endpoint < 8; ++endpoint) {
+        if (random() % 2 == 0)
+            digest.endpoints.push_back(
+                    { endpoint, std::uint32_t(random() % 9), std::uint32_t(random() % 9000),
+                      std::uint32_t(random() % 90000), std::uint32_t(random() % 50),
+                      std::uint32_t(random() % 9), std::uint32_t(random() % 900) });
+        if (random() % 3 == 0)
+            digest.weights.push_back(
+                    { endpoint, 7, std::int64_t(random() % 5), random() % 2 == 0 });
+    }
+    digest.duties.push_back(
+            { 3, random() % 4 == 0,
+              random() % 2 == 0 ? duty_row::NoOrder : std::uint32_t(random() % 99) });
+    digest.named.push_back({ 7, 2, std::uint32_t(random() % 9000), random() % 2 == 0 });
+    digest.savedParts = { std::uint32_t(random() % 20), std::uint32_t(random() % 20) };
+    digest.goneEndpoints = { std::uint32_t(random() % 8) };
+    return digest;
+}
+
+std::vector<vm_digest> randomDigests(std::mt19937 &random)
+{
+    std::vector<vm_digest> digests;
+    const int count = 1 + static_cast<int>(random() % 20);
+    for (int number = 0; number < count; ++number)
+        digests.push_back(randomDigest(random, number));
+    return digests;
+}
+
+vm_digest summaryOf(const std::vector<vm_digest> &digests)
+{
+    std::vector<const vm_digest *> members;
+    for (const vm_digest &digest : digests)
+        members.push_back(&digest);
+    return summarize(members);
+}
+
+} // namespace
+
+// Guards against loads that a data centre states twice or not at all, and against a silent engine
+// that another of its VMs hears: compared with sums over single digests.
+BOOST_AUTO_TEST_CASE(summaryStatesTheSumsOfItsMembers)
+{
+    std::mt19937 random(21);
+    for (int round = 0; round < 200; ++round) {
+        const auto digests = randomDigests(random);
+        const vm_digest summary = summaryOf(digests);
+        std::map<std::uint32_t, endpoint_row> expected;
+        for (const vm_digest &digest : digests) {
+            for (const endpoint_row &row : digest.endpoints) {
+                const auto [sum, isNew] = expected.try_emplace(row.endpoint);
+                sum->second.running += row.running;
+                sum->second.unreadTokens += row.unreadTokens;
+                sum->second.heldTokens += row.heldTokens;
+                sum->second.recentCalls += row.recentCalls;
+                sum->second.recentFailures += row.recentFailures;
+                sum->second.silentMs = isNew ? row.silentMs
+                                             : std::min(sum->second.silentMs, row.silentMs);
+            }
+        }
+        BOOST_REQUIRE(summary.endpoints.size() == expected.size());
+        for (const endpoint_row &row : summary.endpoints) {
+            const endpoint_row &sum = expected.at(row.endpoint);
+            BOOST_TEST(row.running == sum.running);
+            BOOST_TEST(row.unreadTokens == sum.unreadTokens);
+            BOOST_TEST(row.heldTokens == sum.heldTokens);
+            BOOST_TEST(row.recentCalls == sum.recentCalls);
+            BOOST_TEST(row.recentFailures == sum.recentFailures);
+            BOOST_TEST(row.silentMs == sum.silentMs);
+        }
+    }
+}
+
+// Guards against a duty that is claimed for a VM that has given it up, and one that nobody claims.
+BOOST_AUTO_TEST_CASE(dutyOfALeavingVmIsNotClaimed)
+{
+    vm_digest leaving;
+    leaving.vm = "a";
+    leaving.leaving = true;
+    leaving.duties.push_back({ 3, true, 500 });
+    vm_digest other;
+    other.vm = "b";
+    other.duties.push_back({ 3, false, duty_row::NoOrder });
+    const vm_digest without = summaryOf({ leaving, other });
+    BOOST_REQUIRE(without.duties.size() == 1U);
+    BOOST_TEST(!without.duties[0].holds);
+    BOOST_TEST(without.duties[0].orderedAgoMs == 500U);
+    BOOST_TEST(without.vms == std::vector<std::uint32_t>{ shortHash("b") });
+    other.duties[0].holds = true;
+    BOOST_TEST(summaryOf({ leaving, other }).duties[0].holds);
+}
+
+// Guards against a guessed time of a version that hides the known one, and a younger that hides an
+// older.
+BOOST_AUTO_TEST_CASE(knownTimesOfVersionsComeFirst)
+{
+    std::vector<vm_digest> digests(3);
+    digests[0].named.push_back({ 7, 2, 9000, true });
+    digests[1].named.push_back({ 7, 2, 400, false });
+    digests[2].named.push_back({ 7, 2, 600, false });
+    const vm_digest summary = summaryOf(digests);
+    BOOST_REQUIRE(summary.named.size() == 1U);
+    BOOST_TEST(summary.named[0].ageMs == 600U);
+    BOOST_TEST(!summary.named[0].guessed);
+}
+
+// Guards against a summary of a large data centre that does not fit into a datagram.
+BOOST_AUTO_TEST_CASE(summaryOfAHundredVmsFitsIntoADatagram)
+{
+    std::vector<vm_digest> digests(118);
+    std::mt19937 random(3);
+    for (vm_digest &digest : digests) {
+        for (int row = 0; row < 64; ++row)
+            digest.endpoints.push_back(
+                    { std::uint32_t(row) * 1000003U, 9, 9999, 99999, 999, 99, 9 });
+        digest.savedParts = { std::uint32_t(random()) };
+    }
+    BOOST_TEST(encodeDigest(summaryOf(digests)).size() < 60000U);
+}
+
+// Guards against a data centre in which no VM, or every VM, speaks.
+BOOST_AUTO_TEST_CASE(oneOfTheVmsSpeaks)
+{
+    std::vector<std::uint32_t> vms;
+    for (int number = 0; number < 30; ++number)
+        vms.push_back(shortHash("vm-" + std::to_string(number)));
+    int speakers = 0;
+    for (const std::uint32_t vm : vms) {
+        std::vector<std::uint32_t> others = vms;
+        others.erase(std::find(others.begin(), others.end(), vm));
+        speakers += isSpeaker(vm, others) ? 1 : 0;
+    }
+    BOOST_TEST(speakers == 1);
+    BOOST_TEST(isSpeaker(5, {}));
+}
--- a/testing/duty_lease_test.cc
+++ b/testing/duty_lease_test.cc
@@ -86,10 +86,10 @@
 {
     const duty_lease lease({}, "pool", Partitions);
     std::set<std::size_t> ranks;
-    const std::vector<std::string> vms{ "a", "b", "c", "d" };
-    for (const std::string &vm : vms) {
-        std::vector<std::string> others;
-        for (const std::string &other : vms) {
+    const std::vector<std::uint32_t> vms{ 11, 12, 13, 14 };
+    for (const std::uint32_t vm : vms) {
+        std::vector<std::uint32_t> others;
+        for (const std::uint32_t other : vms) {
             if (other != vm)
                 others.push_back(other);
         }
--- a/testing/endpoint_table_test.cc
+++ b/testing/endpoint_table_test.cc
@@ -170,7 +170,7 @@
     own.peerDigest(digestOf(other, "other", at(0.1)), at(0.1));
     own.peerDigest(digestOf(other, "other", at(0.3)), at(0.3));
     BOOST_TEST(candidate(own, "e1", at(0.4)).heldTokens == 2000);
-    own.step(at(3));
+    own.step(std::chrono::milliseconds(200), at(3));
     BOOST_TEST(candidate(own, "e1", at(3)).heldTokens == 0);
 }
 
--- /dev/null
+++ b/testing/peer_groups_looptest.cc
@@ -0,0 +1,137 @@
+#define BOOST_TEST_MODULE peer_groups
+#include "burdockhold/loop_peers.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace burdockhold;
+
+namespace {
+
+constexpr int FirstPort = 17600;
+constexpr int VmCount = 9;
+constexpr int DataCentres = 3;
+
+/// A VM with its blackboard and its link, on a loopback port of its own.
+struct test_vm
+{
+    test_vm(boost::asio::io_context &io, int number)
+        : board(settingsOf(number))
+        , link(io, board, options())
+    {
+        endpoint_report report;
+        report.id = "engine";
+        report.pool = "pool";
+        report.address = "127.0.0.1:1";
+        report.dataCentre = "dc0";
+        report.slots = 128;
+        report.incarnation = 1;
+        board.endpoints.update(report, steadyNow());
+        board.endpoints.callStarted("engine", { 100, 1000 }, steadyNow());
+        BOOST_REQUIRE(link.open().empty());
+    }
+
+    static router_settings settingsOf(int number)
+    {
+        router_settings settings;
+        settings.vmName = "vm-" + std::to_string(number);
+        settings.dataCentre = "dc" + std::to_string(number % DataCentres);
+        settings.ip = "127.0.0.1";
+        settings.firstPeerPort = FirstPort + number;
+        return settings;
+    }
+
+    static peer_link_options options()
+    {
+        peer_link_options made;
+        made.directPeers = 3;
+        made.interval = std::chrono::milliseconds(50);
+        return made;
+    }
+
+    int runningAtEngine() const
+    {
+        const auto candidates = board.endpoints.candidates("pool", "", 0, "", {}, steadyNow());
+        return candidates.empty() ? 0 : candidates[0].running;
+    }
+
+    router_board board;
+    digest_link link;
+};
+
+struct test_fleet
+{
+    test_fleet()
+    {
+        for (int number = 0; number < VmCount; ++number)
+            vms.push_back(std::make_unique<test_vm>(io, number));
+        for (auto &vm : vms) {
+            for (int other = 0; other < VmCount; ++other)
+                vm->link.addPeer("vm-" + std::to_string(other),
+                                 digest_link::announcementOf(test_vm::settingsOf(other)));
+        }
+    }
+
+    /// Steps all VMs until the condition holds; false if it does not within ten seconds.
+    bool reaches(const std::function<bool()> &condition)
+    {
+        const time_point end = steadyNow() + std::chrono::seconds(10);
+        while (steadyNow() < end) {
+            for (auto &vm : vms) {
+                vm->link.step(steadyNow());
+                vm->board.endpoints.step(vm->board.digestInterval, steadyNow());
+            }
+            io.run_for(std::chrono::milliseconds(10));
+            io.restart();
+            if (condition())
+                return true;
+        }
+        return false;
+    }
+
+    bool allSee(int running) const
+    {
+        for (const auto &vm : vms) {
+            if (vm->runningAtEngine() != running
+                || vm->board.liveVms.size() != static_cast<std::size_t>(running - 1))
+                return false;
+        }
+        return true;
+    }
+
+    boost::asio::io_context io;
+    std::vector<std::unique_ptr<test_vm>> vms;
+};
+
+} // namespace
+
+// Guards against VMs of other data centres whose requests are not seen, or seen twice, and against
+// a data centre that is not heard any more when its speaker ends.
+BOOST_AUTO_TEST_CASE(loadsOfAllDataCentresAreSeenAlsoAfterASpeakerEnds)
+{
+    test_fleet fleet;
+    BOOST_TEST(fleet.reaches([&] { return fleet.allSee(VmCount); }));
+    for (const auto &vm : fleet.vms)
+        BOOST_TEST(vm->board.knownPeers == static_cast<std::size_t>(VmCount - 1));
+    // The speakers end one after the other until each data centre has one VM left.
+    for (int left = VmCount - 1; left >= DataCentres; --left) {
+        const std::string dataCentre = "dc" + std::to_string(left % DataCentres);
+        std::size_t speaker = fleet.vms.size();
+        for (std::size_t index = 0; index < fleet.vms.size(); ++index) {
+            const auto &candidate = fleet.vms[index]->board.settings;
+            const bool lower = speaker == fleet.vms.size()
+                               || shortHash(candidate.vmName)
+                                          < shortHash(fleet.vms[speaker]->board.settings.vmName);
+            if (candidate.dataCentre == dataCentre && lower)
+                speaker = index;
+        }
+        fleet.vms.erase(fleet.vms.begin() + static_cast<std::ptrdiff_t>(speaker));
+        BOOST_TEST(fleet.reaches([&] { return fleet.allSee(left); }));
+    }
+}
--- a/testing/quota_ledger_test.cc
+++ b/testing/quota_ledger_test.cc
@@ -165,3 +165,102 @@
     ledger.peerTotal("vm1", 1000.0, at(0.2));
     BOOST_TEST(ledger.level() == before - 1000.0);
 }
+
+// Guards against a total of a data centre that falls when one of its VMs ends, and which the others
+// would not charge until it has grown past its former value.
+BOOST_AUTO_TEST_CASE(groupTotalNeverFalls)
+{
+    quota_ledger ledger({}, { 1000.0, 5000.0 }, at(0));
+    const quota_peer local{ 1, true };
+    ledger.peerTotal("vm1", 0.0, at(0), local);
+    ledger.peerTotal("vm1", 700.0, at(0.2), local);
+    ledger.peerTotal("far", 0.0, at(0.2), { 15, false });
+    ledger.peerTotal("far", 900.0, at(0.4), { 15, false });
+    BOOST_TEST(ledger.groupTotal() == 700.0);
+    ledger.peerRestarted("vm1");
+    ledger.peerTotal("vm1", 100.0, at(0.4), local);
+    BOOST_TEST(ledger.groupTotal() == 800.0);
+    for (double now = 0.5; now < 10.0; now += 0.1) {
+        ledger.peerTotal("far", 900.0, at(now), { 15, false });
+        ledger.step(16, at(now));
+    }
+    BOOST_TEST(ledger.groupTotal() == 800.0);
+}
+
+// Guards against a cut between data centres after which each side forgets the other and admits the
+// whole limit: most VMs stand behind three totals, not behind the many of the own data centre.
+BOOST_AUTO_TEST_CASE(dataCentreThatIsCutOffGoesOnChargingTheOthers)
+{
+    quota_ledger ledger({}, { 1000.0, 1000.0 }, at(0));
+    const auto tellLocal = [&](double now) {
+        for (int vm = 0; vm < 14; ++vm)
+            ledger.peerTotal("vm" + std::to_string(vm), 0.0, at(now), { 1, true });
+    };
+    for (double now = 0.0; now < 3.0; now += 0.2) {
+        tellLocal(now);
+        for (const char *group : { "dc2", "dc3", "dc4" })
+            ledger.peerTotal(group, 250.0 * now, at(now), { 15, false });
+        ledger.step(59, at(now));
+    }
+    double admitted = 0.0;
+    for (double now = 3.0; now < 23.0; now += 0.2) {
+        tellLocal(now);
+        ledger.step(59, at(now));
+        while (ledger.tryAdmit(50.0, at(now)))
+            admitted += 50.0;
+    }
+    // A quarter of the limit is what the three others leave; the whole would be 20,000.
+    BOOST_TEST(admitted < 8000.0);
+}
+
+// Guards against a new speaker whose first total is charged whole, or not at all.
+BOOST_AUTO_TEST_CASE(newSpeakersTotalIsChargedFromNowOn)
+{
+    quota_ledger ledger({}, { 1000.0, 5000.0 }, at(0));
+    for (double now = 0.0; now < 2.05; now += 0.2)
+        ledger.peerTotal("dc2", 500.0 * now, at(now), { 15, false });
+    const double before = ledger.level();
+    ledger.peerReplaced("dc2", 90000.0, at(2.4));
+    ledger.peerTotal("dc2", 90000.0, at(2.4), { 15, false });
+    BOOST_TEST(before - ledger.level() > 50.0);
+    BOOST_TEST(before - ledger.level() < 500.0);
+}
+
+// Guards against VMs that all start at once, after all were killed, and each admit up to the whole
+// limit until they hear of each other: 61 VMs, a caller at each that asks for more than the limit.
+BOOST_AUTO_TEST_CASE(vmsThatStartTogetherKeepTheLimitBeforeTheyHearOfEachOther)
+{
+    constexpr int Vms = 61;
+    constexpr double Rate = 300000.0;
+    for (const bool guarded : { true, false }) {
+        quota_ledger_options options;
+        options.startGuard = fromSeconds(guarded ? 1.0 : 0.0);
+        std::vector<quota_ledger> ledgers(Vms, quota_ledger(options, { Rate, Rate }, at(0)));
+        double admitted = 0.0;
+        for (double now = 0.0; now < 0.45; now += 0.05) {
+            for (quota_ledger &ledger : ledgers) {
+                ledger.step(Vms - 1, at(now));
+                admitted += ledger.tryAdmit(5000.0, at(now)) ? 5000.0 : 0.0;
+            }
+        }
+        // The limit over this time is the burst and 0.45 s of the rate.
+        BOOST_TEST((admitted <= 1.45 * Rate) == guarded);
+    }
+}
+
+// Guards against a replaced VM that refuses its callers although the others leave most of the
+// limit.
+BOOST_AUTO_TEST_CASE(startGuardEndsWhenHalfOfTheOthersAreHeard)
+{
+    quota_ledger_options options;
+    options.startGuard = fromSeconds(1.0);
+    quota_ledger ledger(options, { 1000.0, 1000.0 }, at(0));
+    ledger.step(7, at(0));
+    ledger.step(7, at(0.05));
+    for (int vm = 0; vm < 4; ++vm)
+        ledger.peerTotal("vm" + std::to_string(vm), 500.0, at(0.05));
+    ledger.step(7, at(0.1));
+    const double before = ledger.level();
+    ledger.step(7, at(0.2));
+    BOOST_TEST(ledger.level() - before > 90.0);
+}
