--- a/tools/burdockholdctl.cc
+++ b/tools/burdockholdctl.cc
@@ -1,6 +1,7 @@
 // The operators' tool. Every command and exit code is listed by --help; see docs/OPERATIONS.md.
 
 #include "burdockhold/ctl_catalogue.h"
+#include "burdockhold/ctl_explain.h"
 #include "burdockhold/ctl_http.h"
 #include "burdockhold/ctl_key.h"
 #include "burdockhold/ctl_report.h"
@@ -195,6 +196,12 @@
     return drainVm(given.context, given.arguments[0]);
 }
 
+ctl_exit runExplain(const invocation &given)
+{
+    const std::vector<std::string> files(given.arguments.begin() + 1, given.arguments.end());
+    return explain(given.context, given.arguments[0], files, std::cin);
+}
+
 constexpr char ApplyHelp[] =
         "Applies the entries of a JSON file as one record: all of them or none. An entry without "
         "\"base\" replaces the version that is current when the command reads the log; a null "
@@ -210,6 +217,11 @@
 constexpr char DrainHelp[] = "Drains one VM: its daemon ends when its requests have ended.";
 constexpr char ReportHelp[] = "Samples the measures of all VMs and prints the service-level burn.";
 
+constexpr char ExplainHelp[] =
+        "Prints the log lines that name a request, an endpoint or a VM in any field, oldest first "
+        "over all files; without files it reads standard input.";
+constexpr std::size_t MaxLogFiles = 10000;
+
 /// Returns all commands in the order in which --help shows them.
 const std::vector<command> &commands()
 {
@@ -229,6 +241,7 @@
         { "drain", "VM", 1, 1, {}, DrainHelp, runDrain },
         { "settings check", "FILE", 1, 1, {}, "Checks a daemon's settings file.",
           runSettingsCheck },
+        { "explain", "ID [FILE...]", 1, MaxLogFiles, {}, ExplainHelp, runExplain },
         { "report", "", 0, 0, { "profile", "samples", "interval" }, ReportHelp, runReport },
     };
     // clang-format on
