Do not count runs at engines that have ended against the route's limit

The route's limit does not count engines that ended, but a broken connection does not tell a crash from a broken answer. Change: where it alone decides, the router connects to the engine's address; if nothing listens there, the run does not count and the stream goes on elsewhere. Tests: over all facts of an ended call; two engines crash one after the other and a third serves the rest, which fails without the check.

--- a/burdockhold/attempt_rules.cc
+++ b/burdockhold/attempt_rules.cc
@@ -25,6 +25,18 @@
 
 } // namespace
 
+attempt_facts withEndedEndpoint(attempt_facts facts)
+{
+    ++facts.runsLeft;
+    return facts;
+}
+
+bool dependsOnEndpointsEnd(const attempt_facts &facts)
+{
+    return facts.end == call_end::Broken && !canTryAnother(facts)
+           && canTryAnother(withEndedEndpoint(facts));
+}
+
 next_step afterCall(const attempt_facts &facts)
 {
     if (facts.end == call_end::Complete)
--- a/burdockhold/attempt_rules.h
+++ b/burdockhold/attempt_rules.h
@@ -85,6 +85,13 @@
 
 next_step afterCall(const attempt_facts &facts);
 
+/// True if it would change the next step to know that the endpoint has ended: a run at an endpoint
+/// that has ended does not use up one of the route's endpoints.
+bool dependsOnEndpointsEnd(const attempt_facts &facts);
+
+/// The facts once the endpoint is known to have ended.
+attempt_facts withEndedEndpoint(attempt_facts facts);
+
 /// True if the route's calls may run more than once.
 bool mayRepeat(call_kind kind, bool resumable);
 
--- a/burdockhold/loop_duties.cc
+++ b/burdockhold/loop_duties.cc
@@ -1,12 +1,12 @@
 #include "burdockhold/loop_duties.h"
 
+#include "burdockhold/loop_links.h"
+
 #include <algorithm>
 #include <utility>
 
 namespace burdockhold {
 
-using boost::system::error_code;
-
 namespace {
 
 constexpr std::string_view GroupPrefix = "burdockhold-orders/";
@@ -156,19 +156,8 @@
 /// A store that accepts no connection makes every copy from it a wait of some hundred milliseconds.
 void duty_controller::checkStore(const std::string &address)
 {
-    const auto server = parseAddress(address);
-    if (!server)
-        return;
-    const auto socket = std::make_shared<boost::asio::ip::tcp::socket>(m_context);
-    const auto timer = std::make_shared<boost::asio::steady_timer>(m_context, StoreCheckTimeout);
-    timer->async_wait([socket](error_code error) {
-        error_code ignored; // The connect reports the end of a socket closed here.
-        if (!error)
-            socket->close(ignored);
-    });
-    socket->async_connect(*server, [this, socket, timer, address](error_code error) {
-        timer->cancel();
-        if (!error) {
+    checkConnect(m_context, address, StoreCheckTimeout, [this, address](connect_outcome outcome) {
+        if (outcome == connect_outcome::Accepted) {
             m_board.ownStoreFinding.erase(address);
             return;
         }
--- a/burdockhold/loop_exchange.cc
+++ b/burdockhold/loop_exchange.cc
@@ -40,6 +40,8 @@
 constexpr duration MoveStreamAfter = std::chrono::milliseconds(350);
 // A stream moves only where its next event comes within the usual pause, old weights allowed.
 constexpr double MaxMoveMs = 450.0;
+// A few round trips; a stream's caller waits meanwhile.
+constexpr duration EndCheckTimeout = std::chrono::milliseconds(60);
 // Least pause that a refusal asks for: a connection and the balancer's choice take part of it.
 constexpr duration MinRetryAfter = std::chrono::milliseconds(50);
 
@@ -645,7 +647,26 @@
     facts.timeLeft = m_deadline - now;
     if (end != call_end::Complete && end != call_end::NotSent)
         facts.repeatsLeft = board.repeatsOf(m_poolName).tryRetry(now);
-    takeStep(afterCall(facts));
+    if (dependsOnEndpointsEnd(facts))
+        stepAfterCheck(facts);
+    else
+        takeStep(afterCall(facts));
+}
+
+/// Asks whether the endpoint has ended, as far as it can be known at once.
+void exchange::stepAfterCheck(const attempt_facts &facts)
+{
+    checkConnect(m_context.io, m_address, EndCheckTimeout,
+                 [self = shared_from_this(), facts](connect_outcome outcome) {
+                     if (self->m_ended)
+                         return;
+                     if (outcome != connect_outcome::Refused) {
+                         self->takeStep(afterCall(facts));
+                         return;
+                     }
+                     --self->m_runs;
+                     self->takeStep(afterCall(withEndedEndpoint(facts)));
+                 });
 }
 
 void exchange::takeStep(const next_step &step)
--- a/burdockhold/loop_exchange.h
+++ b/burdockhold/loop_exchange.h
@@ -131,6 +131,7 @@
     call_end judge(link_end end) const;
     void learnFromRefusal();
     void callEnded(call_end end);
+    void stepAfterCheck(const attempt_facts &facts);
     void takeStep(const next_step &step);
     void releaseCall();
 
--- a/burdockhold/loop_links.cc
+++ b/burdockhold/loop_links.cc
@@ -1,16 +1,46 @@
 #include "burdockhold/loop_links.h"
 
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
 #include <algorithm>
 #include <utility>
 
 namespace burdockhold {
 
+using boost::system::error_code;
+
 namespace {
 
 constexpr std::size_t MaxIdlePerAddress = 8;
 
 } // namespace
 
+void checkConnect(boost::asio::io_context &context, const std::string &address, duration timeout,
+                  std::function<void(connect_outcome)> done)
+{
+    const auto server = parseAddress(address);
+    if (!server) {
+        boost::asio::post(context, [done] { done(connect_outcome::NoAnswer); });
+        return;
+    }
+    const auto socket = std::make_shared<boost::asio::ip::tcp::socket>(context);
+    const auto timer = std::make_shared<boost::asio::steady_timer>(context, timeout);
+    timer->async_wait([socket](error_code error) {
+        error_code ignored; // The connect reports the end of a socket closed here.
+        if (!error)
+            socket->close(ignored);
+    });
+    socket->async_connect(*server, [socket, timer, done](error_code error) {
+        timer->cancel();
+        const bool refused = error == boost::asio::error::connection_refused
+                             || error == boost::asio::error::connection_reset;
+        done(!error    ? connect_outcome::Accepted
+             : refused ? connect_outcome::Refused
+                       : connect_outcome::NoAnswer);
+    });
+}
+
 std::shared_ptr<http_link> link_pool::take(const std::string &address, bool mayReuse)
 {
     const auto idle = m_idle.find(address);
--- a/burdockhold/loop_links.h
+++ b/burdockhold/loop_links.h
@@ -6,6 +6,7 @@
 
 #include "burdockhold/loop_http.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -13,6 +14,14 @@
 
 namespace burdockhold {
 
+enum class connect_outcome { Accepted, Refused, NoAnswer };
+
+/// Connects to the address and closes the connection at once. Refused means that nothing listens
+/// there, so that the process that did has ended; NoAnswer says nothing. An address that is none
+/// counts as NoAnswer. The handler is called later, never from within.
+void checkConnect(boost::asio::io_context &context, const std::string &address, duration timeout,
+                  std::function<void(connect_outcome)> done);
+
 class link_pool
 {
 public:
--- a/testing/attempt_rules_test.cc
+++ b/testing/attempt_rules_test.cc
@@ -111,3 +111,20 @@
     facts.timeLeft = MinTimeForRepeat - duration(1);
     BOOST_TEST(std::holds_alternative<refuse_not_run>(afterCall(facts)));
 }
+
+// Guards against a stream that is cut off because the engines that ran it have crashed, and against
+// a check of the endpoint that could change nothing.
+BOOST_AUTO_TEST_CASE(runAtAnEndedEndpointDoesNotUseUpTheRoute)
+{
+    forAllFacts([](const attempt_facts &facts, const next_step &step) {
+        const next_step ended = afterCall(withEndedEndpoint(facts));
+        if (dependsOnEndpointsEnd(facts)) {
+            BOOST_TEST(facts.runsLeft == 0);
+            BOOST_TEST(mayRepeat(facts.kind, facts.resumable));
+            BOOST_TEST(!std::holds_alternative<try_another>(step));
+            BOOST_TEST(std::holds_alternative<try_another>(ended));
+        } else if (facts.end == call_end::Broken) {
+            BOOST_TEST(ended.index() == step.index());
+        }
+    });
+}
--- a/testing/router_looptest.cc
+++ b/testing/router_looptest.cc
@@ -450,3 +450,45 @@
     BOOST_TEST(onIdle == 1);
     BOOST_TEST(callCount() == before + 2);
 }
+
+// Guards against a stream that is cut off although an engine that ended does not count among those
+// that the route allows: two engines crash one after the other, the third has the rest.
+BOOST_FIXTURE_TEST_CASE(crashedEnginesDoNotUseUpTheRoute, fixture)
+{
+    const auto relay = [this](const seen_request &request, answer_socket &socket) {
+        const std::string last = request.field("Last-Event-Id");
+        const int from = last.empty() ? 0 : std::stoi(last);
+        socket.write(answerHead(request, "Transfer-Encoding: chunked"));
+        return from;
+    };
+    // Engines that stop listening before they break the stream.
+    std::vector<std::unique_ptr<standin_server>> crashing;
+    log.remove("keyed.servers", "e1");
+    log.remove("keyed.servers", "e2");
+    for (const char *name : { "c1", "c2" }) {
+        const std::size_t index = crashing.size();
+        crashing.push_back(std::make_unique<standin_server>(
+                [&, index](const seen_request &request, answer_socket &socket) {
+                    const int from = relay(request, socket);
+                    socket.write(chunk(events(from + 1, from + 2)));
+                    crashing[index]->stopListening();
+                    return false;
+                }));
+        log.put("keyed.servers", name, entry(crashing.back()->address(), "ready"));
+    }
+    behave([&](const std::string &, const seen_request &request, answer_socket &socket) {
+        const int from = relay(request, socket);
+        return socket.write(chunk(events(from + 1, 6)) + "0\r\n\r\n");
+    });
+    std::this_thread::sleep_for(std::chrono::milliseconds(2000)); // The bound for entries.
+    test_caller caller(router->callerAddress());
+    caller.send(request("/resume/"));
+    const std::string begun = caller.readUntil(event(4), PatienceMs);
+    // The rest is at an engine that the route's limit alone would not allow.
+    BOOST_TEST(begun.find(event(4)) != std::string::npos);
+    log.put("keyed.servers", "e3", entry(first.address(), "ready"));
+    const std::string answer = caller.readUntil("0\r\n\r\n", PatienceMs);
+    for (int id = 1; id <= 6; ++id)
+        BOOST_TEST(answer.find(event(id)) != std::string::npos);
+    BOOST_TEST(!caller.closedByPeer());
+}
--- a/testing/support_platform.cc
+++ b/testing/support_platform.cc
@@ -232,6 +232,12 @@
     }
 }
 
+void standin_server::stopListening()
+{
+    m_stopping = true;
+    ::shutdown(m_listener, SHUT_RDWR);
+}
+
 void standin_server::serve(int descriptor)
 {
     std::string buffer;
--- a/testing/support_platform.h
+++ b/testing/support_platform.h
@@ -65,6 +65,9 @@
 
     std::string address() const { return "127.0.0.1:" + std::to_string(m_port); }
 
+    /// New connections are refused from now on; open ones stay.
+    void stopListening();
+
 private:
     void accept();
     void serve(int descriptor);
