Let guessed versions of weights yield to the engine's own word

Cause: a VM that got 421 took the engine to have the newest named version. When two versions are named within seconds the engine has the one between: every later call to it was refused, other VMs believed the guess from digests, and the holder did not order the newest version since the engine seemed to have it. Ruled out: the check of ended endpoints (same refusals with it off), lost orders (all answered). Change: the guess is the next named version, replaced by the engine's next entry or answer, and not told to others. Tests: both fail on the code before.

--- a/burdockhold/endpoint_table.cc
+++ b/burdockhold/endpoint_table.cc
@@ -45,10 +45,8 @@
     entry.toldLeaving = false;
     if (report.leaving && changed)
         entry.leavingSeenAt = now;
-    for (const auto &[model, version] : report.weights) {
-        auto &known = entry.weights[model];
-        known = std::max(known, version);
-    }
+    for (const auto &[model, version] : report.weights)
+        weightsSeen(report.id, model, version);
     return changed;
 }
 
@@ -191,20 +189,48 @@
     return entry == nullptr ? 0 : versionOf(*entry, model);
 }
 
+void endpoint_table::setWeights(table_entry &entry, std::string_view model, std::int64_t version)
+{
+    entry.weights[std::string(model)] = version;
+    // New weights empty the engine.
+    entry.parts.clear();
+    entry.partOrder.clear();
+    entry.loadingUntil = {};
+    entry.ownOrderUntil = {};
+}
+
 void endpoint_table::weightsSeen(std::string_view id, std::string_view model, std::int64_t version)
 {
     table_entry *entry = entryOf(id);
     if (entry == nullptr)
         return;
-    std::int64_t &known = entry->weights[std::string(model)];
-    if (version <= known)
+    const auto guess = entry->guessed.find(model);
+    const bool wasGuessed = guess != entry->guessed.end();
+    const std::int64_t known = versionOf(*entry, model);
+    if (wasGuessed && version != known)
+        setWeights(*entry, model, version);
+    else if (version > known)
+        setWeights(*entry, model, version);
+    if (wasGuessed)
+        entry->guessed.erase(guess);
+}
+
+void endpoint_table::guessWeights(std::string_view id, std::string_view model, std::int64_t version)
+{
+    table_entry *entry = entryOf(id);
+    if (entry == nullptr || version <= versionOf(*entry, model))
         return;
-    known = version;
-    // New weights empty the engine.
-    entry->parts.clear();
-    entry->partOrder.clear();
-    entry->loadingUntil = {};
-    entry->ownOrderUntil = {};
+    setWeights(*entry, model, version);
+    entry->guessed.insert(std::string(model));
+}
+
+void endpoint_table::dropGuess(std::string_view id, std::string_view model)
+{
+    table_entry *entry = entryOf(id);
+    if (entry == nullptr || entry->guessed.count(model) == 0)
+        return;
+    const auto stated = entry->report.weights.find(std::string(model));
+    weightsSeen(id, model, stated == entry->report.weights.end() ? 0 : stated->second);
 }
 
 void endpoint_table::setLoading(std::string_view id, time_point now)
@@ -345,7 +371,8 @@
             const auto stated = entry.report.weights.find(model);
             const bool ahead = stated == entry.report.weights.end() || stated->second < version;
             const bool loading = now < entry.ownOrderUntil;
-            if (ahead || loading)
+            const bool guessed = entry.guessed.count(model) != 0;
+            if (!guessed && (ahead || loading))
                 digest.weights.push_back({ entry.hash, shortHash(model), version, loading });
         }
     }
--- a/burdockhold/endpoint_table.h
+++ b/burdockhold/endpoint_table.h
@@ -86,7 +86,13 @@
 
     /// Newest version of the model that the endpoint is known to have; 0 when unknown.
     std::int64_t weightsOf(std::string_view id, std::string_view model) const;
+    /// The endpoint itself has stated the version. It replaces a guess, also a higher one.
     void weightsSeen(std::string_view id, std::string_view model, std::int64_t version);
+    /// The endpoint has refused an older version and named none: it has this one or a newer one.
+    /// The guess holds until the endpoint's next entry and is not told to other VMs.
+    void guessWeights(std::string_view id, std::string_view model, std::int64_t version);
+    /// The endpoint has refused a version that may have been a guess: its entry holds again.
+    void dropGuess(std::string_view id, std::string_view model);
     /// The endpoint drains or loads on this VM's order. Only the VM that ordered it tells the
     /// others: a word that is passed on would never end.
     void setLoading(std::string_view id, time_point now);
@@ -141,6 +147,7 @@
         time_point loadingUntil;
         time_point ownOrderUntil; // As loadingUntil, for an order of this VM.
         std::map<std::string, std::int64_t, std::less<>> weights;
+        std::set<std::string, std::less<>> guessed; // Models whose version is a guess.
         std::unordered_set<std::string> parts;
         std::deque<std::string> partOrder;
     };
@@ -164,6 +171,7 @@
     void addRows(const vm_digest &digest, int sign);
     void markLoading(table_entry &entry, time_point now) const;
     void peerWeights(const weights_row &row, time_point now);
+    static void setWeights(table_entry &entry, std::string_view model, std::int64_t version);
     bool isUsable(const table_entry &entry, bool poolIsEmpty, time_point now) const;
     endpoint_candidate candidateOf(const table_entry &entry, std::string_view model,
                                    std::int64_t wantedVersion, std::string_view partKey,
--- a/burdockhold/loop_exchange.cc
+++ b/burdockhold/loop_exchange.cc
@@ -606,11 +606,19 @@
         board.endpoints.remove(m_endpointId, steadyNow());
         return;
     }
-    const std::int64_t wanted = board.wantedVersion(m_request.model);
-    if (m_expectedWeights > 0 && m_expectedWeights < wanted)
-        board.endpoints.weightsSeen(m_endpointId, m_request.model, wanted);
-    else
+    if (m_head.weights)
+        return; // The engine has named its version, which is noted already.
+    // Versions only grow. One at a time: a guess beyond the engine's version would be refused until
+    // its next entry, and nobody would order the newest one meanwhile.
+    const std::int64_t next = m_expectedWeights == 0
+                                      ? 0
+                                      : board.namedAfter(m_request.model, m_expectedWeights);
+    if (next > 0) {
+        board.endpoints.guessWeights(m_endpointId, m_request.model, next);
+    } else {
+        board.endpoints.dropGuess(m_endpointId, m_request.model);
         board.endpoints.connectFailed(m_endpointId, steadyNow());
+    }
 }
 
 void exchange::callEnded(call_end end)
--- a/burdockhold/router_board.cc
+++ b/burdockhold/router_board.cc
@@ -49,6 +49,18 @@
     return found == wantedWeights.end() ? 0 : found->second.back().version;
 }
 
+std::int64_t router_board::namedAfter(const std::string &model, std::int64_t version) const
+{
+    const auto found = wantedWeights.find(model);
+    if (found == wantedWeights.end())
+        return 0;
+    for (const wanted_version &named : found->second) {
+        if (named.version > version)
+            return named.version;
+    }
+    return 0;
+}
+
 bool router_board::noteNamed(const std::string &model, std::int64_t version, duration age,
                              bool guessed)
 {
--- a/burdockhold/router_board.h
+++ b/burdockhold/router_board.h
@@ -58,6 +58,10 @@
     /// Version of the model's weights that the operator wants; 0 when none was named.
     std::int64_t wantedVersion(const std::string &model) const;
 
+    /// Lowest version above the given one that the operator is known to have named; 0 when there
+    /// is none.
+    std::int64_t namedAfter(const std::string &model, std::int64_t version) const;
+
     /// Notes that a version was named this long ago. A known time replaces a guessed one; of two
     /// known ones the older holds: the first VM that saw it knows best. Returns true when the
     /// version is the newest and was not known.
--- a/testing/endpoint_table_test.cc
+++ b/testing/endpoint_table_test.cc
@@ -198,3 +198,45 @@
     table.connectFailed("e1", at(0.4));
     BOOST_TEST((candidate(table, "e1", at(0.8)).excluded == exclusion::BackOff));
 }
+
+// Guards against a guessed version that is too new and stays: every call is refused, and the engine
+// is not ordered to load the newest weights since it seems to have them (three engines stood still
+// for eight seconds on onct-dakar, trouble-2, while two versions were named within four seconds).
+BOOST_AUTO_TEST_CASE(guessOfAVersionYieldsToTheEnginesOwnWord)
+{
+    endpoint_table table("dc1");
+    table.update(report("e1"), at(0));
+    table.guessWeights("e1", Model, 3);
+    BOOST_TEST(table.weightsOf("e1", Model) == 3);
+    endpoint_report next = report("e1");
+    next.weights[Model] = 2;
+    table.update(next, at(1));
+    BOOST_TEST(table.weightsOf("e1", Model) == 2);
+
+    table.guessWeights("e1", Model, 3);
+    table.weightsSeen("e1", Model, 3);
+    table.update(next, at(2));
+    BOOST_TEST(table.weightsOf("e1", Model) == 3);
+
+    table.guessWeights("e1", Model, 5);
+    table.dropGuess("e1", Model);
+    BOOST_TEST(table.weightsOf("e1", Model) == 2);
+    table.weightsSeen("e1", Model, 4);
+    table.dropGuess("e1", Model);
+    BOOST_TEST(table.weightsOf("e1", Model) == 4);
+}
+
+// Guards against a guess that other VMs take for the engine's own word.
+BOOST_AUTO_TEST_CASE(guessIsNotToldToOthers)
+{
+    endpoint_table table("dc1");
+    endpoint_table other("dc1");
+    table.update(report("e1"), at(0));
+    other.update(report("e1"), at(0));
+    table.guessWeights("e1", Model, 3);
+    other.peerDigest(digestOf(table, "vm", at(1)), at(1));
+    BOOST_TEST(other.weightsOf("e1", Model) == 1);
+    table.weightsSeen("e1", Model, 3);
+    other.peerDigest(digestOf(table, "vm", at(1.2)), at(1.2));
+    BOOST_TEST(other.weightsOf("e1", Model) == 3);
+}
--- a/testing/router_board_looptest.cc
+++ b/testing/router_board_looptest.cc
@@ -133,3 +133,15 @@
     }
     BOOST_TEST(toSeconds(shortest) >= 0.3 * toSeconds(board.settings.leavingBound));
 }
+
+// Guards against a guess that skips a version: an engine that refuses version 3 has 4 or 5.
+BOOST_AUTO_TEST_CASE(nextNamedVersionIsTheLowestAbove)
+{
+    router_board board(settings());
+    BOOST_TEST(board.namedAfter("m", 3) == 0);
+    board.noteNamed("m", 5, seconds(1), false);
+    board.noteNamed("m", 4, seconds(3), false);
+    BOOST_TEST(board.namedAfter("m", 3) == 4);
+    BOOST_TEST(board.namedAfter("m", 4) == 5);
+    BOOST_TEST(board.namedAfter("m", 5) == 0);
+}
