--- a/burdockhold/digest_summary.cc
+++ b/burdockhold/digest_summary.cc
@@ -59,6 +59,7 @@
         }
     }
     std::vector<Row> rows;
+    rows.reserve(merged.size());
     for (const auto &entry : merged)
         rows.push_back(entry.second);
     return rows;
--- a/burdockhold/endpoint_table.cc
+++ b/burdockhold/endpoint_table.cc
@@ -85,16 +85,6 @@
     return entry == nullptr ? nullptr : &entry->report;
 }
 
-std::vector<const endpoint_report *> endpoint_table::ofPool(std::string_view pool) const
-{
-    std::vector<const endpoint_report *> found;
-    for (const auto &[id, entry] : m_entries) {
-        if (entry.report.pool == pool && !entry.removed)
-            found.push_back(&entry.report);
-    }
-    return found;
-}
-
 bool endpoint_table::isUsable(const table_entry &entry, bool poolIsEmpty, time_point now) const
 {
     if (entry.report.leaving || entry.toldLeaving)
@@ -108,7 +98,9 @@
         std::string_view pool, std::string_view model, std::int64_t wantedVersion,
         std::string_view partKey, const std::set<std::string> &tried, time_point now) const
 {
-    const bool poolIsEmpty = ofPool(pool).empty();
+    const bool poolIsEmpty = std::none_of(m_entries.begin(), m_entries.end(), [&](const auto &row) {
+        return row.second.report.pool == pool && !row.second.removed;
+    });
     std::vector<endpoint_candidate> found;
     for (const auto &[id, entry] : m_entries) {
         if (entry.report.pool != pool || !isUsable(entry, poolIsEmpty, now))
@@ -207,9 +199,7 @@
     const auto guess = entry->guessed.find(model);
     const bool wasGuessed = guess != entry->guessed.end();
     const std::int64_t known = versionOf(*entry, model);
-    if (wasGuessed && version != known)
-        setWeights(*entry, model, version);
-    else if (version > known)
+    if (version > known || (wasGuessed && version < known))
         setWeights(*entry, model, version);
     if (wasGuessed)
         entry->guessed.erase(guess);
--- a/burdockhold/endpoint_table.h
+++ b/burdockhold/endpoint_table.h
@@ -67,7 +67,6 @@
     void keepOnly(const std::set<std::string> &ids, time_point now);
 
     const endpoint_report *find(std::string_view id) const;
-    std::vector<const endpoint_report *> ofPool(std::string_view pool) const;
 
     /// Candidates for a request. Endpoints in tried are excluded. The ids point into the table.
     std::vector<endpoint_candidate> candidates(std::string_view pool, std::string_view model,
--- a/burdockhold/loop_duties.cc
+++ b/burdockhold/loop_duties.cc
@@ -185,16 +185,28 @@
     publishDuties(now);
 }
 
+std::vector<ordered_engine> duty_controller::enginesToOrder(const std::string &pool,
+                                                            const std::string &model,
+                                                            time_point now) const
+{
+    auto engines = m_board.endpoints.orderedEngines(pool, model, now);
+    for (ordered_engine &engine : engines)
+        engine.usableFor = m_board.weightsUsableFor(model, engine.version);
+    return engines;
+}
+
 void duty_controller::stepModel(const deployment_pool &pool, held_duty &duty,
                                 const std::string &model, time_point now)
 {
     const wanted_load wanted{ m_board.wantedVersion(model), pool.engine->cacheTokens };
     weights_planner &planner = duty.planners[model];
-    auto engines = m_board.endpoints.orderedEngines(pool.name, model, now);
-    for (ordered_engine &engine : engines)
-        engine.usableFor = m_board.weightsUsableFor(model, engine.version);
+    std::vector<ordered_engine> engines;
     const duration othersOrderAge = now - m_board.otherClaims[shortHash(pool.name)].orderAt;
     const auto token = duty.lease.token(bootNow(), othersOrderAge);
+    // Listing the engines of a large pool on every tick costs more than all else of a VM that does
+    // not hold the duty.
+    if (token)
+        engines = enginesToOrder(pool.name, model, now);
     const auto actions = planner.step(engines, wanted, token, now);
     for (const std::string &id : planner.loadingEngines(now))
         m_board.endpoints.setLoading(id, now);
--- a/burdockhold/loop_duties.h
+++ b/burdockhold/loop_duties.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace burdockhold {
 
@@ -55,6 +56,8 @@
     void publishDuties(time_point now);
     void checkStores(time_point now);
     void checkStore(const std::string &address);
+    std::vector<ordered_engine> enginesToOrder(const std::string &pool, const std::string &model,
+                                               time_point now) const;
     void stepModel(const deployment_pool &pool, held_duty &duty, const std::string &model,
                    time_point now);
     void carryOut(const std::string &pool, const std::string &model,
--- a/burdockhold/loop_links.cc
+++ b/burdockhold/loop_links.cc
@@ -17,7 +17,7 @@
 } // namespace
 
 void checkConnect(boost::asio::io_context &context, const std::string &address, duration timeout,
-                  std::function<void(connect_outcome)> done)
+                  const std::function<void(connect_outcome)> &done)
 {
     const auto server = parseAddress(address);
     if (!server) {
--- a/burdockhold/loop_links.h
+++ b/burdockhold/loop_links.h
@@ -20,7 +20,7 @@
 /// there, so that the process that did has ended; NoAnswer says nothing. An address that is none
 /// counts as NoAnswer. The handler is called later, never from within.
 void checkConnect(boost::asio::io_context &context, const std::string &address, duration timeout,
-                  std::function<void(connect_outcome)> done);
+                  const std::function<void(connect_outcome)> &done);
 
 class link_pool
 {
--- a/testing/digest_summary_test.cc
+++ b/testing/digest_summary_test.cc
@@ -40,15 +40,17 @@
 std::vector<vm_digest> randomDigests(std::mt19937 &random)
 {
     std::vector<vm_digest> digests;
-    const int count = 1 + static_cast<int>(random() % 20);
-    for (int number = 0; number < count; ++number)
-        digests.push_back(randomDigest(random, number));
+    const std::size_t count = 1 + random() % 20;
+    digests.reserve(count);
+    for (std::size_t number = 0; number < count; ++number)
+        digests.push_back(randomDigest(random, static_cast<int>(number)));
     return digests;
 }
 
 vm_digest summaryOf(const std::vector<vm_digest> &digests)
 {
     std::vector<const vm_digest *> members;
+    members.reserve(digests.size());
     for (const vm_digest &digest : digests)
         members.push_back(&digest);
     return summarize(members);
@@ -141,6 +143,7 @@
 BOOST_AUTO_TEST_CASE(oneOfTheVmsSpeaks)
 {
     std::vector<std::uint32_t> vms;
+    vms.reserve(30);
     for (int number = 0; number < 30; ++number)
         vms.push_back(shortHash("vm-" + std::to_string(number)));
     int speakers = 0;
--- a/testing/endpoint_choice_test.cc
+++ b/testing/endpoint_choice_test.cc
@@ -14,6 +14,7 @@
 
 const std::vector<std::string> names = [] {
     std::vector<std::string> made;
+    made.reserve(300);
     for (int number = 0; number < 300; ++number)
         made.push_back("e" + std::to_string(number));
     return made;
