Choose free ports outside the range of outgoing connections

The port was found by binding port 0, which draws from the range of outgoing connections, and one of these took it before the daemon bound it. Ruled out: a daemon of another test (they run one at a time). Change: ports are drawn below that range and tried; the tests' own copy of the search is removed.

--- a/burdockhold/free_port.cc
+++ b/burdockhold/free_port.cc
@@ -5,26 +5,48 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cstdint>
+#include <random>
+
 namespace burdockhold {
 
 namespace {
 
-/// Binds a socket to port 0 of the host and returns the port it got, or 0.
-int findFreePort(const std::string &host)
+// Below the range from which Linux takes the ports of outgoing connections: one of these could take
+// the port before the listener binds it.
+constexpr int FirstPort = 18000;
+constexpr int LastPort = 32000;
+constexpr int MaxTries = 200;
+
+bool canBind(in_addr host, int port)
 {
     sockaddr_in address{};
     address.sin_family = AF_INET;
-    if (inet_pton(AF_INET, host.c_str(), &address.sin_addr) != 1)
-        return 0;
+    address.sin_addr = host;
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
     const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     if (descriptor < 0)
-        return 0;
-    socklen_t size = sizeof(address);
-    auto *generic = reinterpret_cast<sockaddr *>(&address);
-    const bool bound = bind(descriptor, generic, size) == 0
-                       && getsockname(descriptor, generic, &size) == 0;
+        return false;
+    const bool bound = bind(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof(address))
+                       == 0;
     close(descriptor);
-    return bound ? ntohs(address.sin_port) : 0;
+    return bound;
+}
+
+/// Returns a port of the host that can be bound, drawn at random, or 0.
+int findFreePort(const std::string &host)
+{
+    in_addr parsed{};
+    if (inet_pton(AF_INET, host.c_str(), &parsed) != 1)
+        return 0;
+    std::random_device random;
+    std::uniform_int_distribution<int> ports(FirstPort, LastPort);
+    for (int tries = 0; tries < MaxTries; ++tries) {
+        const int port = ports(random);
+        if (canBind(parsed, port))
+            return port;
+    }
+    return 0;
 }
 
 } // namespace
--- a/testing/support_fleet.cc
+++ b/testing/support_fleet.cc
@@ -1,5 +1,7 @@
 #include "testing/support_fleet.h"
 
+#include "burdockhold/free_port.h"
+
 #include "burdockhold/digest.h"
 #include "testing/support_http.h"
 
@@ -30,18 +32,10 @@
 // Another process could take the port before the daemon binds it; the daemon then fails to start.
 std::string freePeerAddress()
 {
-    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    auto *generic = reinterpret_cast<sockaddr *>(&address);
-    const bool bound = bind(descriptor, generic, size) == 0
-                       && getsockname(descriptor, generic, &size) == 0;
-    close(descriptor);
-    if (!bound)
-        throw std::runtime_error("no free port");
-    return "tcp://127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+    const auto address = withFreePort("tcp://127.0.0.1:0");
+    if (!isOk(address))
+        throw std::runtime_error(errorOf(address).text);
+    return valueOf(address);
 }
 
 void checkStatus(const http_response &response, const std::string &what)
