Read the log once for each group of VMs; keep to parts of a limit under overload

Ruled out as the cause of the calls: joins of groups (a tenth of a call each, one VM a pool), announcements (two a start).

Change 1: the VMs of a data centre (of a small deployment: all) put each other in one order by rendezvous; the first live one reads, the others ask it over a kept connection and are answered as soon as something changes (view_source, view_message, view_history, loop_views). The age of a view is counted from the moment of the question on the asker's own clock that counts suspensions. Whoever is asked reads; a VM without a fresh view reads for itself. A word of a leaving endpoint from another VM now ends when the own view is proven for a later time, since unchanged entries are not passed on; guesses of weights likewise. The list of VMs is read page by page.

Under overload every VM uses at the same time what no digest has told of yet, and started VMs do not know the others' rates. Ruled out: the margin (half of the tolerance is unused in the steady state).

Change 2: while an account asks for more than its rate, and until a started VM knows what most others ask for, a VM also keeps to its part of the rate, by what its callers ask for; digests tell totals of what was asked for. VMs begin at different phases, since a part is often smaller than one request. A started VM's even part of the burst counts the VMs that are known. The test of the start guard now turns parts off where it shows that the limit breaks without the guard: both mechanisms keep it.

Also: an answer of the log or of an engine's report is bounded to 4 MB.

--- a/burdockhold/endpoint_table.cc
+++ b/burdockhold/endpoint_table.cc
@@ -42,7 +42,8 @@
                          || entry.report.address != report.address;
     entry.report = report;
     entry.removed = false;
-    entry.toldLeaving = false;
+    if (changed)
+        entry.toldLeavingAt.reset();
     if (report.leaving && changed)
         entry.leavingSeenAt = now;
     for (const auto &[model, version] : report.weights)
@@ -71,6 +72,16 @@
     entry->leavingSeenAt = now;
 }
 
+void endpoint_table::viewProven(time_point at)
+{
+    for (auto &[id, entry] : m_entries) {
+        if (entry.toldLeavingAt && *entry.toldLeavingAt < at)
+            entry.toldLeavingAt.reset();
+        if (!entry.guesses.empty() && entry.guessedAt + m_options.guessLapse < at)
+            entry.guesses.clear();
+    }
+}
+
 void endpoint_table::keepOnly(const std::set<std::string> &ids, time_point now)
 {
     for (const auto &[id, entry] : m_entries) {
@@ -87,7 +98,7 @@
 
 bool endpoint_table::isUsable(const table_entry &entry, bool poolIsEmpty, time_point now) const
 {
-    if (entry.report.leaving || entry.toldLeaving)
+    if (entry.report.leaving || entry.toldLeavingAt)
         return false;
     if (!entry.removed)
         return true;
@@ -201,12 +212,14 @@
     entry->ownOrderUntil = {};
 }
 
-void endpoint_table::guessWeights(std::string_view id, std::string_view model, std::int64_t version)
+void endpoint_table::guessWeights(std::string_view id, std::string_view model, std::int64_t version,
+                                  time_point now)
 {
     table_entry *entry = entryOf(id);
     if (entry == nullptr || version <= versionOf(*entry, model))
         return;
     entry->guesses[std::string(model)] = version;
+    entry->guessedAt = now;
     // An engine that loads refuses in another way.
     entry->loadingUntil = {};
     entry->ownOrderUntil = {};
@@ -396,7 +409,7 @@
         peerWeights(row, now);
     for (const std::uint32_t gone : digest.goneEndpoints) {
         if (const auto id = m_idsByHash.find(gone); id != m_idsByHash.end())
-            entryOf(id->second)->toldLeaving = true;
+            entryOf(id->second)->toldLeavingAt = now;
     }
 }
 
--- a/burdockhold/endpoint_table.h
+++ b/burdockhold/endpoint_table.h
@@ -20,6 +20,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -46,6 +47,8 @@
     duration removalGrace = std::chrono::milliseconds(1500); ///< Entries return within two seconds.
     /// How long others are told that an endpoint leaves: longer than they wait between reads.
     duration goneTold = std::chrono::seconds(10);
+    /// An engine enters its weights anew within this time of a change.
+    duration guessLapse = std::chrono::milliseconds(1500);
     std::size_t partsPerEndpoint = 400; ///< Remembered parts; more than an engine's memory holds.
 };
 
@@ -65,6 +68,10 @@
     bool update(const endpoint_report &report, time_point now);
     void remove(std::string_view id, time_point now);
 
+    /// The view of the entries is that of the log at this time. It ends what other VMs have told
+    /// of leaving before it, and older guesses.
+    void viewProven(time_point at);
+
     /// Drops endpoints that a complete list does not name.
     void keepOnly(const std::set<std::string> &ids, time_point now);
 
@@ -90,8 +97,10 @@
     /// The endpoint itself has stated the version. It ends a guess, also a higher one.
     void weightsSeen(std::string_view id, std::string_view model, std::int64_t version);
     /// The endpoint has refused an older version and named none: it has this one or a newer one.
-    /// The guess holds until the endpoint's next entry and is not told to other VMs.
-    void guessWeights(std::string_view id, std::string_view model, std::int64_t version);
+    /// The guess holds until the endpoint's next entry, or until the view is proven for a time
+    /// after guessLapse, and is not told to other VMs.
+    void guessWeights(std::string_view id, std::string_view model, std::int64_t version,
+                      time_point now);
     /// The endpoint has refused a version that may have been a guess: what it stated holds again.
     void dropGuess(std::string_view id, std::string_view model);
     /// The endpoint drains or loads on this VM's order. Only the VM that ordered it tells the
@@ -135,7 +144,8 @@
         bool removed = false;
         time_point removedAt;
         time_point leavingSeenAt; // When this VM read that it leaves or is gone.
-        bool toldLeaving = false; // Another VM has read it; this VM's own entry is older.
+        /// Another VM has read that it leaves; the own view is older than that.
+        std::optional<time_point> toldLeavingAt;
         int running = 0;
         std::int64_t unreadTokens = 0;
         std::int64_t heldTokens = 0;
@@ -149,6 +159,7 @@
         time_point ownOrderUntil; // As loadingUntil, for an order of this VM.
         std::map<std::string, std::int64_t, std::less<>> weights; // As the endpoint has stated.
         std::map<std::string, std::int64_t, std::less<>> guesses; // Above what it has stated.
+        time_point guessedAt;                                     // The newest guess.
         std::unordered_set<std::string> parts;
         std::deque<std::string> partOrder;
     };
--- a/burdockhold/loop_exchange.cc
+++ b/burdockhold/loop_exchange.cc
@@ -616,7 +616,7 @@
                                       ? 0
                                       : board.namedAfter(m_request.model, m_expectedWeights);
     if (next > 0) {
-        board.endpoints.guessWeights(m_endpointId, m_request.model, next);
+        board.endpoints.guessWeights(m_endpointId, m_request.model, next, steadyNow());
     } else {
         board.endpoints.dropGuess(m_endpointId, m_request.model);
         board.endpoints.connectFailed(m_endpointId, steadyNow());
--- a/burdockhold/loop_log.cc
+++ b/burdockhold/loop_log.cc
@@ -58,13 +58,31 @@
                       self->m_answer.status = static_cast<int>(message.result_int());
                       return true;
                   },
-                   [self](std::string_view bytes) { self->m_answer.body.append(bytes); },
+                   [self](std::string_view bytes) { self->bodyArrived(bytes); },
                    [self](link_end end) {
                        self->finish(end == link_end::Complete ? std::move(self->m_answer)
                                                               : log_answer{});
                    } });
 }
 
+void log_lane::bodyArrived(std::string_view bytes)
+{
+    m_answer.body.append(bytes);
+    if (m_answer.body.size() <= MaxAnswerBytes)
+        return;
+    m_answer = {};
+    m_link->close();
+    finish({});
+}
+
+void log_lane::close()
+{
+    m_done = nullptr;
+    m_timer.cancel();
+    if (m_link)
+        m_link->close();
+}
+
 void log_lane::finish(log_answer answer)
 {
     m_timer.cancel();
@@ -92,6 +110,13 @@
     loadPage({});
 }
 
+void topic_follower::stop()
+{
+    m_stopped = true;
+    m_timer.cancel();
+    m_lane->close();
+}
+
 void topic_follower::loadPage(const std::string &after)
 {
     m_lane->call(
@@ -159,14 +184,14 @@
     m_handlers.failed(status);
     m_loading.clear();
     m_loadEnd.reset();
-    continueAfter(m_options.retryPause);
+    continueAfter(m_options.retryPause());
 }
 
 void topic_follower::continueAfter(duration pause)
 {
     m_timer.expires_after(pause);
     m_timer.async_wait([self = shared_from_this()](error_code error) {
-        if (error)
+        if (error || self->m_stopped)
             return;
         if (self->m_next)
             self->read();
--- a/burdockhold/loop_log.h
+++ b/burdockhold/loop_log.h
@@ -17,6 +17,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace burdockhold {
@@ -28,16 +29,24 @@
     std::string body;
 };
 
-/// Makes one call at a time over one connection.
+/// Makes one call at a time over one connection. An answer longer than MaxAnswerBytes ends the
+/// connection and counts as none: a server in trouble may send bytes without end.
 class log_lane : public std::enable_shared_from_this<log_lane>
 {
 public:
+    /// The longest answers are pages of 1 MB in base64, and views of 10,000 endpoints.
+    static constexpr std::size_t MaxAnswerBytes = std::size_t(4) * 1024 * 1024;
+
     log_lane(boost::asio::io_context &context, boost::asio::ip::tcp::endpoint server);
 
     void call(const platform::log_call &call, duration timeout,
               std::function<void(log_answer)> done);
 
+    /// Ends the call in progress without calling its handler.
+    void close();
+
 private:
+    void bodyArrived(std::string_view bytes);
     void finish(log_answer answer);
 
     boost::asio::io_context &m_context;
@@ -53,7 +62,7 @@
     std::string topic;
     duration readWait = duration::zero(); ///< How long a read waits at the log for a record.
     std::function<duration()> readPause;  ///< Between reads; asked before each.
-    duration retryPause = std::chrono::milliseconds(250);   ///< After a failed call.
+    std::function<duration()> retryPause; ///< After a failed call; asked then.
     duration callTimeout = std::chrono::milliseconds(1500); ///< Beyond readWait.
 };
 
@@ -76,6 +85,9 @@
 
     void start();
 
+    /// Ends the call in progress. No handler is called afterwards.
+    void stop();
+
 private:
     void loadPage(const std::string &after);
     void pageArrived(const log_answer &answer);
@@ -88,6 +100,7 @@
     follower_handlers m_handlers;
     std::shared_ptr<log_lane> m_lane;
     boost::asio::steady_timer m_timer;
+    bool m_stopped = false;
     std::vector<platform::keyed_record> m_loading;
     std::optional<std::uint64_t> m_loadEnd;
     std::optional<std::uint64_t> m_next; // Offset to read from; nothing while loading.
--- a/burdockhold/loop_peers.cc
+++ b/burdockhold/loop_peers.cc
@@ -69,6 +69,7 @@
     added.address = endpoint;
     added.heardAt = steadyNow();
     m_board.knownPeers = m_peers.size();
+    m_dueAt = {}; // It is told of this VM with the next step.
 }
 
 /// A VM whose data centre is not known is told as one of the own.
@@ -125,6 +126,17 @@
     return live;
 }
 
+std::vector<group_vm> digest_link::liveGroup(time_point now) const
+{
+    std::vector<group_vm> live;
+    for (const auto &[vm, other] : m_peers) {
+        if (isTold(other) && isLive(other, now) && !other.leaving)
+            live.push_back({ vm, other.address.address().to_string() + ":"
+                                         + std::to_string(other.address.port()) });
+    }
+    return live;
+}
+
 void digest_link::publishPeers(time_point now)
 {
     std::size_t told = 0;
@@ -136,6 +148,7 @@
     m_board.digestInterval = isGrouped() ? m_interval + m_options.interval : m_interval;
     m_board.knownPeers = told;
     m_board.liveVms = liveLocalVms(now);
+    m_board.groupVms = liveGroup(now);
     for (const auto &[dataCentre, group] : m_groups) {
         m_board.knownPeers += group.vms.size();
         if (now - group.heardAt < m_options.speakerLapse)
@@ -204,8 +217,9 @@
     summary.speaker = m_board.settings.ip + ":" + std::to_string(m_board.settings.firstPeerPort);
     for (const auto *ledgers : { &m_board.quotas, &m_board.storeLinks }) {
         for (const auto &[name, ledger] : *ledgers)
-            summary.accounts.push_back(
-                    { shortHash(name), static_cast<std::uint64_t>(ledger.groupTotal()) });
+            summary.accounts.push_back({ shortHash(name),
+                                         static_cast<std::uint64_t>(ledger.groupTotal()),
+                                         static_cast<std::uint64_t>(ledger.groupAskedTotal()) });
     }
     return summary;
 }
@@ -221,7 +235,8 @@
     for (const auto *ledgers : { &m_board.quotas, &m_board.storeLinks }) {
         for (const auto &[name, ledger] : *ledgers) {
             const auto admitted = static_cast<std::uint64_t>(ledger.admittedTotal());
-            digest.accounts.push_back({ shortHash(name), admitted });
+            const auto asked = static_cast<std::uint64_t>(ledger.askedTotal());
+            digest.accounts.push_back({ shortHash(name), admitted, asked });
         }
     }
     m_board.endpoints.fillDigest(digest, now);
@@ -384,7 +399,7 @@
 void digest_link::noteTotals(const vm_digest &digest, bool restarted, bool isLocalVm,
                              time_point now)
 {
-    const quota_peer kind{ std::max<std::size_t>(1, digest.vms.size()), isLocalVm };
+    quota_peer kind{ std::max<std::size_t>(1, digest.vms.size()), isLocalVm };
     for (auto *ledgers : { &m_board.quotas, &m_board.storeLinks }) {
         for (auto &[name, ledger] : *ledgers) {
             const std::uint32_t hash = shortHash(name);
@@ -393,6 +408,7 @@
             // A VM that has admitted nothing yet states no row.
             const double total = row == digest.accounts.end() ? 0.0
                                                               : static_cast<double>(row->admitted);
+            kind.asked = row == digest.accounts.end() ? 0.0 : static_cast<double>(row->asked);
             if (restarted && digest.isSummary())
                 ledger.peerReplaced(digest.vm, total, now);
             else if (restarted)
--- a/burdockhold/loop_peers.h
+++ b/burdockhold/loop_peers.h
@@ -84,6 +84,7 @@
     void forgetSilentPeers(time_point now);
     void publishPeers(time_point now);
     std::vector<std::uint32_t> liveLocalVms(time_point now) const;
+    std::vector<group_vm> liveGroup(time_point now) const;
     void sendOwnDigest(time_point now);
     void sendSummary(time_point now);
     void sendTo(const boost::asio::ip::udp::endpoint &address, std::string_view bytes);
--- a/burdockhold/loop_router.cc
+++ b/burdockhold/loop_router.cc
@@ -21,6 +21,7 @@
 constexpr duration TickInterval = std::chrono::milliseconds(50);
 constexpr duration SweepInterval = std::chrono::seconds(1);
 constexpr duration AnnounceRetry = std::chrono::milliseconds(700);
+constexpr duration AnnounceTimeout = std::chrono::seconds(2);
 // The balancer asks each second and stops sending after two misses.
 constexpr duration BalancerDelay = std::chrono::milliseconds(2600);
 // A process ends this long before it would be killed.
@@ -40,6 +41,7 @@
     , m_board(std::move(settings))
     , m_links(m_io)
     , m_digests(m_io, m_board)
+    , m_views(m_io, m_board, viewHandlers())
     , m_callerAcceptor(m_io)
     , m_readyAcceptor(m_io)
     , m_signals(m_io, SIGTERM, SIGHUP, SIGINT)
@@ -60,7 +62,6 @@
     waitForSignal();
     acceptCallers();
     acceptReadiness();
-    followLog();
     announce();
     scheduleTick();
     m_io.run();
@@ -79,6 +80,8 @@
         error = listen(m_readyAcceptor, m_board.settings.readyAddress);
     if (error.empty()) {
         error = m_digests.open();
+        if (error.empty())
+            error = m_views.open();
         if (!error.empty())
             error = "peer port: " + error;
     }
@@ -159,78 +162,70 @@
            && m_board.deploymentAge() < oldest;
 }
 
-void event_router::followLog()
+view_handlers event_router::viewHandlers()
 {
-    const tcp::endpoint server = *parseAddress(m_board.settings.logAddress);
-    follower_options operatorOptions;
-    operatorOptions.topic = std::string(platform::OperatorTopic);
-    operatorOptions.readPause = [] { return duration::zero(); };
-    operatorOptions.readWait = m_board.settings.revocationBound * 3 / 10;
-    m_operatorFollower = std::make_shared<topic_follower>(
-            m_io, server, operatorOptions,
-            follower_handlers{ [this](const auto &records) {
-                                  for (const auto &record : records)
-                                      operatorRecord(record);
-                              },
-                               [this](const auto &record) { operatorRecord(record); },
-                               [this](duration at) {
-                                   m_board.deploymentProvenAt = std::max(m_board.deploymentProvenAt,
-                                                                         at);
-                                   logState(platform::OperatorTopic, StatusOk);
-                               },
-                               [this](int status) { logState(platform::OperatorTopic, status); } });
-    m_operatorFollower->start();
-
-    follower_options endpointOptions;
-    endpointOptions.topic = std::string(platform::EndpointTopic);
-    endpointOptions.readPause = [this] { return m_board.entryReadPause(); };
-    m_endpointFollower = std::make_shared<topic_follower>(
-            m_io, server, endpointOptions,
-            follower_handlers{ [this](const auto &records) {
-                                  std::set<std::string> ids;
-                                  for (const auto &record : records) {
-                                      ids.insert(record.key);
-                                      endpointRecord(record);
-                                  }
-                                  m_board.endpoints.keepOnly(ids, steadyNow());
-                              },
-                               [this](const auto &record) { endpointRecord(record); },
-                               [this](duration at) {
-                                   m_board.endpointsProvenAt = std::max(m_board.endpointsProvenAt,
-                                                                        at);
-                                   logState(platform::EndpointTopic, StatusOk);
-                               },
-                               [this](int status) { logState(platform::EndpointTopic, status); } });
-    m_endpointFollower->start();
+    view_handlers handlers;
+    handlers.operatorRecord = [this](const auto &record) { operatorRecord(record); };
+    handlers.endpointReported = [this](const auto &report) { endpointReported(report); };
+    handlers.endpointRemoved = [this](const auto &id) { endpointRemoved(id); };
+    handlers.endpointRefused = [this](const auto &id, const auto &reason) {
+        endpointRefused(id, reason);
+    };
+    handlers.endpointsListed = [this](const auto &ids) {
+        m_board.endpoints.keepOnly(ids, steadyNow());
+    };
+    handlers.logAnswered = [this](std::string_view topic, int status) { logState(topic, status); };
+    return handlers;
 }
 
 void event_router::announce()
 {
-    m_announceLane->call(
-            platform::appendKeyedCall(
-                    platform::VmTopic,
-                    { m_board.settings.vmName, digest_link::announcementOf(m_board.settings) }),
-            std::chrono::seconds(2), [this](const log_answer &answer) {
-                const bool announced = answer.status == StatusOk;
-                m_announceTimer.expires_after(announced ? duration::zero() : AnnounceRetry);
-                m_announceTimer.async_wait([this, announced](error_code error) {
-                    if (error)
-                        return;
-                    if (!announced) {
-                        announce();
-                        return;
-                    }
-                    // Read after the own announcement: of two VMs, one always sees the other.
-                    m_announceLane->call(platform::newestCall(platform::VmTopic, {}),
-                                         std::chrono::seconds(2), [this](const log_answer &page) {
-                                             const auto vms = platform::decodeNewest(page.body);
-                                             if (page.status != StatusOk || !isOk(vms))
-                                                 return;
-                                             for (const auto &vm : valueOf(vms).records)
-                                                 m_digests.addPeer(vm.key, vm.value.value_or(""));
-                                         });
-                });
-            });
+    const platform::keyed_record own{ m_board.settings.vmName,
+                                      digest_link::announcementOf(m_board.settings) };
+    m_announceLane->call(platform::appendKeyedCall(platform::VmTopic, own), AnnounceTimeout,
+                         [this](const log_answer &answer) {
+                             // Read after the own announcement: of two VMs, one always sees the
+                             // other.
+                             if (answer.status == StatusOk)
+                                 listVms({});
+                             else
+                                 announceAgain();
+                         });
+}
+
+void event_router::announceAgain()
+{
+    // The log may be away for long; who knows this VM from before tells it of the others.
+    m_views.begin();
+    m_announceTimer.expires_after(AnnounceRetry);
+    m_announceTimer.async_wait([this](error_code error) {
+        if (!error)
+            announce();
+    });
+}
+
+/// Reads the announced VMs page by page.
+void event_router::listVms(const std::string &after)
+{
+    m_announceLane->call(platform::newestCall(platform::VmTopic, after), AnnounceTimeout,
+                         [this](const log_answer &answer) { vmsListed(answer); });
+}
+
+void event_router::vmsListed(const log_answer &answer)
+{
+    const auto page = platform::decodeNewest(answer.body);
+    if (answer.status != StatusOk || !isOk(page)) {
+        announceAgain();
+        return;
+    }
+    for (const auto &vm : valueOf(page).records)
+        m_digests.addPeer(vm.key, vm.value.value_or(""));
+    if (valueOf(page).hasMore && !valueOf(page).records.empty()) {
+        listVms(valueOf(page).records.back().key);
+        return;
+    }
+    m_digests.step(steadyNow());
+    m_views.begin();
 }
 
 void event_router::operatorRecord(const platform::keyed_record &record)
@@ -293,25 +288,9 @@
                           { { "model", wanted.model }, { "weights", wanted.version } }, now);
 }
 
-void event_router::endpointRecord(const platform::keyed_record &record)
+void event_router::endpointReported(const endpoint_report &report)
 {
     const time_point now = steadyNow();
-    if (!record.value) {
-        m_board.endpoints.remove(record.key, now);
-        if (m_board.log.accepts(log_weight::Belief, now))
-            m_board.log.write(log_event::EndpointChanged,
-                              { { "endpoint", record.key }, { "state", "gone" } }, now);
-        return;
-    }
-    const auto decoded = platform::decodeEndpoint(record.key, *record.value);
-    if (!isOk(decoded)) {
-        const auto &error = errorOf(decoded);
-        if (m_board.log.accepts(log_weight::Failure, now))
-            m_board.log.write(log_event::EndpointRefused,
-                              { { "endpoint", record.key }, { "reason", error.text } }, now);
-        return;
-    }
-    const endpoint_report &report = valueOf(decoded);
     if (!m_board.endpoints.update(report, now) || !m_board.log.accepts(log_weight::Belief, now))
         return;
     m_board.log.write(log_event::EndpointChanged,
@@ -322,6 +301,23 @@
                       now);
 }
 
+void event_router::endpointRemoved(const std::string &id)
+{
+    const time_point now = steadyNow();
+    m_board.endpoints.remove(id, now);
+    if (m_board.log.accepts(log_weight::Belief, now))
+        m_board.log.write(log_event::EndpointChanged, { { "endpoint", id }, { "state", "gone" } },
+                          now);
+}
+
+void event_router::endpointRefused(const std::string &id, const std::string &reason)
+{
+    const time_point now = steadyNow();
+    if (m_board.log.accepts(log_weight::Failure, now))
+        m_board.log.write(log_event::EndpointRefused, { { "endpoint", id }, { "reason", reason } },
+                          now);
+}
+
 void event_router::logState(std::string_view topic, int status)
 {
     bool &lost = m_logLost[std::string(topic)];
@@ -358,6 +354,7 @@
     }
     m_duties->step(now);
     m_digests.step(now);
+    m_views.step(now);
     const movable_streams movable = m_movable;
     for (const auto &stream : movable)
         stream->leaveLoadingEndpoint();
--- a/burdockhold/loop_router.h
+++ b/burdockhold/loop_router.h
@@ -8,6 +8,7 @@
 #include "burdockhold/loop_duties.h"
 #include "burdockhold/loop_log.h"
 #include "burdockhold/loop_peers.h"
+#include "burdockhold/loop_views.h"
 #include "burdockhold/router_board.h"
 
 #include <boost/asio/io_context.hpp>
@@ -35,12 +36,17 @@
     std::string probeAnswer(std::string_view request) const;
     bool isReady() const;
 
-    void followLog();
+    view_handlers viewHandlers();
     void announce();
+    void announceAgain();
+    void listVms(const std::string &after);
+    void vmsListed(const log_answer &answer);
     void operatorRecord(const platform::keyed_record &record);
     void applyDeployment(std::string_view body);
     void applyWantedWeights(std::string_view body);
-    void endpointRecord(const platform::keyed_record &record);
+    void endpointReported(const endpoint_report &report);
+    void endpointRemoved(const std::string &id);
+    void endpointRefused(const std::string &id, const std::string &reason);
     void logState(std::string_view topic, int status);
 
     void scheduleTick();
@@ -56,6 +62,7 @@
     movable_streams m_movable;
     caller_set m_callers;
     digest_link m_digests;
+    view_keeper m_views;
     std::unique_ptr<duty_controller> m_duties;
     boost::asio::ip::tcp::acceptor m_callerAcceptor;
     boost::asio::ip::tcp::acceptor m_readyAcceptor;
@@ -63,9 +70,6 @@
     boost::asio::steady_timer m_tickTimer;
     boost::asio::steady_timer m_announceTimer;
     std::shared_ptr<log_lane> m_announceLane;
-    std::shared_ptr<topic_follower> m_operatorFollower;
-    std::shared_ptr<topic_follower> m_endpointFollower;
-    std::shared_ptr<topic_follower> m_vmFollower;
     std::map<std::string, bool, std::less<>> m_logLost; // By topic.
     time_point m_sweptAt;
 };
--- a/burdockhold/quota_ledger.h
+++ b/burdockhold/quota_ledger.h
@@ -4,6 +4,12 @@
 // One account's limit over all VMs, as one VM keeps it: a bucket for the whole account, charged
 // with this VM's admissions at once and with those of the other VMs as their digests arrive.
 //
+// While the account asks for more than its rate, the bucket alone does not do: every VM would use
+// what no digest has told of yet. Then, and while a started VM does not know yet what the others
+// do, a VM also keeps to its part of the rate: what its callers ask for as a part of what all ask
+// for. A part is often smaller than one request, so each VM begins at a phase of its own: of many
+// VMs, together, as many requests pass as the rate allows.
+//
 // Promises:
 // - Counters in digests are totals, so lost or doubled digests change nothing once a later one
 //   arrives.
@@ -11,8 +17,8 @@
 //   that is more. A VM that hears fewer than half of the others keeps charging for all of them, so
 //   that both sides of a partition together stay near the limit.
 // - In any window, all VMs together admit at most rate x window + burst, with half of the
-// operator's
-//   tolerance, plus what each admits beyond its recent rate within the age of the others' digests.
+//   operator's tolerance, plus what the account asks for beyond its rate within the age of the
+//   digests. testing/quota_fleet_test.cc holds this against the operator's whole tolerance.
 // Memory is linear in the number of VMs that serve the account.
 
 #include "burdockhold/clock.h"
@@ -34,9 +40,21 @@
 struct quota_ledger_options
 {
     double startShare = 0.5; ///< Part of the burst that a started VM assumes to be left.
-    /// How long a started VM keeps to an even part of the limit, unless it hears half of the others
+    /// How long a started VM keeps to an even part of the burst, unless it hears half of the others
     /// sooner. When all VMs start at once, none has heard of what the others admit.
     duration startGuard = std::chrono::milliseconds(0);
+    /// How long a started VM keeps to an even part of the rate, unless it knows sooner what most of
+    /// the others ask for: several digests, if these are as rare as they may be.
+    duration startPart = std::chrono::seconds(3);
+    /// VMs keep to their parts from when half of the burst is used up until all callers of the
+    /// account together have asked for less than this share of the rate for partLapse: what is
+    /// asked for changes by the second.
+    double partFrom = 0.9;
+    duration partLapse = std::chrono::seconds(1);
+    /// What may pass at once of a part, as time of its rate: requests come unevenly.
+    duration partBurst = std::chrono::milliseconds(200);
+    /// By which this VM begins at another phase than the others; any number of its own.
+    std::uint64_t phaseSeed = 0;
     /// VMs that the even part assumes at least: the list of VMs may not be read yet.
     std::size_t leastVms = 8;
     /// Tolerance that the operator grants to the enforcement over all VMs: a part of the rate, and
@@ -56,6 +74,7 @@
 {
     std::size_t vms = 1;     ///< More than one for the summary of a data centre.
     bool inOwnGroup = false; ///< A VM of the own data centre, for groupTotal().
+    double asked = 0.0;      ///< Total that was asked for; 0 if the sender does not tell it.
 };
 
 class quota_ledger
@@ -76,6 +95,10 @@
     /// heard first; it never falls, whichever of them end.
     double groupTotal() const { return m_admitted + m_groupHeard; }
 
+    /// The same totals of what was asked for, admitted or not.
+    double askedTotal() const { return m_asked; }
+    double groupAskedTotal() const { return m_asked + m_groupAsked; }
+
     /// The longest time between two totals of another VM, if none is lost.
     void expectTotalsEach(duration interval)
     {
@@ -114,12 +137,19 @@
         time_point reportedAt;
         time_point chargedAt;
         std::size_t vms = 1;
+        double askedReported = 0.0;
+        double askedPerSecond = 0.0;
+        bool hasRates = false; // Two totals have arrived.
     };
 
     double rate() const;
     double cap() const;
     double underWay(time_point now) const;
     void refill(time_point now);
+    void learnRates(peer_account &account, double total, double asked, time_point now);
+    void noteOwnRate(time_point now);
+    void decidePart(std::size_t knownPeers, time_point now);
+    bool fitsPart(double cost);
 
     quota_ledger_options m_options;
     quota_limit m_limit;
@@ -128,6 +158,15 @@
     std::optional<time_point> m_guardUntil;
     double m_evenShare = 1.0;  // While m_guardUntil is set.
     double m_groupHeard = 0.0; // Admitted by other VMs of the own data centre.
+    double m_asked = 0.0;
+    double m_groupAsked = 0.0;
+    double m_askedPerSecond = 0.0; // Here.
+    double m_askedAtNote = 0.0;    // m_asked when that was computed.
+    time_point m_notedAt;
+    time_point m_startedAt;
+    double m_part = 1.0;                   // Of the rate.
+    std::optional<time_point> m_partUntil; // Set while this VM keeps to its part.
+    std::optional<double> m_partLevel;     // Requests pass from 0 on. Unset before the first.
     duration m_silenceAfter;
     time_point m_refilledAt;
     std::map<std::string, peer_account, std::less<>> m_peers;
--- a/burdockhold/router_board.cc
+++ b/burdockhold/router_board.cc
@@ -129,7 +129,16 @@
     const auto found = storeLinks.find(name);
     if (found != storeLinks.end())
         return found->second;
-    return storeLinks.emplace(name, quota_ledger({}, linkLimit(store), now)).first->second;
+    quota_ledger_options options;
+    options.phaseSeed = phaseSeedOf(name);
+    return storeLinks.emplace(name, quota_ledger(options, linkLimit(store), now)).first->second;
+}
+
+/// Differs between VMs and between limits.
+std::uint64_t router_board::phaseSeedOf(std::string_view limit) const
+{
+    return XXH64(limit.data(), limit.size(),
+                 XXH64(settings.vmName.data(), settings.vmName.size(), 0));
 }
 
 quota_limit router_board::linkLimit(const cache_store &store) const
@@ -161,12 +170,14 @@
 
 duration router_board::entryReadPause() const
 {
-    constexpr double ShareOfBound = 0.4; // Two reads within the bound when few others read.
-    constexpr double MostShares = 2.0;
-    constexpr double VmsForOne = 2.5; // Reads of this many VMs stand for one's own.
-    const double shares = static_cast<double>(liveVms.size()) / VmsForOne;
-    return fromSeconds(toSeconds(settings.leavingBound) * ShareOfBound
-                       * std::clamp(shares, 1.0, MostShares));
+    constexpr double ShareOfBound = 0.4; // Two reads within the bound.
+    return fromSeconds(toSeconds(settings.leavingBound) * ShareOfBound);
+}
+
+void router_board::endpointsProven(duration at)
+{
+    endpointsProvenAt = std::max(endpointsProvenAt, at);
+    endpoints.viewProven(steadyNow() - (bootNow() - endpointsProvenAt));
 }
 
 retry_budget &router_board::repeatsOf(const std::string &pool)
@@ -194,6 +205,8 @@
     const quota_limit limit{ account.ratePerSecond, account.burst };
     quota_ledger_options options;
     options.startGuard = StartGuard;
+    options.leastVms = std::max(options.leastVms, knownPeers + 1);
+    options.phaseSeed = phaseSeedOf(account.name);
     options.rateTolerance = settings.limitTolerance;
     options.amountTolerance = account.countsTokens ? settings.limitToleranceTokens : 0.0;
     return quotas.emplace(account.name, quota_ledger(options, limit, now)).first->second;
--- a/burdockhold/router_board.h
+++ b/burdockhold/router_board.h
@@ -15,6 +15,7 @@
 #include "burdockhold/router_metrics.h"
 #include "burdockhold/router_settings.h"
 #include "burdockhold/saved_parts.h"
+#include "burdockhold/view_source.h"
 
 #include <cstdint>
 #include <map>
@@ -86,11 +87,14 @@
     /// Marks the store as away for a moment, and forgets what it held.
     void storeIsAway(const std::string &address, time_point now);
 
-    /// Pause between two reads of the endpoints' entries. VMs tell each other of endpoints that
-    /// leave, so each reads less often the more of them there are, but often enough that its own
-    /// reads alone keep the leaving bound: digests may be lost, and do not tell of new endpoints.
+    /// Pause between two reads of the endpoints' entries, by a VM that reads for its group: the
+    /// bound on leaving endpoints covers it, one question of the others, and one silent reader.
     duration entryReadPause() const;
 
+    /// The view of the endpoints' entries is that of the log at this time, on the clock that counts
+    /// suspensions.
+    void endpointsProven(duration at);
+
     /// Repeats of the pool's calls; made on first use.
     retry_budget &repeatsOf(const std::string &pool);
 
@@ -104,16 +108,17 @@
 
 private:
     retry_budget newBudget() const;
+    std::uint64_t phaseSeedOf(std::string_view limit) const;
     quota_limit linkLimit(const cache_store &store) const;
 
 public:
-    // Written by the log follower; times of versions also by the peer link, through noteNamed().
+    // Written by the view keeper; times of versions also by the peer link, through noteNamed().
     std::shared_ptr<const deployment_index> deployment;
     duration deploymentProvenAt = duration::min() / 2;
     duration endpointsProvenAt = duration::min() / 2;
     std::map<std::string, std::vector<wanted_version>> wantedWeights; ///< By model; newest last.
 
-    // Written by the log follower (entries), the exchanges (calls), the order controller (loads)
+    // Written by the view keeper (entries), the exchanges (calls), the order controller (loads)
     // and the peer link (digests), each through methods of its own.
     endpoint_table endpoints;
 
@@ -135,6 +140,7 @@
     // Written by the peer link.
     std::size_t knownPeers = 0;
     std::vector<std::uint32_t> liveVms; ///< shortHashes of the others that were heard of lately.
+    std::vector<group_vm> groupVms;     ///< Those of the own group that do not leave.
     /// Longest time between two digests of a VM or of a data centre, if none is lost.
     duration digestInterval = std::chrono::milliseconds(200);
     std::map<std::uint32_t, duty_claim> otherClaims; ///< By shortHash of the pool.
--- a/burdockhold/vm_digest.h
+++ b/burdockhold/vm_digest.h
@@ -24,7 +24,8 @@
 {
     std::uint32_t account = 0; ///< shortHash of the account's or the link's name.
     std::uint64_t admitted = 0;
-    MSGPACK_DEFINE_ARRAY(account, admitted)
+    std::uint64_t asked = 0; ///< Admitted or not; 0 from a build that does not tell it.
+    MSGPACK_DEFINE_ARRAY(account, admitted, asked)
 };
 
 /// The sender's own requests at one endpoint, and how its recent calls went.
--- a/testing/endpoint_table_test.cc
+++ b/testing/endpoint_table_test.cc
@@ -206,26 +206,26 @@
 {
     endpoint_table table("dc1");
     table.update(report("e1"), at(0));
-    table.guessWeights("e1", Model, 3);
+    table.guessWeights("e1", Model, 3, at(0.5));
     BOOST_TEST(table.weightsOf("e1", Model) == 3);
     endpoint_report next = report("e1");
     next.weights[Model] = 2;
     table.update(next, at(1));
     BOOST_TEST(table.weightsOf("e1", Model) == 2);
 
-    table.guessWeights("e1", Model, 3);
+    table.guessWeights("e1", Model, 3, at(1.5));
     table.weightsSeen("e1", Model, 3);
     table.update(next, at(2));
     BOOST_TEST(table.weightsOf("e1", Model) == 3);
 
-    table.guessWeights("e1", Model, 5);
+    table.guessWeights("e1", Model, 5, at(2));
     BOOST_TEST(table.weightsOf("e1", Model) == 5);
     table.dropGuess("e1", Model);
     BOOST_TEST(table.weightsOf("e1", Model) == 3);
 
     // A part that the engine has read is not forgotten for a guess.
     table.partHeld("e1", "part");
-    table.guessWeights("e1", Model, 4);
+    table.guessWeights("e1", Model, 4, at(2));
     table.dropGuess("e1", Model);
     BOOST_TEST(table.candidates("pool", Model, 3, "part", {}, at(2)).front().holdsPart);
 }
@@ -237,7 +237,7 @@
     endpoint_table other("dc1");
     table.update(report("e1"), at(0));
     other.update(report("e1"), at(0));
-    table.guessWeights("e1", Model, 3);
+    table.guessWeights("e1", Model, 3, at(0.5));
     other.peerDigest(digestOf(table, "vm", at(1)), at(1));
     BOOST_TEST(other.weightsOf("e1", Model) == 1);
     table.weightsSeen("e1", Model, 3);
--- /dev/null
+++ b/testing/quota_fleet_test.cc
@@ -0,0 +1,325 @@
+#define BOOST_TEST_MODULE quota_fleet
+#include "burdockhold/quota_ledger.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace burdockhold;
+
+// Limits over all VMs of deployments of 1, 7, 71 and 300 VMs, in data centres as the router groups
+// them, against a reference that counts every admission.
+
+namespace {
+
+constexpr double Rate = 300000.0; // Tokens a second.
+constexpr double Burst = 300000.0;
+constexpr double Window = 8.0;
+// What the operator tolerates: RULES of the users' platform, as settings of every deployment.
+constexpr double ToleratedShare = 0.1;
+constexpr double ToleratedTokens = 72000.0;
+constexpr double Tick = 0.05;
+constexpr std::size_t DirectPeers = 16;
+
+time_point at(double seconds)
+{
+    return time_point{} + fromSeconds(seconds + 1000.0);
+}
+
+struct admission
+{
+    double seconds;
+    double tokens;
+};
+
+struct member
+{
+    std::string name;
+    std::size_t dataCentre = 0;
+    std::unique_ptr<quota_ledger> ledger; // Null while the VM is down.
+    bool isNew = true;                    // The others have not heard its incarnation.
+    double callers = 1.0;                 // Share of the requests.
+};
+
+/// The VMs of a deployment. Digests go within a data centre, sums between data centres.
+class deployment_model
+{
+public:
+    deployment_model(std::size_t vms, unsigned seed)
+        : random(seed)
+    {
+        const std::size_t dataCentres = vms <= DirectPeers + 1 ? 1 : vms < 100 ? 5 : 6;
+        std::exponential_distribution<double> uneven(1.0);
+        for (std::size_t vm = 0; vm < vms; ++vm) {
+            members.emplace_back();
+            members.back().name = "vm" + std::to_string(vm);
+            members.back().dataCentre = vm % dataCentres;
+            members.back().callers = 0.2 + uneven(random);
+        }
+        m_digestInterval = std::max(0.2, static_cast<double>(vms / dataCentres) / 60.0);
+        m_groups = dataCentres;
+        m_speakers.resize(dataCentres, nullptr);
+    }
+
+    void start(member &one, double now)
+    {
+        quota_ledger_options options;
+        options.startGuard = std::chrono::seconds(1);
+        options.rateTolerance = ToleratedShare;
+        options.amountTolerance = ToleratedTokens;
+        options.leastVms = members.size();
+        options.phaseSeed = random();
+        one.ledger = std::make_unique<quota_ledger>(options, quota_limit{ Rate, Burst }, at(now));
+        one.ledger->expectTotalsEach(fromSeconds(m_digestInterval + 0.2));
+        one.isNew = true;
+    }
+
+    void stop(member &one) { one.ledger.reset(); }
+
+    /// Returns what was admitted from 0 to the end.
+    std::vector<admission> run(double end, const std::function<double(double)> &load,
+                               const std::function<void(double)> &events)
+    {
+        std::vector<admission> admitted;
+        std::vector<double> weights;
+        for (const member &one : members)
+            weights.push_back(one.callers);
+        std::discrete_distribution<std::size_t> pick(weights.begin(), weights.end());
+        std::exponential_distribution<double> size(1.0 / 3000.0);
+        double nextRequest = 0.0;
+        double nextDigest = 0.0;
+        double nextSummary = 0.1;
+        for (double now = 0.0; now < end; now += Tick) {
+            events(now);
+            if (now >= nextDigest) {
+                nextDigest += m_digestInterval;
+                exchangeDigests(now);
+            }
+            if (m_groups > 1 && now >= nextSummary) {
+                nextSummary += 0.2;
+                exchangeSummaries(now);
+            }
+            for (member &one : members) {
+                if (one.ledger)
+                    one.ledger->step(members.size() - 1, at(now));
+            }
+            for (; nextRequest < now; nextRequest += 3000.0 / (Rate * load(now))) {
+                const double tokens = std::min(12000.0, 200.0 + size(random));
+                offered += tokens;
+                member &one = members[pick(random)];
+                if (one.ledger && one.ledger->tryAdmit(tokens, at(now)))
+                    admitted.push_back({ now, tokens });
+            }
+        }
+        return admitted;
+    }
+
+    std::vector<member> members;
+    std::mt19937 random;
+    double offered = 0.0;
+    double lossShare = 0.0;
+    std::function<bool(const member &, const member &)> isCut = [](const member &, const member &) {
+        return false;
+    };
+
+private:
+    bool arrives(const member &from, const member &to)
+    {
+        std::uniform_real_distribution<double> chance(0.0, 1.0);
+        return from.ledger && to.ledger && !isCut(from, to) && chance(random) >= lossShare;
+    }
+
+    void exchangeDigests(double now)
+    {
+        for (member &from : members) {
+            if (!from.ledger)
+                continue;
+            for (member &to : members) {
+                if (&from == &to || from.dataCentre != to.dataCentre || !arrives(from, to))
+                    continue;
+                if (from.isNew)
+                    to.ledger->peerRestarted(from.name);
+                to.ledger->peerTotal(from.name, from.ledger->admittedTotal(), at(now),
+                                     { 1, true, from.ledger->askedTotal() });
+            }
+            from.isNew = false;
+        }
+    }
+
+    void exchangeSummaries(double now)
+    {
+        for (std::size_t group = 0; group < m_groups; ++group) {
+            const auto speaker = std::find_if(members.begin(), members.end(), [&](const member &m) {
+                return m.dataCentre == group && m.ledger;
+            });
+            if (speaker == members.end())
+                continue;
+            const bool replaced = m_speakers[group] != speaker->ledger.get();
+            m_speakers[group] = speaker->ledger.get();
+            const auto vms = static_cast<std::size_t>(
+                    std::count_if(members.begin(), members.end(), [&](const member &m) {
+                        return m.dataCentre == group && m.ledger;
+                    }));
+            const std::string name = "group" + std::to_string(group);
+            const double total = speaker->ledger->groupTotal();
+            for (member &to : members) {
+                if (to.dataCentre == group || !arrives(*speaker, to))
+                    continue;
+                if (replaced)
+                    to.ledger->peerReplaced(name, total, at(now));
+                to.ledger->peerTotal(name, total, at(now),
+                                     { vms, false, speaker->ledger->groupAskedTotal() });
+            }
+        }
+    }
+
+    double m_digestInterval = 0.2;
+    std::size_t m_groups = 1;
+    std::vector<quota_ledger *> m_speakers;
+};
+
+/// The largest part of the tolerated amount that any window used; above 1 the limit is broken.
+double largestUse(const std::vector<admission> &admitted)
+{
+    const double tolerated = (Rate * Window + Burst) * (1.0 + ToleratedShare) + ToleratedTokens;
+    double most = 0.0;
+    double sum = 0.0;
+    std::size_t first = 0;
+    for (const admission &last : admitted) {
+        sum += last.tokens;
+        while (admitted[first].seconds < last.seconds - Window)
+            sum -= admitted[first++].tokens;
+        most = std::max(most, sum);
+    }
+    return most / tolerated;
+}
+
+double total(const std::vector<admission> &admitted)
+{
+    double sum = 0.0;
+    for (const admission &one : admitted)
+        sum += one.tokens;
+    return sum;
+}
+
+double fiveTimes(double)
+{
+    return 5.0;
+}
+
+const std::vector<std::size_t> Sizes{ 1, 7, 71, 300 };
+const std::vector<unsigned> Seeds{ 1, 2, 3 };
+
+void startAll(deployment_model &vms, double now)
+{
+    for (member &one : vms.members)
+        vms.start(one, now);
+}
+
+} // namespace
+
+// Guards against a limit that is broken while one account sends five times its rate and all VMs are
+// killed and start again within 0.3 s (QUOTA on onct-dakar-grown, trouble-3).
+BOOST_AUTO_TEST_CASE(limitHoldsThroughARestartOfAllVms)
+{
+    for (const std::size_t size : Sizes) {
+        for (const unsigned seed : Seeds) {
+            deployment_model vms(size, seed);
+            startAll(vms, 0.0);
+            std::uniform_real_distribution<double> late(0.0, 0.3);
+            std::vector<double> startAt;
+            for (std::size_t vm = 0; vm < size; ++vm)
+                startAt.push_back(13.0 + 1.0 + late(vms.random));
+            const auto admitted = vms.run(26.0, fiveTimes, [&](double now) {
+                for (std::size_t vm = 0; vm < size; ++vm) {
+                    member &one = vms.members[vm];
+                    if (now >= 13.0 && now < startAt[vm])
+                        vms.stop(one);
+                    else if (!one.ledger)
+                        vms.start(one, now);
+                }
+            });
+            BOOST_TEST(largestUse(admitted) <= 1.0,
+                       size << " VMs, seed " << seed << ": " << largestUse(admitted));
+        }
+    }
+}
+
+// Guards against VMs that come back one after the other with an empty count.
+BOOST_AUTO_TEST_CASE(limitHoldsThroughARollingRestart)
+{
+    for (const std::size_t size : Sizes) {
+        deployment_model vms(size, 4);
+        startAll(vms, 0.0);
+        std::size_t next = 0;
+        const auto admitted = vms.run(30.0, fiveTimes, [&](double now) {
+            for (member &one : vms.members) {
+                if (!one.ledger)
+                    vms.start(one, now);
+            }
+            // A quarter of the VMs within twenty seconds.
+            const auto due = static_cast<std::size_t>((now - 5.0) / 20.0 * static_cast<double>(size)
+                                                      / 4.0);
+            if (now > 5.0 && next < std::min(due, size))
+                vms.stop(vms.members[next++]);
+        });
+        BOOST_TEST(largestUse(admitted) <= 1.0, size << " VMs: " << largestUse(admitted));
+    }
+}
+
+// Guards against VMs that hear only part of the others, and against two sides of a cut that both
+// use the whole limit.
+BOOST_AUTO_TEST_CASE(limitHoldsWithLostDigestsAndACut)
+{
+    for (const std::size_t size : Sizes) {
+        for (const double loss : { 0.0, 0.3 }) {
+            deployment_model vms(size, 5);
+            startAll(vms, 0.0);
+            vms.lossShare = loss;
+            double clock = 0.0;
+            // A third of the VMs of each data centre, which also lose the sums of the others.
+            vms.isCut = [&](const member &a, const member &b) {
+                const auto side = [](const member &m) { return std::stoul(m.name.substr(2)) % 3; };
+                return clock >= 8.0 && clock < 20.0 && (side(a) == 0) != (side(b) == 0);
+            };
+            const auto admitted = vms.run(32.0, fiveTimes, [&](double now) { clock = now; });
+            BOOST_TEST(largestUse(admitted) <= 1.0,
+                       size << " VMs, loss " << loss << ": " << largestUse(admitted));
+        }
+    }
+}
+
+// Guards against limits that hold since they refuse: an account within its rate is admitted. A
+// start of all VMs costs at most a second of it; here are two within twenty.
+BOOST_AUTO_TEST_CASE(accountWithinItsRateIsAdmittedThroughRestarts)
+{
+    for (const std::size_t size : Sizes) {
+        deployment_model vms(size, 6);
+        startAll(vms, 0.0);
+        const auto admitted = vms.run(
+                20.0, [](double) { return 0.5; },
+                [&](double now) {
+                    if (now >= 10.0 && now < 10.0 + Tick)
+                        startAll(vms, now);
+                });
+        BOOST_TEST(total(admitted) >= 0.9 * vms.offered,
+                   size << " VMs: " << total(admitted) / vms.offered);
+    }
+}
+
+// Guards against limits that hold since they refuse: an account that asks for more gets its rate.
+BOOST_AUTO_TEST_CASE(accountBeyondItsRateGetsItsRate)
+{
+    for (const std::size_t size : Sizes) {
+        deployment_model vms(size, 7);
+        startAll(vms, 0.0);
+        const auto admitted = vms.run(30.0, fiveTimes, [](double) {});
+        BOOST_TEST(total(admitted) >= 0.9 * Rate * 30.0,
+                   size << " VMs: " << total(admitted) / (Rate * 30.0));
+    }
+}
--- a/testing/quota_ledger_test.cc
+++ b/testing/quota_ledger_test.cc
@@ -235,6 +235,8 @@
     for (const bool guarded : { true, false }) {
         quota_ledger_options options;
         options.startGuard = fromSeconds(guarded ? 1.0 : 0.0);
+        // Parts of the rate would keep the limit too.
+        options.partFrom = guarded ? options.partFrom : 1e9;
         std::vector<quota_ledger> ledgers(Vms, quota_ledger(options, { Rate, Rate }, at(0)));
         double admitted = 0.0;
         for (double now = 0.0; now < 0.45; now += 0.05) {
--- a/testing/support_platform.cc
+++ b/testing/support_platform.cc
@@ -277,6 +277,7 @@
 bool standin_log_service::answer(const seen_request &request, answer_socket &socket)
 {
     const std::string topic = queryValue(request.target, "topic");
+    ++m_calls;
     if (m_down)
         return socket.write(whole(503, ""));
     if (request.target.rfind("/log-newest", 0) == 0)
--- a/testing/support_platform.h
+++ b/testing/support_platform.h
@@ -95,6 +95,9 @@
     /// While true, every call is answered 503.
     void setDown(bool down) { m_down = down; }
 
+    /// Calls that have arrived since the start.
+    int callCount() const { return m_calls; }
+
 private:
     struct record
     {
@@ -113,6 +116,7 @@
     std::map<std::string, std::string> m_holders;
     std::map<std::string, int> m_generations;
     std::atomic<bool> m_down{ false };
+    std::atomic<int> m_calls{ 0 };
     standin_server m_server;
 };
 
