--- a/burdockhold/decision_log.h
+++ b/burdockhold/decision_log.h
@@ -42,13 +42,14 @@
     RequestEnded,
     CallEnded,
     PoolFull,
+    HandlerFailed,
     LinesDropped,
 };
 
 template <>
 struct enum_names<log_event>
 {
-    static constexpr std::array<enum_name<log_event>, 18> Table{ {
+    static constexpr std::array<enum_name<log_event>, 19> Table{ {
             { log_event::Started, "started" },
             { log_event::Stopping, "stopping" },
             { log_event::Stopped, "stopped" },
@@ -66,6 +67,7 @@
             { log_event::RequestEnded, "request_ended" },
             { log_event::CallEnded, "call_ended" },
             { log_event::PoolFull, "pool_full" },
+            { log_event::HandlerFailed, "handler_failed" },
             { log_event::LinesDropped, "lines_dropped" },
     } };
 };
--- a/burdockhold/deployment.h
+++ b/burdockhold/deployment.h
@@ -36,8 +36,9 @@
     call_kind kind = call_kind::AtMostOnce;
     duration timeout = std::chrono::seconds(30); ///< Longest time until the final answer.
     duration latencyTarget = std::chrono::seconds(1);
-    int maxEndpoints = 1; ///< Endpoints that may run one call.
-    int priority = 5;     ///< 0 is the most urgent.
+    duration pauseTarget = std::chrono::milliseconds(300); ///< Between events of a stream.
+    int maxEndpoints = 1;                                  ///< Endpoints that may run one call.
+    int priority = 5;                                      ///< 0 is the most urgent.
     bool publicAccess = false;
     bool resumable = false;
     std::vector<weighted_pool> pools;
--- a/burdockhold/digest_summary.cc
+++ b/burdockhold/digest_summary.cc
@@ -115,10 +115,17 @@
     return summary;
 }
 
-bool isSpeaker(std::uint32_t ownVm, const std::vector<std::uint32_t> &otherVms)
+bool speaksBefore(const speaker_candidate &one, const speaker_candidate &other)
 {
-    return std::all_of(otherVms.begin(), otherVms.end(),
-                       [ownVm](std::uint32_t other) { return ownVm < other; });
+    if (one.capacity != other.capacity)
+        return one.capacity > other.capacity;
+    return one.vm < other.vm;
+}
+
+bool isSpeaker(const speaker_candidate &own, const std::vector<speaker_candidate> &others)
+{
+    return std::all_of(others.begin(), others.end(),
+                       [&](const speaker_candidate &other) { return speaksBefore(own, other); });
 }
 
 } // namespace burdockhold
--- a/burdockhold/digest_summary.h
+++ b/burdockhold/digest_summary.h
@@ -23,9 +23,20 @@
 /// ledgers state them. The head (names, numbers) is the caller's to fill.
 vm_digest summarize(const std::vector<const vm_digest *> &members);
 
-/// True if the VM speaks for its data centre: of the live VMs it has the lowest hash. VMs with
+/// A VM that may speak for its data centre.
+struct speaker_candidate
+{
+    std::uint32_t vm = 0;       ///< shortHash of its name.
+    std::uint32_t capacity = 0; ///< router_settings::capacity().
+};
+
+/// True if the first speaks before the second: it has more capacity, since a speaker sends and
+/// receives many times what the others do, or as much and the lower hash.
+bool speaksBefore(const speaker_candidate &one, const speaker_candidate &other);
+
+/// True if the VM speaks for its data centre: it comes before all others that live. VMs with
 /// different views may both speak for a moment.
-bool isSpeaker(std::uint32_t ownVm, const std::vector<std::uint32_t> &otherVms);
+bool isSpeaker(const speaker_candidate &own, const std::vector<speaker_candidate> &others);
 
 } // namespace burdockhold
 
--- a/burdockhold/endpoint_table.cc
+++ b/burdockhold/endpoint_table.cc
@@ -270,6 +270,12 @@
     return entry != nullptr && now < entry->loadingUntil;
 }
 
+duration endpoint_table::silentFor(std::string_view id, time_point now) const
+{
+    const table_entry *entry = entryOf(id);
+    return entry == nullptr || entry->running == 0 ? duration::zero() : now - entry->heardAt;
+}
+
 void endpoint_table::callStarted(std::string_view id, const call_load &load, time_point now)
 {
     table_entry *entry = entryOf(id);
--- a/burdockhold/endpoint_table.h
+++ b/burdockhold/endpoint_table.h
@@ -107,6 +107,8 @@
     /// others: a word that is passed on would never end.
     void setLoading(std::string_view id, time_point now);
     bool isLoading(std::string_view id, time_point now) const;
+    /// How long the endpoint has sent nothing to any VM while calls of this VM run there.
+    duration silentFor(std::string_view id, time_point now) const;
     /// How long the endpoint has been draining or loading; zero when it is not.
     duration loadingFor(std::string_view id, time_point now) const;
     /// The endpoint refused a call that it did not run: others are better for a moment.
--- a/burdockhold/event_splitter.cc
+++ b/burdockhold/event_splitter.cc
@@ -7,7 +7,8 @@
 
 namespace {
 
-constexpr std::size_t MaxEventBytes = std::size_t(1024) * 1024;
+// Some hundred tokens; all streams of a small VM may hold an unfinished event.
+constexpr std::size_t MaxEventBytes = std::size_t(128) * 1024;
 constexpr std::string_view EventEnd = "\n\n";
 
 std::string_view idOf(std::string_view event)
--- a/burdockhold/event_splitter.h
+++ b/burdockhold/event_splitter.h
@@ -6,7 +6,7 @@
 //
 // Events whose number is not above that of an event already returned are dropped: an endpoint that
 // continues a stream may repeat the last one. Memory is bounded by the largest event; one above
-// maxEventBytes makes the stream fail.
+// 128 KiB makes the stream fail.
 
 #include <cstdint>
 #include <string>
--- a/burdockhold/loop_caller.cc
+++ b/burdockhold/loop_caller.cc
@@ -179,6 +179,10 @@
             if (!headWasDone && m_parser->get()[http::field::expect] == "100-continue")
                 write("HTTP/1.1 100 Continue\r\n\r\n");
         }
+        if (m_input.size() > limits().headerBytes + m_chunk.size()) {
+            refuseMessage(http::error::header_limit); // The head of a chunk, for example.
+            return;
+        }
         if (used == 0 || error == http::error::need_more)
             return;
     }
@@ -338,7 +342,11 @@
 
 void caller_connection::closeIfIdle()
 {
-    if (!m_exchange && !m_requestBegun && m_output.empty())
+    if (m_exchange || m_requestBegun || !m_output.empty())
+        return;
+    // Bytes that wait to be read are a request: closing would reset it.
+    char byte = 0;
+    if (::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0)
         close();
 }
 
--- a/burdockhold/loop_caller.h
+++ b/burdockhold/loop_caller.h
@@ -41,7 +41,7 @@
 
     void start();
 
-    /// Closes the connection if no request has been begun on it.
+    /// Closes the connection if no request has been begun on it, or waits to be read.
     void closeIfIdle();
 
     bool isServing() const { return m_exchange != nullptr; }
--- a/burdockhold/loop_exchange.cc
+++ b/burdockhold/loop_exchange.cc
@@ -21,6 +21,7 @@
 constexpr int StatusOk = 200;
 constexpr int MaxSends = 4; // Calls of one request, refused ones included.
 constexpr std::size_t MaxAnswerBytes = std::size_t(8) * 1024 * 1024;
+constexpr std::size_t BufferedPart = 4; // Of the memory: one part is for answers that wait.
 // A view this much older than a deployment may take to be in force names neither routes nor keys
 // as unknown.
 constexpr duration ViewSlack = std::chrono::milliseconds(800);
@@ -31,6 +32,18 @@
 constexpr int LongestWaitTenths = 6;
 // Callers give a stream up after two seconds without an event.
 constexpr duration StreamPauseLimit = std::chrono::milliseconds(1900);
+// Callers give a stream up after the longest of two seconds, four times its latency target and
+// eight times its usual pause; the slack covers the way to them.
+constexpr duration LeastGiveUp = std::chrono::seconds(2);
+constexpr int GiveUpTargets = 4;
+constexpr int GiveUpPauses = 8;
+constexpr duration GiveUpSlack = std::chrono::milliseconds(500);
+// An engine that runs streams makes events every few milliseconds, and is silent while it reads
+// prompts: for 240 ms as a rule, four times that on a slow one.
+constexpr duration EngineSilence = std::chrono::milliseconds(1000);
+// A plain service answers within its latency target as a rule.
+constexpr duration LeastServiceSilence = std::chrono::milliseconds(250);
+constexpr int ServiceSilenceTargets = 2;
 constexpr duration MaxWaitForDeployment = std::chrono::milliseconds(600);
 // What comes later after the notice to stop could outlast the process.
 constexpr duration LastRequestAfterNotice = std::chrono::milliseconds(2700);
@@ -127,7 +140,7 @@
     m_pool = m_deployment->findPool(m_poolName);
     m_priority = m_account != nullptr && m_account->priority ? *m_account->priority
                                                              : m_route->priority;
-    m_context.board.repeatsOf(m_poolName).countRequest(steadyNow());
+    m_context.board.countRequest(m_poolName, steadyNow());
     startTimer();
     if (!place())
         waitForEndpoint();
@@ -200,13 +213,49 @@
 
 void exchange::startTimer()
 {
-    m_timer.expires_at(m_deadline);
+    time_point next = m_deadline;
+    if (m_route->kind == call_kind::Stream && m_link)
+        next = std::min(next, m_progressAt + longestPause());
+    m_timer.expires_at(next);
     m_timer.async_wait([self = shared_from_this()](error_code error) {
         if (!error && !self->m_ended)
-            self->timeLimitReached();
+            self->timerFired();
     });
 }
 
+void exchange::timerFired()
+{
+    const time_point now = steadyNow();
+    if (now >= m_deadline) {
+        timeLimitReached();
+        return;
+    }
+    if (!m_link || now - m_progressAt < longestPause()) {
+        startTimer();
+        return;
+    }
+    m_context.board.metrics.count(router_counter::StalledStreams);
+    const auto link = m_link;
+    link->close();
+    callEnded(call_end::Broken);
+}
+
+/// How long a stream's caller waits for the next event.
+duration exchange::longestPause() const
+{
+    return std::max({ LeastGiveUp, GiveUpTargets * m_route->latencyTarget,
+                      GiveUpPauses * m_route->pauseTarget })
+           + GiveUpSlack;
+}
+
+/// How long an endpoint that works may send nothing to anybody.
+duration exchange::longestSilence() const
+{
+    if (m_route->kind == call_kind::Stream)
+        return EngineSilence;
+    return std::max<duration>(LeastServiceSilence, ServiceSilenceTargets * m_route->latencyTarget);
+}
+
 void exchange::timeLimitReached()
 {
     if (m_link) {
@@ -389,7 +438,6 @@
     if (m_waiting) {
         m_waiting = false;
         m_context.waiting.leave(this);
-        startTimer();
     }
     if (m_sends == 0) {
         m_waited = now - m_arrival;
@@ -431,11 +479,12 @@
     const auto &candidates = inputs.candidates;
     beginCall(candidates[choice.index].id, choice, inputs.need);
     const bool repeatable = mayRepeat(m_route->kind, m_route->resumable);
-    if (m_route->kind == call_kind::Stream && m_route->resumable)
+    if (repeatable)
         m_context.movable.insert(shared_from_this());
     // A repeat takes a new connection: endpoints crash together, and an idle connection to one that
     // has just crashed fails after the request went out.
     m_link = m_context.links.take(m_address, repeatable && m_sends == 1);
+    startTimer();
     if (!m_link) {
         callEnded(call_end::NotSent);
         return;
@@ -465,9 +514,10 @@
     m_copied = false;
     m_saved = false;
     m_head = {};
-    m_body.clear();
+    dropBody();
     m_eventsBefore = m_events.events();
     m_callStarted = steadyNow();
+    m_progressAt = m_callStarted;
     m_load = { need.promptTokens - choice.expectedCachedTokens,
                need.promptTokens + need.outputTokens };
     m_expectedWeights = board.endpoints.weightsOf(m_endpointId, m_request.model);
@@ -516,7 +566,9 @@
         return false;
     m_head = std::move(head);
     m_headArrived = true;
-    if (!isOwnAnswer(m_head)) {
+    // Without an id it cannot be told whose answer it is there.
+    const bool mayBeAnothers = m_head.callId.empty() && !m_link->isFresh();
+    if (mayBeAnothers || !isOwnAnswer(m_head)) {
         const auto link = m_link;
         link->close();
         callEnded(call_end::WrongAnswer);
@@ -538,12 +590,21 @@
         return;
     }
     m_body.append(bytes);
-    if (m_body.size() > MaxAnswerBytes) {
+    router_board &board = m_context.board;
+    board.bufferedBytes += bytes.size();
+    if (m_body.size() > MaxAnswerBytes
+        || board.bufferedBytes > board.settings.memoryBytes / BufferedPart) {
         m_link->close();
         callEnded(call_end::WrongAnswer);
     }
 }
 
+void exchange::dropBody()
+{
+    m_context.board.bufferedBytes -= m_body.size();
+    m_body = {};
+}
+
 void exchange::firstByteArrived()
 {
     m_promptRead = true;
@@ -569,6 +630,7 @@
     }
     if (whole.empty())
         return;
+    m_progressAt = steadyNow();
     if (!m_answerBegun) {
         m_answerBegun = true;
         m_port.beginStream(m_head.status, m_head.passedOn);
@@ -657,7 +719,7 @@
     facts.sendsLeft = MaxSends - m_sends;
     facts.timeLeft = m_deadline - now;
     if (end != call_end::Complete && end != call_end::NotSent)
-        facts.repeatsLeft = board.repeatsOf(m_poolName).tryRetry(now);
+        facts.repeatsLeft = board.tryRepeat(m_poolName, now);
     if (dependsOnEndpointsEnd(facts))
         stepAfterCheck(facts);
     else
@@ -709,13 +771,43 @@
         return;
     if (board.endpoints.loadingFor(m_endpointId, now) < MoveStreamAfter)
         return;
-    if (m_route->maxEndpoints - m_runs < 2 || m_sends >= MaxSends)
+    if (!mayMove() || !hasAlternative(MaxMoveMs) || !board.tryOptionalRepeat(m_poolName, now))
+        return;
+    moveOn();
+}
+
+void exchange::leaveSilentEndpoint()
+{
+    router_board &board = m_context.board;
+    const time_point now = steadyNow();
+    if (m_ended || m_endpointId.empty() || !m_link || !m_link->isConnected())
+        return;
+    const duration longest = longestSilence();
+    if (now - m_progressAt < longest || board.endpoints.silentFor(m_endpointId, now) < longest)
+        return;
+    const double timeLeftMs = 1000.0 * toSeconds(m_deadline - now);
+    if (!mayMove() || !hasAlternative(timeLeftMs) || !board.tryRepeat(m_poolName, now))
         return;
+    logCall(call_end::Broken);
+    moveOn();
+}
+
+bool exchange::mayMove() const
+{
+    return m_route->maxEndpoints - m_runs >= 2 && m_sends < MaxSends;
+}
+
+/// True if another endpoint would send the next event within this time.
+bool exchange::hasAlternative(double withinMs) const
+{
     const placement_inputs inputs = inputsNow();
     const auto choice = chooseEndpoint(inputs.candidates, inputs.need, hashOf(m_request.callId));
-    if (!choice || choice->expectedMs > MaxMoveMs
-        || !board.repeatsOf(m_poolName).tryOptionalRetry(now))
-        return;
+    return choice && choice->expectedMs <= withinMs;
+}
+
+/// Ends the call, which may have run, and makes another one.
+void exchange::moveOn()
+{
     ++m_runs;
     m_mayHaveRun = true;
     const auto link = m_link;
@@ -802,6 +894,7 @@
         return;
     m_ended = true;
     m_timer.cancel();
+    dropBody();
     if (m_waiting) {
         m_waiting = false;
         m_context.waiting.leave(this);
--- a/burdockhold/loop_exchange.h
+++ b/burdockhold/loop_exchange.h
@@ -9,6 +9,8 @@
 //   once and nothing more is sent.
 // - A final answer no later than the route's time limit or the caller's deadline.
 // - An answer that is not whole never looks complete.
+// - A stream without a whole event for longer than its caller waits ends, whatever else arrives; a
+//   slower one does not. Answers that wait to be whole take a quarter of the memory at most.
 
 #include "burdockhold/attempt_rules.h"
 #include "burdockhold/caller_request.h"
@@ -56,7 +58,7 @@
     std::vector<std::shared_ptr<exchange>> m_waiting;
 };
 
-/// Streams that could go on at another endpoint.
+/// Calls that could go on at another endpoint.
 using movable_streams = std::set<std::shared_ptr<exchange>>;
 
 /// Parts of the process that exchanges use.
@@ -90,6 +92,9 @@
     /// for the end of the stream, and the pool for it.
     void leaveLoadingEndpoint();
 
+    /// Goes on at another endpoint if this one sends nothing to anybody.
+    void leaveSilentEndpoint();
+
     int priority() const { return m_priority; }
     time_point arrival() const { return m_arrival; }
 
@@ -99,6 +104,9 @@
     bool authenticate();
     bool admitTokens();
     void startTimer();
+    void timerFired();
+    duration longestPause() const;
+    duration longestSilence() const;
     void timeLimitReached();
     void waitForEndpoint();
 
@@ -126,6 +134,9 @@
     void noteSharedParts(const std::string &store, bool beingSaved);
     void moveParts(endpoint_orders &orders, const placement_inputs &inputs,
                    const std::string &holder);
+    bool mayMove() const;
+    bool hasAlternative(double withinMs) const;
+    void moveOn();
     link_handlers handlersOfCall();
     bool headArrived(const answer_message &message);
     bool isOwnAnswer(const endpoint_answer_head &head) const;
@@ -139,6 +150,7 @@
     void stepAfterCheck(const attempt_facts &facts);
     void takeStep(const next_step &step);
     void releaseCall();
+    void dropBody();
 
     void deliver();
     void refuse(int status, std::string_view reason, duration retryAfter);
@@ -167,6 +179,7 @@
     call_load m_load;
     bool m_promptRead = false;
     time_point m_callStarted;
+    time_point m_progressAt; ///< Of the call's start or its last whole event.
     endpoint_answer_head m_head;
     bool m_headArrived = false;
     std::string m_body;
--- a/burdockhold/loop_http.cc
+++ b/burdockhold/loop_http.cc
@@ -23,6 +23,8 @@
 // long when it states none.
 constexpr duration DefaultMaxIdle = std::chrono::seconds(2);
 constexpr std::uint32_t MaxAnswerHeadBytes = 16384;
+// Bytes that the parser leaves for later, such as the head of a chunk: they are few in any answer.
+constexpr std::size_t MaxUnparsedBytes = std::size_t(2) * MaxAnswerHeadBytes;
 
 void setNumber(tcp::socket &socket, int level, int option, int value)
 {
@@ -178,6 +180,8 @@
 {
     m_input.append(m_chunk.data(), bytes);
     consume();
+    if (m_active && m_input.size() > MaxUnparsedBytes)
+        finish(link_end::Malformed);
     readMore();
 }
 
--- a/burdockhold/loop_http.h
+++ b/burdockhold/loop_http.h
@@ -10,6 +10,8 @@
 //   orderly close where it has neither.
 // - A connection is reused only after a complete answer, with the request fully written, no byte
 //   beyond the answer, and the server's consent.
+// - Bytes that do not become an answer end the exchange once they exceed a bound; memory is bounded
+//   by it and by what the owner keeps of the body.
 // Not thread-safe; everything runs on the loop's thread.
 
 #include "burdockhold/clock.h"
--- a/burdockhold/loop_peers.cc
+++ b/burdockhold/loop_peers.cc
@@ -8,6 +8,8 @@
 #include <algorithm>
 #include <random>
 #include <set>
+#include <sstream>
+#include <utility>
 
 namespace burdockhold {
 
@@ -21,6 +23,8 @@
 constexpr int LiveDigests = 4;
 /// A speaker that was silent for this many summaries may be replaced by another VM.
 constexpr int SpeakerSummaries = 2;
+/// Bound on what a summary may state; a VM with so slow a link has nothing to say in time.
+constexpr duration LongestInterval = std::chrono::seconds(5);
 
 } // namespace
 
@@ -51,18 +55,23 @@
 
 std::string digest_link::announcementOf(const router_settings &settings)
 {
-    return settings.ip + ":" + std::to_string(settings.firstPeerPort) + " " + settings.dataCentre;
+    return settings.ip + ":" + std::to_string(settings.firstPeerPort) + " " + settings.dataCentre
+           + " " + std::to_string(settings.capacity());
 }
 
 void digest_link::addPeer(const std::string &vm, const std::string &announcement)
 {
-    const std::size_t space = announcement.find(' ');
-    const auto parsed = parseAddress(announcement.substr(0, space));
+    std::istringstream words(announcement);
+    std::string address;
+    std::string dataCentre;
+    std::uint32_t capacity = 0; // Not stated by older builds.
+    words >> address >> dataCentre >> capacity;
+    const auto parsed = parseAddress(address);
     if (vm == m_board.settings.vmName || !parsed)
         return;
     peer &added = m_peers[vm];
-    if (space != std::string::npos)
-        added.dataCentre = announcement.substr(space + 1);
+    added.dataCentre = dataCentre;
+    added.capacity = capacity;
     const udp::endpoint endpoint(parsed->address(), parsed->port());
     if (added.address == endpoint)
         return;
@@ -97,12 +106,18 @@
         publishPeers(now);
         sendOwnDigest(now);
     }
-    const bool speaks = isGrouped()
-                        && isSpeaker(shortHash(m_board.settings.vmName), liveLocalVms(now));
-    if (speaks && now >= m_summaryDueAt) {
-        m_summaryDueAt = now + m_options.interval;
+    if (!isGrouped() || !speaks(now))
+        return;
+    if (now >= m_summaryDueAt)
         sendSummary(now);
-    }
+    if (now >= m_passOnDueAt)
+        passOnSummaries(now);
+}
+
+bool digest_link::speaks(time_point now) const
+{
+    return isSpeaker({ shortHash(m_board.settings.vmName), m_board.settings.capacity() },
+                     liveLocalVms(now));
 }
 
 void digest_link::forgetSilentPeers(time_point now)
@@ -116,12 +131,12 @@
     }
 }
 
-std::vector<std::uint32_t> digest_link::liveLocalVms(time_point now) const
+std::vector<speaker_candidate> digest_link::liveLocalVms(time_point now) const
 {
-    std::vector<std::uint32_t> live;
+    std::vector<speaker_candidate> live;
     for (const auto &[vm, other] : m_peers) {
         if (isTold(other) && isLive(other, now) && !other.leaving)
-            live.push_back(shortHash(vm));
+            live.push_back({ shortHash(vm), other.capacity });
     }
     return live;
 }
@@ -131,8 +146,10 @@
     std::vector<group_vm> live;
     for (const auto &[vm, other] : m_peers) {
         if (isTold(other) && isLive(other, now) && !other.leaving)
-            live.push_back({ vm, other.address.address().to_string() + ":"
-                                         + std::to_string(other.address.port()) });
+            live.push_back({ vm,
+                             other.address.address().to_string() + ":"
+                                     + std::to_string(other.address.port()),
+                             other.capacity });
     }
     return live;
 }
@@ -144,16 +161,20 @@
         told += isTold(other) ? 1 : 0;
     m_interval = std::max(m_options.interval,
                           fromSeconds(static_cast<double>(told) / m_options.sendsPerSecond));
-    // A summary adds up digests that are one interval old.
-    m_board.digestInterval = isGrouped() ? m_interval + m_options.interval : m_interval;
     m_board.knownPeers = told;
-    m_board.liveVms = liveLocalVms(now);
+    m_board.liveVms.clear();
+    for (const speaker_candidate &local : liveLocalVms(now))
+        m_board.liveVms.push_back(local.vm);
     m_board.groupVms = liveGroup(now);
+    duration summaryInterval = isGrouped() ? m_options.interval : duration::zero();
     for (const auto &[dataCentre, group] : m_groups) {
+        summaryInterval = std::max(summaryInterval, group.interval);
         m_board.knownPeers += group.vms.size();
-        if (now - group.heardAt < m_options.speakerLapse)
+        if (knowsSpeaker(group, now))
             m_board.liveVms.insert(m_board.liveVms.end(), group.vms.begin(), group.vms.end());
     }
+    // A summary adds up digests that are one interval old, and is passed on at the same pace.
+    m_board.digestInterval = m_interval + 2 * summaryInterval;
 }
 
 void digest_link::sendTo(const udp::endpoint &address, std::string_view bytes)
@@ -177,29 +198,84 @@
     }
 }
 
-/// Address of the VM that speaks for the data centre, or nullptr when none was heard lately.
-const udp::endpoint *digest_link::speakerOf(const std::string &dataCentre, time_point now) const
+bool digest_link::knowsSpeaker(const peer_group &group, time_point now) const
+{
+    const duration lapse = std::max<duration>(m_options.speakerLapse,
+                                              m_options.lostSummaries * group.interval);
+    return now - group.heardAt < lapse;
+}
+
+std::set<std::string> digest_link::otherDataCentres() const
+{
+    std::set<std::string> names;
+    for (const auto &[vm, other] : m_peers) {
+        if (!isLocal(other))
+            names.insert(other.dataCentre);
+    }
+    for (const auto &[name, group] : m_groups)
+        names.insert(name);
+    return names;
+}
+
+/// Time in which this part of the own link carries the bytes.
+duration digest_link::pacedBy(double linkShare, std::size_t bytes) const
 {
-    const auto group = m_groups.find(dataCentre);
-    const bool known = group != m_groups.end()
-                       && now - group->second.heardAt < m_options.speakerLapse;
-    return known ? &group->second.speaker : nullptr;
+    constexpr double BytesPerMegabit = 1e6 / 8.0;
+    const double rate = linkShare * m_board.settings.linkMegabits * BytesPerMegabit;
+    return fromSeconds(static_cast<double>(bytes) / std::max(1.0, rate));
 }
 
-/// Sends to the speaker of each other data centre, or to all of its VMs while none is known.
+/// Sends to the speaker of each other data centre, or to those that may speak there.
 void digest_link::sendSummary(time_point now)
 {
+    const std::set<std::string> dataCentres = otherDataCentres();
     const std::string bytes = encodeDigest(ownSummary(now));
-    std::set<std::string> sent;
+    m_summaryInterval = std::max(m_options.interval, pacedBy(m_options.summaryLinkShare,
+                                                             dataCentres.size() * bytes.size()));
+    m_summaryDueAt = now + m_summaryInterval;
+    for (const std::string &dataCentre : dataCentres) {
+        const auto group = m_groups.find(dataCentre);
+        if (group != m_groups.end() && knowsSpeaker(group->second, now))
+            sendTo(group->second.speaker, bytes);
+        else
+            trySpeakers(dataCentre, bytes);
+    }
+}
+
+/// Sends to the VM that would speak first for the data centre, and by turns to the next ones.
+void digest_link::trySpeakers(const std::string &dataCentre, std::string_view bytes)
+{
+    std::vector<std::pair<speaker_candidate, udp::endpoint>> candidates;
     for (const auto &[vm, other] : m_peers) {
-        if (isLocal(other))
+        if (other.dataCentre == dataCentre)
+            candidates.push_back({ { shortHash(vm), other.capacity }, other.address });
+    }
+    std::sort(candidates.begin(), candidates.end(),
+              [](const auto &a, const auto &b) { return speaksBefore(a.first, b.first); });
+    if (candidates.empty())
+        return;
+    sendTo(candidates.front().second, bytes);
+    std::size_t &tries = m_tries[dataCentre];
+    for (std::size_t more = 1; more < std::min(m_options.speakersTried, candidates.size()); ++more)
+        sendTo(candidates[1 + tries++ % (candidates.size() - 1)].second, bytes);
+}
+
+/// Passes the newest summaries of the other data centres on to the VMs of the own one.
+void digest_link::passOnSummaries(time_point now)
+{
+    std::size_t sent = 0;
+    for (auto &[dataCentre, group] : m_groups) {
+        if (group.toPassOn.empty())
             continue;
-        const udp::endpoint *speaker = speakerOf(other.dataCentre, now);
-        if (speaker == nullptr)
-            sendTo(other.address, bytes);
-        else if (sent.insert(other.dataCentre).second)
-            sendTo(*speaker, bytes);
+        for (const auto &[vm, other] : m_peers) {
+            if (!isLocal(other))
+                continue;
+            sendTo(other.address, group.toPassOn);
+            sent += group.toPassOn.size();
+        }
+        group.toPassOn.clear();
     }
+    m_passOnDueAt = now + pacedBy(m_options.passOnLinkShare, sent);
 }
 
 vm_digest digest_link::ownSummary(time_point now)
@@ -214,8 +290,10 @@
     summary.incarnation = m_incarnation;
     summary.number = ++m_number;
     summary.dataCentre = m_board.settings.dataCentre;
+    const auto interval = std::chrono::duration_cast<std::chrono::milliseconds>(m_summaryInterval);
+    summary.intervalMs = static_cast<std::uint32_t>(interval.count());
     summary.speaker = m_board.settings.ip + ":" + std::to_string(m_board.settings.firstPeerPort);
-    for (const auto *ledgers : { &m_board.quotas, &m_board.storeLinks }) {
+    for (const auto *ledgers : m_board.sharedLimits()) {
         for (const auto &[name, ledger] : *ledgers)
             summary.accounts.push_back({ shortHash(name),
                                          static_cast<std::uint64_t>(ledger.groupTotal()),
@@ -232,7 +310,8 @@
     digest.number = ++m_number;
     digest.leaving = m_board.leaving;
     digest.dataCentre = m_board.settings.dataCentre;
-    for (const auto *ledgers : { &m_board.quotas, &m_board.storeLinks }) {
+    digest.capacity = m_board.settings.capacity();
+    for (const auto *ledgers : m_board.sharedLimits()) {
         for (const auto &[name, ledger] : *ledgers) {
             const auto admitted = static_cast<std::uint64_t>(ledger.admittedTotal());
             const auto asked = static_cast<std::uint64_t>(ledger.askedTotal());
@@ -321,6 +400,7 @@
     from.heardAt = now;
     from.leaving = digest.leaving;
     from.dataCentre = digest.dataCentre;
+    from.capacity = digest.capacity;
     // A VM that still tells all others directly is counted in the summary of its data centre.
     if (m_groups.count(digest.dataCentre) != 0)
         return;
@@ -339,7 +419,9 @@
     const bool sameSpeaker = group.incarnation == summary.incarnation;
     // Of two speakers the one that was heard goes on, until it has been silent for a moment.
     const bool superseded = !sameSpeaker
-                            && now - group.heardAt < SpeakerSummaries * m_options.interval;
+                            && now - group.heardAt
+                                       < SpeakerSummaries
+                                                 * std::max(m_options.interval, group.interval);
     if ((sameSpeaker && summary.number <= group.number) || superseded)
         return;
     const bool replaced = group.incarnation != 0 && !sameSpeaker;
@@ -347,6 +429,8 @@
     group.number = summary.number;
     group.heardAt = now;
     group.speaker = udp::endpoint(speaker->address(), speaker->port());
+    group.interval = std::min<duration>(LongestInterval,
+                                        std::chrono::milliseconds(summary.intervalMs));
     group.vms = summary.vms;
     const std::set<std::uint32_t> named(summary.vms.begin(), summary.vms.end());
     for (auto &[vm, other] : m_peers) {
@@ -355,13 +439,9 @@
     }
     apply(summary, now);
     noteTotals(summary, replaced, false, now);
-    if (m_sender != group.speaker
-        || !isSpeaker(shortHash(m_board.settings.vmName), liveLocalVms(now)))
-        return;
-    for (const auto &[vm, other] : m_peers) {
-        if (isLocal(other))
-            sendTo(other.address, bytes);
-    }
+    // One that came from a VM of the own data centre has been passed on already.
+    if (m_sender == group.speaker && speaks(now))
+        group.toPassOn = bytes;
 }
 
 /// Takes over what the digest states of endpoints, duties, weights and stores.
@@ -400,7 +480,7 @@
                              time_point now)
 {
     quota_peer kind{ std::max<std::size_t>(1, digest.vms.size()), isLocalVm };
-    for (auto *ledgers : { &m_board.quotas, &m_board.storeLinks }) {
+    for (auto *ledgers : m_board.sharedLimits()) {
         for (auto &[name, ledger] : *ledgers) {
             const std::uint32_t hash = shortHash(name);
             const auto row = std::find_if(digest.accounts.begin(), digest.accounts.end(),
--- a/burdockhold/loop_peers.h
+++ b/burdockhold/loop_peers.h
@@ -6,12 +6,14 @@
 //
 // Up to directPeers other VMs are told directly. With more, a VM tells those of its data centre,
 // and the data centres exchange summaries (digest_summary.h): the speaker of one sends to the
-// speaker of the other, which passes them on. While the other's speaker is not known, all known VMs
-// there are sent to.
+// speaker of the other, which passes them on. While the other's speaker is not known, the VMs that
+// would speak first there are tried, a few at a time. What a speaker sends is paced by its link: a
+// full link loses the very summaries that end a search for speakers.
 //
 // Datagrams rather than nng: a digest states the whole, so a lost one needs no resending, and a
 // dead or cut-off VM holds no connection, queue or thread here.
 
+#include "burdockhold/digest_summary.h"
 #include "burdockhold/router_board.h"
 
 #include <boost/asio/io_context.hpp>
@@ -19,6 +21,7 @@
 
 #include <array>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -34,8 +37,14 @@
     double urgentShare = 0.25;
     duration forgetAfter = std::chrono::seconds(30);
     std::size_t directPeers = 16;
-    /// Several lost summaries: the speaker of the other data centre may have ended.
+    /// Several lost summaries: the speaker of the other data centre may have ended. Longer where
+    /// its summaries are rarer.
     duration speakerLapse = std::chrono::milliseconds(1200);
+    int lostSummaries = 4;
+    std::size_t speakersTried = 3; ///< At once, while the speaker of a data centre is not known.
+    /// Parts of the own link for summaries to other data centres, and for those passed on.
+    double summaryLinkShare = 0.1;
+    double passOnLinkShare = 0.2;
 };
 
 class digest_link
@@ -65,6 +74,7 @@
         time_point heardAt; // Of the VM itself, or that a summary named it.
         bool leaving = false;
         std::string dataCentre;
+        std::uint32_t capacity = 0;
         vm_digest digest; // Its last one.
     };
     /// Another data centre, as its summaries state it.
@@ -73,8 +83,10 @@
         std::uint64_t incarnation = 0;
         std::uint64_t number = 0;
         time_point heardAt;
+        duration interval = duration::zero(); // As its summaries state it.
         boost::asio::ip::udp::endpoint speaker;
         std::vector<std::uint32_t> vms;
+        std::string toPassOn; // The newest summary, if this VM speaks and has not passed it on.
     };
 
     bool isGrouped() const { return m_peers.size() > m_options.directPeers; }
@@ -83,14 +95,18 @@
     bool isLive(const peer &other, time_point now) const;
     void forgetSilentPeers(time_point now);
     void publishPeers(time_point now);
-    std::vector<std::uint32_t> liveLocalVms(time_point now) const;
+    std::vector<speaker_candidate> liveLocalVms(time_point now) const;
+    bool speaks(time_point now) const;
     std::vector<group_vm> liveGroup(time_point now) const;
     void sendOwnDigest(time_point now);
     void sendSummary(time_point now);
+    void passOnSummaries(time_point now);
+    bool knowsSpeaker(const peer_group &group, time_point now) const;
+    void trySpeakers(const std::string &dataCentre, std::string_view bytes);
+    std::set<std::string> otherDataCentres() const;
+    duration pacedBy(double linkShare, std::size_t bytes) const;
     void sendTo(const boost::asio::ip::udp::endpoint &address, std::string_view bytes);
     vm_digest ownSummary(time_point now);
-    const boost::asio::ip::udp::endpoint *speakerOf(const std::string &dataCentre,
-                                                    time_point now) const;
 
     void receive();
     void received(std::size_t bytes);
@@ -115,6 +131,9 @@
     duration m_interval = duration::zero(); // Between own digests.
     time_point m_dueAt;
     time_point m_summaryDueAt;
+    duration m_summaryInterval = duration::zero(); // To the next own summary.
+    time_point m_passOnDueAt;
+    std::map<std::string, std::size_t> m_tries; // For the speakers of data centres.
     time_point m_urgentAt;
 };
 
--- a/burdockhold/loop_router.cc
+++ b/burdockhold/loop_router.cc
@@ -1,5 +1,6 @@
 #include "burdockhold/loop_router.h"
 
+#include "burdockhold/loop_guard.h"
 #include "platform/deployment_codec.h"
 
 #include <boost/asio/buffer.hpp>
@@ -64,10 +65,18 @@
     acceptReadiness();
     announce();
     scheduleTick();
-    m_io.run();
+    runGuarded(m_io, [this](const std::string &text) { handlerFailed(text); });
     return {};
 }
 
+void event_router::handlerFailed(const std::string &text)
+{
+    m_board.metrics.count(router_counter::HandlerFailures);
+    const time_point now = steadyNow();
+    if (m_board.log.accepts(log_weight::Failure, now))
+        m_board.log.write(log_event::HandlerFailed, { { "reason", text } }, now);
+}
+
 std::string event_router::open()
 {
     const auto logServer = parseAddress(m_board.settings.logAddress);
@@ -110,14 +119,18 @@
         if (error == boost::asio::error::operation_aborted)
             return;
         // Any other failure concerns one connection or a moment without descriptors.
-        if (!error) {
-            const exchange_context context{ m_io, m_board, m_links, m_waiting, m_movable };
-            std::make_shared<caller_connection>(std::move(socket), context, m_callers)->start();
-        }
+        if (!error)
+            startCaller(std::move(socket));
         acceptCallers();
     });
 }
 
+void event_router::startCaller(tcp::socket socket)
+{
+    const exchange_context context{ m_io, m_board, m_links, m_waiting, m_movable };
+    std::make_shared<caller_connection>(std::move(socket), context, m_callers)->start();
+}
+
 void event_router::acceptReadiness()
 {
     m_readyAcceptor.async_accept([this](error_code error, tcp::socket socket) {
@@ -337,8 +350,8 @@
     m_tickTimer.async_wait([this](error_code error) {
         if (error)
             return;
+        scheduleTick(); // First: the next tick comes also if this one fails.
         tick();
-        scheduleTick();
     });
 }
 
@@ -346,7 +359,7 @@
 {
     const time_point now = steadyNow();
     m_board.endpoints.step(m_board.digestInterval, now);
-    for (auto *ledgers : { &m_board.quotas, &m_board.storeLinks }) {
+    for (auto *ledgers : m_board.sharedLimits()) {
         for (auto &[name, ledger] : *ledgers) {
             ledger.expectTotalsEach(m_board.digestInterval);
             ledger.step(m_board.knownPeers, now);
@@ -356,8 +369,10 @@
     m_digests.step(now);
     m_views.step(now);
     const movable_streams movable = m_movable;
-    for (const auto &stream : movable)
+    for (const auto &stream : movable) {
         stream->leaveLoadingEndpoint();
+        stream->leaveSilentEndpoint();
+    }
     if (m_waiting.size() > 0)
         m_waiting.retry();
     if (now - m_sweptAt >= SweepInterval) {
@@ -397,11 +412,25 @@
                           m_board.leavingSince);
 }
 
+/// Takes over the connections that the system has accepted already: they would be reset.
+void event_router::acceptWaiting()
+{
+    error_code error;
+    m_callerAcceptor.non_blocking(true, error);
+    while (!error) {
+        tcp::socket socket(m_io);
+        m_callerAcceptor.accept(socket, error);
+        if (!error)
+            startCaller(std::move(socket));
+    }
+}
+
 void event_router::stepShutdown(time_point now)
 {
     const duration since = now - m_board.leavingSince;
     if (since < BalancerDelay)
         return;
+    acceptWaiting();
     const caller_set callers = m_callers;
     for (const auto &caller : callers)
         caller->closeIfIdle();
--- a/burdockhold/loop_router.h
+++ b/burdockhold/loop_router.h
@@ -30,7 +30,10 @@
 private:
     std::string open();
     std::string listen(boost::asio::ip::tcp::acceptor &acceptor, const std::string &address);
+    void handlerFailed(const std::string &text);
     void acceptCallers();
+    void acceptWaiting();
+    void startCaller(boost::asio::ip::tcp::socket socket);
     void acceptReadiness();
     void answerReadiness(std::shared_ptr<boost::asio::ip::tcp::socket> socket);
     std::string probeAnswer(std::string_view request) const;
--- a/burdockhold/loop_views.cc
+++ b/burdockhold/loop_views.cc
@@ -176,7 +176,7 @@
     : m_context(context)
     , m_board(board)
     , m_handlers(std::move(handlers))
-    , m_source({}, board.settings.vmName)
+    , m_source({}, board.settings.vmName, board.settings.capacity())
     , m_incarnation(newIncarnation())
     , m_acceptor(context)
 {
--- a/burdockhold/quota_ledger.cc
+++ b/burdockhold/quota_ledger.cc
@@ -42,6 +42,7 @@
     m_guardUntil = now + m_options.startGuard;
     m_evenShare = 1.0 / static_cast<double>(m_options.leastVms);
     m_level *= m_evenShare;
+    m_starting = true;
     m_part = m_evenShare;
     m_partUntil = now + m_options.startPart;
 }
@@ -76,8 +77,12 @@
 {
     if (!m_partUntil)
         return true;
-    if (!m_partLevel)
-        m_partLevel = -cost * phaseOf(m_options.phaseSeed);
+    // Many small parts begin at different phases; who has nearly the whole rate begins at once. A
+    // started VM may use its part of what it assumes to be left of the burst.
+    if (!m_partLevel) {
+        const double ofBurst = m_starting ? m_part * m_limit.burst * m_options.startShare : 0.0;
+        m_partLevel = ofBurst - cost * phaseOf(m_options.phaseSeed) * (1.0 - m_part);
+    }
     if (*m_partLevel < 0.0)
         return false;
     *m_partLevel -= cost;
@@ -149,9 +154,10 @@
         vmsWithRates += row.second.hasRates ? row.second.vms : 0;
     }
     const double known = static_cast<double>(knownPeers);
-    const bool starting = m_options.startGuard > duration::zero()
-                          && now - m_startedAt < m_options.startPart;
-    if (starting && static_cast<double>(vmsWithRates) < EnoughKnown * known) {
+    const bool wasStarting = m_starting;
+    m_starting = m_starting && now - m_startedAt < m_options.startPart
+                 && static_cast<double>(vmsWithRates) < EnoughKnown * known;
+    if (m_starting) {
         m_part = 1.0 / (known + 1.0);
         return;
     }
@@ -162,7 +168,7 @@
     const bool asksMore = all > m_options.partFrom * m_limit.ratePerSecond;
     if (asksMore && (m_partUntil || m_level < cap() / 2.0))
         m_partUntil = now + m_options.partLapse;
-    else if (starting && m_partUntil)
+    else if (wasStarting)
         m_partUntil = now; // What the others ask for is known to fit.
     if (m_partUntil && now >= *m_partUntil) {
         m_partUntil.reset();
@@ -274,9 +280,9 @@
     m_refilledAt = now;
     m_level = std::min(cap(), m_level + seconds * rate());
     const double partRate = m_part * m_limit.ratePerSecond;
-    if (m_partLevel)
-        *m_partLevel = std::min(toSeconds(m_options.partBurst) * partRate,
-                                *m_partLevel + seconds * partRate);
+    const double partCap = toSeconds(m_options.partBurst) * partRate;
+    if (m_partLevel && *m_partLevel < partCap)
+        *m_partLevel = std::min(partCap, *m_partLevel + seconds * partRate);
 }
 
 } // namespace burdockhold
--- a/burdockhold/quota_ledger.h
+++ b/burdockhold/quota_ledger.h
@@ -164,6 +164,7 @@
     double m_askedAtNote = 0.0;    // m_asked when that was computed.
     time_point m_notedAt;
     time_point m_startedAt;
+    bool m_starting = false;               // What the others ask for is not known yet.
     double m_part = 1.0;                   // Of the rate.
     std::optional<time_point> m_partUntil; // Set while this VM keeps to its part.
     std::optional<double> m_partLevel;     // Requests pass from 0 on. Unset before the first.
--- a/burdockhold/router_board.cc
+++ b/burdockhold/router_board.cc
@@ -15,6 +15,8 @@
 constexpr std::size_t MaxVersionsKept = 16;
 /// A call begins some time after it was placed.
 constexpr duration OldWeightsMargin = std::chrono::milliseconds(1500);
+/// Over which repeats are counted against requests.
+constexpr duration BudgetWindow = std::chrono::seconds(10);
 /// Part of the shared budget that is planned with; the rest covers windows that do not line up.
 constexpr double BudgetShare = 0.9;
 /// Several digests of every other VM.
@@ -159,6 +161,8 @@
     for (const deployment_pool &pool : deployment->source().pools) {
         if (pool.store)
             linkOf(*pool.store, now).setLimit(linkLimit(*pool.store), now);
+        else
+            slackOf(pool.name, now);
     }
 }
 
@@ -185,16 +189,43 @@
     const auto found = repeats.find(pool);
     if (found != repeats.end())
         return found->second;
-    return repeats.emplace(pool, newBudget()).first->second;
+    const retry_budget_options options{ BudgetShare * settings.repeatRatio, 0, 0 };
+    return repeats.emplace(pool, retry_budget(options)).first->second;
 }
 
-retry_budget router_board::newBudget() const
+/// In any window of the budget, half of the slack may be used at once and half over its time.
+quota_ledger &router_board::slackOf(const std::string &pool, time_point now)
 {
-    // The slack is a sum over all VMs; VMs that come later find their part unused.
-    const double vms = static_cast<double>(std::max<std::size_t>(knownPeers + 1, 8));
-    const auto slack = static_cast<std::int64_t>(BudgetShare * settings.repeatSlack / vms);
-    return retry_budget(
-            { BudgetShare * settings.repeatRatio, 0, std::max<std::int64_t>(1, slack) });
+    const std::string name = "repeats/" + pool;
+    const auto found = repeatSlack.find(name);
+    if (found != repeatSlack.end())
+        return found->second;
+    const double half = BudgetShare * settings.repeatSlack / 2.0;
+    quota_ledger_options options;
+    options.startGuard = StartGuard;
+    options.leastVms = std::max(options.leastVms, knownPeers + 1);
+    options.phaseSeed = phaseSeedOf(name);
+    const quota_limit limit{ half / toSeconds(BudgetWindow), half };
+    return repeatSlack.emplace(name, quota_ledger(options, limit, now)).first->second;
+}
+
+void router_board::countRequest(const std::string &pool, time_point now)
+{
+    repeatsOf(pool).countRequest(now);
+}
+
+bool router_board::tryRepeat(const std::string &pool, time_point now)
+{
+    return repeatsOf(pool).tryRetry(now) || slackOf(pool, now).tryAdmit(1.0, now);
+}
+
+bool router_board::tryOptionalRepeat(const std::string &pool, time_point now)
+{
+    constexpr double LeastRoom = 0.5;
+    if (repeatsOf(pool).tryOptionalRetry(now))
+        return true;
+    quota_ledger &slack = slackOf(pool, now);
+    return slack.room() >= LeastRoom && slack.tryAdmit(1.0, now);
 }
 
 quota_ledger &router_board::quotaOf(const deployment_account &account, time_point now)
--- a/burdockhold/router_board.h
+++ b/burdockhold/router_board.h
@@ -17,6 +17,7 @@
 #include "burdockhold/saved_parts.h"
 #include "burdockhold/view_source.h"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -95,8 +96,17 @@
     /// suspensions.
     void endpointsProven(duration at);
 
-    /// Repeats of the pool's calls; made on first use.
-    retry_budget &repeatsOf(const std::string &pool);
+    /// Repeats of a pool's calls: a part of this VM's requests, and a slack that all VMs share.
+    /// What is divided evenly is too little where it is needed: of 630 for 295 VMs each would have
+    /// two.
+    void countRequest(const std::string &pool, time_point now);
+    bool tryRepeat(const std::string &pool, time_point now);
+    /// As tryRepeat(), for a repeat that is only useful: it leaves at least half of each.
+    bool tryOptionalRepeat(const std::string &pool, time_point now);
+
+    /// Everything that is limited over all VMs, by name; digests tell what was used of it.
+    using shared_limits = std::map<std::string, quota_ledger>;
+    std::array<shared_limits *, 3> sharedLimits() { return { &quotas, &storeLinks, &repeatSlack }; }
 
     /// Sets the limits of the accounts and of the stores' links as the deployment states them.
     void applyLimits(time_point now);
@@ -107,7 +117,8 @@
     const router_settings settings;
 
 private:
-    retry_budget newBudget() const;
+    retry_budget &repeatsOf(const std::string &pool);
+    quota_ledger &slackOf(const std::string &pool, time_point now);
     std::uint64_t phaseSeedOf(std::string_view limit) const;
     quota_limit linkLimit(const cache_store &store) const;
 
@@ -123,13 +134,17 @@
     endpoint_table endpoints;
 
     // Written by the exchanges and the peer link.
-    std::map<std::string, quota_ledger> quotas;
-    std::map<std::string, quota_ledger> storeLinks; ///< By "link/" and the store's address.
+    shared_limits quotas;
+    shared_limits storeLinks;  ///< By "link/" and the store's address.
+    shared_limits repeatSlack; ///< By "repeats/" and the pool.
     std::map<std::string, retry_budget> repeats;
 
     // Written by the exchanges (own saves) and the peer link (those of others).
     saved_parts savedParts;
 
+    // Written by the exchanges: bytes of answers that wait to be whole.
+    std::size_t bufferedBytes = 0;
+
     // Written by the duty controller (own finding) and the peer link (that of others): until when a
     // store of cached parts counts as away, by its address.
     std::map<std::string, time_point> storeAwayUntil;
--- a/burdockhold/router_metrics.h
+++ b/burdockhold/router_metrics.h
@@ -33,12 +33,14 @@
     UncachedTokens,
     OrdersGiven,
     TransfersWithoutRoom,
+    StalledStreams,
+    HandlerFailures,
 };
 
 template <>
 struct enum_names<router_counter>
 {
-    static constexpr std::array<enum_name<router_counter>, 17> Table{ {
+    static constexpr std::array<enum_name<router_counter>, 19> Table{ {
             { router_counter::Requests, "requests" },
             { router_counter::Served, "served" },
             { router_counter::RefusedNotRun, "refused_not_run" },
@@ -56,6 +58,8 @@
             { router_counter::UncachedTokens, "expected_read_tokens" },
             { router_counter::OrdersGiven, "orders_given" },
             { router_counter::TransfersWithoutRoom, "transfers_without_room" },
+            { router_counter::StalledStreams, "stalled_streams" },
+            { router_counter::HandlerFailures, "handler_failures" },
     } };
 };
 
--- a/burdockhold/router_settings.cc
+++ b/burdockhold/router_settings.cc
@@ -3,6 +3,7 @@
 #include <boost/property_tree/ini_parser.hpp>
 #include <boost/property_tree/ptree.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <sstream>
 #include <type_traits>
@@ -40,6 +41,14 @@
         value = *parsed;
     }
 
+    /// Keeps the value when the key is missing: settings of an older template.
+    template <typename T>
+    void readOptional(const char *key, T &value)
+    {
+        if (tree.get_child_optional(key))
+            read(key, value);
+    }
+
     void readMs(const char *key, duration &value)
     {
         std::int64_t ms = 0;
@@ -91,9 +100,18 @@
     reader.read("limits.memory_mb", memoryMb);
     settings.memoryBytes = static_cast<std::size_t>(memoryMb * 1024 * 1024);
     reader.read("limits.descriptors", settings.descriptors);
+    reader.readOptional("limits.processor_share", settings.processorShare);
+    reader.readOptional("limits.link_mbps", settings.linkMegabits);
     if (reader.error)
         return *reader.error;
     return settings;
 }
 
+std::uint32_t router_settings::capacity() const
+{
+    constexpr double Most = 1e6; // Also bounds nonsense in the settings.
+    const double scarcer = std::min(1000.0 * processorShare, linkMegabits);
+    return static_cast<std::uint32_t>(std::clamp(scarcer, 0.0, Most));
+}
+
 } // namespace burdockhold
--- a/burdockhold/router_settings.h
+++ b/burdockhold/router_settings.h
@@ -8,6 +8,7 @@
 #include "burdockhold/clock.h"
 #include "burdockhold/result.h"
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -36,6 +37,12 @@
     double repeatSlack = 50.0;         ///< Repeats beyond it, over all VMs.
     std::size_t memoryBytes = std::size_t(128) * 1024 * 1024;
     int descriptors = 1024;
+    double processorShare = 1.0; ///< Of one core.
+    double linkMegabits = 100.0; ///< Of this VM's own link, a second.
+
+    /// Rough measure of what the VM can do for others, by which duties go to the VMs with room for
+    /// them: the scarcer of thousandths of a core and megabits a second.
+    std::uint32_t capacity() const;
 };
 
 enum class router_settings_error { NotReadable, Missing, Invalid };
--- a/burdockhold/view_source.cc
+++ b/burdockhold/view_source.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace burdockhold {
@@ -12,16 +13,25 @@
 // Another order than that of the speakers of data centres, which have work of their own.
 constexpr std::uint64_t OrderSeed = 1;
 
-std::pair<std::uint64_t, std::string_view> placeOf(std::string_view vm)
+/// VMs with a lower place come first.
+std::tuple<std::uint32_t, std::uint64_t, std::string_view> placeOf(std::string_view vm,
+                                                                   std::uint32_t capacity)
 {
-    return { XXH64(vm.data(), vm.size(), OrderSeed), vm };
+    return { UINT32_MAX - capacity, XXH64(vm.data(), vm.size(), OrderSeed), vm };
+}
+
+auto placeOf(const group_vm &vm)
+{
+    return placeOf(vm.name, vm.capacity);
 }
 
 } // namespace
 
-view_source::view_source(view_source_options options, std::string ownName)
+view_source::view_source(view_source_options options, std::string ownName,
+                         std::uint32_t ownCapacity)
     : m_options(options)
     , m_ownName(std::move(ownName))
+    , m_ownCapacity(ownCapacity)
 {
 }
 
@@ -33,13 +43,12 @@
 
 void view_source::setGroup(std::vector<group_vm> others)
 {
-    const auto own = placeOf(m_ownName);
+    const auto own = placeOf(m_ownName, m_ownCapacity);
     others.erase(std::remove_if(others.begin(), others.end(),
-                                [&](const group_vm &vm) { return !(placeOf(vm.name) < own); }),
+                                [&](const group_vm &vm) { return !(placeOf(vm) < own); }),
                  others.end());
-    std::sort(others.begin(), others.end(), [](const group_vm &a, const group_vm &b) {
-        return placeOf(a.name) < placeOf(b.name);
-    });
+    std::sort(others.begin(), others.end(),
+              [](const group_vm &a, const group_vm &b) { return placeOf(a) < placeOf(b); });
     m_before = std::move(others);
     m_rank = m_before.size();
 }
--- a/burdockhold/view_source.h
+++ b/burdockhold/view_source.h
@@ -3,10 +3,10 @@
 
 // From whom a VM gets its view of the log: from the log itself, or from another VM that reads it.
 //
-// The VMs of a group (a data centre, or a whole small deployment) put each other in one order by
-// rendezvous hashing; the first that is alive reads for all, so calls to the log grow with the
-// groups and not with the VMs. Nothing is agreed on: whoever is asked reads, and VMs with different
-// beliefs of who is alive only cause some more calls for a moment.
+// The VMs of a group (a data centre, or a whole small deployment) put each other in one order, by
+// capacity and then by rendezvous hashing; the first that is alive reads for all, so calls to the
+// log grow with the groups and not with the VMs. Nothing is agreed on: whoever is asked reads, and
+// VMs with different beliefs of who is alive only cause some more calls for a moment.
 //
 // Promises:
 // - A VM without a fresh view reads the log itself, whatever the others do.
@@ -17,6 +17,7 @@
 #include "burdockhold/clock.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -29,7 +30,8 @@
 struct group_vm
 {
     std::string name;
-    std::string address; ///< IP:PORT at which it answers questions.
+    std::string address;        ///< IP:PORT at which it answers questions.
+    std::uint32_t capacity = 0; ///< router_settings::capacity().
 };
 
 struct view_source_options
@@ -48,7 +50,7 @@
 class view_source
 {
 public:
-    view_source(view_source_options options, std::string ownName);
+    view_source(view_source_options options, std::string ownName, std::uint32_t ownCapacity = 0);
 
     /// The others are known from now on, as far as they can be.
     void begin(time_point now);
@@ -81,6 +83,7 @@
 
     view_source_options m_options;
     std::string m_ownName;
+    std::uint32_t m_ownCapacity;
     std::vector<group_vm> m_before; // VMs that come before this one, the first one first.
     std::size_t m_rank = 0;
     std::map<std::string, time_point> m_failedAt;
--- a/burdockhold/vm_digest.h
+++ b/burdockhold/vm_digest.h
@@ -93,8 +93,12 @@
     /// VMs that it covers. Empty in the digest of a single VM.
     std::string speaker;
     std::vector<std::uint32_t> vms;
+    std::uint32_t capacity = 0; ///< router_settings::capacity(); 0 from an older build.
+    /// Of a summary: the time to the next one, if none is lost; 0 from an older build.
+    std::uint32_t intervalMs = 0;
     MSGPACK_DEFINE_ARRAY(vm, incarnation, number, leaving, accounts, endpoints, weights, savedParts,
-                         deadStores, duties, named, goneEndpoints, dataCentre, speaker, vms)
+                         deadStores, duties, named, goneEndpoints, dataCentre, speaker, vms,
+                         capacity, intervalMs)
 
     bool isSummary() const { return !speaker.empty(); }
 };
--- a/testing/digest_summary_test.cc
+++ b/testing/digest_summary_test.cc
@@ -139,19 +139,25 @@
     BOOST_TEST(encodeDigest(summaryOf(digests)).size() < 60000U);
 }
 
-// Guards against a data centre in which no VM, or every VM, speaks.
-BOOST_AUTO_TEST_CASE(oneOfTheVmsSpeaks)
+// Guards against a data centre in which no VM, or every VM, speaks, and against a speaker whose
+// link does not carry what it has to send although another's does.
+BOOST_AUTO_TEST_CASE(oneOfTheLargestVmsSpeaks)
 {
-    std::vector<std::uint32_t> vms;
-    vms.reserve(30);
-    for (int number = 0; number < 30; ++number)
-        vms.push_back(shortHash("vm-" + std::to_string(number)));
-    int speakers = 0;
-    for (const std::uint32_t vm : vms) {
-        std::vector<std::uint32_t> others = vms;
-        others.erase(std::find(others.begin(), others.end(), vm));
-        speakers += isSpeaker(vm, others) ? 1 : 0;
+    for (const std::uint32_t large : { 0, 1, 3, 30 }) {
+        std::vector<speaker_candidate> vms;
+        for (std::uint32_t number = 0; number < 30; ++number)
+            vms.push_back(
+                    { shortHash("vm-" + std::to_string(number)), number < large ? 200U : 20U });
+        int speakers = 0;
+        for (std::size_t vm = 0; vm < vms.size(); ++vm) {
+            std::vector<speaker_candidate> others = vms;
+            others.erase(others.begin() + static_cast<std::ptrdiff_t>(vm));
+            if (!isSpeaker(vms[vm], others))
+                continue;
+            ++speakers;
+            BOOST_TEST(vms[vm].capacity == (large > 0 ? 200U : 20U));
+        }
+        BOOST_TEST(speakers == 1);
     }
-    BOOST_TEST(speakers == 1);
-    BOOST_TEST(isSpeaker(5, {}));
+    BOOST_TEST(isSpeaker({ 5, 0 }, {}));
 }
--- /dev/null
+++ b/testing/faults_looptest.cc
@@ -0,0 +1,343 @@
+#define BOOST_TEST_MODULE faults
+#include "burdockhold/loop_guard.h"
+#include "burdockhold/vm_digest.h"
+#include "testing/support_router.h"
+
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <memory>
+#include <random>
+#include <stdexcept>
+#include <string>
+#include <thread>
+#include <vector>
+
+// Servers, callers and VMs in trouble: what they send must not take the router down, fill its
+// memory, or reach a caller as an answer.
+
+using namespace burdockhold;
+using namespace burdockhold::testing;
+
+namespace {
+
+using fixture = router_fixture;
+
+constexpr std::size_t MemoryBytes = std::size_t(110) * 1024 * 1024; // memory_mb of the settings.
+constexpr int EndlessMs = 30000; // Far above the time after which any call ends.
+
+std::string requestWithId(const std::string &path, const std::string &id)
+{
+    std::string text = fixture::request(path);
+    return text.replace(text.find("id1"), 3, id);
+}
+
+/// What engines in trouble send: the beginning, and what follows without end.
+struct endless_answer
+{
+    std::string name;
+    std::string begin; ///< Behind the head of a success, unless it is empty.
+    std::string piece;
+    std::string path;
+};
+
+std::string mutated(std::string bytes, std::mt19937 &random)
+{
+    for (unsigned change = 1 + random() % 6; change-- > 0 && !bytes.empty();) {
+        const std::size_t at = random() % bytes.size();
+        switch (random() % 4) {
+        case 0:
+            bytes[at] = static_cast<char>(random());
+            break;
+        case 1:
+            bytes.erase(at, 1 + random() % 8);
+            break;
+        case 2:
+            bytes.insert(at, bytes.substr(at, random() % 40));
+            break;
+        default:
+            bytes.resize(at);
+        }
+    }
+    return bytes;
+}
+
+} // namespace
+
+// Guards against bytes without end in a head or a body that fill the memory, hold the caller, or
+// reach it as an answer: twenty callers at once, each kind of answer.
+BOOST_FIXTURE_TEST_CASE(answersWithoutEndAreCutOffWithinTheMemory, fixture)
+{
+    const std::string chunked = "Transfer-Encoding: chunked";
+    const std::string oneChunk = "400\r\n" + std::string(1024, 'x') + "\r\n";
+    const std::vector<endless_answer> kinds{
+        { "head of nonsense", "", std::string(4096, 'x'), "/safe/" },
+        { "head of fields", "", "X-Field: " + std::string(200, 'x') + "\r\n", "/safe/" },
+        { "interim answers", "", "HTTP/1.1 102 Processing\r\n\r\n", "/safe/" },
+        { "body with a length", "Content-Length: 99999999999", std::string(8192, 'x'), "/safe/" },
+        { "body in chunks", chunked, oneChunk, "/safe/" },
+        { "body of a call that may run once", chunked, oneChunk, "/pay/" },
+        { "body without a length", "X: 1", std::string(8192, 'x'), "/safe/" },
+        { "stream without an event's end", chunked, oneChunk, "/once/" },
+        { "chunk extension", chunked, "4;" + std::string(8192, 'e'), "/once/" },
+    };
+    for (const endless_answer &kind : kinds) {
+        std::atomic<int> held{ 0 };
+        behave([&](const std::string &, const seen_request &request, answer_socket &socket) {
+            socket.write(kind.begin.empty() ? "HTTP/1.1 200 OK\r\n"
+                                            : answerHead(request, kind.begin));
+            held += writeWithoutEnd(socket, kind.piece, EndlessMs) ? 0 : 1;
+            return false;
+        });
+        std::vector<std::unique_ptr<test_caller>> callers;
+        for (int caller = 0; caller < 20; ++caller) {
+            callers.push_back(std::make_unique<test_caller>(router->callerAddress()));
+            callers.back()->send(requestWithId(kind.path, "id" + std::to_string(caller)));
+        }
+        for (auto &caller : callers) {
+            const std::string answer = caller->readUntil("\r\n\r\n", PatienceMs);
+            BOOST_TEST(answer.rfind("HTTP/1.1 2", 0) != 0U, kind.name << ": " << answer);
+            BOOST_TEST((!answer.empty() || caller->closedByPeer()), kind.name);
+        }
+        BOOST_TEST(held == 0, kind.name);
+        BOOST_TEST(!router->hasEnded(), kind.name);
+        BOOST_TEST(router->peakMemoryBytes() < MemoryBytes,
+                   kind.name << ": " << router->peakMemoryBytes());
+    }
+    behave(nullptr);
+    BOOST_TEST(becomes(request("/safe/"), "HTTP/1.1 200"));
+}
+
+// Guards against a log in trouble whose answers fill the memory.
+BOOST_FIXTURE_TEST_CASE(logThatSendsWithoutEndIsCutOff, fixture)
+{
+    log.setEndless(true);
+    std::this_thread::sleep_for(std::chrono::seconds(6)); // Several reads of each topic.
+    BOOST_TEST(!router->hasEnded());
+    BOOST_TEST(router->peakMemoryBytes() < MemoryBytes / 2);
+    log.setEndless(false);
+    BOOST_TEST(becomes(request("/safe/"), "HTTP/1.1 200"));
+}
+
+// Guards against a stream that is stalled and never ends since a byte comes now and then: in the
+// head, before the first event, or in the midst of an event.
+BOOST_FIXTURE_TEST_CASE(stalledStreamsEndThoughBytesCome, fixture)
+{
+    for (const std::string &begin : { std::string(), event(1), event(1) + "id: 2\nda" }) {
+        std::atomic<bool> ended{ false };
+        behave([&](const std::string &, const seen_request &request, answer_socket &socket) {
+            socket.write(answerHead(request, "Transfer-Encoding: chunked"));
+            if (!begin.empty())
+                socket.write(chunk(begin));
+            while (!socket.peerClosed(100)) {
+                if (!socket.write(chunk(":")))
+                    break;
+            }
+            ended = true;
+            return false;
+        });
+        std::string slow = request("/slow/");
+        const std::string limit = "Deadline-Ms: 3000";
+        slow.replace(slow.find(limit), limit.size(), "Deadline-Ms: 20000");
+        test_caller caller(router->callerAddress());
+        const auto sent = std::chrono::steady_clock::now();
+        caller.send(slow);
+        const std::string answer = caller.readUntil("0\r\n\r\n", 15000);
+        const auto took = std::chrono::steady_clock::now() - sent;
+        BOOST_TEST((took < std::chrono::seconds(12))); // The route's limit is 20 s.
+        const bool success = answer.rfind("HTTP/1.1 200", 0) == 0;
+        BOOST_TEST((!success || answer.find("0\r\n\r\n") == std::string::npos));
+        for (int wait = 0; wait < 100 && !ended; ++wait)
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        BOOST_TEST(ended);
+    }
+}
+
+// Guards against sound streams that are cut since they are slow: pauses just under the time after
+// which callers give up.
+BOOST_FIXTURE_TEST_CASE(slowButSoundStreamsAreNotCut, fixture)
+{
+    behave([](const std::string &, const seen_request &request, answer_socket &socket) {
+        socket.write(answerHead(request, "Transfer-Encoding: chunked"));
+        for (int id = 1; id <= 4; ++id) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(1900));
+            socket.write(chunk(event(id)));
+        }
+        return socket.write("0\r\n\r\n");
+    });
+    std::string slow = request("/slow/");
+    const std::string limit = "Deadline-Ms: 3000";
+    slow.replace(slow.find(limit), limit.size(), "Deadline-Ms: 20000");
+    test_caller caller(router->callerAddress());
+    caller.send(slow);
+    const std::string answer = caller.readUntil("0\r\n\r\n", 20000);
+    for (int id = 1; id <= 4; ++id)
+        BOOST_TEST(answer.find(event(id)) != std::string::npos);
+    BOOST_TEST(answer.find("0\r\n\r\n") != std::string::npos);
+}
+
+// Guards against calls that wait at an endpoint that has gone silent although another could serve
+// them: an idempotent call, and a stream that may be resumed.
+BOOST_FIXTURE_TEST_CASE(callsLeaveAnEndpointThatIsSilent, fixture)
+{
+    behave([](const std::string &name, const seen_request &request, answer_socket &socket) {
+        if (name == "e1") {
+            socket.peerClosed(EndlessMs);
+            return false;
+        }
+        if (request.target == "/safe/")
+            return socket.write(wholeAnswer(request, "body"));
+        socket.write(answerHead(request, "Transfer-Encoding: chunked"));
+        return socket.write(chunk(events(1, 3)) + "0\r\n\r\n");
+    });
+    // Whichever engine is chosen first, each call ends at the one that answers.
+    for (int call = 0; call < 6; ++call) {
+        const std::string id = "id" + std::to_string(call);
+        const std::string answer = ask(requestWithId("/safe/", id));
+        BOOST_TEST(answer.rfind("HTTP/1.1 200", 0) == 0U, id << ": " << answer);
+        test_caller caller(router->callerAddress());
+        caller.send(requestWithId("/resume/", id + "r"));
+        BOOST_TEST(caller.readUntil("0\r\n\r\n", PatienceMs).find(event(3)) != std::string::npos);
+    }
+}
+
+// Guards against an answer without an id, on a connection that was in use before, that is given to
+// the next caller though it may be a late copy of another's.
+BOOST_FIXTURE_TEST_CASE(answerWithoutAnIdIsNotDeliveredOnAReusedConnection, fixture)
+{
+    std::atomic<int> onReused{ 0 };
+    behave([&](const std::string &, const seen_request &request, answer_socket &socket) {
+        if (request.isFirstOnConnection)
+            return socket.write(wholeAnswer(request, "body"));
+        ++onReused;
+        return socket.write("HTTP/1.1 500 X\r\nX-Burdockhold-Server-Stamp: s9\r\n"
+                            "Content-Length: 5\r\n\r\nother");
+    });
+    test_caller caller(router->callerAddress());
+    for (int call = 0; call < 8; ++call) {
+        const std::string answer = ask(requestWithId("/safe/", "id" + std::to_string(call)));
+        BOOST_TEST(answer.rfind("HTTP/1.1 200", 0) == 0U, answer);
+    }
+    BOOST_TEST(onReused > 0);
+}
+
+// Guards against requests that are cut off by a planned stop: callers send new requests, on new
+// connections, until the balancer has stopped sending them, two seconds after the notice.
+BOOST_FIXTURE_TEST_CASE(requestsAfterTheNoticeToStopAreServed, fixture)
+{
+    behave([](const std::string &, const seen_request &request, answer_socket &socket) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        return socket.write(wholeAnswer(request, "body"));
+    });
+    std::atomic<int> served{ 0 };
+    std::atomic<int> lost{ 0 };
+    const auto begin = std::chrono::steady_clock::now();
+    const auto isOver = [begin] {
+        return std::chrono::steady_clock::now() - begin > std::chrono::milliseconds(2500);
+    };
+    constexpr int Threads = 4;
+    std::vector<std::thread> threads;
+    threads.reserve(Threads);
+    for (int thread = 0; thread < Threads; ++thread) {
+        threads.emplace_back([&, thread] {
+            for (int call = 0; !isOver(); ++call) {
+                const std::string id = std::to_string(thread) + "-" + std::to_string(call);
+                const std::string answer = ask(requestWithId("/safe/", id));
+                ++(answer.rfind("HTTP/1.1 200", 0) == 0 ? served : lost);
+            }
+        });
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    router->terminate();
+    for (std::thread &thread : threads)
+        thread.join();
+    BOOST_TEST(lost == 0);
+    BOOST_TEST(served > 20);
+}
+
+// Guards against one malformed message that takes the process down: requests, answers and datagrams
+// that were changed at random, by seed.
+BOOST_FIXTURE_TEST_CASE(malformedMessagesDoNotEndTheProcess, fixture)
+{
+    std::mt19937 random(3);
+    for (int round = 0; round < 200; ++round) {
+        test_caller caller(router->callerAddress());
+        caller.send(mutated(request("/safe/", "key-1", "X-Burdockhold-Token-Count: 5,6\r\n", "b"),
+                            random));
+        caller.readUntil("\r\n\r\n", 5);
+    }
+    std::mutex ofRandom;
+    behave([&](const std::string &, const seen_request &request, answer_socket &socket) {
+        const std::lock_guard lock(ofRandom);
+        socket.write(mutated(wholeAnswer(request, "body"), random));
+        return false;
+    });
+    for (int round = 0; round < 100; ++round)
+        exchangeBytes(router->callerAddress(), requestWithId("/pay/", std::to_string(round)), 200);
+    behave(nullptr);
+
+    vm_digest digest;
+    digest.vm = "vm-2";
+    digest.incarnation = 1;
+    digest.dataCentre = "dc1";
+    digest.accounts = { { shortHash("acct"), 10, 20 } };
+    digest.endpoints = { { shortHash("e1"), 1, 2, 3, 4, 5, 6 } };
+    digest.named = { { shortHash("m"), 1, 5, false } };
+    digest.savedParts = { 1, 2, 3 };
+    boost::asio::io_context io;
+    boost::asio::ip::udp::socket socket(io, boost::asio::ip::udp::v4());
+    const boost::asio::ip::udp::endpoint target(boost::asio::ip::make_address("127.0.0.1"),
+                                                static_cast<unsigned short>(router->peerPort()));
+    for (int round = 0; round < 3000; ++round) {
+        digest.number = static_cast<std::uint64_t>(round);
+        digest.speaker = round % 2 == 0 ? "" : "127.0.0.1:9";
+        socket.send_to(boost::asio::buffer(mutated(encodeDigest(digest), random)), target);
+    }
+    BOOST_TEST(!router->hasEnded());
+    BOOST_TEST(becomes(request("/safe/"), "HTTP/1.1 200"));
+}
+
+// Guards against a key that was withdrawn, or an endpoint that left, while the router was down and
+// that is in use again after its start, also when the log is away at the start.
+BOOST_FIXTURE_TEST_CASE(restartedRouterUsesNothingOfBefore, fixture)
+{
+    BOOST_TEST(ask(request("/safe/", "key-1")).rfind("HTTP/1.1 200", 0) == 0U);
+    router.reset();
+    log.setDown(true);
+    putDeployment(2, { "key-2" });
+    log.remove("keyed.servers", "e1");
+    router = std::make_unique<router_process>(log.address());
+    BOOST_TEST(becomes(request("/safe/", "key-1"), "HTTP/1.1 503"));
+    const std::size_t before = callCount();
+    for (int call = 0; call < 5; ++call)
+        BOOST_TEST(ask(request("/safe/", "key-2")).rfind("HTTP/1.1 503", 0) == 0U);
+    BOOST_TEST(callCount() == before);
+    log.setDown(false);
+    BOOST_TEST(router->waitReady(true));
+    BOOST_TEST(ask(request("/safe/", "key-1")).rfind("HTTP/1.1 401", 0) == 0U);
+    for (int call = 0; call < 10; ++call)
+        BOOST_TEST(ask(request("/safe/", "key-2")).rfind("HTTP/1.1 200", 0) == 0U);
+    const std::lock_guard lock(mutex);
+    for (std::size_t call = before; call < engines.size(); ++call)
+        BOOST_TEST(engines[call] == "e2");
+}
+
+// Guards against an unforeseen exception in one handler that ends the process with all its streams.
+BOOST_AUTO_TEST_CASE(exceptionEndsItsHandlerOnly)
+{
+    boost::asio::io_context io;
+    int ran = 0;
+    std::vector<std::string> reports;
+    boost::asio::post(io, [&] { ++ran; });
+    boost::asio::post(io, [] { throw std::runtime_error("first"); });
+    boost::asio::post(io, [&] { ++ran; });
+    boost::asio::post(io, [] { throw 7; });
+    boost::asio::post(io, [&] { ++ran; });
+    runGuarded(io, [&](const std::string &text) { reports.push_back(text); });
+    BOOST_TEST(ran == 3);
+    BOOST_REQUIRE(reports.size() == 2U);
+    BOOST_TEST(reports[0] == "first");
+}
--- a/testing/quota_fleet_test.cc
+++ b/testing/quota_fleet_test.cc
@@ -61,7 +61,8 @@
             members.back().dataCentre = vm % dataCentres;
             members.back().callers = 0.2 + uneven(random);
         }
-        m_digestInterval = std::max(0.2, static_cast<double>(vms / dataCentres) / 60.0);
+        m_digestInterval = std::max(0.2, static_cast<double>(vms) / static_cast<double>(dataCentres)
+                                                 / 60.0);
         m_groups = dataCentres;
         m_speakers.resize(dataCentres, nullptr);
     }
@@ -212,8 +213,8 @@
     return 5.0;
 }
 
-const std::vector<std::size_t> Sizes{ 1, 7, 71, 300 };
-const std::vector<unsigned> Seeds{ 1, 2, 3 };
+const std::vector<std::size_t> fleetSizes{ 1, 7, 71, 300 };
+const std::vector<unsigned> seeds{ 1, 2, 3 };
 
 void startAll(deployment_model &vms, double now)
 {
@@ -227,8 +228,8 @@
 // killed and start again within 0.3 s (QUOTA on onct-dakar-grown, trouble-3).
 BOOST_AUTO_TEST_CASE(limitHoldsThroughARestartOfAllVms)
 {
-    for (const std::size_t size : Sizes) {
-        for (const unsigned seed : Seeds) {
+    for (const std::size_t size : fleetSizes) {
+        for (const unsigned seed : seeds) {
             deployment_model vms(size, seed);
             startAll(vms, 0.0);
             std::uniform_real_distribution<double> late(0.0, 0.3);
@@ -253,7 +254,7 @@
 // Guards against VMs that come back one after the other with an empty count.
 BOOST_AUTO_TEST_CASE(limitHoldsThroughARollingRestart)
 {
-    for (const std::size_t size : Sizes) {
+    for (const std::size_t size : fleetSizes) {
         deployment_model vms(size, 4);
         startAll(vms, 0.0);
         std::size_t next = 0;
@@ -276,7 +277,7 @@
 // use the whole limit.
 BOOST_AUTO_TEST_CASE(limitHoldsWithLostDigestsAndACut)
 {
-    for (const std::size_t size : Sizes) {
+    for (const std::size_t size : fleetSizes) {
         for (const double loss : { 0.0, 0.3 }) {
             deployment_model vms(size, 5);
             startAll(vms, 0.0);
@@ -298,7 +299,7 @@
 // start of all VMs costs at most a second of it; here are two within twenty.
 BOOST_AUTO_TEST_CASE(accountWithinItsRateIsAdmittedThroughRestarts)
 {
-    for (const std::size_t size : Sizes) {
+    for (const std::size_t size : fleetSizes) {
         deployment_model vms(size, 6);
         startAll(vms, 0.0);
         const auto admitted = vms.run(
@@ -315,7 +316,7 @@
 // Guards against limits that hold since they refuse: an account that asks for more gets its rate.
 BOOST_AUTO_TEST_CASE(accountBeyondItsRateGetsItsRate)
 {
-    for (const std::size_t size : Sizes) {
+    for (const std::size_t size : fleetSizes) {
         deployment_model vms(size, 7);
         startAll(vms, 0.0);
         const auto admitted = vms.run(30.0, fiveTimes, [](double) {});
--- a/testing/support_platform.cc
+++ b/testing/support_platform.cc
@@ -278,6 +278,11 @@
 {
     const std::string topic = queryValue(request.target, "topic");
     ++m_calls;
+    if (m_endless) {
+        socket.write("HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n");
+        writeWithoutEnd(socket, std::string(8192, 'x'), 60000);
+        return false;
+    }
     if (m_down)
         return socket.write(whole(503, ""));
     if (request.target.rfind("/log-newest", 0) == 0)
@@ -354,6 +359,7 @@
     , m_settingsFile("/tmp/burdockhold-router-" + std::to_string(::getpid()) + ".ini")
 {
     const std::string peers = freeAddress();
+    m_peerPort = std::stoi(peers.substr(peers.find(':') + 1));
     std::ofstream(m_settingsFile)
             << "[vm]\nname = vm-1\ndata_centre = dc1\nip = 127.0.0.1\n[listen]\ncallers = "
             << m_callers << "\nready = " << m_ready
@@ -395,6 +401,16 @@
     return info.si_pid == m_process;
 }
 
+std::size_t router_process::peakMemoryBytes() const
+{
+    std::ifstream status("/proc/" + std::to_string(m_process) + "/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.rfind("VmHWM:", 0) == 0)
+            return std::stoul(line.substr(6)) * 1024;
+    }
+    return 0;
+}
+
 bool router_process::waitReady(bool ready) const
 {
     const auto until = steady::now() + std::chrono::seconds(10);
@@ -409,6 +425,16 @@
     return false;
 }
 
+bool writeWithoutEnd(answer_socket &socket, const std::string &bytes, int milliseconds)
+{
+    const auto until = steady::now() + std::chrono::milliseconds(milliseconds);
+    while (steady::now() < until) {
+        if (!socket.write(bytes))
+            return true;
+    }
+    return false;
+}
+
 std::string exchangeBytes(const std::string &address, const std::string &bytes, int milliseconds)
 {
     test_caller caller(address);
--- a/testing/support_platform.h
+++ b/testing/support_platform.h
@@ -95,6 +95,9 @@
     /// While true, every call is answered 503.
     void setDown(bool down) { m_down = down; }
 
+    /// While true, every answer is a success whose body never ends.
+    void setEndless(bool endless) { m_endless = endless; }
+
     /// Calls that have arrived since the start.
     int callCount() const { return m_calls; }
 
@@ -117,6 +120,7 @@
     std::map<std::string, int> m_generations;
     std::atomic<bool> m_down{ false };
     std::atomic<int> m_calls{ 0 };
+    std::atomic<bool> m_endless{ false };
     standin_server m_server;
 };
 
@@ -133,6 +137,12 @@
     void terminate() const;
     bool hasEnded() const;
 
+    /// Most memory that the process has had resident so far.
+    std::size_t peakMemoryBytes() const;
+
+    /// Where other VMs send their digests.
+    int peerPort() const { return m_peerPort; }
+
     /// Waits until the balancer's question is answered 200 (or not 200), at most ten seconds.
     bool waitReady(bool ready) const;
 
@@ -141,8 +151,13 @@
     std::string m_callers;
     std::string m_ready;
     std::string m_settingsFile;
+    int m_peerPort = 0;
 };
 
+/// Writes the bytes again and again until the peer closes, for at most the given time; false if it
+/// has not closed by then.
+bool writeWithoutEnd(answer_socket &socket, const std::string &bytes, int milliseconds);
+
 /// Sends bytes to 127.0.0.1 and returns everything up to the close or the time limit.
 std::string exchangeBytes(const std::string &address, const std::string &bytes, int milliseconds);
 
--- /dev/null
+++ b/testing/support_router.h
@@ -0,0 +1,180 @@
+#ifndef BURDOCKHOLD_SUPPORT_ROUTER_H
+#define BURDOCKHOLD_SUPPORT_ROUTER_H
+
+// A platform of stand-ins with one router before two engines, for tests of the router program. What
+// the engines do is set test by test.
+
+#include "testing/support_platform.h"
+
+#include <nlohmann/json.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace burdockhold::testing {
+
+inline constexpr int PatienceMs =
+        8000; // Far above any wait of the router; no verdict depends on speed.
+
+/// What the stand-in engines do with one call. The default serves it.
+using engine_behaviour =
+        std::function<bool(const std::string &engine, const seen_request &, answer_socket &)>;
+
+inline std::string answerHead(const seen_request &request, const std::string &framing)
+{
+    return "HTTP/1.1 200 OK\r\nX-Burdockhold-Attempt-Id: "
+           + request.field("X-Burdockhold-Attempt-Id") + "\r\nX-Burdockhold-Server-Stamp: s1\r\n"
+           + framing + "\r\n\r\n";
+}
+
+inline std::string wholeAnswer(const seen_request &request, const std::string &body)
+{
+    return answerHead(request, "Content-Length: " + std::to_string(body.size())) + body;
+}
+
+inline std::string chunk(const std::string &bytes)
+{
+    std::ostringstream size;
+    size << std::hex << bytes.size();
+    return size.str() + "\r\n" + bytes + "\r\n";
+}
+
+inline std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: x\n\n";
+}
+
+inline std::string events(int first, int last)
+{
+    std::string text;
+    for (int id = first; id <= last; ++id)
+        text += event(id);
+    return text;
+}
+
+/// One platform: log, two engines, one router.
+struct router_fixture
+{
+    router_fixture()
+        : first([this](const seen_request &r, answer_socket &s) { return engine("e1", r, s); })
+        , second([this](const seen_request &r, answer_socket &s) { return engine("e2", r, s); })
+    {
+        putDeployment(1, { "key-1", "key-2" });
+        log.put("keyed.servers", "e1", entry(first.address(), "ready"));
+        log.put("keyed.servers", "e2", entry(second.address(), "ready"));
+        router = std::make_unique<router_process>(log.address());
+        BOOST_REQUIRE(router->waitReady(true));
+    }
+
+    static std::string entry(const std::string &address, const std::string &state)
+    {
+        return nlohmann::json{
+            { "service", "desk" },      { "address", address }, { "zone", "dc1" },
+            { "version", "v1" },        { "slots", 6 },         { "state", state },
+            { "cold_remaining_ms", 0 }, { "born", 1000 },       { "seq", 1 }
+        }.dump();
+    }
+
+    void putDeployment(int version, const std::vector<std::string> &keys)
+    {
+        const auto route = [](const char *prefix, const char *kind, int attempts, bool resumable,
+                              int timeoutMs = 3000) {
+            return nlohmann::json{ { "name", prefix },
+                                   { "host", "h" },
+                                   { "path_prefix", prefix },
+                                   { "kind", kind },
+                                   { "timeout_ms", timeoutMs },
+                                   { "target_latency_ms", 400 },
+                                   { "priority", 1 },
+                                   { "service", "desk" },
+                                   { "max_attempts", attempts },
+                                   { "anonymous", false },
+                                   { "resumable", resumable } };
+        };
+        const nlohmann::json body{
+            { "version", version },
+            { "routes",
+              { route("/safe/", "safe", 2, false), route("/pay/", "unsafe", 1, false),
+                route("/resume/", "stream", 2, true), route("/once/", "stream", 1, false),
+                route("/slow/", "stream", 1, false, 20000) } },
+            { "services", { { { "name", "desk" } } } },
+            { "limits",
+              { { "max_header_bytes", 16384 },
+                { "max_body_bytes", 100000 },
+                { "header_timeout_ms", 3000 },
+                { "idle_timeout_ms", 15000 } } },
+            { "tenants", { { { "name", "acct" }, { "api_keys", keys } } } }
+        };
+        log.put("keyed.op", "config", body.dump());
+    }
+
+    bool engine(const std::string &name, const seen_request &request, answer_socket &socket)
+    {
+        engine_behaviour act;
+        {
+            const std::lock_guard lock(mutex);
+            calls.push_back(request);
+            engines.push_back(name);
+            act = behaviour;
+        }
+        return act ? act(name, request, socket) : socket.write(wholeAnswer(request, "body"));
+    }
+
+    void behave(engine_behaviour act)
+    {
+        const std::lock_guard lock(mutex);
+        behaviour = std::move(act);
+    }
+
+    std::size_t callCount()
+    {
+        const std::lock_guard lock(mutex);
+        return calls.size();
+    }
+
+    static std::string request(const std::string &path, const std::string &key = "key-1",
+                               const std::string &more = {}, const std::string &body = {})
+    {
+        return "POST " + path + " HTTP/1.1\r\nHost: h\r\nX-Burdockhold-Attempt-Id: id1\r\n"
+               + "X-Burdockhold-Credential: " + key + "\r\nX-Burdockhold-Deadline-Ms: 3000\r\n"
+               + more + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
+    std::string ask(const std::string &bytes) const
+    {
+        return exchangeBytes(router->callerAddress(), bytes, PatienceMs);
+    }
+
+    /// Sends the request again until its answer begins so, at most for the patience.
+    bool becomes(const std::string &bytes, const std::string &begin) const
+    {
+        const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(PatienceMs);
+        while (std::chrono::steady_clock::now() < until) {
+            if (ask(bytes).rfind(begin, 0) == 0)
+                return true;
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        }
+        return false;
+    }
+
+    std::mutex mutex;
+    engine_behaviour behaviour;
+    std::vector<seen_request> calls;
+    std::vector<std::string> engines;
+    standin_log_service log;
+    standin_server first;
+    standin_server second;
+    std::unique_ptr<router_process> router;
+};
+
+} // namespace burdockhold::testing
+
+#endif
--- a/testing/view_source_test.cc
+++ b/testing/view_source_test.cc
@@ -240,6 +240,26 @@
     }
 }
 
+// Guards against a small VM that reads for a group although a larger one is there.
+BOOST_AUTO_TEST_CASE(theLargestVmReads)
+{
+    const time_point now = time_point(std::chrono::seconds(100));
+    std::vector<group_vm> others;
+    others.reserve(21);
+    for (int number = 0; number < 20; ++number)
+        others.push_back({ "vm-" + std::to_string(number), "small", 20 });
+    others.push_back({ "large", "large", 200 });
+    for (const std::uint32_t capacity : { 20U, 200U, 500U }) {
+        view_source source({}, "own", capacity);
+        source.begin(now);
+        source.setGroup(others);
+        const auto target = source.target(now);
+        BOOST_TEST((capacity > 200 || !target || target->name == "large"));
+        BOOST_TEST((capacity <= 200 || !target));
+        BOOST_TEST((capacity >= 200 || target));
+    }
+}
+
 // Guards against two VMs that ask each other: who is asked reads.
 BOOST_AUTO_TEST_CASE(whoIsAskedReads)
 {
--- a/testing/views_looptest.cc
+++ b/testing/views_looptest.cc
@@ -113,7 +113,8 @@
                 if (other != vm)
                     vm->board.groupVms.push_back(
                             { settings.vmName,
-                              "127.0.0.1:" + std::to_string(settings.firstPeerPort) });
+                              "127.0.0.1:" + std::to_string(settings.firstPeerPort),
+                              settings.capacity() });
             }
         }
     }
