--- a/burdockhold/loop_views.cc
+++ b/burdockhold/loop_views.cc
@@ -395,7 +395,9 @@
     const auto provenAt = [&](const topic_view &topic) {
         return std::min(bootTime, sentAt + std::chrono::milliseconds(topic.provenAfterMs));
     };
-    m_known.reader = view.reader;
+    // Numbers are of one reader's history, also those of a topic that the next one has not loaded.
+    if (m_known.reader != view.reader)
+        m_known = { view.reader, 0, 0, m_known.wait };
     if (view.operatorTopic.loaded) {
         applyOperator(view.operatorTopic);
         m_board.deploymentProvenAt = std::max(m_board.deploymentProvenAt,
--- a/testing/views_looptest.cc
+++ b/testing/views_looptest.cc
@@ -224,3 +224,43 @@
     BOOST_TEST(
             reaches([](const test_vm &vm) { return vm.operatorRecords.at("config") == "second"; }));
 }
+
+// Guards against a number of one reader's history that the next reader takes for one of its own,
+// since it answers before it has loaded all topics: what changed before would never be told.
+BOOST_AUTO_TEST_CASE(numbersOfAFormerReaderAreForgotten)
+{
+    std::vector<std::string> questions;
+    std::mutex mutex;
+    standin_server reader([&](const seen_request &request, answer_socket &socket) {
+        const std::lock_guard lock(mutex);
+        questions.push_back(request.target);
+        view_answer answer;
+        answer.reader = questions.size() == 1 ? 1 : 2;
+        answer.operatorTopic = { true, true, 7, 0, { { "config", false, "first" } } };
+        answer.endpointTopic = { questions.size() == 1, true, 9, 0, {} };
+        const std::string body = encodeAnswer(answer);
+        return socket.write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size())
+                            + "\r\n\r\n" + body);
+    });
+    boost::asio::io_context io;
+    test_vm vm(io, 0, "127.0.0.1:1");
+    vm.board.groupVms = { { "reader", reader.address(), vm.board.settings.capacity() + 1 } };
+    vm.keeper.begin();
+    const time_point end = steadyNow() + Patience;
+    const auto asked = [&] {
+        const std::lock_guard lock(mutex);
+        return questions.size();
+    };
+    while (asked() < 3 && steadyNow() < end) {
+        vm.keeper.step(steadyNow());
+        io.run_for(std::chrono::milliseconds(10));
+        io.restart();
+    }
+    BOOST_REQUIRE(asked() >= 3U);
+    const std::lock_guard lock(mutex);
+    const auto third = decodeQuestion(questions[2]);
+    BOOST_REQUIRE(isOk(third));
+    BOOST_TEST(valueOf(third).reader == 2U);
+    BOOST_TEST(valueOf(third).operatorNumber == 7U);
+    BOOST_TEST(valueOf(third).endpointNumber == 0U);
+}
