--- a/burdockhold/endpoint_choice.cc
+++ b/burdockhold/endpoint_choice.cc
@@ -3,7 +3,6 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <utility>
 
 namespace burdockhold {
 
@@ -66,18 +65,6 @@
     return ms;
 }
 
-/// The engines that a prompt's parts are cached at.
-struct prompt_homes
-{
-    std::optional<std::size_t> first;   ///< By rendezvous.
-    std::optional<std::size_t> serving; ///< The one that takes the request now.
-};
-
-bool canServeParts(const endpoint_candidate &candidate)
-{
-    return !candidate.suspect && !candidate.oldWeights && candidate.excluded == exclusion::None;
-}
-
 /// Returns a candidate that holds the part, or should, and can be reached, other than the given
 /// one. A home that has lost the part costs a millisecond.
 std::optional<std::size_t> holderBeside(const std::vector<endpoint_candidate> &candidates,
@@ -85,8 +72,8 @@
 {
     const auto usable = [&](std::size_t index) {
         const endpoint_candidate &candidate = candidates[index];
-        return index != chosen && (candidate.holdsPart || index == home)
-               && canServeParts(candidate);
+        return index != chosen && (candidate.holdsPart || index == home) && !candidate.suspect
+               && !candidate.oldWeights && candidate.excluded == exclusion::None;
     };
     if (home && usable(*home))
         return home;
@@ -99,11 +86,10 @@
 
 /// What a call at the candidate would cost, or nothing if it cannot take the request.
 std::optional<endpoint_choice> expectedOf(const std::vector<endpoint_candidate> &candidates,
-                                          std::size_t index, const prompt_homes &homes,
+                                          std::size_t index, std::optional<std::size_t> home,
                                           const placement_need &need,
                                           const endpoint_choice_options &options)
 {
-    const std::optional<std::size_t> home = homes.serving;
     const endpoint_candidate &candidate = candidates[index];
     const bool plain = need.homeKey.empty();
     const bool holds = candidate.holdsPart || index == home;
@@ -115,9 +101,6 @@
     if (!plain && !holds)
         choice.copyFrom = holderBeside(candidates, index, home);
     const bool canCopy = need.storeHoldsPart || choice.copyFrom;
-    if (index == homes.serving && homes.serving != homes.first
-        && canServeParts(candidates[*homes.first]))
-        choice.copyFrom = homes.first;
     choice.expectedMs = penaltyMs(candidate, options)
                         + (plain ? serviceMs(candidate, options)
                                  : engineMs(candidate, need, holds, canCopy, options));
@@ -125,22 +108,6 @@
     return choice;
 }
 
-/// The first of the prompt's homes that can take it: all VMs turn to the same one when a home is
-/// lost, loads or is full, so that its parts are read once more and not by many engines.
-std::optional<std::size_t> servingHome(const std::vector<endpoint_candidate> &candidates,
-                                       const placement_need &need,
-                                       const endpoint_choice_options &options)
-{
-    const auto homes = homesOf(candidates, need.homeKey, options.homes);
-    for (const std::size_t home : homes) {
-        const endpoint_candidate &candidate = candidates[home];
-        if (!candidate.suspect && candidate.excluded == exclusion::None
-            && hasRoom(candidate, need, true, options))
-            return home;
-    }
-    return homes.empty() ? std::nullopt : std::optional<std::size_t>(homes.front());
-}
-
 void keepBetter(std::optional<endpoint_choice> &best, const std::optional<endpoint_choice> &other)
 {
     if (other && (!best || other->expectedMs < best->expectedMs))
@@ -149,35 +116,21 @@
 
 } // namespace
 
-std::vector<std::size_t> homesOf(const std::vector<endpoint_candidate> &candidates,
-                                 std::string_view key, std::size_t count)
+std::optional<std::size_t> homeOf(const std::vector<endpoint_candidate> &candidates,
+                                  std::string_view key)
 {
-    std::vector<std::pair<std::uint64_t, std::size_t>>
-            best; // The highest scores, the highest first.
+    std::optional<std::size_t> best;
+    std::uint64_t bestScore = 0;
     const std::uint64_t keyHash = XXH64(key.data(), key.size(), 0);
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         const std::string_view id = candidates[index].id;
         const std::uint64_t score = XXH64(id.data(), id.size(), keyHash);
-        if (best.size() == count && score <= best.back().first)
-            continue;
-        const auto place = std::find_if(best.begin(), best.end(),
-                                        [score](const auto &home) { return score > home.first; });
-        best.insert(place, { score, index });
-        if (best.size() > count)
-            best.pop_back();
+        if (!best || score > bestScore) {
+            best = index;
+            bestScore = score;
+        }
     }
-    std::vector<std::size_t> homes;
-    homes.reserve(best.size());
-    for (const auto &home : best)
-        homes.push_back(home.second);
-    return homes;
-}
-
-std::optional<std::size_t> homeOf(const std::vector<endpoint_candidate> &candidates,
-                                  std::string_view key)
-{
-    const auto homes = homesOf(candidates, key, 1);
-    return homes.empty() ? std::nullopt : std::optional<std::size_t>(homes.front());
+    return best;
 }
 
 std::optional<endpoint_choice> chooseEndpoint(const std::vector<endpoint_candidate> &candidates,
@@ -185,16 +138,11 @@
                                               const endpoint_choice_options &options)
 {
     const bool plain = need.homeKey.empty();
+    const std::optional<std::size_t> home = plain ? std::nullopt : homeOf(candidates, need.homeKey);
     const bool sampled = !plain && candidates.size() > options.comparedWhole;
-    prompt_homes homes;
-    if (!plain)
-        homes.first = homes.serving = homeOf(candidates, need.homeKey);
-    if (sampled)
-        homes.serving = servingHome(candidates, need, options);
-    const std::optional<std::size_t> home = homes.serving;
     std::optional<endpoint_choice> best;
     if (home)
-        keepBetter(best, expectedOf(candidates, *home, homes, need, options));
+        keepBetter(best, expectedOf(candidates, *home, home, need, options));
     std::size_t compared = 0;
     for (std::size_t step = 0; step < candidates.size(); ++step) {
         const std::size_t index = (step + seed) % candidates.size();
@@ -202,7 +150,7 @@
             continue;
         if (sampled && compared >= options.sampleSize && best)
             break;
-        const auto choice = expectedOf(candidates, index, homes, need, options);
+        const auto choice = expectedOf(candidates, index, home, need, options);
         compared += candidates[index].excluded == exclusion::None ? 1 : 0;
         keepBetter(best, choice);
     }
--- a/burdockhold/endpoint_choice.h
+++ b/burdockhold/endpoint_choice.h
@@ -12,8 +12,7 @@
 //
 // In a pool of more than comparedWhole endpoints only the home and a sample that the seed draws are
 // compared: many VMs with views of the same age would otherwise all choose the same idle endpoint.
-// The others are looked at only when none of the sample has room. There a prompt has several homes,
-// one after the other: the first that is reachable and has room counts as the home, on every VM.
+// The others are looked at only when none of the sample has room.
 
 #include "burdockhold/clock.h"
 #include "burdockhold/enum_names.h"
@@ -100,7 +99,6 @@
     double serviceMs = 20.0; ///< Assumed of plain services before their first answer.
     std::size_t comparedWhole = 16;
     std::size_t sampleSize = 6; ///< Beside the home.
-    std::size_t homes = 3;      ///< Of a prompt in such a pool, one after the other.
 };
 
 struct endpoint_choice
@@ -118,12 +116,7 @@
                                               const placement_need &need, std::uint64_t seed,
                                               const endpoint_choice_options &options = {});
 
-/// Returns the homes of the key, the first one first: the candidates with the highest rendezvous
-/// scores.
-std::vector<std::size_t> homesOf(const std::vector<endpoint_candidate> &candidates,
-                                 std::string_view key, std::size_t count);
-
-/// Returns the first home of the key.
+/// Returns the home of the key: the candidate with the highest rendezvous score.
 std::optional<std::size_t> homeOf(const std::vector<endpoint_candidate> &candidates,
                                   std::string_view key);
 
