Limit loads of weights at once to what the weight store serves at full rate

Cause: a pool ordered 45 to 55 % of its engines to load at once.

Change: weights_load_estimator.h measures drain and load times and the number of loads at once, and limits orders by them. Digests carry the estimate, so that a new holder of the duty starts with it; implausible ones are dropped and counted (digest_rows_rejected). order_given states the inputs.

--- a/burdockhold/digest_exchange.cc
+++ b/burdockhold/digest_exchange.cc
@@ -326,6 +326,7 @@
     }
     m_board.endpoints.fillDigest(digest, now);
     digest.duties = m_board.ownDuties;
+    digest.loadTimes = m_board.ownLoadTimes;
     addAnnouncedVersions(digest);
     digest.storedSegments = m_board.storedSegments.nextAnnouncement();
     for (const auto &[address, until] : m_board.storeUnavailableUntil) {
@@ -348,6 +349,21 @@
     }
 }
 
+void digest_exchange::recordLoadTimes(const vm_digest &digest)
+{
+    for (const load_time_row &row : digest.loadTimes) {
+        const load_estimate estimate{ std::chrono::milliseconds(row.drainMs),
+                                      std::chrono::milliseconds(row.loadMs),
+                                      std::chrono::milliseconds(row.fastestMs),
+                                      row.limitTenths / load_time_row::LimitScale,
+                                      row.storeIsLimit };
+        if (isPlausible(estimate))
+            m_board.peerLoadTimes[{ row.pool, row.model }] = estimate;
+        else
+            m_board.metrics.count(router_counter::DigestRowsRejected);
+    }
+}
+
 /// Adds the newest versions of each model. Engines are rarely further behind.
 void digest_exchange::addAnnouncedVersions(vm_digest &digest) const
 {
@@ -482,6 +498,7 @@
         if (digest.leaving && claim.holder == digest.vm)
             claim.heldAt = time_point();
     }
+    recordLoadTimes(digest);
     for (const std::uint32_t segment : digest.storedSegments)
         m_board.storedSegments.applyPeerStored(segment, now);
     recordUnavailableStores(digest, now);
--- a/burdockhold/digest_exchange.h
+++ b/burdockhold/digest_exchange.h
@@ -120,6 +120,7 @@
     void summaryReceived(const vm_digest &summary, std::string_view bytes, time_point now);
     void apply(const vm_digest &digest, time_point now);
     vm_digest ownDigest(time_point now);
+    void recordLoadTimes(const vm_digest &digest);
     void recordUnavailableStores(const vm_digest &digest, time_point now);
     void addAnnouncedVersions(vm_digest &digest) const;
     void applyTotals(const vm_digest &digest, bool restarted, bool isLocalVm, time_point now);
--- a/burdockhold/digest_summary.cc
+++ b/burdockhold/digest_summary.cc
@@ -47,6 +47,13 @@
         best = row;
 }
 
+/// Prefers the measurement at the store's full rate.
+void mergeInto(load_time_row &best, const load_time_row &row)
+{
+    if (row.fastestMs < best.fastestMs)
+        best = row;
+}
+
 /// Returns the rows of all members; rows with equal keys are merged.
 template <typename Row, typename Rows, typename Key>
 std::vector<Row> mergedRows(const std::vector<const vm_digest *> &members, Rows rowsOf, Key keyOf)
@@ -105,6 +112,9 @@
             [](const announced_version_row &row) {
                 return std::make_pair(row.model, row.version);
             });
+    summary.loadTimes = mergedRows<load_time_row>(
+            members, [](digest_ref d) -> const auto & { return d.loadTimes; },
+            [](const load_time_row &row) { return std::make_pair(row.pool, row.model); });
     summary.storedSegments = unionOf(
             members, [](digest_ref d) -> const auto & { return d.storedSegments; });
     summary.unavailableStores = unionOf(
--- a/burdockhold/duty_controller.cc
+++ b/burdockhold/duty_controller.cc
@@ -135,6 +135,27 @@
     }
 }
 
+void duty_controller::publishLoadTimes()
+{
+    const auto milliseconds = [](duration time) {
+        return static_cast<std::uint32_t>(
+                std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+    };
+    m_board.ownLoadTimes.clear();
+    for (const auto &[pool, duty] : m_duties) {
+        for (const auto &[model, planner] : duty.planners) {
+            const load_estimate *measured = planner.loads().measured();
+            if (measured == nullptr)
+                continue;
+            m_board.ownLoadTimes.push_back(
+                    { shortHash(pool), shortHash(model), milliseconds(measured->drainTime),
+                      milliseconds(measured->loadTime), milliseconds(measured->fastest),
+                      static_cast<std::uint32_t>(measured->limit * load_time_row::LimitScale),
+                      measured->storeIsLimit });
+        }
+    }
+}
+
 void duty_controller::leave()
 {
     m_leaving = true;
@@ -187,6 +208,7 @@
     }
     checkStores(now);
     publishDuties(now);
+    publishLoadTimes();
 }
 
 std::vector<rollout_engine> duty_controller::enginesToOrder(const std::string &pool,
@@ -204,6 +226,9 @@
 {
     const rollout_target target{ m_board.targetVersion(model), pool.engine->cacheTokens };
     rollout_planner &planner = duty.planners[model];
+    const auto known = m_board.peerLoadTimes.find({ shortHash(pool.name), shortHash(model) });
+    if (known != m_board.peerLoadTimes.end())
+        planner.loads().adopt(known->second);
     std::vector<rollout_engine> engines;
     const duration othersOrderAge = now - m_board.peerDutyClaims[shortHash(pool.name)].orderedAt;
     const auto token = duty.lease.token(bootTimeNow(), othersOrderAge);
@@ -236,14 +261,23 @@
     m_board.metrics.count(router_counter::OrdersGiven);
     m_board.endpoints.setLoading(action.endpointId, now);
     m_board.digestRequested = true;
-    if (m_board.log.accepts(log_priority::StateChange, now))
+    if (m_board.log.accepts(log_priority::StateChange, now)) {
+        const rollout_planner &planner = dutyOf(pool, now).planners[model];
+        const load_estimate &estimate = planner.loads().estimate();
         m_board.log.write(log_event::OrderGiven,
                           { { "endpoint", action.endpointId },
                             { "model", model },
                             { "weights", action.version },
                             { "token", action.fencingToken },
-                            { "expected", action.expectedOrders } },
+                            { "expected", action.expectedOrders },
+                            { "loading", planner.loadingEngines(now).size() },
+                            { "order_limit", planner.loads().orderLimit() },
+                            { "load_limit", estimate.limit },
+                            { "drain_ms", 1000.0 * toSeconds(estimate.drainTime) },
+                            { "load_ms", 1000.0 * toSeconds(estimate.loadTime) },
+                            { "fastest_load_ms", 1000.0 * toSeconds(estimate.fastest) } },
                           now);
+    }
     callEngine(action.address, platform::loadWeightsCall(action, m_board.settings.vmName),
                [this, pool, action](const log_response &response) {
                    orderCompleted(pool, action, response);
--- a/burdockhold/duty_controller.h
+++ b/burdockhold/duty_controller.h
@@ -56,6 +56,7 @@
     void leaveGroup(const std::string &pool, held_duty &duty);
     void logHolderChange(const std::string &pool, held_duty &duty, time_point now);
     void publishDuties(time_point now);
+    void publishLoadTimes();
     void checkStores(time_point now);
     void checkStore(const std::string &address);
     std::vector<rollout_engine> enginesToOrder(const std::string &pool, const std::string &model,
--- a/burdockhold/router_board.h
+++ b/burdockhold/router_board.h
@@ -24,6 +24,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace burdockhold {
@@ -174,6 +175,8 @@
     /// lost.
     duration digestInterval = std::chrono::milliseconds(200);
     std::map<std::uint32_t, duty_claim> peerDutyClaims; ///< By shortHash of the pool.
+    /// The last load times that another VM has stated, by shortHashes of the pool and the model.
+    std::map<std::pair<std::uint32_t, std::uint32_t>, load_estimate> peerLoadTimes;
 
     // Set by the routed requests, the duty controller and event_router, cleared by the digest
     // exchange: something changed that should reach the other VMs before the next regular digest.
@@ -181,6 +184,7 @@
 
     // Written by the duty controller.
     std::vector<duty_row> ownDuties;
+    std::vector<load_time_row> ownLoadTimes;
 
     // Written by event_router at shutdown.
     bool leaving = false;
--- a/burdockhold/router_metrics.h
+++ b/burdockhold/router_metrics.h
@@ -36,12 +36,13 @@
     TransfersWithoutRoom,
     StalledStreams,
     HandlerFailures,
+    DigestRowsRejected,
 };
 
 template <>
 struct enum_names<router_counter>
 {
-    static constexpr std::array<enum_name<router_counter>, 19> Table{ {
+    static constexpr std::array<enum_name<router_counter>, 20> Table{ {
             { router_counter::Requests, "requests" },
             { router_counter::Served, "served" },
             { router_counter::RefusedNotRun, "refused_not_run" },
@@ -61,6 +62,7 @@
             { router_counter::TransfersWithoutRoom, "transfers_without_room" },
             { router_counter::StalledStreams, "stalled_streams" },
             { router_counter::HandlerFailures, "handler_failures" },
+            { router_counter::DigestRowsRejected, "digest_rows_rejected" },
     } };
 };
 
--- a/burdockhold/vm_digest.h
+++ b/burdockhold/vm_digest.h
@@ -74,6 +74,20 @@
     MSGPACK_DEFINE_ARRAY(model, version, ageMs, guessed)
 };
 
+/// Usual times of loads of a model's weights in a pool, as the sender has measured them.
+struct load_time_row
+{
+    std::uint32_t pool = 0;  ///< shortHash of the pool's name.
+    std::uint32_t model = 0; ///< shortHash of the model's name.
+    std::uint32_t drainMs = 0;
+    std::uint32_t loadMs = 0;
+    std::uint32_t fastestMs = 0;
+    std::uint32_t limitTenths = 0; ///< Loads at once that the weight store serves at full rate.
+    bool storeIsLimit = false;
+    static constexpr double LimitScale = 10.0;
+    MSGPACK_DEFINE_ARRAY(pool, model, drainMs, loadMs, fastestMs, limitTenths, storeIsLimit)
+};
+
 struct vm_digest
 {
     std::string vm;
@@ -97,9 +111,11 @@
     std::uint32_t capacity = 0; ///< router_settings::capacity(); 0 from an older build.
     /// In a summary, the time until the next one is sent; 0 from an older build.
     std::uint32_t intervalMs = 0;
+    std::vector<load_time_row> loadTimes; ///< Empty from an older build.
     MSGPACK_DEFINE_ARRAY(vm, incarnation, number, leaving, accounts, endpoints, weights,
                          storedSegments, unavailableStores, duties, announcedVersions,
-                         departedEndpoints, dataCentre, aggregator, vms, capacity, intervalMs)
+                         departedEndpoints, dataCentre, aggregator, vms, capacity, intervalMs,
+                         loadTimes)
 
     bool isSummary() const { return !aggregator.empty(); }
 };
--- a/burdockhold/weights_rollout.h
+++ b/burdockhold/weights_rollout.h
@@ -4,10 +4,17 @@
 // Plans the rollout of weights to a pool: which engine is ordered to load which version, and when.
 // Stepped by the VM that holds the pool's duty.
 //
+// Load pattern: a version is announced while the pool is busy, and further versions follow within
+// seconds. Each engine stops serving from its order until it has loaded the weights, so the planner
+// orders only as many at once as the weight store serves at full rate (weights_load_estimator.h),
+// idle ones first, and gives each engine the newest version.
+//
 // Promises:
 // - At most loadingShare of a pool's engines, rounded up, load at once, so that the others serve.
 //   More engines load only if the weights of the others would otherwise expire before their turn;
 //   an engine with expired weights serves nothing until it has loaded new ones.
+// - A VM that loses the duty gives no more orders, but follows the loads that it has ordered until
+//   they end: only it knows that these engines refuse calls.
 // - Every order states the number of orders that the engine has accepted, so that the engine
 //   refuses a delayed older order, whose number no longer matches.
 // - After an order without a response, the engine's state is queried before the next order.
@@ -16,6 +23,7 @@
 
 #include "burdockhold/clock.h"
 #include "burdockhold/enum_names.h"
+#include "burdockhold/weights_load_estimator.h"
 
 #include <array>
 #include <cstdint>
@@ -87,14 +95,12 @@
 
 struct rollout_options
 {
-    /// Largest fraction of a pool's serving engines that drain or load at once. With about half of
-    /// them, the rest serve meanwhile; afterwards the first half takes all traffic, so that the
-    /// rest drains without further action.
+    /// Largest fraction of a pool's serving engines that drain or load at once.
     double loadingShare = 0.55;
     /// Largest fraction of the memory of the engines still serving that running requests may use.
     double activeShare = 0.5;
-    /// Fraction of the pool that is ordered at once. The others drain while the first wave takes
-    /// the traffic; each is ordered once it runs at most drainedRequests requests or has been
+    /// Largest fraction of the pool that is ordered at once. The others drain while the first wave
+    /// takes the traffic; each is ordered once it runs at most drainedRequests requests or has been
     /// behind the target version for maxDrainTime.
     double firstWaveShare = 0.45;
     int drainedRequests = 2;
@@ -108,11 +114,9 @@
     /// Delay after a refusal, a conflict or a missing response; at least the lag of the engines'
     /// reports.
     duration retryDelay = std::chrono::milliseconds(250);
-    /// Usual time from an order to the first call on the new weights, which covers draining the
-    /// running requests and loading the weights.
-    duration loadTime = std::chrono::milliseconds(1200);
     /// A load that has not finished after this time no longer counts against loadingShare.
     duration loadTimeout = std::chrono::seconds(6);
+    load_estimator_options loads;
 };
 
 /// What the engines of a pool should load.
@@ -128,7 +132,7 @@
     explicit rollout_planner(rollout_options options = {});
 
     /// Returns the actions to take now. The token is that of the held duty; without one the planner
-    /// does nothing and forgets all state of the engines.
+    /// only queries the engines that are loading and forgets the others.
     std::vector<rollout_action> step(const std::vector<rollout_engine> &engines,
                                      const rollout_target &target,
                                      std::optional<std::int64_t> fencingToken, time_point now);
@@ -140,23 +144,42 @@
     /// Returns the engines that are believed to drain or load now.
     std::vector<std::string> loadingEngines(time_point now) const;
 
+    /// Returns how much longer the engine is expected to drain or load; zero if it does neither or
+    /// is late.
+    duration loadTimeLeft(std::string_view endpointId, time_point now) const;
+
+    /// Load times that this VM has measured or heard of.
+    weights_load_estimator &loads() { return m_loads; }
+    const weights_load_estimator &loads() const { return m_loads; }
+
     /// True when an engine has refused the token because it has seen a higher one.
     bool isFenced(std::int64_t token) const { return token <= m_fencedToken; }
 
 private:
     struct engine_entry
     {
+        std::string address;
         std::int64_t incarnation = 0;
         std::optional<std::int64_t> acceptedOrders;
         bool callPending = false;
         bool loading = false;
         time_point loadingSince;
+        std::optional<time_point> drainedAt; ///< First seen without requests while loading.
+        bool orderedHere = false;            ///< The load was ordered by this VM.
+        double loadSeconds =
+                0.0;            ///< Engine-seconds that all drained engines have loaded meanwhile.
         time_point behindSince; ///< First seen with weights older than the target version.
         bool behind = false;
         time_point nextActionAt;
     };
 
+    std::vector<rollout_action> followLoads(time_point now);
     void forgetMissing(const std::vector<rollout_engine> &engines);
+    void updateEntries(const std::vector<rollout_engine> &engines, std::int64_t targetVersion,
+                       time_point now);
+    void recordFinishedLoad(engine_entry &entry, time_point now);
+    bool mayBeOrdered(const rollout_engine &engine, const engine_entry &entry,
+                      time_point now) const;
     int maxLoading(const std::vector<rollout_engine> &engines, std::int64_t cacheTokens,
                    time_point now) const;
     int firstWaveRemaining(const std::vector<rollout_engine> &engines, std::int64_t version) const;
@@ -164,8 +187,11 @@
                                std::int64_t version) const;
     bool countsAsLoading(const engine_entry &entry, time_point now) const;
     int loadingCount(time_point now) const;
+    duration loadTimeout() const;
 
     rollout_options m_options;
+    weights_load_estimator m_loads;
+    time_point m_steppedAt;
     std::map<std::string, engine_entry, std::less<>> m_engines;
     std::int64_t m_fencedToken = -1;
     std::int64_t m_token = -1;
