Keep engines marked as loading until the load's expected end

All VMs called engines that were loading: of 4,361 calls refused with 503, 2,943 went between 18 and 22 s to engines ordered more than a second before, and 2,701 requests ended as not run.

Ruled out: engines that are full (pool_full lists room), wrong slot counts.

--- a/burdockhold/digest_summary.cc
+++ b/burdockhold/digest_summary.cc
@@ -27,6 +27,7 @@
 void mergeInto(weights_row &newest, const weights_row &row)
 {
     newest.loading = newest.loading || row.loading;
+    newest.loadingLeftMs = std::max(newest.loadingLeftMs, row.loadingLeftMs);
     newest.version = std::max(newest.version, row.version);
 }
 
--- a/burdockhold/duty_controller.cc
+++ b/burdockhold/duty_controller.cc
@@ -238,7 +238,7 @@
         engines = enginesToOrder(pool.name, model, now);
     const auto actions = planner.step(engines, target, token, now);
     for (const std::string &id : planner.loadingEngines(now))
-        m_board.endpoints.setLoading(id, now);
+        m_board.endpoints.setLoading(id, planner.loadTimeLeft(id, now), now);
     for (const rollout_action &action : actions)
         std::visit([&](const auto &concreteAction) { execute(pool.name, model, concreteAction); },
                    action);
@@ -259,10 +259,11 @@
     const time_point now = steadyNow();
     dutyOf(pool, now).orderedAt = now;
     m_board.metrics.count(router_counter::OrdersGiven);
-    m_board.endpoints.setLoading(action.endpointId, now);
+    const rollout_planner &planner = dutyOf(pool, now).planners[model];
+    m_board.endpoints.setLoading(action.endpointId, planner.loadTimeLeft(action.endpointId, now),
+                                 now);
     m_board.digestRequested = true;
     if (m_board.log.accepts(log_priority::StateChange, now)) {
-        const rollout_planner &planner = dutyOf(pool, now).planners[model];
         const load_estimate &estimate = planner.loads().estimate();
         m_board.log.write(log_event::OrderGiven,
                           { { "endpoint", action.endpointId },
--- a/burdockhold/endpoint_table.cc
+++ b/burdockhold/endpoint_table.cc
@@ -16,6 +16,11 @@
     return static_cast<std::uint32_t>(std::clamp<std::int64_t>(value, 0, UINT32_MAX));
 }
 
+std::uint32_t milliseconds(duration time)
+{
+    return clamped(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
 } // namespace
 
 endpoint_table::endpoint_table(std::string dataCentre, endpoint_table_options options)
@@ -240,20 +245,22 @@
         entry->inferredWeights.erase(inferred);
 }
 
-void endpoint_table::setLoading(std::string_view id, time_point now)
+void endpoint_table::setLoading(std::string_view id, duration timeLeft, time_point now)
 {
     table_entry *entry = findEntry(id);
     if (entry == nullptr)
         return;
-    markLoading(*entry, now);
+    markLoading(*entry, duration::zero(), now);
     entry->ownLoadingUntil = entry->loadingUntil;
+    entry->ownLoadingEnd = now + timeLeft;
 }
 
-void endpoint_table::markLoading(table_entry &entry, time_point now) const
+void endpoint_table::markLoading(table_entry &entry, duration timeLeft, time_point now) const
 {
     if (now >= entry.loadingUntil)
         entry.loadingSince = now;
-    entry.loadingUntil = now + m_options.loadingExpiry;
+    entry.loadingUntil = now
+                         + std::clamp(timeLeft, m_options.loadingExpiry, m_options.maxLoadingMark);
 }
 
 duration endpoint_table::loadingFor(std::string_view id, time_point now) const
@@ -388,7 +395,8 @@
             const bool isNewer = stated == entry.report.weights.end() || stated->second < version;
             const bool loading = now < entry.ownLoadingUntil;
             if (isNewer || loading)
-                digest.weights.push_back({ entry.hash, shortHash(model), version, loading });
+                digest.weights.push_back({ entry.hash, shortHash(model), version, loading,
+                                           loading ? milliseconds(entry.ownLoadingEnd - now) : 0 });
         }
     }
 }
@@ -441,7 +449,7 @@
         recordStatedWeights(id->second, model, row.version);
         // A digest sent before a load ended must not mark the endpoint as loading again.
         if (row.loading && knownVersion(*entry, model) <= row.version)
-            markLoading(*entry, now);
+            markLoading(*entry, std::chrono::milliseconds(row.loadingLeftMs), now);
         return;
     }
 }
--- a/burdockhold/endpoint_table.h
+++ b/burdockhold/endpoint_table.h
@@ -45,7 +45,11 @@
     duration maxBackOff = std::chrono::seconds(4);
     duration callHalfLife = std::chrono::seconds(3);          ///< Decay of the recent call counts.
     duration refusalBackOff = std::chrono::milliseconds(150); ///< About the time of a few steps.
-    duration loadingExpiry = std::chrono::milliseconds(900);  ///< Since the last report of loading.
+    /// An engine counts as loading for this long after the last report of it, or until the load was
+    /// expected to end if that is later, but for no longer than maxLoadingMark: the VM that reports
+    /// it may stop.
+    duration loadingExpiry = std::chrono::milliseconds(900);
+    duration maxLoadingMark = std::chrono::seconds(10);
     duration removalGrace = std::chrono::milliseconds(1500); ///< Entries return within two seconds.
     /// How long digests report that an endpoint is leaving; longer than the interval at which other
     /// VMs read the log.
@@ -112,10 +116,10 @@
                                time_point now);
     /// Drops an inferred version that the endpoint has refused; the stated version applies again.
     void dropInferredWeights(std::string_view id, std::string_view model);
-    /// Marks the endpoint as draining or loading by this VM's order. Only the VM that gave the
-    /// order reports it to others: if peers relayed it, they would renew each other's state
-    /// forever.
-    void setLoading(std::string_view id, time_point now);
+    /// Marks the endpoint as draining or loading by this VM's order, for the time that the load is
+    /// expected to take from now on. Only the VM that gave the order reports it to others: if peers
+    /// relayed it, they would renew each other's state forever.
+    void setLoading(std::string_view id, duration timeLeft, time_point now);
     bool isLoading(std::string_view id, time_point now) const;
     /// Returns how long the endpoint has sent nothing to any VM; zero if it runs no call of this
     /// VM.
@@ -170,7 +174,8 @@
         time_point lastActivityAt;
         time_point loadingSince;
         time_point loadingUntil;
-        time_point ownLoadingUntil; // Like loadingUntil, for an order of this VM.
+        time_point ownLoadingUntil; // This VM reports until then that its order is in progress.
+        time_point ownLoadingEnd;   // When the load of this VM's order is expected to end.
         // Versions by model: stated by the endpoint, and inferred ones that are newer.
         std::map<std::string, std::int64_t, std::less<>> weights;
         std::map<std::string, std::int64_t, std::less<>> inferredWeights;
@@ -196,7 +201,7 @@
     table_entry *findEntry(std::string_view id);
     const table_entry *findEntry(std::string_view id) const;
     void addDigestRows(const vm_digest &digest, int sign);
-    void markLoading(table_entry &entry, time_point now) const;
+    void markLoading(table_entry &entry, duration timeLeft, time_point now) const;
     void applyPeerWeights(const weights_row &row, time_point now);
     bool isUsable(const table_entry &entry, bool poolIsEmpty, time_point now) const;
     endpoint_candidate makeCandidate(const table_entry &entry, std::string_view model,
--- a/burdockhold/vm_digest.h
+++ b/burdockhold/vm_digest.h
@@ -26,7 +26,8 @@
     std::uint32_t account = 0; ///< shortHash of the account's or the link's name.
     std::uint64_t admitted = 0;
     std::uint64_t requested = 0; ///< Admitted or not; 0 from builds that do not send it.
-    MSGPACK_DEFINE_ARRAY(account, admitted, requested)
+    std::uint64_t returned = 0;  ///< Admitted but not run; 0 from builds that do not send it.
+    MSGPACK_DEFINE_ARRAY(account, admitted, requested, returned)
 };
 
 /// The sender's own requests at one endpoint, and the outcomes of its recent calls.
@@ -50,7 +51,9 @@
     std::uint32_t model = 0; ///< shortHash of the model's name.
     std::int64_t version = 0;
     bool loading = false; ///< A load order is in progress; the engine would refuse new calls.
-    MSGPACK_DEFINE_ARRAY(endpoint, model, version, loading)
+    /// Expected time until the load ends; 0 if it is late or from an older build.
+    std::uint32_t loadingLeftMs = 0;
+    MSGPACK_DEFINE_ARRAY(endpoint, model, version, loading, loadingLeftMs)
 };
 
 /// A duty that the sender holds, or for which it recently sent load orders.
--- a/testing/endpoint_table_test.cc
+++ b/testing/endpoint_table_test.cc
@@ -63,7 +63,7 @@
     endpoint_table third("dc1");
     for (endpoint_table *table : { &holder, &other, &third })
         table->update(report("e1"), at(0));
-    holder.setLoading("e1", at(1));
+    holder.setLoading("e1", duration::zero(), at(1));
     other.applyPeerDigest(digestOf(holder, "holder", at(1)), at(1));
     third.applyPeerDigest(digestOf(other, "other", at(1.1)), at(1.1));
     BOOST_TEST((candidate(other, "e1", at(1.2)).excluded == exclusion::Loading));
@@ -71,6 +71,33 @@
     BOOST_TEST((candidate(other, "e1", at(3)).excluded == exclusion::None));
 }
 
+// Guards against calls to engines that load when the VM that ordered the loads stops in the midst
+// of them: with 51 engines loading, 2,700 requests were refused within four seconds.
+BOOST_AUTO_TEST_CASE(loadingLastsUntilItsExpectedEndWhenTheHolderStops)
+{
+    endpoint_table holder("dc1");
+    endpoint_table other("dc1");
+    holder.update(report("e1"), at(0));
+    other.update(report("e1"), at(0));
+    holder.setLoading("e1", fromSeconds(3.0), at(1));
+    other.applyPeerDigest(digestOf(holder, "holder", at(1)), at(1));
+    BOOST_TEST((candidate(other, "e1", at(3.9)).excluded == exclusion::Loading));
+    BOOST_TEST((candidate(other, "e1", at(4.1)).excluded == exclusion::None));
+}
+
+// Guards against a digest that states an absurd end of a load and takes an engine out of service.
+BOOST_AUTO_TEST_CASE(expectedEndOfALoadIsBounded)
+{
+    endpoint_table holder("dc1");
+    endpoint_table other("dc1");
+    holder.update(report("e1"), at(0));
+    other.update(report("e1"), at(0));
+    holder.setLoading("e1", std::chrono::hours(24 * 365), at(1));
+    other.applyPeerDigest(digestOf(holder, "holder", at(1)), at(1));
+    const double bound = 1.0 + toSeconds(endpoint_table_options().maxLoadingMark);
+    BOOST_TEST((candidate(other, "e1", at(bound + 0.1)).excluded == exclusion::None));
+}
+
 // Guards against an engine with new weights that other VMs still treat as loading or stale.
 BOOST_AUTO_TEST_CASE(newWeightsEndLoadingOnAllVms)
 {
@@ -78,7 +105,7 @@
     endpoint_table other("dc1");
     holder.update(report("e1"), at(0));
     other.update(report("e1"), at(0));
-    holder.setLoading("e1", at(1));
+    holder.setLoading("e1", duration::zero(), at(1));
     other.applyPeerDigest(digestOf(holder, "holder", at(1)), at(1));
     holder.recordStatedWeights("e1", Model, 2);
     other.applyPeerDigest(digestOf(holder, "holder", at(1.2)), at(1.2));
--- a/testing/weights_rollout_test.cc
+++ b/testing/weights_rollout_test.cc
@@ -231,6 +231,27 @@
     }
 }
 
+// Guards against engines that nobody reports as loading after the VM that ordered them has lost the
+// duty, for instance while the log refuses it: all VMs would call engines that refuse.
+BOOST_AUTO_TEST_CASE(loadsAreFollowedToTheirEndAfterTheDutyIsLost)
+{
+    simulation run(2, 0.0);
+    run.step(0.0, 2, 7);
+    run.step(0.05, 2, 7);
+    const auto ordered = run.loading();
+    BOOST_REQUIRE(ordered > 0);
+    BOOST_TEST(run.planner.loadingEngines(at(0.05)).size() == std::size_t(ordered));
+    for (double now = 0.1; now < 4.0; now += 0.05) {
+        run.step(now, 2, std::nullopt);
+        BOOST_REQUIRE(run.planner.loadingEngines(at(now)).size() >= std::size_t(run.loading()));
+    }
+    BOOST_TEST(run.loading() == 0);
+    BOOST_TEST(run.planner.loadingEngines(at(4.0)).empty());
+    const auto loaded = std::count_if(run.engines.begin(), run.engines.end(),
+                                      [](const auto &e) { return e.version == 2; });
+    BOOST_TEST(loaded == ordered); // No order was given without the duty.
+}
+
 // Guards against a large pool at high load that loads only two engines at a time: the weights of
 // the others expire long before their turn, and the pool stops serving.
 BOOST_AUTO_TEST_CASE(largePoolAtHighLoadLoadsBeforeItsWeightsExpire)
