Bound the load times that other VMs state, and share the digest's milliseconds

Any sender in the network can state load times of pools that do not exist; at most 256 pools and models are kept, further ones are dropped and counted. The conversion to a digest's milliseconds stood in two files.

--- a/burdockhold/digest_exchange.cc
+++ b/burdockhold/digest_exchange.cc
@@ -25,6 +25,8 @@
 constexpr int SupersedeAfterSummaries = 2;
 /// Upper bound for the interval that a summary states; a link that slow is useless for summaries.
 constexpr duration MaxSummaryInterval = std::chrono::seconds(5);
+/// Pools and models whose load times are kept; any sender in the network can state some.
+constexpr std::size_t MaxPeerLoadTimes = 256;
 
 } // namespace
 
@@ -359,7 +361,9 @@
                                       std::chrono::milliseconds(row.fastestMs),
                                       row.limitTenths / load_time_row::LimitScale,
                                       row.storeIsLimit };
-        if (isPlausible(estimate))
+        const bool hasRoom = m_board.peerLoadTimes.size() < MaxPeerLoadTimes
+                             || m_board.peerLoadTimes.count({ row.pool, row.model }) != 0;
+        if (hasRoom && isPlausible(estimate))
             m_board.peerLoadTimes[{ row.pool, row.model }] = estimate;
         else
             m_board.metrics.count(router_counter::DigestRowsRejected);
--- a/burdockhold/duty_controller.cc
+++ b/burdockhold/duty_controller.cc
@@ -137,10 +137,6 @@
 
 void duty_controller::publishLoadTimes()
 {
-    const auto milliseconds = [](duration time) {
-        return static_cast<std::uint32_t>(
-                std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
-    };
     m_board.ownLoadTimes.clear();
     for (const auto &[pool, duty] : m_duties) {
         for (const auto &[model, planner] : duty.planners) {
@@ -148,8 +144,8 @@
             if (measured == nullptr)
                 continue;
             m_board.ownLoadTimes.push_back(
-                    { shortHash(pool), shortHash(model), milliseconds(measured->drainTime),
-                      milliseconds(measured->loadTime), milliseconds(measured->fastest),
+                    { shortHash(pool), shortHash(model), digestMilliseconds(measured->drainTime),
+                      digestMilliseconds(measured->loadTime), digestMilliseconds(measured->fastest),
                       static_cast<std::uint32_t>(measured->limit * load_time_row::LimitScale),
                       measured->storeIsLimit });
         }
--- a/burdockhold/endpoint_table.cc
+++ b/burdockhold/endpoint_table.cc
@@ -16,11 +16,6 @@
     return static_cast<std::uint32_t>(std::clamp<std::int64_t>(value, 0, UINT32_MAX));
 }
 
-std::uint32_t milliseconds(duration time)
-{
-    return clamped(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
-}
-
 } // namespace
 
 endpoint_table::endpoint_table(std::string dataCentre, endpoint_table_options options)
@@ -377,13 +372,11 @@
         decay(recent, m_options.callHalfLife, now);
         const auto calls = clamped(std::llround(recent.calls * CountScale));
         if (entry.running > 0 || calls > 0) {
-            const auto silent = std::chrono::duration_cast<std::chrono::milliseconds>(
-                    now - entry.lastActivityAt);
             digest.endpoints.push_back({ entry.hash, clamped(entry.running),
                                          clamped(entry.pendingPrefillTokens),
                                          clamped(entry.activeTokens), calls,
                                          clamped(std::llround(recent.failures * CountScale)),
-                                         clamped(silent.count()) });
+                                         digestMilliseconds(now - entry.lastActivityAt) });
         }
         const bool isLeaving = entry.removed || entry.report.leaving;
         if (isLeaving && now - entry.leavingSeenAt < m_options.departureGossipTime)
@@ -395,8 +388,9 @@
             const bool isNewer = stated == entry.report.weights.end() || stated->second < version;
             const bool loading = now < entry.ownLoadingUntil;
             if (isNewer || loading)
-                digest.weights.push_back({ entry.hash, shortHash(model), version, loading,
-                                           loading ? milliseconds(entry.ownLoadingEnd - now) : 0 });
+                digest.weights.push_back(
+                        { entry.hash, shortHash(model), version, loading,
+                          loading ? digestMilliseconds(entry.ownLoadingEnd - now) : 0 });
         }
     }
 }
--- a/burdockhold/vm_digest.cc
+++ b/burdockhold/vm_digest.cc
@@ -2,6 +2,8 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
+
 namespace burdockhold {
 
 std::string encodeDigest(const vm_digest &digest)
@@ -26,4 +28,10 @@
     return XXH32(name.data(), name.size(), 0);
 }
 
+std::uint32_t digestMilliseconds(duration time)
+{
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(ms, 0, UINT32_MAX));
+}
+
 } // namespace burdockhold
--- a/burdockhold/vm_digest.h
+++ b/burdockhold/vm_digest.h
@@ -9,6 +9,7 @@
 // A digest of 5 accounts and 13 endpoints takes about 300 bytes. The data centres of a large
 // deployment exchange summaries (digest_summary.h): digests with the sums of one data centre.
 
+#include "burdockhold/clock.h"
 #include "burdockhold/result.h"
 
 #include <msgpack.hpp>
@@ -131,6 +132,9 @@
 /// Returns the 32-bit hash by which digests identify accounts, endpoints and other named objects.
 std::uint32_t shortHash(std::string_view name);
 
+/// Returns the time in whole milliseconds, limited to what a digest's field holds.
+std::uint32_t digestMilliseconds(duration time);
+
 } // namespace burdockhold
 
 #endif
