Switch mechanisms off by a setting, and measure what each is worth

Hypothesis: some mechanisms of the load policy are worth nothing. They could not be told apart, since none could be switched off.

mechanisms.disabled names those to switch off; an unknown or repeated name ends the start, and the start line logs what is off.

--- a/burdockhold/digest_exchange.cc
+++ b/burdockhold/digest_exchange.cc
@@ -103,7 +103,9 @@
 
 void digest_exchange::step(time_point now)
 {
-    const bool isDue = now >= m_digestDueAt || (m_board.digestRequested && now >= m_urgentDueAt);
+    const bool isUrgent = m_board.digestRequested
+                          && m_board.settings.mechanisms.uses(mechanism::ImmediateDigests);
+    const bool isDue = now >= m_digestDueAt || (isUrgent && now >= m_urgentDueAt);
     if (isDue) {
         expirePeers(now);
         publishPeers(now);
--- a/burdockhold/duty_controller.cc
+++ b/burdockhold/duty_controller.cc
@@ -62,6 +62,11 @@
     return entry->second;
 }
 
+rollout_planner &duty_controller::plannerOf(held_duty &duty, const std::string &model)
+{
+    return duty.planners.try_emplace(model, m_board.options.rollout).first->second;
+}
+
 void duty_controller::stepMembership(const std::string &pool, held_duty &duty, time_point now)
 {
     const duty_claim &claim = m_board.peerDutyClaims[shortHash(pool)];
@@ -221,7 +226,7 @@
                                 const std::string &model, time_point now)
 {
     const rollout_target target{ m_board.targetVersion(model), pool.engine->cacheTokens };
-    rollout_planner &planner = duty.planners[model];
+    rollout_planner &planner = plannerOf(duty, model);
     const auto known = m_board.peerLoadTimes.find({ shortHash(pool.name), shortHash(model) });
     if (known != m_board.peerLoadTimes.end())
         planner.loads().adopt(known->second);
@@ -255,7 +260,7 @@
     const time_point now = steadyNow();
     dutyOf(pool, now).orderedAt = now;
     m_board.metrics.count(router_counter::OrdersGiven);
-    const rollout_planner &planner = dutyOf(pool, now).planners[model];
+    const rollout_planner &planner = plannerOf(dutyOf(pool, now), model);
     m_board.endpoints.setLoading(action.endpointId, planner.loadTimeLeft(action.endpointId, now),
                                  now);
     m_board.digestRequested = true;
@@ -298,7 +303,7 @@
                                     const std::string &endpointId, const log_response &response)
 {
     const time_point now = steadyNow();
-    rollout_planner &planner = dutyOf(pool, now).planners[model];
+    rollout_planner &planner = plannerOf(dutyOf(pool, now), model);
     const auto state = platform::decodeReport(response.body);
     if (response.status != StatusOk || !isOk(state)) {
         planner.stateFailed(endpointId, now);
@@ -316,7 +321,7 @@
     const time_point now = steadyNow();
     const order_result result = response.status == 0 ? order_result::None
                                                      : platform::decodeOrderResult(response.status);
-    dutyOf(pool, now).planners[order.model].orderCompleted(order.endpointId, result, now);
+    plannerOf(dutyOf(pool, now), order.model).orderCompleted(order.endpointId, result, now);
     if (result == order_result::AlreadyHolds)
         m_board.endpoints.recordStatedWeights(order.endpointId, order.model, order.version);
     if (m_board.log.accepts(log_priority::StateChange, now))
--- a/burdockhold/duty_controller.h
+++ b/burdockhold/duty_controller.h
@@ -51,6 +51,7 @@
     };
 
     held_duty &dutyOf(const std::string &pool, time_point now);
+    rollout_planner &plannerOf(held_duty &duty, const std::string &model);
     void stepMembership(const std::string &pool, held_duty &duty, time_point now);
     void join(const std::string &pool, held_duty &duty, time_point now);
     void leaveGroup(const std::string &pool, held_duty &duty);
--- a/burdockhold/endpoint_choice.cc
+++ b/burdockhold/endpoint_choice.cc
@@ -98,13 +98,14 @@
     const bool isPlainService = need.affinityKey.empty();
     const bool holds = candidate.holdsSegment || index == preferred;
     if (candidate.excluded != exclusion::None
-        || !hasRoom(candidate, need, holds || need.storeHoldsSegment, options))
+        || !hasRoom(candidate, need, holds || (need.storeHoldsSegment && options.copySegments),
+                    options))
         return std::nullopt;
     endpoint_choice choice;
     choice.index = index;
-    if (!isPlainService && !holds)
+    if (!isPlainService && !holds && options.copySegments)
         choice.copyFrom = findCopySource(candidates, index, preferred);
-    const bool canCopy = need.storeHoldsSegment || choice.copyFrom;
+    const bool canCopy = choice.copyFrom || (need.storeHoldsSegment && options.copySegments);
     choice.expectedMs = penaltyMs(candidate, options)
                         + (isPlainService ? serviceMs(candidate, options)
                                           : engineMs(candidate, need, holds, canCopy, options));
@@ -142,7 +143,7 @@
                                               const endpoint_choice_options &options)
 {
     const bool isPlainService = need.affinityKey.empty();
-    const std::optional<std::size_t> preferred = isPlainService
+    const std::optional<std::size_t> preferred = isPlainService || !options.usePreferred
                                                          ? std::nullopt
                                                          : preferredEndpoint(candidates,
                                                                              need.affinityKey);
--- a/burdockhold/endpoint_choice.h
+++ b/burdockhold/endpoint_choice.h
@@ -102,6 +102,8 @@
     double serviceMs = 20.0; ///< Latency assumed for plain services before their first response.
     std::size_t fullScanLimit = 16;
     std::size_t sampleSize = 6; ///< In addition to the preferred endpoint.
+    bool usePreferred = true;   ///< False: no endpoint is preferred for a prompt.
+    bool copySegments = true;   ///< False: missing segments are always recomputed.
 };
 
 struct endpoint_choice
--- a/burdockhold/event_router.cc
+++ b/burdockhold/event_router.cc
@@ -61,7 +61,9 @@
         return error;
     const time_point now = steadyNow();
     if (m_board.log.accepts(log_priority::StateChange, now))
-        m_board.log.write(log_event::Started, { { "callers", m_board.settings.callerAddress } },
+        m_board.log.write(log_event::Started,
+                          { { "callers", m_board.settings.callerAddress },
+                            { "disabled", m_board.settings.mechanisms.disabledNames() } },
                           now);
     waitForSignal();
     acceptCallers();
--- /dev/null
+++ b/burdockhold/placement_log.h
@@ -0,0 +1,28 @@
+#ifndef BURDOCKHOLD_PLACEMENT_LOG_H
+#define BURDOCKHOLD_PLACEMENT_LOG_H
+
+// Fields of the log lines that explain a placement or a refusal by a limit. docs/OPERATIONS.md
+// describes them.
+
+#include "burdockhold/endpoint_choice.h"
+#include "burdockhold/quota_ledger.h"
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+#include <vector>
+
+namespace burdockhold {
+
+/// Returns the fields of a line on why no endpoint could take the request: the inputs of the
+/// choice, the most loaded endpoints last.
+nlohmann::ordered_json poolFullFields(const std::string &requestId, const std::string &pool,
+                                      std::vector<endpoint_candidate> candidates);
+
+/// Returns the fields of a line on a refusal by the account's limit.
+nlohmann::ordered_json overQuotaFields(const std::string &requestId, const std::string &account,
+                                       double cost, const quota_ledger &quota);
+
+} // namespace burdockhold
+
+#endif
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -1,8 +1,11 @@
 #include "burdockhold/routed_request.h"
 
 #include "burdockhold/enum_names.h"
+#include "burdockhold/placement_log.h"
 #include "burdockhold/prompt_segments.h"
+#include "burdockhold/retry_after.h"
 #include "burdockhold/segment_transfer.h"
+#include "burdockhold/wait_rules.h"
 #include "platform/request_codec.h"
 
 #include <boost/asio/post.hpp>
@@ -32,24 +35,12 @@
 // Keys are refused this long before the view reaches the revocation bound, since a request takes
 // time to reach its endpoint.
 constexpr duration RevocationMargin = std::chrono::milliseconds(300);
-// Longest time in the wait queue, in tenths of the latency target. A request placed later would be
-// late before its prefill starts and would delay requests that are not late yet.
-constexpr int MaxQueueWaitTenths = 6;
-// Longest time in the wait queue for a stream that has started: callers abandon a stream after two
-// seconds without an event.
-constexpr duration MaxStreamQueueWait = std::chrono::milliseconds(1900);
 // Callers abandon a stream after the longest of two seconds, four times its latency target and
 // eight times its usual gap between events. The margin covers the transit time to the caller.
 constexpr duration MinCallerTimeout = std::chrono::seconds(2);
 constexpr int CallerTimeoutLatencyTargets = 4;
 constexpr int CallerTimeoutEventGaps = 8;
 constexpr duration CallerTimeoutMargin = std::chrono::milliseconds(500);
-// An engine that runs streams emits events every few milliseconds. It is silent during prefill,
-// usually for 240 ms, and for four times that on a slow engine.
-constexpr duration MaxEngineSilence = std::chrono::milliseconds(1000);
-// An endpoint that is not an engine usually responds within its latency target.
-constexpr duration MinServiceSilence = std::chrono::milliseconds(250);
-constexpr int ServiceSilenceLatencyTargets = 2;
 constexpr duration MaxWaitForDeployment = std::chrono::milliseconds(600);
 // Requests that arrive later than this after the stop notice are refused, since they could outlast
 // the process.
@@ -57,12 +48,6 @@
 // A call with at least this many pending prefill tokens triggers a gossip digest at once: until the
 // next regular digest, the other VMs would all choose the same idle engine.
 constexpr std::int64_t ImmediateDigestTokens = 2000;
-// Streams migrate off an endpoint that has been draining or loading weights for this long. Short
-// responses end within this time of the order to load; the others may run for seconds more.
-constexpr duration MinLoadingToMigrate = std::chrono::milliseconds(350);
-// A stream migrates only to an endpoint that is expected to send the next event within the usual
-// gap between events; stale weights are allowed.
-constexpr double MaxMigrationMs = 450.0;
 // A few round trips, since the stream's caller waits for the check.
 constexpr duration TerminationCheckTimeout = std::chrono::milliseconds(60);
 // Lower bound of the Retry-After of a refusal. Reconnecting and load balancing take up part of it.
@@ -73,48 +58,8 @@
     return XXH64(text.data(), text.size(), 0);
 }
 
-/// Lengthens the pause by up to half of it, by a hash of the attempt's id, so that the retries of
-/// refused callers are spread out.
-duration withJitter(duration pause, std::string_view attemptId)
-{
-    const double share = static_cast<double>(hashOf(attemptId) % 1000) / 1000.0;
-    return pause + fromSeconds(0.5 * share * toSeconds(pause));
-}
-
-std::string formatSeconds(duration time)
-{
-    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
-    std::string text = std::to_string(ms / 1000) + ".";
-    const std::string milliseconds = std::to_string(ms % 1000);
-    return text + std::string(3 - milliseconds.size(), '0') + milliseconds;
-}
-
 } // namespace
 
-void wait_queue::add(std::shared_ptr<routed_request> waiting)
-{
-    const auto position = std::upper_bound(m_waiting.begin(), m_waiting.end(), waiting,
-                                           [](const auto &a, const auto &b) {
-                                               return std::make_pair(a->priority(), a->arrival())
-                                                      < std::make_pair(b->priority(), b->arrival());
-                                           });
-    m_waiting.insert(position, std::move(waiting));
-}
-
-void wait_queue::remove(const routed_request *waiting)
-{
-    m_waiting.erase(std::remove_if(m_waiting.begin(), m_waiting.end(),
-                                   [waiting](const auto &other) { return other.get() == waiting; }),
-                    m_waiting.end());
-}
-
-void wait_queue::retry()
-{
-    const auto requests = m_waiting;
-    for (const auto &waiting : requests)
-        waiting->place();
-}
-
 routed_request::routed_request(request_context context, caller_request request,
                                response_writer writer, time_point arrival)
     : m_context(context)
@@ -148,8 +93,7 @@
     m_deadline = m_arrival + limit;
     m_poolName = choosePool();
     m_pool = m_deployment->findPool(m_poolName);
-    m_priority = m_account != nullptr && m_account->priority ? *m_account->priority
-                                                             : m_route->priority;
+    m_priority = requestPriority(*m_route, m_account, board.settings.mechanisms);
     m_context.board.countRequest(m_poolName, steadyNow());
     startTimer();
     if (!place())
@@ -219,36 +163,20 @@
         m_chargedTokens = cost;
         return true;
     }
-    logOverQuota(cost, quota, now);
+    if (m_context.board.log.accepts(log_priority::Failure, now))
+        m_context.board.log.write(
+                log_event::OverQuota,
+                overQuotaFields(m_request.attemptId, m_account->name, cost, quota), now);
     refuse(429, "over_quota", std::max<duration>(MinRetryAfter, quota.timeUntil(cost, now)));
     return false;
 }
 
-/// Logs the inputs of a refusal by the account's limit.
-void routed_request::logOverQuota(double cost, const quota_ledger &quota, time_point now)
-{
-    decision_log &log = m_context.board.log;
-    if (!log.accepts(log_priority::Failure, now))
-        return;
-    log.write(log_event::OverQuota,
-              { { "id", m_request.attemptId },
-                { "account", m_account->name },
-                { "cost", cost },
-                { "level", quota.level() },
-                { "rate", quota.limit().ratePerSecond },
-                { "burst", quota.limit().burst },
-                { "share", quota.share() },
-                { "returned", quota.returnedTotal() } },
-              now);
-}
-
 /// Returns the charged tokens to the account. Only for a request that has not run and never will.
 void routed_request::returnTokens()
 {
     if (m_chargedTokens <= 0.0)
         return;
-    const time_point now = steadyNow();
-    m_context.board.accountQuota(*m_account, now).returnTokens(m_chargedTokens, now);
+    m_context.board.returnTokens(*m_account, m_chargedTokens, steadyNow());
     m_chargedTokens = 0.0;
 }
 
@@ -289,15 +217,6 @@
            + CallerTimeoutMargin;
 }
 
-/// Returns how long a working endpoint may send nothing to any VM.
-duration routed_request::maxSilence() const
-{
-    if (m_route->kind == call_kind::Stream)
-        return MaxEngineSilence;
-    return std::max<duration>(MinServiceSilence,
-                              ServiceSilenceLatencyTargets * m_route->latencyTarget);
-}
-
 void routed_request::deadlineReached()
 {
     if (m_connection) {
@@ -320,7 +239,7 @@
 {
     m_waiting = true;
     m_context.waiting.add(shared_from_this());
-    m_timer.expires_at(std::min(m_deadline, steadyNow() + maxQueueWait()));
+    m_timer.expires_at(queueWaitEnd(steadyNow()));
     m_timer.async_wait([self = shared_from_this()](error_code error) {
         if (error || self->m_ended || !self->m_waiting)
             return;
@@ -335,6 +254,14 @@
     });
 }
 
+/// Returns when a request that enters the wait queue now has to leave it.
+time_point routed_request::queueWaitEnd(time_point now) const
+{
+    return std::min(m_deadline, now
+                                        + maxQueueWait(m_responseStarted, m_route->latencyTarget,
+                                                       m_context.board.settings.mechanisms));
+}
+
 const std::string &routed_request::choosePool()
 {
     double total = 0.0;
@@ -360,9 +287,12 @@
         return inputs;
     inputs.store = segmentStore(inputs);
     inputs.need.storeHoldsSegment = inputs.store != nullptr
-                                    && storeHoldsSegments(
-                                            *inputs.store,
-                                            m_context.board.targetVersion(m_request.model));
+                                    && m_context.board.storedSegments.areStored(
+                                            inputs.store->address,
+                                            sharedSegmentNames(
+                                                    m_request, m_account,
+                                                    m_context.board.targetVersion(m_request.model)),
+                                            steadyNow());
     return inputs;
 }
 
@@ -383,15 +313,6 @@
     return candidates;
 }
 
-/// A stream that has started may wait until its caller would abandon it; any other request waits
-/// for a fraction of its latency target.
-duration routed_request::maxQueueWait() const
-{
-    if (m_responseStarted)
-        return MaxStreamQueueWait;
-    return m_route->latencyTarget * MaxQueueWaitTenths / 10;
-}
-
 /// Returns the store for the request's shared segments, chosen by the data centre of the preferred
 /// endpoint.
 const cache_store *routed_request::segmentStore(const placement_inputs &inputs) const
@@ -404,31 +325,6 @@
                                     report == nullptr ? "" : report->dataCentre, steadyNow());
 }
 
-/// Returns whether the store holds all shared segments, as far as this VM knows.
-bool routed_request::storeHoldsSegments(const cache_store &store, std::int64_t version) const
-{
-    const stored_segments &stored = m_context.board.storedSegments;
-    const time_point now = steadyNow();
-    const auto keys = sharedSegmentNames(m_request, m_account, version);
-    return std::all_of(keys.begin(), keys.end(), [&](const std::string &key) {
-        return stored.isStored(store.address + "/" + key, now);
-    });
-}
-
-/// Records the shared segments as used or, if they are not stored yet, as being saved.
-void routed_request::recordSharedSegments(const std::string &store, bool beingSaved)
-{
-    stored_segments &stored = m_context.board.storedSegments;
-    const time_point now = steadyNow();
-    for (const std::string &key : sharedSegmentNames(m_request, m_account, m_expectedWeights)) {
-        const std::string name = store + "/" + key;
-        if (stored.isStored(name, now))
-            stored.touch(name, now);
-        else if (beingSaved)
-            stored.save(name, now);
-    }
-}
-
 /// Tells the engine where to copy the shared segments from that it lacks, and where to save them.
 void routed_request::addSegmentTransfer(endpoint_call_fields &fields,
                                         const placement_inputs &inputs, const std::string &holder)
@@ -436,6 +332,7 @@
     router_board &board = m_context.board;
     const placement_need &need = inputs.need;
     const cache_store *store = m_expectedWeights > 0 ? inputs.store : nullptr;
+    const auto segments = sharedSegmentNames(m_request, m_account, m_expectedWeights);
     segment_facts facts;
     facts.tokens = need.segmentTokens;
     facts.promptTokens = need.promptTokens;
@@ -445,17 +342,18 @@
         const endpoint_report *engine = board.endpoints.find(m_endpointId);
         facts.store = store->address;
         facts.crossesDataCentres = engine != nullptr && engine->dataCentre != store->dataCentre;
-        facts.storeHoldsAllSegments = storeHoldsSegments(*store, m_expectedWeights);
+        facts.storeHoldsAllSegments = board.storedSegments.areStored(store->address, segments,
+                                                                     steadyNow());
         facts.linkHeadroom = board.storeLinkQuota(*store, steadyNow()).headroom();
     }
-    segment_transfer transfer = planTransfer(facts);
+    segment_transfer transfer = planTransfer(facts, board.options.transfers);
     const time_point now = steadyNow();
     if (transfer.storeLoad > 0.0
         && !board.storeLinkQuota(*store, now).tryAdmit(transfer.storeLoad, now)) {
         board.metrics.count(router_counter::TransfersWithoutRoom);
-        transfer = planWithoutStore(facts);
+        transfer = planWithoutStore(facts, board.options.transfers);
     } else if (transfer.storeLoad > 0.0) {
-        recordSharedSegments(store->address, !transfer.saveTo.empty());
+        board.storedSegments.recordUse(store->address, segments, !transfer.saveTo.empty(), now);
     }
     fields.copySegmentsFrom = transfer.copyFrom;
     fields.saveSegmentsTo = transfer.saveTo;
@@ -477,7 +375,8 @@
     }
     const time_point now = steadyNow();
     const placement_inputs inputs = placementInputs();
-    const auto choice = chooseEndpoint(inputs.candidates, inputs.need, hashOf(m_request.attemptId));
+    const auto choice = chooseEndpoint(inputs.candidates, inputs.need, hashOf(m_request.attemptId),
+                                       m_context.board.options.choice);
     if (!choice || (m_awaitsRetryBudget && !m_context.board.tryRetry(m_poolName, now)))
         return false;
     m_awaitsRetryBudget = false;
@@ -823,12 +722,9 @@
 {
     router_board &board = m_context.board;
     const time_point now = steadyNow();
-    if (m_ended || m_endpointId.empty() || !m_connection || !m_connection->isConnected())
-        return;
-    if (board.endpoints.loadingFor(m_endpointId, now) < MinLoadingToMigrate)
-        return;
-    if (!canMigrate() || !hasAlternative(MaxMigrationMs)
-        || !board.tryOptionalRetry(m_poolName, now))
+    const auto facts = migrationFacts(now);
+    if (!facts || !shouldLeaveLoading(*facts, board.settings.mechanisms)
+        || !hasAlternative(MaxMigrationMs) || !board.tryOptionalRetry(m_poolName, now))
         return;
     migrate();
 }
@@ -837,28 +733,35 @@
 {
     router_board &board = m_context.board;
     const time_point now = steadyNow();
-    if (m_ended || m_endpointId.empty() || !m_connection || !m_connection->isConnected())
-        return;
-    const duration limit = maxSilence();
-    if (now - m_lastProgress < limit || board.endpoints.silentFor(m_endpointId, now) < limit)
+    const auto facts = migrationFacts(now);
+    if (!facts
+        || !shouldLeaveSilent(*facts, maxSilence(m_route->kind, m_route->latencyTarget),
+                              board.settings.mechanisms))
         return;
     const double timeLeftMs = 1000.0 * toSeconds(m_deadline - now);
-    if (!canMigrate() || !hasAlternative(timeLeftMs) || !board.tryRetry(m_poolName, now))
+    if (!hasAlternative(timeLeftMs) || !board.tryRetry(m_poolName, now))
         return;
     logCall(call_end::Broken);
     migrate();
 }
 
-bool routed_request::canMigrate() const
+/// Returns nothing while no call is connected.
+std::optional<migration_facts> routed_request::migrationFacts(time_point now) const
 {
-    return m_route->maxEndpoints - m_runs >= 2 && m_callsMade < MaxCalls;
+    if (m_ended || m_endpointId.empty() || !m_connection || !m_connection->isConnected())
+        return std::nullopt;
+    const endpoint_table &endpoints = m_context.board.endpoints;
+    return migration_facts{ endpoints.loadingFor(m_endpointId, now),
+                            endpoints.silentFor(m_endpointId, now), now - m_lastProgress,
+                            m_route->maxEndpoints - m_runs, MaxCalls - m_callsMade };
 }
 
 /// Returns whether another endpoint is expected to send the next event within this time.
 bool routed_request::hasAlternative(double withinMs) const
 {
     const placement_inputs inputs = placementInputs();
-    const auto choice = chooseEndpoint(inputs.candidates, inputs.need, hashOf(m_request.attemptId));
+    const auto choice = chooseEndpoint(inputs.candidates, inputs.need, hashOf(m_request.attemptId),
+                                       m_context.board.options.choice);
     return choice && choice->expectedMs <= withinMs;
 }
 
@@ -905,7 +808,8 @@
 void routed_request::refuse(int status, std::string_view reason, duration retryAfter)
 {
     returnTokens(); // A refusal states that the request has not run and never will.
-    const duration pause = withJitter(std::max(retryAfter, MinRetryAfter), m_request.attemptId);
+    const duration pause = withJitter(std::max(retryAfter, MinRetryAfter),
+                                      hashOf(m_request.attemptId));
     m_writer.sendResponse(status, { { "Retry-After", formatSeconds(pause) } }, {});
     const router_counter counter = status == 429            ? router_counter::RefusedQuota
                                    : reason == "stale_view" ? router_counter::RefusedStale
@@ -997,32 +901,12 @@
     m_writer = {};
 }
 
-/// Logs why no endpoint could take the request: the inputs of the choice, the most loaded endpoints
-/// last.
+/// Logs why no endpoint could take the request.
 void routed_request::logPoolFull(time_point now)
 {
-    constexpr std::size_t MaxListed = 16;
-    auto candidates = placementCandidates();
-    std::sort(candidates.begin(), candidates.end(), [](const auto &a, const auto &b) {
-        return std::make_pair(a.excluded, a.activeTokens)
-               < std::make_pair(b.excluded, b.activeTokens);
-    });
-    nlohmann::ordered_json listed = nlohmann::ordered_json::array();
-    for (std::size_t index = 0; index < std::min(MaxListed, candidates.size()); ++index) {
-        const endpoint_candidate &candidate = candidates[index];
-        listed.push_back({ { "endpoint", candidate.id },
-                           { "excluded", nameOf(candidate.excluded) },
-                           { "suspect", candidate.suspect },
-                           { "running", candidate.running },
-                           { "unread", candidate.pendingPrefillTokens },
-                           { "held", candidate.activeTokens } });
-    }
-    m_context.board.log.write(log_event::PoolFull,
-                              { { "id", m_request.attemptId },
-                                { "pool", m_poolName },
-                                { "endpoints", candidates.size() },
-                                { "listed", std::move(listed) } },
-                              now);
+    m_context.board.log.write(
+            log_event::PoolFull,
+            poolFullFields(m_request.attemptId, m_poolName, placementCandidates()), now);
 }
 
 void routed_request::logCall(call_end end)
--- a/burdockhold/routed_request.h
+++ b/burdockhold/routed_request.h
@@ -17,12 +17,15 @@
 #include "burdockhold/caller_request.h"
 #include "burdockhold/connection_pool.h"
 #include "burdockhold/event_splitter.h"
+#include "burdockhold/migration_rules.h"
 #include "burdockhold/router_board.h"
+#include "burdockhold/wait_queue.h"
 
 #include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -44,23 +47,6 @@
 
 class routed_request;
 
-/// Requests that wait until an endpoint of their pool can take them, the most urgent first: in
-/// ascending order of priority number, then of arrival.
-class wait_queue
-{
-public:
-    void add(std::shared_ptr<routed_request> waiting);
-    void remove(const routed_request *waiting);
-
-    /// Tries to place each waiting request, in order.
-    void retry();
-
-    std::size_t size() const { return m_waiting.size(); }
-
-private:
-    std::vector<std::shared_ptr<routed_request>> m_waiting;
-};
-
 /// Requests whose current call may be migrated to another endpoint.
 using migratable_requests = std::set<std::shared_ptr<routed_request>>;
 
@@ -107,14 +93,13 @@
     bool findRoute();
     bool authenticate();
     bool admitTokens();
-    void logOverQuota(double cost, const quota_ledger &quota, time_point now);
     void returnTokens();
     void startTimer();
     void onTimer();
     duration maxEventGap() const;
-    duration maxSilence() const;
     void deadlineReached();
     void enterWaitQueue();
+    time_point queueWaitEnd(time_point now) const;
 
     /// Inputs of one placement decision. The store belongs to the deployment in force.
     struct placement_inputs
@@ -126,7 +111,6 @@
 
     placement_inputs placementInputs() const;
     std::vector<endpoint_candidate> placementCandidates() const;
-    duration maxQueueWait() const;
     const std::string &choosePool();
 
     void startCall(const placement_inputs &inputs, const endpoint_choice &choice);
@@ -136,11 +120,9 @@
     endpoint_call_fields callFieldsFor(const std::string &endpointId) const;
     std::string holderAddress(std::string_view engine) const;
     const cache_store *segmentStore(const placement_inputs &inputs) const;
-    bool storeHoldsSegments(const cache_store &store, std::int64_t version) const;
-    void recordSharedSegments(const std::string &store, bool beingSaved);
     void addSegmentTransfer(endpoint_call_fields &fields, const placement_inputs &inputs,
                             const std::string &holder);
-    bool canMigrate() const;
+    std::optional<migration_facts> migrationFacts(time_point now) const;
     bool hasAlternative(double withinMs) const;
     void migrate();
     http_handlers callHandlers();
--- a/burdockhold/router_board.cc
+++ b/burdockhold/router_board.cc
@@ -20,8 +20,6 @@
 /// Fraction of the retry budget and its slack that is used. The rest covers windows of different
 /// VMs that are not aligned.
 constexpr double RetryBudgetShare = 0.9;
-/// Time for several digests of every other VM to arrive.
-constexpr duration StartGuard = std::chrono::seconds(1);
 /// How long a store is treated as unavailable after the last report of a failed check. Covers two
 /// missed checks.
 constexpr duration StoreUnavailableTime = std::chrono::milliseconds(1200);
@@ -42,7 +40,8 @@
 
 router_board::router_board(router_settings source)
     : settings(std::move(source))
-    , endpoints(settings.dataCentre)
+    , options(optionsFor(settings.mechanisms))
+    , endpoints(settings.dataCentre, options.endpoints)
     , log(settings.vmName)
 {
 }
@@ -137,9 +136,9 @@
     const auto found = storeLinks.find(name);
     if (found != storeLinks.end())
         return found->second;
-    quota_ledger_options options;
-    options.phaseSeed = phaseSeedOf(name);
-    return storeLinks.emplace(name, quota_ledger(options, linkLimit(store), now)).first->second;
+    quota_ledger_options linkOptions;
+    linkOptions.phaseSeed = phaseSeedOf(name);
+    return storeLinks.emplace(name, quota_ledger(linkOptions, linkLimit(store), now)).first->second;
 }
 
 /// Returns a seed that differs between VMs and between limits.
@@ -195,8 +194,8 @@
     const auto found = retryBudgets.find(pool);
     if (found != retryBudgets.end())
         return found->second;
-    const retry_budget_options options{ RetryBudgetShare * settings.retryRatio, 0, 0 };
-    return retryBudgets.emplace(pool, retry_budget(options)).first->second;
+    const retry_budget_options budgetOptions{ RetryBudgetShare * settings.retryRatio, 0, 0 };
+    return retryBudgets.emplace(pool, retry_budget(budgetOptions)).first->second;
 }
 
 /// In any window of the budget, half of the slack may be used as a burst and half at a steady rate.
@@ -207,12 +206,9 @@
     if (found != retrySlack.end())
         return found->second;
     const double half = RetryBudgetShare * settings.retrySlack / 2.0;
-    quota_ledger_options options;
-    options.startGuard = StartGuard;
-    options.minVms = std::max(options.minVms, knownPeers + 1);
-    options.phaseSeed = phaseSeedOf(name);
     const quota_limit limit{ half / toSeconds(RetryBudgetWindow), half };
-    return retrySlack.emplace(name, quota_ledger(options, limit, now)).first->second;
+    return retrySlack.emplace(name, quota_ledger(sharedLimitOptions(name), limit, now))
+            .first->second;
 }
 
 void router_board::countRequest(const std::string &pool, time_point now)
@@ -222,7 +218,9 @@
 
 bool router_board::tryRetry(const std::string &pool, time_point now)
 {
-    return retryBudgetOf(pool).tryRetry(now) || retrySlackQuota(pool, now).tryAdmit(1.0, now);
+    return retryBudgetOf(pool).tryRetry(now)
+           || (settings.mechanisms.uses(mechanism::SharedRetrySlack)
+               && retrySlackQuota(pool, now).tryAdmit(1.0, now));
 }
 
 bool router_board::tryOptionalRetry(const std::string &pool, time_point now)
@@ -230,6 +228,8 @@
     constexpr double MinHeadroom = 0.5;
     if (retryBudgetOf(pool).tryOptionalRetry(now))
         return true;
+    if (!settings.mechanisms.uses(mechanism::SharedRetrySlack))
+        return false;
     quota_ledger &slack = retrySlackQuota(pool, now);
     return slack.headroom() >= MinHeadroom && slack.tryAdmit(1.0, now);
 }
@@ -240,13 +240,24 @@
     if (found != quotas.end())
         return found->second;
     const quota_limit limit{ account.ratePerSecond, account.burst };
-    quota_ledger_options options;
-    options.startGuard = StartGuard;
-    options.minVms = std::max(options.minVms, knownPeers + 1);
-    options.phaseSeed = phaseSeedOf(account.name);
-    options.rateTolerance = settings.limitTolerance;
-    options.amountTolerance = account.countsTokens ? settings.limitToleranceTokens : 0.0;
-    return quotas.emplace(account.name, quota_ledger(options, limit, now)).first->second;
+    quota_ledger_options ledgerOptions = sharedLimitOptions(account.name);
+    ledgerOptions.rateTolerance = settings.limitTolerance;
+    ledgerOptions.amountTolerance = account.countsTokens ? settings.limitToleranceTokens : 0.0;
+    return quotas.emplace(account.name, quota_ledger(ledgerOptions, limit, now)).first->second;
+}
+
+quota_ledger_options router_board::sharedLimitOptions(std::string_view limit) const
+{
+    quota_ledger_options ledgerOptions = options.sharedLimits;
+    ledgerOptions.minVms = std::max(ledgerOptions.minVms, knownPeers + 1);
+    ledgerOptions.phaseSeed = phaseSeedOf(limit);
+    return ledgerOptions;
+}
+
+void router_board::returnTokens(const deployment_account &account, double tokens, time_point now)
+{
+    if (settings.mechanisms.uses(mechanism::ReturnedTokens))
+        accountQuota(account, now).returnTokens(tokens, now);
 }
 
 } // namespace burdockhold
--- a/burdockhold/router_board.h
+++ b/burdockhold/router_board.h
@@ -9,6 +9,7 @@
 
 #include "burdockhold/clock.h"
 #include "burdockhold/decision_log.h"
+#include "burdockhold/decision_options.h"
 #include "burdockhold/deployment.h"
 #include "burdockhold/endpoint_health.h"
 #include "burdockhold/endpoint_table.h"
@@ -127,11 +128,17 @@
     /// Returns the account's quota over all VMs, created on first use.
     quota_ledger &accountQuota(const deployment_account &account, time_point now);
 
+    /// Returns tokens that a request was charged for and has not used, since it has not run and
+    /// never will.
+    void returnTokens(const deployment_account &account, double tokens, time_point now);
+
     const router_settings settings;
+    const decision_options options;
 
 private:
     retry_budget &retryBudgetOf(const std::string &pool);
     quota_ledger &retrySlackQuota(const std::string &pool, time_point now);
+    quota_ledger_options sharedLimitOptions(std::string_view limit) const;
     std::uint64_t phaseSeedOf(std::string_view limit) const;
     quota_limit linkLimit(const cache_store &store) const;
 
--- a/burdockhold/router_settings.cc
+++ b/burdockhold/router_settings.cc
@@ -50,6 +50,34 @@
             read(key, value);
     }
 
+    /// Like read(), for a value that must be from `least` to `most`. Keeps the default when the key
+    /// is missing or, as where the platform has no such bound, empty.
+    void readOptionalBetween(const char *key, double least, double most, double &value)
+    {
+        const auto text = tree.get_optional<std::string>(key);
+        if (!text || text->empty())
+            return;
+        double parsed = value;
+        read(key, parsed);
+        if (!error && !(parsed >= least && parsed <= most))
+            error = settings_error{ router_settings_error::Invalid, "out of bounds: " + *text,
+                                    key };
+        if (!error)
+            value = parsed;
+    }
+
+    /// Reads the mechanisms to disable; a missing or empty value disables none.
+    void readDisabled(const char *key, mechanism_set &value)
+    {
+        if (error)
+            return;
+        const auto parsed = parseDisabledMechanisms(tree.get<std::string>(key, ""));
+        if (isOk(parsed))
+            value = valueOf(parsed);
+        else
+            error = settings_error{ router_settings_error::Invalid, errorOf(parsed).text, key };
+    }
+
     void readMs(const char *key, duration &value)
     {
         std::int64_t ms = 0;
@@ -103,6 +131,7 @@
     reader.read("limits.descriptors", settings.descriptors);
     reader.readOptional("limits.processor_share", settings.processorShare);
     reader.readOptional("limits.link_mbps", settings.linkMegabits);
+    reader.readDisabled("mechanisms.disabled", settings.mechanisms);
     if (reader.error)
         return *reader.error;
     return settings;
--- a/burdockhold/router_settings.h
+++ b/burdockhold/router_settings.h
@@ -6,6 +6,7 @@
 // add fields. A missing or malformed value is an error that names its section and key.
 
 #include "burdockhold/clock.h"
+#include "burdockhold/mechanisms.h"
 #include "burdockhold/result.h"
 
 #include <cstdint>
@@ -46,6 +47,7 @@
     int descriptors = 1024;
     double processorShare = 1.0; ///< Fraction of one core.
     double linkMegabits = 100.0; ///< Rate of this VM's own link in Mbit/s.
+    mechanism_set mechanisms;    ///< All are in use unless the settings disable them.
 
     /// Returns a rough measure of the VM's resources, used to assign work for other VMs to those
     /// with headroom: the lower of thousandths of a core and Mbit/s.
--- a/burdockhold/segment_transfer.cc
+++ b/burdockhold/segment_transfer.cc
@@ -6,15 +6,16 @@
 {
     const bool isShort = facts.tokens < options.shortTokens;
     if (facts.store.empty() || (isShort && facts.linkHeadroom < options.minIdleHeadroom))
-        return planWithoutStore(facts);
+        return planWithoutStore(facts, options);
     segment_transfer transfer;
     const bool fromStore = facts.storeHoldsAllSegments || facts.holder.empty();
-    transfer.copyFrom = fromStore ? facts.store : facts.holder;
+    if (options.copySegments)
+        transfer.copyFrom = fromStore ? facts.store : facts.holder;
     double transferredTokens = 0.0;
-    if (facts.storeHoldsAllSegments) {
+    if (facts.storeHoldsAllSegments && options.copySegments) {
         transferredTokens = static_cast<double>(facts.tokens)
                             * (facts.expectedCached ? options.missShare : 1.0);
-    } else {
+    } else if (!facts.storeHoldsAllSegments && options.saveSegments) {
         transfer.saveTo = facts.store;
         transferredTokens = static_cast<double>(facts.promptTokens);
     }
@@ -23,9 +24,10 @@
     return transfer;
 }
 
-segment_transfer planWithoutStore(const segment_facts &facts)
+segment_transfer planWithoutStore(const segment_facts &facts,
+                                  const segment_transfer_options &options)
 {
-    return { facts.holder, {}, 0.0 };
+    return { options.copySegments ? facts.holder : std::string(), {}, 0.0 };
 }
 
 } // namespace burdockhold
--- a/burdockhold/segment_transfer.h
+++ b/burdockhold/segment_transfer.h
@@ -26,6 +26,8 @@
     /// Fraction of the copies that transfer data although the engine is expected to hold the
     /// segment.
     double missShare = 0.3;
+    bool copySegments = true; ///< False: engines recompute what they lack.
+    bool saveSegments = true; ///< False: engines save nothing to a store.
 };
 
 /// What is known about the shared segments of a prompt at the time of a call.
@@ -61,7 +63,8 @@
                               const segment_transfer_options &options = {});
 
 /// Plans without the store, for a link without capacity.
-segment_transfer planWithoutStore(const segment_facts &facts);
+segment_transfer planWithoutStore(const segment_facts &facts,
+                                  const segment_transfer_options &options = {});
 
 } // namespace burdockhold
 
--- a/burdockhold/stored_segments.cc
+++ b/burdockhold/stored_segments.cc
@@ -17,6 +17,26 @@
     return found != m_usedAt.end() && now - found->second < m_options.entryLifetime;
 }
 
+bool stored_segments::areStored(const std::string &store, const std::vector<std::string> &segments,
+                                time_point now) const
+{
+    return std::all_of(segments.begin(), segments.end(), [&](const std::string &segment) {
+        return isStored(store + "/" + segment, now);
+    });
+}
+
+void stored_segments::recordUse(const std::string &store, const std::vector<std::string> &segments,
+                                bool beingSaved, time_point now)
+{
+    for (const std::string &segment : segments) {
+        const std::string name = store + "/" + segment;
+        if (isStored(name, now))
+            touch(name, now);
+        else if (beingSaved)
+            save(name, now);
+    }
+}
+
 void stored_segments::save(const std::string &segment, time_point now)
 {
     const std::uint32_t hash = shortHash(segment);
--- a/burdockhold/stored_segments.h
+++ b/burdockhold/stored_segments.h
@@ -33,6 +33,14 @@
 
     bool isStored(const std::string &segment, time_point now) const;
 
+    /// Returns true if the store at this address holds all the segments, as far as this VM knows.
+    bool areStored(const std::string &store, const std::vector<std::string> &segments,
+                   time_point now) const;
+
+    /// Records that a call uses the segments and, if beingSaved, saves those that are not stored.
+    void recordUse(const std::string &store, const std::vector<std::string> &segments,
+                   bool beingSaved, time_point now);
+
     /// Records that a call of this VM saves the segment.
     void save(const std::string &segment, time_point now);
 
--- /dev/null
+++ b/burdockhold/wait_rules.h
@@ -0,0 +1,44 @@
+#ifndef BURDOCKHOLD_WAIT_RULES_H
+#define BURDOCKHOLD_WAIT_RULES_H
+
+// Decides how long a request waits for an endpoint and in which order. All functions are pure.
+//
+// Load pattern: every endpoint of a pool is full for a moment. A request that is placed within a
+// part of its latency target is still served in time; one that is placed later would be late
+// before its prefill starts and would delay requests that are not late yet.
+
+#include "burdockhold/clock.h"
+#include "burdockhold/deployment.h"
+#include "burdockhold/mechanisms.h"
+
+namespace burdockhold {
+
+/// Longest time in the wait queue, in tenths of the latency target.
+inline constexpr int MaxQueueWaitTenths = 6;
+/// Longest time in the wait queue for a stream that has started: callers abandon a stream after two
+/// seconds without an event.
+inline constexpr duration MaxStreamQueueWait = std::chrono::milliseconds(1900);
+/// Priority of every request while requests are not ordered by priority.
+inline constexpr int CommonPriority = 5;
+
+/// Returns how long a request may wait for an endpoint; zero while requests do not wait.
+inline duration maxQueueWait(bool responseStarted, duration latencyTarget,
+                             const mechanism_set &mechanisms)
+{
+    if (!mechanisms.uses(mechanism::WaitQueue))
+        return duration::zero();
+    return responseStarted ? MaxStreamQueueWait : latencyTarget * MaxQueueWaitTenths / 10;
+}
+
+/// Returns the priority of a request; 0 is the most urgent. The account may be nullptr.
+inline int requestPriority(const deployment_route &route, const deployment_account *account,
+                           const mechanism_set &mechanisms)
+{
+    if (!mechanisms.uses(mechanism::PriorityOrder))
+        return CommonPriority;
+    return account != nullptr && account->priority ? *account->priority : route.priority;
+}
+
+} // namespace burdockhold
+
+#endif
--- a/testing/peer_groups_looptest.cc
+++ b/testing/peer_groups_looptest.cc
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 using namespace burdockhold;
@@ -153,3 +154,28 @@
         BOOST_TEST(vm->board.storedSegments.nextAnnouncement().empty());
     }
 }
+
+// Guards against a switch that changes nothing: a requested digest is sent before the next regular
+// one only while immediate digests are in use.
+BOOST_AUTO_TEST_CASE(requestedDigestWaitsWithoutImmediateDigests)
+{
+    const auto sentEarly = [](std::string_view disabled) {
+        boost::asio::io_context io;
+        router_settings settings = test_vm::settingsOf(0);
+        settings.mechanisms = valueOf(parseDisabledMechanisms(disabled));
+        router_board board(settings);
+        digest_exchange_options options = test_vm::options();
+        options.interval = std::chrono::seconds(1);
+        digest_exchange exchange(io, board, options);
+        const time_point now = steadyNow();
+        exchange.step(now);
+        board.digestRequested = true;
+        exchange.step(now + std::chrono::milliseconds(900));
+        const bool early = !board.digestRequested;
+        exchange.step(now + std::chrono::milliseconds(1100));
+        BOOST_TEST(!board.digestRequested);
+        return early;
+    };
+    BOOST_TEST(sentEarly(""));
+    BOOST_TEST(!sentEarly("immediate_digests"));
+}
--- a/testing/router_board_looptest.cc
+++ b/testing/router_board_looptest.cc
@@ -5,7 +5,9 @@
 
 #include <algorithm>
 #include <map>
+#include <memory>
 #include <string>
+#include <string_view>
 
 using namespace burdockhold;
 
@@ -148,3 +150,31 @@
     BOOST_TEST(board.nextAnnouncedVersion("m", 4) == 5);
     BOOST_TEST(board.nextAnnouncedVersion("m", 5) == 0);
 }
+
+// Guards against switches of the board that change nothing.
+BOOST_AUTO_TEST_CASE(disabledSlackAndReturnsAreNotUsed)
+{
+    const auto boardWithout = [](std::string_view names) {
+        router_settings changed = settings();
+        changed.mechanisms = valueOf(parseDisabledMechanisms(names));
+        return std::make_unique<router_board>(changed);
+    };
+    const time_point now = steadyNow();
+    // Without the guard, half of the slack may be used at once after a start.
+    BOOST_TEST(boardWithout("start_guard")->tryRetry("pool", now));
+    BOOST_TEST(!boardWithout("start_guard,shared_retry_slack")->tryRetry("pool", now));
+    BOOST_TEST(!boardWithout("start_guard,shared_retry_slack")->tryOptionalRetry("pool", now));
+
+    deployment_account account;
+    account.name = "account";
+    account.ratePerSecond = 100.0;
+    account.burst = 1000.0;
+    const auto returned = [&](std::string_view names) {
+        const auto board = boardWithout(names);
+        board->accountQuota(account, now).tryAdmit(10.0, now);
+        board->returnTokens(account, 10.0, now);
+        return board->accountQuota(account, now).returnedTotal();
+    };
+    BOOST_TEST(returned("") == 10.0);
+    BOOST_TEST(returned("returned_tokens") == 0.0);
+}
--- a/testing/router_parts_test.cc
+++ b/testing/router_parts_test.cc
@@ -103,6 +103,22 @@
             !isOk(parseRouterSettings(replaced(validSettings, "lease_ms = 3000", "lease_ms = 0"))));
 }
 
+// Guards against a start with all mechanisms although the settings misspell or repeat one.
+BOOST_AUTO_TEST_CASE(disabledMechanismsAreRead)
+{
+    const auto disabled = [](const std::string &names) {
+        return parseRouterSettings(validSettings + "[mechanisms]\ndisabled = " + names + "\n");
+    };
+    BOOST_TEST(valueOf(parseRouterSettings(validSettings)).mechanisms.disabledNames().empty());
+    BOOST_TEST(valueOf(disabled("")).mechanisms.disabledNames().empty());
+    BOOST_TEST(valueOf(disabled("wait_queue, load_limit")).mechanisms.disabledNames()
+               == "wait_queue,load_limit");
+    for (const char *wrong : { "waitqueue", "wait_queue,wait_queue", "wait_queue,," }) {
+        BOOST_REQUIRE(!isOk(disabled(wrong)));
+        BOOST_TEST(errorOf(disabled(wrong)).context == "mechanisms.disabled");
+    }
+}
+
 // Guards against a start that fails because the platform added a key.
 BOOST_AUTO_TEST_CASE(unknownSettingsAreIgnored)
 {
