Take an account's demand without the tokens that are returned

Cause: shares of an account beyond its rate were computed from all tokens asked for. A request that every endpoint refused returned its tokens but stayed in the demand, so accounts well within their rate were held to shares while engines refused, and a VM's share began empty.

Change: demand and rates of other VMs are without returned tokens; a share starts with its part of what is left in the bucket; while shares apply, a large request does not overdraw the bucket.

quota_fleet_test's bound for a restart of all VMs is 1 % again.

--- a/burdockhold/quota_ledger.cc
+++ b/burdockhold/quota_ledger.cc
@@ -64,22 +64,35 @@
 {
     refill(now);
     m_requested += cost;
+    // Shares already leave to the other VMs what they may have admitted since their last totals.
+    const double unreported = m_shareUntil ? 0.0 : estimateUnreported(now);
     if (m_limit.ratePerSecond > 0.0
-        && (m_level - estimateUnreported(now) < AdmitShare * std::min(cost, cap())
-            || !tryChargeShare(cost)))
+        && (m_level - unreported < requiredLevel(cost) || !tryChargeShare(cost)))
         return false;
     m_level -= cost;
     m_admitted += cost;
     return true;
 }
 
+/// Returns the level at which a request of this cost is admitted. While this VM is limited to its
+/// share, a large request does not overdraw the bucket, unless it costs more than half of it, since
+/// all small ones would be refused until the bucket has refilled.
+double quota_ledger::requiredLevel(double cost) const
+{
+    const double required = AdmitShare * std::min(cost, cap());
+    if (!m_shareUntil || cost <= shareCap())
+        return required;
+    return std::max(required, std::min(cost, cap() / 2.0));
+}
+
 void quota_ledger::returnTokens(double cost, time_point now)
 {
     refill(now);
     m_returned = std::min(m_admitted, m_returned + cost);
     m_level = std::min(cap(), m_level + cost);
     if (m_shareLevel)
-        *m_shareLevel = std::min(std::max(*m_shareLevel, shareCap()), *m_shareLevel + cost);
+        *m_shareLevel = std::min(std::max({ *m_shareLevel, shareCap(), m_share * cap() }),
+                                 *m_shareLevel + cost);
 }
 
 /// Charges the cost to this VM's share of the rate and returns true if it fits. Always true while
@@ -88,12 +101,8 @@
 {
     if (!m_shareUntil)
         return true;
-    // Small shares start at different phases; a VM with nearly the whole rate starts at once. Just
-    // after its start, a VM may also use its share of the burst that it assumes is left.
-    if (!m_shareLevel) {
-        const double burstShare = m_starting ? m_share * m_limit.burst * m_options.startShare : 0.0;
-        m_shareLevel = burstShare - cost * initialPhase(m_options.phaseSeed) * (1.0 - m_share);
-    }
+    if (!m_shareLevel)
+        m_shareLevel = initialShareLevel(cost);
     if (*m_shareLevel >= 0.0) {
         *m_shareLevel -= cost;
         return true;
@@ -104,6 +113,17 @@
     return true;
 }
 
+/// Small shares start at different phases, so that this fraction of the VMs admits its first
+/// request; a VM with a large share may use its share of the bucket at once. Just after its start,
+/// that is its share of the burst that it assumes is left.
+double quota_ledger::initialShareLevel(double cost) const
+{
+    const double phase = initialPhase(m_options.phaseSeed) * (1.0 - m_share);
+    if (m_starting)
+        return m_share * m_limit.burst * m_options.startShare - cost * phase;
+    return std::max(m_share * std::max(0.0, m_level), cost * m_coveredDemand) - cost * phase;
+}
+
 void quota_ledger::applyPeerTotal(const std::string &peer, double total, time_point now,
                                   const quota_peer &kind)
 {
@@ -124,7 +144,12 @@
         m_groupAdmitted += total - peerState.reported;
         m_groupRequested += requested - peerState.reportedRequested;
     }
-    updatePeerRates(peerState, total, requested, now);
+    // A total of returned tokens above the admitted one is implausible and ignored.
+    const double returned = kind.returned <= total
+                                    ? std::max(0.0, kind.returned - peerState.reportedReturned)
+                                    : 0.0;
+    updatePeerRates(peerState, total - peerState.reported - returned,
+                    requested - peerState.reportedRequested - returned, now);
     peerState.reportedRequested = requested;
     m_level = std::min(cap(), m_level - (total - peerState.reported - peerState.assumed));
     peerState.charged += total - peerState.reported;
@@ -132,17 +157,13 @@
     peerState.assumed = 0.0;
     peerState.reportedAt = now;
     peerState.chargedAt = now;
-    creditReturned(peerState, kind);
+    creditReturned(peerState, returned, kind);
 }
 
-/// Credits what the peer has returned since its last total. A total above the admitted one is
-/// implausible and ignored.
-void quota_ledger::creditReturned(peer_state &peerState, const quota_peer &kind)
+/// Credits what the peer has returned since its last total, up to what this VM has charged for it.
+void quota_ledger::creditReturned(peer_state &peerState, double increase, const quota_peer &kind)
 {
-    const double increase = kind.returned - peerState.reportedReturned;
-    if (!(increase > 0.0) || kind.returned > peerState.reported)
-        return;
-    peerState.reportedReturned = kind.returned;
+    peerState.reportedReturned += increase;
     const double credit = std::min(increase, peerState.charged);
     if (kind.inOwnGroup)
         m_groupReturned += credit;
@@ -150,7 +171,9 @@
     m_level = std::min(cap(), m_level + credit);
 }
 
-void quota_ledger::updatePeerRates(peer_state &peerState, double total, double requested,
+/// Takes the increases since the peer's last total. They are negative while more is returned than
+/// requested.
+void quota_ledger::updatePeerRates(peer_state &peerState, double admitted, double requested,
                                    time_point now)
 {
     const double seconds = toSeconds(now - peerState.reportedAt);
@@ -160,11 +183,8 @@
                                   ? std::min(1.0, seconds / toSeconds(m_options.rateWindow))
                                   : 1.0;
     peerState.hasRates = true;
-    peerState.ratePerSecond += weight
-                               * ((total - peerState.reported) / seconds - peerState.ratePerSecond);
-    peerState.requestedPerSecond += weight
-                                    * ((requested - peerState.reportedRequested) / seconds
-                                       - peerState.requestedPerSecond);
+    peerState.ratePerSecond += weight * (admitted / seconds - peerState.ratePerSecond);
+    peerState.requestedPerSecond += weight * (requested / seconds - peerState.requestedPerSecond);
 }
 
 void quota_ledger::updateOwnRate(time_point now)
@@ -173,10 +193,10 @@
     if (seconds < MinRateSeconds)
         return;
     const double weight = std::min(1.0, seconds / toSeconds(m_options.rateWindow));
+    const double requested = m_requested - m_returned;
     m_requestedPerSecond += weight
-                            * ((m_requested - m_requestedAtUpdate) / seconds
-                               - m_requestedPerSecond);
-    m_requestedAtUpdate = m_requested;
+                            * ((requested - m_requestedAtUpdate) / seconds - m_requestedPerSecond);
+    m_requestedAtUpdate = requested;
     m_ownRateUpdatedAt = now;
 }
 
@@ -186,7 +206,7 @@
     double otherDemand = 0.0;
     std::size_t vmsWithRates = 0;
     for (const auto &row : m_peers) {
-        otherDemand += row.second.requestedPerSecond;
+        otherDemand += std::max(0.0, row.second.requestedPerSecond);
         vmsWithRates += row.second.hasRates ? row.second.vms : 0;
     }
     const double known = static_cast<double>(knownPeers);
@@ -200,9 +220,12 @@
     // VMs whose rates are unknown are assumed to have the average demand of the known ones.
     const double missing = std::max(0.0, known - static_cast<double>(vmsWithRates));
     const double ratedVms = static_cast<double>(vmsWithRates) + 1.0;
-    const double totalDemand = (m_requestedPerSecond + otherDemand) * (1.0 + missing / ratedVms);
+    const double ownDemand = std::max(0.0, m_requestedPerSecond);
+    const double totalDemand = (ownDemand + otherDemand) * (1.0 + missing / ratedVms);
+    const double left = std::max(0.0, m_level - estimateUnreported(now));
     const bool exceedsThreshold = totalDemand > m_options.shareThreshold * m_limit.ratePerSecond;
-    if (exceedsThreshold && (m_shareUntil || m_level < cap() / 2.0))
+    const double limitBelow = std::max(cap() / 2.0, (totalDemand - ownDemand) * reportAgeSeconds());
+    if (exceedsThreshold && (m_shareUntil || m_level < limitBelow))
         m_shareUntil = now + m_options.shareHoldTime;
     else if (wasStarting)
         m_shareUntil = now; // The demand at all VMs is now known to fit the rate.
@@ -210,7 +233,15 @@
         m_shareUntil.reset();
         m_shareLevel.reset();
     }
-    m_share = totalDemand > 0.0 ? m_requestedPerSecond / totalDemand : 1.0;
+    m_share = totalDemand > 0.0 ? ownDemand / totalDemand : 1.0;
+    const double covered = m_limit.ratePerSecond + left / reportAgeSeconds();
+    m_coveredDemand = totalDemand > covered ? covered / totalDemand : 1.0;
+}
+
+/// Returns the mean age of the other VMs' totals.
+double quota_ledger::reportAgeSeconds() const
+{
+    return std::max(MinRateSeconds, m_options.meanReportAge * toSeconds(m_reportInterval));
 }
 
 void quota_ledger::rebasePeerTotal(const std::string &peer, double total, time_point now,
@@ -291,7 +322,7 @@
     if (m_limit.ratePerSecond <= 0.0)
         return duration::zero();
     const double level = m_level + toSeconds(now - m_refilledAt) * rate();
-    const double missing = AdmitShare * std::min(cost, cap()) - level;
+    const double missing = requiredLevel(cost) - level;
     const double shareDeficit = m_share > 0.0 ? -m_shareLevel.value_or(0.0) / m_share : 0.0;
     return fromSeconds(std::max({ 0.0, missing, shareDeficit }) / rate());
 }
@@ -311,7 +342,8 @@
     double tokens = 0.0;
     for (const auto &[name, peerState] : m_peers) {
         if (now - peerState.reportedAt <= m_silenceAfter)
-            tokens += peerState.ratePerSecond * toSeconds(now - peerState.reportedAt);
+            tokens += std::max(0.0, peerState.ratePerSecond)
+                      * toSeconds(now - peerState.reportedAt);
     }
     return tokens;
 }
--- a/burdockhold/quota_ledger.h
+++ b/burdockhold/quota_ledger.h
@@ -8,8 +8,9 @@
 // While the account's demand exceeds its rate, the bucket alone is not enough: every VM would admit
 // requests against tokens that other VMs have already used but not yet reported. During that time,
 // and after a start until the demand at the other VMs is known, a VM also limits itself to its
-// share of the rate: the demand at this VM as a fraction of the demand at all VMs. A share is often
-// smaller than one request, so each VM starts at a different phase, and the VMs together admit as
+// share of the rate and of the bucket: the demand at this VM as a fraction of the demand at all
+// VMs. A share is often smaller than one request, so each VM starts at a different phase: the VMs
+// together first admit the fraction of the demand that the rate and the bucket cover, and then as
 // many requests as the rate allows.
 //
 // Part of a share is kept for small requests. Load pattern: an account beyond its rate sends a few
@@ -19,7 +20,8 @@
 // The limit counts what runs. A request that was admitted but refused by every endpoint returns its
 // tokens. Load pattern: engines refuse calls for seconds while callers come back as told; if each
 // attempt were charged, accounts well within their rate would be refused for longer than the
-// engines.
+// engines. For the same reason the demand and the rates of other VMs are those of tokens that are
+// not returned.
 //
 // Promises:
 // - Counters in digests are totals, so a lost or duplicated digest has no effect once a later one
@@ -62,11 +64,14 @@
     /// the demand at most of the others sooner. Covers several digests at the longest digest
     /// interval.
     duration evenRateDuration = std::chrono::seconds(3);
-    /// VMs limit themselves to their shares from when half of the burst is used until the account's
+    /// VMs limit themselves to their shares from when half of the burst is used, or sooner if the
+    /// demand at the other VMs within meanReportAge exceeds what is left, until the account's
     /// demand at all VMs has been below this fraction of the rate for shareHoldTime, because demand
     /// changes within seconds.
     double shareThreshold = 0.9;
-    duration shareHoldTime = std::chrono::seconds(1);
+    duration shareHoldTime = std::chrono::milliseconds(700);
+    /// Mean age of the other VMs' totals, as a fraction of the report interval.
+    double meanReportAge = 0.5;
     /// Burst of a VM's share, as time at the share's rate, because requests arrive unevenly.
     duration shareBurst = std::chrono::milliseconds(200);
     /// Fraction of the share that is kept for requests that fit into the share's burst. A larger
@@ -132,6 +137,7 @@
     /// Sets the longest time between two totals of another VM when no digest is lost.
     void setReportInterval(duration interval)
     {
+        m_reportInterval = interval;
         m_silenceAfter = std::max<duration>(m_options.silenceAfter,
                                             m_options.lostDigests * interval);
     }
@@ -175,8 +181,8 @@
         time_point chargedAt;
         std::size_t vms = 1;
         double reportedRequested = 0.0;
-        double requestedPerSecond = 0.0;
-        bool hasRates = false; // Two totals have arrived.
+        double requestedPerSecond = 0.0; // Without returned tokens, like ratePerSecond.
+        bool hasRates = false;           // Two totals have arrived.
         double reportedReturned = 0.0;
         double charged = 0.0; // Charged for this peer's incarnation and not credited again.
     };
@@ -187,11 +193,14 @@
     void refillShare(double seconds);
     double estimateUnreported(time_point now) const;
     void refill(time_point now);
-    void creditReturned(peer_state &peerState, const quota_peer &kind);
-    void updatePeerRates(peer_state &peerState, double total, double requested, time_point now);
+    void creditReturned(peer_state &peerState, double increase, const quota_peer &kind);
+    void updatePeerRates(peer_state &peerState, double admitted, double requested, time_point now);
     void updateOwnRate(time_point now);
+    double reportAgeSeconds() const;
     void updateShare(std::size_t knownPeers, time_point now);
+    double requiredLevel(double cost) const;
     bool tryChargeShare(double cost);
+    double initialShareLevel(double cost) const;
 
     quota_ledger_options m_options;
     quota_limit m_limit;
@@ -204,16 +213,18 @@
     double m_groupRequested = 0.0;
     double m_returned = 0.0;
     double m_groupReturned = 0.0;
-    double m_requestedPerSecond = 0.0; // Demand at this VM.
-    double m_requestedAtUpdate = 0.0;  // m_requested at m_ownRateUpdatedAt.
+    double m_requestedPerSecond = 0.0; // Demand at this VM without returned tokens.
+    double m_requestedAtUpdate = 0.0;  // Requested and not returned by m_ownRateUpdatedAt.
     time_point m_ownRateUpdatedAt;
     time_point m_startedAt;
     bool m_starting = false;                // The demand at the other VMs is not known yet.
     double m_share = 1.0;                   // This VM's fraction of the rate.
+    double m_coveredDemand = 1.0;           // Fraction of the demand that rate and bucket cover.
     std::optional<time_point> m_shareUntil; // Set while this VM is limited to its share.
     // Bucket of the share; admits at 0 or more. Unset before the first request.
     std::optional<double> m_shareLevel;
     double m_reserveLevel = 0.0; // Bucket of the part of the share that is kept for small requests.
+    duration m_reportInterval = std::chrono::milliseconds(200);
     duration m_silenceAfter;
     time_point m_refilledAt;
     std::map<std::string, peer_state, std::less<>> m_peers;
--- a/testing/quota_fleet_test.cc
+++ b/testing/quota_fleet_test.cc
@@ -291,6 +291,29 @@
         vms.start(one, now);
 }
 
+/// Plays endpoints that refuse most calls for four seconds, with demand at half of the rate.
+/// Returns the fraction of the attempts from then on that the limit refused although the reference
+/// had the tokens.
+double wrongfulShareWhileEndpointsRefuse(std::size_t size, unsigned seed, bool returnsTokens)
+{
+    deployment_model vms(size, seed);
+    vms.returnsTokens = returnsTokens;
+    startAll(vms, 0.0);
+    vms.notRunShare = [](double now) { return now >= 6.0 && now < 10.0 ? 0.9 : 0.0; };
+    std::size_t attemptsBefore = 0;
+    std::size_t refusedBefore = 0;
+    vms.run(
+            24.0, [](double) { return 0.5; },
+            [&](double now) {
+                if (now >= 6.0)
+                    return;
+                attemptsBefore = vms.attempts;
+                refusedBefore = vms.wronglyRefused;
+            });
+    return static_cast<double>(vms.wronglyRefused - refusedBefore)
+           / static_cast<double>(vms.attempts - attemptsBefore);
+}
+
 } // namespace
 
 // Guards against an exceeded limit when one account sends five times its rate and all VMs are
@@ -323,37 +346,65 @@
 
 // Guards against accounts that pay for requests that never ran: engines refuse most calls for four
 // seconds, callers come back, and an account at half of its rate was then refused for ten seconds.
-// The baseline is a ledger that keeps the tokens.
 BOOST_AUTO_TEST_CASE(accountWithinItsRateIsAdmittedWhileEndpointsRefuse)
 {
-    const auto wrongfulShare = [](std::size_t size, unsigned seed, bool returnsTokens) {
-        deployment_model vms(size, seed);
-        vms.returnsTokens = returnsTokens;
-        startAll(vms, 0.0);
-        vms.notRunShare = [](double now) { return now >= 6.0 && now < 10.0 ? 0.9 : 0.0; };
-        std::size_t attemptsBefore = 0;
-        std::size_t refusedBefore = 0;
-        vms.run(
-                24.0, [](double) { return 0.5; },
-                [&](double now) {
-                    if (now >= 6.0)
-                        return;
-                    attemptsBefore = vms.attempts;
-                    refusedBefore = vms.wronglyRefused;
-                });
-        return static_cast<double>(vms.wronglyRefused - refusedBefore)
-               / static_cast<double>(vms.attempts - attemptsBefore);
-    };
     for (const std::size_t size : fleetSizes) {
         for (const unsigned seed : seeds) {
-            const double kept = wrongfulShare(size, seed, false);
-            const double returned = wrongfulShare(size, seed, true);
+            const double refused = wrongfulShareWhileEndpointsRefuse(size, seed, true);
+            BOOST_TEST(refused <= 0.01, size << " VMs, seed " << seed << ": " << refused);
+        }
+    }
+}
+
+// The same load, compared with a ledger that keeps the tokens.
+BOOST_AUTO_TEST_CASE(returnedTokensHalveTheWrongfulRefusals)
+{
+    for (const std::size_t size : fleetSizes) {
+        for (const unsigned seed : seeds) {
+            const double kept = wrongfulShareWhileEndpointsRefuse(size, seed, false);
+            const double returned = wrongfulShareWhileEndpointsRefuse(size, seed, true);
             BOOST_TEST(returned <= 0.5 * kept,
                        size << " VMs, seed " << seed << ": " << returned << " of " << kept);
         }
     }
 }
 
+// Guards against refusals of an account within its rate after all VMs were killed and start again
+// within 0.3 s with nothing of what they knew.
+BOOST_AUTO_TEST_CASE(accountWithinItsRateIsAdmittedAfterARestartOfAllVms)
+{
+    for (const std::size_t size : { 7U, 71U }) {
+        for (const unsigned seed : seeds) {
+            deployment_model vms(size, seed);
+            startAll(vms, 0.0);
+            std::uniform_real_distribution<double> delay(0.0, 0.3);
+            std::vector<double> startAt;
+            for (std::size_t vm = 0; vm < size; ++vm)
+                startAt.push_back(14.0 + delay(vms.random));
+            std::size_t attemptsBefore = 0;
+            std::size_t refusedBefore = 0;
+            vms.run(
+                    26.0, [](double) { return 0.5; },
+                    [&](double now) {
+                        if (now < 13.0) {
+                            attemptsBefore = vms.attempts;
+                            refusedBefore = vms.wronglyRefused;
+                        }
+                        for (std::size_t vm = 0; vm < size; ++vm) {
+                            member &one = vms.members[vm];
+                            if (now >= 13.0 && now < startAt[vm])
+                                vms.stop(one);
+                            else if (!one.ledger)
+                                vms.start(one, now);
+                        }
+                    });
+            const double refused = static_cast<double>(vms.wronglyRefused - refusedBefore)
+                                   / static_cast<double>(vms.attempts - attemptsBefore);
+            BOOST_TEST(refused <= 0.01, size << " VMs, seed " << seed << ": " << refused);
+        }
+    }
+}
+
 // Guards against returned tokens that are credited twice, or by VMs that never charged them:
 // through lost digests, a network partition and a restart of all VMs, what runs stays within the
 // limit.
