Block requests whose prompt segments crash endpoints

Cause: a crash counted as a failure of the endpoint only. Each repeat, by a router or a caller, took the next engine; nothing remembered over all VMs what the lost requests had in common. Class: a retry without a memory of what the request did to the endpoint.

Ruled out: crashes by load or of one host (the lost requests would share nothing), and sound requests mistaken for the others (they ended as no_endpoint, with three to five of nine engines down).

Change: fingerprints of segments get a strike for each crash and are cleared by an answer to any request that has them, at all VMs, by digests. Three strikes block, five for a segment that was answered before. Blocks are kept in the log, so they outlive a restart of all VMs; slots of trials end them. Why it works: a sound segment is answered between two crashes, a deadly one never.

--- a/burdockhold/decision_log.h
+++ b/burdockhold/decision_log.h
@@ -44,6 +44,12 @@
     CallEnded,
     PoolFull,
     OverQuota,
+    EndpointCrashed,
+    RequestBlocked,
+    FingerprintBlocked,
+    FingerprintCleared,
+    TrialStarted,
+    CrashRecordRefused,
     HandlerFailed,
     LinesDropped,
 };
@@ -51,7 +57,7 @@
 template <>
 struct enum_names<log_event>
 {
-    static constexpr std::array<enum_name<log_event>, 20> Table{ {
+    static constexpr std::array<enum_name<log_event>, 26> Table{ {
             { log_event::Started, "started" },
             { log_event::Stopping, "stopping" },
             { log_event::Stopped, "stopped" },
@@ -70,6 +76,12 @@
             { log_event::CallEnded, "call_ended" },
             { log_event::PoolFull, "pool_full" },
             { log_event::OverQuota, "over_quota" },
+            { log_event::EndpointCrashed, "endpoint_crashed" },
+            { log_event::RequestBlocked, "request_blocked" },
+            { log_event::FingerprintBlocked, "fingerprint_blocked" },
+            { log_event::FingerprintCleared, "fingerprint_cleared" },
+            { log_event::TrialStarted, "trial_started" },
+            { log_event::CrashRecordRefused, "crash_record_refused" },
             { log_event::HandlerFailed, "handler_failed" },
             { log_event::LinesDropped, "lines_dropped" },
     } };
--- a/burdockhold/digest_exchange.cc
+++ b/burdockhold/digest_exchange.cc
@@ -25,6 +25,8 @@
 constexpr int SupersedeAfterSummaries = 2;
 /// Upper bound for the interval that a summary states; a link that slow is useless for summaries.
 constexpr duration MaxSummaryInterval = std::chrono::seconds(5);
+/// Crashes that a peer may report of one fingerprint; more than it keeps by default.
+constexpr std::size_t MaxReportedCrashes = 16;
 /// Pools and models whose load times are kept; any sender in the network can state some.
 constexpr std::size_t MaxPeerLoadTimes = 256;
 
@@ -333,6 +335,7 @@
     m_board.endpoints.fillDigest(digest, now);
     digest.duties = m_board.ownDuties;
     digest.loadTimes = m_board.ownLoadTimes;
+    digest.crashes = m_board.crashes.digestRows(now);
     addAnnouncedVersions(digest);
     digest.storedSegments = m_board.storedSegments.nextAnnouncement();
     for (const auto &[address, until] : m_board.storeUnavailableUntil) {
@@ -372,6 +375,18 @@
     }
 }
 
+void digest_exchange::recordCrashes(const vm_digest &digest, time_point now)
+{
+    for (const crash_row &row : digest.crashes) {
+        if (row.crashes.size() > MaxReportedCrashes) {
+            m_board.metrics.count(router_counter::DigestRowsRejected);
+            continue;
+        }
+        if (m_board.crashes.applyPeerRow(row, now))
+            m_board.logFingerprintBlocked(row.fingerprint, digest.vm, now);
+    }
+}
+
 /// Adds the newest versions of each model. Engines are rarely further behind.
 void digest_exchange::addAnnouncedVersions(vm_digest &digest) const
 {
@@ -510,6 +525,7 @@
     for (const std::uint32_t segment : digest.storedSegments)
         m_board.storedSegments.applyPeerStored(segment, now);
     recordUnavailableStores(digest, now);
+    recordCrashes(digest, now);
 }
 
 void digest_exchange::applyTotals(const vm_digest &digest, bool restarted, bool isLocalVm,
--- a/burdockhold/digest_exchange.h
+++ b/burdockhold/digest_exchange.h
@@ -122,6 +122,7 @@
     vm_digest ownDigest(time_point now);
     void recordLoadTimes(const vm_digest &digest);
     void recordUnavailableStores(const vm_digest &digest, time_point now);
+    void recordCrashes(const vm_digest &digest, time_point now);
     void addAnnouncedVersions(vm_digest &digest) const;
     void applyTotals(const vm_digest &digest, bool restarted, bool isLocalVm, time_point now);
 
--- a/burdockhold/digest_summary.cc
+++ b/burdockhold/digest_summary.cc
@@ -55,6 +55,38 @@
         best = row;
 }
 
+constexpr std::size_t MaxCrashesPerRow = 16; // So that a summary fits into a datagram.
+
+/// Unites the crashes, each with the oldest report, and keeps the newest answer and trial.
+void mergeInto(crash_row &sum, const crash_row &row)
+{
+    sum.answeredAgeMs = std::min(sum.answeredAgeMs, row.answeredAgeMs);
+    sum.trialAgeMs = std::min(sum.trialAgeMs, row.trialAgeMs);
+    for (const crash_report_row &reported : row.crashes) {
+        const auto known = std::find_if(
+                sum.crashes.begin(), sum.crashes.end(),
+                [&](const crash_report_row &other) { return other.crash == reported.crash; });
+        if (known == sum.crashes.end() && sum.crashes.size() < MaxCrashesPerRow)
+            sum.crashes.push_back(reported);
+        else if (known != sum.crashes.end())
+            known->ageMs = std::max(known->ageMs, reported.ageMs);
+    }
+}
+
+/// Keeps the rows with the most crashes, so that a summary fits into a datagram.
+std::vector<crash_row> strongestCrashRows(std::vector<crash_row> rows)
+{
+    constexpr std::size_t MaxRows = 64;
+    const auto weight = [](const crash_row &row) {
+        constexpr std::size_t ClearanceWeight = 3; // Without it other VMs keep a block.
+        return row.crashes.empty() ? ClearanceWeight : row.crashes.size();
+    };
+    std::stable_sort(rows.begin(), rows.end(),
+                     [&](const crash_row &a, const crash_row &b) { return weight(a) > weight(b); });
+    rows.resize(std::min(rows.size(), MaxRows));
+    return rows;
+}
+
 /// Returns the rows of all members; rows with equal keys are merged.
 template <typename Row, typename Rows, typename Key>
 std::vector<Row> mergedRows(const std::vector<const vm_digest *> &members, Rows rowsOf, Key keyOf)
@@ -116,6 +148,9 @@
     summary.loadTimes = mergedRows<load_time_row>(
             members, [](digest_ref d) -> const auto & { return d.loadTimes; },
             [](const load_time_row &row) { return std::make_pair(row.pool, row.model); });
+    summary.crashes = strongestCrashRows(mergedRows<crash_row>(
+            members, [](digest_ref d) -> const auto & { return d.crashes; },
+            [](const crash_row &row) { return row.fingerprint; }));
     summary.storedSegments = unionOf(
             members, [](digest_ref d) -> const auto & { return d.storedSegments; });
     summary.unavailableStores = unionOf(
--- a/burdockhold/event_router.cc
+++ b/burdockhold/event_router.cc
@@ -69,6 +69,7 @@
     acceptCallers();
     acceptReadiness();
     announce();
+    m_crashRecords->load();
     scheduleTick();
     runGuarded(m_io, [this](const std::string &text) { handlerFailed(text); });
     return {};
@@ -88,6 +89,7 @@
     if (!logServer)
         return "log.address: not an IP:PORT address: " + m_board.settings.logAddress;
     m_duties = std::make_unique<duty_controller>(m_io, m_board, *logServer);
+    m_crashRecords = std::make_unique<crash_records>(m_io, m_board, *logServer);
     m_announceConnection = std::make_shared<log_connection>(m_io, *logServer);
     std::string error = listen(m_callerAcceptor, m_board.settings.callerAddress);
     if (error.empty())
@@ -369,6 +371,7 @@
 {
     const time_point now = steadyNow();
     m_board.endpoints.step(m_board.digestInterval, now);
+    m_board.crashes.step(now);
     for (auto *ledgers : m_board.sharedLimits()) {
         for (auto &[name, ledger] : *ledgers) {
             ledger.setReportInterval(m_board.digestInterval);
@@ -376,6 +379,7 @@
         }
     }
     m_duties->step(now);
+    m_crashRecords->step(now);
     m_digests.step(now);
     m_views.step(now);
     const migratable_requests migratable = m_migratable;
--- a/burdockhold/event_router.h
+++ b/burdockhold/event_router.h
@@ -6,6 +6,7 @@
 // the load balancer's readiness probes and shuts down.
 
 #include "burdockhold/caller_connection.h"
+#include "burdockhold/crash_records.h"
 #include "burdockhold/digest_exchange.h"
 #include "burdockhold/duty_controller.h"
 #include "burdockhold/router_board.h"
@@ -69,6 +70,7 @@
     digest_exchange m_digests;
     view_controller m_views;
     std::unique_ptr<duty_controller> m_duties;
+    std::unique_ptr<crash_records> m_crashRecords;
     boost::asio::ip::tcp::acceptor m_callerAcceptor;
     boost::asio::ip::tcp::acceptor m_readyAcceptor;
     boost::asio::signal_set m_signals;
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -1,5 +1,6 @@
 #include "burdockhold/routed_request.h"
 
+#include "burdockhold/crash_reports.h"
 #include "burdockhold/enum_names.h"
 #include "burdockhold/placement_log.h"
 #include "burdockhold/prompt_segments.h"
@@ -95,6 +96,7 @@
     m_pool = m_deployment->findPool(m_poolName);
     m_priority = requestPriority(*m_route, m_account, board.settings.mechanisms);
     m_context.board.countRequest(m_poolName, steadyNow());
+    m_fingerprints = fingerprintsOf(m_request, m_account == nullptr ? "" : m_account->name);
     startTimer();
     if (!place())
         enterWaitQueue();
@@ -374,6 +376,8 @@
         return true;
     }
     const time_point now = steadyNow();
+    if (refuseIfBlocked(now))
+        return true;
     const placement_inputs inputs = placementInputs();
     const auto choice = chooseEndpoint(inputs.candidates, inputs.need, hashOf(m_request.attemptId),
                                        m_context.board.options.choice);
@@ -388,10 +392,36 @@
         m_queueTime = now - m_arrival;
         m_context.board.metrics.recordQueueWait(m_queueTime);
     }
+    if (m_trialOf) {
+        m_isTrial = true;
+        reportTrial(m_context.board, m_request.attemptId, *m_trialOf, now);
+    }
     startCall(inputs, *choice);
     return true;
 }
 
+/// Ends the request if what it contains has crashed endpoints. A stream that has started continues,
+/// since an endpoint has answered it.
+bool routed_request::refuseIfBlocked(time_point now)
+{
+    m_trialOf.reset();
+    if (m_responseStarted || (m_isTrial && !m_mayHaveRun))
+        return false;
+    const crash_verdict verdict = judgeRequest(m_context.board, m_request.attemptId, m_fingerprints,
+                                               now);
+    const auto *trial = std::get_if<trial_of_blocked>(&verdict);
+    if (trial != nullptr)
+        m_trialOf = trial->suspect;
+    const auto *blocked = std::get_if<blocked_request>(&verdict);
+    if (blocked == nullptr)
+        return false;
+    if (m_mayHaveRun)
+        fail(502, "crashes_endpoints");
+    else
+        refuse(503, "crashes_endpoints", blocked->nextTrial);
+    return true;
+}
+
 endpoint_call_fields routed_request::callFieldsFor(const std::string &endpointId) const
 {
     endpoint_call_fields fields;
@@ -451,7 +481,10 @@
     router_board &board = m_context.board;
     m_endpointId = std::string(endpointId);
     m_lastEndpointId = m_endpointId;
-    m_address = board.endpoints.find(m_endpointId)->address;
+    const endpoint_report *report = board.endpoints.find(m_endpointId);
+    m_address = report->address;
+    m_endpointIncarnation = report->incarnation;
+    m_answered = false;
     m_triedEndpoints.insert(m_endpointId);
     ++m_callsMade;
     m_expectedMs = choice.expectedMs;
@@ -579,6 +612,7 @@
     if (completeEvents.empty())
         return;
     m_lastProgress = steadyNow();
+    recordAnswer();
     if (!m_responseStarted) {
         m_responseStarted = true;
         m_writer.beginStream(m_head.status, m_head.forwardedFields);
@@ -586,6 +620,13 @@
     m_writer.sendStreamBytes(completeEvents);
 }
 
+void routed_request::recordAnswer()
+{
+    if (!m_answered)
+        reportAnswer(m_context.board, m_request.attemptId, m_fingerprints, steadyNow());
+    m_answered = true;
+}
+
 void routed_request::connectionEnded(http_outcome end)
 {
     callEnded(classifyEnd(end));
@@ -654,6 +695,10 @@
         m_mayHaveRun = true;
         ++m_runs;
     }
+    const bool ownFailure = end == call_end::Failed && !m_head.signature.empty()
+                            && m_head.attemptId == m_request.attemptId;
+    if (end == call_end::Complete || ownFailure)
+        recordAnswer();
     logCall(end);
     releaseCall();
 
@@ -669,21 +714,29 @@
     facts.timeLeft = m_deadline - now;
     if (end != call_end::Complete && end != call_end::NotSent)
         facts.retriesLeft = board.tryRetry(m_poolName, now);
-    if (needsTerminationCheck(facts))
-        checkTermination(facts);
+    const bool lostUnanswered = end == call_end::Broken && !m_answered;
+    if (lostUnanswered || needsTerminationCheck(facts))
+        checkTermination(facts, lostUnanswered);
     else
         takeStep(decideNextStep(facts));
 }
 
 /// Probes whether the endpoint has terminated, as far as one connection attempt can tell, and then
-/// takes the next step.
-void routed_request::checkTermination(const attempt_facts &facts)
+/// takes the next step. If the endpoint had not begun to answer, its termination is a crash that
+/// this request may have caused.
+void routed_request::checkTermination(const attempt_facts &facts, bool lostUnanswered)
 {
     checkConnect(m_context.io, m_address, TerminationCheckTimeout,
-                 [self = shared_from_this(), facts](connect_outcome outcome) {
+                 [self = shared_from_this(), facts, lostUnanswered](connect_outcome outcome) {
+                     const bool terminated = outcome == connect_outcome::Refused;
+                     if (terminated && lostUnanswered)
+                         reportCrash(self->m_context.board,
+                                     { self->m_request, self->m_fingerprints,
+                                       self->m_lastEndpointId, self->m_endpointIncarnation },
+                                     steadyNow());
                      if (self->m_ended)
                          return;
-                     if (outcome != connect_outcome::Refused) {
+                     if (!terminated || !needsTerminationCheck(facts)) {
                          self->takeStep(decideNextStep(facts));
                          return;
                      }
@@ -750,6 +803,9 @@
 {
     if (m_ended || m_endpointId.empty() || !m_connection || !m_connection->isConnected())
         return std::nullopt;
+    // Elsewhere it would be refused.
+    if (!m_responseStarted && m_context.board.crashes.isAnyBlocked(m_fingerprints, now))
+        return std::nullopt;
     const endpoint_table &endpoints = m_context.board.endpoints;
     return migration_facts{ endpoints.loadingFor(m_endpointId, now),
                             endpoints.silentFor(m_endpointId, now), now - m_lastProgress,
--- a/burdockhold/routed_request.h
+++ b/burdockhold/routed_request.h
@@ -75,7 +75,8 @@
     void pause();
     void resume();
 
-    /// Tries to place the request at an endpoint. Returns false if the request has to wait.
+    /// Tries to place the request at an endpoint. Returns false if the request has to wait,
+    /// and true if it was placed or has ended.
     bool place();
 
     /// Migrates to another endpoint if the current one is about to load weights: the endpoint would
@@ -135,7 +136,9 @@
     call_end classifyEnd(http_outcome end) const;
     void recordRefusal();
     void callEnded(call_end end);
-    void checkTermination(const attempt_facts &facts);
+    void checkTermination(const attempt_facts &facts, bool lostUnanswered);
+    bool refuseIfBlocked(time_point now);
+    void recordAnswer();
     void takeStep(const next_step &step);
     void releaseCall();
     void discardBody();
@@ -163,6 +166,8 @@
     // State of the current call.
     std::shared_ptr<http_client_connection> m_connection;
     std::string m_endpointId;
+    std::int64_t m_endpointIncarnation = 0;
+    bool m_answered = false; ///< The endpoint has begun to answer.
     std::string m_address;
     call_load m_load;
     bool m_prefillDone = false;
@@ -176,6 +181,9 @@
     std::int64_t m_expectedWeights = 0;
 
     // State of the request across all its calls.
+    std::vector<fingerprint> m_fingerprints;
+    std::optional<fingerprint> m_trialOf; ///< Blocked fingerprint that the next call tries out.
+    bool m_isTrial = false;               ///< A call has been sent as a trial.
     std::set<std::string> m_triedEndpoints;
     std::string m_lastEndpointId; ///< Endpoint of the last call; empty if none was made.
     int m_callsMade = 0;
--- a/burdockhold/router_board.cc
+++ b/burdockhold/router_board.cc
@@ -260,4 +260,16 @@
         accountQuota(account, now).returnTokens(tokens, now);
 }
 
+void router_board::logFingerprintBlocked(fingerprint suspect, std::string_view reportedBy,
+                                         time_point now)
+{
+    metrics.count(router_counter::FingerprintsBlocked);
+    if (log.accepts(log_priority::StateChange, now))
+        log.write(log_event::FingerprintBlocked,
+                  { { "fingerprint", formatFingerprint(suspect) },
+                    { "strikes", crashes.strikes(suspect, now) },
+                    { "reported_by", reportedBy } },
+                  now);
+}
+
 } // namespace burdockhold
--- a/burdockhold/router_board.h
+++ b/burdockhold/router_board.h
@@ -8,6 +8,7 @@
 // that resumes after a suspension are old.
 
 #include "burdockhold/clock.h"
+#include "burdockhold/crash_fingerprints.h"
 #include "burdockhold/decision_log.h"
 #include "burdockhold/decision_options.h"
 #include "burdockhold/deployment.h"
@@ -128,6 +129,10 @@
     /// Returns the account's quota over all VMs, created on first use.
     quota_ledger &accountQuota(const deployment_account &account, time_point now);
 
+    /// Logs that requests with this fingerprint are blocked from now on, and which VM reported the
+    /// crash that blocked them.
+    void logFingerprintBlocked(fingerprint suspect, std::string_view reportedBy, time_point now);
+
     /// Returns tokens that a request was charged for and has not used, since it has not run and
     /// never will.
     void returnTokens(const deployment_account &account, double tokens, time_point now);
@@ -164,6 +169,13 @@
     // Written by the routed requests (saves by this VM) and the digest exchange (saves by others).
     stored_segments storedSegments;
 
+    // Written by the routed requests (crashes and answers at this VM) and the digest exchange
+    // (those of other VMs).
+    crash_fingerprints crashes;
+    // Filled by the routed requests and emptied by the crash records: fingerprints whose record in
+    // the log is to be written or deleted.
+    std::set<fingerprint> crashRecordsDue;
+
     // Written by the routed requests: bytes of responses that are buffered until complete.
     std::size_t bufferedBytes = 0;
 
--- a/burdockhold/router_metrics.h
+++ b/burdockhold/router_metrics.h
@@ -37,12 +37,15 @@
     StalledStreams,
     HandlerFailures,
     DigestRowsRejected,
+    RefusedCrashing,
+    RequestsLostInCrashes,
+    FingerprintsBlocked,
 };
 
 template <>
 struct enum_names<router_counter>
 {
-    static constexpr std::array<enum_name<router_counter>, 20> Table{ {
+    static constexpr std::array<enum_name<router_counter>, 23> Table{ {
             { router_counter::Requests, "requests" },
             { router_counter::Served, "served" },
             { router_counter::RefusedNotRun, "refused_not_run" },
@@ -63,6 +66,9 @@
             { router_counter::StalledStreams, "stalled_streams" },
             { router_counter::HandlerFailures, "handler_failures" },
             { router_counter::DigestRowsRejected, "digest_rows_rejected" },
+            { router_counter::RefusedCrashing, "refused_crashing" },
+            { router_counter::RequestsLostInCrashes, "requests_lost_in_crashes" },
+            { router_counter::FingerprintsBlocked, "fingerprints_blocked" },
     } };
 };
 
--- a/burdockhold/vm_digest.h
+++ b/burdockhold/vm_digest.h
@@ -92,6 +92,25 @@
     MSGPACK_DEFINE_ARRAY(pool, model, drainMs, loadMs, fastestMs, limitTenths, storeIsLimit)
 };
 
+/// A crash of an endpoint, identified by crashId().
+struct crash_report_row
+{
+    std::uint32_t crash = 0;
+    std::uint32_t ageMs = 0;
+    MSGPACK_DEFINE_ARRAY(crash, ageMs)
+};
+
+/// What is known of a fingerprint of requests that were lost in crashes (crash_fingerprints.h).
+struct crash_row
+{
+    std::uint64_t fingerprint = 0;
+    std::vector<crash_report_row> crashes; ///< That the sender knows of, own or reported.
+    std::uint32_t answeredAgeMs = NoTime;  ///< Age of the last answer that the sender saw itself.
+    std::uint32_t trialAgeMs = NoTime;     ///< Age of the last trial that the sender knows of.
+    static constexpr std::uint32_t NoTime = UINT32_MAX;
+    MSGPACK_DEFINE_ARRAY(fingerprint, crashes, answeredAgeMs, trialAgeMs)
+};
+
 struct vm_digest
 {
     std::string vm;
@@ -116,10 +135,11 @@
     /// In a summary, the time until the next one is sent; 0 from an older build.
     std::uint32_t intervalMs = 0;
     std::vector<load_time_row> loadTimes; ///< Empty from an older build.
+    std::vector<crash_row> crashes;       ///< Empty from an older build.
     MSGPACK_DEFINE_ARRAY(vm, incarnation, number, leaving, accounts, endpoints, weights,
                          storedSegments, unavailableStores, duties, announcedVersions,
                          departedEndpoints, dataCentre, aggregator, vms, capacity, intervalMs,
-                         loadTimes)
+                         loadTimes, crashes)
 
     bool isSummary() const { return !aggregator.empty(); }
 };
--- a/cmake/router.cmake
+++ b/cmake/router.cmake
@@ -1,10 +1,10 @@
 # The event-loop router and its adapter to the platform. It needs neither cpprest nor nng nor
 # log4cxx, so the platform builds it alone: -DBURDOCKHOLD_ROUTER_ONLY=ON.
 set(ROUTER_DECISIONS
-    attempt_rules.cc decision_log.cc decision_options.cc deployment.cc digest_summary.cc
-    duty_lease.cc endpoint_choice.cc endpoint_health.cc endpoint_table.cc event_splitter.cc
-    mechanisms.cc placement_log.cc prompt_segments.cc quota_ledger.cc router_metrics.cc
-    router_settings.cc segment_transfer.cc stored_segments.cc
+    attempt_rules.cc crash_fingerprints.cc decision_log.cc decision_options.cc deployment.cc
+    digest_summary.cc duty_lease.cc endpoint_choice.cc endpoint_health.cc endpoint_table.cc
+    event_splitter.cc mechanisms.cc placement_log.cc prompt_segments.cc quota_ledger.cc
+    router_metrics.cc router_settings.cc segment_transfer.cc stored_segments.cc
     topic_changelog.cc view_message.cc view_source.cc vm_digest.cc weights_load_estimator.cc
     weights_rollout.cc)
 list(TRANSFORM ROUTER_DECISIONS PREPEND ${CMAKE_SOURCE_DIR}/burdockhold/)
--- a/testing/support_platform.cc
+++ b/testing/support_platform.cc
@@ -20,6 +20,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
+#include <iterator>
 
 extern char **environ;
 
@@ -275,6 +276,15 @@
     m_topics[topic].push_back({ key, {}, true });
 }
 
+std::set<std::string> fake_log_service::keys(const std::string &topic)
+{
+    const std::lock_guard lock(m_mutex);
+    std::set<std::string> found;
+    for (const record &entry : m_topics[topic])
+        found.insert(entry.key);
+    return found;
+}
+
 bool fake_log_service::respond(const recorded_request &request, response_socket &socket)
 {
     const std::string topic = queryValue(request.target, "topic");
@@ -358,6 +368,7 @@
     : m_callerAddress(freeAddress())
     , m_readyAddress(freeAddress())
     , m_settingsFile("/tmp/burdockhold-router-" + std::to_string(::getpid()) + ".ini")
+    , m_logFile(m_settingsFile + ".log")
 {
     const std::string peerAddress = freeAddress();
     m_peerPort = std::stoi(peerAddress.substr(peerAddress.find(':') + 1));
@@ -377,7 +388,8 @@
     char *arguments[] = { program.data(), argument.data(), nullptr };
     posix_spawn_file_actions_t actions;
     ::posix_spawn_file_actions_init(&actions);
-    ::posix_spawn_file_actions_addopen(&actions, 1, "/dev/null", O_WRONLY, 0);
+    ::posix_spawn_file_actions_addopen(&actions, 1, m_logFile.c_str(), O_WRONLY | O_CREAT | O_TRUNC,
+                                       0600);
     BOOST_REQUIRE(::posix_spawn(&m_process, program.c_str(), &actions, nullptr, arguments, environ)
                   == 0);
     ::posix_spawn_file_actions_destroy(&actions);
@@ -388,6 +400,13 @@
     ::kill(m_process, SIGKILL);
     ::waitpid(m_process, nullptr, 0);
     ::unlink(m_settingsFile.c_str());
+    ::unlink(m_logFile.c_str());
+}
+
+std::string router_process::logText() const
+{
+    std::ifstream file(m_logFile);
+    return { std::istreambuf_iterator<char>(file), {} };
 }
 
 void router_process::terminate() const
--- a/testing/support_platform.h
+++ b/testing/support_platform.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -95,6 +96,9 @@
     void put(const std::string &topic, const std::string &key, const std::string &value);
     void remove(const std::string &topic, const std::string &key);
 
+    /// Returns the keys of all records that were written to the topic.
+    std::set<std::string> keys(const std::string &topic);
+
     /// While true, every call gets status 503.
     void setUnavailable(bool unavailable) { m_unavailable = unavailable; }
 
@@ -138,6 +142,10 @@
     router_process &operator=(const router_process &) = delete;
 
     std::string callerAddress() const { return m_callerAddress; }
+    std::string readyAddress() const { return m_readyAddress; }
+
+    /// Returns the lines that the process has logged.
+    std::string logText() const;
     void terminate() const;
     bool hasExited() const;
 
@@ -156,6 +164,7 @@
     std::string m_callerAddress;
     std::string m_readyAddress;
     std::string m_settingsFile;
+    std::string m_logFile;
     int m_peerPort = 0;
 };
 
