Bound and judge the traffic of a new software version

Cause: the platform's order to roll out (op/rollout) was not read and an endpoint's software version not decoded, so new engines were chosen like all others. Class: an unknown state taken for the usual one. Ruled out: evidence that is too slow, or VMs that judge apart; there was no evidence at all.

Times and failures of its calls are compared with those of the established version at the same time, so a busy pool is not mistaken for a slow version. Counts travel in digests; a verdict stops calls at every VM at once, and the holder of the pool's duty writes the status. Undecided at the deadline: taken back.

--- a/burdockhold/decision_log.h
+++ b/burdockhold/decision_log.h
@@ -38,6 +38,12 @@
     EndpointChanged,
     EndpointRefused,
     DutyChanged,
+    RolloutStarted,
+    RolloutRefused,
+    RolloutShare,
+    RolloutJudged,
+    RolloutStatusWritten,
+    RolloutStatusFailed,
     OrderGiven,
     OrderAnswered,
     RequestEnded,
@@ -57,7 +63,7 @@
 template <>
 struct enum_names<log_event>
 {
-    static constexpr std::array<enum_name<log_event>, 26> Table{ {
+    static constexpr std::array<enum_name<log_event>, 32> Table{ {
             { log_event::Started, "started" },
             { log_event::Stopping, "stopping" },
             { log_event::Stopped, "stopped" },
@@ -70,6 +76,12 @@
             { log_event::EndpointChanged, "endpoint_changed" },
             { log_event::EndpointRefused, "endpoint_refused" },
             { log_event::DutyChanged, "duty_changed" },
+            { log_event::RolloutStarted, "rollout_started" },
+            { log_event::RolloutRefused, "rollout_refused" },
+            { log_event::RolloutShare, "rollout_share" },
+            { log_event::RolloutJudged, "rollout_judged" },
+            { log_event::RolloutStatusWritten, "rollout_status_written" },
+            { log_event::RolloutStatusFailed, "rollout_status_failed" },
             { log_event::OrderGiven, "order_given" },
             { log_event::OrderAnswered, "order_answered" },
             { log_event::RequestEnded, "request_ended" },
--- a/burdockhold/deployment.h
+++ b/burdockhold/deployment.h
@@ -135,12 +135,33 @@
     std::string pool;
     std::string address; ///< IP:PORT.
     std::string dataCentre;
+    std::string softwareVersion; ///< Empty if unknown.
     int slots = 1;
     bool leaving = false;
     std::int64_t incarnation = 0;                ///< Start time in Unix milliseconds; 0 if unknown.
     std::map<std::string, std::int64_t> weights; ///< Version of each loaded model.
 };
 
+/// The endpoints of a pool that run one software version.
+struct version_presence
+{
+    std::string version;
+    std::size_t endpoints = 0;
+    std::int64_t oldestIncarnation = 0;
+};
+
+/// The operator's order to move a pool's traffic to endpoints of a software version, which are
+/// started beside the others.
+struct software_order
+{
+    std::string pool;
+    std::string targetVersion;
+    duration moveTime = duration::zero(); ///< From the order to its deadline.
+};
+
+/// What the operator is told of such an order.
+enum class software_order_status { Running, Complete, RolledBack };
+
 } // namespace burdockhold
 
 #endif
--- a/burdockhold/digest_exchange.cc
+++ b/burdockhold/digest_exchange.cc
@@ -337,6 +337,8 @@
     digest.loadTimes = m_board.ownLoadTimes;
     digest.crashes = m_board.crashes.digestRows(now);
     addAnnouncedVersions(digest);
+    for (const auto &[pool, rollout] : m_board.rollouts)
+        rollout.fillDigest(digest, now);
     digest.storedSegments = m_board.storedSegments.nextAnnouncement();
     for (const auto &[address, until] : m_board.storeUnavailableUntil) {
         if (now < until && m_board.storesFoundUnavailable.count(address) != 0)
@@ -522,6 +524,9 @@
             claim.heldAt = time_point();
     }
     recordLoadTimes(digest);
+    for (auto &[pool, rollout] : m_board.rollouts)
+        m_board.metrics.count(router_counter::DigestRowsRejected,
+                              rollout.applyPeerDigest(digest, now));
     for (const std::uint32_t segment : digest.storedSegments)
         m_board.storedSegments.applyPeerStored(segment, now);
     recordUnavailableStores(digest, now);
--- a/burdockhold/digest_summary.cc
+++ b/burdockhold/digest_summary.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <tuple>
 #include <utility>
 
 namespace burdockhold {
@@ -87,6 +88,32 @@
     return rows;
 }
 
+/// Prefers the later state, and the larger of the known ages of the order.
+void mergeInto(rollout_row &best, const rollout_row &row)
+{
+    best.state = std::max(best.state, row.state);
+    const bool better = row.orderAgeMs != rollout_row::NoOrder
+                        && (best.orderAgeMs == rollout_row::NoOrder
+                            || std::make_pair(row.isKnown, row.orderAgeMs)
+                                       > std::make_pair(best.isKnown, best.orderAgeMs));
+    if (!better)
+        return;
+    best.orderAgeMs = row.orderAgeMs;
+    best.isKnown = row.isKnown;
+}
+
+void mergeInto(rollout_evidence_row &sum, const rollout_evidence_row &row)
+{
+    sum.newCalls = saturatingSum(sum.newCalls, row.newCalls);
+    sum.newFailed = saturatingSum(sum.newFailed, row.newFailed);
+    sum.newJudged = saturatingSum(sum.newJudged, row.newJudged);
+    sum.newSlow = saturatingSum(sum.newSlow, row.newSlow);
+    sum.oldCalls = saturatingSum(sum.oldCalls, row.oldCalls);
+    sum.oldFailed = saturatingSum(sum.oldFailed, row.oldFailed);
+    sum.oldJudged = saturatingSum(sum.oldJudged, row.oldJudged);
+    sum.oldSlow = saturatingSum(sum.oldSlow, row.oldSlow);
+}
+
 /// Returns the rows of all members; rows with equal keys are merged.
 template <typename Row, typename Rows, typename Key>
 std::vector<Row> mergedRows(const std::vector<const vm_digest *> &members, Rows rowsOf, Key keyOf)
@@ -151,6 +178,14 @@
     summary.crashes = strongestCrashRows(mergedRows<crash_row>(
             members, [](digest_ref d) -> const auto & { return d.crashes; },
             [](const crash_row &row) { return row.fingerprint; }));
+    summary.rollouts = mergedRows<rollout_row>(
+            members, [](digest_ref d) -> const auto & { return d.rollouts; },
+            [](const rollout_row &row) { return std::make_pair(row.pool, row.target); });
+    summary.rolloutEvidence = mergedRows<rollout_evidence_row>(
+            members, [](digest_ref d) -> const auto & { return d.rolloutEvidence; },
+            [](const rollout_evidence_row &row) {
+                return std::make_tuple(row.pool, row.target, row.route);
+            });
     summary.storedSegments = unionOf(
             members, [](digest_ref d) -> const auto & { return d.storedSegments; });
     summary.unavailableStores = unionOf(
--- a/burdockhold/duty_controller.cc
+++ b/burdockhold/duty_controller.cc
@@ -157,6 +157,12 @@
     }
 }
 
+bool duty_controller::holds(const std::string &pool) const
+{
+    const auto duty = m_duties.find(pool);
+    return !m_leaving && duty != m_duties.end() && duty->second.lease.holds(bootTimeNow());
+}
+
 void duty_controller::leave()
 {
     m_leaving = true;
@@ -198,7 +204,8 @@
     if (!m_board.deployment || m_leaving)
         return;
     for (const deployment_pool &pool : m_board.deployment->source().pools) {
-        if (!pool.engine && !pool.store)
+        const software_rollout *rollout = m_board.rolloutOf(pool.name);
+        if (!pool.engine && !pool.store && (rollout == nullptr || !rollout->isOrdered()))
             continue;
         held_duty &duty = dutyOf(pool.name, now);
         stepMembership(pool.name, duty, now);
--- a/burdockhold/duty_controller.h
+++ b/burdockhold/duty_controller.h
@@ -2,8 +2,8 @@
 #define BURDOCKHOLD_DUTY_CONTROLLER_H
 
 // Executes the duties, which one VM at a time performs for all VMs: orders to a pool's engines, and
-// checks of a store's availability. Each pool has a duty of its own; its holder is determined by
-// duty_lease.h.
+// checks of a store's availability; the statuses of rollouts belong to it too. Each pool has a duty
+// of its own; its holder is determined by duty_lease.h.
 
 #include "burdockhold/duty_lease.h"
 #include "burdockhold/router_board.h"
@@ -28,6 +28,9 @@
     /// Keeps the leases, checks stores, and plans and gives orders. Called on every tick.
     void step(time_point now);
 
+    /// Returns true while this VM holds the pool's duty.
+    bool holds(const std::string &pool) const;
+
     /// Releases all duties and leaves their groups, so that other VMs need not wait until the
     /// leases expire.
     void leave();
--- a/burdockhold/endpoint_choice.h
+++ b/burdockhold/endpoint_choice.h
@@ -46,6 +46,7 @@
 struct endpoint_candidate
 {
     std::string_view id;
+    std::string_view softwareVersion;
     bool sameDataCentre = false;
     exclusion excluded = exclusion::None;
     bool suspect = false; ///< Has running requests but has sent nothing for some time.
--- a/burdockhold/endpoint_table.cc
+++ b/burdockhold/endpoint_table.cc
@@ -119,6 +119,7 @@
             continue;
         endpoint_candidate candidate = makeCandidate(entry, model, targetVersion, segmentKey, now);
         candidate.id = id;
+        candidate.softwareVersion = entry.report.softwareVersion;
         if (tried.count(id) != 0)
             candidate.excluded = exclusion::Tried;
         found.push_back(candidate);
@@ -161,6 +162,26 @@
     return candidate;
 }
 
+std::map<std::string, std::vector<version_presence>> endpoint_table::softwareVersions() const
+{
+    std::map<std::string, std::vector<version_presence>> found;
+    for (const auto &[id, entry] : m_entries) {
+        if (entry.removed || entry.report.leaving)
+            continue;
+        const std::string &version = entry.report.softwareVersion;
+        std::vector<version_presence> &versions = found[entry.report.pool];
+        const auto known = std::find_if(versions.begin(), versions.end(),
+                                        [&](const auto &one) { return one.version == version; });
+        if (known == versions.end()) {
+            versions.push_back({ version, 1, entry.report.incarnation });
+            continue;
+        }
+        ++known->endpoints;
+        known->oldestIncarnation = std::min(known->oldestIncarnation, entry.report.incarnation);
+    }
+    return found;
+}
+
 std::vector<rollout_engine> endpoint_table::rolloutEngines(std::string_view pool,
                                                            std::string_view model,
                                                            time_point now) const
--- a/burdockhold/endpoint_table.h
+++ b/burdockhold/endpoint_table.h
@@ -99,6 +99,9 @@
         m_cacheTokens[pool] = tokens;
     }
 
+    /// Returns the software versions of each pool's endpoints that are not leaving or removed.
+    std::map<std::string, std::vector<version_presence>> softwareVersions() const;
+
     std::vector<rollout_engine> rolloutEngines(std::string_view pool, std::string_view model,
                                                time_point now) const;
 
--- a/burdockhold/event_router.cc
+++ b/burdockhold/event_router.cc
@@ -90,6 +90,7 @@
         return "log.address: not an IP:PORT address: " + m_board.settings.logAddress;
     m_duties = std::make_unique<duty_controller>(m_io, m_board, *logServer);
     m_crashRecords = std::make_unique<crash_records>(m_io, m_board, *logServer);
+    m_rollouts = std::make_unique<rollout_controller>(m_io, m_board, *logServer);
     m_announceConnection = std::make_shared<log_connection>(m_io, *logServer);
     std::string error = listen(m_callerAcceptor, m_board.settings.callerAddress);
     if (error.empty())
@@ -262,6 +263,9 @@
     case platform::operator_subject::TargetWeights:
         applyTargetWeights(*record.value);
         break;
+    case platform::operator_subject::SoftwareRollout:
+        m_rollouts->orderReceived(*record.value, steadyNow());
+        break;
     case platform::operator_subject::Other:
         break;
     }
@@ -380,6 +384,7 @@
     }
     m_duties->step(now);
     m_crashRecords->step(now);
+    m_rollouts->step([this](const std::string &pool) { return m_duties->holds(pool); }, now);
     m_digests.step(now);
     m_views.step(now);
     const migratable_requests migratable = m_migratable;
--- a/burdockhold/event_router.h
+++ b/burdockhold/event_router.h
@@ -9,6 +9,7 @@
 #include "burdockhold/crash_records.h"
 #include "burdockhold/digest_exchange.h"
 #include "burdockhold/duty_controller.h"
+#include "burdockhold/rollout_controller.h"
 #include "burdockhold/router_board.h"
 #include "burdockhold/topic_follower.h"
 #include "burdockhold/view_controller.h"
@@ -71,6 +72,7 @@
     view_controller m_views;
     std::unique_ptr<duty_controller> m_duties;
     std::unique_ptr<crash_records> m_crashRecords;
+    std::unique_ptr<rollout_controller> m_rollouts;
     boost::asio::ip::tcp::acceptor m_callerAcceptor;
     boost::asio::ip::tcp::acceptor m_readyAcceptor;
     boost::asio::signal_set m_signals;
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -5,6 +5,7 @@
 #include "burdockhold/placement_log.h"
 #include "burdockhold/prompt_segments.h"
 #include "burdockhold/retry_after.h"
+#include "burdockhold/rollout_calls.h"
 #include "burdockhold/segment_transfer.h"
 #include "burdockhold/wait_rules.h"
 #include "platform/request_codec.h"
@@ -282,6 +283,11 @@
 {
     placement_inputs inputs;
     inputs.candidates = placementCandidates();
+    if (const software_rollout *rollout = m_context.board.rolloutOf(m_poolName)) {
+        if (m_callsMade == 0 && !m_trialOf)
+            inputs.canary = rollout->nextCanary(inputs.candidates, steadyNow());
+        rollout->removeNewVersion(inputs.candidates, steadyNow());
+    }
     if (m_pool == nullptr || !m_pool->engine || m_request.model.empty())
         return inputs;
     inputs.need = placementNeedFor(m_request, m_account);
@@ -378,9 +384,10 @@
     const time_point now = steadyNow();
     if (refuseIfBlocked(now))
         return true;
-    const placement_inputs inputs = placementInputs();
-    const auto choice = chooseEndpoint(inputs.candidates, inputs.need, hashOf(m_request.attemptId),
-                                       m_context.board.options.choice);
+    placement_inputs inputs = placementInputs();
+    const auto choice = chooseWithCanary(inputs.candidates, inputs.canary, inputs.need,
+                                         hashOf(m_request.attemptId),
+                                         m_context.board.options.choice);
     if (!choice || (m_awaitsRetryBudget && !m_context.board.tryRetry(m_poolName, now)))
         return false;
     m_awaitsRetryBudget = false;
@@ -507,6 +514,7 @@
     if (m_load.pendingPrefillTokens >= ImmediateDigestTokens)
         board.digestRequested = true;
     countCall(choice);
+    m_rolloutCall = startRolloutCall(board, *m_route, m_poolName, m_endpointId, m_load, need);
 }
 
 void routed_request::countCall(const endpoint_choice &choice)
@@ -589,6 +597,8 @@
 void routed_request::firstByteReceived()
 {
     m_prefillDone = true;
+    if (m_rolloutCall)
+        m_rolloutCall->firstByteReceived(steadyNow());
     router_board &board = m_context.board;
     board.endpoints.prefillFinished(m_endpointId, m_load);
     if (m_context.waiting.size() > 0)
@@ -613,6 +623,8 @@
         return;
     m_lastProgress = steadyNow();
     recordAnswer();
+    if (m_rolloutCall)
+        m_rolloutCall->eventsReceived(m_events.events() - m_eventsBeforeCall, m_lastProgress);
     if (!m_responseStarted) {
         m_responseStarted = true;
         m_writer.beginStream(m_head.status, m_head.forwardedFields);
@@ -699,6 +711,7 @@
                             && m_head.attemptId == m_request.attemptId;
     if (end == call_end::Complete || ownFailure)
         recordAnswer();
+    endRolloutCall(board, m_poolName, m_endpointId, m_rolloutCall, end);
     logCall(end);
     releaseCall();
 
@@ -837,6 +850,8 @@
     m_context.migratable.erase(shared_from_this());
     if (m_endpointId.empty())
         return;
+    if (m_rolloutCall)
+        std::exchange(m_rolloutCall, nullptr)->counted = true; // Without an outcome, if none yet.
     m_context.board.endpoints.callEnded(m_endpointId, m_load, m_prefillDone);
     m_endpointId.clear();
     if (!m_connection)
--- a/burdockhold/routed_request.h
+++ b/burdockhold/routed_request.h
@@ -106,6 +106,7 @@
     struct placement_inputs
     {
         std::vector<endpoint_candidate> candidates;
+        std::optional<endpoint_candidate> canary; // Endpoint of a new version that is due a call.
         placement_need need;
         const cache_store *store = nullptr; // Store for the shared segments; null if there is none.
     };
@@ -201,6 +202,7 @@
     bool m_copiesSegments = false;
     bool m_savesSegments = false;
     event_splitter m_events;
+    std::shared_ptr<rollout_call> m_rolloutCall; ///< Set while the call is sampled.
 };
 
 } // namespace burdockhold
--- a/burdockhold/router_board.h
+++ b/burdockhold/router_board.h
@@ -17,6 +17,7 @@
 #include "burdockhold/quota_ledger.h"
 #include "burdockhold/router_metrics.h"
 #include "burdockhold/router_settings.h"
+#include "burdockhold/software_rollout.h"
 #include "burdockhold/stored_segments.h"
 #include "burdockhold/view_source.h"
 
@@ -123,6 +124,13 @@
     using shared_limits = std::map<std::string, quota_ledger>;
     std::array<shared_limits *, 3> sharedLimits() { return { &quotas, &storeLinks, &retrySlack }; }
 
+    /// Returns the state of the pool's software versions, or nullptr if none is known.
+    software_rollout *rolloutOf(const std::string &pool)
+    {
+        const auto found = rollouts.find(pool);
+        return found == rollouts.end() ? nullptr : &found->second;
+    }
+
     /// Applies the deployment's limits of the accounts and of the stores' links.
     void applyLimits(time_point now);
 
@@ -160,6 +168,10 @@
     // (loading of weights) and the digest exchange (digests), each through its own methods.
     endpoint_table endpoints;
 
+    // Written by the rollout controller (orders, versions), the routed requests (calls) and the
+    // digest exchange (other VMs' evidence), each through its own methods. By pool.
+    std::map<std::string, software_rollout> rollouts;
+
     // Written by the routed requests and the digest exchange.
     shared_limits quotas;     ///< By account.
     shared_limits storeLinks; ///< By "link/" followed by the store's address.
--- a/burdockhold/router_metrics.h
+++ b/burdockhold/router_metrics.h
@@ -40,12 +40,15 @@
     RefusedCrashing,
     RequestsLostInCrashes,
     FingerprintsBlocked,
+    CanaryCalls,
+    RolloutsCompleted,
+    RolloutsRolledBack,
 };
 
 template <>
 struct enum_names<router_counter>
 {
-    static constexpr std::array<enum_name<router_counter>, 23> Table{ {
+    static constexpr std::array<enum_name<router_counter>, 26> Table{ {
             { router_counter::Requests, "requests" },
             { router_counter::Served, "served" },
             { router_counter::RefusedNotRun, "refused_not_run" },
@@ -69,6 +72,9 @@
             { router_counter::RefusedCrashing, "refused_crashing" },
             { router_counter::RequestsLostInCrashes, "requests_lost_in_crashes" },
             { router_counter::FingerprintsBlocked, "fingerprints_blocked" },
+            { router_counter::CanaryCalls, "canary_calls" },
+            { router_counter::RolloutsCompleted, "rollouts_completed" },
+            { router_counter::RolloutsRolledBack, "rollouts_rolled_back" },
     } };
 };
 
--- a/burdockhold/router_settings.cc
+++ b/burdockhold/router_settings.cc
@@ -125,6 +125,11 @@
     reader.read("repeats.slack", settings.retrySlack);
     reader.read("accounts.tolerance", settings.limitTolerance);
     reader.read("accounts.tolerance_tokens", settings.limitToleranceTokens);
+    reader.readOptionalBetween("rollouts.exposure_share", 0.0, 1.0, settings.exposureShare);
+    reader.readOptionalBetween("rollouts.exposure_slack", 0.0, 1e9, settings.exposureSlack);
+    double rollbackMs = 1000.0 * toSeconds(settings.rollbackBound);
+    reader.readOptionalBetween("rollouts.rollback_ms", 1.0, 1e9, rollbackMs);
+    settings.rollbackBound = fromSeconds(rollbackMs / 1000.0);
     double memoryMb = 0.0;
     reader.read("limits.memory_mb", memoryMb);
     settings.memoryBytes = static_cast<std::size_t>(memoryMb * 1024 * 1024);
--- a/burdockhold/router_settings.h
+++ b/burdockhold/router_settings.h
@@ -43,6 +43,11 @@
     double limitToleranceTokens = 0.0; ///< Tokens by which the limit may be exceeded in addition.
     double retryRatio = 0.2;           ///< Retries as a fraction of the requests.
     double retrySlack = 50.0;          ///< Retries beyond retryRatio, over all VMs.
+    /// Largest share of a pool's calls that a new software version gets before it is kept.
+    double exposureShare = 0.1;
+    double exposureSlack = 50.0; ///< Calls beyond the share that the operator tolerates.
+    /// Longest time from the evidence that a version is bad until it gets no more calls.
+    duration rollbackBound = std::chrono::seconds(5);
     std::size_t memoryBytes = std::size_t(128) * 1024 * 1024;
     int descriptors = 1024;
     double processorShare = 1.0; ///< Fraction of one core.
--- a/burdockhold/view_message.cc
+++ b/burdockhold/view_message.cc
@@ -3,7 +3,7 @@
 #include <charconv>
 #include <chrono>
 #include <optional>
-#include <tuple>
+#include <utility>
 
 namespace burdockhold {
 
@@ -12,8 +12,21 @@
 constexpr std::string_view Path = "/views/1";
 constexpr duration MaxWait = std::chrono::seconds(5); // Far above any wait that VMs request.
 
-using report_row = std::tuple<std::string, std::string, std::string, int, bool, std::int64_t,
-                              std::map<std::string, std::int64_t>>;
+/// The fields of a report. The software version is missing in reports of older builds.
+struct report_row
+{
+    std::string pool;
+    std::string address;
+    std::string dataCentre;
+    int slots = 1;
+    bool leaving = false;
+    std::int64_t incarnation = 0;
+    std::map<std::string, std::int64_t> weights;
+    std::string softwareVersion;
+    static constexpr std::uint32_t RequiredFields = 7;
+    MSGPACK_DEFINE_ARRAY(pool, address, dataCentre, slots, leaving, incarnation, weights,
+                         softwareVersion)
+};
 
 basic_error<view_error> malformed(const std::string &text)
 {
@@ -41,11 +54,15 @@
     return std::nullopt;
 }
 
+/// Decodes an array of at least this many fields.
 template <typename T>
-result<T, view_error> unpackAs(std::string_view bytes)
+result<T, view_error> unpackAs(std::string_view bytes, std::uint32_t requiredFields = 0)
 {
     try {
         const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+        const msgpack::object &object = handle.get();
+        if (object.type == msgpack::type::ARRAY && object.via.array.size < requiredFields)
+            return malformed("a field is missing");
         return handle.get().as<T>();
     } catch (const std::exception &error) {
         return malformed(error.what());
@@ -104,19 +121,27 @@
 
 std::string encodeReport(const endpoint_report &report)
 {
-    return packed(report_row(report.pool, report.address, report.dataCentre, report.slots,
-                             report.leaving, report.incarnation, report.weights));
+    return packed(report_row{ report.pool, report.address, report.dataCentre, report.slots,
+                              report.leaving, report.incarnation, report.weights,
+                              report.softwareVersion });
 }
 
 result<endpoint_report, view_error> decodeReport(std::string_view id, std::string_view value)
 {
-    auto row = unpackAs<report_row>(value);
-    if (!isOk(row))
-        return errorOf(row);
+    auto decoded = unpackAs<report_row>(value, report_row::RequiredFields);
+    if (!isOk(decoded))
+        return errorOf(decoded);
+    report_row &row = valueOf(decoded);
     endpoint_report report;
     report.id = std::string(id);
-    std::tie(report.pool, report.address, report.dataCentre, report.slots, report.leaving,
-             report.incarnation, report.weights) = std::move(valueOf(row));
+    report.pool = std::move(row.pool);
+    report.address = std::move(row.address);
+    report.dataCentre = std::move(row.dataCentre);
+    report.softwareVersion = std::move(row.softwareVersion);
+    report.slots = row.slots;
+    report.leaving = row.leaving;
+    report.incarnation = row.incarnation;
+    report.weights = std::move(row.weights);
     return report;
 }
 
--- a/burdockhold/vm_digest.h
+++ b/burdockhold/vm_digest.h
@@ -111,6 +111,36 @@
     MSGPACK_DEFINE_ARRAY(fingerprint, crashes, answeredAgeMs, trialAgeMs)
 };
 
+/// The sender's state of a rollout of a software version (software_rollout.h).
+struct rollout_row
+{
+    std::uint32_t pool = 0;   ///< shortHash of the pool's name.
+    std::uint32_t target = 0; ///< shortHash of the new version.
+    std::uint8_t state = 0;   ///< rollout_state.
+    std::uint32_t orderAgeMs = NoOrder;
+    bool isKnown = false; ///< The sender has seen the order arrive, or heard of a VM that has.
+    static constexpr std::uint32_t NoOrder = UINT32_MAX;
+    MSGPACK_DEFINE_ARRAY(pool, target, state, orderAgeMs, isKnown)
+};
+
+/// Outcomes of the sender's calls on one route during a rollout. Counts only grow.
+struct rollout_evidence_row
+{
+    std::uint32_t pool = 0;
+    std::uint32_t target = 0;
+    std::uint32_t route = 0; ///< shortHash of the route's name.
+    std::uint32_t newCalls = 0;
+    std::uint32_t newFailed = 0;
+    std::uint32_t newJudged = 0;
+    std::uint32_t newSlow = 0;
+    std::uint32_t oldCalls = 0;
+    std::uint32_t oldFailed = 0;
+    std::uint32_t oldJudged = 0;
+    std::uint32_t oldSlow = 0;
+    MSGPACK_DEFINE_ARRAY(pool, target, route, newCalls, newFailed, newJudged, newSlow, oldCalls,
+                         oldFailed, oldJudged, oldSlow)
+};
+
 struct vm_digest
 {
     std::string vm;
@@ -136,10 +166,12 @@
     std::uint32_t intervalMs = 0;
     std::vector<load_time_row> loadTimes; ///< Empty from an older build.
     std::vector<crash_row> crashes;       ///< Empty from an older build.
+    std::vector<rollout_row> rollouts;    ///< Empty from an older build, as is the next one.
+    std::vector<rollout_evidence_row> rolloutEvidence;
     MSGPACK_DEFINE_ARRAY(vm, incarnation, number, leaving, accounts, endpoints, weights,
                          storedSegments, unavailableStores, duties, announcedVersions,
                          departedEndpoints, dataCentre, aggregator, vms, capacity, intervalMs,
-                         loadTimes, crashes)
+                         loadTimes, crashes, rollouts, rolloutEvidence)
 
     bool isSummary() const { return !aggregator.empty(); }
 };
--- a/cmake/router.cmake
+++ b/cmake/router.cmake
@@ -3,8 +3,9 @@
 set(ROUTER_DECISIONS
     attempt_rules.cc crash_fingerprints.cc decision_log.cc decision_options.cc deployment.cc
     digest_summary.cc duty_lease.cc endpoint_choice.cc endpoint_health.cc endpoint_table.cc
-    event_splitter.cc mechanisms.cc placement_log.cc prompt_segments.cc quota_ledger.cc
-    router_metrics.cc router_settings.cc segment_transfer.cc stored_segments.cc
+    event_splitter.cc mechanisms.cc move_evidence.cc placement_log.cc prompt_segments.cc
+    quota_ledger.cc rollout_sampler.cc router_metrics.cc router_settings.cc segment_transfer.cc
+    software_rollout.cc stored_segments.cc
     topic_changelog.cc view_message.cc view_source.cc vm_digest.cc weights_load_estimator.cc
     weights_rollout.cc)
 list(TRANSFORM ROUTER_DECISIONS PREPEND ${CMAKE_SOURCE_DIR}/burdockhold/)
--- a/testing/digest_summary_test.cc
+++ b/testing/digest_summary_test.cc
@@ -93,6 +93,28 @@
     }
 }
 
+// Guards against a summary that loses evidence on a new version, or states a verdict that a member
+// has reached as open.
+BOOST_AUTO_TEST_CASE(summaryStatesRolloutsOfItsMembers)
+{
+    vm_digest one;
+    one.rollouts = { { 1, 2, 2, 500, true } };
+    one.rolloutEvidence = { { 1, 2, 3, 10, 1, 8, 2, 90, 3, 80, 4 } };
+    vm_digest other;
+    other.rollouts = { { 1, 2, 3, 900, false } };
+    other.rolloutEvidence = { { 1, 2, 3, 5, 0, 5, 5, 40, 0, 40, 1 },
+                              { 1, 2, 4, 1, 0, 0, 0, 2, 0, 0, 0 } };
+    const vm_digest summary = summaryOf({ one, other });
+    BOOST_REQUIRE(summary.rollouts.size() == 1U);
+    BOOST_TEST(int(summary.rollouts[0].state) == 3);
+    BOOST_TEST(summary.rollouts[0].orderAgeMs == 500U);
+    BOOST_TEST(summary.rollouts[0].isKnown);
+    BOOST_REQUIRE(summary.rolloutEvidence.size() == 2U);
+    BOOST_TEST(summary.rolloutEvidence[0].newCalls == 15U);
+    BOOST_TEST(summary.rolloutEvidence[0].newSlow == 7U);
+    BOOST_TEST(summary.rolloutEvidence[0].oldCalls == 130U);
+}
+
 // Guards against a summary that claims a duty for a leaving VM, which has released it, and against
 // one that omits the claim of the VM that holds it.
 BOOST_AUTO_TEST_CASE(dutyOfALeavingVmIsNotClaimed)
--- a/testing/platform_codec_looptest.cc
+++ b/testing/platform_codec_looptest.cc
@@ -4,6 +4,7 @@
 #include "platform/engine_codec.h"
 #include "platform/log_codec.h"
 #include "platform/request_codec.h"
+#include "platform/rollout_codec.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -158,6 +159,7 @@
     BOOST_REQUIRE(isOk(good));
     BOOST_TEST(valueOf(good).weights.at("m") == 3);
     BOOST_TEST(valueOf(good).incarnation == 5);
+    BOOST_TEST(valueOf(good).softwareVersion == "v1");
     const std::vector<std::string> refused{
         "",
         "\x81\xa4",
@@ -167,11 +169,44 @@
         changed(entry, R"("address":"10.0.0.1:80",)", ""),
         changed(entry, R"("born":5,)", ""),
         changed(entry, R"("version":3)", R"("version":"3")"),
+        changed(entry, R"("version":"v1")", R"("version":1)"),
     };
     for (const std::string &body : refused)
         BOOST_TEST(!isOk(platform::decodeEndpoint("e1", body)), body);
 }
 
+// Guards against an order that is carried out with a field missing, of another type or out of
+// bounds.
+BOOST_AUTO_TEST_CASE(unreadableSoftwareOrdersAreRefused)
+{
+    const std::string order = R"({"service":"p","target":"v2","duration_s":12})";
+    const auto good = platform::decodeSoftwareOrder(order);
+    BOOST_REQUIRE(isOk(good));
+    BOOST_TEST(valueOf(good).pool == "p");
+    BOOST_TEST(valueOf(good).targetVersion == "v2");
+    BOOST_TEST(toSeconds(valueOf(good).moveTime) == 12.0);
+    for (const std::string &body :
+         { std::string(), std::string("[]"), changed(order, R"("v2")", "2"),
+           changed(order, R"("service":"p",)", ""), changed(order, "12", "\"12\""),
+           changed(order, "12", "0"), changed(order, "12", "-1"), changed(order, "12", "1e300") })
+        BOOST_TEST(!isOk(platform::decodeSoftwareOrder(body)), body);
+}
+
+BOOST_AUTO_TEST_CASE(softwareStatusRoundTrips)
+{
+    for (const auto status : { software_order_status::Running, software_order_status::Complete,
+                               software_order_status::RolledBack }) {
+        const auto record = platform::encodeSoftwareStatus({ "p", "v2", status });
+        BOOST_TEST(record.key == "rollout/p");
+        const auto decoded = platform::decodeSoftwareStatus(record);
+        BOOST_REQUIRE(isOk(decoded));
+        BOOST_TEST((valueOf(decoded).status == status));
+        BOOST_TEST(valueOf(decoded).targetVersion == "v2");
+    }
+    BOOST_TEST(!isOk(platform::decodeSoftwareStatus({ "rollout/p", R"({"state":"well"})" })));
+    BOOST_TEST(!isOk(platform::decodeSoftwareStatus({ "other/p", R"({"state":"running"})" })));
+}
+
 // Guards against truncated reads that are accepted, and against keys or values that lose bytes.
 BOOST_AUTO_TEST_CASE(truncatedLogReadsAreRefused)
 {
--- a/testing/router_looptest.cc
+++ b/testing/router_looptest.cc
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <mutex>
@@ -232,6 +233,32 @@
     BOOST_TEST(std::set<std::string>(engines.begin(), engines.end()).count("e1") == 0U);
 }
 
+// Guards against a new software version that gets calls like any other before it is proven.
+BOOST_FIXTURE_TEST_CASE(newVersionGetsItsShareOnly, fixture)
+{
+    setEngineBehaviour([](const std::string &name, const recorded_request &call,
+                          response_socket &socket) {
+        if (name == "e1") // The established version looks slower, so that the other is preferred.
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        return socket.write(completeResponse(call, "body"));
+    });
+    nlohmann::json entry = nlohmann::json::parse(endpointRecord(second.address(), "ready"));
+    entry["version"] = "v2";
+    entry["born"] = 2000;
+    log.put("keyed.op", "rollout/desk", R"({"service":"desk","target":"v2","duration_s":600})");
+    log.put("keyed.servers", "e2", entry.dump());
+    // The bound for entries of endpoints.
+    std::this_thread::sleep_for(std::chrono::milliseconds(2000));
+    const std::size_t before = callCount();
+    for (int call = 0; call < 100; ++call)
+        exchangeRequest(request("/safe/"));
+    const std::lock_guard lock(mutex);
+    const auto toNew = std::count(engines.begin() + static_cast<std::ptrdiff_t>(before),
+                                  engines.end(), "e2");
+    BOOST_TEST(toNew <= 10);
+    BOOST_TEST(toNew > 0);
+}
+
 // Guards against keys that keep working while the log is unavailable, when the router cannot know
 // whether they have been revoked.
 BOOST_FIXTURE_TEST_CASE(keysAreRefusedWhileTheLogIsAway, fixture)
--- a/testing/router_parts_test.cc
+++ b/testing/router_parts_test.cc
@@ -119,6 +119,20 @@
     }
 }
 
+// Guards against an exposure of every call to a new version through a malformed bound.
+BOOST_AUTO_TEST_CASE(rolloutBoundsAreChecked)
+{
+    const auto with = [](const std::string &line) {
+        return parseRouterSettings(validSettings + "[rollouts]\n" + line + "\n");
+    };
+    BOOST_TEST(valueOf(with("exposure_share = 0.2")).exposureShare == 0.2);
+    BOOST_TEST(valueOf(with("exposure_share = ")).exposureShare == 0.1);
+    for (const std::string line :
+         { "exposure_share = 1.5", "exposure_share = -0.1", "exposure_share = nan",
+           "exposure_share = much", "exposure_slack = -1", "rollback_ms = 0" })
+        BOOST_TEST(!isOk(with(line)), line);
+}
+
 // Guards against a start that fails because the platform added a key.
 BOOST_AUTO_TEST_CASE(unknownSettingsAreIgnored)
 {
--- a/testing/view_message_test.cc
+++ b/testing/view_message_test.cc
@@ -18,6 +18,7 @@
     report.pool = "pool";
     report.address = "10.0.0.1:80";
     report.dataCentre = "dc1";
+    report.softwareVersion = "v7";
     report.slots = 12;
     report.leaving = true;
     report.incarnation = 1234567890123;
@@ -104,6 +105,7 @@
     BOOST_REQUIRE(response.endpointTopic.records.size() == 2U);
     BOOST_TEST(response.endpointTopic.records[1].removed);
     const auto report = decodeReport("e1", response.endpointTopic.records[0].value);
+    BOOST_TEST(valueOf(report).softwareVersion == "v7");
     BOOST_REQUIRE(isOk(report));
     BOOST_TEST(valueOf(report).address == "10.0.0.1:80");
     BOOST_TEST(valueOf(report).leaving);
