Obey engines that say that they leave or ask for a pause

Cause: no file read Server-Leaving, nor Retry-After in an engine's refusal, so a VM kept sending work to engines that had themselves said no.

Change: an answer that passes the stamp and attempt checks may say that its engine leaves: this VM starts no call there for the rest of the incarnation. When only leaving and pausing engines remain and none returns in time, a request is refused at once. Not told to other VMs: a garbled answer would take the engine from all, and another VM learns it with one call that is served or refused unrun.

--- a/burdockhold/caller_request.h
+++ b/burdockhold/caller_request.h
@@ -71,6 +71,15 @@
     std::string resumeAfter;             ///< Id of the caller's last event; may be empty.
 };
 
+/// What an endpoint says in an answer about new calls.
+struct endpoint_notice
+{
+    bool leaving = false;          ///< It leaves and wants no new calls.
+    std::optional<duration> pause; ///< It wants no calls for this time. Only in a refusal (503).
+    int fields = 0;                ///< Fields of such statements, valid or not.
+    int ignored = 0;               ///< Statements that are malformed, misplaced or contradicted.
+};
+
 /// Head of an endpoint's response.
 struct endpoint_response_head
 {
@@ -82,6 +91,7 @@
     bool encoded = false; ///< Has a content coding, which no engine uses.
     bool eventStream = false;
     std::optional<std::int64_t> weights;
+    endpoint_notice notice;
     std::vector<http_field> forwardedFields;
 };
 
--- a/burdockhold/decision_log.h
+++ b/burdockhold/decision_log.h
@@ -37,6 +37,9 @@
     WeightsWanted,
     EndpointChanged,
     EndpointRefused,
+    EndpointLeaving,
+    EndpointPaused,
+    EndpointNoticeEnded,
     DutyChanged,
     RolloutStarted,
     RolloutRefused,
@@ -48,6 +51,7 @@
     OrderAnswered,
     RequestEnded,
     CallEnded,
+    EndpointChosen,
     PoolFull,
     OverQuota,
     EndpointCrashed,
@@ -63,7 +67,7 @@
 template <>
 struct enum_names<log_event>
 {
-    static constexpr std::array<enum_name<log_event>, 32> Table{ {
+    static constexpr std::array<enum_name<log_event>, 36> Table{ {
             { log_event::Started, "started" },
             { log_event::Stopping, "stopping" },
             { log_event::Stopped, "stopped" },
@@ -75,6 +79,9 @@
             { log_event::WeightsWanted, "weights_wanted" },
             { log_event::EndpointChanged, "endpoint_changed" },
             { log_event::EndpointRefused, "endpoint_refused" },
+            { log_event::EndpointLeaving, "endpoint_leaving" },
+            { log_event::EndpointPaused, "endpoint_paused" },
+            { log_event::EndpointNoticeEnded, "endpoint_notice_ended" },
             { log_event::DutyChanged, "duty_changed" },
             { log_event::RolloutStarted, "rollout_started" },
             { log_event::RolloutRefused, "rollout_refused" },
@@ -86,6 +93,7 @@
             { log_event::OrderAnswered, "order_answered" },
             { log_event::RequestEnded, "request_ended" },
             { log_event::CallEnded, "call_ended" },
+            { log_event::EndpointChosen, "endpoint_chosen" },
             { log_event::PoolFull, "pool_full" },
             { log_event::OverQuota, "over_quota" },
             { log_event::EndpointCrashed, "endpoint_crashed" },
--- a/burdockhold/duty_controller.cc
+++ b/burdockhold/duty_controller.cc
@@ -255,6 +255,11 @@
 void duty_controller::execute(const std::string &pool, const std::string &model,
                               const query_engine_state &action)
 {
+    const time_point now = steadyNow();
+    if (m_board.endpoints.isPausing(action.endpointId, now)) {
+        dutyOf(pool, now).planners[model].stateFailed(action.endpointId, now);
+        return;
+    }
     callEngine(action.address, platform::reportCall(action.endpointId),
                [this, pool, model, id = action.endpointId](const log_response &response) {
                    stateReceived(pool, model, id, response);
@@ -265,6 +270,12 @@
                               const weights_order &action)
 {
     const time_point now = steadyNow();
+    if (m_board.endpoints.isPausing(action.endpointId, now)) {
+        // It is ordered after its pause.
+        dutyOf(pool, now).planners[model].orderCompleted(action.endpointId, order_result::Refused,
+                                                         now);
+        return;
+    }
     dutyOf(pool, now).orderedAt = now;
     m_board.metrics.count(router_counter::OrdersGiven);
     const rollout_planner &planner = plannerOf(dutyOf(pool, now), model);
--- a/burdockhold/endpoint_choice.h
+++ b/burdockhold/endpoint_choice.h
@@ -28,20 +28,34 @@
 namespace burdockhold {
 
 /// Why an endpoint is excluded from new calls.
-enum class exclusion { None, Tried, Loading, BackOff, ExpiredWeights };
+///
+/// Leaving and Paused are what the endpoint itself has told this VM (endpoint_pause.h). They weigh
+/// more than the other reasons. They apply to this VM's calls only: other VMs have their own word
+/// of the endpoint, and a penalty by hearsay would move load for a statement that was not about
+/// them. A leaving endpoint is nobody's preferred endpoint, since its cached segments go with it; a
+/// paused one keeps its place, since it comes back with them.
+enum class exclusion { None, Tried, Loading, BackOff, ExpiredWeights, Leaving, Paused };
 
 template <>
 struct enum_names<exclusion>
 {
-    static constexpr std::array<enum_name<exclusion>, 5> Table{ {
+    static constexpr std::array<enum_name<exclusion>, 7> Table{ {
             { exclusion::None, "none" },
             { exclusion::Tried, "tried" },
             { exclusion::Loading, "loading" },
             { exclusion::BackOff, "back_off" },
             { exclusion::ExpiredWeights, "expired_weights" },
+            { exclusion::Leaving, "leaving" },
+            { exclusion::Paused, "paused" },
     } };
 };
 
+/// Returns whether the endpoint itself has said that it wants no calls.
+constexpr bool isOwnStatement(exclusion reason)
+{
+    return reason == exclusion::Leaving || reason == exclusion::Paused;
+}
+
 /// State of an endpoint at the time of the choice.
 struct endpoint_candidate
 {
@@ -49,6 +63,7 @@
     std::string_view softwareVersion;
     bool sameDataCentre = false;
     exclusion excluded = exclusion::None;
+    time_point pausedUntil = time_point::min(); ///< End of the pause; only if excluded is Paused.
     bool suspect = false; ///< Has running requests but has sent nothing for some time.
     int slots = 1;
     int running = 0;                       ///< Requests of all VMs.
--- /dev/null
+++ b/burdockhold/endpoint_notices.cc
@@ -0,0 +1,111 @@
+#include "burdockhold/endpoint_notices.h"
+
+#include "burdockhold/placement_log.h"
+
+#include <cmath>
+
+namespace burdockhold {
+
+namespace {
+
+void countIgnored(router_board &board, int statements)
+{
+    if (statements > 0)
+        board.metrics.count(router_counter::EngineNoticesIgnored,
+                            static_cast<std::uint64_t>(statements));
+}
+
+void logLeaving(router_board &board, std::string_view endpointId, const call_ticket &ticket,
+                const endpoint_response_head &head, const std::string &requestId, time_point now)
+{
+    board.metrics.count(router_counter::EngineLeavings);
+    if (board.log.accepts(log_priority::StateChange, now))
+        board.log.write(log_event::EndpointLeaving,
+                        { { "endpoint", endpointId },
+                          { "incarnation", ticket.incarnation },
+                          { "source", "answer" },
+                          { "id", requestId },
+                          { "status", head.status },
+                          { "until", "next_incarnation" } },
+                        now);
+}
+
+void logPause(router_board &board, std::string_view endpointId, const call_ticket &ticket,
+              const endpoint_response_head &head, const notice_result &result,
+              const std::string &requestId, time_point now)
+{
+    board.metrics.count(router_counter::EnginePauses);
+    if (result.pauseShortened)
+        board.metrics.count(router_counter::EnginePausesShortened);
+    if (board.log.accepts(log_priority::StateChange, now))
+        board.log.write(log_event::EndpointPaused,
+                        { { "endpoint", endpointId },
+                          { "incarnation", ticket.incarnation },
+                          { "source", "answer" },
+                          { "id", requestId },
+                          { "stated_ms", std::llround(1000.0 * toSeconds(*head.notice.pause)) },
+                          { "for_ms", std::llround(1000.0 * toSeconds(result.pausedUntil - now)) },
+                          { "shortened", result.pauseShortened } },
+                        now);
+}
+
+} // namespace
+
+void recordNotice(router_board &board, std::string_view endpointId, const call_ticket &ticket,
+                  const endpoint_response_head &head, const std::string &requestId)
+{
+    const bool isOther = !head.endpointId.empty() && head.endpointId != endpointId;
+    if (isOther) {
+        ignoreNotice(board, head);
+        return;
+    }
+    countIgnored(board, head.notice.ignored);
+    if (!head.notice.leaving && !head.notice.pause)
+        return;
+    const time_point now = steadyNow();
+    const notice_result result = board.endpoints.recordNotice(endpointId, ticket, head.notice, now);
+    if (result.outdated)
+        countIgnored(board, 1);
+    if (result.leavingBegan)
+        logLeaving(board, endpointId, ticket, head, requestId, now);
+    if (result.pauseBegan)
+        logPause(board, endpointId, ticket, head, result, requestId, now);
+}
+
+void ignoreNotice(router_board &board, const endpoint_response_head &head)
+{
+    countIgnored(board, head.notice.fields);
+}
+
+void ignoreLateNotices(router_board &board, int fieldsOfHead, int fieldsAtEnd)
+{
+    countIgnored(board, fieldsAtEnd - fieldsOfHead);
+}
+
+void logLeftOut(router_board &board, const std::string &requestId, const std::string &pool,
+                const std::vector<endpoint_candidate> &candidates, const endpoint_choice &choice)
+{
+    const left_out endpoints = countLeftOut(candidates);
+    if (endpoints.total() == 0)
+        return;
+    board.metrics.count(router_counter::ChoicesWithoutPaused);
+    const time_point now = steadyNow();
+    if (board.log.accepts(log_priority::Success, now))
+        board.log.write(log_event::EndpointChosen,
+                        endpointChosenFields(requestId, pool, candidates, choice, endpoints), now);
+}
+
+void logEndedNotices(router_board &board, time_point now)
+{
+    for (const ended_notice &ended : board.endpoints.takeEndedNotices()) {
+        if (board.log.accepts(log_priority::StateChange, now))
+            board.log.write(log_event::EndpointNoticeEnded,
+                            { { "endpoint", ended.endpoint },
+                              { "incarnation", ended.incarnation },
+                              { "notice", ended.leaving ? "leaving" : "pause" },
+                              { "reason", nameOf(ended.reason) } },
+                            now);
+    }
+}
+
+} // namespace burdockhold
--- /dev/null
+++ b/burdockhold/endpoint_notices.h
@@ -0,0 +1,38 @@
+#ifndef BURDOCKHOLD_ENDPOINT_NOTICES_H
+#define BURDOCKHOLD_ENDPOINT_NOTICES_H
+
+// Records what endpoints say in their answers about new calls: in the endpoint table, the metrics
+// and the decision log. The decisions are made in endpoint_pause.h.
+//
+// Only an answer that passes the checks of the request path counts. A statement in another one, or
+// in one of another endpoint or incarnation, is counted as ignored.
+
+#include "burdockhold/caller_request.h"
+#include "burdockhold/router_board.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace burdockhold {
+
+/// Records the notice of an answer to the request's call with this ticket.
+void recordNotice(router_board &board, std::string_view endpointId, const call_ticket &ticket,
+                  const endpoint_response_head &head, const std::string &requestId);
+
+/// Counts the statements of an answer that does not count.
+void ignoreNotice(router_board &board, const endpoint_response_head &head);
+
+/// Counts the statements that an answer made after its head, which do not count.
+void ignoreLateNotices(router_board &board, int fieldsOfHead, int fieldsAtEnd);
+
+/// Counts and logs a choice that left out endpoints which leave or pause.
+void logLeftOut(router_board &board, const std::string &requestId, const std::string &pool,
+                const std::vector<endpoint_candidate> &candidates, const endpoint_choice &choice);
+
+/// Logs the notices that have ended.
+void logEndedNotices(router_board &board, time_point now);
+
+} // namespace burdockhold
+
+#endif
--- a/burdockhold/endpoint_table.cc
+++ b/burdockhold/endpoint_table.cc
@@ -1,5 +1,7 @@
 #include "burdockhold/endpoint_table.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -29,8 +31,14 @@
     const auto [row, isNew] = m_entries.try_emplace(report.id);
     table_entry &entry = row->second;
     const bool restarted = !isNew && report.incarnation != entry.report.incarnation;
+    const bool hadNotice = restarted && (entry.pause.isLeaving() || entry.pause.isPausing(now));
+    if (restarted)
+        noteEndedNotices(entry, notice_end::NewIncarnation);
     if (restarted || isNew) {
         entry = table_entry{};
+        entry.pause = endpoint_pause(m_options.pause);
+        if (hadNotice)
+            entry.pause.limitCalls();
         entry.hash = shortHash(report.id);
         entry.lastActivityAt = now;
         m_idsByHash[entry.hash] = report.id;
@@ -67,6 +75,8 @@
     table_entry *entry = findEntry(id);
     if (entry == nullptr || entry->removed)
         return;
+    noteEndedNotices(*entry, notice_end::Removed);
+    entry->pauseRuns = false;
     entry->removed = true;
     entry->removedAt = now;
     entry->leavingSeenAt = now;
@@ -120,7 +130,7 @@
         endpoint_candidate candidate = makeCandidate(entry, model, targetVersion, segmentKey, now);
         candidate.id = id;
         candidate.softwareVersion = entry.report.softwareVersion;
-        if (tried.count(id) != 0)
+        if (tried.count(id) != 0 && !isOwnStatement(candidate.excluded))
             candidate.excluded = exclusion::Tried;
         found.push_back(candidate);
     }
@@ -152,7 +162,13 @@
     candidate.suspect = candidate.running > 0
                         && now - entry.lastActivityAt > m_options.suspectAfter;
     const bool loading = !model.empty() && now < entry.loadingUntil;
-    if (loading)
+    const auto state = entry.pause.stateAt(now);
+    candidate.pausedUntil = entry.pause.pausedUntil();
+    if (state == endpoint_pause::state::Leaving)
+        candidate.excluded = exclusion::Leaving;
+    else if (state == endpoint_pause::state::Paused)
+        candidate.excluded = exclusion::Paused;
+    else if (loading)
         candidate.excluded = exclusion::Loading;
     else if (now < entry.backOffUntil)
         candidate.excluded = exclusion::BackOff;
@@ -188,7 +204,7 @@
 {
     std::vector<rollout_engine> engines;
     for (const auto &[id, entry] : m_entries) {
-        if (entry.report.pool != pool || !isUsable(entry, false, now))
+        if (entry.report.pool != pool || !isUsable(entry, false, now) || entry.pause.isLeaving())
             continue;
         std::int64_t activeTokens = entry.activeTokens;
         int running = entry.running;
@@ -196,7 +212,7 @@
             activeTokens += totals->second.activeTokens;
             running += static_cast<int>(totals->second.running);
         }
-        const bool silent = now < entry.backOffUntil
+        const bool silent = now < entry.backOffUntil || entry.pause.isPausing(now)
                             || (entry.running > 0
                                 && now - entry.lastActivityAt > m_options.suspectAfter);
         engines.push_back({ id, entry.report.address, entry.report.incarnation, std::string(model),
@@ -304,16 +320,71 @@
     return entry == nullptr || entry->running == 0 ? duration::zero() : now - entry->lastActivityAt;
 }
 
-void endpoint_table::callStarted(std::string_view id, const call_load &load, time_point now)
+/// Notes the end of what the endpoint has said, for takeEndedNotices().
+void endpoint_table::noteEndedNotices(const table_entry &entry, notice_end reason)
+{
+    const endpoint_report &report = entry.report;
+    if (entry.pause.isLeaving())
+        m_endedNotices.push_back({ report.id, report.incarnation, true, reason });
+    if (entry.pauseRuns)
+        m_endedNotices.push_back({ report.id, report.incarnation, false, reason });
+}
+
+/// Returns a number from 0 to 1 that differs between VMs, endpoints and pauses.
+double endpoint_table::returnSpread(std::string_view id, time_point now) const
+{
+    constexpr std::uint64_t Steps = 1000;
+    const auto seed = m_options.returnSeed
+                      ^ static_cast<std::uint64_t>(now.time_since_epoch().count());
+    return static_cast<double>(XXH64(id.data(), id.size(), seed) % Steps) / Steps;
+}
+
+notice_result endpoint_table::recordNotice(std::string_view id, const call_ticket &ticket,
+                                           const endpoint_notice &notice, time_point now)
+{
+    notice_result result;
+    table_entry *entry = findEntry(id);
+    result.outdated = entry == nullptr || entry->report.incarnation != ticket.incarnation;
+    if (result.outdated) {
+        // The new incarnation may have answered already.
+        if (entry != nullptr)
+            entry->pause.limitCalls();
+        return result;
+    }
+    result.leavingBegan = notice.leaving && entry->pause.recordLeaving();
+    if (notice.pause) {
+        result.pauseBegan = entry->pause.recordPause(*notice.pause, returnSpread(id, now), now);
+        result.pauseShortened = *notice.pause > m_options.pause.maxPause;
+        result.pausedUntil = entry->pause.pausedUntil();
+        entry->pauseRuns = true;
+    }
+    return result;
+}
+
+void endpoint_table::callAccepted(std::string_view id, const call_ticket &ticket)
+{
+    table_entry *entry = findEntry(id);
+    if (entry != nullptr && entry->report.incarnation == ticket.incarnation)
+        entry->pause.callAccepted(ticket.pause);
+}
+
+bool endpoint_table::isPausing(std::string_view id, time_point now) const
+{
+    const table_entry *entry = findEntry(id);
+    return entry != nullptr && entry->pause.isPausing(now);
+}
+
+call_ticket endpoint_table::callStarted(std::string_view id, const call_load &load, time_point now)
 {
     table_entry *entry = findEntry(id);
     if (entry == nullptr)
-        return;
+        return {};
     if (entry->running == 0)
         entry->lastActivityAt = std::max(entry->lastActivityAt, now);
     ++entry->running;
     entry->pendingPrefillTokens += load.pendingPrefillTokens;
     entry->activeTokens += load.activeTokens;
+    return { entry->report.incarnation, entry->pause.callStarted(now) };
 }
 
 void endpoint_table::prefillFinished(std::string_view id, const call_load &load)
@@ -323,11 +394,14 @@
                 0, entry->pendingPrefillTokens - load.pendingPrefillTokens);
 }
 
-void endpoint_table::callEnded(std::string_view id, const call_load &load, bool prefillDone)
+void endpoint_table::callEnded(std::string_view id, const call_load &load, bool prefillDone,
+                               const call_ticket &ticket)
 {
     table_entry *entry = findEntry(id);
     if (entry == nullptr)
         return;
+    if (entry->report.incarnation == ticket.incarnation)
+        entry->pause.callEnded(ticket.pause);
     // The counts may be zero already if the endpoint has restarted.
     entry->running = std::max(0, entry->running - 1);
     entry->activeTokens = std::max<std::int64_t>(0, entry->activeTokens - load.activeTokens);
@@ -481,6 +555,12 @@
         addDigestRows(peer->second.digest, -1);
         peer = m_peers.erase(peer);
     }
+    for (auto &[id, entry] : m_entries) {
+        if (!entry.pauseRuns || entry.pause.isPausing(now))
+            continue;
+        entry.pauseRuns = false;
+        m_endedNotices.push_back({ id, entry.report.incarnation, false, notice_end::TimeOver });
+    }
     constexpr duration RemovedRetention = std::chrono::seconds(30);
     for (auto entry = m_entries.begin(); entry != m_entries.end();) {
         const bool forget = entry->second.removed && entry->second.running == 0
--- a/burdockhold/endpoint_table.h
+++ b/burdockhold/endpoint_table.h
@@ -9,16 +9,21 @@
 // - An endpoint that is leaving or whose entry was removed gets no new call. If all entries of a
 //   pool are removed, as in a disruption of the log, each stays usable for removalGrace after its
 //   removal.
+// - An endpoint that has said in an answer that it leaves, or that it wants a pause, is excluded
+//   (endpoint_pause.h). The statement belongs to the incarnation that got the call.
 // - A new incarnation starts without any state of the previous one.
 // - A digest replaces the previous one of the same VM. The digest of a silent VM expires after
 //   peerExpiry.
 
+#include "burdockhold/caller_request.h"
 #include "burdockhold/clock.h"
 #include "burdockhold/deployment.h"
 #include "burdockhold/endpoint_choice.h"
+#include "burdockhold/endpoint_pause.h"
 #include "burdockhold/vm_digest.h"
 #include "burdockhold/weights_rollout.h"
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -28,6 +33,7 @@
 #include <string_view>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 namespace burdockhold {
@@ -56,6 +62,9 @@
     duration departureGossipTime = std::chrono::seconds(10);
     /// An engine updates its entry within this time of a change of its weights.
     duration inferredWeightsExpiry = std::chrono::milliseconds(1500);
+    endpoint_pause_options pause;
+    /// Differs between VMs, so that they come back at different times after an endpoint's pause.
+    std::uint64_t returnSeed = 0;
     /// Maximum number of segments tracked per endpoint; more than an engine's KV cache holds.
     std::size_t segmentsPerEndpoint = 400;
 };
@@ -67,6 +76,46 @@
     std::int64_t activeTokens = 0;
 };
 
+/// Identifies a call for endpoint_pause: the incarnation that it was made to, and the pause that it
+/// followed.
+struct call_ticket
+{
+    std::int64_t incarnation = 0;
+    std::uint32_t pause = 0;
+};
+
+/// What the table has learned from an endpoint's notice.
+struct notice_result
+{
+    bool outdated = false; ///< The call was made to another incarnation; nothing was recorded.
+    bool leavingBegan = false;
+    bool pauseBegan = false;
+    bool pauseShortened = false; ///< The pause was above the bound.
+    time_point pausedUntil = time_point::min();
+};
+
+/// Why a notice of an endpoint holds no longer.
+enum class notice_end { TimeOver, NewIncarnation, Removed };
+
+template <>
+struct enum_names<notice_end>
+{
+    static constexpr std::array<enum_name<notice_end>, 3> Table{ {
+            { notice_end::TimeOver, "time_over" },
+            { notice_end::NewIncarnation, "new_incarnation" },
+            { notice_end::Removed, "removed" },
+    } };
+};
+
+/// A notice that holds no longer: a leaving or a pause.
+struct ended_notice
+{
+    std::string endpoint;
+    std::int64_t incarnation = 0;
+    bool leaving = false;
+    notice_end reason = notice_end::TimeOver;
+};
+
 class endpoint_table
 {
 public:
@@ -133,9 +182,21 @@
     /// refusalBackOff so that other endpoints are used.
     void recordRefusal(std::string_view id, time_point now);
 
-    void callStarted(std::string_view id, const call_load &load, time_point now);
+    /// Records what the endpoint has said in an answer to the call with this ticket.
+    notice_result recordNotice(std::string_view id, const call_ticket &ticket,
+                               const endpoint_notice &notice, time_point now);
+    /// Records that the endpoint has accepted the call.
+    void callAccepted(std::string_view id, const call_ticket &ticket);
+    /// Returns whether the endpoint wants nothing from this VM now.
+    bool isPausing(std::string_view id, time_point now) const;
+    /// Returns the notices that have ended since the last call.
+    std::vector<ended_notice> takeEndedNotices() { return std::exchange(m_endedNotices, {}); }
+
+    call_ticket callStarted(std::string_view id, const call_load &load, time_point now);
     void prefillFinished(std::string_view id, const call_load &load);
-    void callEnded(std::string_view id, const call_load &load, bool prefillDone);
+    /// The ticket is that of a call that the endpoint has not accepted, or empty.
+    void callEnded(std::string_view id, const call_load &load, bool prefillDone,
+                   const call_ticket &ticket = {});
     void recordActivity(std::string_view id, time_point now);
     void recordCallResult(std::string_view id, bool succeeded, double latencyMs, time_point now);
     void connectFailed(std::string_view id, time_point now);
@@ -185,6 +246,8 @@
         time_point inferredAt; // Time of the newest inferred version.
         std::unordered_set<std::string> segments;
         std::deque<std::string> segmentOrder;
+        endpoint_pause pause;
+        bool pauseRuns = false; // The end of the pause has not been noted yet.
     };
     struct peer_totals
     {
@@ -200,6 +263,8 @@
         time_point at;
     };
 
+    void noteEndedNotices(const table_entry &entry, notice_end reason);
+    double returnSpread(std::string_view id, time_point now) const;
     void removeReplacedEndpoints(const endpoint_report &report, time_point now);
     table_entry *findEntry(std::string_view id);
     const table_entry *findEntry(std::string_view id) const;
@@ -220,6 +285,7 @@
     std::unordered_map<std::uint32_t, std::string> m_idsByHash;
     std::unordered_map<std::uint32_t, peer_totals> m_peerTotals;
     std::map<std::string, peer_view, std::less<>> m_peers;
+    std::vector<ended_notice> m_endedNotices;
 };
 
 } // namespace burdockhold
--- a/burdockhold/event_router.cc
+++ b/burdockhold/event_router.cc
@@ -1,5 +1,6 @@
 #include "burdockhold/event_router.h"
 
+#include "burdockhold/endpoint_notices.h"
 #include "burdockhold/guarded_loop.h"
 #include "platform/deployment_codec.h"
 
@@ -376,6 +377,7 @@
     const time_point now = steadyNow();
     m_board.endpoints.step(m_board.digestInterval, now);
     m_board.crashes.step(now);
+    logEndedNotices(m_board, now);
     for (auto *ledgers : m_board.sharedLimits()) {
         for (auto &[name, ledger] : *ledgers) {
             ledger.setReportInterval(m_board.digestInterval);
--- a/burdockhold/http_client_connection.cc
+++ b/burdockhold/http_client_connection.cc
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 #include <utility>
 
 namespace burdockhold {
@@ -94,9 +95,10 @@
 void http_client_connection::resetParser()
 {
     m_parser.emplace();
-    m_parser->eager(true);
+    m_parser->eager(false); // Until the head is complete.
     m_parser->header_limit(MaxResponseHeadBytes);
-    m_parser->body_limit(boost::none);
+    // Without a limit, this version of Beast rejects a length as soon as the head is complete.
+    m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
     m_headDelivered = false;
     if (m_request.compare(0, 5, "HEAD ") == 0)
         m_parser->skip(true);
@@ -197,20 +199,39 @@
     }
 }
 
-/// Feeds the parser once. Returns false when more bytes are needed or the call has ended.
-bool http_client_connection::parseOnce()
+/// Feeds the parser and removes what it has consumed from the input. Returns false if the call has
+/// ended, since the bytes are not HTTP.
+bool http_client_connection::feedParser(std::size_t &consumed)
 {
     error_code error;
-    const std::size_t consumed = m_parser->put(boost::asio::buffer(m_input), error);
-    m_input.erase(0, consumed);
-    if (error && error != http::error::need_more) {
-        finish(http_outcome::Malformed);
+    const std::size_t bytes = m_parser->put(boost::asio::buffer(m_input), error);
+    m_input.erase(0, bytes);
+    consumed += bytes;
+    if (!error || error == http::error::need_more)
+        return true;
+    finish(http_outcome::Malformed);
+    return false;
+}
+
+/// Parses the next part of the response. Returns false when more bytes are needed or the call has
+/// ended.
+bool http_client_connection::parseOnce()
+{
+    std::size_t consumed = 0;
+    if (!feedParser(consumed))
         return false;
-    }
     if (m_parser->is_header_done() && !m_headDelivered) {
         m_headDelivered = true;
-        const bool interim = m_parser->get().result_int() < 200;
-        if (interim || !m_handlers.onHead(m_parser->get())) {
+        // Parsing the body adds the fields of its trailer to the message.
+        std::optional<response_message> headOfChunked;
+        if (m_parser->chunked())
+            headOfChunked = m_parser->get();
+        m_parser->eager(true);
+        if (!m_parser->is_done() && !m_input.empty() && !feedParser(consumed))
+            return false;
+        const response_message &head = headOfChunked ? *headOfChunked : m_parser->get();
+        const bool interim = head.result_int() < 200;
+        if (interim || !m_handlers.onHead(head)) {
             if (!m_active)
                 return false;
             // If the skipped response is incomplete, its remaining bytes cannot be told from the
--- a/burdockhold/http_client_connection.h
+++ b/burdockhold/http_client_connection.h
@@ -95,6 +95,9 @@
     /// Returns whether the current call is the first one on this connection.
     bool isFirstCall() const { return m_callCount <= 1; }
     bool isConnected() const { return m_connected; }
+    /// Returns the response of the last call as far as it has arrived; at the end of the call, with
+    /// the fields of its trailer. Only after onHead.
+    const response_message &response() const { return m_parser->get(); }
 
     /// Pauses and resumes reading: backpressure while the owner has too many bytes to deliver.
     void pauseReading();
@@ -110,6 +113,7 @@
     void bytesReceived(std::size_t bytes);
     void parseInput();
     bool parseOnce();
+    bool feedParser(std::size_t &consumed);
     void deliverBody();
     void serverClosed();
     void finish(http_outcome end);
--- a/burdockhold/placement_log.cc
+++ b/burdockhold/placement_log.cc
@@ -9,6 +9,7 @@
                                       std::vector<endpoint_candidate> candidates)
 {
     constexpr std::size_t MaxListed = 16;
+    const left_out endpoints = countLeftOut(candidates);
     std::sort(candidates.begin(), candidates.end(), [](const auto &a, const auto &b) {
         return std::make_pair(a.excluded, a.activeTokens)
                < std::make_pair(b.excluded, b.activeTokens);
@@ -26,9 +27,25 @@
     return { { "id", requestId },
              { "pool", pool },
              { "endpoints", candidates.size() },
+             { "leaving", endpoints.leaving },
+             { "paused", endpoints.paused },
              { "listed", std::move(listed) } };
 }
 
+nlohmann::ordered_json endpointChosenFields(const std::string &requestId, const std::string &pool,
+                                            const std::vector<endpoint_candidate> &candidates,
+                                            const endpoint_choice &choice,
+                                            const left_out &endpoints)
+{
+    return { { "id", requestId },
+             { "pool", pool },
+             { "endpoint", candidates[choice.index].id },
+             { "endpoints", candidates.size() },
+             { "leaving", endpoints.leaving },
+             { "paused", endpoints.paused },
+             { "expected_ms", choice.expectedMs } };
+}
+
 nlohmann::ordered_json overQuotaFields(const std::string &requestId, const std::string &account,
                                        double cost, const quota_ledger &quota)
 {
--- a/burdockhold/placement_log.h
+++ b/burdockhold/placement_log.h
@@ -4,7 +4,7 @@
 // Fields of the log lines that explain a placement or a refusal by a limit. docs/OPERATIONS.md
 // describes them.
 
-#include "burdockhold/endpoint_choice.h"
+#include "burdockhold/left_out.h"
 #include "burdockhold/quota_ledger.h"
 
 #include <nlohmann/json.hpp>
@@ -19,6 +19,12 @@
 nlohmann::ordered_json poolFullFields(const std::string &requestId, const std::string &pool,
                                       std::vector<endpoint_candidate> candidates);
 
+/// Returns the fields of a line on a choice that left endpoints out.
+nlohmann::ordered_json endpointChosenFields(const std::string &requestId, const std::string &pool,
+                                            const std::vector<endpoint_candidate> &candidates,
+                                            const endpoint_choice &choice,
+                                            const left_out &endpoints);
+
 /// Returns the fields of a line on a refusal by the account's limit.
 nlohmann::ordered_json overQuotaFields(const std::string &requestId, const std::string &account,
                                        double cost, const quota_ledger &quota);
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -1,6 +1,7 @@
 #include "burdockhold/routed_request.h"
 
 #include "burdockhold/crash_reports.h"
+#include "burdockhold/endpoint_notices.h"
 #include "burdockhold/enum_names.h"
 #include "burdockhold/placement_log.h"
 #include "burdockhold/prompt_segments.h"
@@ -313,7 +314,7 @@
             m_poolName, isEngineCall ? m_request.model : "", targetVersion,
             deepestSegmentName(m_request, m_account, targetVersion), m_triedEndpoints, steadyNow());
     for (endpoint_candidate &candidate : candidates) {
-        if (candidate.staleWeights
+        if (candidate.staleWeights && !isOwnStatement(candidate.excluded)
             && board.weightsExpired(m_request.model,
                                     board.endpoints.weightsOf(candidate.id, m_request.model)))
             candidate.excluded = exclusion::ExpiredWeights;
@@ -388,7 +389,9 @@
     const auto choice = chooseWithCanary(inputs.candidates, inputs.canary, inputs.need,
                                          hashOf(m_request.attemptId),
                                          m_context.board.options.choice);
-    if (!choice || (m_awaitsRetryBudget && !m_context.board.tryRetry(m_poolName, now)))
+    if (!choice)
+        return refuseIfNoneReturns(inputs.candidates, now);
+    if (m_awaitsRetryBudget && !m_context.board.tryRetry(m_poolName, now))
         return false;
     m_awaitsRetryBudget = false;
     if (m_waiting) {
@@ -403,6 +406,7 @@
         m_isTrial = true;
         reportTrial(m_context.board, m_request.attemptId, *m_trialOf, now);
     }
+    logLeftOut(m_context.board, m_request.attemptId, m_poolName, inputs.candidates, *choice);
     startCall(inputs, *choice);
     return true;
 }
@@ -429,6 +433,26 @@
     return true;
 }
 
+/// Refuses a request that has not run if all endpoints leave or pause until after its longest wait.
+bool routed_request::refuseIfNoneReturns(const std::vector<endpoint_candidate> &candidates,
+                                         time_point now)
+{
+    if (m_mayHaveRun || m_responseStarted)
+        return false;
+    const left_out endpoints = countLeftOut(candidates);
+    const time_point waitEnd = m_waiting ? m_timer.expiry() : queueWaitEnd(now);
+    if (!mustRefuseAtOnce(endpoints, waitEnd))
+        return false;
+    m_context.board.metrics.count(router_counter::RefusedAllPaused);
+    if (m_context.board.log.accepts(log_priority::Failure, now))
+        logPoolFull(now);
+    if (endpoints.firstReturn)
+        refuse(503, "all_paused", *endpoints.firstReturn - now);
+    else
+        refuse(503, "all_leaving", m_route->latencyTarget);
+    return true;
+}
+
 endpoint_call_fields routed_request::callFieldsFor(const std::string &endpointId) const
 {
     endpoint_call_fields fields;
@@ -510,7 +534,7 @@
     if (m_expectedWeights == 0)
         m_expectedWeights = board.targetVersion(m_request.model);
     m_segmentKey = deepestSegmentName(m_request, m_account, m_expectedWeights);
-    board.endpoints.callStarted(m_endpointId, m_load, m_callStarted);
+    m_ticket = board.endpoints.callStarted(m_endpointId, m_load, m_callStarted);
     if (m_load.pendingPrefillTokens >= ImmediateDigestTokens)
         board.digestRequested = true;
     countCall(choice);
@@ -550,18 +574,26 @@
     endpoint_response_head head = platform::decodeResponseHead(message);
     m_context.board.endpoints.recordActivity(m_endpointId, steadyNow());
     // A reused connection may still carry a response to an earlier request before this one.
-    if (!head.attemptId.empty() && head.attemptId != m_request.attemptId)
+    if (!head.attemptId.empty() && head.attemptId != m_request.attemptId) {
+        ignoreNotice(m_context.board, head);
         return false;
+    }
     m_head = std::move(head);
     m_headReceived = true;
     // On a reused connection, a response without an id cannot be matched to a request.
     const bool mayBelongToAnotherRequest = m_head.attemptId.empty() && !m_connection->isFirstCall();
     if (mayBelongToAnotherRequest || !isResponseToThisCall(m_head)) {
+        ignoreNotice(m_context.board, m_head);
         const auto connection = m_connection;
         connection->close();
         callEnded(call_end::WrongAnswer);
         return true;
     }
+    recordNotice(m_context.board, m_endpointId, m_ticket, m_head, m_request.attemptId);
+    if (!m_head.notExecuted && !m_head.notice.pause) {
+        m_context.board.endpoints.callAccepted(m_endpointId, m_ticket);
+        m_ticket = {};
+    }
     if (m_head.weights)
         m_context.board.endpoints.recordStatedWeights(m_endpointId, m_request.model,
                                                       *m_head.weights);
@@ -641,6 +673,9 @@
 
 void routed_request::connectionEnded(http_outcome end)
 {
+    if (end == http_outcome::Complete && m_headReceived)
+        ignoreLateNotices(m_context.board, m_head.notice.fields,
+                          platform::countNoticeFields(m_connection->response()));
     callEnded(classifyEnd(end));
 }
 
@@ -662,6 +697,10 @@
 void routed_request::recordRefusal()
 {
     router_board &board = m_context.board;
+    if (m_head.notice.pause) {
+        m_triedEndpoints.erase(m_endpointId); // It may take the request after its pause.
+        return;
+    }
     if (m_head.status != 421) {
         board.endpoints.recordRefusal(m_endpointId, steadyNow());
         return;
@@ -693,7 +732,8 @@
         return;
     router_board &board = m_context.board;
     const time_point now = steadyNow();
-    const bool conclusive = end != call_end::SaidNotRun;
+    // A pause says nothing about how well the endpoint works.
+    const bool conclusive = end != call_end::SaidNotRun && !m_head.notice.pause;
     if (conclusive) {
         const bool succeeded = end == call_end::Complete;
         board.endpoints.recordCallResult(m_endpointId, succeeded,
@@ -852,7 +892,8 @@
         return;
     if (m_rolloutCall)
         std::exchange(m_rolloutCall, nullptr)->counted = true; // Without an outcome, if none yet.
-    m_context.board.endpoints.callEnded(m_endpointId, m_load, m_prefillDone);
+    m_context.board.endpoints.callEnded(m_endpointId, m_load, m_prefillDone,
+                                        std::exchange(m_ticket, {}));
     m_endpointId.clear();
     if (!m_connection)
         return;
--- a/burdockhold/routed_request.h
+++ b/burdockhold/routed_request.h
@@ -115,6 +115,7 @@
     std::vector<endpoint_candidate> placementCandidates() const;
     const std::string &choosePool();
 
+    bool refuseIfNoneReturns(const std::vector<endpoint_candidate> &candidates, time_point now);
     void startCall(const placement_inputs &inputs, const endpoint_choice &choice);
     void prepareCall(std::string_view endpointId, const endpoint_choice &choice,
                      const placement_need &need);
@@ -171,6 +172,7 @@
     bool m_answered = false; ///< The endpoint has begun to answer.
     std::string m_address;
     call_load m_load;
+    call_ticket m_ticket; ///< Empty once the endpoint has accepted the call.
     bool m_prefillDone = false;
     time_point m_callStarted;
     time_point m_lastProgress; ///< Start of the call, or arrival of its last complete event.
--- a/burdockhold/router_board.cc
+++ b/burdockhold/router_board.cc
@@ -38,10 +38,20 @@
     return std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
 }
 
+namespace {
+
+endpoint_table_options tableOptions(const router_settings &settings, endpoint_table_options options)
+{
+    options.returnSeed = shortHash(settings.vmName);
+    return options;
+}
+
+} // namespace
+
 router_board::router_board(router_settings source)
     : settings(std::move(source))
     , options(optionsFor(settings.mechanisms))
-    , endpoints(settings.dataCentre, options.endpoints)
+    , endpoints(settings.dataCentre, tableOptions(settings, options.endpoints))
     , log(settings.vmName)
 {
 }
--- a/burdockhold/router_metrics.h
+++ b/burdockhold/router_metrics.h
@@ -43,12 +43,18 @@
     CanaryCalls,
     RolloutsCompleted,
     RolloutsRolledBack,
+    EngineLeavings,
+    EnginePauses,
+    EnginePausesShortened,
+    EngineNoticesIgnored,
+    RefusedAllPaused,
+    ChoicesWithoutPaused,
 };
 
 template <>
 struct enum_names<router_counter>
 {
-    static constexpr std::array<enum_name<router_counter>, 26> Table{ {
+    static constexpr std::array<enum_name<router_counter>, 32> Table{ {
             { router_counter::Requests, "requests" },
             { router_counter::Served, "served" },
             { router_counter::RefusedNotRun, "refused_not_run" },
@@ -75,6 +81,12 @@
             { router_counter::CanaryCalls, "canary_calls" },
             { router_counter::RolloutsCompleted, "rollouts_completed" },
             { router_counter::RolloutsRolledBack, "rollouts_rolled_back" },
+            { router_counter::EngineLeavings, "engine_leavings" },
+            { router_counter::EnginePauses, "engine_pauses" },
+            { router_counter::EnginePausesShortened, "engine_pauses_shortened" },
+            { router_counter::EngineNoticesIgnored, "engine_notices_ignored" },
+            { router_counter::RefusedAllPaused, "refused_all_paused" },
+            { router_counter::ChoicesWithoutPaused, "choices_with_paused_left_out" },
     } };
 };
 
