Cut off VMs that do not take the response to a view request

Cause: the session's timer ran only while it waited for a request.

Change: writing a response has a limit of 3 s.

Measured: unreadResponseEndsItsSession fails before (the session is open after 5 s, 3 MB written into a window of 4 KB) and passes after.

--- a/burdockhold/view_controller.cc
+++ b/burdockhold/view_controller.cc
@@ -24,6 +24,8 @@
 /// A requester that is silent for this long counts as departed: requesters send several requests a
 /// second.
 constexpr duration SessionIdleTimeout = std::chrono::seconds(10);
+/// A requester that does not take a response within this time is cut off; it has given up by then.
+constexpr duration ResponseWriteTimeout = std::chrono::seconds(3);
 /// Added to a request's wait for its timeout. Covers a few round trips and a busy reader.
 constexpr duration ResponseSlack = std::chrono::milliseconds(300);
 /// Minimum time from a response to the next request, also if responses come at once.
@@ -154,6 +156,11 @@
 
     void write(std::string text, bool keepOpen)
     {
+        m_timer.expires_after(ResponseWriteTimeout);
+        m_timer.async_wait([self = shared_from_this()](error_code error) {
+            if (!error)
+                self->close();
+        });
         const auto bytes = std::make_shared<std::string>(std::move(text));
         boost::asio::async_write(
                 m_socket, boost::asio::buffer(*bytes),
--- a/testing/views_looptest.cc
+++ b/testing/views_looptest.cc
@@ -4,8 +4,12 @@
 
 #include <nlohmann/json.hpp>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <array>
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -148,6 +152,37 @@
     std::vector<std::unique_ptr<test_vm>> vms;
 };
 
+/// Sends a request and does not read the response.
+class slow_reader
+{
+public:
+    slow_reader(int port, const std::string &request)
+        : m_socket(m_io)
+    {
+        constexpr int SmallBuffer = 4096;
+        m_socket.open(boost::asio::ip::tcp::v4());
+        m_socket.set_option(boost::asio::socket_base::receive_buffer_size(SmallBuffer));
+        m_socket.connect(
+                { boost::asio::ip::make_address("127.0.0.1"), static_cast<unsigned short>(port) });
+        boost::asio::write(m_socket, boost::asio::buffer(request));
+    }
+
+    /// Reads what has arrived. Returns true if the connection has ended.
+    bool isCutOff()
+    {
+        m_socket.non_blocking(true);
+        std::array<char, 65536> bytes{};
+        boost::system::error_code error;
+        while (!error)
+            m_socket.read_some(boost::asio::buffer(bytes), error);
+        return error != boost::asio::error::would_block;
+    }
+
+private:
+    boost::asio::io_context m_io;
+    boost::asio::ip::tcp::socket m_socket;
+};
+
 } // namespace
 
 // Guards against changes that reach only the VM that reads the log, so that a departed endpoint or
@@ -225,6 +260,26 @@
             reaches([](const test_vm &vm) { return vm.operatorRecords.at("config") == "second"; }));
 }
 
+// Guards against a requester that never reads its response and holds a session for good.
+BOOST_FIXTURE_TEST_CASE(unreadResponseEndsItsSession, test_group)
+{
+    // Together more than the socket buffers hold.
+    constexpr std::size_t RecordBytes = 1000000;
+    const std::vector<std::string> keys{ "first", "second", "third" };
+    for (const std::string &key : keys) {
+        log.put("keyed.op", key, std::string(RecordBytes, 'x'));
+        BOOST_REQUIRE(reaches([&](const test_vm &vm) { return vm.operatorRecords.count(key); }));
+    }
+    const std::string request = "GET " + encodeViewRequest({}) + " HTTP/1.1\r\n\r\n";
+    std::vector<std::unique_ptr<slow_reader>> readers;
+    for (int number = 0; number < VmCount; ++number)
+        readers.push_back(std::make_unique<slow_reader>(FirstPort + number, request));
+    run(std::chrono::seconds(5));
+    // Only the VM that reads the log has a long response.
+    BOOST_TEST(std::any_of(readers.begin(), readers.end(),
+                           [](const auto &reader) { return reader->isCutOff(); }));
+}
+
 // Guards against a sequence number of a former reader that the next reader takes for one of its
 // own. It happens if the next reader responds before it has loaded all topics; the requester would
 // never get the earlier changes.
