Use one function for random changes of messages in tests

Two tests had their own; the process test's, which changes more, serves both. The digest that is sent mutated to a running router now also has rows of crashes and rollouts. Orders to engines that pause look up their planner like all others, which changes nothing: the planner exists by then.

--- a/burdockhold/duty_controller.cc
+++ b/burdockhold/duty_controller.cc
@@ -257,7 +257,7 @@
 {
     const time_point now = steadyNow();
     if (m_board.endpoints.isPausing(action.endpointId, now)) {
-        dutyOf(pool, now).planners[model].stateFailed(action.endpointId, now);
+        plannerOf(dutyOf(pool, now), model).stateFailed(action.endpointId, now);
         return;
     }
     callEngine(action.address, platform::reportCall(action.endpointId),
@@ -272,8 +272,8 @@
     const time_point now = steadyNow();
     if (m_board.endpoints.isPausing(action.endpointId, now)) {
         // It is ordered after its pause.
-        dutyOf(pool, now).planners[model].orderCompleted(action.endpointId, order_result::Refused,
-                                                         now);
+        plannerOf(dutyOf(pool, now), model)
+                .orderCompleted(action.endpointId, order_result::Refused, now);
         return;
     }
     dutyOf(pool, now).orderedAt = now;
--- a/testing/faults_looptest.cc
+++ b/testing/faults_looptest.cc
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE faults
 #include "burdockhold/guarded_loop.h"
 #include "burdockhold/vm_digest.h"
+#include "testing/support_mutation.h"
 #include "testing/support_router.h"
 
 #include <boost/asio/ip/udp.hpp>
@@ -44,27 +45,6 @@
     std::string path;
 };
 
-std::string mutated(std::string bytes, std::mt19937 &random)
-{
-    for (unsigned change = 1 + random() % 6; change-- > 0 && !bytes.empty();) {
-        const std::size_t at = random() % bytes.size();
-        switch (random() % 4) {
-        case 0:
-            bytes[at] = static_cast<char>(random());
-            break;
-        case 1:
-            bytes.erase(at, 1 + random() % 8);
-            break;
-        case 2:
-            bytes.insert(at, bytes.substr(at, random() % 40));
-            break;
-        default:
-            bytes.resize(at);
-        }
-    }
-    return bytes;
-}
-
 } // namespace
 
 // Guards against an endless head or body that exhausts the memory, blocks the caller, or is
@@ -297,6 +277,10 @@
     digest.endpoints = { { shortHash("e1"), 1, 2, 3, 4, 5, 6 } };
     digest.announcedVersions = { { shortHash("m"), 1, 5, false } };
     digest.storedSegments = { 1, 2, 3 };
+    digest.crashes = { { 7, { { 1, 20 }, { 2, 30 } }, 40, 50 } };
+    digest.rollouts = { { shortHash("desk"), shortHash("v2"), 2, 100, true } };
+    digest.rolloutEvidence = { { shortHash("desk"), shortHash("v2"), 3, 9, 1, 8, 2, 90, 1, 80,
+                                 2 } };
     boost::asio::io_context io;
     boost::asio::ip::udp::socket socket(io, boost::asio::ip::udp::v4());
     const boost::asio::ip::udp::endpoint target(boost::asio::ip::make_address("127.0.0.1"),
--- a/testing/view_message_test.cc
+++ b/testing/view_message_test.cc
@@ -1,5 +1,6 @@
 #define BOOST_TEST_MODULE view_message
 #include "burdockhold/view_message.h"
+#include "testing/support_mutation.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -8,6 +9,7 @@
 #include <string>
 
 using namespace burdockhold;
+using burdockhold::testing::mutated;
 
 namespace {
 
@@ -37,25 +39,6 @@
     return response;
 }
 
-/// Returns the bytes with up to three random changes, deletions or insertions.
-std::string mutated(std::string bytes, std::mt19937 &random)
-{
-    for (unsigned change = random() % 4; change-- > 0 && !bytes.empty();) {
-        const std::size_t at = random() % bytes.size();
-        switch (random() % 3) {
-        case 0:
-            bytes[at] = static_cast<char>(random());
-            break;
-        case 1:
-            bytes.erase(at, 1 + random() % 8);
-            break;
-        default:
-            bytes.insert(at, 1 + random() % 8, static_cast<char>(random()));
-        }
-    }
-    return bytes;
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_CASE(requestRoundTrips)
