Answer requests that were read before a connection closes in a shutdown

Cause: at the end of a response, a leaving VM closed the connection, although the head of a stream that began before the stop had not announced it and the next request might have been read already. Class: the state at the end of a response taken for the one that its head announced.

Change: a connection closes after a response whose head says so, or when it is idle: nothing read, nothing unread, and 200 ms since the last response.

Looked at for the same cause: responses written at once announce and close with the same state; closeIfIdle now also looks at what has been read.

Measured: pipelinedRequestIsAnsweredDuringAShutdown fails before and passes after.

--- a/burdockhold/caller_connection.cc
+++ b/burdockhold/caller_connection.cc
@@ -29,6 +29,9 @@
 // Callers reuse a connection until four fifths of the idle timeout; the rest and this margin cover
 // the transit time of their requests.
 constexpr duration IdleTimeoutMargin = std::chrono::seconds(1);
+// During a shutdown, a caller that was not told to close may send its next request at once, so its
+// connection counts as idle only after this time.
+constexpr duration MinIdleBeforeClose = std::chrono::milliseconds(200);
 // Time after which the kernel closes a connection with unacknowledged bytes.
 constexpr int UnacknowledgedTimeoutMs = 5000;
 
@@ -247,14 +250,20 @@
     text.append(reason.data(), reason.size()).append("\r\n");
     for (const http_field &field : fields)
         text.append(field.name).append(": ").append(field.value).append("\r\n");
-    if (!m_keepAlive || m_context.board.leaving)
+    if (closesAfterResponse())
         text.append("Connection: close\r\n");
     return text;
 }
 
+bool caller_connection::closesAfterResponse() const
+{
+    return !m_keepAlive || m_context.board.leaving;
+}
+
 void caller_connection::writeResponse(int status, const std::vector<http_field> &fields,
                                       const std::string &body)
 {
+    m_closeAnnounced = closesAfterResponse();
     std::string text = formatHead(status, fields);
     const bool hasNoBody = status == 204 || status == 304;
     if (!hasNoBody)
@@ -267,6 +276,7 @@
 
 void caller_connection::writeStreamHead(int status, const std::vector<http_field> &fields)
 {
+    m_closeAnnounced = closesAfterResponse();
     write(formatHead(status, fields) + "Transfer-Encoding: chunked\r\n\r\n");
 }
 
@@ -317,10 +327,11 @@
         m_paused = false;
         m_request->resume();
     }
-    if (!m_output.empty())
+    if (!m_output.empty()) {
         writeNext();
-    else if (m_closeAfterWrite)
+    } else if (m_closeAfterWrite) {
         close();
+    }
 }
 
 void caller_connection::responseFinished()
@@ -329,14 +340,16 @@
     m_paused = false;
     if (m_closed)
         return;
-    if (!m_keepAlive || m_context.board.leaving) {
+    armIdleTimer();
+    // Without the announcement, the next request may have been sent or even read already.
+    if (m_closeAnnounced) {
         m_closeAfterWrite = true;
         if (!m_writing)
             close();
         return;
     }
+    m_responseFinishedAt = steadyNow();
     resetParser();
-    armIdleTimer();
     // The next request may have been read already. It starts from the event loop, not from within
     // the completion of this response.
     boost::asio::post(m_context.io, [self = shared_from_this()] {
@@ -347,7 +360,8 @@
 
 void caller_connection::closeIfIdle()
 {
-    if (m_request || m_requestStarted || !m_output.empty())
+    if (m_request || m_requestStarted || !m_output.empty() || !m_input.empty()
+        || steadyNow() - m_responseFinishedAt < MinIdleBeforeClose)
         return;
     // Unread bytes belong to a request: closing now would reset the connection and lose it.
     char byte = 0;
--- a/burdockhold/caller_connection.h
+++ b/burdockhold/caller_connection.h
@@ -11,7 +11,9 @@
 // - The connection is read while a request is processed, so that a disconnecting caller is noticed.
 // - A header or body over the deployment's limits is refused before it is stored.
 // - The bytes buffered for a caller that does not read are bounded: reading from the endpoint
-// stops.
+//   stops.
+// - During a shutdown, a connection closes after a response that announces it, or when it is idle;
+//   a request that has been read already is processed first.
 
 #include "burdockhold/routed_request.h"
 
@@ -47,8 +49,6 @@
     /// Closes the connection if no request has started on it and none is waiting to be read.
     void closeIfIdle();
 
-    bool isServing() const { return m_request != nullptr; }
-
 private:
     using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
@@ -66,13 +66,13 @@
     void writeResponse(int status, const std::vector<http_field> &fields, const std::string &body);
     void writeStreamHead(int status, const std::vector<http_field> &fields);
     void writeStreamBytes(const std::string &bytes);
-    void endResponse();
     void write(std::string bytes);
     void writeNext();
     void bytesWritten(boost::system::error_code error, std::size_t bytes);
     void responseFinished();
     void peerClosed();
     void close();
+    bool closesAfterResponse() const;
     std::string formatHead(int status, const std::vector<http_field> &fields) const;
     caller_limits limits() const;
 
@@ -85,12 +85,14 @@
     std::string m_input;
     std::deque<std::string> m_output;
     std::size_t m_outputBytes = 0;
+    time_point m_responseFinishedAt;     ///< Of the last response that kept the connection open.
     std::shared_ptr<routed_request> m_request;
     bool m_reading = false;
     bool m_writing = false;
     bool m_requestStarted = false;
     bool m_keepAlive = true;
     bool m_isHeadRequest = false;
+    bool m_closeAnnounced = false;  ///< The current response says that the connection closes.
     bool m_closeAfterWrite = false; ///< Close once all output has been written.
     bool m_closed = false;
     bool m_paused = false;
--- a/testing/router_looptest.cc
+++ b/testing/router_looptest.cc
@@ -285,7 +285,8 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(10));
     router->terminate();
     BOOST_TEST(router->waitReady(false));
-    BOOST_TEST(caller.readUntil("late", WaitLimitMs).rfind("HTTP/1.1 200", 0) == 0U);
+    const std::string response = caller.readUntil("late", WaitLimitMs);
+    BOOST_TEST(response.rfind("HTTP/1.1 200", 0) == 0U, response << "\n" << router->logText());
     for (int wait = 0; wait < WaitLimitMs / 10 && !router->hasExited(); ++wait)
         std::this_thread::sleep_for(std::chrono::milliseconds(10));
     BOOST_TEST(router->hasExited());
@@ -398,3 +399,26 @@
         BOOST_TEST(response.find(event(id)) != std::string::npos);
     BOOST_TEST(!caller.closedByPeer());
 }
+
+// Guards against a pipelined request that has been read and ends without an answer, as the response
+// before it ends during a shutdown.
+BOOST_FIXTURE_TEST_CASE(pipelinedRequestIsAnsweredDuringAShutdown, fixture)
+{
+    setEngineBehaviour([](const std::string &, const recorded_request &call,
+                          response_socket &socket) {
+        if (call.body == "two")
+            return socket.write(completeResponse(call, "<two>"));
+        socket.write(responseHead(call, "Transfer-Encoding: chunked") + chunk(events(1, 1)));
+        std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+        return socket.write(chunk(events(2, 2)) + "0\r\n\r\n");
+    });
+    test_caller caller(router->callerAddress());
+    caller.send(request("/once/", "key-1", "", "one"));
+    caller.readUntil("id: 1", WaitLimitMs);
+    caller.send(request("/safe/", "key-1", "", "two"));
+    router->terminate();
+    const std::string response = caller.readUntil("<two>", WaitLimitMs);
+    BOOST_TEST(response.find("id: 2") != std::string::npos);
+    BOOST_TEST(response.find("<two>") != std::string::npos);
+    BOOST_TEST(response.find("Connection: close") != std::string::npos);
+}
