Do not cut off callers that still take a response at the idle timeout

Cause: the idle timer started with the end of a response at the endpoint and was not stopped by bytes that the caller took, so a large response to a slow caller ended at the idle timeout. After a response that closes the connection no timer ran at all, so a caller that took nothing held it.

Change: the timer starts again whenever the caller has taken bytes, and also runs after the last response of a connection.

--- a/burdockhold/caller_connection.cc
+++ b/burdockhold/caller_connection.cc
@@ -4,7 +4,6 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/status.hpp>
 
@@ -306,10 +305,10 @@
     if (m_writing || m_closed || m_output.empty())
         return;
     m_writing = true;
-    boost::asio::async_write(m_socket, boost::asio::buffer(m_output.front()),
-                             [self = shared_from_this()](error_code error, std::size_t bytes) {
-                                 self->bytesWritten(error, bytes);
-                             });
+    m_socket.async_write_some(boost::asio::buffer(m_output.front()) + m_frontBytesWritten,
+                              [self = shared_from_this()](error_code error, std::size_t bytes) {
+                                  self->bytesWritten(error, bytes);
+                              });
 }
 
 void caller_connection::bytesWritten(error_code error, std::size_t bytes)
@@ -322,12 +321,19 @@
         return;
     }
     m_outputBytes -= bytes;
-    m_output.pop_front();
+    m_frontBytesWritten += bytes;
+    if (m_frontBytesWritten == m_output.front().size()) {
+        m_output.pop_front();
+        m_frontBytesWritten = 0;
+    }
     if (m_paused && m_request && m_outputBytes < MaxPendingOutputBytes / 2) {
         m_paused = false;
         m_request->resume();
     }
     if (!m_output.empty()) {
+        // A caller that still takes the response is not idle.
+        if (!m_request && !m_requestStarted)
+            armIdleTimer();
         writeNext();
     } else if (m_closeAfterWrite) {
         close();
--- a/burdockhold/caller_connection.h
+++ b/burdockhold/caller_connection.h
@@ -11,7 +11,7 @@
 // - The connection is read while a request is processed, so that a disconnecting caller is noticed.
 // - A header or body over the deployment's limits is refused before it is stored.
 // - The bytes buffered for a caller that does not read are bounded: reading from the endpoint
-//   stops.
+//   stops. A caller that takes none of a response for the idle timeout is cut off.
 // - During a shutdown, a connection closes after a response that announces it, or when it is idle;
 //   a request that has been read already is processed first.
 
@@ -85,6 +85,7 @@
     std::string m_input;
     std::deque<std::string> m_output;
     std::size_t m_outputBytes = 0;
+    std::size_t m_frontBytesWritten = 0; ///< Of the first element of m_output.
     time_point m_responseFinishedAt;     ///< Of the last response that kept the connection open.
     std::shared_ptr<routed_request> m_request;
     bool m_reading = false;
--- a/testing/router_looptest.cc
+++ b/testing/router_looptest.cc
@@ -1,6 +1,10 @@
 #define BOOST_TEST_MODULE router_loop
 #include "testing/support_router.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
@@ -400,6 +404,36 @@
     BOOST_TEST(!caller.closedByPeer());
 }
 
+// Guards against a response that is cut off at the idle timeout while its caller still reads it.
+BOOST_FIXTURE_TEST_CASE(slowCallerGetsTheWholeResponse, fixture)
+{
+    constexpr std::size_t BodyBytes = 8000000;
+    constexpr std::size_t BytesPerRead = 200000;
+    putDeployment(2, { "key-1" }, 1000);
+    setEngineBehaviour(
+            [](const std::string &, const recorded_request &call, response_socket &socket) {
+                return socket.write(completeResponse(call, std::string(BodyBytes, 'x')));
+            });
+    std::this_thread::sleep_for(
+            std::chrono::milliseconds(1500)); // Until the deployment is applied.
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::socket caller(io);
+    const std::string address = router->callerAddress();
+    const auto port = static_cast<unsigned short>(std::stoi(address.substr(address.find(':') + 1)));
+    caller.open(boost::asio::ip::tcp::v4());
+    caller.set_option(boost::asio::socket_base::receive_buffer_size(BytesPerRead));
+    caller.connect({ boost::asio::ip::make_address("127.0.0.1"), port });
+    boost::asio::write(caller, boost::asio::buffer(request("/safe/")));
+    std::vector<char> bytes(BytesPerRead);
+    std::size_t received = 0;
+    boost::system::error_code error;
+    while (received < BodyBytes && !error) {
+        received += boost::asio::read(caller, boost::asio::buffer(bytes), error);
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    BOOST_TEST(received >= BodyBytes);
+}
+
 // Guards against a pipelined request that has been read and ends without an answer, as the response
 // before it ends during a shutdown.
 BOOST_FIXTURE_TEST_CASE(pipelinedRequestIsAnsweredDuringAShutdown, fixture)
--- a/testing/support_router.h
+++ b/testing/support_router.h
@@ -94,7 +94,7 @@
     }
 
     /// Writes a deployment with the given version and one account, which has the given API keys.
-    void putDeployment(int version, const std::vector<std::string> &keys)
+    void putDeployment(int version, const std::vector<std::string> &keys, int idleTimeoutMs = 15000)
     {
         const auto route = [](const char *prefix, const char *kind, int attempts, bool resumable,
                               int timeoutMs = 3000) {
@@ -121,7 +121,7 @@
               { { "max_header_bytes", 16384 },
                 { "max_body_bytes", 100000 },
                 { "header_timeout_ms", 3000 },
-                { "idle_timeout_ms", 15000 } } },
+                { "idle_timeout_ms", idleTimeoutMs } } },
             { "tenants", { { { "name", "acct" }, { "api_keys", keys } } } }
         };
         log.put("keyed.op", "config", body.dump());
