Drop late digests of a VM's former incarnation

Cause: incarnations are random, so a late digest of the former one looked like another restart, and the next of the current one like a third: the VM's totals were charged twice and its load was replaced by an old one. vm_digest.h promises otherwise. Found by review.

Ruled out: ordered incarnations by time; a clock that is set back would shut out the restarted VM.

Change: the former incarnation of each VM is kept and its digests dropped.

Measured: lateDigestOfAFormerIncarnationIsDropped fails before (8 running requests where 3 are right) and passes after.

--- a/burdockhold/digest_exchange.cc
+++ b/burdockhold/digest_exchange.cc
@@ -438,9 +438,13 @@
 {
     peer &from = m_peers[digest.vm];
     const bool older = digest.incarnation == from.incarnation && digest.number <= from.number;
-    if (older)
+    const bool isOfFormerIncarnation = from.formerIncarnation != 0
+                                       && digest.incarnation == from.formerIncarnation;
+    if (older || isOfFormerIncarnation)
         return;
     const bool restarted = from.incarnation != 0 && from.incarnation != digest.incarnation;
+    if (restarted)
+        from.formerIncarnation = from.incarnation;
     from.address = m_sender;
     from.incarnation = digest.incarnation;
     from.number = digest.number;
--- a/burdockhold/digest_exchange.h
+++ b/burdockhold/digest_exchange.h
@@ -75,6 +75,7 @@
     {
         boost::asio::ip::udp::endpoint address;
         std::uint64_t incarnation = 0;
+        std::uint64_t formerIncarnation = 0; // Its late digests are dropped; 0 if there is none.
         std::uint64_t number = 0;
         time_point lastHeardAt; // Last digest of the VM, or summary that covers it.
         bool leaving = false;
--- a/testing/peer_groups_looptest.cc
+++ b/testing/peer_groups_looptest.cc
@@ -1,6 +1,8 @@
 #define BOOST_TEST_MODULE peer_groups
 #include "burdockhold/digest_exchange.h"
 
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -179,3 +181,34 @@
     BOOST_TEST(sentEarly(""));
     BOOST_TEST(!sentEarly("immediate_digests"));
 }
+
+// Guards against a late digest of a VM's former incarnation that counts as another restart.
+BOOST_AUTO_TEST_CASE(lateDigestOfAFormerIncarnationIsDropped)
+{
+    boost::asio::io_context io;
+    test_vm receiver(io, 0);
+    boost::asio::ip::udp::socket sender(io, boost::asio::ip::udp::v4());
+    const boost::asio::ip::udp::endpoint target(boost::asio::ip::make_address("127.0.0.1"),
+                                                FirstPort);
+    const auto runningAfter = [&](std::uint64_t incarnation, std::uint64_t number,
+                                  std::uint32_t running) {
+        vm_digest digest;
+        digest.vm = "vm-1";
+        digest.dataCentre = "dc0";
+        digest.incarnation = incarnation;
+        digest.number = number;
+        endpoint_row row;
+        row.endpoint = shortHash("engine");
+        row.running = running;
+        digest.endpoints.push_back(row);
+        sender.send_to(boost::asio::buffer(encodeDigest(digest)), target);
+        io.run_for(std::chrono::milliseconds(50));
+        io.restart();
+        return receiver.runningAtEngine();
+    };
+    const int own = receiver.runningAtEngine();
+    BOOST_TEST(runningAfter(1, 5, 7) == own + 7);
+    BOOST_TEST(runningAfter(2, 1, 2) == own + 2);
+    BOOST_TEST(runningAfter(1, 6, 7) == own + 2);
+    BOOST_TEST(runningAfter(2, 2, 3) == own + 3);
+}
