Charge the retry budget only when a retry can follow

Cause: each call that failed, broke or had a wrong answer took a retry from the budget of all VMs, also where no retry was possible (calls that may run once, no attempts or time left), so requests that could be repeated found it empty. Found by review.

Change: needsRetry() tells from the same rules whether the budget would change the next step.

--- a/burdockhold/attempt_rules.cc
+++ b/burdockhold/attempt_rules.cc
@@ -45,6 +45,15 @@
            && canTryAnother(withTerminatedEndpoint(facts));
 }
 
+bool needsRetry(attempt_facts facts)
+{
+    if (facts.end == call_end::Complete || facts.end == call_end::NotSent)
+        return false;
+    facts.retriesLeft = true;
+    return std::holds_alternative<try_another>(decideNextStep(facts))
+           || needsTerminationCheck(facts);
+}
+
 next_step decideNextStep(const attempt_facts &facts)
 {
     if (facts.end == call_end::Complete)
--- a/burdockhold/attempt_rules.h
+++ b/burdockhold/attempt_rules.h
@@ -96,6 +96,10 @@
 /// event must not be given more endpoints.
 bool needsTerminationCheck(const attempt_facts &facts);
 
+/// Returns true if a retry that the budget allows would change the next step, now or after a
+/// termination check. The budget is charged only then.
+bool needsRetry(attempt_facts facts);
+
 /// Returns the facts adjusted for an endpoint that is known to have terminated.
 attempt_facts withTerminatedEndpoint(attempt_facts facts);
 
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -765,8 +765,7 @@
     facts.executionsLeft = m_route->maxEndpoints - m_runs;
     facts.attemptsLeft = (m_responseStarted ? MaxCallsOfStartedStream : MaxCalls) - m_callsMade;
     facts.timeLeft = m_deadline - now;
-    if (end != call_end::Complete && end != call_end::NotSent)
-        facts.retriesLeft = board.tryRetry(m_poolName, now);
+    facts.retriesLeft = needsRetry(facts) && board.tryRetry(m_poolName, now);
     const bool lostUnanswered = end == call_end::Broken && !m_answered;
     if (lostUnanswered || needsTerminationCheck(facts))
         checkTermination(facts, lostUnanswered);
--- a/testing/attempt_rules_test.cc
+++ b/testing/attempt_rules_test.cc
@@ -147,3 +147,16 @@
         }
     });
 }
+
+// Guards against a retry budget that is charged for calls that no retry can follow, and against a
+// retry that is not charged.
+BOOST_AUTO_TEST_CASE(budgetIsChargedOnlyIfARetryCanFollow)
+{
+    forAllFacts([](attempt_facts facts, const next_step &) {
+        facts.retriesLeft = false;
+        const next_step without = decideNextStep(facts);
+        facts.retriesLeft = true;
+        const bool changesStep = decideNextStep(facts).index() != without.index();
+        BOOST_TEST(needsRetry(facts) == (changesStep || needsTerminationCheck(facts)));
+    });
+}
