Revert "Take the prefill rate of each pool from observed first events"

VMs logged 51 changes of the rate in use, to 6.7 to 28.8 tokens/ms, median 13.6, so the bound on pending prefill was 1,600 to 6,900 tokens instead of 12,000. Suspected, not shown: the time to the first event also holds waits and copies of segments that this VM does not know of.

--- a/burdockhold/decision_log.h
+++ b/burdockhold/decision_log.h
@@ -53,7 +53,6 @@
     CallEnded,
     EndpointChosen,
     PoolFull,
-    PrefillRateChanged,
     OverQuota,
     EndpointCrashed,
     RequestBlocked,
@@ -68,7 +67,7 @@
 template <>
 struct enum_names<log_event>
 {
-    static constexpr std::array<enum_name<log_event>, 37> Table{ {
+    static constexpr std::array<enum_name<log_event>, 36> Table{ {
             { log_event::Started, "started" },
             { log_event::Stopping, "stopping" },
             { log_event::Stopped, "stopped" },
@@ -96,7 +95,6 @@
             { log_event::CallEnded, "call_ended" },
             { log_event::EndpointChosen, "endpoint_chosen" },
             { log_event::PoolFull, "pool_full" },
-            { log_event::PrefillRateChanged, "prefill_rate_changed" },
             { log_event::OverQuota, "over_quota" },
             { log_event::EndpointCrashed, "endpoint_crashed" },
             { log_event::RequestBlocked, "request_blocked" },
--- a/burdockhold/digest_exchange.cc
+++ b/burdockhold/digest_exchange.cc
@@ -335,7 +335,6 @@
     m_board.endpoints.fillDigest(digest, now);
     digest.duties = m_board.ownDuties;
     digest.loadTimes = m_board.ownLoadTimes;
-    m_board.prefillRates.fillDigest(digest);
     digest.crashes = m_board.crashes.digestRows(now);
     addAnnouncedVersions(digest);
     for (const auto &[pool, rollout] : m_board.rollouts)
@@ -378,13 +377,6 @@
     }
 }
 
-void digest_exchange::recordPrefillRates(const vm_digest &digest, time_point now)
-{
-    const std::size_t dropped = m_board.prefillRates.applyPeerRows(digest.vm, digest.prefillRates,
-                                                                   now);
-    m_board.metrics.count(router_counter::DigestRowsRejected, dropped);
-}
-
 void digest_exchange::recordCrashes(const vm_digest &digest, time_point now)
 {
     for (const crash_row &row : digest.crashes) {
@@ -536,7 +528,6 @@
             claim.heldAt = time_point();
     }
     recordLoadTimes(digest);
-    recordPrefillRates(digest, now);
     for (auto &[pool, rollout] : m_board.rollouts)
         m_board.metrics.count(router_counter::DigestRowsRejected,
                               rollout.applyPeerDigest(digest, now));
--- a/burdockhold/digest_exchange.h
+++ b/burdockhold/digest_exchange.h
@@ -122,7 +122,6 @@
     void apply(const vm_digest &digest, time_point now);
     vm_digest ownDigest(time_point now);
     void recordLoadTimes(const vm_digest &digest);
-    void recordPrefillRates(const vm_digest &digest, time_point now);
     void recordUnavailableStores(const vm_digest &digest, time_point now);
     void recordCrashes(const vm_digest &digest, time_point now);
     void addAnnouncedVersions(vm_digest &digest) const;
--- a/burdockhold/digest_summary.cc
+++ b/burdockhold/digest_summary.cc
@@ -133,23 +133,6 @@
     return rows;
 }
 
-/// Returns the lower median of the members' rates for each pool.
-std::vector<prefill_row> medianPrefillRows(const std::vector<const vm_digest *> &members)
-{
-    std::map<std::uint32_t, std::vector<std::int64_t>> stated;
-    for (const vm_digest *member : members) {
-        for (const prefill_row &row : member->prefillRates)
-            stated[row.pool].push_back(row.rateTenths);
-    }
-    std::vector<prefill_row> rows;
-    for (auto &[pool, rates] : stated) {
-        const auto middle = rates.begin() + static_cast<std::ptrdiff_t>((rates.size() - 1) / 2);
-        std::nth_element(rates.begin(), middle, rates.end());
-        rows.push_back({ pool, *middle });
-    }
-    return rows;
-}
-
 template <typename Hashes>
 std::vector<std::uint32_t> unionOf(const std::vector<const vm_digest *> &members, Hashes hashesOf)
 {
@@ -192,7 +175,6 @@
     summary.loadTimes = mergedRows<load_time_row>(
             members, [](digest_ref d) -> const auto & { return d.loadTimes; },
             [](const load_time_row &row) { return std::make_pair(row.pool, row.model); });
-    summary.prefillRates = medianPrefillRows(members);
     summary.crashes = strongestCrashRows(mergedRows<crash_row>(
             members, [](digest_ref d) -> const auto & { return d.crashes; },
             [](const crash_row &row) { return row.fingerprint; }));
--- a/burdockhold/endpoint_choice.cc
+++ b/burdockhold/endpoint_choice.cc
@@ -37,8 +37,7 @@
     if (need.affinityKey.empty() || candidate.running == 0)
         return true;
     const std::int64_t prefillTokens = holds ? need.unsharedTokens : need.promptTokens;
-    const double maxPendingTokens = options.maxPendingPrefillMs * options.prefillTokensPerMs;
-    if (static_cast<double>(candidate.pendingPrefillTokens + prefillTokens) > maxPendingTokens
+    if (candidate.pendingPrefillTokens + prefillTokens > options.maxPendingPrefillTokens
         && candidate.pendingPrefillTokens > 0)
         return false;
     const auto requiredTokens = static_cast<double>(candidate.activeTokens + need.promptTokens
--- a/burdockhold/endpoint_choice.h
+++ b/burdockhold/endpoint_choice.h
@@ -90,8 +90,7 @@
 
 struct endpoint_choice_options
 {
-    /// Prefill rate of an engine; engines do not report it (prefill_rates.h).
-    double prefillTokensPerMs = 50.0;
+    double prefillTokensPerMs = 50.0; ///< Prefill rate of an engine; engines do not report it.
     /// Cost of copying a segment to an engine that lacks it. The copy itself takes a seventh of the
     /// prefill time; the rest accounts for the transfers queued behind it on the link, and for the
     /// segment that it evicts. If only the copy time were charged, prompts would leave their
@@ -104,11 +103,10 @@
     double runningRequestMs = 1.0;   ///< Each running request slows the decode steps of all.
     double preemptionMs = 600.0;     ///< Prefill of preempted requests has to be repeated.
     double usableMemoryShare = 0.92; ///< Cache blocks are partly filled, so some memory is lost.
-    /// Limit on pending prefill at an engine, as time at the prefill rate. Beyond the limit,
-    /// requests wait at the router, where the most urgent one goes first and a caller that
-    /// disconnects costs nothing. An engine that prefills without pause slows its streams to a
-    /// tenth.
-    double maxPendingPrefillMs = 240.0;
+    /// Limit on pending prefill at an engine, about 240 ms of work. Beyond the limit, requests wait
+    /// at the router, where the most urgent one goes first and a caller that disconnects costs
+    /// nothing. An engine that prefills without pause slows its streams to a tenth.
+    std::int64_t maxPendingPrefillTokens = 12000;
     /// Share of an engine's KV cache for running requests. The rest keeps shared segments: without
     /// them every prompt is computed in full, and the pool does not recover from an overload.
     double maxActiveShare = 0.75;
--- a/burdockhold/endpoint_table.cc
+++ b/burdockhold/endpoint_table.cc
@@ -160,7 +160,7 @@
     if (const auto memory = m_cacheTokens.find(entry.report.pool); memory != m_cacheTokens.end())
         candidate.cacheTokens = memory->second;
     candidate.suspect = candidate.running > 0
-                        && isSuspect(entry, candidate.pendingPrefillTokens, now);
+                        && now - entry.lastActivityAt > m_options.suspectAfter;
     const bool loading = !model.empty() && now < entry.loadingUntil;
     const auto state = entry.pause.stateAt(now);
     candidate.pausedUntil = entry.pause.pausedUntil();
@@ -178,25 +178,6 @@
     return candidate;
 }
 
-/// Returns whether the endpoint has sent nothing for longer than it reads its pending prompts.
-bool endpoint_table::isSuspect(const table_entry &entry, std::int64_t pendingPrefillTokens,
-                               time_point now) const
-{
-    duration limit = m_options.suspectAfter;
-    if (const auto rate = m_prefillRates.find(entry.report.pool); rate != m_prefillRates.end())
-        limit = std::max<duration>(
-                limit, m_options.suspectPrefills * prefillTime(pendingPrefillTokens, rate->second));
-    return now - entry.lastActivityAt > limit;
-}
-
-std::size_t endpoint_table::poolSize(std::string_view pool) const
-{
-    return static_cast<std::size_t>(
-            std::count_if(m_entries.begin(), m_entries.end(), [&](const auto &row) {
-                return row.second.report.pool == pool && !row.second.removed;
-            }));
-}
-
 std::map<std::string, std::vector<version_presence>> endpoint_table::softwareVersions() const
 {
     std::map<std::string, std::vector<version_presence>> found;
@@ -226,15 +207,14 @@
         if (entry.report.pool != pool || !isUsable(entry, false, now) || entry.pause.isLeaving())
             continue;
         std::int64_t activeTokens = entry.activeTokens;
-        std::int64_t pendingTokens = entry.pendingPrefillTokens;
         int running = entry.running;
         if (const auto totals = m_peerTotals.find(entry.hash); totals != m_peerTotals.end()) {
             activeTokens += totals->second.activeTokens;
-            pendingTokens += totals->second.pendingPrefillTokens;
             running += static_cast<int>(totals->second.running);
         }
         const bool silent = now < entry.backOffUntil || entry.pause.isPausing(now)
-                            || (entry.running > 0 && isSuspect(entry, pendingTokens, now));
+                            || (entry.running > 0
+                                && now - entry.lastActivityAt > m_options.suspectAfter);
         engines.push_back({ id, entry.report.address, entry.report.incarnation, std::string(model),
                             knownVersion(entry, model), activeTokens, silent, running });
     }
--- a/burdockhold/endpoint_table.h
+++ b/burdockhold/endpoint_table.h
@@ -20,7 +20,6 @@
 #include "burdockhold/deployment.h"
 #include "burdockhold/endpoint_choice.h"
 #include "burdockhold/endpoint_pause.h"
-#include "burdockhold/prefill_rates.h"
 #include "burdockhold/vm_digest.h"
 #include "burdockhold/weights_rollout.h"
 
@@ -44,11 +43,9 @@
     /// A VM's digest expires after the longer of this time and maxMissedDigests digest intervals.
     duration peerExpiry = std::chrono::milliseconds(1500);
     int maxMissedDigests = 4;
-    /// Silence after which an endpoint with running requests is suspected, or suspectPrefills times
-    /// the expected time of its pending prefill if that is longer: an engine sends events every few
-    /// milliseconds while it reads no prompt.
+    /// Silence after which an endpoint with running requests is suspected: an engine sends events
+    /// every few milliseconds, and prefills the longest prompts in under 400 ms.
     duration suspectAfter = std::chrono::milliseconds(500);
-    int suspectPrefills = 2;
     /// Doubles with each failure to connect.
     duration initialBackOff = std::chrono::milliseconds(300);
     duration maxBackOff = std::chrono::seconds(4);
@@ -151,15 +148,6 @@
         m_cacheTokens[pool] = tokens;
     }
 
-    /// Sets the rate at which the pool's engines read prompts, in tokens per millisecond.
-    void setPrefillRate(const std::string &pool, double tokensPerMs)
-    {
-        m_prefillRates[pool] = tokensPerMs;
-    }
-
-    /// Returns the number of the pool's endpoints that are not removed.
-    std::size_t poolSize(std::string_view pool) const;
-
     /// Returns the software versions of each pool's endpoints that are not leaving or removed.
     std::map<std::string, std::vector<version_presence>> softwareVersions() const;
 
@@ -287,14 +275,11 @@
     endpoint_candidate makeCandidate(const table_entry &entry, std::string_view model,
                                      std::int64_t targetVersion, std::string_view segmentKey,
                                      time_point now) const;
-    bool isSuspect(const table_entry &entry, std::int64_t pendingPrefillTokens,
-                   time_point now) const;
     static void decay(decayed_count &count, duration halfLife, time_point now);
     static std::int64_t knownVersion(const table_entry &entry, std::string_view model);
 
     std::string m_dataCentre;
     std::map<std::string, std::int64_t> m_cacheTokens; // By pool.
-    std::map<std::string, double> m_prefillRates;      // By pool.
     endpoint_table_options m_options;
     std::map<std::string, table_entry, std::less<>> m_entries;
     std::unordered_map<std::uint32_t, std::string> m_idsByHash;
--- a/burdockhold/event_router.cc
+++ b/burdockhold/event_router.cc
@@ -376,7 +376,6 @@
 {
     const time_point now = steadyNow();
     m_board.endpoints.step(m_board.digestInterval, now);
-    m_board.stepPrefillRates(now);
     m_board.crashes.step(now);
     logEndedNotices(m_board, now);
     for (auto *ledgers : m_board.sharedLimits()) {
--- a/burdockhold/mechanisms.h
+++ b/burdockhold/mechanisms.h
@@ -39,13 +39,12 @@
     StartGuard,
     SharedRetrySlack,
     ReturnedTokens,
-    ObservedPrefillRates,
 };
 
 template <>
 struct enum_names<mechanism>
 {
-    static constexpr std::array<enum_name<mechanism>, 20> Table{ {
+    static constexpr std::array<enum_name<mechanism>, 19> Table{ {
             { mechanism::PreferredEndpoint, "preferred_endpoint" },
             { mechanism::PoolSampling, "pool_sampling" },
             { mechanism::SegmentCopies, "segment_copies" },
@@ -65,7 +64,6 @@
             { mechanism::StartGuard, "start_guard" },
             { mechanism::SharedRetrySlack, "shared_retry_slack" },
             { mechanism::ReturnedTokens, "returned_tokens" },
-            { mechanism::ObservedPrefillRates, "observed_prefill_rates" },
     } };
 };
 
--- a/burdockhold/migration_rules.h
+++ b/burdockhold/migration_rules.h
@@ -22,9 +22,8 @@
 /// within the usual gap between events; stale weights are allowed.
 inline constexpr double MaxMigrationMs = 450.0;
 /// An engine that runs streams emits events every few milliseconds. It is silent during prefill,
-/// for four times the expected time on a slow engine.
-inline constexpr duration MinEngineSilence = std::chrono::milliseconds(1000);
-inline constexpr int EngineSilencePrefills = 4;
+/// usually for 240 ms, and for four times that on a slow engine.
+inline constexpr duration MaxEngineSilence = std::chrono::milliseconds(1000);
 /// An endpoint that is not an engine usually responds within its latency target.
 inline constexpr duration MinServiceSilence = std::chrono::milliseconds(250);
 inline constexpr int ServiceSilenceLatencyTargets = 2;
@@ -37,16 +36,13 @@
     duration sinceProgress = duration::zero(); ///< Since the call's start or last complete event.
     int executionsLeft = 0; ///< Endpoints that may run the request, the current one included.
     int callsLeft = 0;
-    /// That the endpoint is expected to need before the call's first event; zero after it.
-    duration prefillTime = duration::zero();
 };
 
-/// Returns how long a working endpoint may send nothing to any VM while it needs the given time to
-/// read the prompts up to the call's own.
-inline duration maxSilence(call_kind kind, duration latencyTarget, duration prefillTime)
+/// Returns how long a working endpoint may send nothing to any VM.
+inline duration maxSilence(call_kind kind, duration latencyTarget)
 {
     if (kind == call_kind::Stream)
-        return std::max<duration>(MinEngineSilence, EngineSilencePrefills * prefillTime);
+        return MaxEngineSilence;
     return std::max<duration>(MinServiceSilence, ServiceSilenceLatencyTargets * latencyTarget);
 }
 
--- a/burdockhold/placement_log.cc
+++ b/burdockhold/placement_log.cc
@@ -46,17 +46,6 @@
              { "expected_ms", choice.expectedMs } };
 }
 
-nlohmann::ordered_json prefillRateFields(const std::string &pool, const prefill_rate_change &change)
-{
-    return { { "pool", pool },
-             { "before", change.before },
-             { "tokens_per_ms", change.rate },
-             { "measured", change.measured },
-             { "samples", change.samples },
-             { "engines", change.engines },
-             { "peers", change.peers } };
-}
-
 nlohmann::ordered_json overQuotaFields(const std::string &requestId, const std::string &account,
                                        double cost, const quota_ledger &quota)
 {
--- a/burdockhold/placement_log.h
+++ b/burdockhold/placement_log.h
@@ -5,7 +5,6 @@
 // describes them.
 
 #include "burdockhold/left_out.h"
-#include "burdockhold/prefill_rates.h"
 #include "burdockhold/quota_ledger.h"
 
 #include <nlohmann/json.hpp>
@@ -27,10 +26,6 @@
                                             const left_out &endpoints);
 
 /// Returns the fields of a line on a refusal by the account's limit.
-/// Fields of the line on a pool's prefill rate, with the inputs of the estimate.
-nlohmann::ordered_json prefillRateFields(const std::string &pool,
-                                         const prefill_rate_change &change);
-
 nlohmann::ordered_json overQuotaFields(const std::string &requestId, const std::string &account,
                                        double cost, const quota_ledger &quota);
 
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -4,7 +4,6 @@
 #include "burdockhold/endpoint_notices.h"
 #include "burdockhold/enum_names.h"
 #include "burdockhold/placement_log.h"
-#include "burdockhold/prefill_calls.h"
 #include "burdockhold/prompt_segments.h"
 #include "burdockhold/retry_after.h"
 #include "burdockhold/rollout_calls.h"
@@ -368,7 +367,6 @@
     fields.copySegmentsFrom = transfer.copyFrom;
     fields.saveSegmentsTo = transfer.saveTo;
     m_copiesSegments = !fields.copySegmentsFrom.empty();
-    m_prefill.copies = m_copiesSegments && !facts.expectedCached;
     m_savesSegments = !fields.saveSegmentsTo.empty();
 }
 
@@ -390,7 +388,7 @@
     placement_inputs inputs = placementInputs();
     const auto choice = chooseWithCanary(inputs.candidates, inputs.canary, inputs.need,
                                          hashOf(m_request.attemptId),
-                                         m_context.board.choiceOptions(m_poolName));
+                                         m_context.board.options.choice);
     if (!choice)
         return refuseIfNoneReturns(inputs.candidates, now);
     if (m_awaitsRetryBudget && !m_context.board.tryRetry(m_poolName, now))
@@ -485,7 +483,7 @@
 void routed_request::startCall(const placement_inputs &inputs, const endpoint_choice &choice)
 {
     const auto &candidates = inputs.candidates;
-    prepareCall(candidates[choice.index], choice, inputs.need);
+    prepareCall(candidates[choice.index].id, choice, inputs.need);
     const bool retryable = isRetryable(m_route->kind, m_route->resumable);
     if (retryable)
         m_context.migratable.insert(shared_from_this());
@@ -508,11 +506,11 @@
 }
 
 /// Resets the state of the previous call and adds the new call to the chosen endpoint's load.
-void routed_request::prepareCall(const endpoint_candidate &endpoint, const endpoint_choice &choice,
+void routed_request::prepareCall(std::string_view endpointId, const endpoint_choice &choice,
                                  const placement_need &need)
 {
     router_board &board = m_context.board;
-    m_endpointId = std::string(endpoint.id);
+    m_endpointId = std::string(endpointId);
     m_lastEndpointId = m_endpointId;
     const endpoint_report *report = board.endpoints.find(m_endpointId);
     m_address = report->address;
@@ -532,7 +530,6 @@
     m_lastProgress = m_callStarted;
     m_load = { need.promptTokens - choice.expectedCachedTokens,
                need.promptTokens + need.outputTokens };
-    m_prefill = { m_callStarted, endpoint.pendingPrefillTokens, m_load.pendingPrefillTokens };
     m_expectedWeights = board.endpoints.weightsOf(m_endpointId, m_request.model);
     if (m_expectedWeights == 0)
         m_expectedWeights = board.targetVersion(m_request.model);
@@ -540,10 +537,22 @@
     m_ticket = board.endpoints.callStarted(m_endpointId, m_load, m_callStarted);
     if (m_load.pendingPrefillTokens >= ImmediateDigestTokens)
         board.digestRequested = true;
-    countCall(board.metrics, choice, m_load, m_callsMade > 1);
+    countCall(choice);
     m_rolloutCall = startRolloutCall(board, *m_route, m_poolName, m_endpointId, m_load, need);
 }
 
+void routed_request::countCall(const endpoint_choice &choice)
+{
+    router_metrics &metrics = m_context.board.metrics;
+    metrics.count(router_counter::Calls);
+    if (m_callsMade > 1)
+        metrics.count(router_counter::Repeats);
+    metrics.count(router_counter::CachedTokens,
+                  static_cast<std::uint64_t>(choice.expectedCachedTokens));
+    metrics.count(router_counter::UncachedTokens,
+                  static_cast<std::uint64_t>(m_load.pendingPrefillTokens));
+}
+
 http_handlers routed_request::callHandlers()
 {
     const auto self = shared_from_this();
@@ -624,7 +633,6 @@
         m_rolloutCall->firstByteReceived(steadyNow());
     router_board &board = m_context.board;
     board.endpoints.prefillFinished(m_endpointId, m_load);
-    reportFirstBytes(board, *m_route, m_poolName, m_endpointId, m_prefill, m_head.status);
     if (m_context.waiting.size() > 0)
         boost::asio::post(m_context.io, [&waiting = m_context.waiting] { waiting.retry(); });
     if (!m_segmentKey.empty() && m_head.status == StatusOk)
@@ -832,8 +840,7 @@
     const time_point now = steadyNow();
     const auto facts = migrationFacts(now);
     if (!facts
-        || !shouldLeaveSilent(*facts,
-                              maxSilence(m_route->kind, m_route->latencyTarget, facts->prefillTime),
+        || !shouldLeaveSilent(*facts, maxSilence(m_route->kind, m_route->latencyTarget),
                               board.settings.mechanisms))
         return;
     const double timeLeftMs = 1000.0 * toSeconds(m_deadline - now);
@@ -853,13 +860,8 @@
         return std::nullopt;
     const endpoint_table &endpoints = m_context.board.endpoints;
     return migration_facts{ endpoints.loadingFor(m_endpointId, now),
-                            endpoints.silentFor(m_endpointId, now),
-                            now - m_lastProgress,
-                            m_route->maxEndpoints - m_runs,
-                            MaxCalls - m_callsMade,
-                            m_prefillDone
-                                    ? duration::zero()
-                                    : expectedPrefill(m_context.board, m_poolName, m_prefill) };
+                            endpoints.silentFor(m_endpointId, now), now - m_lastProgress,
+                            m_route->maxEndpoints - m_runs, MaxCalls - m_callsMade };
 }
 
 /// Returns whether another endpoint is expected to send the next event within this time.
@@ -867,7 +869,7 @@
 {
     const placement_inputs inputs = placementInputs();
     const auto choice = chooseEndpoint(inputs.candidates, inputs.need, hashOf(m_request.attemptId),
-                                       m_context.board.choiceOptions(m_poolName));
+                                       m_context.board.options.choice);
     return choice && choice->expectedMs <= withinMs;
 }
 
--- a/burdockhold/routed_request.h
+++ b/burdockhold/routed_request.h
@@ -117,8 +117,9 @@
 
     bool refuseIfNoneReturns(const std::vector<endpoint_candidate> &candidates, time_point now);
     void startCall(const placement_inputs &inputs, const endpoint_choice &choice);
-    void prepareCall(const endpoint_candidate &endpoint, const endpoint_choice &choice,
+    void prepareCall(std::string_view endpointId, const endpoint_choice &choice,
                      const placement_need &need);
+    void countCall(const endpoint_choice &choice);
     endpoint_call_fields callFieldsFor(const std::string &endpointId) const;
     std::string holderAddress(std::string_view engine) const;
     const cache_store *segmentStore(const placement_inputs &inputs) const;
@@ -172,7 +173,6 @@
     std::string m_address;
     call_load m_load;
     call_ticket m_ticket; ///< Empty once the endpoint has accepted the call.
-    prefill_call m_prefill;
     bool m_prefillDone = false;
     time_point m_callStarted;
     time_point m_lastProgress; ///< Start of the call, or arrival of its last complete event.
--- a/burdockhold/router_board.cc
+++ b/burdockhold/router_board.cc
@@ -1,7 +1,5 @@
 #include "burdockhold/router_board.h"
 
-#include "burdockhold/placement_log.h"
-
 #include <xxhash.h>
 
 #include <ctime>
@@ -272,34 +270,6 @@
         accountQuota(account, now).returnTokens(tokens, now);
 }
 
-void router_board::stepPrefillRates(time_point now)
-{
-    if (!deployment)
-        return;
-    for (const deployment_pool &pool : deployment->source().pools) {
-        if (!pool.engine)
-            continue;
-        const auto change = prefillRates.step(pool.name, endpoints.poolSize(pool.name), now);
-        endpoints.setPrefillRate(pool.name, prefillRate(pool.name));
-        if (change && log.accepts(log_priority::StateChange, now))
-            log.write(log_event::PrefillRateChanged, prefillRateFields(pool.name, *change), now);
-    }
-}
-
-double router_board::prefillRate(const std::string &pool) const
-{
-    return settings.mechanisms.uses(mechanism::ObservedPrefillRates)
-                   ? prefillRates.tokensPerMs(pool)
-                   : options.choice.prefillTokensPerMs;
-}
-
-endpoint_choice_options router_board::choiceOptions(const std::string &pool) const
-{
-    endpoint_choice_options choice = options.choice;
-    choice.prefillTokensPerMs = prefillRate(pool);
-    return choice;
-}
-
 void router_board::logFingerprintBlocked(fingerprint suspect, std::string_view reportedBy,
                                          time_point now)
 {
--- a/burdockhold/router_board.h
+++ b/burdockhold/router_board.h
@@ -14,7 +14,6 @@
 #include "burdockhold/deployment.h"
 #include "burdockhold/endpoint_health.h"
 #include "burdockhold/endpoint_table.h"
-#include "burdockhold/prefill_rates.h"
 #include "burdockhold/quota_ledger.h"
 #include "burdockhold/router_metrics.h"
 #include "burdockhold/router_settings.h"
@@ -146,16 +145,6 @@
     /// never will.
     void returnTokens(const deployment_account &account, double tokens, time_point now);
 
-    /// Measures the pools' prefill rates again if that is due, and hands them to the endpoint
-    /// table.
-    void stepPrefillRates(time_point now);
-
-    /// Returns the rate at which the pool's engines read prompts, in tokens per millisecond.
-    double prefillRate(const std::string &pool) const;
-
-    /// Returns the options of a choice among the pool's endpoints.
-    endpoint_choice_options choiceOptions(const std::string &pool) const;
-
     const router_settings settings;
     const decision_options options;
 
@@ -179,10 +168,6 @@
     // (loading of weights) and the digest exchange (digests), each through its own methods.
     endpoint_table endpoints;
 
-    // Written by the routed requests (first events) and the digest exchange (other VMs' rates),
-    // each through its own methods.
-    prefill_rates prefillRates;
-
     // Written by the rollout controller (orders, versions), the routed requests (calls) and the
     // digest exchange (other VMs' evidence), each through its own methods. By pool.
     std::map<std::string, software_rollout> rollouts;
--- a/burdockhold/vm_digest.h
+++ b/burdockhold/vm_digest.h
@@ -92,16 +92,6 @@
     MSGPACK_DEFINE_ARRAY(pool, model, drainMs, loadMs, fastestMs, limitTenths, storeIsLimit)
 };
 
-/// The rate at which a pool's engines read prompts, as the sender has measured it. The field is
-/// signed, so that an absurd value is dropped alone and not with the whole digest.
-struct prefill_row
-{
-    std::uint32_t pool = 0;      ///< shortHash of the pool's name.
-    std::int64_t rateTenths = 0; ///< Tenths of a token per millisecond.
-    static constexpr double RateScale = 10.0;
-    MSGPACK_DEFINE_ARRAY(pool, rateTenths)
-};
-
 /// A crash of an endpoint, identified by crashId().
 struct crash_report_row
 {
@@ -178,11 +168,10 @@
     std::vector<crash_row> crashes;       ///< Empty from an older build.
     std::vector<rollout_row> rollouts;    ///< Empty from an older build, as is the next one.
     std::vector<rollout_evidence_row> rolloutEvidence;
-    std::vector<prefill_row> prefillRates; ///< Empty from an older build.
     MSGPACK_DEFINE_ARRAY(vm, incarnation, number, leaving, accounts, endpoints, weights,
                          storedSegments, unavailableStores, duties, announcedVersions,
                          departedEndpoints, dataCentre, aggregator, vms, capacity, intervalMs,
-                         loadTimes, crashes, rollouts, rolloutEvidence, prefillRates)
+                         loadTimes, crashes, rollouts, rolloutEvidence)
 
     bool isSummary() const { return !aggregator.empty(); }
 };
--- a/testing/endpoint_choice_test.cc
+++ b/testing/endpoint_choice_test.cc
@@ -105,10 +105,9 @@
         engine.activeTokens += need.promptTokens + need.outputTokens;
     }
     const endpoint_choice_options options;
-    const double maxPendingTokens = options.maxPendingPrefillMs * options.prefillTokensPerMs;
     BOOST_TEST(placed >= 9);
     for (const endpoint_candidate &engine : engines)
-        BOOST_TEST(static_cast<double>(engine.pendingPrefillTokens) <= maxPendingTokens);
+        BOOST_TEST(engine.pendingPrefillTokens <= options.maxPendingPrefillTokens);
 }
 
 // Guards against a prompt that exceeds the limits and is never served.
--- a/testing/mechanisms_test.cc
+++ b/testing/mechanisms_test.cc
@@ -234,7 +234,7 @@
 BOOST_AUTO_TEST_CASE(migrationSwitchesKeepTheCall)
 {
     const migration_facts facts{ seconds(1), seconds(2), seconds(2), 2, 1 };
-    const duration limit = maxSilence(call_kind::Stream, seconds(1), {});
+    const duration limit = maxSilence(call_kind::Stream, seconds(1));
     BOOST_TEST(shouldLeaveLoading(facts, {}));
     BOOST_TEST(!shouldLeaveLoading(facts, without(mechanism::LoadingMigration)));
     BOOST_TEST(shouldLeaveSilent(facts, limit, {}));
