Start a fault soak of several router processes

Change: soak_looptest starts 3 to 8 routers (one seed in 25: 60 to 120) against the fake log and engines, applies the faults that a seed draws, and judges what callers, engines and the log have seen. The fake platform gets routers at own addresses, engines that crash and return at their address, and faults of the log. Its sockets are no longer inherited by routers, which kept an engine's closed connection open, and finished threads are joined.

--- /dev/null
+++ b/testing/soak_schedule.cc
@@ -0,0 +1,116 @@
+#include "testing/soak_schedule.h"
+
+#include "testing/soak_engine.h"
+
+#include <algorithm>
+#include <random>
+#include <sstream>
+
+namespace burdockhold::testing {
+
+namespace {
+
+constexpr int LogFaults = 4;           ///< Values of log_fault after None.
+constexpr int LargeFleetEvery = 25;    ///< One seed in this many runs a large fleet.
+constexpr int LastWithdrawalMs = 3000; ///< So that the bound of withdrawals ends before the run.
+
+/// How often an action is drawn.
+struct action_weight
+{
+    soak_action action;
+    int weight;
+    int maxMs; ///< Longest duration.
+};
+
+constexpr action_weight Weights[] = {
+    { soak_action::Kill, 3, 1500 },           { soak_action::Terminate, 4, 800 },
+    { soak_action::Freeze, 3, 3000 },         { soak_action::KillAll, 1, 1000 },
+    { soak_action::TerminateSeries, 1, 900 }, { soak_action::CutRouter, 2, 3000 },
+    { soak_action::HarmDigests, 2, 4000 },    { soak_action::EngineMode, 9, 4000 },
+    { soak_action::EngineCrash, 4, 1500 },    { soak_action::EngineLeave, 2, 1000 },
+    { soak_action::DeadlySegments, 1, 2000 }, { soak_action::LogFault, 4, 4000 },
+    { soak_action::ForgetHistory, 2, 1 },     { soak_action::Deployment, 3, 1 },
+};
+
+class plan_drawer
+{
+public:
+    explicit plan_drawer(std::uint64_t seed)
+        : m_random(seed)
+    {
+    }
+
+    int below(int bound)
+    {
+        return static_cast<int>(m_random() % static_cast<std::uint64_t>(bound));
+    }
+
+    const action_weight &action()
+    {
+        int total = 0;
+        for (const action_weight &row : Weights)
+            total += row.weight;
+        int draw = below(total);
+        for (const action_weight &row : Weights) {
+            draw -= row.weight;
+            if (draw < 0)
+                return row;
+        }
+        return Weights[0];
+    }
+
+    soak_event event(const soak_plan &plan)
+    {
+        const action_weight &row = action();
+        const bool isEngine = row.action == soak_action::EngineMode
+                              || row.action == soak_action::EngineCrash
+                              || row.action == soak_action::EngineLeave;
+        soak_event drawn;
+        drawn.action = row.action;
+        drawn.atMs = below(plan.faultMs);
+        drawn.target = below(isEngine ? plan.engines : plan.routers);
+        drawn.forMs = 1 + below(row.maxMs);
+        drawn.mode = 1 + below(row.action == soak_action::LogFault ? LogFaults : EngineModes - 1);
+        return drawn;
+    }
+
+private:
+    std::mt19937_64 m_random;
+};
+
+} // namespace
+
+soak_plan makeSoakPlan(std::uint64_t seed, int routers)
+{
+    plan_drawer drawer(seed);
+    soak_plan plan;
+    plan.seed = seed;
+    const int drawn = 3 + drawer.below(6);
+    const int large = 60 + drawer.below(61);
+    plan.routers = seed % LargeFleetEvery == 0 ? large : drawn;
+    if (routers > 0)
+        plan.routers = routers;
+    plan.engines = 3 + drawer.below(4);
+    const int count = 10 + drawer.below(15);
+    for (int index = 0; index < count; ++index)
+        plan.events.push_back(drawer.event(plan));
+    const int withdrawals = 1 + drawer.below(3);
+    for (int index = 0; index < withdrawals; ++index)
+        plan.events.push_back({ drawer.below(LastWithdrawalMs), soak_action::WithdrawKey });
+    std::stable_sort(plan.events.begin(), plan.events.end(),
+                     [](const auto &a, const auto &b) { return a.atMs < b.atMs; });
+    return plan;
+}
+
+std::string describe(const soak_plan &plan)
+{
+    std::ostringstream text;
+    text << "seed " << plan.seed << ": " << plan.routers << " routers, " << plan.engines
+         << " engines\n";
+    for (const soak_event &event : plan.events)
+        text << "  " << event.atMs << " ms: " << nameOf(event.action) << " " << event.target
+             << " for " << event.forMs << " ms, mode " << event.mode << "\n";
+    return text.str();
+}
+
+} // namespace burdockhold::testing
--- a/testing/support_platform.cc
+++ b/testing/support_platform.cc
@@ -142,13 +142,31 @@
     target.sin_family = AF_INET;
     target.sin_port = htons(static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))));
     ::inet_pton(AF_INET, address.substr(0, colon).c_str(), &target.sin_addr);
-    const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     if (::connect(descriptor, reinterpret_cast<sockaddr *>(&target), sizeof target) == 0)
         return descriptor;
     ::close(descriptor);
     return -1;
 }
 
+/// Returns a socket that listens on 127.0.0.1 at the port, or at a free one if it is 0; -1 if the
+/// port is taken. Connections of a former listener do not keep the port.
+int listenOn(int port)
+{
+    const int listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int reuse = 1;
+    ::setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    if (::bind(listener, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0
+        && ::listen(listener, 64) == 0)
+        return listener;
+    ::close(listener);
+    return -1;
+}
+
 void sendAll(int descriptor, const std::string &bytes)
 {
     std::size_t sent = 0;
@@ -193,12 +211,9 @@
 fake_server::fake_server(request_handler handler)
     : m_handler(std::move(handler))
 {
-    m_listener = ::socket(AF_INET, SOCK_STREAM, 0);
+    m_listener = listenOn(0);
+    BOOST_REQUIRE(m_listener >= 0);
     sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    BOOST_REQUIRE(::bind(m_listener, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0);
-    BOOST_REQUIRE(::listen(m_listener, 64) == 0);
     socklen_t size = sizeof address;
     ::getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &size);
     m_port = ntohs(address.sin_port);
@@ -215,7 +230,7 @@
         for (const int descriptor : m_connections)
             ::shutdown(descriptor, SHUT_RDWR);
     }
-    for (std::thread &thread : m_threads)
+    for (auto &[id, thread] : m_threads)
         thread.join();
 }
 
@@ -225,15 +240,54 @@
         pollfd waiting{ m_listener, POLLIN, 0 };
         if (::poll(&waiting, 1, PollMs) <= 0)
             continue;
-        const int descriptor = ::accept(m_listener, nullptr, nullptr);
+        const int descriptor = ::accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
         if (descriptor < 0)
             continue;
+        reapFinishedThreads();
         const std::lock_guard lock(m_mutex);
         m_connections.push_back(descriptor);
-        m_threads.emplace_back([this, descriptor] { serveConnection(descriptor); });
+        std::thread thread([this, descriptor] { serveConnection(descriptor); });
+        m_threads.emplace(thread.get_id(), std::move(thread));
+    }
+}
+
+void fake_server::reapFinishedThreads()
+{
+    std::vector<std::thread> finished;
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const std::thread::id id : m_finishedThreads) {
+            finished.push_back(std::move(m_threads.at(id)));
+            m_threads.erase(id);
+        }
+        m_finishedThreads.clear();
+    }
+    for (std::thread &thread : finished)
+        thread.join();
+}
+
+void fake_server::crash()
+{
+    ::close(m_listener.exchange(-1));
+    const std::lock_guard lock(m_mutex);
+    for (const int descriptor : m_connections) {
+        // Disconnecting sends a reset and keeps the descriptor, which its thread closes.
+        sockaddr nowhere{};
+        nowhere.sa_family = AF_UNSPEC;
+        static_cast<void>(
+                ::connect(descriptor, &nowhere, sizeof nowhere)); // May be closed already.
     }
 }
 
+bool fake_server::listenAgain()
+{
+    const int listener = listenOn(m_port);
+    if (listener < 0)
+        return false;
+    m_listener = listener;
+    return true;
+}
+
 void fake_server::stopListening()
 {
     m_stopping = true;
@@ -253,6 +307,7 @@
     }
     const std::lock_guard lock(m_mutex);
     m_connections.erase(std::find(m_connections.begin(), m_connections.end(), descriptor));
+    m_finishedThreads.push_back(std::this_thread::get_id());
     ::close(descriptor);
 }
 
@@ -285,9 +340,28 @@
     return found;
 }
 
+void fake_log_service::forgetHistory()
+{
+    const std::lock_guard lock(m_mutex);
+    for (const auto &[topic, records] : m_topics)
+        m_firstOffsets[topic] = records.size();
+}
+
+void fake_log_service::setFaults(std::function<log_fault(const std::string &target)> faults)
+{
+    m_faults = std::move(faults);
+}
+
+void fake_log_service::setAppendFilter(
+        std::function<std::string(const std::string &topic, const std::string &key,
+                                  const std::string &value)>
+                filter)
+{
+    m_appendFilter = std::move(filter);
+}
+
 bool fake_log_service::respond(const recorded_request &request, response_socket &socket)
 {
-    const std::string topic = queryValue(request.target, "topic");
     ++m_calls;
     if (m_endless) {
         socket.write("HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n");
@@ -296,27 +370,71 @@
     }
     if (m_unavailable)
         return socket.write(makeResponse(503, ""));
+    return respondFaulty(m_faults ? m_faults(request.target) : log_fault::None, request, socket);
+}
+
+bool fake_log_service::respondFaulty(log_fault fault, const recorded_request &request,
+                                     response_socket &socket)
+{
+    switch (fault) {
+    case log_fault::Unavailable:
+        return socket.write(makeResponse(503, ""));
+    case log_fault::Reset:
+        socket.reset();
+        return false;
+    case log_fault::LostAnswer:
+        answer(request);
+        return false;
+    case log_fault::Slow:
+        std::this_thread::sleep_for(std::chrono::milliseconds(SlowLogMs));
+        break;
+    case log_fault::None:
+        break;
+    }
+    return socket.write(answer(request));
+}
+
+std::string fake_log_service::answer(const recorded_request &request)
+{
     if (request.target.rfind("/log-newest", 0) == 0)
-        return socket.write(makeResponse(200, latestRecords(topic)));
+        return makeResponse(200, latestRecords(queryValue(request.target, "topic")));
     if (request.target.rfind("/log-join", 0) == 0)
-        return socket.write(makeResponse(200, joinGroup(request.body)));
-    if (request.target.rfind("/log-append", 0) == 0) {
-        const auto keySize = static_cast<unsigned char>(request.body[4]);
-        put(topic, request.body.substr(5, keySize), request.body.substr(5 + keySize));
-        return socket.write(makeResponse(200, R"({"offset":0,"end":1})"));
-    }
-    if (request.target.rfind("/log-read", 0) != 0)
-        return socket.write(makeResponse(200, "{}"));
+        return makeResponse(200, joinGroup(request.body));
+    if (request.target.rfind("/log-append", 0) == 0)
+        return append(request);
+    if (request.target.rfind("/log-read", 0) == 0)
+        return read(request);
+    return makeResponse(200, "{}");
+}
+
+std::string fake_log_service::append(const recorded_request &request)
+{
+    const std::string topic = queryValue(request.target, "topic");
+    const auto keySize = static_cast<unsigned char>(request.body[4]);
+    const std::string key = request.body.substr(5, keySize);
+    const std::string value = request.body.substr(5 + keySize);
+    put(topic, key, m_appendFilter ? m_appendFilter(topic, key, value) : value);
+    return makeResponse(200, R"({"offset":0,"end":1})");
+}
+
+std::string fake_log_service::read(const recorded_request &request)
+{
+    const std::string topic = queryValue(request.target, "topic");
     const std::uint64_t from = std::stoull(queryValue(request.target, "from"));
     const std::string wait = queryValue(request.target, "wait_ms");
     const auto deadline = steady_clock::now()
                           + std::chrono::milliseconds(wait.empty() ? 0 : std::stoi(wait));
+    {
+        const std::lock_guard lock(m_mutex);
+        if (from < m_firstOffsets[topic])
+            return makeResponse(410, json{ { "first", m_firstOffsets[topic] } }.dump());
+    }
     std::string page = readPage(topic, from);
     while (page.size() <= 16 && steady_clock::now() < deadline && !m_unavailable) {
         std::this_thread::sleep_for(std::chrono::milliseconds(5));
         page = readPage(topic, from);
     }
-    return socket.write(makeResponse(200, page));
+    return makeResponse(200, page);
 }
 
 std::string fake_log_service::latestRecords(const std::string &topic)
@@ -339,7 +457,7 @@
 {
     const std::lock_guard lock(m_mutex);
     const auto &records = m_topics[topic];
-    std::string page = bigEndian(records.size(), 8) + bigEndian(0, 8);
+    std::string page = bigEndian(records.size(), 8) + bigEndian(m_firstOffsets[topic], 8);
     for (std::size_t at = from; at < records.size(); ++at) {
         const std::string body = bigEndian(records[at].key.size(), 1) + records[at].key
                                  + (records[at].removed ? std::string() : records[at].value);
@@ -364,37 +482,62 @@
     }.dump();
 }
 
-router_process::router_process(const std::string &logAddress)
-    : m_callerAddress(freeAddress())
-    , m_readyAddress(freeAddress())
-    , m_settingsFile("/tmp/burdockhold-router-" + std::to_string(::getpid()) + ".ini")
+router_process::router_process(const std::string &logAddress, const router_place &place)
+    : m_callerAddress(place.ip.empty() ? freeAddress() : place.ip + ":7001")
+    , m_readyAddress(place.ip.empty() ? freeAddress() : place.ip + ":7002")
+    , m_settingsFile("/tmp/burdockhold-router-" + std::to_string(::getpid()) + "-" + place.vm
+                     + ".ini")
     , m_logFile(m_settingsFile + ".log")
 {
-    const std::string peerAddress = freeAddress();
+    ::unlink(m_logFile.c_str());
+    const std::string peerAddress = place.ip.empty() ? freeAddress() : place.ip + ":7003";
     m_peerPort = std::stoi(peerAddress.substr(peerAddress.find(':') + 1));
     std::ofstream(m_settingsFile)
-            << "[vm]\nname = vm-1\ndata_centre = dc1\nip = 127.0.0.1\n[listen]\ncallers = "
-            << m_callerAddress << "\nready = " << m_readyAddress
-            << "\nfirst_peer_port = " << peerAddress.substr(peerAddress.find(':') + 1)
-            << "\n[log]\naddress = " << logAddress
+            << "[vm]\nname = " << place.vm << "\ndata_centre = " << place.dataCentre
+            << "\nip = " << (place.ip.empty() ? "127.0.0.1" : place.ip)
+            << "\n[listen]\ncallers = " << m_callerAddress << "\nready = " << m_readyAddress
+            << "\nfirst_peer_port = " << m_peerPort << "\n[log]\naddress = " << logAddress
             << "\npartitions = 12\n[bounds]\nleaving_ms = 2000\nconfig_ms = 2000\n"
                "revocation_ms = 5000\nweights_ms = 8000\nengines_check_fences = true\n"
                "lease_ms = 3000\nshutdown_grace_s = 8\n[repeats]\nratio = 0.2\nslack = 400\n"
-               "[accounts]\ntolerance = 0.1\ntolerance_tokens = 72000\n"
-               "[limits]\nmemory_mb = 110\ndescriptors = 1024\n";
+               "[accounts]\ntolerance = 0.1\ntolerance_tokens = "
+            << place.toleranceTokens << "\n[limits]\nmemory_mb = 110\ndescriptors = 1024\n";
+    spawn();
+}
+
+void router_process::spawn()
+{
     const std::string option = "--settings=" + m_settingsFile;
     std::string program = BURDOCKHOLD_ROUTER;
     std::string argument = option;
     char *arguments[] = { program.data(), argument.data(), nullptr };
     posix_spawn_file_actions_t actions;
     ::posix_spawn_file_actions_init(&actions);
-    ::posix_spawn_file_actions_addopen(&actions, 1, m_logFile.c_str(), O_WRONLY | O_CREAT | O_TRUNC,
-                                       0600);
+    ::posix_spawn_file_actions_addopen(&actions, 1, m_logFile.c_str(),
+                                       O_WRONLY | O_CREAT | O_APPEND, 0600);
     BOOST_REQUIRE(::posix_spawn(&m_process, program.c_str(), &actions, nullptr, arguments, environ)
                   == 0);
     ::posix_spawn_file_actions_destroy(&actions);
 }
 
+void router_process::startAgain()
+{
+    ::waitpid(m_process, nullptr, 0);
+    spawn();
+}
+
+int router_process::exitCode() const
+{
+    siginfo_t info{};
+    ::waitid(P_PID, static_cast<id_t>(m_process), &info, WEXITED | WNOHANG | WNOWAIT);
+    return info.si_code == CLD_EXITED ? info.si_status : 128 + info.si_status;
+}
+
+void router_process::signal(int number) const
+{
+    ::kill(m_process, number);
+}
+
 router_process::~router_process()
 {
     ::kill(m_process, SIGKILL);
--- a/testing/support_platform.h
+++ b/testing/support_platform.h
@@ -71,20 +71,34 @@
     /// Refuses new connections from now on. Open connections stay open.
     void stopListening();
 
+    /// Resets all connections and refuses new ones, as a process that crashed.
+    void crash();
+
+    /// Listens again at the same address after crash(). Returns false if the port is taken.
+    bool listenAgain();
+
 private:
     void acceptConnections();
     void serveConnection(int descriptor);
+    void reapFinishedThreads();
 
     request_handler m_handler;
-    int m_listener = -1;
+    std::atomic<int> m_listener{ -1 };
     int m_port = 0;
     std::atomic<bool> m_stopping{ false };
     std::mutex m_mutex;
     std::vector<int> m_connections;
-    std::vector<std::thread> m_threads;
+    std::map<std::thread::id, std::thread> m_threads;
+    std::vector<std::thread::id> m_finishedThreads;
     std::thread m_acceptor;
 };
 
+/// What a faulty log does with a call.
+enum class log_fault { None, Unavailable, Reset, LostAnswer, Slow };
+
+/// Delay of a call with log_fault::Slow.
+inline constexpr int SlowLogMs = 700;
+
 /// A fake of the log: topics with one partition and keyed records. The first member that joins a
 /// group is assigned all of its partitions and keeps them.
 class fake_log_service
@@ -106,6 +120,18 @@
     /// closes, for at most one minute.
     void setEndlessResponses(bool endless) { m_endless = endless; }
 
+    /// Deletes the records of all topics so far from the reads; the newest record of each key
+    /// stays.
+    void forgetHistory();
+
+    /// Sets a function that decides the fault of each call by its target. Set before any call.
+    void setFaults(std::function<log_fault(const std::string &target)> faults);
+
+    /// Sets a function that changes the value of each record that is appended. Set before any call.
+    void setAppendFilter(std::function<std::string(const std::string &topic, const std::string &key,
+                                                   const std::string &value)>
+                                 filter);
+
     /// The number of calls received since the start.
     int callCount() const { return m_calls; }
 
@@ -118,12 +144,20 @@
     };
 
     bool respond(const recorded_request &request, response_socket &socket);
+    bool respondFaulty(log_fault fault, const recorded_request &request, response_socket &socket);
+    std::string answer(const recorded_request &request);
+    std::string append(const recorded_request &request);
+    std::string read(const recorded_request &request);
     std::string latestRecords(const std::string &topic);
     std::string readPage(const std::string &topic, std::uint64_t from);
     std::string joinGroup(const std::string &body);
 
     std::mutex m_mutex;
     std::map<std::string, std::vector<record>> m_topics;
+    std::map<std::string, std::uint64_t> m_firstOffsets;
+    std::function<log_fault(const std::string &)> m_faults;
+    std::function<std::string(const std::string &, const std::string &, const std::string &)>
+            m_appendFilter;
     std::map<std::string, std::string> m_holders;
     std::map<std::string, int> m_generations;
     std::atomic<bool> m_unavailable{ false };
@@ -132,11 +166,20 @@
     fake_server m_server;
 };
 
+/// Name and place of a router among several.
+struct router_place
+{
+    std::string vm = "vm-1";
+    std::string dataCentre = "dc1";
+    std::string ip; ///< An own loopback address, with fixed ports; if empty, 127.0.0.1, free ports.
+    int toleranceTokens = 72000; ///< Tokens by which an account's limit may be exceeded.
+};
+
 /// The router program, started on free ports with the log at the given address.
 class router_process
 {
 public:
-    explicit router_process(const std::string &logAddress);
+    explicit router_process(const std::string &logAddress, const router_place &place = {});
     ~router_process();
     router_process(const router_process &) = delete;
     router_process &operator=(const router_process &) = delete;
@@ -147,8 +190,15 @@
     /// Returns the lines that the process has logged.
     std::string logText() const;
     void terminate() const;
+    void signal(int number) const;
     bool hasExited() const;
 
+    /// Starts the program again, with the same settings, after it has exited.
+    void startAgain();
+
+    /// Exit code, or 128 + the number of the signal, of a process that has exited.
+    int exitCode() const;
+
     /// Peak resident memory of the process.
     std::size_t peakMemoryBytes() const;
 
@@ -160,6 +210,8 @@
     bool waitReady(bool ready) const;
 
 private:
+    void spawn();
+
     int m_process = -1;
     std::string m_callerAddress;
     std::string m_readyAddress;
