Ignore entries of older incarnations until the view confirms them

Cause: endpoint_table took any other incarnation for a restart. A VM that changes to a reader whose view is older gets the previous entry again, and lost the leaving, the pause and the running calls of the newer incarnation.

Change: an entry of an older incarnation changes nothing. If no newer one comes before the view is confirmed for a time after its arrival, it is the newest in the log, from an engine whose clock was behind at its last start, and counts as a restart. Ruled out: never taking an older one, which shuts such an engine out for good; a fixed time without heartbeats, since views of other VMs leave heartbeats out. The simulation in endpoint_pause_test passes entries on in any order now.

--- a/burdockhold/endpoint_table.cc
+++ b/burdockhold/endpoint_table.cc
@@ -27,9 +27,24 @@
 }
 
 bool endpoint_table::update(const endpoint_report &report, time_point now)
+{
+    table_entry *known = findEntry(report.id);
+    if (known != nullptr && report.incarnation < known->report.incarnation) {
+        const bool isSame = known->olderReport
+                            && known->olderReport->incarnation == report.incarnation;
+        known->olderReport = report;
+        if (!isSame) // Heartbeats do not delay its adoption.
+            known->olderReportAt = now;
+        return false;
+    }
+    return adopt(report, now);
+}
+
+bool endpoint_table::adopt(const endpoint_report &report, time_point now)
 {
     const auto [row, isNew] = m_entries.try_emplace(report.id);
     table_entry &entry = row->second;
+    entry.olderReport.reset();
     const bool restarted = !isNew && report.incarnation != entry.report.incarnation;
     const bool hadNotice = restarted && (entry.pause.isLeaving() || entry.pause.isPausing(now));
     if (restarted)
@@ -73,7 +88,10 @@
 void endpoint_table::remove(std::string_view id, time_point now)
 {
     table_entry *entry = findEntry(id);
-    if (entry == nullptr || entry->removed)
+    if (entry == nullptr)
+        return;
+    entry->olderReport.reset();
+    if (entry->removed)
         return;
     noteEndedNotices(*entry, notice_end::Removed);
     entry->pauseRuns = false;
@@ -82,15 +100,21 @@
     entry->leavingSeenAt = now;
 }
 
-void endpoint_table::confirmView(time_point at)
+std::vector<endpoint_report> endpoint_table::confirmView(time_point at)
 {
+    std::vector<endpoint_report> current;
     for (auto &[id, entry] : m_entries) {
         if (entry.peerReportedLeavingAt && *entry.peerReportedLeavingAt < at)
             entry.peerReportedLeavingAt.reset();
         if (!entry.inferredWeights.empty()
             && entry.inferredAt + m_options.inferredWeightsExpiry < at)
             entry.inferredWeights.clear();
+        if (entry.olderReport && entry.olderReportAt < at)
+            current.push_back(*entry.olderReport);
     }
+    for (const endpoint_report &report : current)
+        adopt(report, at);
+    return current;
 }
 
 void endpoint_table::keepOnly(const std::set<std::string> &ids, time_point now)
--- a/burdockhold/endpoint_table.h
+++ b/burdockhold/endpoint_table.h
@@ -11,7 +11,8 @@
 //   removal.
 // - An endpoint that has said in an answer that it leaves, or that it wants a pause, is excluded
 //   (endpoint_pause.h). The statement belongs to the incarnation that got the call.
-// - A new incarnation starts without any state of the previous one.
+// - A new incarnation starts without any state of the previous one. A report of an older
+//   incarnation than the known one has no effect until the view is confirmed at a later time.
 // - A digest replaces the previous one of the same VM. The digest of a silent VM expires after
 //   peerExpiry.
 
@@ -121,13 +122,17 @@
 public:
     explicit endpoint_table(std::string dataCentre, endpoint_table_options options = {});
 
-    /// Returns true if the endpoint is new or has changed in more than its heartbeat.
+    /// Returns true if the endpoint is new or has changed in more than its heartbeat. A report of an
+    /// older incarnation than the known one changes nothing: a reader whose view is older sends it.
+    /// confirmView() adopts it if it is the newest one after all.
     bool update(const endpoint_report &report, time_point now);
     void remove(std::string_view id, time_point now);
 
     /// Records that the view of the entries was that of the log at the given time. Drops peers'
-    /// reports of departures before that time, and inferred versions that expired before it.
-    void confirmView(time_point at);
+    /// reports of departures before that time, and inferred versions that expired before it. Adopts
+    /// and returns the reports of older incarnations that were received before that time and that no
+    /// newer one has replaced: the clock of these endpoints was behind at their last start.
+    std::vector<endpoint_report> confirmView(time_point at);
 
     /// Removes the endpoints that are not in ids, a complete list.
     void keepOnly(const std::set<std::string> &ids, time_point now);
@@ -222,6 +227,9 @@
     struct table_entry
     {
         endpoint_report report;
+        /// Report of an older incarnation that was received after that of the known one.
+        std::optional<endpoint_report> olderReport;
+        time_point olderReportAt;
         std::uint32_t hash = 0;
         bool removed = false;
         time_point removedAt;
@@ -263,6 +271,7 @@
         time_point at;
     };
 
+    bool adopt(const endpoint_report &report, time_point now);
     void noteEndedNotices(const table_entry &entry, notice_end reason);
     double returnSpread(std::string_view id, time_point now) const;
     void removeReplacedEndpoints(const endpoint_report &report, time_point now);
--- a/burdockhold/event_router.cc
+++ b/burdockhold/event_router.cc
@@ -320,15 +320,8 @@
 void event_router::endpointReported(const endpoint_report &report)
 {
     const time_point now = steadyNow();
-    if (!m_board.endpoints.update(report, now)
-        || !m_board.log.accepts(log_priority::StateChange, now))
-        return;
-    m_board.log.write(log_event::EndpointChanged,
-                      { { "endpoint", report.id },
-                        { "pool", report.pool },
-                        { "address", report.address },
-                        { "state", report.leaving ? "leaving" : "ready" } },
-                      now);
+    if (m_board.endpoints.update(report, now))
+        m_board.logEndpointChanged(report, now);
 }
 
 void event_router::endpointRemoved(const std::string &id)
--- a/burdockhold/router_board.cc
+++ b/burdockhold/router_board.cc
@@ -196,7 +196,22 @@
 void router_board::confirmEndpoints(duration at)
 {
     endpointsConfirmedAt = std::max(endpointsConfirmedAt, at);
-    endpoints.confirmView(steadyNow() - (bootTimeNow() - endpointsConfirmedAt));
+    const time_point now = steadyNow();
+    for (const endpoint_report &report :
+         endpoints.confirmView(now - (bootTimeNow() - endpointsConfirmedAt)))
+        logEndpointChanged(report, now);
+}
+
+void router_board::logEndpointChanged(const endpoint_report &report, time_point now)
+{
+    if (!log.accepts(log_priority::StateChange, now))
+        return;
+    log.write(log_event::EndpointChanged,
+              { { "endpoint", report.id },
+                { "pool", report.pool },
+                { "address", report.address },
+                { "state", report.leaving ? "leaving" : "ready" } },
+              now);
 }
 
 retry_budget &router_board::retryBudgetOf(const std::string &pool)
--- a/burdockhold/router_board.h
+++ b/burdockhold/router_board.h
@@ -107,6 +107,7 @@
     /// Records that the view of the endpoints' entries matched the log at this time of the
     /// boot-time clock.
     void confirmEndpoints(duration at);
+    void logEndpointChanged(const endpoint_report &report, time_point now);
 
     /// Counts a request towards the pool's retry budget.
     ///
--- a/testing/endpoint_pause_test.cc
+++ b/testing/endpoint_pause_test.cc
@@ -312,18 +312,12 @@
         const sim_vm &vm = vmOf(event.call.vm);
         if (m_now < vm.frozenUntil)
             schedule(vm.frozenUntil - m_now, event);
-        else if (event.kind == type::Entry && isNewer(vm, event))
+        else if (event.kind == type::Entry)
             vm.table->update(report(nameOfEngine(event.call.engine), event.incarnation), now());
         else if (event.kind != type::Entry && event.call.vmStart == vm.start)
             answer(event);
     }
 
-    /// Entries of the log arrive in order.
-    static bool isNewer(const sim_vm &vm, const sim_event &event)
-    {
-        return vm.table->find(nameOfEngine(event.call.engine))->incarnation < event.incarnation;
-    }
-
     void arrive(const sim_event &event)
     {
         const sim_engine &engine = engineOf(event.call.engine);
@@ -497,3 +491,39 @@
     BOOST_TEST(!mustRefuseAtOnce(countLeftOut({ tried }), at(4)));
     BOOST_TEST(!mustRefuseAtOnce(countLeftOut({}), at(4)));
 }
+
+// Guards against the entry of an older incarnation that revokes what the newer one has said and
+// drops the count of its running calls.
+BOOST_AUTO_TEST_CASE(olderEntryRevokesNoLeaving)
+{
+    endpoint_table table("dc");
+    table.update(report("e1", 2), at(0));
+    const call_ticket ticket = table.callStarted("e1", {}, at(0));
+    BOOST_TEST(table.recordNotice("e1", ticket, leavingNotice(), at(0.1)).leavingBegan);
+    BOOST_TEST(!table.update(report("e1", 1), at(0.2))); // A reader whose view is older.
+    BOOST_TEST(table.confirmView(at(0.15)).empty());     // Its view has this age.
+    BOOST_TEST(!table.update(report("e1", 2), at(0.3)));
+    BOOST_TEST(table.confirmView(at(5)).empty());
+    BOOST_TEST((excluded(table, "e1", 10) == exclusion::Leaving));
+    BOOST_TEST(table.ownRunning("e1") == 1);
+}
+
+// Guards against an engine that is shut out for good since its clock was behind at its last start.
+BOOST_AUTO_TEST_CASE(restartWithAnEarlierClockIsAdopted)
+{
+    for (const bool isRemoved : { false, true }) {
+        endpoint_table table("dc");
+        table.update(report("e1", 5000), at(0));
+        table.recordNotice("e1", table.callStarted("e1", {}, at(0)), leavingNotice(), at(0.1));
+        if (isRemoved)
+            table.remove("e1", at(0.15));
+        BOOST_TEST(!table.update(report("e1", 4000), at(0.2)));
+        BOOST_TEST(!table.update(report("e1", 4000), at(0.6))); // A heartbeat.
+        const auto adopted = table.confirmView(at(0.5));
+        BOOST_REQUIRE(adopted.size() == 1U);
+        BOOST_TEST(adopted[0].incarnation == 4000);
+        BOOST_TEST((excluded(table, "e1", 0.7) == exclusion::None));
+        BOOST_TEST(!table.update(report("e1", 4000), at(0.8)));
+        BOOST_TEST(table.update(report("e1", 6000), at(0.9)));
+    }
+}
