Keep the leaving of an incarnation whose entry is not read yet

Cause: an answer does not name its engine's incarnation. A statement was recorded for the incarnation that the VM knew, or dropped as outdated, and forgotten when the entry of the one that had made it arrived.

Change: the table keeps the Unix time of the last leaving. An incarnation that had started by then (born, with 200 ms of clock difference) is excluded for 30 s, then gets one call alone; the same if its entry came before the answer. Ruled out: reading an incarnation from the stamp, which the protocol gives no form; an exclusion without an end, since the statement may be the previous incarnation's.

The reference in endpoint_pause_test no longer excuses such statements. The looptest leavingHoldsUntilTheNextIncarnation stated a start in 1970 for an incarnation that starts after the leaving; it states the real time now.

--- a/burdockhold/endpoint_notices.cc
+++ b/burdockhold/endpoint_notices.cc
@@ -16,7 +16,8 @@
 }
 
 void logLeaving(router_board &board, std::string_view endpointId, const call_ticket &ticket,
-                const endpoint_response_head &head, const std::string &requestId, time_point now)
+                const endpoint_response_head &head, const std::string &requestId, bool isAssumed,
+                time_point now)
 {
     board.metrics.count(router_counter::EngineLeavings);
     if (board.log.accepts(log_priority::StateChange, now))
@@ -26,7 +27,7 @@
                           { "source", "answer" },
                           { "id", requestId },
                           { "status", head.status },
-                          { "until", "next_incarnation" } },
+                          { "until", isAssumed ? "time_over" : "next_incarnation" } },
                         now);
 }
 
@@ -64,10 +65,10 @@
         return;
     const time_point now = steadyNow();
     const notice_result result = board.endpoints.recordNotice(endpointId, ticket, head.notice, now);
-    if (result.outdated)
+    if (result.outdated && !result.leavingAssumed)
         countIgnored(board, 1);
-    if (result.leavingBegan)
-        logLeaving(board, endpointId, ticket, head, requestId, now);
+    if (result.leavingBegan || result.leavingAssumed)
+        logLeaving(board, endpointId, ticket, head, requestId, result.leavingAssumed, now);
     if (result.pauseBegan)
         logPause(board, endpointId, ticket, head, result, requestId, now);
 }
--- a/burdockhold/endpoint_pause.h
+++ b/burdockhold/endpoint_pause.h
@@ -22,8 +22,9 @@
 // - A call that the endpoint never answers blocks the others after a pause until it ends, by its
 //   time limit at the latest.
 // - An answer of an incarnation of which this VM has not read the entry yet is recorded for the
-//   previous one, and forgotten when the entry arrives. Therefore the first call to the incarnation
-//   that follows a leaving or pausing one goes alone (limitCalls).
+//   previous one. A pause is forgotten when the entry arrives; therefore the first call to the
+//   incarnation that follows a leaving or pausing one goes alone (limitCalls). What becomes of a
+//   leaving is stated in endpoint_table.h.
 // - Other VMs are not told. The statement concerns this VM's calls, and a garbled or false one then
 //   costs one VM's use of the endpoint, not all of them. What another VM pays for the endpoint's
 //   word is one call, which a leaving endpoint serves and a pausing one refuses without running it.
--- a/burdockhold/endpoint_table.cc
+++ b/burdockhold/endpoint_table.cc
@@ -12,6 +12,7 @@
 
 constexpr double CountScale = 10.0;   // Digests carry decayed counts in tenths.
 constexpr double LatencyWeight = 0.2; // Weight of the newest call in the moving average.
+constexpr std::int64_t MaxClockDifferenceMs = 200; // Between VMs and engines.
 
 std::uint32_t clamped(std::int64_t value)
 {
@@ -47,13 +48,20 @@
     entry.olderReport.reset();
     const bool restarted = !isNew && report.incarnation != entry.report.incarnation;
     const bool hadNotice = restarted && (entry.pause.isLeaving() || entry.pause.isPausing(now));
+    const auto saidLeavingAt = entry.saidLeavingAt;
+    const bool maySayLeaving = restarted && report.incarnation > entry.report.incarnation
+                               && saidLeavingAt
+                               && report.incarnation <= *saidLeavingAt + MaxClockDifferenceMs;
     if (restarted)
-        noteEndedNotices(entry, notice_end::NewIncarnation);
+        noteEndedNotices(entry, notice_end::NewIncarnation, maySayLeaving);
     if (restarted || isNew) {
         entry = table_entry{};
         entry.pause = endpoint_pause(m_options.pause);
+        entry.saidLeavingAt = saidLeavingAt;
         if (hadNotice)
             entry.pause.limitCalls();
+        if (maySayLeaving)
+            assumeLeaving(entry, now);
         entry.hash = shortHash(report.id);
         entry.lastActivityAt = now;
         m_idsByHash[entry.hash] = report.id;
@@ -188,7 +196,7 @@
     const bool loading = !model.empty() && now < entry.loadingUntil;
     const auto state = entry.pause.stateAt(now);
     candidate.pausedUntil = entry.pause.pausedUntil();
-    if (state == endpoint_pause::state::Leaving)
+    if (saysLeaving(entry, now))
         candidate.excluded = exclusion::Leaving;
     else if (state == endpoint_pause::state::Paused)
         candidate.excluded = exclusion::Paused;
@@ -228,7 +236,7 @@
 {
     std::vector<rollout_engine> engines;
     for (const auto &[id, entry] : m_entries) {
-        if (entry.report.pool != pool || !isUsable(entry, false, now) || entry.pause.isLeaving())
+        if (entry.report.pool != pool || !isUsable(entry, false, now) || saysLeaving(entry, now))
             continue;
         std::int64_t activeTokens = entry.activeTokens;
         int running = entry.running;
@@ -345,15 +353,47 @@
 }
 
 /// Notes the end of what the endpoint has said, for takeEndedNotices().
-void endpoint_table::noteEndedNotices(const table_entry &entry, notice_end reason)
+void endpoint_table::noteEndedNotices(const table_entry &entry, notice_end reason,
+                                      bool leavingHolds)
 {
     const endpoint_report &report = entry.report;
-    if (entry.pause.isLeaving())
+    const bool isLeaving = entry.pause.isLeaving() || entry.leavingAssumed;
+    if (isLeaving && !leavingHolds)
         m_endedNotices.push_back({ report.id, report.incarnation, true, reason });
     if (entry.pauseRuns)
         m_endedNotices.push_back({ report.id, report.incarnation, false, reason });
 }
 
+void endpoint_table::setUnixTime(std::int64_t unixMs, time_point now)
+{
+    const auto sinceStart = std::chrono::duration_cast<std::chrono::milliseconds>(
+            now.time_since_epoch());
+    m_unixOffsetMs = unixMs - sinceStart.count();
+}
+
+/// Returns the Unix time in milliseconds, or nothing if the clock is not set.
+std::optional<std::int64_t> endpoint_table::unixTimeAt(time_point now) const
+{
+    if (!m_unixOffsetMs)
+        return std::nullopt;
+    const auto sinceStart = std::chrono::duration_cast<std::chrono::milliseconds>(
+            now.time_since_epoch());
+    return *m_unixOffsetMs + sinceStart.count();
+}
+
+bool endpoint_table::saysLeaving(const table_entry &entry, time_point now)
+{
+    return entry.pause.isLeaving() || now < entry.leavingAssumedUntil;
+}
+
+/// Excludes an endpoint whose current incarnation may be the one that has said that it leaves.
+void endpoint_table::assumeLeaving(table_entry &entry, time_point now)
+{
+    entry.leavingAssumed = true;
+    entry.leavingAssumedUntil = now + m_options.assumedLeavingTime;
+    entry.pause.limitCalls();
+}
+
 /// Returns a number from 0 to 1 that differs between VMs, endpoints and pauses.
 double endpoint_table::returnSpread(std::string_view id, time_point now) const
 {
@@ -373,8 +413,18 @@
         // The new incarnation may have answered already.
         if (entry != nullptr)
             entry->pause.limitCalls();
+        const bool mayLeave = entry != nullptr && notice.leaving && m_unixOffsetMs
+                              && ticket.incarnation < entry->report.incarnation
+                              && !saysLeaving(*entry, now);
+        if (mayLeave) {
+            entry->saidLeavingAt = unixTimeAt(now);
+            assumeLeaving(*entry, now);
+            result.leavingAssumed = true;
+        }
         return result;
     }
+    if (notice.leaving)
+        entry->saidLeavingAt = unixTimeAt(now);
     result.leavingBegan = notice.leaving && entry->pause.recordLeaving();
     if (notice.pause) {
         result.pauseBegan = entry->pause.recordPause(*notice.pause, returnSpread(id, now), now);
@@ -580,6 +630,12 @@
         peer = m_peers.erase(peer);
     }
     for (auto &[id, entry] : m_entries) {
+        if (entry.leavingAssumed && now >= entry.leavingAssumedUntil) {
+            entry.leavingAssumed = false;
+            if (!entry.pause.isLeaving())
+                m_endedNotices.push_back(
+                        { id, entry.report.incarnation, true, notice_end::TimeOver });
+        }
         if (!entry.pauseRuns || entry.pause.isPausing(now))
             continue;
         entry.pauseRuns = false;
--- a/burdockhold/endpoint_table.h
+++ b/burdockhold/endpoint_table.h
@@ -10,7 +10,9 @@
 //   pool are removed, as in a disruption of the log, each stays usable for removalGrace after its
 //   removal.
 // - An endpoint that has said in an answer that it leaves, or that it wants a pause, is excluded
-//   (endpoint_pause.h). The statement belongs to the incarnation that got the call.
+//   (endpoint_pause.h). The statement belongs to the incarnation that got the call. An answer does
+//   not name it, so an incarnation that had started when a leaving was stated may be the one that
+//   leaves: it is excluded for assumedLeavingTime, and then gets one call alone.
 // - A new incarnation starts without any state of the previous one. A report of an older
 //   incarnation than the known one has no effect until the view is confirmed at a later time.
 // - A digest replaces the previous one of the same VM. The digest of a silent VM expires after
@@ -64,6 +66,9 @@
     /// An engine updates its entry within this time of a change of its weights.
     duration inferredWeightsExpiry = std::chrono::milliseconds(1500);
     endpoint_pause_options pause;
+    /// How long an incarnation is excluded that may have been the one that said it leaves. An engine
+    /// that leaves ends many seconds after it has said so at the latest.
+    duration assumedLeavingTime = std::chrono::seconds(30);
     /// Differs between VMs, so that they come back at different times after an endpoint's pause.
     std::uint64_t returnSeed = 0;
     /// Maximum number of segments tracked per endpoint; more than an engine's KV cache holds.
@@ -89,6 +94,8 @@
 struct notice_result
 {
     bool outdated = false; ///< The call was made to another incarnation; nothing was recorded.
+    /// The incarnation that is known now may be the one that leaves; it is excluded for a while.
+    bool leavingAssumed = false;
     bool leavingBegan = false;
     bool pauseBegan = false;
     bool pauseShortened = false; ///< The pause was above the bound.
@@ -187,6 +194,10 @@
     /// refusalBackOff so that other endpoints are used.
     void recordRefusal(std::string_view id, time_point now);
 
+    /// Sets the clock with which the starts of endpoints are compared (incarnations are Unix times in
+    /// milliseconds). Called again and again, as the Unix clock may step.
+    void setUnixTime(std::int64_t unixMs, time_point now);
+
     /// Records what the endpoint has said in an answer to the call with this ticket.
     notice_result recordNotice(std::string_view id, const call_ticket &ticket,
                                const endpoint_notice &notice, time_point now);
@@ -256,6 +267,10 @@
         std::deque<std::string> segmentOrder;
         endpoint_pause pause;
         bool pauseRuns = false; // The end of the pause has not been noted yet.
+        /// Unix time in milliseconds at which an answer last said that the endpoint leaves.
+        std::optional<std::int64_t> saidLeavingAt;
+        bool leavingAssumed = false; // The end of the assumption has not been noted yet.
+        time_point leavingAssumedUntil = time_point::min();
     };
     struct peer_totals
     {
@@ -272,7 +287,10 @@
     };
 
     bool adopt(const endpoint_report &report, time_point now);
-    void noteEndedNotices(const table_entry &entry, notice_end reason);
+    void noteEndedNotices(const table_entry &entry, notice_end reason, bool leavingHolds = false);
+    std::optional<std::int64_t> unixTimeAt(time_point now) const;
+    static bool saysLeaving(const table_entry &entry, time_point now);
+    void assumeLeaving(table_entry &entry, time_point now);
     double returnSpread(std::string_view id, time_point now) const;
     void removeReplacedEndpoints(const endpoint_report &report, time_point now);
     table_entry *findEntry(std::string_view id);
@@ -295,6 +313,7 @@
     std::unordered_map<std::uint32_t, peer_totals> m_peerTotals;
     std::map<std::string, peer_view, std::less<>> m_peers;
     std::vector<ended_notice> m_endedNotices;
+    std::optional<std::int64_t> m_unixOffsetMs; // Unix time minus the table's time.
 };
 
 } // namespace burdockhold
--- a/burdockhold/event_router.cc
+++ b/burdockhold/event_router.cc
@@ -39,6 +39,13 @@
 constexpr std::size_t MaxProbeBytes = 4096;
 constexpr int StatusOk = 200;
 
+std::int64_t unixMilliseconds()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+                   std::chrono::system_clock::now().time_since_epoch())
+            .count();
+}
+
 } // namespace
 
 event_router::event_router(router_settings settings)
@@ -368,6 +375,7 @@
 void event_router::tick()
 {
     const time_point now = steadyNow();
+    m_board.endpoints.setUnixTime(unixMilliseconds(), now);
     m_board.endpoints.step(m_board.digestInterval, now);
     m_board.crashes.step(now);
     logEndedNotices(m_board, now);
--- a/testing/endpoint_pause_looptest.cc
+++ b/testing/endpoint_pause_looptest.cc
@@ -77,7 +77,8 @@
     callFor(ms(1500), "/safe/");
     BOOST_TEST(arrivalsAt(0).size() == 1U);
     BOOST_TEST(call("/safe/").rfind("HTTP/1.1 503", 0) == 0U);
-    putEngine(0, 2000);
+    const auto bornAt = std::chrono::system_clock::now().time_since_epoch();
+    putEngine(0, std::chrono::duration_cast<ms>(bornAt).count());
     BOOST_TEST(callUntilArrival(0, "/safe/"));
     BOOST_TEST(waitForLog("\"event\":\"endpoint_leaving\""));
     BOOST_TEST(waitForLog("\"reason\":\"new_incarnation\""));
--- a/testing/endpoint_pause_test.cc
+++ b/testing/endpoint_pause_test.cc
@@ -175,14 +175,15 @@
 {
 public:
     /// Without obedience the VMs ignore what engines say.
-    simulation(unsigned seed, bool obeys)
+    simulation(unsigned seed, bool obeys, int maxEntryDelay = 900)
         : m_random(seed)
         , m_obeys(obeys)
+        , m_maxEntryDelay(maxEntryDelay)
         , m_engines(EngineCount)
         , m_vms(VmCount)
     {
         for (sim_engine &engine : m_engines)
-            engine.incarnation = ++m_incarnations;
+            engine.incarnation = nextIncarnation();
         for (int vm = 0; vm < VmCount; ++vm)
             startVm(vm);
     }
@@ -216,12 +217,20 @@
     static std::string nameOfEngine(int engine) { return "e" + std::to_string(engine); }
     void schedule(int delay, const sim_event &event) { m_events.emplace(m_now + delay, event); }
 
+    /// Returns the time of the start in milliseconds, or a little later.
+    std::int64_t nextIncarnation()
+    {
+        m_incarnations = std::max<std::int64_t>(m_incarnations + 1, m_now);
+        return m_incarnations;
+    }
+
     void startVm(int vm)
     {
         sim_vm &entry = vmOf(vm);
         endpoint_table_options options;
         options.returnSeed = m_random();
         entry.table = std::make_unique<endpoint_table>("dc", options);
+        entry.table->setUnixTime(m_now, now());
         ++entry.start;
         for (int engine = 0; engine < EngineCount; ++engine)
             entry.table->update(report(nameOfEngine(engine), engineOf(engine).incarnation), now());
@@ -246,7 +255,7 @@
     void restart(int index)
     {
         sim_engine next;
-        next.incarnation = ++m_incarnations;
+        next.incarnation = nextIncarnation();
         if (chance(3)) // Some pause from the start on.
             next.pausedUntil = m_now + between(500, 5000);
         engineOf(index) = next;
@@ -256,7 +265,7 @@
             entry.call.vm = vm;
             entry.call.engine = index;
             entry.incarnation = next.incarnation;
-            schedule(between(10, 900), entry);
+            schedule(between(10, m_maxEntryDelay), entry);
         }
     }
 
@@ -344,8 +353,7 @@
         call_ticket ticket = event.call.ticket;
         if (event.kind == type::Answer && m_obeys)
             table.recordNotice(id, ticket, event.notice, now());
-        if (event.kind == type::Answer && event.notice.leaving
-            && ticket.incarnation == event.incarnation)
+        if (event.kind == type::Answer && event.notice.leaving)
             m_reference.leavings.push_back({ event.call.vm, event.incarnation, m_now, Duration });
         if (event.kind == type::Answer && !event.refused) {
             table.callAccepted(id, ticket);
@@ -356,8 +364,9 @@
 
     std::mt19937 m_random;
     bool m_obeys;
+    int m_maxEntryDelay;
     int m_now = 0;
-    std::int64_t m_incarnations = 0; // Unique over all engines.
+    std::int64_t m_incarnations = 0; // The last one; unique over all engines.
     std::vector<sim_engine> m_engines;
     std::vector<sim_vm> m_vms;
     std::multimap<int, sim_event> m_events;
@@ -527,3 +536,41 @@
         BOOST_TEST(table.update(report("e1", 6000), at(0.9)));
     }
 }
+
+// Guards against the leaving of an incarnation that is forgotten since its entry was not read yet.
+BOOST_AUTO_TEST_CASE(leavingOfAnIncarnationWithoutEntryIsObeyed)
+{
+    for (unsigned seed = 1; seed <= 40; ++seed) {
+        const reference counted = simulation(seed, true, 6000).run();
+        BOOST_TEST(counted.requestsAfterLeaving(0) == 0U, "seed " << seed);
+    }
+}
+
+// Guards against an engine that gets nothing since its previous incarnation has left, and against
+// one that is excluded for good since it may have been the one that left.
+BOOST_AUTO_TEST_CASE(leavingPassesOnlyToAnIncarnationThatHadStarted)
+{
+    for (const std::int64_t born : { 1000300, 1000800 }) {
+        endpoint_table table("dc");
+        table.setUnixTime(1000000, at(0));
+        table.update(report("e1", 1), at(0));
+        const call_ticket ticket = table.callStarted("e1", {}, at(0.1));
+        BOOST_TEST(table.recordNotice("e1", ticket, leavingNotice(), at(0.4)).leavingBegan);
+        table.update(report("e1", born), at(0.9));
+        const bool hadStarted = born < 1000400;
+        BOOST_TEST((excluded(table, "e1", 1) == exclusion::Leaving) == hadStarted);
+        BOOST_TEST(table.takeEndedNotices().empty() == hadStarted);
+        BOOST_TEST((excluded(table, "e1", 31) == exclusion::None));
+        table.callStarted("e1", {}, at(31));
+        BOOST_TEST((excluded(table, "e1", 31.1) == exclusion::Paused)); // The first goes alone.
+    }
+    endpoint_table table("dc");
+    table.setUnixTime(1000000, at(0));
+    table.update(report("e1", 1), at(0));
+    const call_ticket ticket = table.callStarted("e1", {}, at(0.1));
+    table.update(report("e1", 1000200), at(0.3));
+    BOOST_TEST(table.recordNotice("e1", ticket, leavingNotice(), at(0.4)).leavingAssumed);
+    BOOST_TEST((excluded(table, "e1", 1) == exclusion::Leaving));
+    table.step(std::chrono::milliseconds(200), at(31));
+    BOOST_TEST(table.takeEndedNotices().size() == 1U);
+}
--- a/testing/support_pausing_engines.h
+++ b/testing/support_pausing_engines.h
@@ -94,8 +94,8 @@
         BOOST_REQUIRE(router->waitReady(true));
     }
 
-    /// Writes the engine's entry of the given incarnation.
-    void putEngine(std::size_t index, int born, const std::string &state = "ready")
+    /// Writes the engine's entry of the given incarnation, the Unix time of its start in ms.
+    void putEngine(std::size_t index, std::int64_t born, const std::string &state = "ready")
     {
         auto entry = nlohmann::json::parse(
                 router_fixture::endpointRecord(servers[index]->address(), state));
