Log the end of a notice only when the endpoint is forgotten

Cause: remove() reported endpoint_notice_ended, but the table keeps the notice for the return of the same incarnation, so the engine stayed excluded.

Change: a removal ends no notice. It ends by its time, with the next incarnation or when the table forgets the endpoint, 30 s after the removal.

--- a/burdockhold/endpoint_table.cc
+++ b/burdockhold/endpoint_table.cc
@@ -101,9 +101,7 @@
     entry->olderReport.reset();
     if (entry->removed)
         return;
-    noteEndedNotices(*entry, notice_end::Removed);
-    entry->pauseRuns = false;
-    entry->removed = true;
+    entry->removed = true; // Its notices hold, as the entry of the same incarnation may return.
     entry->removedAt = now;
     entry->leavingSeenAt = now;
 }
@@ -645,8 +643,10 @@
     for (auto entry = m_entries.begin(); entry != m_entries.end();) {
         const bool forget = entry->second.removed && entry->second.running == 0
                             && now - entry->second.removedAt > RemovedRetention;
-        if (forget)
+        if (forget) {
+            noteEndedNotices(entry->second, notice_end::Removed);
             m_idsByHash.erase(entry->second.hash);
+        }
         entry = forget ? m_entries.erase(entry) : std::next(entry);
     }
 }
--- a/testing/endpoint_pause_test.cc
+++ b/testing/endpoint_pause_test.cc
@@ -611,3 +611,22 @@
     pause.recordPause(std::chrono::hours(1), 0.0, at(151));
     BOOST_TEST((pause.pausedUntil() == at(181)));
 }
+
+// Guards against a notice that the log reports as ended while its endpoint is still excluded.
+BOOST_AUTO_TEST_CASE(removalAndReturnEndNoNotice)
+{
+    endpoint_table table("dc");
+    table.update(report("e1", 2), at(0));
+    const call_ticket ticket = table.callStarted("e1", {}, at(0));
+    table.recordNotice("e1", ticket, leavingNotice(), at(0.1));
+    table.callEnded("e1", {}, true, ticket);
+    table.remove("e1", at(0.2));
+    table.update(report("e1", 2), at(0.3));
+    BOOST_TEST(table.takeEndedNotices().empty());
+    BOOST_TEST((excluded(table, "e1", 0.4) == exclusion::Leaving));
+    table.remove("e1", at(0.5));
+    table.step(std::chrono::milliseconds(200), at(31));
+    const auto ended = table.takeEndedNotices();
+    BOOST_REQUIRE(ended.size() == 1U);
+    BOOST_TEST((ended[0].reason == notice_end::Removed));
+}
