Let no older software order replace a newer one

Cause: software_rollout took every order of another target for a new one. A reader with an older view repeats the previous order, and the next one then restarted the deadline and dropped the verdict. A second order of the target in force was ignored without a log line.

Change: an order of an earlier target (the last 16 are kept) begins only once the view is confirmed for a time after its arrival. An order of the target in force with another time is still ignored, and rollout_refused says so. Ruled out: comparing log offsets, which views of other VMs do not carry; beginning the same version again after a roll-back, since the status in the log still says rolled_back for it and an equal record cannot be told from one read again.

--- a/burdockhold/rollout_controller.cc
+++ b/burdockhold/rollout_controller.cc
@@ -90,16 +90,30 @@
     const software_order &order = valueOf(decoded);
     const bool atStart = m_board.deploymentConfirmedAt < duration::zero();
     software_rollout &rollout = rolloutOf(order.pool);
-    if (!rollout.orderReceived(order, atStart, now))
-        return;
+    if (rollout.orderReceived(order, atStart, now))
+        orderBegan(rollout, atStart, now);
+    const auto ignored = rollout.takeIgnoredOrder();
+    if (ignored && m_board.log.accepts(log_priority::StateChange, now))
+        m_board.log.write(log_event::RolloutRefused,
+                          { { "reason", "the order in force has the same target" },
+                            { "pool", ignored->pool },
+                            { "target", ignored->targetVersion },
+                            { "move_s", toSeconds(ignored->moveTime) },
+                            { "state", nameOf(rollout.state()) } },
+                          now);
+}
+
+void rollout_controller::orderBegan(const software_rollout &rollout, bool ageGuessed,
+                                    time_point now)
+{
     m_board.digestRequested = true;
     if (m_board.log.accepts(log_priority::StateChange, now))
         m_board.log.write(log_event::RolloutStarted,
-                          { { "pool", order.pool },
-                            { "target", order.targetVersion },
+                          { { "pool", rollout.pool() },
+                            { "target", rollout.target() },
                             { "established", rollout.established() },
-                            { "move_s", toSeconds(order.moveTime) },
-                            { "age_guessed", atStart },
+                            { "move_s", toSeconds(rollout.moveTime()) },
+                            { "age_guessed", ageGuessed },
                             { "share", m_board.settings.exposureShare },
                             { "slack", m_board.settings.exposureSlack },
                             { "rollback_ms", 1000.0 * toSeconds(m_board.settings.rollbackBound) },
@@ -124,7 +138,10 @@
     const auto isLoading = [this, now](const std::string &endpoint) {
         return m_board.endpoints.isLoading(endpoint, now);
     };
+    const time_point viewAt = now - m_board.deploymentAge();
     for (auto &[pool, rollout] : m_board.rollouts) {
+        if (rollout.viewConfirmed(viewAt))
+            orderBegan(rollout, rollout.isAgeGuessed(), now);
         const bool holds = holdsDuty(pool);
         rollout.step(isLoading, holds, m_board.liveVms.size() + 1, now);
         rollout_status &status = m_statuses[pool];
--- a/burdockhold/rollout_controller.h
+++ b/burdockhold/rollout_controller.h
@@ -45,6 +45,7 @@
     };
 
     software_rollout &rolloutOf(const std::string &pool);
+    void orderBegan(const software_rollout &rollout, bool ageGuessed, time_point now);
     void updateVersions(time_point now);
     void logState(const software_rollout &rollout, rollout_status &status, time_point now);
     void logShare(const software_rollout &rollout, rollout_status &status, time_point now);
--- a/burdockhold/software_rollout.cc
+++ b/burdockhold/software_rollout.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr int OnlyStage = 0;
+constexpr std::size_t MaxEarlierTargets = 16; // More than a view is behind.
 /// Ratios of the old version from fewer calls say too little; see move_evidence.cc.
 constexpr std::uint64_t MinOldCalls = 50;
 constexpr std::uint64_t MaxPlausibleCount = std::uint64_t(1) << 30;
@@ -98,8 +99,46 @@
 
 bool software_rollout::orderReceived(const software_order &order, bool guessed, time_point now)
 {
-    if (m_order && m_order->targetVersion == order.targetVersion)
+    if (m_order && m_order->targetVersion == order.targetVersion) {
+        m_repeatedOrder.reset();
+        const bool differs = order.moveTime != m_order->moveTime
+                             && order.moveTime != m_ignoredMoveTime;
+        if (differs) {
+            m_ignoredOrder = order;
+            m_ignoredMoveTime = order.moveTime;
+        }
+        return false;
+    }
+    const bool isRepeated = std::find(m_earlierTargets.begin(), m_earlierTargets.end(),
+                                      order.targetVersion)
+                            != m_earlierTargets.end();
+    if (isRepeated) {
+        m_repeatedOrder = order;
+        m_repeatedAt = now;
+        m_repeatedAgeGuessed = guessed;
         return false;
+    }
+    beginOrder(order, guessed, now);
+    return true;
+}
+
+bool software_rollout::viewConfirmed(time_point at)
+{
+    if (!m_repeatedOrder || m_repeatedAt >= at)
+        return false;
+    const software_order order = *m_repeatedOrder;
+    beginOrder(order, m_repeatedAgeGuessed, m_repeatedAt);
+    return true;
+}
+
+void software_rollout::beginOrder(const software_order &order, bool guessed, time_point now)
+{
+    if (m_order)
+        m_earlierTargets.push_back(m_order->targetVersion);
+    if (m_earlierTargets.size() > MaxEarlierTargets)
+        m_earlierTargets.pop_front();
+    m_repeatedOrder.reset();
+    m_ignoredMoveTime = duration::zero();
     m_order = order;
     m_orderedAt = now;
     m_orderAgeGuessed = guessed;
@@ -115,7 +154,6 @@
     else if (m_state == rollout_state::Watching)
         m_state = rollout_state::Running;
     m_oldSeenAt = now;
-    return true;
 }
 
 void software_rollout::setVersions(const std::vector<version_presence> &versions, time_point now)
--- a/burdockhold/software_rollout.h
+++ b/burdockhold/software_rollout.h
@@ -23,7 +23,10 @@
 // of two counts is kept, so that lost, repeated and late digests do no harm. The tests are those of
 // move_evidence.h.
 //
-// Limits: an order that repeats the target of the last one is taken for the same order. If no
+// - An order that a reader with an older view repeats replaces no newer one.
+//
+// Limits: an order that repeats the target of the last one is taken for the same order, also after
+// its verdict; takeIgnoredOrder() tells of it if its time differs. If no
 // endpoint of the established version has been usable for noOldGrace, calls go to the new one
 // without a limit, and to a bad one after badGrace. A VM counted by its own digest and again in the
 // summary of its data centre counts twice as evidence.
@@ -35,11 +38,13 @@
 #include "burdockhold/vm_digest.h"
 
 #include <array>
+#include <deque>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace burdockhold {
@@ -116,8 +121,15 @@
 public:
     software_rollout(std::string pool, std::string vm, software_rollout_options options);
 
-    /// Returns true if the order is new. The age is a guess if this VM started after the order.
+    /// Returns true if the order is new. The age is a guess if this VM started after the order. An
+    /// order of the target of an earlier one changes nothing until viewConfirmed().
     bool orderReceived(const software_order &order, bool guessed, time_point now);
+    /// Records that the view of the orders was that of the log at the given time. Returns true if
+    /// an order of an earlier target that was received before is the newest one, and so begins.
+    bool viewConfirmed(time_point at);
+    /// Returns the last order if it has been ignored though it differs from the one in force, which
+    /// has the same target. Returns each once.
+    std::optional<software_order> takeIgnoredOrder() { return std::exchange(m_ignoredOrder, {}); }
 
     /// Updates the versions of the pool's usable endpoints.
     void setVersions(const std::vector<version_presence> &versions, time_point now);
@@ -162,6 +174,9 @@
     bool isOrdered() const { return m_order.has_value(); }
     /// Returns true if this VM does not know yet whether the order was decided before its start.
     bool needsStatus() const { return m_order && !m_confirmed; }
+    bool isAgeGuessed() const { return m_orderAgeGuessed; }
+    /// Returns the time from the order to its deadline; zero without an order.
+    duration moveTime() const { return m_order ? m_order->moveTime : duration::zero(); }
     duration timeToDeadline(time_point now) const;
     std::uint64_t calls() const { return m_calls; }
     std::uint64_t exposed() const { return m_exposed; }
@@ -171,6 +186,7 @@
     bool isNew(std::string_view version) const;
 
 private:
+    void beginOrder(const software_order &order, bool guessed, time_point now);
     void beginVersion(const std::string &version, rollout_state state, time_point now);
     void decide(rollout_state state, rollout_reason reason);
     void mergeOwnCounts();
@@ -187,6 +203,12 @@
     software_rollout_options m_options;
     rollout_sampler m_sampler;
     std::optional<software_order> m_order;
+    std::deque<std::string> m_earlierTargets;      ///< Of the orders before, the newest last.
+    std::optional<software_order> m_repeatedOrder; ///< Of an earlier target; not in force.
+    time_point m_repeatedAt;
+    bool m_repeatedAgeGuessed = false;
+    std::optional<software_order> m_ignoredOrder;
+    duration m_ignoredMoveTime = duration::zero(); ///< Of the last ignored order.
     time_point m_orderedAt;
     bool m_orderAgeGuessed = false;
     bool m_confirmed = true;
--- a/testing/software_rollout_test.cc
+++ b/testing/software_rollout_test.cc
@@ -398,3 +398,66 @@
     BOOST_TEST(rollout.applyPeerDigest(digest, at(1)) == 5u);
     BOOST_TEST(rollout.totals().empty());
 }
+
+namespace {
+
+software_order orderOf(const std::string &version, double seconds)
+{
+    software_order order;
+    order.pool = "pool";
+    order.targetVersion = version;
+    order.moveTime = fromSeconds(seconds);
+    return order;
+}
+
+} // namespace
+
+// Guards against an older order, from a reader whose view is older, that restarts the deadline and
+// drops the verdict of a newer one.
+BOOST_AUTO_TEST_CASE(olderOrderReplacesNoNewerOne)
+{
+    software_rollout rollout("pool", "vm", {});
+    rollout.setVersions({ { "v1", 4, 1 }, { "v2", 2, 5 }, { "v3", 2, 9 } }, at(0));
+    rollout.orderReceived(orderOf("v2", 15), false, at(1));
+    rollout.statusRead(rollout_state::RolledBack, "v2");
+    BOOST_TEST(rollout.orderReceived(orderOf("v3", 15), false, at(20)));
+    rollout.statusRead(rollout_state::RolledBack, "v3");
+    BOOST_TEST(!rollout.orderReceived(orderOf("v2", 15), false, at(25)));
+    BOOST_TEST(!rollout.viewConfirmed(at(24))); // The reader's view has this age.
+    BOOST_TEST(!rollout.orderReceived(orderOf("v3", 15), false, at(25.5)));
+    BOOST_TEST(!rollout.viewConfirmed(at(26)));
+    BOOST_TEST(rollout.target() == "v3");
+    BOOST_TEST((rollout.state() == rollout_state::RolledBack));
+    BOOST_TEST(toSeconds(rollout.timeToDeadline(at(25.5))) <= 9.6);
+}
+
+// Guards against an earlier version that the operator orders again and that never begins.
+BOOST_AUTO_TEST_CASE(earlierVersionCanBeOrderedAgain)
+{
+    software_rollout rollout("pool", "vm", {});
+    rollout.setVersions({ { "v1", 4, 1 }, { "v2", 2, 5 }, { "v3", 2, 9 } }, at(0));
+    rollout.orderReceived(orderOf("v2", 15), false, at(1));
+    rollout.orderReceived(orderOf("v3", 15), false, at(20));
+    BOOST_TEST(!rollout.orderReceived(orderOf("v2", 15), false, at(40)));
+    BOOST_TEST(rollout.viewConfirmed(at(40.5)));
+    BOOST_TEST(rollout.target() == "v2");
+    BOOST_TEST((rollout.state() == rollout_state::Running));
+    BOOST_TEST(toSeconds(rollout.timeToDeadline(at(41))) == 14.0);
+    BOOST_TEST(!rollout.viewConfirmed(at(42)));
+}
+
+// Guards against a second order of the same version after a roll-back that is ignored in silence.
+BOOST_AUTO_TEST_CASE(ignoredOrderOfTheSameVersionIsReported)
+{
+    software_rollout rollout("pool", "vm", {});
+    rollout.setVersions({ { "v1", 4, 1 }, { "v2", 2, 5 } }, at(0));
+    rollout.orderReceived(orderOf("v2", 15), false, at(1));
+    rollout.statusRead(rollout_state::RolledBack, "v2");
+    rollout.orderReceived(orderOf("v2", 15), false, at(50)); // The same record, read again.
+    BOOST_TEST(!rollout.takeIgnoredOrder().has_value());
+    BOOST_TEST(!rollout.orderReceived(orderOf("v2", 60), false, at(100)));
+    BOOST_TEST(rollout.takeIgnoredOrder().has_value());
+    rollout.orderReceived(orderOf("v2", 60), false, at(101));
+    BOOST_TEST(!rollout.takeIgnoredOrder().has_value());
+    BOOST_TEST((rollout.state() == rollout_state::RolledBack));
+}
