Take no engine out for an answer without its stamp

Cause: any answer other than 2xx passed the checks of the request path, so an unstamped 500, 421 or 503 with Server-Leaving excluded its engine for the rest of the incarnation.

Change: statements count in full only in an answer that bears the stamp and the attempt id. By the protocol a refusal (Not-Executed, 421) has no stamp: its Retry-After counts, which is bounded, and its Server-Leaving counts as a pause of one second, after which one call goes alone. Others are ignored and counted. A pause does not keep a 421 from being taken for what it says about the address or the weights.

--- a/burdockhold/endpoint_notices.cc
+++ b/burdockhold/endpoint_notices.cc
@@ -2,12 +2,18 @@
 
 #include "burdockhold/placement_log.h"
 
+#include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace burdockhold {
 
 namespace {
 
+/// Bounds what a false statement costs. An engine that leaves says it again to the call that
+/// follows.
+constexpr duration UnstampedLeavingPause = std::chrono::seconds(1);
+
 void countIgnored(router_board &board, int statements)
 {
     if (statements > 0)
@@ -52,6 +58,23 @@
 
 } // namespace
 
+notice_weight weightOf(const endpoint_response_head &head, const std::string &requestId)
+{
+    const bool isOther = !head.attemptId.empty() && head.attemptId != requestId;
+    if (isOther)
+        return notice_weight::None;
+    if (!head.signature.empty() && !head.attemptId.empty())
+        return notice_weight::Full;
+    return head.notExecuted ? notice_weight::Limited : notice_weight::None;
+}
+
+void limitNotice(endpoint_notice &notice)
+{
+    if (!std::exchange(notice.leaving, false))
+        return;
+    notice.pause = std::max(notice.pause.value_or(duration::zero()), UnstampedLeavingPause);
+}
+
 void recordNotice(router_board &board, std::string_view endpointId, const call_ticket &ticket,
                   const endpoint_response_head &head, const std::string &requestId)
 {
--- a/burdockhold/endpoint_notices.h
+++ b/burdockhold/endpoint_notices.h
@@ -4,8 +4,9 @@
 // Records what endpoints say in their answers about new calls: in the endpoint table, the metrics
 // and the decision log. The decisions are made in endpoint_pause.h.
 //
-// Only an answer that passes the checks of the request path counts. A statement in another one, or
-// in one of another endpoint or incarnation, is counted as ignored.
+// Only an answer that bears the stamp and the id of the attempt counts in full. A refusal bears no
+// stamp by the protocol, so what it says counts for a bounded time. A statement in another answer,
+// or in one of another endpoint or incarnation, is counted as ignored.
 
 #include "burdockhold/caller_request.h"
 #include "burdockhold/router_board.h"
@@ -16,6 +17,18 @@
 
 namespace burdockhold {
 
+/// How much the statements of an answer count.
+enum class notice_weight {
+    None,
+    Limited, ///< A pause counts; a leaving counts as a short pause.
+    Full
+};
+
+notice_weight weightOf(const endpoint_response_head &head, const std::string &requestId);
+
+/// Turns a leaving into a pause of a second.
+void limitNotice(endpoint_notice &notice);
+
 /// Records the notice of an answer to the request's call with this ticket.
 void recordNotice(router_board &board, std::string_view endpointId, const call_ticket &ticket,
                   const endpoint_response_head &head, const std::string &requestId);
--- a/burdockhold/endpoint_table.h
+++ b/burdockhold/endpoint_table.h
@@ -66,8 +66,8 @@
     /// An engine updates its entry within this time of a change of its weights.
     duration inferredWeightsExpiry = std::chrono::milliseconds(1500);
     endpoint_pause_options pause;
-    /// How long an incarnation is excluded that may have been the one that said it leaves. An engine
-    /// that leaves ends many seconds after it has said so at the latest.
+    /// How long an incarnation is excluded that may have been the one that said it leaves. An
+    /// engine that leaves ends many seconds after it has said so at the latest.
     duration assumedLeavingTime = std::chrono::seconds(30);
     /// Differs between VMs, so that they come back at different times after an endpoint's pause.
     std::uint64_t returnSeed = 0;
@@ -129,16 +129,16 @@
 public:
     explicit endpoint_table(std::string dataCentre, endpoint_table_options options = {});
 
-    /// Returns true if the endpoint is new or has changed in more than its heartbeat. A report of an
-    /// older incarnation than the known one changes nothing: a reader whose view is older sends it.
-    /// confirmView() adopts it if it is the newest one after all.
+    /// Returns true if the endpoint is new or has changed in more than its heartbeat. A report of
+    /// an older incarnation than the known one changes nothing: a reader whose view is older sends
+    /// it. confirmView() adopts it if it is the newest one after all.
     bool update(const endpoint_report &report, time_point now);
     void remove(std::string_view id, time_point now);
 
     /// Records that the view of the entries was that of the log at the given time. Drops peers'
     /// reports of departures before that time, and inferred versions that expired before it. Adopts
-    /// and returns the reports of older incarnations that were received before that time and that no
-    /// newer one has replaced: the clock of these endpoints was behind at their last start.
+    /// and returns the reports of older incarnations that were received before that time and that
+    /// no newer one has replaced: the clock of these endpoints was behind at their last start.
     std::vector<endpoint_report> confirmView(time_point at);
 
     /// Removes the endpoints that are not in ids, a complete list.
@@ -194,8 +194,8 @@
     /// refusalBackOff so that other endpoints are used.
     void recordRefusal(std::string_view id, time_point now);
 
-    /// Sets the clock with which the starts of endpoints are compared (incarnations are Unix times in
-    /// milliseconds). Called again and again, as the Unix clock may step.
+    /// Sets the clock with which the starts of endpoints are compared (incarnations are Unix times
+    /// in milliseconds). Called again and again, as the Unix clock may step.
     void setUnixTime(std::int64_t unixMs, time_point now);
 
     /// Records what the endpoint has said in an answer to the call with this ticket.
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -589,7 +589,16 @@
         callEnded(call_end::WrongAnswer);
         return true;
     }
-    recordNotice(m_context.board, m_endpointId, m_ticket, m_head, m_request.attemptId);
+    const notice_weight weight = weightOf(m_head, m_request.attemptId);
+    if (weight == notice_weight::None) {
+        ignoreNotice(m_context.board, m_head);
+        m_head.notice.leaving = false;
+        m_head.notice.pause.reset();
+    } else {
+        if (weight == notice_weight::Limited)
+            limitNotice(m_head.notice);
+        recordNotice(m_context.board, m_endpointId, m_ticket, m_head, m_request.attemptId);
+    }
     if (!m_head.notExecuted && !m_head.notice.pause) {
         m_context.board.endpoints.callAccepted(m_endpointId, m_ticket);
         m_ticket = {};
@@ -697,7 +706,7 @@
 void routed_request::recordRefusal()
 {
     router_board &board = m_context.board;
-    if (m_head.notice.pause) {
+    if (m_head.notice.pause && m_head.status != 421) {
         m_triedEndpoints.erase(m_endpointId); // It may take the request after its pause.
         return;
     }
--- a/testing/endpoint_pause_looptest.cc
+++ b/testing/endpoint_pause_looptest.cc
@@ -309,3 +309,29 @@
     std::cout << "served " << served << " of " << sent << "; " << duringPauses
               << " arrivals during the pauses of seven engines\n";
 }
+
+// Guards against an engine that an answer without a stamp takes out for its whole incarnation.
+BOOST_AUTO_TEST_CASE(unsignedErrorsTakeNoEngineOut)
+{
+    for (const form kind : { form::Error, form::Refusal, form::WrongEndpoint }) {
+        one_engine fixture;
+        fixture.setAnswer(0, { kind, "Server-Leaving: 1\r\n", {}, false, {} });
+        BOOST_REQUIRE(fixture.callUntilArrival(0, "/safe/"));
+        fixture.setAnswer(0, {});
+        BOOST_TEST(fixture.call("/patient/").rfind("HTTP/1.1 200", 0) == 0U,
+                   "kind " << static_cast<int>(kind));
+        BOOST_TEST(fixture.counter("engine_leavings") == 0);
+        const bool isRefusal = kind != form::Error;
+        BOOST_TEST(fixture.counter("engine_pauses") == (isRefusal ? 1 : 0));
+        BOOST_TEST(fixture.counter("engine_notices_ignored") == (isRefusal ? 0 : 1));
+    }
+}
+
+// Guards against a pause that counts for nothing, as refusals bear no stamp by the protocol.
+BOOST_FIXTURE_TEST_CASE(unsignedRefusalPausesItsEngine, one_engine)
+{
+    setAnswer(0, { form::Refusal, "Retry-After: 1.5\r\n", {}, false, {} });
+    BOOST_REQUIRE(callUntilArrival(0, "/safe/"));
+    callFor(ms(1200), "/safe/");
+    BOOST_TEST(arrivalsAt(0).size() == 1U);
+}
