Assert what the tests of pausing engines only printed

The test with seven of eight engines in a pause asserts the share served before, during and after the pauses and the arrivals at each engine in each phase.

--- a/testing/endpoint_pause_looptest.cc
+++ b/testing/endpoint_pause_looptest.cc
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <iostream>
 #include <string>
@@ -77,6 +78,7 @@
     callFor(ms(1500), "/safe/");
     BOOST_TEST(arrivalsAt(0).size() == 1U);
     BOOST_TEST(call("/safe/").rfind("HTTP/1.1 503", 0) == 0U);
+    BOOST_TEST(waitForLog("\"reason\":\"all_leaving\""));
     const auto bornAt = std::chrono::system_clock::now().time_since_epoch();
     putEngine(0, std::chrono::duration_cast<ms>(bornAt).count());
     BOOST_TEST(callUntilArrival(0, "/safe/"));
@@ -224,6 +226,7 @@
         { form::Whole, "Server-Leaving: 1\r\nServer-Leaving: 0\r\n", {}, true, {} },
         { form::Whole, "Server-Leaving: 1\r\n", {}, false, {} },
         { form::Stream, {}, "Server-Leaving: 1\r\n", true, {} },
+        { form::Stream, {}, "Retry-After: 30\r\n", true, {} },
     };
     for (const engine_answer &answer : answers) {
         one_engine fixture;
@@ -266,27 +269,37 @@
     constexpr ms Pause{ 2000 };
     for (std::size_t index = 0; index < 8; ++index)
         setAnswer(index, { form::Whole, {}, {}, true, WorkTime });
+    struct phase_counts
+    {
+        std::atomic<int> sent{ 0 };
+        std::atomic<int> served{ 0 };
+        double share() const { return static_cast<double>(served) / std::max(1, sent.load()); }
+    };
     std::atomic<bool> stop{ false };
-    std::atomic<int> sent{ 0 };
-    std::atomic<int> served{ 0 };
+    std::atomic<std::size_t> phase{ 0 };
+    std::array<phase_counts, 3> counts; // Before, during and after the pauses, by time of sending.
     std::vector<std::thread> callers;
     callers.reserve(Callers);
     for (int caller = 0; caller < Callers; ++caller)
         callers.emplace_back([&] {
             while (!stop) {
-                ++sent;
+                phase_counts &current = counts[phase];
+                ++current.sent;
                 const std::string response = call("/safe/");
                 if (response.rfind("HTTP/1.1 200", 0) == 0)
-                    ++served;
+                    ++current.served;
                 else
                     std::this_thread::sleep_for(ms(100));
             }
         });
     std::this_thread::sleep_for(Phase);
-    const auto pauseEnd = test_clock::now() + Pause;
+    const auto pauseStart = test_clock::now();
+    const auto pauseEnd = pauseStart + Pause;
+    phase = 1;
     for (std::size_t index = 1; index < 8; ++index)
         setAnswer(index, refusal("2"));
     std::this_thread::sleep_until(pauseEnd);
+    phase = 2;
     for (std::size_t index = 1; index < 8; ++index)
         setAnswer(index, { form::Whole, {}, {}, true, WorkTime });
     std::this_thread::sleep_for(Phase + ms(1000));
@@ -304,10 +317,34 @@
         const std::size_t count = arrivalsBetween(index, from, refused->answeredAt + Pause);
         duringPauses += count;
         BOOST_TEST(count <= 2U, "engine " << index << ": " << count);
-        BOOST_TEST((seen.back().at > pauseEnd));
+        BOOST_TEST(arrivalsBetween(index, {}, pauseStart) > 0U, "engine " << index);
+        BOOST_TEST(arrivalsBetween(index, pauseEnd, test_clock::now()) > 0U, "engine " << index);
     }
-    std::cout << "served " << served << " of " << sent << "; " << duringPauses
-              << " arrivals during the pauses of seven engines\n";
+    const auto atOthers = arrivalsBetween(0, pauseStart, pauseEnd);
+    std::cout << "served of sent: before " << counts[0].served << " of " << counts[0].sent
+              << ", during " << counts[1].served << " of " << counts[1].sent << ", after "
+              << counts[2].served << " of " << counts[2].sent
+              << "; arrivals during the pauses: " << duringPauses << " at the seven engines, "
+              << atOthers << " at the eighth\n";
+    BOOST_TEST(counts[0].share() >= 0.95);
+    BOOST_TEST(counts[1].share() >= 0.5);
+    BOOST_TEST(counts[2].share() >= 0.95);
+    BOOST_TEST(duringPauses <= 7U);
+    BOOST_TEST(atOthers > 0U);
+}
+
+// Guards against choices and refusals whose log lines do not say how many engines were left out.
+BOOST_FIXTURE_TEST_CASE(logStatesHowManyEnginesWereLeftOut, pausing_fixture)
+{
+    setAnswer(0, leavingAnswer(form::Whole));
+    BOOST_REQUIRE(callUntilArrival(0, "/safe/"));
+    BOOST_REQUIRE(callUntilArrival(1, "/safe/"));
+    BOOST_TEST(waitForLog("\"endpoint\":\"e1\",\"endpoints\":2,\"leaving\":1,\"paused\":0"));
+    setAnswer(1, refusal("5"));
+    BOOST_REQUIRE(callUntilArrival(1, "/safe/"));
+    BOOST_TEST(call("/safe/").rfind("HTTP/1.1 503", 0) == 0U);
+    BOOST_TEST(waitForLog("\"event\":\"pool_full\""));
+    BOOST_TEST(waitForLog("\"endpoints\":2,\"leaving\":1,\"paused\":1,\"listed\""));
 }
 
 // Guards against an engine that an answer without a stamp takes out for its whole incarnation.
