Pool the even shares of a data centre after a restart of all VMs

Cause: after a start each VM keeps to an even share of an account's rate and burst until it knows the demand at 0.9 of the others. At 71 VMs that share is below one mean request, so accounts at half of their rate were refused. A request also had to find its whole cost in a bucket that just after the start holds one VM's part of the burst.

Change: until the demand is known, a VM admits beyond its even share while the demand since its start, at itself and at the VMs of its data centre by their totals, fits the even shares of these VMs. Totals of older VMs are too high, which keeps the even share. Summaries are left out, since they lack first totals. Just after the start a large request may overdraw the bucket as a small one does.

The tests that kill all VMs share restartOfAll(); their random draws are as before.

--- a/burdockhold/quota_ledger.cc
+++ b/burdockhold/quota_ledger.cc
@@ -79,11 +79,12 @@
 
 /// Returns the level at which a request of this cost is admitted. While this VM is limited to its
 /// share, a large request does not overdraw the bucket, unless it costs more than half of it, since
-/// all small ones would be refused until the bucket has refilled.
+/// all small ones would be refused until the bucket has refilled. Just after its start, the bucket
+/// holds only this VM's part of the burst, and the rule would refuse nearly all requests.
 double quota_ledger::requiredLevel(double cost) const
 {
     const double required = AdmitShare * std::min(cost, cap());
-    if (!m_shareUntil || cost <= shareCap())
+    if (!m_shareUntil || m_starting || cost <= shareCap())
         return required;
     return std::max(required, std::min(cost, cap() / 2.0));
 }
@@ -106,7 +107,8 @@
         return true;
     if (!m_shareLevel)
         m_shareLevel = initialShareLevel(cost);
-    if (*m_shareLevel >= 0.0) {
+    const bool fitsPooled = m_starting && m_requested + m_heardRequested <= m_pooledAllowance;
+    if (*m_shareLevel >= 0.0 || fitsPooled) {
         *m_shareLevel -= cost;
         return true;
     }
@@ -134,8 +136,9 @@
     peer_state &peerState = found->second;
     if (isNew) {
         // Admissions before the first total are not charged, only those after it.
-        peerState = { total, 0.0, 0.0, now, now, kind.vms };
+        peerState = { total, 0.0, 0.0, now, now, kind.vms, kind.inOwnGroup };
         peerState.reportedRequested = std::max(total, kind.requested);
+        m_heardRequested += kind.inOwnGroup ? peerState.reportedRequested : 0.0;
         peerState.reportedReturned = kind.returned;
         return;
     }
@@ -146,6 +149,7 @@
     if (kind.inOwnGroup) {
         m_groupAdmitted += total - peerState.reported;
         m_groupRequested += requested - peerState.reportedRequested;
+        m_heardRequested += requested - peerState.reportedRequested;
     }
     // A total of returned tokens above the admitted one is implausible and ignored.
     const double returned = kind.returned <= total
@@ -218,6 +222,7 @@
                  && static_cast<double>(vmsWithRates) < KnownRatesShare * known;
     if (m_starting) {
         m_share = 1.0 / (known + 1.0);
+        m_pooledAllowance = pooledAllowance();
         return;
     }
     // VMs whose rates are unknown are assumed to have the average demand of the known ones.
@@ -241,6 +246,23 @@
     m_coveredDemand = totalDemand > covered ? covered / totalDemand : 1.0;
 }
 
+/// Returns what the even shares of this VM and of those heard in its data centre cover together,
+/// each from this VM's start to its last total.
+double quota_ledger::pooledAllowance() const
+{
+    double vms = 1.0;
+    double seconds = toSeconds(m_refilledAt - m_startedAt);
+    for (const auto &row : m_peers) {
+        if (!row.second.inOwnGroup)
+            continue;
+        vms += 1.0;
+        seconds += toSeconds(row.second.reportedAt - m_startedAt);
+    }
+    const double assumed = m_options.pooledStartShare * m_options.startShare * m_limit.burst;
+    const double refilled = m_options.shareThreshold * m_limit.ratePerSecond * seconds;
+    return m_share * (vms * assumed + refilled);
+}
+
 /// Returns the mean age of the other VMs' totals.
 double quota_ledger::reportAgeSeconds() const
 {
--- a/burdockhold/quota_ledger.h
+++ b/burdockhold/quota_ledger.h
@@ -13,6 +13,11 @@
 // together first admit the fraction of the demand that the rate and the bucket cover, and then as
 // many requests as the rate allows.
 //
+// After a start, a VM admits beyond its even share while the demand since then at itself and at the
+// VMs of its data centre that it has heard from fits the even shares of all these VMs. Load
+// pattern: all VMs restart, and the few large requests of an account well within its rate exceed
+// the even share of single VMs, though the data centre's shares together cover them.
+//
 // Part of a share is kept for small requests. Load pattern: an account beyond its rate sends a few
 // prompts of tens of thousands of tokens among many small requests; each prompt overdraws the share
 // for seconds, and in order of arrival nearly all small requests would be refused meanwhile.
@@ -64,6 +69,9 @@
     /// the demand at most of the others sooner. Covers several digests at the longest digest
     /// interval.
     duration evenRateDuration = std::chrono::seconds(3);
+    /// Fraction of the tokens that a start assumes (startShare) on which a VM counts when it
+    /// compares the demand in its data centre with the even shares. The rest covers late digests.
+    double pooledStartShare = 0.5;
     /// VMs limit themselves to their shares from when half of the burst is used, or sooner if the
     /// demand at the other VMs within meanReportAge exceeds what is left, until the account's
     /// demand at all VMs has been below this fraction of the rate for shareHoldTime, because demand
@@ -183,6 +191,7 @@
         time_point reportedAt;
         time_point chargedAt;
         std::size_t vms = 1;
+        bool inOwnGroup = false;
         double reportedRequested = 0.0;
         double requestedPerSecond = 0.0; // Without returned tokens, like ratePerSecond.
         bool hasRates = false;           // Two totals have arrived.
@@ -201,6 +210,7 @@
     void updateOwnRate(time_point now);
     double reportAgeSeconds() const;
     void updateShare(std::size_t knownPeers, time_point now);
+    double pooledAllowance() const;
     double requiredLevel(double cost) const;
     bool tryChargeShare(double cost);
     double initialShareLevel(double cost) const;
@@ -214,6 +224,9 @@
     double m_groupAdmitted = 0.0; // Admitted by the other VMs of this data centre.
     double m_requested = 0.0;
     double m_groupRequested = 0.0;
+    // Demand at the other VMs of this data centre with their first totals, which may be too high.
+    double m_heardRequested = 0.0;
+    double m_pooledAllowance = 0.0; // Demand up to which the even share does not apply.
     double m_returned = 0.0;
     double m_groupReturned = 0.0;
     double m_requestedPerSecond = 0.0; // Demand at this VM without returned tokens.
--- a/testing/quota_fleet_test.cc
+++ b/testing/quota_fleet_test.cc
@@ -291,6 +291,24 @@
         vms.start(one, now);
 }
 
+/// Returns events that kill all VMs at that time and start them again 1 to 1.3 s later.
+std::function<void(double)> restartOfAll(deployment_model &vms, double killedAt)
+{
+    std::uniform_real_distribution<double> delay(0.0, 0.3);
+    std::vector<double> startAt;
+    for (std::size_t vm = 0; vm < vms.members.size(); ++vm)
+        startAt.push_back(killedAt + 1.0 + delay(vms.random));
+    return [&vms, killedAt, startAt](double now) {
+        for (std::size_t vm = 0; vm < startAt.size(); ++vm) {
+            member &one = vms.members[vm];
+            if (now >= killedAt && now < startAt[vm])
+                vms.stop(one);
+            else if (!one.ledger)
+                vms.start(one, now);
+        }
+    };
+}
+
 /// Plays endpoints that refuse most calls for four seconds, with demand at half of the rate.
 /// Returns the fraction of the attempts from then on that the limit refused although the reference
 /// had the tokens.
@@ -325,19 +343,27 @@
         for (const unsigned seed : seeds) {
             deployment_model vms(size, seed);
             startAll(vms, 0.0);
-            std::uniform_real_distribution<double> delay(0.0, 0.3);
-            std::vector<double> startAt;
-            for (std::size_t vm = 0; vm < size; ++vm)
-                startAt.push_back(13.0 + 1.0 + delay(vms.random));
-            const auto admitted = vms.run(26.0, fiveTimes, [&](double now) {
-                for (std::size_t vm = 0; vm < size; ++vm) {
-                    member &one = vms.members[vm];
-                    if (now >= 13.0 && now < startAt[vm])
-                        vms.stop(one);
-                    else if (!one.ledger)
-                        vms.start(one, now);
-                }
-            });
+            const auto admitted = vms.run(26.0, fiveTimes, restartOfAll(vms, 13.0));
+            BOOST_TEST(largestUse(admitted) <= 1.0,
+                       size << " VMs, seed " << seed << ": " << largestUse(admitted));
+        }
+    }
+}
+
+// Guards against VMs that take the demand for one within the rate just after their start: an
+// account sends five times its rate right from a restart of all VMs, or 0.4 s later. The restart is
+// at the start of a digest interval, so that the first digests are late.
+BOOST_AUTO_TEST_CASE(limitHoldsWhenDemandRisesAtARestartOfAllVms)
+{
+    for (const std::size_t size : { 7U, 71U, 300U }) {
+        for (unsigned seed = 1; seed <= 9; ++seed) {
+            deployment_model vms(size, seed);
+            startAll(vms, 0.0);
+            const double before = seed % 3 == 0 ? 5.0 : 0.5;
+            const double risesAt = seed % 3 == 1 ? 10.0 : 10.4;
+            const auto admitted = vms.run(
+                    19.0, [&](double now) { return now < risesAt ? before : 5.0; },
+                    restartOfAll(vms, 9.0));
             BOOST_TEST(largestUse(admitted) <= 1.0,
                        size << " VMs, seed " << seed << ": " << largestUse(admitted));
         }
@@ -377,10 +403,7 @@
         for (const unsigned seed : seeds) {
             deployment_model vms(size, seed);
             startAll(vms, 0.0);
-            std::uniform_real_distribution<double> delay(0.0, 0.3);
-            std::vector<double> startAt;
-            for (std::size_t vm = 0; vm < size; ++vm)
-                startAt.push_back(14.0 + delay(vms.random));
+            const auto restart = restartOfAll(vms, 13.0);
             std::size_t attemptsBefore = 0;
             std::size_t refusedBefore = 0;
             vms.run(
@@ -390,13 +413,7 @@
                             attemptsBefore = vms.attempts;
                             refusedBefore = vms.wronglyRefused;
                         }
-                        for (std::size_t vm = 0; vm < size; ++vm) {
-                            member &one = vms.members[vm];
-                            if (now >= 13.0 && now < startAt[vm])
-                                vms.stop(one);
-                            else if (!one.ledger)
-                                vms.start(one, now);
-                        }
+                        restart(now);
                     });
             const double refused = static_cast<double>(vms.wronglyRefused - refusedBefore)
                                    / static_cast<double>(vms.attempts - attemptsBefore);
--- a/testing/quota_ledger_test.cc
+++ b/testing/quota_ledger_test.cc
@@ -303,6 +303,36 @@
     BOOST_TEST(ledger.level() - before > 90.0);
 }
 
+// Guards against an even share that refuses an account whose demand is known to fit the shares of
+// the data centre, and against one that ends on totals of unknown age, of another data centre or
+// of a VM that has restarted since.
+BOOST_AUTO_TEST_CASE(evenShareIsPooledWithVmsWhoseDemandFits)
+{
+    const auto admitted = [](double demand, bool inOwnGroup, bool restarted) {
+        int count = 0;
+        for (std::uint64_t seed = 0; seed < 100; ++seed) {
+            quota_ledger_options options;
+            options.startGuard = fromSeconds(1.0);
+            options.phaseSeed = seed;
+            quota_ledger ledger(options, { Rate, Burst }, at(0));
+            for (int vm = 0; vm < 4; ++vm) {
+                const std::string name = "vm" + std::to_string(vm);
+                ledger.applyPeerTotal(name, 0.0, at(0.1), { 1, inOwnGroup, demand });
+                if (restarted)
+                    ledger.resetPeerTotal(name);
+                ledger.applyPeerTotal(name, 0.0, at(0.1), { 1, inOwnGroup, 0.0 });
+            }
+            ledger.step(7, at(0.1));
+            count += ledger.tryAdmit(4000.0, at(0.1)) ? 1 : 0;
+        }
+        return count;
+    };
+    BOOST_TEST(admitted(0.0, true, false) == 100);
+    for (const bool restarted : { false, true })
+        BOOST_TEST(admitted(2000.0, true, restarted) < 80);
+    BOOST_TEST(admitted(0.0, false, false) < 80);
+}
+
 namespace {
 
 struct admitted_counts
