Let error answers clear no blocked fingerprint

What callers saw: after three crashes the trial of a deadly segment got a stamped 500; every VM then sent requests with the segment again, up to five more crashes until the next block.

Cause: an engine's own error counted as an answer. An engine may answer an error before it begins the work that crashes it (a faulty version, overload, its own time limit). It also made the fingerprint one that "was answered", which raises its limit from three strikes to five.

Change: only events or a complete 2xx answer are answers. An error neither clears nor strikes. Ruled out: counting it as a failed trial, which blocks a sound segment for long when a faulty version answers errors.

Measured: errorAnswerOfATrialClearsNoBlock fails before (no 503, a fourth crash) and passes after, with the other tests of crash_records_looptest and crash_fingerprints_looptest.

--- a/burdockhold/crash_fingerprints.h
+++ b/burdockhold/crash_fingerprints.h
@@ -122,8 +122,8 @@
     std::vector<fingerprint> recordCrash(const std::vector<fingerprint> &request,
                                          std::uint32_t crash, time_point now);
 
-    /// Records that an endpoint began to answer a request. Returns the fingerprints that had
-    /// strikes, of which the other VMs should hear soon.
+    /// Records that an endpoint began to answer a request; an error is not an answer. Returns the
+    /// fingerprints that had strikes, of which the other VMs should hear soon.
     std::vector<fingerprint> recordAnswer(const std::vector<fingerprint> &request, time_point now);
 
     /// Decides whether a request may be sent to an endpoint. Changes nothing.
--- a/burdockhold/crash_reports.h
+++ b/burdockhold/crash_reports.h
@@ -29,7 +29,7 @@
 void reportTrial(router_board &board, const std::string &attemptId, fingerprint suspect,
                  time_point now);
 
-/// Reports that an endpoint has begun to answer a request.
+/// Reports that an endpoint has begun to answer a request; an error is not an answer.
 void reportAnswer(router_board &board, const std::string &attemptId,
                   const std::vector<fingerprint> &fingerprints, time_point now);
 
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -756,10 +756,8 @@
         m_mayHaveRun = true;
         ++m_runs;
     }
-    const bool ownFailure = end == call_end::Failed && !m_head.signature.empty()
-                            && m_head.attemptId == m_request.attemptId;
-    if (end == call_end::Complete || ownFailure)
-        recordAnswer();
+    if (end == call_end::Complete)
+        recordAnswer(); // An error may precede the work that crashes endpoints.
     endRolloutCall(board, m_poolName, m_endpointId, m_rolloutCall, end);
     logCall(end);
     releaseCall();
--- a/testing/crash_records_looptest.cc
+++ b/testing/crash_records_looptest.cc
@@ -50,6 +50,12 @@
         isUsed = true;
         if (request.field("X-Burdockhold-Prompt-Prefix").find("dead") == std::string::npos)
             return socket.write(completeResponse(request, "body"));
+        if (fails) {
+            ++errorAnswers;
+            return socket.write("HTTP/1.1 500 X\r\nX-Burdockhold-Attempt-Id: "
+                                + request.field("X-Burdockhold-Attempt-Id")
+                                + "\r\nX-Burdockhold-Server-Stamp: s1\r\nContent-Length: 0\r\n\r\n");
+        }
         servers[index]->stopListening();
         ++crashes;
         socket.reset();
@@ -62,6 +68,8 @@
     }
 
     std::atomic<int> crashes{ 0 };
+    std::atomic<bool> fails{ false }; // Engines answer the deadly segment with an error.
+    std::atomic<int> errorAnswers{ 0 };
     std::atomic<bool> isUsed{ false };
     std::vector<std::unique_ptr<fake_server>> servers;
 };
@@ -123,3 +131,22 @@
     BOOST_TEST(send("dead").rfind("HTTP/1.1 503", 0) == 0U);
     BOOST_TEST(crashes == 3);
 }
+
+// Guards against a deadly segment that is cleared everywhere because an engine answered its trial
+// with an error.
+BOOST_FIXTURE_TEST_CASE(errorAnswerOfATrialClearsNoBlock, crashing_engines)
+{
+    for (int attempt = 0; attempt < 4; ++attempt)
+        send("dead");
+    BOOST_TEST(send("dead").rfind("HTTP/1.1 503", 0) == 0U);
+    fails = true;
+    const auto deadline = std::chrono::steady_clock::now() + std::chrono::milliseconds(WaitLimitMs);
+    while (errorAnswers == 0 && std::chrono::steady_clock::now() < deadline) {
+        send("dead");
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    BOOST_TEST(errorAnswers >= 1);
+    fails = false;
+    BOOST_TEST(send("dead").rfind("HTTP/1.1 503", 0) == 0U);
+    BOOST_TEST(crashes == 3);
+}
