Keep trials of a segment when endpoints end together

What callers saw: nine endpoints that crash at once block a shared segment; one more crash six seconds later ended all trials, so that sound requests were refused for 30 minutes. Five endpoints that a planned stop ends at once blocked a segment that had been answered a second before.

Cause: strikes were counted without regard to their times, though crashes at one moment may have a cause of their own. And a failed trial gave a strike to the blocked fingerprint alone: a deadly segment that the trial carried by chance stayed unknown, while the sound one used up its trials.

Change: of the crashes within commonCauseTime one counts towards strikesToEndTrials, which is six now. Beyond maxStrikes the second oldest crash is dropped, so that the span is kept. A failed trial gives a strike to each part of its request.

--- a/burdockhold/crash_fingerprints.cc
+++ b/burdockhold/crash_fingerprints.cc
@@ -62,7 +62,9 @@
     std::vector<fingerprint> suspects;
     std::copy_if(request.begin(), request.end(), std::back_inserter(suspects),
                  [&](fingerprint suspect) { return isBlocked(suspect, now); });
-    if (suspects.empty())
+    const bool isTrialLost = std::any_of(suspects.begin(), suspects.end(),
+                                         [&](fingerprint suspect) { return isOnTrial(suspect); });
+    if (suspects.empty() || isTrialLost)
         suspects = request;
     std::vector<fingerprint> newlyBlocked;
     for (const fingerprint suspect : suspects) {
@@ -101,13 +103,14 @@
     crash_verdict verdict = not_blocked{};
     for (const fingerprint suspect : request) {
         const suspect_entry *entry = findEntry(suspect);
-        const std::size_t count = entry == nullptr ? 0 : strikesOf(*entry, now);
-        if (entry == nullptr || count < thresholdOf(*entry))
+        if (entry == nullptr || !blocks(*entry, now))
             continue;
+        const std::size_t count = strikesOf(*entry, now);
         const std::size_t failed = failedTrials(*entry);
         const time_point due = std::max(newestCrash(*entry), entry->trialAt)
                                + trialIntervalAfter(failed);
-        const bool isCertain = failed > 0 && count >= m_options.strikesToEndTrials;
+        const bool isCertain = failed > 0
+                               && separateStrikes(*entry) >= m_options.strikesToEndTrials;
         if (isCertain || failed >= m_options.maxFailedTrials)
             return blocked_request{ suspect, count,
                                     newestCrash(*entry) + m_options.strikeLifetime - now };
@@ -173,7 +176,7 @@
 bool crash_fingerprints::isBlocked(fingerprint suspect, time_point now) const
 {
     const suspect_entry *entry = findEntry(suspect);
-    return entry != nullptr && strikesOf(*entry, now) >= thresholdOf(*entry);
+    return entry != nullptr && blocks(*entry, now);
 }
 
 bool crash_fingerprints::isAnyBlocked(const std::vector<fingerprint> &request, time_point now) const
@@ -186,7 +189,7 @@
 {
     return static_cast<std::size_t>(
             std::count_if(m_suspects.begin(), m_suspects.end(), [&](const auto &suspect) {
-                return strikesOf(suspect.second, now) >= thresholdOf(suspect.second);
+                return blocks(suspect.second, now);
             }));
 }
 
@@ -298,9 +301,23 @@
     }
     entry.reportedAt = now;
     if (entry.crashes.size() > m_options.maxStrikes)
-        entry.crashes.erase(
-                std::min_element(entry.crashes.begin(), entry.crashes.end(),
-                                 [](const auto &a, const auto &b) { return a.second < b.second; }));
+        dropStrike(entry);
+}
+
+/// Drops the oldest crash before the last answer, else the second oldest: the oldest one shows over
+/// which time endpoints have crashed.
+void crash_fingerprints::dropStrike(suspect_entry &entry)
+{
+    const auto isOlder = [](const auto &a, const auto &b) { return a.second < b.second; };
+    const auto oldest = std::min_element(entry.crashes.begin(), entry.crashes.end(), isOlder);
+    if (oldest->second <= entry.answeredAt) {
+        entry.crashes.erase(oldest);
+        return;
+    }
+    const auto kept = *oldest;
+    entry.crashes.erase(oldest);
+    entry.crashes.erase(std::min_element(entry.crashes.begin(), entry.crashes.end(), isOlder));
+    entry.crashes.insert(kept);
 }
 
 std::size_t crash_fingerprints::thresholdOf(const suspect_entry &entry) const
@@ -308,9 +325,18 @@
     return entry.answeredAt == Never ? m_options.strikesToBlock : m_options.strikesToBlockAnswered;
 }
 
-/// Returns the number of trials that ended in a crash: crashes since the block that came a trial's
-/// interval after the one before. Crashes that came together were on their way already.
-std::size_t crash_fingerprints::failedTrials(const suspect_entry &entry) const
+bool crash_fingerprints::blocks(const suspect_entry &entry, time_point now) const
+{
+    if (strikesOf(entry, now) < thresholdOf(entry))
+        return false;
+    if (entry.answeredAt == Never)
+        return true;
+    const std::vector<time_point> times = strikeTimes(entry);
+    return times.back() - times.front() >= m_options.minBlockSpan;
+}
+
+/// Returns the times of the crashes since the last answer in ascending order.
+std::vector<time_point> crash_fingerprints::strikeTimes(const suspect_entry &entry)
 {
     std::vector<time_point> times;
     for (const auto &[crash, at] : entry.crashes) {
@@ -318,6 +344,35 @@
             times.push_back(at);
     }
     std::sort(times.begin(), times.end());
+    return times;
+}
+
+/// Returns the number of strikes, where those that follow one within commonCauseTime do not count.
+std::size_t crash_fingerprints::separateStrikes(const suspect_entry &entry) const
+{
+    std::size_t count = 0;
+    time_point counted = Never;
+    for (const time_point at : strikeTimes(entry)) {
+        if (at - counted < m_options.commonCauseTime)
+            continue;
+        ++count;
+        counted = at;
+    }
+    return count;
+}
+
+/// Returns whether the last crash with this fingerprint is older than this VM's last trial of it.
+bool crash_fingerprints::isOnTrial(fingerprint suspect) const
+{
+    const suspect_entry *entry = findEntry(suspect);
+    return entry != nullptr && entry->ownTrialAt > newestCrash(*entry);
+}
+
+/// Returns the number of trials that ended in a crash: crashes since the block that came a trial's
+/// interval after the one before. Crashes that came together were on their way already.
+std::size_t crash_fingerprints::failedTrials(const suspect_entry &entry) const
+{
+    const std::vector<time_point> times = strikeTimes(entry);
     std::size_t failed = 0;
     for (std::size_t index = thresholdOf(entry); index < times.size(); ++index)
         failed += times[index] - times[index - 1] >= m_options.trialInterval * 9 / 10 ? 1 : 0;
--- a/burdockhold/crash_fingerprints.h
+++ b/burdockhold/crash_fingerprints.h
@@ -14,14 +14,16 @@
 // - A fingerprint with strikesToBlock strikes is blocked at every VM that has heard of them, until
 //   a request with it is answered or its strikes expire. One that was answered before its first
 //   strike takes strikesToBlockAnswered: a segment that all prompts of a route share is not blocked
-//   with a new one that crashes endpoints, even if nothing else is sent meanwhile.
+//   with a new one that crashes endpoints, even if nothing else is sent meanwhile. Its strikes must
+//   extend over minBlockSpan as well: a host or a stop may have ended endpoints together.
 // - A strike is counted once for each crash, which is an endpoint's incarnation, however many VMs
 //   and requests report it. Merging reports is idempotent and independent of their order.
 // - While a fingerprint is blocked, single requests try it out, so that a wrong block ends. The
 //   time between trials doubles with each that ends in a crash, and no VM starts a trial while it
 //   has heard of one within that time. After maxFailedTrials, or one with strikesToEndTrials
-//   strikes, there are none.
-// - Once one fingerprint of a request is blocked, the others get no strikes from its crashes.
+//   strikes, there are none. Crashes within commonCauseTime count as one of them.
+// - Once one fingerprint of a request is blocked, the others get no strikes from its crashes,
+//   unless it was a trial: then another one may be the cause.
 // - Memory is bounded by maxSuspects and recentAnswers. Beyond maxSuspects, the fingerprint with
 //   the fewest strikes is dropped first, and of these the one not reported for longest.
 //
@@ -66,9 +68,13 @@
     /// After this many trials that ended in a crash there are no more; the block ends when the
     /// strikes expire.
     std::size_t maxFailedTrials = 3;
-    /// With this many strikes the first failed trial is the last one.
-    std::size_t strikesToEndTrials = 8;
-    /// Crashes kept for each fingerprint; the newest ones.
+    /// With this many strikes a failed trial is the last one. Of the crashes within commonCauseTime
+    /// one counts: they may have another cause than the requests.
+    std::size_t strikesToEndTrials = 6;
+    duration commonCauseTime = std::chrono::milliseconds(200);
+    /// Time between the first and the last strike of a fingerprint that was answered before.
+    duration minBlockSpan = std::chrono::seconds(1);
+    /// Crashes kept for each fingerprint; the oldest and the newest ones.
     std::size_t maxStrikes = 12;
     /// Lifetime of the strikes of a fingerprint, counted from the newest.
     duration singleStrikeLifetime = std::chrono::seconds(60);
@@ -174,8 +180,13 @@
     const suspect_entry *findEntry(fingerprint suspect) const;
     std::size_t strikesOf(const suspect_entry &entry, time_point now) const;
     std::size_t thresholdOf(const suspect_entry &entry) const;
+    bool blocks(const suspect_entry &entry, time_point now) const;
+    static std::vector<time_point> strikeTimes(const suspect_entry &entry);
+    std::size_t separateStrikes(const suspect_entry &entry) const;
     time_point newestCrash(const suspect_entry &entry) const;
+    bool isOnTrial(fingerprint suspect) const;
     void addCrash(suspect_entry &entry, std::uint32_t crash, time_point at, time_point now);
+    static void dropStrike(suspect_entry &entry);
     static std::size_t trialRank(fingerprint suspect, std::size_t strikes,
                                  const trial_group &group);
     std::size_t failedTrials(const suspect_entry &entry) const;
