--- a/burdockhold/crash_fingerprints.cc
+++ b/burdockhold/crash_fingerprints.cc
@@ -188,9 +188,8 @@
 std::size_t crash_fingerprints::blockedCount(time_point now) const
 {
     return static_cast<std::size_t>(
-            std::count_if(m_suspects.begin(), m_suspects.end(), [&](const auto &suspect) {
-                return blocks(suspect.second, now);
-            }));
+            std::count_if(m_suspects.begin(), m_suspects.end(),
+                          [&](const auto &suspect) { return blocks(suspect.second, now); }));
 }
 
 std::vector<crash_row> crash_fingerprints::digestRows(time_point now) const
--- a/testing/crash_records_looptest.cc
+++ b/testing/crash_records_looptest.cc
@@ -52,9 +52,10 @@
             return socket.write(completeResponse(request, "body"));
         if (fails) {
             ++errorAnswers;
-            return socket.write("HTTP/1.1 500 X\r\nX-Burdockhold-Attempt-Id: "
-                                + request.field("X-Burdockhold-Attempt-Id")
-                                + "\r\nX-Burdockhold-Server-Stamp: s1\r\nContent-Length: 0\r\n\r\n");
+            return socket.write(
+                    "HTTP/1.1 500 X\r\nX-Burdockhold-Attempt-Id: "
+                    + request.field("X-Burdockhold-Attempt-Id")
+                    + "\r\nX-Burdockhold-Server-Stamp: s1\r\nContent-Length: 0\r\n\r\n");
         }
         servers[index]->stopListening();
         ++crashes;
