Count failed trials at endpoints whose restart has not been read

Cause: a crash is identified by the endpoint's incarnation.

Change: a lost trial whose crash is known already gets an id of its own. Other requests with the segment are not sent while it is blocked, so no crash is counted twice.

Measured: failedTrialAtAnUnknownIncarnationCounts passes; crash_fingerprints_test passes as a whole.

--- a/burdockhold/crash_fingerprints.cc
+++ b/burdockhold/crash_fingerprints.cc
@@ -23,6 +23,13 @@
     return XXH64(text.data(), text.size(), seed);
 }
 
+/// Returns the id of a crash of an incarnation whose entry this VM has not read yet, so that the id
+/// of the former one's crash was stated.
+std::uint32_t laterCrashId(std::uint32_t crash, time_point now)
+{
+    return shortHash(std::to_string(crash) + "/" + std::to_string(now.time_since_epoch().count()));
+}
+
 } // namespace
 
 std::vector<fingerprint> fingerprintsOf(const caller_request &request, std::string_view account)
@@ -66,6 +73,8 @@
                                          [&](fingerprint suspect) { return isOnTrial(suspect); });
     if (suspects.empty() || isTrialLost)
         suspects = request;
+    if (isTrialLost && isKnownCrash(suspects, crash))
+        crash = laterCrashId(crash, now);
     std::vector<fingerprint> newlyBlocked;
     for (const fingerprint suspect : suspects) {
         const bool wasBlocked = isBlocked(suspect, now);
@@ -76,6 +85,15 @@
     return newlyBlocked;
 }
 
+bool crash_fingerprints::isKnownCrash(const std::vector<fingerprint> &suspects,
+                                      std::uint32_t crash) const
+{
+    return std::any_of(suspects.begin(), suspects.end(), [&](fingerprint suspect) {
+        const suspect_entry *entry = findEntry(suspect);
+        return entry != nullptr && isOnTrial(suspect) && entry->crashes.count(crash) != 0;
+    });
+}
+
 std::vector<fingerprint> crash_fingerprints::recordAnswer(const std::vector<fingerprint> &request,
                                                           time_point now)
 {
--- a/burdockhold/crash_fingerprints.h
+++ b/burdockhold/crash_fingerprints.h
@@ -185,6 +185,7 @@
     std::size_t separateStrikes(const suspect_entry &entry) const;
     time_point newestCrash(const suspect_entry &entry) const;
     bool isOnTrial(fingerprint suspect) const;
+    bool isKnownCrash(const std::vector<fingerprint> &suspects, std::uint32_t crash) const;
     void addCrash(suspect_entry &entry, std::uint32_t crash, time_point at, time_point now);
     static void dropStrike(suspect_entry &entry);
     static std::size_t trialRank(fingerprint suspect, std::size_t strikes,
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -53,6 +53,9 @@
 constexpr std::int64_t ImmediateDigestTokens = 2000;
 // A few round trips, since the stream's caller waits for the check.
 constexpr duration TerminationCheckTimeout = std::chrono::milliseconds(60);
+// Upper bound of the Retry-After of a blocked request: an answer elsewhere may end the block
+// sooner.
+constexpr duration MaxBlockedRetryAfter = std::chrono::seconds(60);
 // Lower bound of the Retry-After of a refusal. Reconnecting and load balancing take up part of it.
 constexpr duration MinRetryAfter = std::chrono::milliseconds(50);
 
@@ -429,7 +432,7 @@
     if (m_mayHaveRun)
         fail(502, "crashes_endpoints");
     else
-        refuse(503, "crashes_endpoints", blocked->nextTrial);
+        refuse(503, "crashes_endpoints", std::min(blocked->nextTrial, MaxBlockedRetryAfter));
     return true;
 }
 
--- a/testing/crash_fingerprints_test.cc
+++ b/testing/crash_fingerprints_test.cc
@@ -797,3 +797,21 @@
     BOOST_TEST(valueOf(decoded).vm == "vm-1");
     BOOST_TEST(valueOf(decoded).crashes.empty());
 }
+
+// Guards against trials without end at an endpoint whose new incarnation is not known: its crashes
+// counted as one.
+BOOST_AUTO_TEST_CASE(failedTrialAtAnUnknownIncarnationCounts)
+{
+    crash_fingerprints crashes;
+    for (std::uint32_t endpoint = 0; endpoint < 3; ++endpoint)
+        crashes.recordCrash({ 1, 200 + endpoint }, endpoint, at(endpoint));
+    int trials = 0;
+    for (double seconds = 3.0; seconds < 120.0; seconds += 0.1) {
+        if (!isTrial(crashes.judge({ 1, 300 }, {}, at(seconds))))
+            continue;
+        ++trials;
+        crashes.recordTrial(1, at(seconds));
+        crashes.recordCrash({ 1, 300 }, 0, at(seconds + 0.05)); // Its entry names incarnation 0.
+    }
+    BOOST_TEST(trials <= 3);
+}
