--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -38,12 +38,6 @@
 // Keys are refused this long before the view reaches the revocation bound, since a request takes
 // time to reach its endpoint.
 constexpr duration RevocationMargin = std::chrono::milliseconds(300);
-// Callers abandon a stream after the longest of two seconds, four times its latency target and
-// eight times its usual gap between events. The margin covers the transit time to the caller.
-constexpr duration MinCallerTimeout = std::chrono::seconds(2);
-constexpr int CallerTimeoutLatencyTargets = 4;
-constexpr int CallerTimeoutEventGaps = 8;
-constexpr duration CallerTimeoutMargin = std::chrono::milliseconds(500);
 constexpr duration MaxWaitForDeployment = std::chrono::milliseconds(600);
 // Requests that arrive later than this after the stop notice are refused, since they could outlast
 // the process.
@@ -191,7 +185,7 @@
 {
     time_point next = m_deadline;
     if (m_route->kind == call_kind::Stream && m_connection)
-        next = std::min(next, m_lastProgress + maxEventGap());
+        next = std::min(next, m_lastProgress + maxEventGap(*m_route));
     m_timer.expires_at(next);
     m_timer.async_wait([self = shared_from_this()](error_code error) {
         if (!error && !self->m_ended)
@@ -206,7 +200,7 @@
         deadlineReached();
         return;
     }
-    if (!m_connection || now - m_lastProgress < maxEventGap()) {
+    if (!m_connection || now - m_lastProgress < maxEventGap(*m_route)) {
         startTimer();
         return;
     }
@@ -216,14 +210,6 @@
     callEnded(call_end::Broken);
 }
 
-/// Returns how long a stream's caller waits for the next event.
-duration routed_request::maxEventGap() const
-{
-    return std::max({ MinCallerTimeout, CallerTimeoutLatencyTargets * m_route->latencyTarget,
-                      CallerTimeoutEventGaps * m_route->eventGapTarget })
-           + CallerTimeoutMargin;
-}
-
 void routed_request::deadlineReached()
 {
     if (m_connection) {
--- a/burdockhold/routed_request.h
+++ b/burdockhold/routed_request.h
@@ -97,7 +97,6 @@
     void returnTokens();
     void startTimer();
     void onTimer();
-    duration maxEventGap() const;
     void deadlineReached();
     void enterWaitQueue();
     time_point queueWaitEnd(time_point now) const;
