--- a/testing/views_looptest.cc
+++ b/testing/views_looptest.cc
@@ -272,6 +272,7 @@
     }
     const std::string request = "GET " + encodeViewRequest({}) + " HTTP/1.1\r\n\r\n";
     std::vector<std::unique_ptr<slow_reader>> readers;
+    readers.reserve(VmCount);
     for (int number = 0; number < VmCount; ++number)
         readers.push_back(std::make_unique<slow_reader>(FirstPort + number, request));
     run(std::chrono::seconds(5));
