Log how a resumed stream ended and how responses were framed

request_ended did not say whether a stream had been resumed, how many events its last call added and how the last response stated its end. So a stream that an empty response had ended looked like any other that was served, and a response without length or chunks could not be told from others. New fields: last_call_events, resumes and framing; framing also in call_ended.

No decision changes.

--- a/burdockhold/caller_request.h
+++ b/burdockhold/caller_request.h
@@ -5,8 +5,10 @@
 // wire format is confined to the platform adapter.
 
 #include "burdockhold/clock.h"
+#include "burdockhold/enum_names.h"
 
 #include <algorithm>
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -71,6 +73,19 @@
     std::string resumeAfter;             ///< Id of the caller's last event; may be empty.
 };
 
+/// How a response states where its body ends.
+enum class body_framing { None, Length, Chunked };
+
+template <>
+struct enum_names<body_framing>
+{
+    static constexpr std::array<enum_name<body_framing>, 3> Table{ {
+            { body_framing::None, "none" }, ///< The body ends with the connection.
+            { body_framing::Length, "length" },
+            { body_framing::Chunked, "chunked" },
+    } };
+};
+
 /// What an endpoint says in an answer about new calls.
 struct endpoint_notice
 {
@@ -90,6 +105,7 @@
     bool notExecuted = false;
     bool encoded = false; ///< Has a content coding, which no engine uses.
     bool eventStream = false;
+    body_framing framing = body_framing::None;
     std::optional<std::int64_t> weights;
     endpoint_notice notice;
     std::vector<http_field> forwardedFields;
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -798,8 +798,10 @@
     std::visit(
             overloaded{ [this](const try_another &) {
                            m_events.dropPartial();
-                           if (m_responseStarted)
+                           if (m_responseStarted) {
+                               ++m_resumes;
                                m_context.board.metrics.count(router_counter::Resumes);
+                           }
                            if (!place())
                                enterWaitQueue();
                        },
@@ -999,6 +1001,9 @@
                   { "saved", m_savesSegments },
                   { "weights", m_expectedWeights },
                   { "events", m_events.events() },
+                  { "last_call_events", m_events.events() - m_eventsBeforeCall },
+                  { "resumes", m_resumes },
+                  { "framing", nameOf(m_head.framing) },
                   { "deployment", m_deployment ? m_deployment->source().version : 0 },
                   { "view_age_ms", std::llround(1000.0 * toSeconds(board.deploymentAge())) } },
                 now);
@@ -1030,6 +1035,7 @@
                       { "weights", m_expectedWeights },
                       { "call", m_callsMade },
                       { "events", m_events.events() },
+                      { "framing", nameOf(m_head.framing) },
                       { "after_ms", 1000.0 * toSeconds(now - m_callStarted) } },
                     now);
 }
--- a/burdockhold/routed_request.h
+++ b/burdockhold/routed_request.h
@@ -190,6 +190,7 @@
     std::string m_lastEndpointId; ///< Endpoint of the last call; empty if none was made.
     int m_callsMade = 0;
     int m_runs = 0;
+    int m_resumes = 0; ///< Calls that were to continue the stream that the caller has begun to get.
     bool m_mayHaveRun = false;
     bool m_responseStarted = false;
     bool m_waiting = false;
