End a started stream only after a call that completed it

Cause: decideNextStep() treated an error response on a route that is not idempotent as final, whether or not the caller had received the beginning of a stream, and the delivery of a response to a started stream wrote the last chunk whatever the response was. So after a stream had broken off or had left an engine that loads weights, an error of the next engine (500, its 504 at the deadline, 404) ended it as complete and counted as served. A success without events did the same.

Class: an outcome judged by the last call alone, without what earlier calls of the same request have already sent.

Change: end_stream is a step of its own, which only a complete call of a started stream leads to; deliver_response is for callers that have received nothing. An error, or a success that adds no event, is resumed at another engine within the retry budget and the route's limit, else the response ends without its last chunk.

Ruled out: the engine's error in the body of the stream (never relayed, 44 cases); breaks in chunks, with a length and without (none looked complete without a second engine's answer).

--- a/burdockhold/attempt_rules.cc
+++ b/burdockhold/attempt_rules.cc
@@ -56,10 +56,14 @@
 
 next_step decideNextStep(const attempt_facts &facts)
 {
-    if (facts.end == call_end::Complete)
+    if (facts.end == call_end::Complete) {
+        if (facts.responseStarted)
+            return end_stream{};
         return deliver_response{};
-    // An error response is final, except for idempotent calls, where a retry may succeed.
-    const bool retriesFailure = facts.kind == call_kind::Idempotent;
+    }
+    // An error response is final, unless a retry may succeed or the caller has received the
+    // beginning of another response.
+    const bool retriesFailure = facts.kind == call_kind::Idempotent || facts.responseStarted;
     if (facts.end == call_end::Failed && !retriesFailure)
         return deliver_response{};
     if (canTryAnother(facts))
@@ -75,4 +79,17 @@
     return respond_outcome_unknown{};
 }
 
+call_end classifyResponse(const response_facts &response)
+{
+    const bool success = response.status >= 200 && response.status < 300;
+    if (!success)
+        return response.notExecuted ? call_end::SaidNotRun : call_end::Failed;
+    if (!response.isStream)
+        return call_end::Complete;
+    if (response.hasPartialEvent)
+        return call_end::Broken;
+    const bool continuesNothing = response.responseStarted && !response.deliveredEvents;
+    return continuesNothing ? call_end::WrongAnswer : call_end::Complete;
+}
+
 } // namespace burdockhold
--- a/burdockhold/attempt_rules.h
+++ b/burdockhold/attempt_rules.h
@@ -9,6 +9,9 @@
 // - "Not run" is reported only if no byte reached an endpoint, or if every endpoint that received
 //   the call stated that it did not run it.
 // - A stream that has started continues only if its route is resumable.
+// - A stream that has started ends as complete only if the call that ended it completed a response
+//   which added events to it. Anything else, an error response included, is resumed elsewhere or
+//   ends the response so that it looks incomplete.
 
 #include "burdockhold/clock.h"
 #include "burdockhold/deployment.h"
@@ -27,7 +30,7 @@
     SaidNotRun,  ///< The endpoint refused the call and stated that it did not run it.
     Failed,      ///< The endpoint itself returned an error response.
     Broken,      ///< The connection was reset, closed or silent before the response was complete.
-    WrongAnswer, ///< The response is malformed or cannot be attributed to this call.
+    WrongAnswer, ///< The response is malformed, or cannot be the response to this call.
 };
 
 template <>
@@ -61,10 +64,14 @@
 struct try_another
 {
 };
-/// Deliver the endpoint's own response.
+/// Deliver the endpoint's own response. The caller has received nothing yet.
 struct deliver_response
 {
 };
+/// End the stream that the caller has begun to receive: it is complete.
+struct end_stream
+{
+};
 /// Refuse the request and guarantee that it has not run and will not run.
 struct refuse_not_run
 {
@@ -82,7 +89,7 @@
 {
 };
 
-using next_step = std::variant<try_another, deliver_response, refuse_not_run,
+using next_step = std::variant<try_another, deliver_response, end_stream, refuse_not_run,
                                respond_outcome_unknown, await_retry_budget, abort_response>;
 
 /// Another call is made only if at least this much time is left.
@@ -90,6 +97,21 @@
 
 next_step decideNextStep(const attempt_facts &facts);
 
+/// A response that has arrived completely, as its framing says.
+struct response_facts
+{
+    int status = 0;
+    bool notExecuted = false;     ///< It states that the endpoint did not run the call.
+    bool isStream = false;        ///< The route's responses are streams of events.
+    bool hasPartialEvent = false; ///< It ends inside an event.
+    bool responseStarted = false; ///< The caller has received the head of the response.
+    bool deliveredEvents = false; ///< It has delivered events to the caller.
+};
+
+/// Returns how the call ended. A success without a new event does not complete a stream that the
+/// caller has begun to receive: it does not show that the stream ended where it broke off.
+call_end classifyResponse(const response_facts &response);
+
 /// Returns true if knowing that the endpoint has terminated would change the next step: a run at an
 /// endpoint that has terminated does not count against the route's limit of endpoints. This applies
 /// only to calls that have delivered events: a request that crashes every endpoint before its first
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -685,11 +685,14 @@
         return call_end::WrongAnswer;
     if (end != http_outcome::Complete || !m_headReceived)
         return call_end::Broken;
-    const bool success = m_head.status >= 200 && m_head.status < 300;
-    if (success)
-        return m_route->kind == call_kind::Stream && m_events.hasPartial() ? call_end::Broken
-                                                                           : call_end::Complete;
-    return m_head.notExecuted ? call_end::SaidNotRun : call_end::Failed;
+    response_facts response;
+    response.status = m_head.status;
+    response.notExecuted = m_head.notExecuted;
+    response.isStream = m_route->kind == call_kind::Stream;
+    response.hasPartialEvent = m_events.hasPartial();
+    response.responseStarted = m_responseStarted;
+    response.deliveredEvents = m_events.events() > m_eventsBeforeCall;
+    return classifyResponse(response);
 }
 
 void routed_request::recordRefusal()
@@ -806,6 +809,10 @@
                                enterWaitQueue();
                        },
                         [this](const deliver_response &) { deliver(); },
+                        [this](const end_stream &) {
+                            m_writer.endStream();
+                            finish(router_counter::Served, m_head.status, "served");
+                        },
                         [this](const refuse_not_run &) {
                             refuse(503, "not_run", m_route->latencyTarget / 4);
                         },
@@ -903,11 +910,6 @@
 
 void routed_request::deliver()
 {
-    if (m_responseStarted) {
-        m_writer.endStream();
-        finish(router_counter::Served, m_head.status, "served");
-        return;
-    }
     const bool success = m_head.status >= 200 && m_head.status < 300;
     m_writer.sendResponse(m_head.status, m_head.forwardedFields, m_body);
     finish(success ? router_counter::Served : router_counter::Failed, m_head.status,
--- a/testing/attempt_rules_test.cc
+++ b/testing/attempt_rules_test.cc
@@ -71,9 +71,46 @@
             return;
         BOOST_TEST(!std::holds_alternative<refuse_not_run>(step));
         BOOST_TEST(!std::holds_alternative<respond_outcome_unknown>(step));
+        BOOST_TEST(!std::holds_alternative<deliver_response>(step));
     });
 }
 
+// Guards against a stream that ends as complete because the call that was to continue it failed.
+BOOST_AUTO_TEST_CASE(startedStreamEndsAsCompleteOnlyAfterACompleteCall)
+{
+    forAllFacts([](const attempt_facts &facts, const next_step &step) {
+        const bool endsStream = std::holds_alternative<end_stream>(step);
+        BOOST_TEST(endsStream == (facts.responseStarted && facts.end == call_end::Complete));
+    });
+}
+
+// Guards against a response that counts as the rest of a stream though it adds nothing to it.
+BOOST_AUTO_TEST_CASE(onlyNewEventsCompleteAStartedStream)
+{
+    for (const int status : { 200, 204, 206, 301, 404, 500, 503 }) {
+        for (int bits = 0; bits < 32; ++bits) {
+            response_facts response;
+            response.status = status;
+            response.notExecuted = (bits & 1) != 0;
+            response.isStream = (bits & 2) != 0;
+            response.hasPartialEvent = (bits & 4) != 0;
+            response.responseStarted = response.isStream && (bits & 8) != 0;
+            response.deliveredEvents = response.isStream && (bits & 16) != 0;
+            const call_end end = classifyResponse(response);
+            if (status >= 300) {
+                BOOST_TEST((end == call_end::SaidNotRun) == response.notExecuted);
+                BOOST_TEST((end == call_end::Failed) == !response.notExecuted);
+            } else if (!response.isStream) {
+                BOOST_TEST((end == call_end::Complete));
+            } else {
+                const bool addsNothing = response.responseStarted && !response.deliveredEvents;
+                BOOST_TEST((end == call_end::Complete)
+                           == (!response.hasPartialEvent && !addsNothing));
+            }
+        }
+    }
+}
+
 // Guards against retries beyond the budget that all VMs share.
 BOOST_AUTO_TEST_CASE(retryNeedsTheBudgetUnlessNothingWasSent)
 {
@@ -98,8 +135,10 @@
 BOOST_AUTO_TEST_CASE(completeResponseIsDelivered)
 {
     forAllFacts([](const attempt_facts &facts, const next_step &step) {
-        if (facts.end == call_end::Complete)
+        if (facts.end == call_end::Complete && !facts.responseStarted)
             BOOST_TEST(std::holds_alternative<deliver_response>(step));
+        if (facts.end == call_end::Complete && facts.responseStarted)
+            BOOST_TEST(std::holds_alternative<end_stream>(step));
     });
 }
 
