--- a/testing/attempt_rules_test.cc
+++ b/testing/attempt_rules_test.cc
@@ -84,6 +84,18 @@
     });
 }
 
+// Guards against a started stream that is cut off although another endpoint may continue it.
+BOOST_AUTO_TEST_CASE(startedStreamIsResumedWhileLimitsAllow)
+{
+    forAllFacts([](const attempt_facts &facts, const next_step &step) {
+        const bool mayContinue = facts.responseStarted && facts.end != call_end::Complete
+                                 && isRetryable(facts.kind, facts.resumable) && facts.retriesLeft
+                                 && facts.executionsLeft > 0 && facts.attemptsLeft > 0;
+        if (mayContinue)
+            BOOST_TEST(std::holds_alternative<try_another>(step));
+    });
+}
+
 // Guards against a response that counts as the rest of a stream though it adds nothing to it.
 BOOST_AUTO_TEST_CASE(onlyNewEventsCompleteAStartedStream)
 {
--- a/testing/resumed_streams_looptest.cc
+++ b/testing/resumed_streams_looptest.cc
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -97,6 +98,7 @@
     std::string head;
     std::string body;
     bool complete = false; ///< The last chunk has arrived.
+    bool closed = false;
 };
 
 received_stream decodeStream(const std::string &response)
@@ -123,30 +125,91 @@
 
 struct resumed_fixture : router_fixture
 {
-    /// Calls a resumable route whose first engine breaks off and whose next one continues badly.
-    received_stream call(const engine_response &broken, const engine_response &continuation)
+    resumed_fixture()
+        : m_third([this](const recorded_request &r, response_socket &s) {
+            return engine("e3", r, s);
+        })
+    {
+        log.put("keyed.servers", "e3", endpointRecord(m_third.address(), "ready"));
+    }
+
+    /// Calls a resumable route. The engines that are called one after the other send the responses.
+    received_stream call(const std::string &path, const std::vector<engine_response> &responses)
     {
         const std::size_t before = callCount();
         setEngineBehaviour(
                 [=](const std::string &, const recorded_request &request, response_socket &socket) {
-                    respond(callCount() == before + 1 ? broken : continuation, request, socket);
+                    const std::size_t number = callCount() - before;
+                    if (number <= responses.size())
+                        respond(responses[number - 1], request, socket);
                     return false;
                 });
-        std::string bytes = request("/resume/");
+        std::string bytes = request(path);
         bytes.replace(bytes.find("id1"), 3, "id" + std::to_string(++m_number));
         test_caller caller(router->callerAddress());
         caller.send(bytes);
-        const received_stream stream = decodeStream(caller.readUntil(lastChunk, WaitLimitMs));
-        calls = callCount() - before;
+        received_stream stream = decodeStream(caller.readUntil(lastChunk, WaitLimitMs));
+        stream.closed = caller.closedByPeer();
+        const std::lock_guard lock(mutex);
+        resumedAfter.clear();
+        for (std::size_t index = before; index < calls.size(); ++index)
+            resumedAfter.push_back(calls[index].field("Last-Event-Id"));
         return stream;
     }
 
-    std::size_t calls = 0; ///< Of the last request.
+    /// Last-Event-Id of each call of the last request.
+    std::vector<std::string> resumedAfter;
 
 private:
     int m_number = 0;
+    fake_server m_third;
 };
 
+/// Gives each case a router that has not seen many failures of its engines: after some, it stops
+/// calling them.
+class fresh_fixtures
+{
+public:
+    resumed_fixture &next()
+    {
+        constexpr std::size_t CasesPerRouter = 6;
+        if (m_cases++ % CasesPerRouter == 0)
+            m_fixture = std::make_unique<resumed_fixture>();
+        return *m_fixture;
+    }
+
+private:
+    std::size_t m_cases = 0;
+    std::unique_ptr<resumed_fixture> m_fixture;
+};
+
+/// Checks that the caller gets the events 1 to 3, nothing else, and no last chunk.
+void checkIncomplete(resumed_fixture &fixture, const engine_response &first,
+                     const engine_response &next)
+{
+    const received_stream stream = fixture.call("/resume/", { first, next });
+    const std::string name = first.name + ", then " + next.name;
+    BOOST_TEST(stream.head.rfind("HTTP/1.1 200", 0) == 0U, name);
+    BOOST_TEST(stream.body == events(1, 3), name << ": " << stream.body);
+    BOOST_TEST(!stream.complete, name);
+    BOOST_TEST(stream.closed, name);
+    BOOST_TEST(fixture.resumedAfter.size() == 2U, name);
+}
+
+/// Checks that the caller gets a complete stream from a third engine after the two responses.
+void checkResumedElsewhere(resumed_fixture &fixture, const engine_response &first,
+                           const engine_response &next)
+{
+    const engine_response rest{
+        "rest", eventStream + chunked, chunk(events(4, 6)) + lastChunk, {}
+    };
+    const received_stream stream = fixture.call("/resume3/", { first, next, rest });
+    BOOST_TEST(stream.body == events(1, 6), next.name << ": " << stream.body);
+    BOOST_TEST(stream.complete, next.name);
+    const std::vector<std::string> expected{ "", "3", "3" };
+    BOOST_TEST(fixture.resumedAfter == expected, boost::test_tools::per_element());
+}
+
 } // namespace
 
 // Guards against a stream that ends as complete because the engine asked to continue it failed.
@@ -154,28 +217,19 @@
 {
     const auto broken = brokenStreams();
     const auto continuations = uselessContinuations();
-    const auto check = [](resumed_fixture &fixture, const engine_response &first,
-                          const engine_response &next) {
-        const received_stream stream = fixture.call(first, next);
-        const std::string name = first.name + ", then " + next.name;
-        BOOST_TEST(stream.head.rfind("HTTP/1.1 200", 0) == 0U, name);
-        BOOST_TEST(stream.body == events(1, 3), name << ": " << stream.body);
-        BOOST_TEST(!stream.complete, name);
-        BOOST_TEST(fixture.calls == 2U, name << ": " << fixture.calls << " calls");
-    };
-    // A router that has seen more failures of its engines than these stops calling them.
-    constexpr std::size_t CasesPerRouter = 8;
-    std::unique_ptr<resumed_fixture> fixture;
-    std::size_t cases = 0;
-    const auto freshFixture = [&]() -> resumed_fixture & {
-        if (cases++ % CasesPerRouter == 0)
-            fixture = std::make_unique<resumed_fixture>();
-        return *fixture;
-    };
+    fresh_fixtures fixtures;
     for (const engine_response &next : continuations)
-        check(freshFixture(), broken.front(), next);
+        checkIncomplete(fixtures.next(), broken.front(), next);
     for (const engine_response &first : broken) {
-        check(freshFixture(), first, continuations.front());
-        check(freshFixture(), first, continuations.back());
+        checkIncomplete(fixtures.next(), first, continuations.front());
+        checkIncomplete(fixtures.next(), first, continuations.back());
     }
 }
+
+// Guards against a stream that is cut off although a third engine could complete it.
+BOOST_AUTO_TEST_CASE(failedContinuationIsResumedAtAThirdEngine)
+{
+    fresh_fixtures fixtures;
+    for (const engine_response &next : uselessContinuations())
+        checkResumedElsewhere(fixtures.next(), brokenStreams().front(), next);
+}
