Continue a stream only with events that follow its last one

What callers saw, in tests: a stream broke off, and the next engine answered 200 with something else: JSON with a blank line, a comment, events with a gap, an event without an id, plain text. Its bytes stood in the stream, or pieces were missing, and the stream ended as complete.

Cause: event_splitter took every block that ends with a blank line for an event and checked only that a numeric id is not repeated; the content type of a continuation was decoded and never read. A stream whose events carry no ids was resumed from its beginning, so its events came twice.

Change: the first new event of a continuation must have an id, and the next one if the stream has numbered its events one by one from 0 or 1; comments before it are dropped. Otherwise the call ends as wrong_answer before a byte is relayed, and a third engine may continue. A continuation of an event stream must be one. A stream whose last event has no id does not leave its engine.

--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -555,7 +555,9 @@
     const bool success = head.status >= 200 && head.status < 300;
     if (!success)
         return true;
-    return head.attemptId == m_request.attemptId && !head.signature.empty() && !head.encoded;
+    const bool continuesStream = !m_responseStarted || head.eventStream || !m_isEventStream;
+    return head.attemptId == m_request.attemptId && !head.signature.empty() && !head.encoded
+           && continuesStream;
 }
 
 bool routed_request::headReceived(const response_message &message)
@@ -657,6 +659,7 @@
         m_rolloutCall->eventsReceived(m_events.events() - m_eventsBeforeCall, m_lastProgress);
     if (!m_responseStarted) {
         m_responseStarted = true;
+        m_isEventStream = m_head.eventStream;
         m_writer.beginStream(m_head.status, m_head.forwardedFields);
     }
     m_writer.sendStreamBytes(completeEvents);
@@ -757,7 +760,7 @@
     attempt_facts facts;
     facts.end = end;
     facts.kind = m_route->kind;
-    facts.resumable = m_route->resumable;
+    facts.resumable = m_route->resumable && m_events.canContinue();
     facts.responseStarted = m_responseStarted;
     facts.deliveredEvents = m_events.events() > m_eventsBeforeCall;
     facts.mayHaveRun = m_mayHaveRun;
@@ -800,7 +803,7 @@
 {
     std::visit(
             overloaded{ [this](const try_another &) {
-                           m_events.dropPartial();
+                           m_events.continueElsewhere();
                            if (m_responseStarted) {
                                ++m_resumes;
                                m_context.board.metrics.count(router_counter::Resumes);
@@ -860,6 +863,8 @@
 {
     if (m_ended || m_endpointId.empty() || !m_connection || !m_connection->isConnected())
         return std::nullopt;
+    if (!m_events.canContinue())
+        return std::nullopt;
     // Elsewhere it would be refused.
     if (!m_responseStarted && m_context.board.crashes.isAnyBlocked(m_fingerprints, now))
         return std::nullopt;
--- a/testing/resumed_streams_looptest.cc
+++ b/testing/resumed_streams_looptest.cc
@@ -78,6 +78,28 @@
     return responses;
 }
 
+/// Returns complete responses whose events do not follow the events 1 to 3.
+std::vector<engine_response> continuationsOfOtherStreams()
+{
+    const auto response = [](const std::string &name, const std::string &body) {
+        return engine_response{ name, eventStream + chunked, chunk(body) + lastChunk, {} };
+    };
+    const std::string json = "{\"error\":\"x\"}\n\n";
+    return {
+        response("JSON with a blank line", json),
+        response("comment only", ": ping\n\n"),
+        response("blank lines", "\n\n\n\n"),
+        response("gap", events(6, 7)),
+        response("event without an id", "data: error\n\n"),
+        response("event with a text as id", "id: x4\ndata: x\n\n"),
+        response("repeated events only", events(1, 3)),
+        { "plain text",
+          "Content-Type: text/plain\r\n" + chunked,
+          chunk(events(4, 6)) + lastChunk,
+          {} },
+    };
+}
+
 void respond(const engine_response &response, const recorded_request &request,
              response_socket &socket)
 {
@@ -233,3 +255,38 @@
     for (const engine_response &next : uselessContinuations())
         checkResumedElsewhere(fixtures.next(), brokenStreams().front(), next);
 }
+
+// Guards against bytes of another response in a stream, and against a stream with a gap: the engine
+// asked to continue it sends events that do not follow the last one.
+BOOST_AUTO_TEST_CASE(continuationThatDoesNotFollowIsNotRelayed)
+{
+    fresh_fixtures fixtures;
+    for (const engine_response &next : continuationsOfOtherStreams()) {
+        checkIncomplete(fixtures.next(), brokenStreams().front(), next);
+        checkResumedElsewhere(fixtures.next(), brokenStreams().front(), next);
+    }
+}
+
+// Guards against keep-alive comments before the first event of a continuation that end the stream.
+BOOST_FIXTURE_TEST_CASE(commentsBeforeAContinuationAreAllowed, resumed_fixture)
+{
+    const engine_response rest{
+        "rest", eventStream + chunked, chunk(": ping\n\n" + events(3, 6)) + lastChunk, {}
+    };
+    const received_stream stream = call("/resume/", { brokenStreams().front(), rest });
+    BOOST_TEST(stream.body == events(1, 6), stream.body);
+    BOOST_TEST(stream.complete);
+}
+
+// Guards against a stream without ids that starts again from its first event at another engine.
+BOOST_FIXTURE_TEST_CASE(streamWithoutIdsIsNotResumed, resumed_fixture)
+{
+    const std::string text = "data: a\n\ndata: b\n\n";
+    const engine_response broken{ "broken", eventStream + chunked, chunk(text), {} };
+    const engine_response whole{ "whole", eventStream + chunked, chunk(text) + lastChunk, {} };
+    const received_stream stream = call("/resume/", { broken, whole });
+    BOOST_TEST(stream.body == text, stream.body);
+    BOOST_TEST(!stream.complete);
+    BOOST_TEST(stream.closed);
+    BOOST_TEST(resumedAfter.size() == 1U);
+}
