Count no empty continuation against its engine, and state it in the log

The end of such a call is now nothing_added: no outcome for either. It counts as a run and is retried as before. Whether the stream is complete is not known, so it is still not ended as complete: a stream that broke off between its last event and its last chunk is cut if no other engine adds an event. How often that happens was not measured.

In the log, resumes counted decisions and not calls, also in the metric, and framing said none when there was no response. Both are corrected; logStatesHowAResumedStreamEnded reads the fields from a router's log.

--- a/burdockhold/attempt_rules.cc
+++ b/burdockhold/attempt_rules.cc
@@ -88,8 +88,8 @@
         return call_end::Complete;
     if (response.hasPartialEvent)
         return call_end::Broken;
-    const bool continuesNothing = response.responseStarted && !response.deliveredEvents;
-    return continuesNothing ? call_end::WrongAnswer : call_end::Complete;
+    const bool addsNothing = response.responseStarted && !response.deliveredEvents;
+    return addsNothing ? call_end::NothingAdded : call_end::Complete;
 }
 
 } // namespace burdockhold
--- a/burdockhold/attempt_rules.h
+++ b/burdockhold/attempt_rules.h
@@ -31,18 +31,22 @@
     Failed,      ///< The endpoint itself returned an error response.
     Broken,      ///< The connection was reset, closed or silent before the response was complete.
     WrongAnswer, ///< The response is malformed, or cannot be the response to this call.
+    /// A success that adds nothing to a stream that it was to continue. It does not show that the
+    /// stream ended where it broke off, nor that the endpoint is faulty.
+    NothingAdded,
 };
 
 template <>
 struct enum_names<call_end>
 {
-    static constexpr std::array<enum_name<call_end>, 6> Table{ {
+    static constexpr std::array<enum_name<call_end>, 7> Table{ {
             { call_end::Complete, "complete" },
             { call_end::NotSent, "not_sent" },
             { call_end::SaidNotRun, "said_not_run" },
             { call_end::Failed, "failed" },
             { call_end::Broken, "broken" },
             { call_end::WrongAnswer, "wrong_answer" },
+            { call_end::NothingAdded, "nothing_added" },
     } };
 };
 
@@ -108,8 +112,7 @@
     bool deliveredEvents = false; ///< It has delivered events to the caller.
 };
 
-/// Returns how the call ended. A success without a new event does not complete a stream that the
-/// caller has begun to receive: it does not show that the stream ended where it broke off.
+/// Returns how the call ended.
 call_end classifyResponse(const response_facts &response);
 
 /// Returns true if knowing that the endpoint has terminated would change the next step: a run at an
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -534,6 +534,10 @@
 {
     router_metrics &metrics = m_context.board.metrics;
     metrics.count(router_counter::Calls);
+    if (m_responseStarted) {
+        ++m_resumes;
+        metrics.count(router_counter::Resumes);
+    }
     if (m_callsMade > 1)
         metrics.count(router_counter::Repeats);
     metrics.count(router_counter::CachedTokens,
@@ -736,8 +740,10 @@
         return;
     router_board &board = m_context.board;
     const time_point now = steadyNow();
-    // A pause says nothing about how well the endpoint works.
-    const bool conclusive = end != call_end::SaidNotRun && !m_head.notice.pause;
+    // A pause says nothing about how well the endpoint works. Nor does an empty continuation: the
+    // stream may have broken off after its last event.
+    const bool conclusive = end != call_end::SaidNotRun && end != call_end::NothingAdded
+                            && !m_head.notice.pause;
     if (conclusive) {
         const bool succeeded = end == call_end::Complete;
         board.endpoints.recordCallResult(m_endpointId, succeeded,
@@ -804,10 +810,6 @@
     std::visit(
             overloaded{ [this](const try_another &) {
                            m_events.continueElsewhere();
-                           if (m_responseStarted) {
-                               ++m_resumes;
-                               m_context.board.metrics.count(router_counter::Resumes);
-                           }
                            if (!place())
                                enterWaitQueue();
                        },
@@ -1010,7 +1012,7 @@
                   { "events", m_events.events() },
                   { "last_call_events", m_events.events() - m_eventsBeforeCall },
                   { "resumes", m_resumes },
-                  { "framing", nameOf(m_head.framing) },
+                  { "framing", m_headReceived ? nameOf(m_head.framing) : "" },
                   { "deployment", m_deployment ? m_deployment->source().version : 0 },
                   { "view_age_ms", std::llround(1000.0 * toSeconds(board.deploymentAge())) } },
                 now);
@@ -1042,7 +1044,7 @@
                       { "weights", m_expectedWeights },
                       { "call", m_callsMade },
                       { "events", m_events.events() },
-                      { "framing", nameOf(m_head.framing) },
+                      { "framing", m_headReceived ? nameOf(m_head.framing) : "" },
                       { "after_ms", 1000.0 * toSeconds(now - m_callStarted) } },
                     now);
 }
--- a/testing/attempt_rules_test.cc
+++ b/testing/attempt_rules_test.cc
@@ -9,8 +9,10 @@
 
 namespace {
 
-const std::vector<call_end> allEnds{ call_end::Complete, call_end::NotSent, call_end::SaidNotRun,
-                                     call_end::Failed,   call_end::Broken,  call_end::WrongAnswer };
+const std::vector<call_end> allEnds{ call_end::Complete,    call_end::NotSent,
+                                     call_end::SaidNotRun,  call_end::Failed,
+                                     call_end::Broken,      call_end::WrongAnswer,
+                                     call_end::NothingAdded };
 const std::vector<call_kind> allKinds{ call_kind::Idempotent, call_kind::AtMostOnce,
                                        call_kind::Stream };
 
@@ -33,7 +35,8 @@
                 facts.deliveredEvents = facts.responseStarted && (bits & 64) != 0;
                 facts.timeLeft = std::chrono::seconds(1);
                 const bool mayHaveRunNow = end == call_end::Failed || end == call_end::Broken
-                                           || end == call_end::WrongAnswer;
+                                           || end == call_end::WrongAnswer
+                                           || end == call_end::NothingAdded;
                 facts.mayHaveRun = facts.mayHaveRun || mayHaveRunNow;
                 function(facts, decideNextStep(facts));
             }
@@ -48,7 +51,8 @@
 {
     forAllFacts([](const attempt_facts &facts, const next_step &step) {
         const bool mayHaveRunNow = facts.end == call_end::Failed || facts.end == call_end::Broken
-                                   || facts.end == call_end::WrongAnswer;
+                                   || facts.end == call_end::WrongAnswer
+                                   || facts.end == call_end::NothingAdded;
         if (mayHaveRunNow && std::holds_alternative<try_another>(step))
             BOOST_TEST(isRetryable(facts.kind, facts.resumable));
     });
@@ -116,6 +120,8 @@
                 BOOST_TEST((end == call_end::Complete));
             } else {
                 const bool addsNothing = response.responseStarted && !response.deliveredEvents;
+                BOOST_TEST((end == call_end::NothingAdded)
+                           == (addsNothing && !response.hasPartialEvent));
                 BOOST_TEST((end == call_end::Complete)
                            == (!response.hasPartialEvent && !addsNothing));
             }
@@ -137,7 +143,8 @@
 {
     forAllFacts([](const attempt_facts &facts, const next_step &step) {
         const bool mayHaveRunNow = facts.end == call_end::Failed || facts.end == call_end::Broken
-                                   || facts.end == call_end::WrongAnswer;
+                                   || facts.end == call_end::WrongAnswer
+                                   || facts.end == call_end::NothingAdded;
         if (mayHaveRunNow && std::holds_alternative<try_another>(step))
             BOOST_TEST(facts.executionsLeft > 0);
     });
--- a/testing/resumed_streams_looptest.cc
+++ b/testing/resumed_streams_looptest.cc
@@ -290,3 +290,20 @@
     BOOST_TEST(stream.closed);
     BOOST_TEST(resumedAfter.size() == 1U);
 }
+
+// Guards against log lines that do not tell how a resumed stream ended.
+BOOST_FIXTURE_TEST_CASE(logStatesHowAResumedStreamEnded, resumed_fixture)
+{
+    const engine_response empty{ "empty", eventStream + lengthOf({}), {}, {} };
+    call("/resume/", { brokenStreams().front(), empty });
+    const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(8);
+    const std::string ended = "\"reason\":\"stream_cut_off\"";
+    while (router->logText().find(ended) == std::string::npos
+           && std::chrono::steady_clock::now() < deadline)
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    const std::string text = router->logText();
+    BOOST_TEST(text.find(ended) != std::string::npos);
+    BOOST_TEST(text.find("\"end\":\"nothing_added\",\"status\":200") != std::string::npos);
+    BOOST_TEST(text.find("\"last_call_events\":0,\"resumes\":1,\"framing\":\"length\"")
+               != std::string::npos);
+}
