Drop the event that an engine repeats to a caller who resumes by itself

Cause: the splitter began without the caller's position. It now begins after that id. callerThatResumesGetsNoEventTwice failed before (event 3 came again).

--- a/burdockhold/event_splitter.cc
+++ b/burdockhold/event_splitter.cc
@@ -2,6 +2,7 @@
 
 #include <charconv>
 #include <optional>
+#include <utility>
 
 namespace burdockhold {
 
@@ -50,6 +51,11 @@
 
 } // namespace
 
+event_splitter::event_splitter(std::string resumeAfter)
+    : m_lastId(std::move(resumeAfter))
+{
+}
+
 std::string event_splitter::add(std::string_view bytes)
 {
     std::string complete;
--- a/burdockhold/event_splitter.h
+++ b/burdockhold/event_splitter.h
@@ -19,6 +19,9 @@
 class event_splitter
 {
 public:
+    /// The stream begins after the event with this id; empty for its first event.
+    explicit event_splitter(std::string resumeAfter = {});
+
     /// Appends bytes and returns the events that they complete.
     std::string add(std::string_view bytes);
 
@@ -37,7 +40,7 @@
     /// more events are returned.
     bool failed() const { return m_failed; }
 
-    /// Returns the id of the last event returned that had one, or an empty string.
+    /// Returns the id of the last event returned that had one, or the id given at the start.
     const std::string &lastId() const { return m_lastId; }
 
     std::uint64_t events() const { return m_events; }
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -67,6 +67,7 @@
     , m_writer(std::move(writer))
     , m_arrival(arrival)
     , m_timer(context.io)
+    , m_events(m_request.resumeAfter)
 {
 }
 
@@ -449,7 +450,7 @@
     fields.timeLeft = m_deadline - steadyNow();
     if (m_account != nullptr)
         fields.account = m_account->name;
-    fields.resumeAfter = m_events.lastId().empty() ? m_request.resumeAfter : m_events.lastId();
+    fields.resumeAfter = m_events.lastId();
     if (m_pool != nullptr && m_pool->engine) {
         fields.priority = std::clamp(m_priority, 0, 9);
         fields.cacheSalt = cacheSalt(m_request, m_account, m_expectedWeights);
--- a/testing/resumed_streams_looptest.cc
+++ b/testing/resumed_streams_looptest.cc
@@ -156,7 +156,8 @@
     }
 
     /// Calls a resumable route. The engines that are called one after the other send the responses.
-    received_stream call(const std::string &path, const std::vector<engine_response> &responses)
+    received_stream call(const std::string &path, const std::vector<engine_response> &responses,
+                         const std::string &callerFields = {})
     {
         const std::size_t before = callCount();
         setEngineBehaviour(
@@ -166,7 +167,7 @@
                         respond(responses[number - 1], request, socket);
                     return false;
                 });
-        std::string bytes = request(path);
+        std::string bytes = request(path, "key-1", callerFields);
         bytes.replace(bytes.find("id1"), 3, "id" + std::to_string(++m_number));
         test_caller caller(router->callerAddress());
         caller.send(bytes);
@@ -307,3 +308,16 @@
     BOOST_TEST(text.find("\"last_call_events\":0,\"resumes\":1,\"framing\":\"length\"")
                != std::string::npos);
 }
+
+// Guards against an event that comes twice when a caller resumes its stream by itself.
+BOOST_FIXTURE_TEST_CASE(callerThatResumesGetsNoEventTwice, resumed_fixture)
+{
+    const engine_response rest{
+        "rest", eventStream + chunked, chunk(events(3, 6)) + lastChunk, {}
+    };
+    const received_stream stream = call("/resume/", { rest }, "Last-Event-Id: 3\r\n");
+    BOOST_TEST(stream.body == events(4, 6), stream.body);
+    BOOST_TEST(stream.complete);
+    BOOST_REQUIRE(resumedAfter.size() == 1U);
+    BOOST_TEST(resumedAfter[0] == "3");
+}
