Treat an error answer to a continuation as a failed attempt

What callers saw: on the own interface, a stream that had begun and broke off, and whose next engine answered the continuation with 204, 301, 400, 404, 409 or 422, ended burdockholdd with signal 5 (status 133). Every caller of the process lost its stream, without the last chunk. No error text reached a stream and none looked complete.

Cause: onHeaders() took any status that is no endpoint fault for a final response, whether or not the caller had the head of a stream. deliverWhole() then sent a second head. cpprest throws at it, and pplx ends the process at an exception that no task observes.

Class: an outcome judged by the last call alone, without what earlier calls of the same request have already sent.

Change: once the caller has a head, a status other than 200 makes the attempt a failed one, which is resumed within the retry budget and the attempt limit. caller_reply keeps its state: it sends one head, sendBody() reports when it cannot, and sendError() is the last event of a stream that has begun.

Ruled out, by the same test: success with no event, with the end marker only, with JSON, with a repeated head, with an error event, with another or no X-Request-Id, each in chunks, with a length and with neither; 429, 500, 502 and 504; a 404 that is cut at each byte of its chunks by a close or a reset; a stream that ends after the usage without the end marker. All of these were resumed or ended with an error event.

--- a/burdockhold/caller_reply.cc
+++ b/burdockhold/caller_reply.cc
@@ -17,6 +17,11 @@
 
 void caller_reply::sendError(const error_reply &error)
 {
+    if (!takeHead(reply_state::Ended)) {
+        sendEvent(formatError(error));
+        endStream();
+        return;
+    }
     http_response response(static_cast<web::http::status_code>(error.status));
     response.headers().add("X-Burdockhold-Run", std::string(nameOf(error.run)));
     if (error.status == 409 || error.status == 429 || error.status == 503)
@@ -25,8 +30,10 @@
     send(std::move(response));
 }
 
-void caller_reply::sendBody(int status, const std::vector<header> &headers, const std::string &body)
+bool caller_reply::sendBody(int status, const std::vector<header> &headers, const std::string &body)
 {
+    if (!takeHead(reply_state::Ended))
+        return false;
     http_response response(static_cast<web::http::status_code>(status));
     response.set_body(body, std::string("application/octet-stream"));
     for (const header &field : headers) {
@@ -34,10 +41,13 @@
         response.headers().add(field.name, field.value);
     }
     send(std::move(response));
+    return true;
 }
 
 void caller_reply::beginStream()
 {
+    if (!takeHead(reply_state::Streaming))
+        return;
     http_response response(web::http::status_codes::OK);
     response.headers().add("Cache-Control", "no-cache");
     response.set_body(m_buffer.create_istream(), std::string("text/event-stream"));
@@ -46,6 +56,8 @@
 
 void caller_reply::sendEvent(const std::string &data)
 {
+    if (m_state != reply_state::Streaming)
+        return;
     const auto bytes = std::make_shared<std::string>(formatEvent({ "", data }));
     auto buffer = m_buffer;
     buffer.putn_nocopy(reinterpret_cast<const std::uint8_t *>(bytes->data()), bytes->size())
@@ -62,12 +74,20 @@
 
 void caller_reply::endStream()
 {
-    m_buffer.close(std::ios_base::out);
+    reply_state open = reply_state::Streaming;
+    if (m_state.compare_exchange_strong(open, reply_state::Ended))
+        m_buffer.close(std::ios_base::out);
+}
+
+/// Returns whether the caller may send a head, and lets no other call send one.
+bool caller_reply::takeHead(reply_state next)
+{
+    reply_state unsent = reply_state::Unsent;
+    return m_state.compare_exchange_strong(unsent, next);
 }
 
 void caller_reply::send(http_response response)
 {
-    m_started = true;
     response.headers().remove("X-Request-Id");
     response.headers().add("X-Request-Id", m_requestId);
     m_message.reply(response).then(
--- a/burdockhold/exchange.cc
+++ b/burdockhold/exchange.cc
@@ -287,8 +287,10 @@
     if (!answer.contentType.empty())
         headers.push_back({ "Content-Type", answer.contentType });
     m_record.status = answer.status;
-    m_reply.sendBody(answer.status, headers, answer.body);
-    settle("complete", "");
+    if (m_reply.sendBody(answer.status, headers, answer.body))
+        settle("complete", "");
+    else
+        settle("failed", "a response was sent before the stored answer");
 }
 
 void exchange::place()
@@ -444,6 +446,10 @@
         return "the response belongs to another request";
     if (m_route.repeatable && isEndpointFault(response.status, m_kind.has_value()))
         return "the endpoint answered with status " + std::to_string(response.status);
+    // The caller has the beginning of a stream; only the rest of it can follow.
+    if (m_reply.started() && response.status != 200)
+        return "the endpoint answered a continuation with status "
+               + std::to_string(response.status);
     if (servesOtherVersion(response))
         return "the endpoint serves another weights version";
     return "";
@@ -583,8 +589,12 @@
     m_claim.answered(m_attempt.response.status, m_attempt.response.find("Content-Type"),
                      m_attempt.body);
     reportAttempt(true);
-    m_reply.sendBody(m_attempt.response.status, headers, m_attempt.body);
-    settle("complete", "");
+    if (m_reply.sendBody(m_attempt.response.status, headers, m_attempt.body)) {
+        settle("complete", "");
+        return;
+    }
+    m_continuity.giveUp("a whole response cannot follow the beginning of a stream");
+    failRequest();
 }
 
 /// Tells placement and health how the attempt ended.
@@ -663,13 +673,9 @@
         error.type = error_type::InvalidRequest;
     }
     error.message = m_continuity.reason();
-    if (!m_reply.started()) {
+    if (!m_reply.started())
         m_record.status = error.status;
-        m_reply.sendError(error);
-    } else {
-        m_reply.sendEvent(formatError(error));
-        m_reply.endStream();
-    }
+    m_reply.sendError(error);
     settle("failed", m_failureCode.empty() ? error.message : m_failureCode);
 }
 
--- a/testing/standin_engine.cc
+++ b/testing/standin_engine.cc
@@ -138,6 +138,57 @@
     std::uint64_t m_nextSequence = 1;
 };
 
+// What the engine answers to a continuation in place of the rest of the stream. In the body, ID
+// stands for the request's id. A body without chunks or length ends with the connection.
+struct continuation_answer
+{
+    std::int64_t count = 0; // Number of coming continuations that get this answer.
+    int status = 200;
+    std::string body;
+    std::string contentType = "application/json";
+    std::string framing = "length"; // "chunks", "length" or "none".
+    std::string echo = "own";       // X-Request-Id: "own", "wrong" or "missing".
+    std::int64_t cut = -1;          // Ends the connection after n bytes of the framed body.
+    bool reset = false;             // The connection ends with a reset.
+};
+
+void from_json(const nlohmann::json &object, continuation_answer &answer)
+{
+    answer = {};
+    field_reader reader(object);
+    reader.read("count", answer.count);
+    reader.read("status", answer.status);
+    reader.read("body", answer.body);
+    reader.read("content_type", answer.contentType);
+    reader.read("framing", answer.framing);
+    reader.read("echo", answer.echo);
+    reader.read("cut", answer.cut);
+    reader.read("reset", answer.reset);
+    if (!reader.complete())
+        throw std::runtime_error("unknown field of a continuation");
+}
+
+std::string replaceId(std::string text, const std::string &id)
+{
+    for (std::size_t at = text.find("ID"); at != std::string::npos;
+         at = text.find("ID", at + id.size()))
+        text.replace(at, 2, id);
+    return text;
+}
+
+// Splits the body into two chunks, so that it can be cut between them.
+std::string inChunks(const std::string &body)
+{
+    std::string framed;
+    for (const std::string &part :
+         { body.substr(0, body.size() / 2), body.substr(body.size() / 2) }) {
+        std::array<char, 32> size{};
+        std::snprintf(size.data(), size.size(), "%zx\r\n", part.size());
+        framed += part.empty() ? "" : size.data() + part + "\r\n";
+    }
+    return framed + "0\r\n\r\n";
+}
+
 struct engine_faults
 {
     std::int64_t dieAfterTokens = -1;    // Drop the connection after n tokens of a call; -1 never.
@@ -149,6 +200,11 @@
     std::string slowVersion;             // When set, only this version has the added delays.
     std::string failVersion;             // This version answers 500.
     std::string exitMarker;              // A prompt that contains it ends the process.
+    continuation_answer continuation;    // Answer to a call that resumes a stream.
+    std::int64_t cutFirstAtByte = -1;    // Ends a call from token 0 after n bytes of its response.
+    bool cutWithReset = false;           // The cut is a reset.
+    std::int64_t omitEndMarkers = 0;     // Number of coming streams without [DONE].
+    std::string wholeUsage;              // When set, the usage of whole answers, as JSON.
 };
 
 struct completion_call
@@ -170,6 +226,8 @@
     std::uint64_t cachedTokens = 0;
     bool emptyAnswer = false;
     bool wrongId = false;
+    bool omitEndMarker = false;
+    std::optional<continuation_answer> continuation;
     std::size_t receivedIndex = 0;
 };
 
@@ -243,6 +301,11 @@
         reader.read("slow_version", m_faults.slowVersion);
         reader.read("fail_version", m_faults.failVersion);
         reader.read("exit_marker", m_faults.exitMarker);
+        reader.read("continuation", m_faults.continuation);
+        reader.read("cut_first_at_byte", m_faults.cutFirstAtByte);
+        reader.read("cut_with_reset", m_faults.cutWithReset);
+        reader.read("omit_end_markers", m_faults.omitEndMarkers);
+        reader.read("whole_usage", m_faults.wholeUsage);
         reader.read("lose_cache_events", m_cache.loseEvents);
     }
 
@@ -304,6 +367,12 @@
         m_faults.emptyAnswers -= call.emptyAnswer ? 1 : 0;
         call.wrongId = m_faults.wrongIdAnswers > 0;
         m_faults.wrongIdAnswers -= call.wrongId ? 1 : 0;
+        call.omitEndMarker = m_faults.omitEndMarkers > 0;
+        m_faults.omitEndMarkers -= call.omitEndMarker ? 1 : 0;
+        if (call.resumeFrom > 0 && m_faults.continuation.count > 0) {
+            --m_faults.continuation.count;
+            call.continuation = m_faults.continuation;
+        }
     }
 
     // Only full blocks are cached.
@@ -329,6 +398,13 @@
             m_received.noteOutcome(call.receivedIndex, "empty");
             return peer.respond(200, std::string(), responseHeaders(call));
         }
+        if (call.continuation) {
+            m_received.noteOutcome(call.receivedIndex, "continuation");
+            return answerContinuation(call, peer);
+        }
+        const engine_faults now = faults();
+        if (call.resumeFrom == 0 && now.cutFirstAtByte >= 0)
+            peer.endAfter(static_cast<std::size_t>(now.cutFirstAtByte), now.cutWithReset);
         const double prefillMs = m_options.prefillUsPerToken / 1000.0
                                  * static_cast<double>(call.promptTokens - call.cachedTokens);
         if (!pause(peer, prefillMs + slowness(call, faults().delayFirstMs))) {
@@ -342,6 +418,28 @@
         m_received.noteOutcome(call.receivedIndex, outcome, sent);
     }
 
+    static void answerContinuation(const completion_call &call, connection &peer)
+    {
+        const continuation_answer &answer = *call.continuation;
+        std::string body = replaceId(answer.body, call.requestId);
+        std::string head = "HTTP/1.1 " + std::to_string(answer.status)
+                           + " -\r\nContent-Type: " + answer.contentType + "\r\n";
+        if (answer.echo != "missing")
+            head += "X-Request-Id: " + (answer.echo == "own" ? call.requestId : "another") + "\r\n";
+        if (answer.framing == "length")
+            head += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+        if (answer.framing == "chunks") {
+            head += "Transfer-Encoding: chunked\r\n";
+            body = inChunks(body);
+        }
+        head += "\r\n";
+        if (answer.cut >= 0)
+            peer.endAfter(head.size() + static_cast<std::size_t>(answer.cut), answer.reset);
+        peer.sendRaw(head + body);
+        if (answer.framing == "none" || answer.reset)
+            answer.reset ? peer.reset() : peer.drop();
+    }
+
     double slowness(const completion_call &call, std::int64_t delayMs)
     {
         const std::string only = faults().slowVersion;
@@ -392,14 +490,20 @@
         return peer.sendChunk("data: " + event.dump() + "\n\n");
     }
 
-    static void finish(const completion_call &call, connection &peer, const std::string &text)
+    void finish(const completion_call &call, connection &peer, const std::string &text)
     {
-        if (!call.stream)
-            return peer.respond(200, responseObject(call, text, true), responseHeaders(call));
+        if (!call.stream) {
+            nlohmann::json object = responseObject(call, text, true);
+            const std::string usage = faults().wholeUsage;
+            if (!usage.empty())
+                object["usage"] = nlohmann::json::parse(usage);
+            return peer.respond(200, object, responseHeaders(call));
+        }
         // A stream resumed after its last token still needs an event that carries the usage.
         if (call.resumeFrom >= call.maxTokens)
             sendToken(call, peer, call.maxTokens, "");
-        peer.sendChunk("data: [DONE]\n\n");
+        if (!call.omitEndMarker)
+            peer.sendChunk("data: [DONE]\n\n");
         peer.endStream();
     }
 
--- a/testing/standin_http.cc
+++ b/testing/standin_http.cc
@@ -268,6 +268,11 @@
 
 bool connection::sendRaw(std::string_view data)
 {
+    const bool endsHere = m_bytesLeft && m_open && data.size() >= *m_bytesLeft;
+    if (endsHere)
+        data = data.substr(0, *m_bytesLeft);
+    if (m_bytesLeft)
+        *m_bytesLeft -= data.size();
     while (m_open && !data.empty()) {
         const ssize_t count = send(m_descriptor, data.data(), data.size(), MSG_NOSIGNAL);
         if (count <= 0)
@@ -275,6 +280,10 @@
         else
             data.remove_prefix(static_cast<std::size_t>(count));
     }
+    if (endsHere && m_endWithReset)
+        reset();
+    else if (endsHere)
+        drop();
     return m_open;
 }
 
@@ -284,6 +293,20 @@
     shutdown(m_descriptor, SHUT_RDWR);
 }
 
+void connection::reset()
+{
+    m_open = false;
+    // The destructor closes the descriptor, which sends the reset.
+    const linger resetOnClose{ 1, 0 };
+    setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &resetOnClose, sizeof(resetOnClose));
+}
+
+void connection::endAfter(std::size_t bytes, bool withReset)
+{
+    m_bytesLeft = bytes;
+    m_endWithReset = withReset;
+}
+
 bool connection::waitForClose(std::chrono::nanoseconds time)
 {
     timespec limit{};
--- a/testing/standin_http.h
+++ b/testing/standin_http.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -74,6 +75,12 @@
     /// Closes the connection without a further byte.
     void drop();
 
+    /// Closes the connection with a TCP reset.
+    void reset();
+
+    /// Closes the connection, in order or with a reset, once this many further bytes are sent.
+    void endAfter(std::size_t bytes, bool withReset);
+
     /// Waits until the peer closes or the time is over. Returns true when the peer has closed.
     bool waitForClose(std::chrono::nanoseconds time);
 
@@ -93,6 +100,8 @@
     int m_descriptor;
     bool m_open = true;
     std::string m_buffer;
+    std::optional<std::size_t> m_bytesLeft; ///< Set by endAfter().
+    bool m_endWithReset = false;
 };
 
 using http_handler = std::function<void(const http_request &, connection &)>;
