Read the usage of a whole answer without trusting its types

What callers saw: on the own interface, a whole completion (not a stream) whose usage held null, a text or another type in place of a count got no answer, and burdockholdd ended with signal 5 (status 133), with all streams of the process.

Cause: json::value() throws at a field of another type. deliverWhole() reads the usage before it replies, in a task that no one observes, and pplx ends the process then.

Ruled out, by reading only: the usage of a stream, which stream_continuity checks by type.

Change: a count that is no integer is 0, and a negative one too (not tested). As for a missing count, the tokens of such an answer are settled as unknown.

Measured: wholeAnswerWithMalformedUsageIsDelivered, seven forms of usage: the first one (completion_tokens null) ended the daemon before, so that the others were not reached; all seven get status 200 after.

--- a/burdockhold/exchange.cc
+++ b/burdockhold/exchange.cc
@@ -42,6 +42,16 @@
     return { 503, error_type::NotRun, code, message, "" };
 }
 
+/// Returns a count of the usage; 0 if it is missing or no count. json::value() would throw at a
+/// field of another type.
+std::int64_t usageCount(const nlohmann::json &usage, const char *name)
+{
+    const auto field = usage.find(name);
+    if (field == usage.end() || !field->is_number_integer())
+        return 0;
+    return std::max<std::int64_t>(field->get<std::int64_t>(), 0);
+}
+
 } // namespace
 
 exchange::exchange(exchange_context context, const web::http::http_request &message,
@@ -583,8 +593,8 @@
     m_record.firstTokenSeconds = toSeconds(steadyNow() - m_started);
     const auto answer = nlohmann::json::parse(m_kind ? m_attempt.body : "", nullptr, false);
     if (answer.is_object() && answer.contains("usage") && answer["usage"].is_object()) {
-        m_record.outputTokens = answer["usage"].value("completion_tokens", std::int64_t{ 0 });
-        m_record.cachedTokens = answer["usage"].value("cached_tokens", std::int64_t{ 0 });
+        m_record.outputTokens = usageCount(answer["usage"], "completion_tokens");
+        m_record.cachedTokens = usageCount(answer["usage"], "cached_tokens");
     }
     m_claim.answered(m_attempt.response.status, m_attempt.response.find("Content-Type"),
                      m_attempt.body);
--- a/testing/resumed_streams_nettest.cc
+++ b/testing/resumed_streams_nettest.cc
@@ -175,3 +175,28 @@
     BOOST_TEST(nameOf(runStream(place, "never an end marker", 5))
                == nameOf(stream_end::ErrorEvent));
 }
+
+// Guards against a daemon that ends, and a request that is never answered, because the usage of a
+// whole answer is not of the expected type.
+BOOST_AUTO_TEST_CASE(wholeAnswerWithMalformedUsageIsDelivered)
+{
+    site place(1);
+    for (const std::string usage :
+         { R"({"completion_tokens":null})", R"({"completion_tokens":"3"})",
+           R"({"completion_tokens":{}})", R"({"cached_tokens":[]})", R"({"cached_tokens":true})",
+           R"([1])", R"("3")" }) {
+        setFaults(place.engines()[0], { { "whole_usage", usage } });
+        int status = 0;
+        try {
+            status = httpCall(place.daemon().url, "POST", "/v1/completions",
+                              R"({"model":"base","prompt":"usage","max_tokens":3})",
+                              place.withKey(), EndLimit)
+                             .status;
+        } catch (const http_failure &failure) {
+            BOOST_TEST_MESSAGE(usage << ": " << failure.what());
+        }
+        BOOST_TEST(status == 200, usage << " gave status " << status);
+        const auto ended = place.daemon().process.wait(std::chrono::milliseconds(0));
+        BOOST_REQUIRE_MESSAGE(!ended, usage << " ended the daemon with " << ended->code);
+    }
+}
