--- a/burdockhold/exchange.cc
+++ b/burdockhold/exchange.cc
@@ -42,6 +42,16 @@
     return { 503, error_type::NotRun, code, message, "" };
 }
 
+/// Returns a count of the usage; 0 if it is missing or no count. json::value() would throw at a
+/// field of another type.
+std::int64_t usageCount(const nlohmann::json &usage, const char *name)
+{
+    const auto field = usage.find(name);
+    if (field == usage.end() || !field->is_number_integer())
+        return 0;
+    return std::max<std::int64_t>(field->get<std::int64_t>(), 0);
+}
+
 } // namespace
 
 exchange::exchange(exchange_context context, const web::http::http_request &message,
@@ -287,8 +297,10 @@
     if (!answer.contentType.empty())
         headers.push_back({ "Content-Type", answer.contentType });
     m_record.status = answer.status;
-    m_reply.sendBody(answer.status, headers, answer.body);
-    settle("complete", "");
+    if (m_reply.sendBody(answer.status, headers, answer.body))
+        settle("complete", "");
+    else
+        settle("failed", "a response was sent before the stored answer");
 }
 
 void exchange::place()
@@ -444,6 +456,10 @@
         return "the response belongs to another request";
     if (m_route.repeatable && isEndpointFault(response.status, m_kind.has_value()))
         return "the endpoint answered with status " + std::to_string(response.status);
+    // The caller has the beginning of a stream; only the rest of it can follow.
+    if (m_reply.started() && response.status != 200)
+        return "the endpoint answered a continuation with status "
+               + std::to_string(response.status);
     if (servesOtherVersion(response))
         return "the endpoint serves another weights version";
     return "";
@@ -577,14 +593,18 @@
     m_record.firstTokenSeconds = toSeconds(steadyNow() - m_started);
     const auto answer = nlohmann::json::parse(m_kind ? m_attempt.body : "", nullptr, false);
     if (answer.is_object() && answer.contains("usage") && answer["usage"].is_object()) {
-        m_record.outputTokens = answer["usage"].value("completion_tokens", std::int64_t{ 0 });
-        m_record.cachedTokens = answer["usage"].value("cached_tokens", std::int64_t{ 0 });
+        m_record.outputTokens = usageCount(answer["usage"], "completion_tokens");
+        m_record.cachedTokens = usageCount(answer["usage"], "cached_tokens");
     }
     m_claim.answered(m_attempt.response.status, m_attempt.response.find("Content-Type"),
                      m_attempt.body);
     reportAttempt(true);
-    m_reply.sendBody(m_attempt.response.status, headers, m_attempt.body);
-    settle("complete", "");
+    if (m_reply.sendBody(m_attempt.response.status, headers, m_attempt.body)) {
+        settle("complete", "");
+        return;
+    }
+    m_continuity.giveUp("a whole response cannot follow the beginning of a stream");
+    failRequest();
 }
 
 /// Tells placement and health how the attempt ended.
@@ -663,13 +683,9 @@
         error.type = error_type::InvalidRequest;
     }
     error.message = m_continuity.reason();
-    if (!m_reply.started()) {
+    if (!m_reply.started())
         m_record.status = error.status;
-        m_reply.sendError(error);
-    } else {
-        m_reply.sendEvent(formatError(error));
-        m_reply.endStream();
-    }
+    m_reply.sendError(error);
     settle("failed", m_failureCode.empty() ? error.message : m_failureCode);
 }
 
