Do not complete a response that a reset cut off during the request

What callers saw: nothing in the record; found by reading. A stream of an engine that answers before it has read a long request body, with neither a length nor chunks, and then resets the connection, would end as complete.

Cause: after a reset, the failed write of the request consumes the socket's error, and the following read reports an orderly end, which completes such a response.

Class: an orderly end inferred from one system call without what another one on the same socket has reported.

Change: after a failed write, the end of the connection breaks the call, and the connection is not reused. Responses with a length or a last chunk are complete before the end and stay so.

Cost: an engine that answers early, ends in an orderly way and then resets because of the rest of the body counts as broken if the reset arrives before the end is read.

--- a/burdockhold/http_client_connection.cc
+++ b/burdockhold/http_client_connection.cc
@@ -154,6 +154,7 @@
     boost::asio::async_write(m_socket, boost::asio::buffer(m_request),
                              [self = shared_from_this()](error_code error, std::size_t) {
                                  self->m_writing = false;
+                                 self->m_writeFailed = self->m_writeFailed || error;
                                  // A response that arrived before the write failed is still read;
                                  // the read reports the end of the connection.
                                  if (error && !self->m_closed && !self->m_reading)
@@ -272,7 +273,8 @@
 
 void http_client_connection::serverClosed()
 {
-    if (!m_headDelivered) {
+    // A failed write consumes the socket's error, so the read after a reset reports an orderly end.
+    if (!m_headDelivered || m_writeFailed) {
         finish(http_outcome::Broken);
         return;
     }
@@ -290,7 +292,7 @@
     m_active = false;
     m_idleSince = steadyNow();
     const bool reusable = end == http_outcome::Complete && m_keepAlive && !m_writing
-                          && m_input.empty();
+                          && !m_writeFailed && m_input.empty();
     const http_handlers handlers = std::exchange(m_handlers, {});
     if (!reusable)
         close();
