--- a/testing/resumed_streams_looptest.cc
+++ b/testing/resumed_streams_looptest.cc
@@ -26,7 +26,6 @@
 
 const std::string eventStream = "Content-Type: text/event-stream\r\n";
 const std::string chunked = "Transfer-Encoding: chunked\r\n";
-const std::string lastChunk = "0\r\n\r\n";
 
 std::string lengthOf(const std::string &body)
 {
@@ -48,7 +47,7 @@
           "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n" },
         { "chunked, half of the last chunk", eventStream + chunked, chunk(three), "0\r\n" },
         { "chunked, complete inside an event", eventStream + chunked, chunk(three),
-          chunk(unfinished) + lastChunk },
+          chunk(unfinished) + LastChunk },
         { "length, closed", aLength, three, {} },
         { "length, reset", aLength, three, {}, true },
         { "no length, closed inside an event", eventStream, three, unfinished },
@@ -65,12 +64,12 @@
          { "404 Not Found", "400 Bad", "500 X", "502 X", "504 X", "301 X" }) {
         responses.push_back({ status + " with a length", lengthOf(text), text, {}, false, status });
         responses.push_back(
-                { status + " in chunks", chunked, chunk(text) + lastChunk, {}, false, status });
+                { status + " in chunks", chunked, chunk(text) + LastChunk, {}, false, status });
         responses.push_back(
                 { status + " without a length", "Connection: close\r\n", text, {}, false, status });
     }
     responses.push_back({ "empty with a length", eventStream + lengthOf({}), {}, {} });
-    responses.push_back({ "empty in chunks", eventStream + chunked, lastChunk, {} });
+    responses.push_back({ "empty in chunks", eventStream + chunked, LastChunk, {} });
     responses.push_back(
             { "empty without a length", eventStream + "Connection: close\r\n", {}, {} });
     responses.push_back({ "204", {}, {}, {}, false, "204 X" });
@@ -91,36 +90,6 @@
         socket.reset();
 }
 
-/// A chunked response as its caller sees it.
-struct received_stream
-{
-    std::string head;
-    std::string body;
-    bool complete = false; ///< The last chunk has arrived.
-};
-
-received_stream decodeStream(const std::string &response)
-{
-    received_stream stream;
-    const std::size_t headEnd = response.find("\r\n\r\n");
-    if (headEnd == std::string::npos)
-        return stream;
-    stream.head = response.substr(0, headEnd);
-    std::size_t at = headEnd + 4;
-    while (true) {
-        const std::size_t lineEnd = response.find("\r\n", at);
-        if (lineEnd == std::string::npos)
-            return stream;
-        const std::size_t size = std::stoul(response.substr(at, lineEnd - at), nullptr, 16);
-        if (size == 0) {
-            stream.complete = response.compare(lineEnd, 4, "\r\n\r\n") == 0;
-            return stream;
-        }
-        stream.body += response.substr(lineEnd + 2, size);
-        at = lineEnd + 2 + size + 2;
-    }
-}
-
 struct resumed_fixture : router_fixture
 {
     /// Calls a resumable route whose first engine breaks off and whose next one continues badly.
@@ -136,7 +105,7 @@
         bytes.replace(bytes.find("id1"), 3, "id" + std::to_string(++m_number));
         test_caller caller(router->callerAddress());
         caller.send(bytes);
-        const received_stream stream = decodeStream(caller.readUntil(lastChunk, WaitLimitMs));
+        received_stream stream = decodeStream(caller.readUntil(LastChunk, WaitLimitMs));
         calls = callCount() - before;
         return stream;
     }
--- a/testing/support_router.h
+++ b/testing/support_router.h
@@ -25,6 +25,8 @@
 /// result depends on speed.
 inline constexpr int WaitLimitMs = 8000;
 
+inline constexpr char LastChunk[] = "0\r\n\r\n";
+
 /// Handles one call to the named engine. Returning false closes the connection.
 using engine_behaviour =
         std::function<bool(const std::string &engine, const recorded_request &, response_socket &)>;
@@ -65,6 +67,39 @@
     return text;
 }
 
+/// A chunked response as its caller sees it.
+struct received_stream
+{
+    std::string head;
+    std::string body;
+    bool complete = false; ///< The last chunk has arrived.
+};
+
+/// Decodes the bytes of a response. One that is not chunked is returned as its head.
+inline received_stream decodeStream(const std::string &response)
+{
+    received_stream stream;
+    const std::size_t headEnd = response.find("\r\n\r\n");
+    if (headEnd == std::string::npos)
+        return stream;
+    stream.head = response.substr(0, headEnd);
+    if (stream.head.find("chunked") == std::string::npos)
+        return stream;
+    std::size_t at = headEnd + 4;
+    while (true) {
+        const std::size_t lineEnd = response.find("\r\n", at);
+        if (lineEnd == std::string::npos)
+            return stream;
+        const std::size_t size = std::stoul(response.substr(at, lineEnd - at), nullptr, 16);
+        if (size == 0) {
+            stream.complete = response.compare(lineEnd, 4, "\r\n\r\n") == 0;
+            return stream;
+        }
+        stream.body += response.substr(lineEnd + 2, size);
+        at = lineEnd + 2 + size + 2;
+    }
+}
+
 /// A log, two engines and one router. Construction waits until the router is ready.
 struct router_fixture
 {
