Let the soak's engines break streams off and continue them badly

The soak did not find streams that end as complete too soon: its engines broke streams off in chunks only, and answered every continuation properly.

Class: a stand-in that plays a fault of the first call only.

Change: in two or three spans of each seed, all engines answer streams in chunks, with a length or with neither, break half of them off at any byte (close, reset, a malformed chunk, half of the last chunk), and answer continuations also with an error and text, with no event, with events that were sent before, or with those and the rest. The spans are drawn last, so older seeds keep their other faults. soak_checks.cc judges streams by what the caller received: events in order, none missing, none twice, no foreign bytes, all of them at a last chunk.

--repeat-refusals 1 adds a span in which engines repeat an earlier refusal before their answer. It is not part of the default seeds: that fault is open.

--- a/testing/soak_caller.cc
+++ b/testing/soak_caller.cc
@@ -197,16 +197,15 @@
 
 void soak_caller::readStream(soak_call &call)
 {
-    const int count = soakEventCount(call.attemptId);
-    int number = 0;
-    while (const auto event = m_connection->readEvent()) {
-        ++number;
-        if (call.problem.empty() && *event != soakEvent(call.attemptId, number))
-            call.problem = "event " + std::to_string(number) + " is " + *event;
+    try {
+        while (const auto event = m_connection->readEvent())
+            call.events.push_back(*event);
+        call.streamEnded = true;
+    } catch (const http_failure &) {
+        call.streamRest = m_connection->unreadEventBytes();
+        throw;
     }
-    if (call.problem.empty() && number != count)
-        call.problem = "stream looks complete after " + std::to_string(number) + " of "
-                       + std::to_string(count) + " events";
+    call.streamRest = m_connection->unreadEventBytes();
 }
 
 soak_call soakProbe(const std::string &address, const std::string &attemptId)
--- a/testing/soak_checks.cc
+++ b/testing/soak_checks.cc
@@ -1,6 +1,7 @@
 #include "testing/soak_checks.h"
 
 #include "testing/soak_caller.h"
+#include "testing/soak_engine.h"
 
 #include <algorithm>
 #include <cstdlib>
@@ -56,6 +57,7 @@
     {
         for (const soak_call &call : m_history.calls) {
             checkAnswer(call);
+            checkStream(call);
             checkRuns(call);
             checkKey(call);
             checkLost(call);
@@ -129,6 +131,42 @@
             add("answer", call, call.problem);
     }
 
+    /// Events in order, none missing, none twice, no foreign bytes, and all of them at a last
+    /// chunk.
+    void checkStream(const soak_call &call)
+    {
+        const int count = soakEventCount(call.attemptId);
+        const int received = static_cast<int>(call.events.size());
+        int next = 1;
+        for (const std::string &event : call.events) {
+            if (event != soakEvent(call.attemptId, next))
+                return add("stream", call, problemOfEvent(call.attemptId, next, event));
+            ++next;
+        }
+        const std::string text = soakEvent(call.attemptId, next) + "\n\n";
+        const bool foreign = call.streamEnded ? !call.streamRest.empty()
+                                              : !startsWith(text, call.streamRest.c_str());
+        if (foreign || received > count)
+            add("stream", call,
+                "foreign bytes after event " + std::to_string(received) + ": " + call.streamRest);
+        if (call.streamEnded && received != count)
+            add("stream", call,
+                "looks complete after " + std::to_string(received) + " of " + std::to_string(count)
+                        + " events");
+    }
+
+    static std::string problemOfEvent(const std::string &attemptId, int expected,
+                                      const std::string &event)
+    {
+        const std::string place = " after event " + std::to_string(expected - 1);
+        for (int number = 1; number <= soakEventCount(attemptId); ++number) {
+            if (event == soakEvent(attemptId, number))
+                return "event " + std::to_string(number)
+                       + (number < expected ? " twice," : " without those before it,") + place;
+        }
+        return "foreign bytes" + place + ": " + event;
+    }
+
     /// At most once, and true refusals.
     void checkRuns(const soak_call &call)
     {
--- a/testing/soak_engine.cc
+++ b/testing/soak_engine.cc
@@ -1,5 +1,6 @@
 #include "testing/soak_engine.h"
 
+#include "testing/soak_stream_faults.h"
 #include "testing/support_router.h"
 
 #include <nlohmann/json.hpp>
@@ -17,6 +18,8 @@
 constexpr int WorkStepMs = 20;
 constexpr ms PauseTime{ 1500 };
 constexpr char PauseField[] = "Retry-After: 1.5\r\n";
+constexpr ms ShortPauseTime{ 50 };
+constexpr char ShortPauseField[] = "Retry-After: 0.05\r\n";
 constexpr int EventGapMs = 30;
 
 bool isStream(const std::string &path)
@@ -124,13 +127,14 @@
     return true;
 }
 
-std::string soak_engine::head(const recorded_request &request, const std::string &framing) const
+std::string soak_engine::head(const recorded_request &request, const std::string &framing,
+                              const std::string &status) const
 {
     const bool leaving = m_mode == engine_mode::Leaving;
-    return "HTTP/1.1 200 OK\r\nX-Burdockhold-Attempt-Id: "
-           + request.field("X-Burdockhold-Attempt-Id") + "\r\nX-Burdockhold-Server-Stamp: s"
-           + std::to_string(m_index) + "\r\n" + (leaving ? "Server-Leaving: 1\r\n" : "") + framing
-           + "\r\n\r\n";
+    return "HTTP/1.1 " + status
+           + "\r\nX-Burdockhold-Attempt-Id: " + request.field("X-Burdockhold-Attempt-Id")
+           + "\r\nX-Burdockhold-Server-Stamp: s" + std::to_string(m_index) + "\r\n"
+           + (leaving ? "Server-Leaving: 1\r\n" : "") + framing + "\r\n\r\n";
 }
 
 soak_arrival soak_engine::arrivalOf(const recorded_request &request) const
@@ -151,21 +155,34 @@
 bool soak_engine::refuse(const recorded_request &request, response_socket &socket,
                          soak_arrival arrival)
 {
-    const bool pausing = m_mode == engine_mode::Pausing;
+    const engine_mode mode = m_mode;
+    const bool pausing = mode == engine_mode::Pausing;
+    const bool repeating = mode == engine_mode::RepeatedRefusals;
     arrival.refused = true;
-    arrival.pause = pausing ? PauseTime : ms(0);
+    arrival.pause = pausing ? PauseTime : repeating ? ShortPauseTime : ms(0);
     const std::string target = request.field("X-Burdockhold-Target-Instance");
     const bool wrong = !target.empty() && target != id();
     const bool kept = socket.write(
             std::string("HTTP/1.1 ") + (wrong ? "421 X" : "503 X")
             + "\r\nX-Burdockhold-Not-Executed: 1\r\nX-Burdockhold-Attempt-Id: " + arrival.attemptId
-            + "\r\n" + (pausing ? PauseField : "") + "Content-Length: 0\r\n\r\n");
+            + "\r\n"
+            + (pausing     ? PauseField
+               : repeating ? ShortPauseField
+                           : "")
+            + "Content-Length: 0\r\n\r\n");
     arrival.endedAt = soak_clock::now();
     arrival.wouldEndAt = arrival.endedAt;
     m_history.addArrival(arrival);
     return kept;
 }
 
+/// Returns whether RepeatedRefusals has refused the attempt, and records that it does now.
+bool soak_engine::refusedBefore(const std::string &attemptId)
+{
+    const std::lock_guard lock(m_mutex);
+    return !m_refusedOnce.insert(attemptId).second;
+}
+
 bool soak_engine::serve(const recorded_request &request, response_socket &socket)
 {
     if (request.target.rfind("/healthz", 0) == 0
@@ -175,7 +192,8 @@
     const engine_mode mode = m_mode;
     const std::string target = request.field("X-Burdockhold-Target-Instance");
     if ((!target.empty() && target != id()) || mode == engine_mode::Pausing
-        || mode == engine_mode::Full)
+        || mode == engine_mode::Full
+        || (mode == engine_mode::RepeatedRefusals && !refusedBefore(arrival.attemptId)))
         return refuse(request, socket, arrival);
     const std::uint64_t hash = soakHash(m_seed + static_cast<std::uint64_t>(m_index),
                                         arrival.attemptId);
@@ -184,28 +202,35 @@
                          + ms(serviceMs(hash) + events * EventGapMs
                               + (mode == engine_mode::Slow ? SlowMs : 0));
     const std::size_t index = m_history.addArrival(arrival);
-    const bool kept = run(request, socket, { mode, hash, index });
-    const bool faulty = mode == engine_mode::Breaking || mode == engine_mode::LateCopy
+    if (mode == engine_mode::RepeatedRefusals)
+        socket.write("HTTP/1.1 503 X\r\nX-Burdockhold-Not-Executed: 1\r\nX-Burdockhold-Attempt-Id: "
+                     + arrival.attemptId + "\r\n" + ShortPauseField + "Content-Length: 0\r\n\r\n");
+    const answer_end end = run(request, socket, { mode, hash, m_streamFaults });
+    const bool faulty = end.faulty || mode == engine_mode::RepeatedRefusals
+                        || mode == engine_mode::Breaking || mode == engine_mode::LateCopy
                         || mode == engine_mode::Garbage || mode == engine_mode::Silent;
     m_history.endArrival(index,
                          faulty || m_wantsCrash || m_down || m_incarnation != arrival.incarnation);
-    return kept;
+    return end.kept;
 }
 
-bool soak_engine::run(const recorded_request &request, response_socket &socket,
-                      const answer_plan &plan)
+soak_engine::answer_end soak_engine::run(const recorded_request &request, response_socket &socket,
+                                         const answer_plan &plan)
 {
     if (request.field("X-Burdockhold-Prompt-Prefix").find(DeadlySegment) != std::string::npos) {
         m_wantsCrash = true;
         work(socket, SilenceMs);
-        return false;
+        return {};
     }
     if (!work(socket, serviceMs(plan.hash) + (plan.mode == engine_mode::Slow ? SlowMs : 0)))
-        return false;
+        return {};
     if (plan.mode != engine_mode::Sound && misbehave(request, socket, plan))
-        return false;
-    return isStream(request.target) ? sendStream(request, socket, plan)
-                                    : sendPlain(request, socket, plan);
+        return {};
+    if (!isStream(request.target))
+        return { sendPlain(request, socket, plan) };
+    if (plan.streamFaults && plan.mode != engine_mode::Breaking)
+        return sendScript(request, socket, plan);
+    return { sendStream(request, socket, plan) };
 }
 
 /// Returns true if the connection has to end instead of a whole answer.
@@ -273,6 +298,20 @@
     return socket.write("0\r\n\r\n");
 }
 
+soak_engine::answer_end soak_engine::sendScript(const recorded_request &request,
+                                                response_socket &socket, const answer_plan &plan)
+{
+    const stream_script script = drawStream(plan.hash, request.field("X-Burdockhold-Attempt-Id"),
+                                            request.field("Last-Event-Id"));
+    bool sent = socket.write(
+            head(request, "Content-Type: text/event-stream\r\n" + script.fields, script.status));
+    for (const std::string &piece : script.pieces)
+        sent = sent && socket.write(piece) && work(socket, EventGapMs);
+    if (script.resets)
+        socket.reset();
+    return { sent && script.keepsConnection, script.faulty };
+}
+
 /// Works for the given time. Returns false if the connection or the engine ends before.
 bool soak_engine::work(response_socket &socket, int milliseconds) const
 {
--- a/testing/soak_engine.h
+++ b/testing/soak_engine.h
@@ -9,6 +9,8 @@
 
 #include <atomic>
 #include <memory>
+#include <mutex>
+#include <set>
 
 namespace burdockhold::testing {
 
@@ -22,8 +24,11 @@
     Leaving,  ///< Says in each answer that it leaves.
     Silent,   ///< Reads requests and sends nothing for two seconds.
     Slow,     ///< Takes 800 ms longer.
+    /// Refuses each attempt once; repeats that refusal before its answer when the attempt is back.
+    RepeatedRefusals,
 };
 
+/// Number of modes that a schedule draws: those before RepeatedRefusals.
 inline constexpr int EngineModes = 9;
 
 /// A request whose prompt has this segment crashes the engine that runs it.
@@ -39,6 +44,9 @@
     /// Ends the misbehaviour, unless the engine has said that it leaves.
     void endMode() { setMode(engine_mode::Sound); }
 
+    /// While true, streams are drawn by soak_stream_faults.h. Modes other than Breaking go on.
+    void setStreamFaults(bool faulty) { m_streamFaults = faulty; }
+
     /// Sets the version of the engine's software; call before restart().
     void setSoftware(const std::string &version) { m_software = version; }
 
@@ -61,22 +69,34 @@
     {
         engine_mode mode = engine_mode::Sound;
         std::uint64_t hash = 0;
-        std::size_t arrival = 0;
+        bool streamFaults = false;
+    };
+
+    /// How the answer to a request ended.
+    struct answer_end
+    {
+        bool kept = false;   ///< The connection stays open.
+        bool faulty = false; ///< By the stream's script.
     };
 
     bool serve(const recorded_request &request, response_socket &socket);
     soak_arrival arrivalOf(const recorded_request &request) const;
     bool refuse(const recorded_request &request, response_socket &socket, soak_arrival arrival);
-    bool run(const recorded_request &request, response_socket &socket, const answer_plan &plan);
+    bool refusedBefore(const std::string &attemptId);
+    answer_end run(const recorded_request &request, response_socket &socket,
+                   const answer_plan &plan);
     bool misbehave(const recorded_request &request, response_socket &socket,
                    const answer_plan &plan);
     bool sendPlain(const recorded_request &request, response_socket &socket,
                    const answer_plan &plan);
     bool sendStream(const recorded_request &request, response_socket &socket,
                     const answer_plan &plan);
+    answer_end sendScript(const recorded_request &request, response_socket &socket,
+                          const answer_plan &plan);
     bool work(response_socket &socket, int milliseconds) const;
     std::string id() const;
-    std::string head(const recorded_request &request, const std::string &framing) const;
+    std::string head(const recorded_request &request, const std::string &framing,
+                     const std::string &status = "200 OK") const;
 
     int m_index;
     std::uint64_t m_seed;
@@ -84,6 +104,9 @@
     fake_log_service &m_log;
     std::string m_software = "v1"; // Used by the driver's thread only.
     std::atomic<engine_mode> m_mode{ engine_mode::Sound };
+    std::atomic<bool> m_streamFaults{ false };
+    std::mutex m_mutex;
+    std::set<std::string> m_refusedOnce; // Attempts that RepeatedRefusals refused; by m_mutex.
     std::atomic<int> m_incarnation{ 0 };
     std::atomic<int> m_idNumber{ 0 };
     std::atomic<bool> m_down{ false };
--- a/testing/soak_fleet.cc
+++ b/testing/soak_fleet.cc
@@ -133,6 +133,20 @@
         return putDeployment();
     case soak_action::WithdrawKey:
         return withdrawKey();
+    case soak_action::StreamFaults:
+        for (auto &engine : m_engines)
+            engine->setStreamFaults(true);
+        return after(time, [this] {
+            for (auto &engine : m_engines)
+                engine->setStreamFaults(false);
+        });
+    case soak_action::RepeatRefusals:
+        for (auto &engine : m_engines)
+            engine->setMode(engine_mode::RepeatedRefusals);
+        return after(time, [this] {
+            for (auto &engine : m_engines)
+                engine->endMode();
+        });
     case soak_action::Rollout:
         return startRollout();
     }
@@ -344,8 +358,10 @@
     for (std::size_t index = 0; index < m_routers.size(); ++index)
         m_relay->setCut(index, false);
     m_targets.deadlySegments = false;
-    for (auto &engine : m_engines)
+    for (auto &engine : m_engines) {
+        engine->setStreamFaults(false);
         engine->endMode();
+    }
 }
 
 bool soak_fleet::settled() const
--- a/testing/soak_history.h
+++ b/testing/soak_history.h
@@ -58,7 +58,10 @@
     soak_time endedAt;
     int status = 0;
     soak_outcome outcome = soak_outcome::NoAnswer;
-    std::string problem; ///< What is wrong with the answer itself; empty if nothing is.
+    std::vector<std::string> events; ///< Of a stream, as the caller received them.
+    std::string streamRest;          ///< Bytes of a stream after its last whole event.
+    bool streamEnded = false;        ///< The stream has ended with its last chunk.
+    std::string problem;             ///< What is wrong with the answer itself; empty if nothing is.
 };
 
 /// A span of time in which a fault was at work.
--- a/testing/soak_looptest.cc
+++ b/testing/soak_looptest.cc
@@ -10,7 +10,8 @@
 #include <string>
 
 // The fault soak: real router processes under faults that a seed draws. Without arguments a short
-// run with fixed seeds; scripts/soak passes others: -- --seed S --seeds N --routers R --logs FILE.
+// run with fixed seeds; scripts/soak passes others: -- --seed S --seeds N --routers R --logs FILE
+// --repeat-refusals 1.
 
 using namespace burdockhold::testing;
 
@@ -35,7 +36,8 @@
 /// Runs the seed and reports each violation with the seed's schedule.
 void runSeed(std::uint64_t seed)
 {
-    const soak_plan plan = makeSoakPlan(seed, static_cast<int>(valueOr("--routers", 0)));
+    const soak_plan plan = makeSoakPlan(seed, static_cast<int>(valueOr("--routers", 0)),
+                                        valueOr("--repeat-refusals", 0) != 0);
     const soak_result result = runSoak(plan);
     std::cout << "soak: seed " << seed << ", " << plan.routers << " routers: " << result.calls
               << " requests, " << result.completed << " served, " << result.runs
--- a/testing/soak_schedule.cc
+++ b/testing/soak_schedule.cc
@@ -10,8 +10,10 @@
 
 namespace {
 
-constexpr int LogFaults = 4;           ///< Values of log_fault after None.
-constexpr int LargeFleetEvery = 25;    ///< One seed in this many runs a large fleet.
+constexpr int LogFaults = 4;        ///< Values of log_fault after None.
+constexpr int LargeFleetEvery = 25; ///< One seed in this many runs a large fleet.
+constexpr int MinStreamFaultsMs = 1000;
+constexpr int RepeatRefusalsMs = 4000;
 constexpr int LastWithdrawalMs = 3000; ///< So that the bound of withdrawals ends before the run.
 
 /// How often an action is drawn.
@@ -81,7 +83,7 @@
 
 } // namespace
 
-soak_plan makeSoakPlan(std::uint64_t seed, int routers)
+soak_plan makeSoakPlan(std::uint64_t seed, int routers, bool repeatRefusals)
 {
     plan_drawer drawer(seed);
     soak_plan plan;
@@ -98,6 +100,16 @@
     const int withdrawals = 1 + drawer.below(3);
     for (int index = 0; index < withdrawals; ++index)
         plan.events.push_back({ drawer.below(LastWithdrawalMs), soak_action::WithdrawKey });
+    // Drawn last, so that seeds from before these faults keep their other ones.
+    const int streamFaults = 2 + drawer.below(2);
+    for (int index = 0; index < streamFaults; ++index) {
+        const int at = drawer.below(plan.faultMs);
+        const int time = MinStreamFaultsMs + drawer.below(2 * MinStreamFaultsMs);
+        plan.events.push_back({ at, soak_action::StreamFaults, 0, time });
+    }
+    if (repeatRefusals)
+        plan.events.push_back({ drawer.below(plan.faultMs / 2), soak_action::RepeatRefusals, 0,
+                                RepeatRefusalsMs });
     std::stable_sort(plan.events.begin(), plan.events.end(),
                      [](const auto &a, const auto &b) { return a.atMs < b.atMs; });
     return plan;
--- a/testing/soak_schedule.h
+++ b/testing/soak_schedule.h
@@ -29,10 +29,12 @@
     ForgetHistory,   ///< The log deletes its old records.
     Deployment,      ///< A new deployment.
     WithdrawKey,     ///< A new deployment without one of the keys.
+    StreamFaults,    ///< All engines break streams off and continue some badly for forMs.
+    RepeatRefusals,  ///< All engines are in the mode RepeatedRefusals for forMs.
     Rollout,         ///< A roll-out of new software is ordered; one engine has it.
 };
 
-inline constexpr int SoakActions = 16;
+inline constexpr int SoakActions = 18;
 
 /// One fault of a schedule.
 struct soak_event
@@ -54,8 +56,9 @@
     std::vector<soak_event> events; ///< In order of time.
 };
 
-/// Draws the plan of a seed. routers overrides the number of routers unless it is 0.
-soak_plan makeSoakPlan(std::uint64_t seed, int routers = 0);
+/// Draws the plan of a seed. routers overrides the number of routers unless it is 0. Without
+/// repeatRefusals the plan has no RepeatRefusals; the other faults are the same.
+soak_plan makeSoakPlan(std::uint64_t seed, int routers = 0, bool repeatRefusals = false);
 
 /// Returns a line for each event, for a report.
 std::string describe(const soak_plan &plan);
@@ -82,6 +85,8 @@
             { action::ForgetHistory, "forget_history" },
             { action::Deployment, "deployment" },
             { action::WithdrawKey, "withdraw_key" },
+            { action::StreamFaults, "stream_faults" },
+            { action::RepeatRefusals, "repeat_refusals" },
             { action::Rollout, "rollout" },
     } };
 };
--- a/testing/support_http.h
+++ b/testing/support_http.h
@@ -83,6 +83,9 @@
     /// or its last chunk throws http_failure_kind::Closed.
     std::optional<std::string> readEvent();
 
+    /// Returns the bytes after the last whole event.
+    const std::string &unreadEventBytes() const { return m_eventBuffer; }
+
     /// Sets how long a read waits for the next byte.
     void setReadTimeout(std::chrono::milliseconds timeout) { m_timeout = timeout; }
 
