Refuse text that is nested deeply before it is parsed

What operators saw: another writer left one entry, nested very deeply, among those of the engines, and the machines that read the list ended again and again.

Cause: the JSON library (3.11.2) parses, compares and destroys without recursion, but copies and serialises with one call per level. The decoders copied `models` of an entry, and `tenants` and `limits` of the configuration; at 100,000 levels the copy exhausts a stack of 8 MB and the process gets SIGSEGV. A process that starts again reads the same entry. The own interface had the same fault in two places: the value of a change record and an engine's event with its usage are serialised again.

Class: a limit on nesting that only the bodies of callers had.

Ruled out: parsing, comparing and destroying (a program with 100,000 levels of arrays and of objects, closed and unclosed, returns; copy, dump and value() with a default get SIGSEGV); a deep field that is not read.

Change: nestsTooDeep() moves from completion.cc to json_depth.h.

Measured before: platform_codec_looptest deeplyNestedTextIsRefused, record_test deeplyNestedRecordIsRefused and resume_test abandonsDeeplyNestedEvent end with a memory access violation; in odd_entries_looptest deeplyNestedRecordsDoNotEndTheProcess the router has ended and answers no call.

--- a/burdockhold/completion.cc
+++ b/burdockhold/completion.cc
@@ -1,5 +1,7 @@
 #include "burdockhold/completion.h"
 
+#include "burdockhold/json_depth.h"
+
 #include <limits>
 #include <utility>
 
@@ -15,29 +17,6 @@
 constexpr char RecordSeparator = '\x1e';
 constexpr char UnitSeparator = '\x1f';
 
-bool nestsTooDeep(std::string_view body)
-{
-    int depth = 0;
-    bool inString = false;
-    for (std::size_t i = 0; i < body.size(); ++i) {
-        const char c = body[i];
-        if (inString) {
-            if (c == '\\')
-                ++i;
-            else if (c == '"')
-                inString = false;
-        } else if (c == '"') {
-            inString = true;
-        } else if (c == '[' || c == '{') {
-            if (++depth > MaxJsonDepth)
-                return true;
-        } else if (c == ']' || c == '}') {
-            --depth;
-        }
-    }
-    return false;
-}
-
 error missing(const std::string &field)
 {
     return { completion_error::MissingField, "the field '" + field + "' is required", field };
--- a/burdockhold/completion.h
+++ b/burdockhold/completion.h
@@ -21,9 +21,6 @@
 
 enum class completion_kind { Text, Chat };
 
-/// Deepest nesting accepted in a body. Serialising JSON recurses once for each level.
-inline constexpr int MaxJsonDepth = 64;
-
 /// A checked request. `body` is the whole object, with the fields that the router does not know.
 struct completion_request
 {
--- a/burdockhold/record.cc
+++ b/burdockhold/record.cc
@@ -1,5 +1,7 @@
 #include "burdockhold/record.h"
 
+#include "burdockhold/json_depth.h"
+
 #include <nlohmann/json.hpp>
 
 #include <array>
@@ -247,6 +249,9 @@
 
 result<config_record, record_error> parseRecord(std::string_view text)
 {
+    if (nestsTooDeep(text))
+        return basic_error<record_error>{ record_error::NotJson, "the record is nested too deeply",
+                                          "" };
     const json object = json::parse(text, nullptr, false);
     if (!object.is_object())
         return basic_error<record_error>{ record_error::NotJson, "the record is no JSON object",
--- a/burdockhold/resume.cc
+++ b/burdockhold/resume.cc
@@ -1,5 +1,7 @@
 #include "burdockhold/resume.h"
 
+#include "burdockhold/json_depth.h"
+
 #include <nlohmann/json.hpp>
 
 #include <utility>
@@ -64,6 +66,8 @@
 {
     if (data == EndMarker)
         return finish();
+    if (nestsTooDeep(data))
+        return abandon("an event is nested too deeply");
     json event = json::parse(data, nullptr, false);
     if (!event.is_object())
         return abandon("an event is not a JSON object");
--- /dev/null
+++ b/testing/odd_entries_looptest.cc
@@ -0,0 +1,122 @@
+#define BOOST_TEST_MODULE odd_entries
+#include "testing/support_router.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <string>
+#include <thread>
+#include <vector>
+
+// Entries that another writer has left among those of the engines: no such entry names an engine to
+// use, and the router goes on with the others.
+
+using namespace burdockhold;
+using namespace burdockhold::testing;
+
+namespace {
+
+constexpr int NestedLevels = 100000;
+
+std::string nestedArrays()
+{
+    return std::string(NestedLevels, '[') + std::string(NestedLevels, ']');
+}
+
+std::string nestedObjects()
+{
+    std::string text;
+    for (int level = 0; level < NestedLevels; ++level)
+        text += R"({"a":)";
+    return text + "1" + std::string(NestedLevels, '}');
+}
+
+/// A router with three engines, e1 to e3, of which the third is not listed at first, and a server
+/// that only odd entries name.
+struct odd_entries_fixture : router_fixture
+{
+    odd_entries_fixture()
+        : third([this](const recorded_request &r, response_socket &s) {
+            return engine("e3", r, s);
+        })
+        , odd([this](const recorded_request &r, response_socket &s) { return engine("odd", r, s); })
+    {
+    }
+
+    /// Returns the record of the odd server with one field changed to the JSON text.
+    std::string oddRecord(const std::string &field, const std::string &value) const
+    {
+        auto object = nlohmann::json::parse(endpointRecord(odd.address(), "ready"));
+        object.erase(field);
+        std::string text = object.dump();
+        text.pop_back();
+        return text + ",\"" + field + "\":" + value + "}";
+    }
+
+    void putEntry(const std::string &id, const std::string &value)
+    {
+        log.put("keyed.servers", id, value);
+    }
+
+    std::size_t callsTo(const std::string &name)
+    {
+        const std::lock_guard lock(mutex);
+        return static_cast<std::size_t>(std::count(engines.begin(), engines.end(), name));
+    }
+
+    /// Returns true once the condition holds, or false if it does not within WaitLimitMs or the
+    /// router ends.
+    bool waitUntil(const std::function<bool()> &condition) const
+    {
+        const auto deadline = std::chrono::steady_clock::now()
+                              + std::chrono::milliseconds(WaitLimitMs);
+        while (!condition()) {
+            if (std::chrono::steady_clock::now() > deadline || router->hasExited())
+                return false;
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        }
+        return true;
+    }
+
+    /// Lists the third engine and waits until the router has read its entry, and so all earlier
+    /// ones. Then checks that the listed engines serve and that only they do.
+    void checkThatListIsFollowed()
+    {
+        putEntry("e3", endpointRecord(third.address(), "ready"));
+        BOOST_TEST(waitUntil([this] {
+            return router->logText().find(R"("endpoint":"e3")") != std::string::npos;
+        }));
+        BOOST_TEST(!router->hasExited(), router->logText());
+        for (int call = 0; call < 20; ++call)
+            BOOST_TEST(exchangeRequest(request("/safe/")).rfind("HTTP/1.1 200", 0) == 0U);
+        BOOST_TEST(callsTo("e1") + callsTo("e2") + callsTo("e3") == 20U);
+        log.remove("keyed.servers", "e1");
+        log.remove("keyed.servers", "e2");
+        BOOST_TEST(waitUntil([this] {
+            exchangeRequest(request("/safe/"));
+            return callsTo("e3") > 0;
+        }));
+        BOOST_TEST(callsTo("odd") == 0U);
+        BOOST_TEST(!router->hasExited());
+    }
+
+    fake_server third;
+    fake_server odd;
+};
+
+} // namespace
+
+// Guards against an entry or an operator's record that is nested so deeply that the process
+// exhausts its stack and ends.
+BOOST_FIXTURE_TEST_CASE(deeplyNestedRecordsDoNotEndTheProcess, odd_entries_fixture)
+{
+    putEntry("odd-1", oddRecord("models", nestedArrays()));
+    putEntry("odd-2", oddRecord("models", nestedObjects()));
+    for (const char *field : { "tenants", "limits" })
+        log.put("keyed.op", "config",
+                R"({"version":9,"routes":[],"services":[],")" + std::string(field)
+                        + "\":" + (field[0] == 't' ? nestedArrays() : nestedObjects()) + "}");
+    checkThatListIsFollowed();
+}
--- a/testing/platform_codec_looptest.cc
+++ b/testing/platform_codec_looptest.cc
@@ -54,6 +54,21 @@
     return text;
 }
 
+constexpr int NestedLevels = 100000;
+
+std::string nestedArrays()
+{
+    return std::string(NestedLevels, '[') + std::string(NestedLevels, ']');
+}
+
+std::string nestedObjects()
+{
+    std::string text;
+    for (int level = 0; level < NestedLevels; ++level)
+        text += R"({"a":)";
+    return text + "1" + std::string(NestedLevels, '}');
+}
+
 } // namespace
 
 // Guards against request smuggling: ambiguous framing that the router reads as one request and the
@@ -253,3 +268,33 @@
     BOOST_TEST((platform::decodeOrderResult(421) == order_result::OtherEngine));
     BOOST_TEST((platform::decodeOrderResult(500) == order_result::Refused));
 }
+
+// Guards against a record or response that is nested so deeply that reading it exhausts the stack.
+BOOST_AUTO_TEST_CASE(deeplyNestedTextIsRefused)
+{
+    const std::string deployment = R"({"version":3,"routes":[],"services":[],"tenants":[],)"
+                                   R"("limits":{}})";
+    BOOST_REQUIRE(isOk(platform::decodeDeployment(deployment)));
+    for (const std::string &nested : { nestedArrays(), nestedObjects() }) {
+        const auto extended = changed(entry, R"("seq":4)", R"("seq":4,"later":)" + nested);
+        const auto models = changed(entry, R"("models":[)", R"("models":[)" + nested + ",");
+        const auto nestedModels = changed(entry,
+                                          R"("models":[{"name":"m","version":3,)"
+                                          R"("adapters":[]}])",
+                                          R"("models":)" + nested);
+        for (const std::string &body : { nested, extended, models, nestedModels })
+            BOOST_TEST(!isOk(platform::decodeEndpoint("e1", body)), body.substr(0, 200));
+        for (const char *field : { R"("tenants":[])", R"("limits":{})", R"("services":[])" }) {
+            const std::string name(field, std::string(field).find(':') + 1);
+            BOOST_TEST(!isOk(platform::decodeDeployment(changed(deployment, field, name + nested))),
+                       field);
+        }
+        BOOST_TEST(!isOk(platform::decodeDeployment(nested)));
+        BOOST_TEST(!isOk(platform::decodeTargetWeights(nested)));
+        BOOST_TEST(!isOk(platform::decodeReport(nested)));
+        BOOST_TEST(!isOk(platform::decodeSoftwareOrder(nested)));
+        BOOST_TEST(!isOk(platform::decodeSoftwareStatus({ "rollout/p", nested })));
+        BOOST_TEST(!isOk(platform::decodeNewest(nested)));
+        BOOST_TEST(!isOk(platform::decodeJoin(nested)));
+    }
+}
--- a/testing/record_test.cc
+++ b/testing/record_test.cc
@@ -33,6 +33,18 @@
         BOOST_TEST(readBack(text) == text);
 }
 
+// Guards against a record that is nested so deeply that replay exhausts the stack.
+BOOST_AUTO_TEST_CASE(deeplyNestedRecordIsRefused)
+{
+    constexpr int Levels = 100000;
+    const std::string nested = std::string(Levels, '[') + std::string(Levels, ']');
+    BOOST_TEST(!isOk(parseRecord(
+            R"({"id":"1","kind":"change","changes":[{"base":3,"entry":"class","name":"x",)"
+            R"("value":)"
+            + nested + "}]}")));
+    BOOST_TEST(!isOk(parseRecord(R"({"id":"1","kind":"later","field":)" + nested + "}")));
+}
+
 // Guards against a record kind of a later release that stops replay.
 BOOST_AUTO_TEST_CASE(unknownKindIsNoError)
 {
--- a/testing/resume_test.cc
+++ b/testing/resume_test.cc
@@ -48,6 +48,18 @@
 
 } // namespace
 
+// Guards against an event that is nested so deeply that delivering it exhausts the stack.
+BOOST_AUTO_TEST_CASE(abandonsDeeplyNestedEvent)
+{
+    constexpr int Levels = 100000;
+    std::string event = usage(0);
+    event.pop_back();
+    event += R"(,"later":)" + std::string(Levels, '[') + std::string(Levels, ']') + "}";
+    stream_continuity stream("r1");
+    BOOST_TEST(feed(stream, { event }).empty());
+    BOOST_TEST((stream.state() == stream_state::NeedsResume));
+}
+
 // Guards against tokens delivered twice by an engine that starts again from the first one.
 BOOST_AUTO_TEST_CASE(dropsDuplicates)
 {
