Refuse entries and records with absurd numbers and addresses

What operators saw: an entry of another writer with `slots` of 10^25 or `born` of 10^30 at a valid address was used as an engine.

Cause: the decoders read numbers with get<int>() and value(), which convert without a check: a float or a number out of range becomes some other number (undefined for floats), true becomes 1, and 2^32 + 6 becomes 6. The address was any text, port 0 and a zero byte after the IP included; the id, which calls carry in a header field, could hold line ends.

Class: conversion of foreign values without type and range.

Ruled out: that any of these ends the process (odd_entries_looptest and 50,000 mutated entries: none did, before or after).

--- a/burdockhold/deployment.h
+++ b/burdockhold/deployment.h
@@ -128,6 +128,11 @@
     std::unordered_map<std::string, const deployment_pool *> m_pools;
 };
 
+/// Bounds of what an endpoint may report. A report beyond them is not an endpoint's.
+inline constexpr std::int64_t MaxEndpointSlots = 65536;             ///< Concurrent requests.
+inline constexpr std::int64_t MaxIncarnationMs = 4102444800000;     ///< Unix time of the year 2100.
+inline constexpr std::int64_t MaxWeightsVersion = 9007199254740991; ///< 2^53 - 1, exact in JSON.
+
 /// An endpoint's own report. A restarted endpoint has a new incarnation and usually a new id.
 struct endpoint_report
 {
--- a/burdockhold/http_client_connection.cc
+++ b/burdockhold/http_client_connection.cc
@@ -54,7 +54,8 @@
 std::optional<tcp::endpoint> parseAddress(std::string_view text)
 {
     const std::size_t colon = text.rfind(':');
-    if (colon == std::string_view::npos)
+    // The library reads the address up to the first zero byte.
+    if (colon == std::string_view::npos || text.find('\0') != std::string_view::npos)
         return std::nullopt;
     error_code error;
     const auto address = boost::asio::ip::make_address_v4(std::string(text.substr(0, colon)),
@@ -62,7 +63,8 @@
     unsigned short port = 0;
     const std::string_view digits = text.substr(colon + 1);
     const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), port);
-    if (error || parsed.ec != std::errc() || parsed.ptr != digits.data() + digits.size())
+    if (error || parsed.ec != std::errc() || parsed.ptr != digits.data() + digits.size()
+        || port == 0)
         return std::nullopt;
     return tcp::endpoint(address, port);
 }
--- a/burdockhold/view_message.cc
+++ b/burdockhold/view_message.cc
@@ -132,6 +132,11 @@
     if (!isOk(decoded))
         return errorOf(decoded);
     report_row &row = valueOf(decoded);
+    // A reader of an older build hands on entries that it should have refused.
+    if (row.slots < 1 || row.slots > MaxEndpointSlots)
+        return malformed("the slots are out of bounds");
+    if (row.incarnation < 0 || row.incarnation > MaxIncarnationMs)
+        return malformed("the start time is out of bounds");
     endpoint_report report;
     report.id = std::string(id);
     report.pool = std::move(row.pool);
--- a/testing/odd_entries_looptest.cc
+++ b/testing/odd_entries_looptest.cc
@@ -120,3 +120,38 @@
                         + "\":" + (field[0] == 't' ? nestedArrays() : nestedObjects()) + "}");
     checkThatListIsFollowed();
 }
+
+// Guards against an entry with an absurd number, address or type that is used as an engine, that
+// ends the process, or after which the list is no longer followed.
+BOOST_FIXTURE_TEST_CASE(oddEntriesNameNoEngine, odd_entries_fixture)
+{
+    const std::string digits = "10000000000000000000000000";
+    const std::vector<std::string> numbers{ "1e25", "1e30",  "1e400", digits, "-" + digits, "-1",
+                                            "1.5",  "\"6\"", "true",  "null", "[[[6]]]" };
+    std::vector<std::string> records;
+    for (const char *field : { "slots", "born" }) {
+        for (const std::string &number : numbers)
+            records.push_back(oddRecord(field, number));
+    }
+    for (const std::string &number : numbers)
+        records.push_back(oddRecord("models", R"([{"name":"m","version":)" + number + "}]"));
+    records.push_back(oddRecord("slots", "0"));
+    records.push_back(oddRecord("slots", "4294967302")); // 6 in 32 bits.
+    for (const char *address : { "127.0.0.1", "127.0.0.1:0", "127.0.0.1:65536", "[::1]:80", "",
+                                 "127.0.0.1:99999999999", "localhost:80", R"(127.0.0.1\u0000:80)" })
+        records.push_back(oddRecord("address", "\"" + std::string(address) + "\""));
+    for (const char *state : { "\"well\"", "null", "1", "[]" })
+        records.push_back(oddRecord("state", state));
+    records.push_back(oddRecord("service", "\"unknown\""));
+    records.push_back(oddRecord("service", "7"));
+    records.push_back(oddRecord("zone", "\"\xc3\x28\""));
+    records.push_back(oddRecord("later", nestedObjects()));
+    for (const std::string &bytes : { std::string("\x01\x02\xff"), std::string("[]"),
+                                      std::string(200000, '['), std::string(200000, '{') })
+        records.push_back(bytes);
+    for (std::size_t at = 0; at < records.size(); ++at)
+        putEntry("odd-" + std::to_string(at), records[at]);
+    putEntry("odd\r\nX-Odd: 1", endpointRecord(odd.address(), "ready"));
+    putEntry(std::string("odd\xff"), endpointRecord(odd.address(), "ready"));
+    checkThatListIsFollowed();
+}
--- a/testing/platform_codec_looptest.cc
+++ b/testing/platform_codec_looptest.cc
@@ -1,15 +1,18 @@
 #define BOOST_TEST_MODULE platform_codec
 #include "burdockhold/caller_connection.h"
+#include "burdockhold/http_client_connection.h"
 #include "platform/deployment_codec.h"
 #include "platform/engine_codec.h"
 #include "platform/log_codec.h"
 #include "platform/request_codec.h"
 #include "platform/rollout_codec.h"
+#include "testing/support_mutation.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <random>
 #include <string>
 #include <vector>
 
@@ -19,6 +22,27 @@
 
 namespace {
 
+/// JSON values that are no usable count. Each is too large, too small or of another type.
+const std::vector<std::string> absurdNumbers{
+    "1e25",
+    "1e30",
+    "1e400",
+    "10000000000000000000000000",
+    "-10000000000000000000000000",
+    "18446744073709551615",
+    "18446744073709551617",
+    "9223372036854775807",
+    "-9223372036854775808",
+    "-1",
+    "1.5",
+    "6.0",
+    "\"6\"",
+    "true",
+    "null",
+    "[6]",
+    "{}",
+};
+
 /// Parses a caller's request as the router does. Returns nothing if the router refuses it.
 std::optional<platform::http_request> parsed(const std::string &bytes)
 {
@@ -54,6 +78,15 @@
     return text;
 }
 
+/// Checks that the entry is refused and that the reason names the field.
+void checkRefused(const std::string &body, const std::string &field)
+{
+    const auto decoded = platform::decodeEndpoint("e1", body);
+    BOOST_REQUIRE_MESSAGE(!isOk(decoded), body.substr(0, 300));
+    BOOST_TEST(errorOf(decoded).text.find("field " + field + " ") != std::string::npos,
+               errorOf(decoded).text << " for " << body.substr(0, 300));
+}
+
 constexpr int NestedLevels = 100000;
 
 std::string nestedArrays()
@@ -298,3 +331,182 @@
         BOOST_TEST(!isOk(platform::decodeJoin(nested)));
     }
 }
+
+// Guards against an engine with a number that is converted although it is too large, and so used
+// with slots or a start that no engine stated.
+BOOST_AUTO_TEST_CASE(absurdNumbersOfEntriesAreRefused)
+{
+    std::vector<std::string> slots = absurdNumbers;
+    slots.insert(slots.end(), { "0", "65537", "2147483648", "4294967304" });
+    for (const std::string &number : slots) {
+        if (number == "1e400") // Not JSON to the library.
+            BOOST_TEST(!isOk(platform::decodeEndpoint("e1", changed(entry, "8", number))));
+        else
+            checkRefused(changed(entry, R"("slots":8)", R"("slots":)" + number), "slots");
+    }
+    for (const std::string &number : absurdNumbers) {
+        if (number == "1e400")
+            continue;
+        checkRefused(changed(entry, R"("born":5)", R"("born":)" + number), "born");
+        checkRefused(changed(entry, R"("version":3)", R"("version":)" + number), "version");
+    }
+    for (const char *slotsOfEngine : { "1", "65536" })
+        BOOST_TEST(isOk(platform::decodeEndpoint(
+                "e1", changed(entry, R"("slots":8)", R"("slots":)" + std::string(slotsOfEngine)))));
+    BOOST_TEST(isOk(platform::decodeEndpoint("e1", changed(entry, R"("born":5)", R"("born":0)"))));
+}
+
+// Guards against an entry whose address or id no call can use, or that changes the header of a
+// call.
+BOOST_AUTO_TEST_CASE(addressesThatDoNotParseAreRefused)
+{
+    for (const std::string address : { "",
+                                       ":",
+                                       ":80",
+                                       "10.0.0.1",
+                                       "10.0.0.1:",
+                                       "10.0.0.1:0",
+                                       "10.0.0.1:65536",
+                                       "10.0.0.1:99999999999",
+                                       "10.0.0.1:-1",
+                                       "10.0.0.1:+80",
+                                       "10.0.0.1:80 ",
+                                       "10.0.0.1:8x",
+                                       " 10.0.0.1:80",
+                                       "10.0.0:80",
+                                       "10.0.0.256:80",
+                                       "10.0.0.1.1:80",
+                                       "[::1]:80",
+                                       "::1:80",
+                                       "engine.example:80",
+                                       "http://10.0.0.1:80",
+                                       R"(10.0.0.1:80\r\nX: y)",
+                                       R"(10.0.0.1\u0000:80)",
+                                       R"(10.0.0.1\u0000x:80)",
+                                       R"(10.0.0.1:80\u0000)" })
+        checkRefused(changed(entry, "10.0.0.1:80", address), "address");
+    for (const std::string value : { "null", "80", "[]", "{}", "true" })
+        checkRefused(changed(entry, R"("10.0.0.1:80")", value), "address");
+    checkRefused(changed(entry, "10.0.0.1:80", std::string(262144, '[')), "address");
+    for (const char *address : { "10.0.0.1:1", "10.0.0.1:65535" })
+        BOOST_TEST(isOk(platform::decodeEndpoint("e1", changed(entry, "10.0.0.1:80", address))));
+    for (const std::string &id : { std::string(), std::string("e 1"), std::string("e1\r\nX: y"),
+                                   "e" + std::string(1, '\0'), std::string("e\xff") })
+        BOOST_TEST(!isOk(platform::decodeEndpoint(id, entry)), id);
+}
+
+BOOST_AUTO_TEST_CASE(unreadableBytesAreNoEntry)
+{
+    for (const std::string &body :
+         { std::string(), std::string(1, '\0'), std::string("\x01\x02"), std::string("null"),
+           std::string("5"), std::string(262144, '['), std::string(262144, '{'),
+           std::string(262144, '"'), changed(entry, "\"z\"", "\"\xc3\x28\""),
+           changed(entry, "\"z\"", "\"\x01\"") })
+        BOOST_TEST(!isOk(platform::decodeEndpoint("e1", body)), body.substr(0, 200));
+}
+
+// Guards against a mutated entry that throws, or that is accepted with values out of bounds.
+BOOST_AUTO_TEST_CASE(mutatedEntriesAreRefusedOrInBounds)
+{
+    std::mt19937 random(5);
+    int accepted = 0;
+    for (int round = 0; round < 50000; ++round) {
+        std::string body = burdockhold::testing::mutated(entry, random);
+        if (round % 2 == 0)
+            body = changed(entry, R"("slots":8)",
+                           R"("slots":)" + burdockhold::testing::mutated("80000", random));
+        const auto decoded = platform::decodeEndpoint("e1", body);
+        if (!isOk(decoded))
+            continue;
+        ++accepted;
+        const endpoint_report &report = valueOf(decoded);
+        BOOST_TEST(report.slots >= 1, body);
+        BOOST_TEST(report.slots <= MaxEndpointSlots, body);
+        BOOST_TEST(report.incarnation >= 0, body);
+        BOOST_TEST(report.incarnation <= MaxIncarnationMs, body);
+        BOOST_TEST(parseAddress(report.address).has_value(), body);
+    }
+    BOOST_TEST(accepted > 1000);
+}
+
+// Guards against a deployment that is applied with a number that nobody can mean.
+BOOST_AUTO_TEST_CASE(absurdNumbersOfDeploymentsAreRefused)
+{
+    const std::string deployment =
+            R"({"version":7,"routes":[{"host":"h","path_prefix":"/","kind":"safe",)"
+            R"("timeout_ms":5000,"target_latency_ms":600,"gap_target_ms":300,"max_attempts":2,)"
+            R"("priority":1,"traffic_split":[{"service":"p","weight":90}]}],)"
+            R"("services":[{"name":"p","max_connections":620,"engine":{"slots":128,)"
+            R"("kv_capacity_tokens":95573,"kv_token_bytes":262144}},)"
+            R"({"name":"s","kv_store_addr":"172.20.0.2:8604","zone":"z","link_mbps":320000.0}],)"
+            R"("limits":{"max_header_bytes":16384,"max_body_bytes":4194304,)"
+            R"("header_timeout_ms":3000,"idle_timeout_ms":15000},)"
+            R"("tenants":[{"name":"t","api_keys":["k"],"priority":2,"unit":"token_stream",)"
+            R"("uncached_tokens":200,"rate_per_s":130361,"burst":130362}]})";
+    BOOST_REQUIRE(isOk(platform::decodeDeployment(deployment)));
+    const std::vector<std::string> fields{ R"("version":7)",
+                                           R"("timeout_ms":5000)",
+                                           R"("target_latency_ms":600)",
+                                           R"("gap_target_ms":300)",
+                                           R"("max_attempts":2)",
+                                           R"("priority":1)",
+                                           R"("weight":90)",
+                                           R"("max_connections":620)",
+                                           R"("slots":128)",
+                                           R"("uncached_tokens":200)",
+                                           R"("rate_per_s":130361)",
+                                           R"("burst":130362)",
+                                           R"("link_mbps":320000.0)",
+                                           R"("header_timeout_ms":3000)",
+                                           R"("idle_timeout_ms":15000)",
+                                           R"("max_header_bytes":16384)",
+                                           R"("max_body_bytes":4194304)",
+                                           R"("kv_capacity_tokens":95573)",
+                                           R"("kv_token_bytes":262144)",
+                                           R"("priority":2)" };
+    for (const std::string &field : fields) {
+        const std::string name = field.substr(0, field.find(':') + 1);
+        for (const std::string number : { "1e25", "1e30", "10000000000000000000000000",
+                                          "18446744073709551615", "-1", "\"6\"", "true", "[]" }) {
+            const auto decoded = platform::decodeDeployment(
+                    changed(deployment, field, name + number));
+            BOOST_REQUIRE_MESSAGE(!isOk(decoded), name << number);
+            BOOST_TEST(errorOf(decoded).text.find(name.substr(1, name.size() - 3))
+                               != std::string::npos,
+                       errorOf(decoded).text);
+        }
+    }
+    for (const char *address : { "172.20.0.2:0", "172.20.0.2", "[::1]:80", "store:80" })
+        BOOST_TEST(
+                !isOk(platform::decodeDeployment(changed(deployment, "172.20.0.2:8604", address))));
+    // An account without a priority of its own.
+    BOOST_TEST(isOk(platform::decodeDeployment(
+            changed(deployment, R"("priority":2)", R"("priority":null)"))));
+}
+
+// Guards against target weights, reports and orders with a number that was converted although it
+// does not fit.
+BOOST_AUTO_TEST_CASE(absurdNumbersOfOrdersAndReportsAreRefused)
+{
+    const std::string target = R"({"model":"m","version":2})";
+    const std::string report =
+            R"({"seq":2,"busy":false,"models":[{"name":"m","version":4,"adapters":[]}]})";
+    const std::string newest = R"({"items":[],"has_more":false,"end":9})";
+    const std::string joined = R"({"generation":3,"parts":[["t",0,5]]})";
+    BOOST_REQUIRE(isOk(platform::decodeTargetWeights(target)));
+    BOOST_REQUIRE(isOk(platform::decodeReport(report)));
+    BOOST_REQUIRE(isOk(platform::decodeNewest(newest)));
+    BOOST_REQUIRE(isOk(platform::decodeJoin(joined)));
+    BOOST_TEST(!isOk(platform::decodeTargetWeights(changed(target, "2", "0"))));
+    for (const std::string &number : absurdNumbers) {
+        BOOST_TEST(!isOk(platform::decodeTargetWeights(changed(target, "2", number))), number);
+        BOOST_TEST(!isOk(platform::decodeReport(changed(report, "2", number))), number);
+        BOOST_TEST(!isOk(platform::decodeReport(changed(report, "4", number))), number);
+        BOOST_TEST(!isOk(platform::decodeNewest(changed(newest, "9", number))), number);
+        BOOST_TEST(!isOk(platform::decodeJoin(changed(joined, "3", number))), number);
+        BOOST_TEST(!isOk(platform::decodeJoin(changed(joined, "0", number))), number);
+    }
+    const std::string order = R"({"service":"p","target":"v2","duration_s":12})";
+    for (const std::string number : { "1e25", "10000000000000000000000000", "-1", "true", "null" })
+        BOOST_TEST(!isOk(platform::decodeSoftwareOrder(changed(order, "12", number))), number);
+}
--- a/testing/view_message_test.cc
+++ b/testing/view_message_test.cc
@@ -5,6 +5,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include <chrono>
+#include <climits>
+#include <cstdint>
 #include <random>
 #include <string>
 
@@ -96,6 +98,23 @@
     BOOST_TEST(valueOf(report).weights.at("m") == 3);
 }
 
+// Guards against an engine of absurd size or age that a reader of an older build hands on.
+BOOST_AUTO_TEST_CASE(absurdReportsAreRefused)
+{
+    const auto isAccepted = [](int slots, std::int64_t incarnation) {
+        endpoint_report report = sampleReport();
+        report.slots = slots;
+        report.incarnation = incarnation;
+        return isOk(decodeReport("e1", encodeReport(report)));
+    };
+    BOOST_TEST(isAccepted(1, 0));
+    BOOST_TEST(isAccepted(MaxEndpointSlots, MaxIncarnationMs));
+    for (const int slots : { INT_MIN, -1, 0, 65537, INT_MAX })
+        BOOST_TEST(!isAccepted(slots, 5), slots);
+    for (const std::int64_t incarnation : { INT64_MIN, std::int64_t(-1), INT64_MAX })
+        BOOST_TEST(!isAccepted(6, incarnation), incarnation);
+}
+
 // Guards against a malformed message that ends the process with an exception: the decoders accept
 // or reject a message and never throw.
 BOOST_AUTO_TEST_CASE(mutatedMessagesNeverThrow)
