--- a/testing/resumed_streams_looptest.cc
+++ b/testing/resumed_streams_looptest.cc
@@ -81,7 +81,7 @@
 std::vector<engine_response> continuationsOfOtherStreams()
 {
     const auto response = [](const std::string &name, const std::string &body) {
-        return engine_response{ name, eventStream + chunked, chunk(body) + lastChunk, {} };
+        return engine_response{ name, eventStream + chunked, chunk(body) + LastChunk, {} };
     };
     const std::string json = "{\"error\":\"x\"}\n\n";
     return {
@@ -94,7 +94,7 @@
         response("repeated events only", events(1, 3)),
         { "plain text",
           "Content-Type: text/plain\r\n" + chunked,
-          chunk(events(4, 6)) + lastChunk,
+          chunk(events(4, 6)) + LastChunk,
           {} },
     };
 }
@@ -139,17 +139,12 @@
         bytes.replace(bytes.find("id1"), 3, "id" + std::to_string(++m_number));
         test_caller caller(router->callerAddress());
         caller.send(bytes);
-<<<<<<< HEAD
-        received_stream stream = decodeStream(caller.readUntil(lastChunk, WaitLimitMs));
+        received_stream stream = decodeStream(caller.readUntil(LastChunk, WaitLimitMs));
         closed = caller.closedByPeer();
         const std::lock_guard lock(mutex);
         resumedAfter.clear();
         for (std::size_t index = before; index < calls.size(); ++index)
             resumedAfter.push_back(calls[index].field("Last-Event-Id"));
-=======
-        const received_stream stream = decodeStream(caller.readUntil(LastChunk, WaitLimitMs));
-        calls = callCount() - before;
->>>>>>> faults
         return stream;
     }
 
@@ -198,7 +193,7 @@
                            const engine_response &next)
 {
     const engine_response rest{
-        "rest", eventStream + chunked, chunk(events(4, 6)) + lastChunk, {}
+        "rest", eventStream + chunked, chunk(events(4, 6)) + LastChunk, {}
     };
     const received_stream stream = fixture.call("/resume3/", { first, next, rest });
     BOOST_TEST(stream.body == events(1, 6), next.name << ": " << stream.body);
@@ -246,7 +241,7 @@
 BOOST_FIXTURE_TEST_CASE(commentsBeforeAContinuationAreAllowed, resumed_fixture)
 {
     const engine_response rest{
-        "rest", eventStream + chunked, chunk(": ping\n\n" + events(3, 6)) + lastChunk, {}
+        "rest", eventStream + chunked, chunk(": ping\n\n" + events(3, 6)) + LastChunk, {}
     };
     const received_stream stream = call("/resume/", { brokenStreams().front(), rest });
     BOOST_TEST(stream.body == events(1, 6), stream.body);
@@ -258,7 +253,7 @@
 {
     const std::string text = "data: a\n\ndata: b\n\n";
     const engine_response broken{ "broken", eventStream + chunked, chunk(text), {} };
-    const engine_response whole{ "whole", eventStream + chunked, chunk(text) + lastChunk, {} };
+    const engine_response whole{ "whole", eventStream + chunked, chunk(text) + LastChunk, {} };
     const received_stream stream = call("/resume/", { broken, whole });
     BOOST_TEST(stream.body == text, stream.body);
     BOOST_TEST(!stream.complete);
@@ -287,7 +282,7 @@
 BOOST_FIXTURE_TEST_CASE(callerThatResumesGetsNoEventTwice, resumed_fixture)
 {
     const engine_response rest{
-        "rest", eventStream + chunked, chunk(events(3, 6)) + lastChunk, {}
+        "rest", eventStream + chunked, chunk(events(3, 6)) + LastChunk, {}
     };
     const received_stream stream = call("/resume/", { rest }, "Last-Event-Id: 3\r\n");
     BOOST_TEST(stream.body == events(4, 6), stream.body);
