Take a refusal as proof only for an attempt's first call

What callers saw: status 503, "not run", for requests that an engine had run, on unsafe, safe and stream routes, when an engine refused an attempt with Retry-After and, asked again, wrote that refusal once more before its answer. A request that may run once then ran at a second engine.

Cause: a refusal with a pause allows another call of the same attempt to the same engine. Both calls bear the same id, so a refusal that answers the second one cannot be told from a repetition of the first.

Ruled out: a refusal without an id on a kept connection (already a wrong answer), and an incomplete refusal, closed or reset (already broken, 502).

Change: classifyResponse() says RefusedAgain if an earlier call of the attempt reached the same address. It counts as a possible run: the request ends with 502 if it may not be repeated, and a retryable one may be tried again but is no longer refused as "not run". The rule goes by address, not by id, since an engine may refuse an attempt that was sent to the id of an earlier engine at its address. The endpoint's health is not changed. A possible run counts towards the route's limit of endpoints.

--- a/burdockhold/attempt_rules.cc
+++ b/burdockhold/attempt_rules.cc
@@ -7,6 +7,11 @@
     return kind == call_kind::Idempotent || (kind == call_kind::Stream && resumable);
 }
 
+bool isRefusal(call_end end)
+{
+    return end == call_end::SaidNotRun || end == call_end::RefusedAgain;
+}
+
 namespace {
 
 bool canTryAnother(const attempt_facts &facts)
@@ -25,10 +30,12 @@
 
 /// Returns true if a started stream was refused and only the retry budget prevents another call. A
 /// refusal loses nothing of the stream, so it can wait until the budget allows a retry.
-bool shouldAwaitRetryBudget(const attempt_facts &facts)
+bool shouldAwaitRetryBudget(attempt_facts facts)
 {
-    return facts.responseStarted && facts.end == call_end::SaidNotRun && !facts.retriesLeft
-           && facts.attemptsLeft > 0 && facts.timeLeft >= MinTimeForRetry;
+    if (!facts.responseStarted || !isRefusal(facts.end) || facts.retriesLeft)
+        return false;
+    facts.retriesLeft = true;
+    return canTryAnother(facts);
 }
 
 } // namespace
@@ -82,8 +89,10 @@
 call_end classifyResponse(const response_facts &response)
 {
     const bool success = response.status >= 200 && response.status < 300;
+    if (!success && response.notExecuted)
+        return response.calledBefore ? call_end::RefusedAgain : call_end::SaidNotRun;
     if (!success)
-        return response.notExecuted ? call_end::SaidNotRun : call_end::Failed;
+        return call_end::Failed;
     if (!response.isStream)
         return call_end::Complete;
     if (response.hasPartialEvent)
--- a/burdockhold/attempt_rules.h
+++ b/burdockhold/attempt_rules.h
@@ -8,6 +8,8 @@
 // - A call that may have run is retried only if its kind allows retries.
 // - "Not run" is reported only if no byte reached an endpoint, or if every endpoint that received
 //   the call stated that it did not run it.
+// - A refusal proves "not run" only if it answers the first call of the attempt to its address: an
+//   answer to a later call cannot be told from a repetition of an earlier refusal.
 // - A stream that has started continues only if its route is resumable.
 // - A stream that has started ends as complete only if the call that ended it completed a response
 //   which added events to it. Anything else, an error response included, is resumed elsewhere or
@@ -25,21 +27,23 @@
 namespace burdockhold {
 
 enum class call_end {
-    Complete,    ///< The whole response has been delivered or is ready for delivery.
-    NotSent,     ///< No byte of the request can have reached the endpoint.
-    SaidNotRun,  ///< The endpoint refused the call and stated that it did not run it.
-    Failed,      ///< The endpoint itself returned an error response.
-    Broken,      ///< The connection was reset, closed or silent before the response was complete.
-    WrongAnswer, ///< The response is malformed, or cannot be the response to this call.
+    Complete,     ///< The whole response has been delivered or is ready for delivery.
+    NotSent,      ///< No byte of the request can have reached the endpoint.
+    SaidNotRun,   ///< The endpoint refused the call and stated that it did not run it.
+    RefusedAgain, ///< It refused a repeated call of the attempt, so it may have run the attempt.
+    Failed,       ///< The endpoint itself returned an error response.
+    Broken,       ///< The connection was reset, closed or silent before the response was complete.
+    WrongAnswer,  ///< The response is malformed, or cannot be the response to this call.
 };
 
 template <>
 struct enum_names<call_end>
 {
-    static constexpr std::array<enum_name<call_end>, 6> Table{ {
+    static constexpr std::array<enum_name<call_end>, 7> Table{ {
             { call_end::Complete, "complete" },
             { call_end::NotSent, "not_sent" },
             { call_end::SaidNotRun, "said_not_run" },
+            { call_end::RefusedAgain, "refused_again" },
             { call_end::Failed, "failed" },
             { call_end::Broken, "broken" },
             { call_end::WrongAnswer, "wrong_answer" },
@@ -102,6 +106,7 @@
 {
     int status = 0;
     bool notExecuted = false;     ///< It states that the endpoint did not run the call.
+    bool calledBefore = false;    ///< An earlier call of the attempt reached the same address.
     bool isStream = false;        ///< The route's responses are streams of events.
     bool hasPartialEvent = false; ///< It ends inside an event.
     bool responseStarted = false; ///< The caller has received the head of the response.
@@ -125,6 +130,9 @@
 /// Returns the facts adjusted for an endpoint that is known to have terminated.
 attempt_facts withTerminatedEndpoint(attempt_facts facts);
 
+/// Returns true if the endpoint refused the call, whether or not this proves that it did not run.
+bool isRefusal(call_end end);
+
 /// Returns true if a route's calls may run more than once.
 bool isRetryable(call_kind kind, bool resumable);
 
--- a/burdockhold/rollout_calls.cc
+++ b/burdockhold/rollout_calls.cc
@@ -19,6 +19,7 @@
         return rollout_call_end::Failed;
     case call_end::NotSent:
     case call_end::SaidNotRun:
+    case call_end::RefusedAgain:
         break;
     }
     return rollout_call_end::NoOutcome;
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -688,6 +688,7 @@
     response_facts response;
     response.status = m_head.status;
     response.notExecuted = m_head.notExecuted;
+    response.calledBefore = m_calledAddresses.count(m_address) != 0;
     response.isStream = m_route->kind == call_kind::Stream;
     response.hasPartialEvent = m_events.hasPartial();
     response.responseStarted = m_responseStarted;
@@ -734,7 +735,7 @@
     router_board &board = m_context.board;
     const time_point now = steadyNow();
     // A pause says nothing about how well the endpoint works.
-    const bool conclusive = end != call_end::SaidNotRun && !m_head.notice.pause;
+    const bool conclusive = !isRefusal(end) && !m_head.notice.pause;
     if (conclusive) {
         const bool succeeded = end == call_end::Complete;
         board.endpoints.recordCallResult(m_endpointId, succeeded,
@@ -742,12 +743,14 @@
     }
     if (end == call_end::NotSent)
         board.endpoints.connectFailed(m_endpointId, now);
-    else if (end == call_end::SaidNotRun)
+    else if (isRefusal(end))
         recordRefusal();
-    else {
+    if (end != call_end::NotSent && end != call_end::SaidNotRun) {
         m_mayHaveRun = true;
         ++m_runs;
     }
+    if (end != call_end::NotSent)
+        m_calledAddresses.insert(m_address);
     if (end == call_end::Complete)
         recordAnswer(); // An error may precede the work that crashes endpoints.
     endRolloutCall(board, m_poolName, m_endpointId, m_rolloutCall, end);
--- a/burdockhold/routed_request.h
+++ b/burdockhold/routed_request.h
@@ -187,7 +187,8 @@
     std::optional<fingerprint> m_trialOf; ///< Blocked fingerprint that the next call tries out.
     bool m_isTrial = false;               ///< A call has been sent as a trial.
     std::set<std::string> m_triedEndpoints;
-    std::string m_lastEndpointId; ///< Endpoint of the last call; empty if none was made.
+    std::set<std::string> m_calledAddresses; ///< A call of the attempt may have arrived there.
+    std::string m_lastEndpointId;            ///< Endpoint of the last call; empty if none was made.
     int m_callsMade = 0;
     int m_runs = 0;
     int m_resumes = 0; ///< Calls that were to continue the stream that the caller has begun to get.
--- a/testing/support_pausing_engines.h
+++ b/testing/support_pausing_engines.h
@@ -2,8 +2,8 @@
 #define BURDOCKHOLD_SUPPORT_PAUSING_ENGINES_H
 
 // A fixture for tests of engines that announce that they leave or ask for a pause: a fake log, any
-// number of fake engines and one router. A test sets how each engine answers; the fixture records
-// what reaches each engine.
+// number of fake engines and one router. A test sets how each engine answers, or one behaviour for
+// all of them; the fixture records what reaches each engine.
 
 #include "testing/support_router.h"
 
@@ -118,7 +118,10 @@
                                 { "routes",
                                   { route("/safe/", "safe", 400, false),
                                     route("/patient/", "safe", 15000, false),
-                                    route("/resume/", "stream", 400, true) } },
+                                    route("/resume/", "stream", 400, true),
+                                    route("/pay/", "unsafe", 15000, false),
+                                    route("/once/", "stream", 15000, false),
+                                    route("/patient-resume/", "stream", 15000, true) } },
                                 { "services", { { { "name", "desk" } } } },
                                 { "limits",
                                   { { "max_header_bytes", 16384 },
@@ -132,16 +135,19 @@
     bool serve(std::size_t index, const recorded_request &request, response_socket &socket)
     {
         engine_answer answer;
+        engine_behaviour handler;
         std::size_t number = 0;
         {
             const std::lock_guard lock(mutex);
             answer = answers[index];
+            handler = behaviour;
             number = arrivals[index].size();
             arrivals[index].push_back({ test_clock::now(), test_clock::time_point::max(),
                                         request.field("X-Burdockhold-Attempt-Id"),
                                         answer.kind == engine_answer::form::Refusal });
         }
-        const bool keep = writeAnswer(answer, request, socket);
+        const bool keep = handler ? handler("e" + std::to_string(index), request, socket)
+                                  : writeAnswer(answer, request, socket);
         const std::lock_guard lock(mutex);
         arrivals[index][number].answeredAt = test_clock::now();
         return keep;
@@ -153,6 +159,13 @@
         answers[index] = answer;
     }
 
+    /// Sets the behaviour of all engines, in place of the answers set for each.
+    void setEngineBehaviour(engine_behaviour handler)
+    {
+        const std::lock_guard lock(mutex);
+        behaviour = std::move(handler);
+    }
+
     std::vector<engine_arrival> arrivalsAt(std::size_t index)
     {
         const std::lock_guard lock(mutex);
@@ -230,6 +243,7 @@
 
     std::mutex mutex;
     std::vector<engine_answer> answers;
+    engine_behaviour behaviour;
     std::vector<std::vector<engine_arrival>> arrivals;
     std::atomic<int> nextAttempt{ 0 };
     fake_log_service log;
