--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -309,9 +309,21 @@
                                     board.endpoints.weightsOf(candidate.id, m_request.model)))
             candidate.excluded = exclusion::ExpiredWeights;
     }
+    if (!m_calledAddresses.empty() && !mayCallAgain(m_route->kind, m_route->resumable))
+        excludeCalled(candidates);
     return candidates;
 }
 
+/// Excludes the endpoints at addresses that a call of the attempt may have reached.
+void routed_request::excludeCalled(std::vector<endpoint_candidate> &candidates) const
+{
+    for (endpoint_candidate &candidate : candidates) {
+        const endpoint_report *report = m_context.board.endpoints.find(candidate.id);
+        if (report != nullptr && m_calledAddresses.count(report->address) != 0)
+            excludeTried(candidate);
+    }
+}
+
 /// Returns the store for the request's shared segments, chosen by the data centre of the preferred
 /// endpoint.
 const cache_store *routed_request::segmentStore(const placement_inputs &inputs) const
@@ -423,7 +435,8 @@
     return true;
 }
 
-/// Refuses a request that has not run if all endpoints leave or pause until after its longest wait.
+/// Refuses a request that has not run if all endpoints leave, have been tried, or pause until after
+/// its longest wait.
 bool routed_request::refuseIfNoneReturns(const std::vector<endpoint_candidate> &candidates,
                                          time_point now)
 {
@@ -436,8 +449,8 @@
     m_context.board.metrics.count(router_counter::RefusedAllPaused);
     if (m_context.board.log.accepts(log_priority::Failure, now))
         logPoolFull(now);
-    if (endpoints.firstReturn)
-        refuse(503, "all_paused", *endpoints.firstReturn - now);
+    if (endpoints.firstEnd)
+        refuse(503, "all_paused", *endpoints.firstEnd - now);
     else
         refuse(503, "all_leaving", m_route->latencyTarget);
     return true;
@@ -696,6 +709,7 @@
     response_facts response;
     response.status = m_head.status;
     response.notExecuted = m_head.notExecuted;
+    response.calledBefore = m_calledAddresses.count(m_address) != 0;
     response.isStream = m_route->kind == call_kind::Stream;
     response.hasPartialEvent = m_events.hasPartial();
     response.responseStarted = m_responseStarted;
@@ -707,7 +721,8 @@
 {
     router_board &board = m_context.board;
     if (m_head.notice.pause && m_head.status != 421) {
-        m_triedEndpoints.erase(m_endpointId); // It may take the request after its pause.
+        if (mayCallAgain(m_route->kind, m_route->resumable))
+            m_triedEndpoints.erase(m_endpointId); // It may take the request after its pause.
         return;
     }
     if (m_head.status != 421) {
@@ -743,7 +758,7 @@
     const time_point now = steadyNow();
     // A pause says nothing about how well the endpoint works. Nor does an empty continuation: the
     // stream may have broken off after its last event.
-    const bool conclusive = end != call_end::SaidNotRun && end != call_end::NothingAdded
+    const bool conclusive = !isRefusal(end) && end != call_end::NothingAdded
                             && !m_head.notice.pause;
     if (conclusive) {
         const bool succeeded = end == call_end::Complete;
@@ -752,12 +767,14 @@
     }
     if (end == call_end::NotSent)
         board.endpoints.connectFailed(m_endpointId, now);
-    else if (end == call_end::SaidNotRun)
+    else if (isRefusal(end))
         recordRefusal();
-    else {
+    if (end != call_end::NotSent && end != call_end::SaidNotRun) {
         m_mayHaveRun = true;
         ++m_runs;
     }
+    if (end != call_end::NotSent)
+        m_calledAddresses.insert(m_address);
     if (end == call_end::Complete)
         recordAnswer(); // An error may precede the work that crashes endpoints.
     endRolloutCall(board, m_poolName, m_endpointId, m_rolloutCall, end);
