Test streams that leave a silent engine and are continued badly

Until now the streams of resumed_streams_looptest broke off; none left an engine that had gone silent, which takes another path (migrateFromSilentEndpoint).

--- a/testing/resumed_streams_looptest.cc
+++ b/testing/resumed_streams_looptest.cc
@@ -22,6 +22,7 @@
     std::string end; ///< Sent after a pause, so that the body has been read before it.
     bool reset = false;
     std::string status = "200 OK";
+    bool silent = false; ///< Sends nothing more and waits until the router has left.
 };
 
 const std::string eventStream = "Content-Type: text/event-stream\r\n";
@@ -40,6 +41,7 @@
     const std::string aLength = eventStream + "Content-Length: 1000\r\n";
     return {
         { "chunked, closed", eventStream + chunked, chunk(three), {} },
+        { "chunked, silent", eventStream + chunked, chunk(three), {}, false, "200 OK", true },
         { "chunked, reset", eventStream + chunked, chunk(three), {}, true },
         { "chunked, inside a chunk", eventStream + chunked, chunk(three), "20\r\n" + unfinished },
         { "chunked, malformed size", eventStream + chunked, chunk(three), "zz\r\n" },
@@ -85,6 +87,8 @@
                  + response.body);
     if (response.reset || !response.end.empty())
         std::this_thread::sleep_for(std::chrono::milliseconds(30));
+    if (response.silent)
+        socket.peerClosed(WaitLimitMs);
     socket.write(response.end);
     if (response.reset)
         socket.reset();
