Stop using an engine whose entry became unreadable

What operators saw: an entry that cannot be read replaced the one of a known engine, and the engine was used on; each read of an odd entry added a line to the log.

Cause: a refused entry left the engine table and the list that the reader hands to other VMs as they were.

Class: a refused update that keeps the state of before, where the update replaces it.

Ruled out: that the engine then stays out of use: a later good entry brings it back, of the same incarnation too.

Change: the reader removes a refused entry from the list for other VMs, and each VM treats the engine as removed. endpoint_refused is written once for each id and reason, with the priority of state changes, so that it is not dropped under load.

Measured before: odd_entries_looptest unreadableEntryReplacesTheKnownOne and oddEntryIsLoggedOnce fail (7 failures, the engine is still called after 8 s for each of three kinds of entry; an entry written five times gives more than one line); views_looptest refusedEntryIsRemovedAtAllVms fails without the change of view_controller.cc.

--- a/burdockhold/event_router.cc
+++ b/burdockhold/event_router.cc
@@ -11,6 +11,7 @@
 #include <csignal>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace burdockhold {
@@ -200,9 +201,7 @@
     handlers.endpointRecordRejected = [this](const auto &id, const auto &reason) {
         endpointRecordRejected(id, reason);
     };
-    handlers.endpointsListed = [this](const auto &ids) {
-        m_board.endpoints.keepOnly(ids, steadyNow());
-    };
+    handlers.endpointsListed = [this](const auto &ids) { endpointsListed(ids); };
     handlers.logCallCompleted = [this](std::string_view topic, int status) {
         updateTopicState(topic, status);
     };
@@ -327,6 +326,7 @@
 void event_router::endpointReported(const endpoint_report &report)
 {
     const time_point now = steadyNow();
+    m_refusedRecords.erase(report.id);
     if (m_board.endpoints.update(report, now))
         m_board.logEndpointChanged(report, now);
 }
@@ -334,6 +334,7 @@
 void event_router::endpointRemoved(const std::string &id)
 {
     const time_point now = steadyNow();
+    m_refusedRecords.erase(id);
     m_board.endpoints.remove(id, now);
     if (m_board.log.accepts(log_priority::StateChange, now))
         m_board.log.write(log_event::EndpointChanged, { { "endpoint", id }, { "state", "gone" } },
@@ -343,11 +344,23 @@
 void event_router::endpointRecordRejected(const std::string &id, const std::string &reason)
 {
     const time_point now = steadyNow();
-    if (m_board.log.accepts(log_priority::Failure, now))
+    m_board.endpoints.remove(id, now);
+    std::string &known = m_refusedRecords[id];
+    if (known == reason)
+        return; // Each read of the record would add a line.
+    known = reason;
+    if (m_board.log.accepts(log_priority::StateChange, now))
         m_board.log.write(log_event::EndpointRefused, { { "endpoint", id }, { "reason", reason } },
                           now);
 }
 
+void event_router::endpointsListed(const std::set<std::string> &ids)
+{
+    m_board.endpoints.keepOnly(ids, steadyNow());
+    for (auto row = m_refusedRecords.begin(); row != m_refusedRecords.end();)
+        row = ids.count(row->first) == 0 ? m_refusedRecords.erase(row) : std::next(row);
+}
+
 void event_router::updateTopicState(std::string_view topic, int status)
 {
     bool &wasUnavailable = m_topicUnavailable[std::string(topic)];
--- a/burdockhold/event_router.h
+++ b/burdockhold/event_router.h
@@ -17,7 +17,9 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace burdockhold {
@@ -54,6 +56,7 @@
     void endpointReported(const endpoint_report &report);
     void endpointRemoved(const std::string &id);
     void endpointRecordRejected(const std::string &id, const std::string &reason);
+    void endpointsListed(const std::set<std::string> &ids);
     void updateTopicState(std::string_view topic, int status);
 
     void scheduleTick();
@@ -80,6 +83,7 @@
     boost::asio::steady_timer m_announceTimer;
     std::shared_ptr<log_connection> m_announceConnection;
     std::map<std::string, bool, std::less<>> m_topicUnavailable; // By topic of the log.
+    std::map<std::string, std::string> m_refusedRecords;         // Reasons, by endpoint id.
     time_point m_sweptAt;
 };
 
--- a/burdockhold/view_controller.cc
+++ b/burdockhold/view_controller.cc
@@ -356,6 +356,7 @@
     }
     const auto decoded = platform::decodeEndpoint(record.key, *record.value);
     if (!isOk(decoded)) {
+        m_endpoints.changelog.remove(record.key);
         m_handlers.endpointRecordRejected(record.key, errorOf(decoded).text);
         return;
     }
--- a/burdockhold/view_controller.h
+++ b/burdockhold/view_controller.h
@@ -39,7 +39,8 @@
     std::function<void(const platform::keyed_record &)> operatorRecord;
     std::function<void(const endpoint_report &)> endpointReported;
     std::function<void(const std::string &id)> endpointRemoved;
-    /// Called with the id of an endpoint whose record cannot be decoded, and the reason.
+    /// Called with the id of a record that names no endpoint to use, also if the endpoint was known
+    /// before, and the reason.
     std::function<void(const std::string &id, const std::string &reason)> endpointRecordRejected;
     /// Called with the ids of all endpoints that have a record.
     std::function<void(const std::set<std::string> &ids)> endpointsListed;
--- a/testing/odd_entries_looptest.cc
+++ b/testing/odd_entries_looptest.cc
@@ -155,3 +155,53 @@
     putEntry(std::string("odd\xff"), endpointRecord(odd.address(), "ready"));
     checkThatListIsFollowed();
 }
+
+// Guards against an engine that is still used although an entry that names no engine has replaced
+// its own, and against one that stays out of use once its entry can be read again.
+BOOST_FIXTURE_TEST_CASE(unreadableEntryReplacesTheKnownOne, odd_entries_fixture)
+{
+    // The second engine refuses, so that each call reaches the first one if it is used.
+    setEngineBehaviour([](const std::string &name, const recorded_request &r, response_socket &s) {
+        if (name == "e1")
+            return s.write(completeResponse(r, "body"));
+        return s.write("HTTP/1.1 503 Service Unavailable\r\nX-Burdockhold-Attempt-Id: "
+                       + r.field("X-Burdockhold-Attempt-Id")
+                       + "\r\nX-Burdockhold-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+    });
+    const auto reachesFirst = [this] {
+        const std::size_t before = callsTo("e1");
+        for (int call = 0; call < 5; ++call)
+            exchangeRequest(request("/safe/"));
+        return callsTo("e1") > before;
+    };
+    BOOST_TEST(waitUntil(reachesFirst));
+    const std::string good = endpointRecord(first.address(), "ready");
+    std::string textSlots = good;
+    textSlots.replace(textSlots.find(R"("slots":6)"), 9, R"("slots":"6")");
+    for (const std::string &bad : { textSlots, std::string("\x81"), std::string("[]") }) {
+        putEntry("e1", bad);
+        BOOST_TEST(waitUntil([&] { return !reachesFirst(); }), bad);
+        BOOST_TEST(!reachesFirst(), bad);
+        putEntry("e1", good);
+        BOOST_TEST(waitUntil(reachesFirst), bad);
+    }
+}
+
+// Guards against a log that an odd entry fills, as each read of the entry adds a line.
+BOOST_FIXTURE_TEST_CASE(oddEntryIsLoggedOnce, odd_entries_fixture)
+{
+    for (int write = 0; write < 5; ++write)
+        putEntry("odd-1", oddRecord("slots", "1e25"));
+    putEntry("odd-2", oddRecord("born", "1e30"));
+    checkThatListIsFollowed();
+    const std::string text = router->logText();
+    for (const char *id : { "odd-1", "odd-2" }) {
+        const std::string line = R"("event":"endpoint_refused","endpoint":")" + std::string(id)
+                                 + "\"";
+        const auto found = text.find(line);
+        BOOST_REQUIRE(found != std::string::npos);
+        BOOST_TEST(text.find(line, found + 1) == std::string::npos, text);
+        BOOST_TEST(text.find(id[4] == '1' ? "field slots" : "field born", found)
+                   != std::string::npos);
+    }
+}
--- a/testing/views_looptest.cc
+++ b/testing/views_looptest.cc
@@ -55,7 +55,10 @@
             board.endpoints.update(report, steadyNow());
         };
         made.endpointRemoved = [this](const auto &id) { board.endpoints.remove(id, steadyNow()); };
-        made.endpointRecordRejected = [this](const auto &, const auto &) { ++refused; };
+        made.endpointRecordRejected = [this](const auto &id, const auto &) {
+            ++refused;
+            board.endpoints.remove(id, steadyNow());
+        };
         made.endpointsListed = [this](const auto &ids) {
             board.endpoints.keepOnly(ids, steadyNow());
         };
@@ -185,6 +188,20 @@
 
 } // namespace
 
+// Guards against an engine that other VMs still use after the reader has refused the entry that
+// replaced its own.
+BOOST_FIXTURE_TEST_CASE(refusedEntryIsRemovedAtAllVms, test_group)
+{
+    std::string second = endpointRecord("ready");
+    second.replace(second.find("127.0.0.1:1"), 11, "127.0.0.1:2");
+    log.put("keyed.servers", "e2", second);
+    BOOST_REQUIRE(reaches([](const test_vm &vm) { return vm.usableEndpoints() == 2; }));
+    log.put("keyed.servers", "e1", "[]");
+    BOOST_TEST(reaches([](const test_vm &vm) { return vm.usableEndpoints() == 1; }));
+    log.put("keyed.servers", "e1", endpointRecord("ready"));
+    BOOST_TEST(reaches([](const test_vm &vm) { return vm.usableEndpoints() == 2; }));
+}
+
 // Guards against changes that reach only the VM that reads the log, so that a departed endpoint or
 // a revoked key stays in use at the other VMs.
 BOOST_FIXTURE_TEST_CASE(changesReachAllVms, test_group)
