Test streams that break after any byte of an engine's response

The engine's response to a stream of two tokens, head and body in chunks, is closed or reset after each byte in turn; the caller must get the whole stream from the other engine. No fault was found: all cuts of 0 bytes to the whole response pass, by close and by reset.

--- a/testing/resumed_streams_nettest.cc
+++ b/testing/resumed_streams_nettest.cc
@@ -3,8 +3,10 @@
 
 #include "testing/support_site.h"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -21,16 +23,17 @@
 constexpr std::chrono::seconds EndLimit(8);
 constexpr std::int64_t Always = 1000000;
 
-enum class stream_end { Done, ErrorEvent, Nothing, Broken, Never, Wrong };
+enum class stream_end { Done, ErrorEvent, Nothing, Broken, Never, Wrong, Refused };
 
 const char *nameOf(stream_end end)
 {
-    constexpr std::array<const char *, 6> Names{ "whole with [DONE]",
+    constexpr std::array<const char *, 7> Names{ "whole with [DONE]",
                                                  "an error event last",
                                                  "orderly, without [DONE] and error event",
                                                  "without its last chunk",
                                                  "never",
-                                                 "with other bytes" };
+                                                 "with other bytes",
+                                                 "before it began" };
     return Names.at(static_cast<std::size_t>(end));
 }
 
@@ -64,7 +67,13 @@
     try {
         open_stream stream{ http_connection(place.daemon().url, EndLimit), "", prompt, tokens };
         place.send(stream);
-        site::readHead(stream);
+        const http_response head = stream.connection.readHead();
+        if (head.status != 200) {
+            BOOST_TEST_MESSAGE(prompt << ": " << head.status << " "
+                                      << stream.connection.readBody());
+            return stream_end::Refused;
+        }
+        stream.requestId = head.header("X-Request-Id");
         return readEnd(place, stream);
     } catch (const http_failure &) {
         return stream_end::Broken;
@@ -200,3 +209,38 @@
         BOOST_REQUIRE_MESSAGE(!ended, usage << " ended the daemon with " << ended->code);
     }
 }
+
+// Guards against lost, repeated or cut events, and against an end marker that follows a part of the
+// stream, when an engine closes or resets the connection after any byte of its response.
+BOOST_AUTO_TEST_CASE(streamThatBreaksAtAnyByteIsResumed)
+{
+    constexpr int Tokens = 2;
+    // Each cut takes a retry, of which a daemon has 1000 in ten seconds.
+    constexpr std::size_t CutsPerDaemon = 400;
+    std::unique_ptr<site> place = std::make_unique<site>(2);
+    open_stream whole = place->open("length", Tokens);
+    place->checkWhole(whole);
+    // The head and the sizes of the chunks have less than 600 bytes.
+    const std::size_t end = whole.body.size() + 600;
+    for (std::size_t cut = 0; cut < end; ++cut) {
+        if (cut > 0 && cut % CutsPerDaemon == 0)
+            place = std::make_unique<site>(2);
+        for (const bool reset : { false, true }) {
+            for (const standin_process &engine : place->engines())
+                setFaults(engine, { { "cut_first_at_byte", cut }, { "cut_with_reset", reset } });
+            const std::string name = std::to_string(cut) + (reset ? " reset" : " close");
+            const stream_end how = runStream(*place, name, Tokens);
+            BOOST_TEST((how == stream_end::Done), "cut at " << name << " ended " << nameOf(how));
+        }
+    }
+    // The last cuts lie behind the response: the last stream took one call.
+    const json first = received(place->engines()[0]);
+    const json second = received(place->engines()[1]);
+    const std::string last = std::to_string(end - 1) + " reset";
+    const auto calls = [&last](const json &requests) {
+        return std::count_if(requests.begin(), requests.end(), [&last](const json &request) {
+            return request.dump().find(last) != std::string::npos;
+        });
+    };
+    BOOST_TEST(calls(first) + calls(second) == 1);
+}
--- a/testing/standin_engine.cc
+++ b/testing/standin_engine.cc
@@ -13,6 +13,7 @@
 #include <set>
 #include <thread>
 #include <unordered_map>
+#include <utility>
 
 namespace burdockhold::standin {
 
@@ -201,7 +202,7 @@
     std::string failVersion;             // This version answers 500.
     std::string exitMarker;              // A prompt that contains it ends the process.
     continuation_answer continuation;    // Answer to a call that resumes a stream.
-    std::int64_t cutFirstAtByte = -1;    // Ends a call from token 0 after n bytes of its response.
+    std::int64_t cutFirstAtByte = -1;    // Ends the next call from token 0 after n response bytes.
     bool cutWithReset = false;           // The cut is a reset.
     std::int64_t omitEndMarkers = 0;     // Number of coming streams without [DONE].
     std::string wholeUsage;              // When set, the usage of whole answers, as JSON.
@@ -227,6 +228,8 @@
     bool emptyAnswer = false;
     bool wrongId = false;
     bool omitEndMarker = false;
+    std::int64_t cutAtByte = -1;
+    bool cutWithReset = false;
     std::optional<continuation_answer> continuation;
     std::size_t receivedIndex = 0;
 };
@@ -369,6 +372,10 @@
         m_faults.wrongIdAnswers -= call.wrongId ? 1 : 0;
         call.omitEndMarker = m_faults.omitEndMarkers > 0;
         m_faults.omitEndMarkers -= call.omitEndMarker ? 1 : 0;
+        if (call.resumeFrom == 0) {
+            call.cutAtByte = std::exchange(m_faults.cutFirstAtByte, -1);
+            call.cutWithReset = m_faults.cutWithReset;
+        }
         if (call.resumeFrom > 0 && m_faults.continuation.count > 0) {
             --m_faults.continuation.count;
             call.continuation = m_faults.continuation;
@@ -402,9 +409,8 @@
             m_received.noteOutcome(call.receivedIndex, "continuation");
             return answerContinuation(call, peer);
         }
-        const engine_faults now = faults();
-        if (call.resumeFrom == 0 && now.cutFirstAtByte >= 0)
-            peer.endAfter(static_cast<std::size_t>(now.cutFirstAtByte), now.cutWithReset);
+        if (call.cutAtByte >= 0)
+            peer.endAfter(static_cast<std::size_t>(call.cutAtByte), call.cutWithReset);
         const double prefillMs = m_options.prefillUsPerToken / 1000.0
                                  * static_cast<double>(call.promptTokens - call.cachedTokens);
         if (!pause(peer, prefillMs + slowness(call, faults().delayFirstMs))) {
