--- a/burdockhold/http_client_connection.h
+++ b/burdockhold/http_client_connection.h
@@ -72,7 +72,8 @@
     duration silenceTimeout = std::chrono::seconds(3);
 };
 
-/// Parses "IP:PORT" with an IPv4 address and a port from 1 to 65535. Returns nullopt if the text has another form.
+/// Parses "IP:PORT" with an IPv4 address and a port from 1 to 65535. Returns nullopt if the text
+/// has another form.
 std::optional<boost::asio::ip::tcp::endpoint> parseAddress(std::string_view text);
 
 class http_client_connection : public std::enable_shared_from_this<http_client_connection>
