Reserve the ports of test servers until the test ends

Cause: the fixture of this program took a port that the kernel chose for port 0, closed it, and bound it later. Any outgoing connection or listener on port 0 may get this port in between; the case itself starts two listeners on port 0 first. The others took a free port below the range of outgoing connections, but two test programs that run at once could still choose the same.

Ruled out: a connection in TIME_WAIT, since the port was bound once already with the same option.

Change: one function chooses the addresses of all tests and keeps a socket, which never listens, bound to the port until the program ends.

--- a/cmake/router.cmake
+++ b/cmake/router.cmake
@@ -26,7 +26,8 @@
 # Tests of the adapter and the loop: testing/NAME_looptest.cc.
 file(GLOB LOOP_TESTS CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/testing/*_looptest.cc)
 if(TARGET burdockhold_core)
-  add_library(router_test_support STATIC ${CMAKE_SOURCE_DIR}/testing/support_platform.cc)
+  add_library(router_test_support STATIC ${CMAKE_SOURCE_DIR}/testing/support_address.cc
+              ${CMAKE_SOURCE_DIR}/testing/support_platform.cc)
   target_compile_definitions(router_test_support PRIVATE
                              BURDOCKHOLD_ROUTER="$<TARGET_FILE:burdockhold-router>")
   target_link_libraries(router_test_support PUBLIC burdockhold_core
--- a/testing/front_server_nettest.cc
+++ b/testing/front_server_nettest.cc
@@ -4,6 +4,7 @@
 #include "burdockhold/claim_stage.h"
 #include "burdockhold/front_server.h"
 #include "burdockhold/hash.h"
+#include "testing/support_address.h"
 
 #include <boost/asio.hpp>
 #include <cpprest/http_client.h>
@@ -261,13 +262,6 @@
     return false;
 }
 
-std::string freeAddress()
-{
-    boost::asio::io_context service;
-    tcp::acceptor probe(service, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-    return "http://127.0.0.1:" + std::to_string(probe.local_endpoint().port());
-}
-
 struct answer
 {
     int status = 0;
@@ -302,7 +296,7 @@
         m_config.models["m"].value = model;
         m_config.routes["book"].value = { "ops", "POST", "/bookings", "services", false, false };
         m_config.routes["menu"].value = { "ops", "GET", "/menu/*", "services", true, true };
-        m_options.address = freeAddress();
+        m_options.address = testing::reserveAddress("http://");
     }
 
     void addEndpoint(const std::string &name, const fake_endpoint &endpoint,
@@ -322,7 +316,9 @@
         board.freshness.publish({ true, steadyNow() + std::chrono::hours(1) });
         m_server = std::make_unique<front_server>(m_options, board,
                                                   front_services{ m_router, &m_claims });
-        BOOST_REQUIRE(isOk(m_server->start()));
+        const auto started = m_server->start();
+        BOOST_REQUIRE_MESSAGE(isOk(started),
+                              (isOk(started) ? std::string() : errorOf(started).text));
         return *m_server;
     }
 
--- a/testing/keys_nettest.cc
+++ b/testing/keys_nettest.cc
@@ -1,8 +1,8 @@
 #define BOOST_TEST_MODULE keys
 #include <boost/test/unit_test.hpp>
 
-#include "burdockhold/free_port.h"
 #include "burdockhold/hash.h"
+#include "testing/support_address.h"
 #include "testing/support_catalogue.h"
 #include "testing/support_fleet.h"
 #include "testing/support_http.h"
@@ -183,7 +183,7 @@
 {
 public:
     message_recorder()
-        : address(burdockhold::valueOf(burdockhold::withFreePort("tcp://127.0.0.1:0")))
+        : address(burdockhold::testing::reserveAddress("tcp://"))
     {
         BOOST_REQUIRE_EQUAL(nng_rep0_open_raw(&m_socket), 0);
         BOOST_REQUIRE_EQUAL(nng_listen(m_socket, address.c_str(), nullptr, 0), 0);
--- a/testing/peer_link_nettest.cc
+++ b/testing/peer_link_nettest.cc
@@ -1,8 +1,8 @@
 #define BOOST_TEST_MODULE peer_link
 #include <boost/test/unit_test.hpp>
 
-#include "burdockhold/free_port.h"
 #include "burdockhold/peer_link.h"
+#include "testing/support_address.h"
 
 #include <nng/nng.h>
 #include <nng/protocol/reqrep0/rep.h>
@@ -22,7 +22,7 @@
 
 std::string freeAddress()
 {
-    return valueOf(withFreePort("tcp://127.0.0.1:0"));
+    return testing::reserveAddress("tcp://");
 }
 
 peer_message heartbeat(std::uint64_t id)
--- a/testing/support_fleet.cc
+++ b/testing/support_fleet.cc
@@ -1,8 +1,7 @@
 #include "testing/support_fleet.h"
 
-#include "burdockhold/free_port.h"
-
 #include "burdockhold/hash.h"
+#include "testing/support_address.h"
 #include "testing/support_http.h"
 
 #include <arpa/inet.h>
@@ -28,16 +27,6 @@
     return name;
 }
 
-// The peer address must be in the VM list before the daemon can print it, so it is chosen here.
-// Another process could take the port before the daemon binds it; the daemon then fails to start.
-std::string freePeerAddress()
-{
-    const auto address = withFreePort("tcp://127.0.0.1:0");
-    if (!isOk(address))
-        throw std::runtime_error(errorOf(address).text);
-    return valueOf(address);
-}
-
 void checkStatus(const http_response &response, const std::string &what)
 {
     if (response.status != 200)
@@ -120,7 +109,7 @@
     const std::filesystem::path file = m_folder / (name + ".ini");
     const daemon_settings settings{ name,
                                     dataCentre,
-                                    freePeerAddress(),
+                                    reserveAddress("tcp://"),
                                     m_log.url,
                                     m_vmList.url,
                                     (m_folder / (name + ".log")).string(),
--- a/testing/support_platform.cc
+++ b/testing/support_platform.cc
@@ -1,6 +1,6 @@
 #include "testing/support_platform.h"
 
-#include "burdockhold/free_port.h"
+#include "testing/support_address.h"
 
 #include <nlohmann/json.hpp>
 
@@ -127,14 +127,6 @@
            + " X\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-std::string freeAddress()
-{
-    const std::string scheme = "http://";
-    const auto address = withFreePort(scheme + "127.0.0.1:0");
-    BOOST_REQUIRE(isOk(address));
-    return valueOf(address).substr(scheme.size());
-}
-
 int connectTo(const std::string &address)
 {
     const std::size_t colon = address.find(':');
@@ -483,14 +475,14 @@
 }
 
 router_process::router_process(const std::string &logAddress, const router_place &place)
-    : m_callerAddress(place.ip.empty() ? freeAddress() : place.ip + ":7001")
-    , m_readyAddress(place.ip.empty() ? freeAddress() : place.ip + ":7002")
+    : m_callerAddress(place.ip.empty() ? reserveAddress() : place.ip + ":7001")
+    , m_readyAddress(place.ip.empty() ? reserveAddress() : place.ip + ":7002")
     , m_settingsFile("/tmp/burdockhold-router-" + std::to_string(::getpid()) + "-" + place.vm
                      + ".ini")
     , m_logFile(m_settingsFile + ".log")
 {
     ::unlink(m_logFile.c_str());
-    const std::string peerAddress = place.ip.empty() ? freeAddress() : place.ip + ":7003";
+    const std::string peerAddress = place.ip.empty() ? reserveAddress() : place.ip + ":7003";
     m_peerPort = std::stoi(peerAddress.substr(peerAddress.find(':') + 1));
     std::ofstream(m_settingsFile)
             << "[vm]\nname = " << place.vm << "\ndata_centre = " << place.dataCentre
