End a request whose step throws, and no other

What callers see: an exception between a request's arrival and its timer leaves the caller without an answer until its own deadline. An exception in one waiting request keeps the waiting requests behind it from being placed in that round, and one in a migration those behind it.

Cause: the event loop catches exceptions, but it does not know which request a handler served. guarded_loop.h relied on the request's time limit, which is set only at the end of routed_request::start().

Change: each step of a request runs under routed_request::guard(). An exception is logged with the request's id and ends this request: cut off if its response has started, 502 if an endpoint may have run it, else 503. The order of the steps in start() is as before, since it no longer matters.

--- a/burdockhold/event_router.cc
+++ b/burdockhold/event_router.cc
@@ -404,10 +404,8 @@
     m_digests.step(now);
     m_views.step(now);
     const migratable_requests migratable = m_migratable;
-    for (const auto &stream : migratable) {
-        stream->migrateFromLoadingEndpoint();
-        stream->migrateFromSilentEndpoint();
-    }
+    for (const auto &stream : migratable)
+        stream->migrateIfNeeded();
     if (m_waitQueue.size() > 0)
         m_waitQueue.retry();
     if (now - m_sweptAt >= SweepInterval) {
--- a/burdockhold/guarded_loop.h
+++ b/burdockhold/guarded_loop.h
@@ -3,7 +3,7 @@
 
 // Runs an event loop so that an unexpected exception does not terminate the process with all its
 // streams: the exception ends only the handler that threw it and is reported, and the loop
-// continues. The request that the handler was processing ends by its own time limit.
+// continues. Requests catch the exceptions of their own steps; see routed_request.h.
 
 #include <boost/asio/io_context.hpp>
 
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -52,6 +52,10 @@
 constexpr duration MaxBlockedRetryAfter = std::chrono::seconds(60);
 // Lower bound of the Retry-After of a refusal. Reconnecting and load balancing take up part of it.
 constexpr duration MinRetryAfter = std::chrono::milliseconds(50);
+constexpr unserved_reasons TimeLimitReasons{ 504, "time_limit_in_stream", "time_limit",
+                                             "time_limit_waiting" };
+constexpr unserved_reasons ExceptionReasons{ 502, "exception_in_stream", "exception",
+                                             "exception_not_run" };
 
 std::uint64_t hashOf(std::string_view text)
 {
@@ -71,7 +75,47 @@
 {
 }
 
+/// Runs a step of the request. An exception must not reach the event loop: the request would keep
+/// its caller waiting, and the requests after it in a loop would miss their step.
+template <typename Step>
+void routed_request::guard(const Step &step)
+{
+    const auto self = shared_from_this();
+    try {
+        step();
+    } catch (const std::exception &error) {
+        stepFailed(error.what());
+    } catch (...) {
+        stepFailed("an exception of an unknown type");
+    }
+}
+
+void routed_request::stepFailed(const std::string &what)
+{
+    router_board &board = m_context.board;
+    board.metrics.count(router_counter::HandlerFailures);
+    const time_point now = steadyNow();
+    if (board.log.accepts(log_priority::Failure, now))
+        board.log.write(log_event::HandlerFailed,
+                        { { "id", m_request.attemptId }, { "reason", what } }, now);
+    if (m_ended)
+        return;
+    // Whether the request had been written when the step failed is unknown.
+    m_mayHaveRun = m_mayHaveRun || m_connection != nullptr;
+    try {
+        endUnserved(ExceptionReasons);
+    } catch (const std::exception &error) {
+        m_writer.abortResponse();
+        finish(router_counter::Failed, 0, error.what());
+    }
+}
+
 void routed_request::start()
+{
+    guard([this] { begin(); });
+}
+
+void routed_request::begin()
 {
     m_deployment = m_context.board.deployment;
     if (!m_deployment) {
@@ -115,7 +159,9 @@
                 return;
             self->m_context.waiting.remove(self.get());
             self->m_waiting = false;
-            self->refuse(503, "no_deployment", std::chrono::milliseconds(300));
+            self->guard([&self] {
+                self->refuse(503, "no_deployment", std::chrono::milliseconds(300));
+            });
         });
     }
 }
@@ -190,7 +236,7 @@
     m_timer.expires_at(next);
     m_timer.async_wait([self = shared_from_this()](error_code error) {
         if (!error && !self->m_ended)
-            self->onTimer();
+            self->guard([&self] { self->onTimer(); });
     });
 }
 
@@ -212,6 +258,12 @@
 }
 
 void routed_request::deadlineReached()
+{
+    endUnserved(TimeLimitReasons);
+}
+
+/// Ends the current call, if there is one, and the request.
+void routed_request::endUnserved(const unserved_reasons &reasons)
 {
     if (m_connection) {
         // The request is written once connected, so the endpoint may have run it.
@@ -221,11 +273,11 @@
     }
     if (m_responseStarted) {
         m_writer.abortResponse();
-        finish(router_counter::Failed, 0, "time_limit_in_stream");
+        finish(router_counter::Failed, 0, reasons.responseStarted);
     } else if (m_mayHaveRun) {
-        fail(504, "time_limit");
+        fail(reasons.unknownStatus, reasons.mayHaveRun);
     } else {
-        refuse(503, "time_limit_waiting", MinRetryAfter);
+        refuse(503, reasons.notRun, MinRetryAfter);
     }
 }
 
@@ -239,15 +291,20 @@
             return;
         self->m_context.waiting.remove(self.get());
         self->m_waiting = false;
-        if (self->m_mayHaveRun && !self->m_responseStarted)
-            self->fail(502, "no_endpoint_for_repeat");
-        else if (self->m_responseStarted)
-            self->takeStep(abort_response{});
-        else
-            self->refuse(503, "no_endpoint", self->m_route->latencyTarget);
+        self->guard([&self] { self->queueWaitEnded(); });
     });
 }
 
+void routed_request::queueWaitEnded()
+{
+    if (m_responseStarted)
+        takeStep(abort_response{});
+    else if (m_mayHaveRun)
+        fail(502, "no_endpoint_for_repeat");
+    else
+        refuse(503, "no_endpoint", m_route->latencyTarget);
+}
+
 /// Returns when a request that enters the wait queue now has to leave it.
 time_point routed_request::queueWaitEnd(time_point now) const
 {
@@ -373,6 +430,13 @@
 }
 
 bool routed_request::place()
+{
+    bool placedOrEnded = true;
+    guard([this, &placedOrEnded] { placedOrEnded = tryPlace(); });
+    return placedOrEnded || m_ended;
+}
+
+bool routed_request::tryPlace()
 {
     if (m_ended)
         return true;
@@ -381,7 +445,7 @@
             return false;
         m_context.waiting.remove(this);
         m_timer.cancel();
-        start();
+        begin();
         return true;
     }
     const time_point now = steadyNow();
@@ -563,9 +627,13 @@
 http_handlers routed_request::callHandlers()
 {
     const auto self = shared_from_this();
-    return { [self](const response_message &message) { return self->headReceived(message); },
-             [self](std::string_view bytes) { self->bodyReceived(bytes); },
-             [self](http_outcome end) { self->connectionEnded(end); } };
+    return { [self](const response_message &message) {
+                bool accepted = true;
+                self->guard([&] { accepted = self->headReceived(message); });
+                return accepted;
+            },
+             [self](std::string_view bytes) { self->guard([&] { self->bodyReceived(bytes); }); },
+             [self](http_outcome end) { self->guard([&] { self->connectionEnded(end); }); } };
 }
 
 bool routed_request::isResponseToThisCall(const endpoint_response_head &head) const
@@ -806,23 +874,28 @@
 {
     checkConnect(m_context.io, m_address, TerminationCheckTimeout,
                  [self = shared_from_this(), facts, lostUnanswered](connect_outcome outcome) {
-                     const bool terminated = outcome == connect_outcome::Refused;
-                     if (terminated && lostUnanswered)
-                         reportCrash(self->m_context.board,
-                                     { self->m_request, self->m_fingerprints,
-                                       self->m_lastEndpointId, self->m_endpointIncarnation },
-                                     steadyNow());
-                     if (self->m_ended)
-                         return;
-                     if (!terminated || !needsTerminationCheck(facts)) {
-                         self->takeStep(decideNextStep(facts));
-                         return;
-                     }
-                     --self->m_runs;
-                     self->takeStep(decideNextStep(withTerminatedEndpoint(facts)));
+                     self->guard([&] { self->terminationChecked(facts, lostUnanswered, outcome); });
                  });
 }
 
+void routed_request::terminationChecked(const attempt_facts &facts, bool lostUnanswered,
+                                        connect_outcome outcome)
+{
+    const bool terminated = outcome == connect_outcome::Refused;
+    if (terminated && lostUnanswered)
+        reportCrash(m_context.board,
+                    { m_request, m_fingerprints, m_lastEndpointId, m_endpointIncarnation },
+                    steadyNow());
+    if (m_ended)
+        return;
+    if (!terminated || !needsTerminationCheck(facts)) {
+        takeStep(decideNextStep(facts));
+        return;
+    }
+    --m_runs;
+    takeStep(decideNextStep(withTerminatedEndpoint(facts)));
+}
+
 void routed_request::takeStep(const next_step &step)
 {
     std::visit(
@@ -851,6 +924,16 @@
             step);
 }
 
+void routed_request::migrateIfNeeded()
+{
+    guard([this] {
+        migrateFromLoadingEndpoint();
+        migrateFromSilentEndpoint();
+    });
+}
+
+/// Migrates if the endpoint is about to load weights: the endpoint would otherwise wait for the
+/// stream to end, and the pool would wait for the endpoint.
 void routed_request::migrateFromLoadingEndpoint()
 {
     router_board &board = m_context.board;
@@ -862,6 +945,7 @@
     migrate();
 }
 
+/// Migrates if the endpoint sends nothing to any VM.
 void routed_request::migrateFromSilentEndpoint()
 {
     router_board &board = m_context.board;
--- a/burdockhold/routed_request.h
+++ b/burdockhold/routed_request.h
@@ -12,6 +12,7 @@
 // - A stream is ended if it delivers no complete event for longer than its caller waits, even if
 //   other bytes arrive; a slow stream that keeps within that time is not ended.
 // - Responses that are buffered until they are complete use at most a quarter of the memory limit.
+// - An unforeseen exception ends the request that it belongs to at once, and no other.
 
 #include "burdockhold/attempt_rules.h"
 #include "burdockhold/caller_request.h"
@@ -47,6 +48,15 @@
 
 class routed_request;
 
+/// Log reasons of a request that ends without a response of an endpoint.
+struct unserved_reasons
+{
+    int unknownStatus = 502;          ///< Status if an endpoint may have run the request.
+    std::string_view responseStarted; ///< The response has started and is cut off.
+    std::string_view mayHaveRun;
+    std::string_view notRun;
+};
+
 /// Requests whose current call may be migrated to another endpoint.
 using migratable_requests = std::set<std::shared_ptr<routed_request>>;
 
@@ -79,17 +89,18 @@
     /// and true if it was placed or has ended.
     bool place();
 
-    /// Migrates to another endpoint if the current one is about to load weights: the endpoint would
-    /// otherwise wait for the stream to end, and the pool would wait for the endpoint.
-    void migrateFromLoadingEndpoint();
-
-    /// Migrates to another endpoint if the current one sends nothing to any VM.
-    void migrateFromSilentEndpoint();
+    /// Migrates to another endpoint if the current one is about to load weights or is silent.
+    void migrateIfNeeded();
 
     int priority() const { return m_priority; }
     time_point arrival() const { return m_arrival; }
 
 private:
+    template <typename Step>
+    void guard(const Step &step);
+    void stepFailed(const std::string &what);
+    void begin();
+    bool tryPlace();
     void waitForDeployment();
     bool findRoute();
     bool authenticate();
@@ -98,7 +109,9 @@
     void startTimer();
     void onTimer();
     void deadlineReached();
+    void endUnserved(const unserved_reasons &reasons);
     void enterWaitQueue();
+    void queueWaitEnded();
     time_point queueWaitEnd(time_point now) const;
 
     /// Inputs of one placement decision. The store belongs to the deployment in force.
@@ -127,6 +140,8 @@
                             const std::string &holder);
     std::optional<migration_facts> migrationFacts(time_point now) const;
     bool hasAlternative(double withinMs) const;
+    void migrateFromLoadingEndpoint();
+    void migrateFromSilentEndpoint();
     void migrate();
     http_handlers callHandlers();
     bool headReceived(const response_message &message);
@@ -139,6 +154,8 @@
     void recordRefusal();
     void callEnded(call_end end);
     void checkTermination(const attempt_facts &facts, bool lostUnanswered);
+    void terminationChecked(const attempt_facts &facts, bool lostUnanswered,
+                            connect_outcome outcome);
     bool refuseIfBlocked(time_point now);
     void recordAnswer();
     void takeStep(const next_step &step);
