Move admission, placement inputs and log fields out of routed_request.cc

Each is a module now: request_admission, placement_inputs, segment_calls, endpoint_refusals, request_log. The request path executes them; no behaviour changes. 1,041 lines remain.

Admission is compared with a plain statement of its rules on 5,000 seeded draws (request_admission_test), which also checks the shares of a split route and the cost of a request. router_looptest passes.

--- /dev/null
+++ b/burdockhold/request_log.cc
@@ -0,0 +1,58 @@
+#include "burdockhold/request_log.h"
+
+#include <cmath>
+
+namespace burdockhold {
+
+namespace {
+
+double milliseconds(duration time)
+{
+    return 1000.0 * toSeconds(time);
+}
+
+} // namespace
+
+nlohmann::ordered_json requestEndedFields(const request_summary &request)
+{
+    return { { "id", request.requestId },
+             { "route", request.route },
+             { "account", request.account },
+             { "pool", request.pool },
+             { "status", request.status },
+             { "reason", request.reason },
+             { "endpoint", request.endpoint },
+             { "calls", request.calls },
+             { "runs", request.runs },
+             { "waited_ms", milliseconds(request.queued) },
+             { "total_ms", milliseconds(request.total) },
+             { "first_ms", milliseconds(request.firstByte) },
+             { "expected_ms", request.expectedMs },
+             { "prompt", request.promptTokens },
+             { "output", request.maxOutputTokens },
+             { "unread", request.pendingPrefillTokens },
+             { "copied", request.copiesSegments },
+             { "saved", request.savesSegments },
+             { "weights", request.weights },
+             { "events", request.events },
+             { "last_call_events", request.lastCallEvents },
+             { "resumes", request.resumes },
+             { "framing", request.framing },
+             { "deployment", request.deployment },
+             { "view_age_ms", std::llround(milliseconds(request.viewAge)) } };
+}
+
+nlohmann::ordered_json callEndedFields(const call_summary &call)
+{
+    return { { "id", call.requestId },
+             { "endpoint", call.endpoint },
+             { "end", nameOf(call.end) },
+             { "status", call.status },
+             { "weights", call.weights },
+             { "call", call.call },
+             { "events", call.events },
+             { "framing", call.framing },
+             { "after_ms", milliseconds(call.after) } };
+}
+
+} // namespace burdockhold
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -2,12 +2,13 @@
 
 #include "burdockhold/crash_reports.h"
 #include "burdockhold/endpoint_notices.h"
+#include "burdockhold/endpoint_refusals.h"
 #include "burdockhold/enum_names.h"
 #include "burdockhold/placement_log.h"
 #include "burdockhold/prompt_segments.h"
 #include "burdockhold/retry_after.h"
 #include "burdockhold/rollout_calls.h"
-#include "burdockhold/segment_transfer.h"
+#include "burdockhold/segment_calls.h"
 #include "burdockhold/wait_rules.h"
 #include "platform/request_codec.h"
 
@@ -32,13 +33,9 @@
 constexpr std::size_t MaxBufferedResponseBytes = std::size_t(8) * 1024 * 1024;
 // Responses that are buffered until they are complete may use the memory limit divided by this.
 constexpr std::size_t BufferMemoryDivisor = 4;
-// Allowance on top of the configuration bound, within which a deployment comes into force. With a
-// view older than both together, a missing route or key is refused as stale, not as unknown.
-constexpr duration ViewAgeMargin = std::chrono::milliseconds(800);
-// Keys are refused this long before the view reaches the revocation bound, since a request takes
-// time to reach its endpoint.
-constexpr duration RevocationMargin = std::chrono::milliseconds(300);
 constexpr duration MaxWaitForDeployment = std::chrono::milliseconds(600);
+// A stale view is renewed within about this time, or the caller's next attempt reaches another VM.
+constexpr duration StaleViewRetryAfter = std::chrono::milliseconds(300);
 // Requests that arrive later than this after the stop notice are refused, since they could outlast
 // the process.
 constexpr duration AcceptAfterStopNotice = std::chrono::milliseconds(2700);
@@ -130,13 +127,13 @@
         refuse(503, "leaving", MinRetryAfter);
         return;
     }
-    if (!findRoute() || !authenticate() || !admitTokens())
+    if (!admit() || !admitTokens())
         return;
     duration limit = m_route->timeout;
     if (m_request.deadline)
         limit = std::min(limit, *m_request.deadline);
     m_deadline = m_arrival + limit;
-    m_poolName = choosePool();
+    m_poolName = choosePool(*m_route, hashOf(m_request.attemptId));
     m_pool = m_deployment->findPool(m_poolName);
     m_priority = requestPriority(*m_route, m_account, board.settings.mechanisms);
     m_context.board.countRequest(m_poolName, steadyNow());
@@ -166,45 +163,45 @@
     }
 }
 
-bool routed_request::findRoute()
+/// Finds the route and the account. Returns false if the request has been refused.
+bool routed_request::admit()
 {
-    m_route = m_deployment->findRoute(m_request.host, m_request.target);
-    if (m_route != nullptr && !m_route->pools.empty())
-        return true;
     const router_board &board = m_context.board;
-    if (board.deploymentAge() > board.settings.configBound + ViewAgeMargin)
-        refuse(503, "stale_view", std::chrono::milliseconds(300));
-    else
+    const admission_result result = admitRequest(
+            *m_deployment, m_request,
+            { board.deploymentAge(), board.settings.configBound, board.settings.revocationBound });
+    return std::visit(overloaded{ [this](const admitted_request &admitted) {
+                                     m_route = admitted.route;
+                                     m_account = admitted.account;
+                                     return true;
+                                 },
+                                  [this](admission_refusal refusal) {
+                                      refuseAdmission(refusal);
+                                      return false;
+                                  } },
+                      result);
+}
+
+void routed_request::refuseAdmission(admission_refusal refusal)
+{
+    switch (refusal) {
+    case admission_refusal::StaleView:
+        refuse(503, "stale_view", StaleViewRetryAfter);
+        break;
+    case admission_refusal::NoRoute:
         fail(404, "no_route");
-    return false;
-}
-
-bool routed_request::authenticate()
-{
-    const router_board &board = m_context.board;
-    if (m_route->publicAccess || m_deployment->source().accounts.empty())
-        return true;
-    if (board.deploymentAge() > board.settings.revocationBound - RevocationMargin) {
-        refuse(503, "stale_view", std::chrono::milliseconds(300));
-        return false;
-    }
-    m_account = m_deployment->findAccount(m_request.key);
-    if (m_account != nullptr)
-        return true;
-    if (board.deploymentAge() > board.settings.configBound + ViewAgeMargin)
-        refuse(503, "stale_view", std::chrono::milliseconds(300));
-    else
+        break;
+    case admission_refusal::UnknownKey:
         fail(401, "unknown_key");
-    return false;
+        break;
+    }
 }
 
 bool routed_request::admitTokens()
 {
     if (m_account == nullptr || m_account->ratePerSecond <= 0.0)
         return true;
-    double cost = m_account->defaultCost;
-    if (m_account->countsTokens && m_request.declaresTokens)
-        cost = static_cast<double>(m_request.tokens());
+    const double cost = requestCost(*m_account, m_request);
     const time_point now = steadyNow();
     quota_ledger &quota = m_context.board.accountQuota(*m_account, now);
     if (quota.tryAdmit(cost, now)) {
@@ -313,116 +310,31 @@
                                                        m_context.board.settings.mechanisms));
 }
 
-const std::string &routed_request::choosePool()
-{
-    double total = 0.0;
-    for (const weighted_pool &pool : m_route->pools)
-        total += pool.weight;
-    double point = total * static_cast<double>(hashOf(m_request.attemptId) % 10000) / 10000.0;
-    for (const weighted_pool &pool : m_route->pools) {
-        point -= pool.weight;
-        if (point < 0.0)
-            return pool.pool;
-    }
-    return m_route->pools.back().pool;
-}
-
-routed_request::placement_inputs routed_request::placementInputs() const
-{
-    placement_inputs inputs;
-    inputs.candidates = placementCandidates();
-    if (const software_rollout *rollout = m_context.board.rolloutOf(m_poolName)) {
-        if (m_callsMade == 0 && !m_trialOf)
-            inputs.canary = rollout->nextCanary(inputs.candidates, steadyNow());
-        rollout->removeNewVersion(inputs.candidates, steadyNow());
-    }
-    if (m_pool == nullptr || !m_pool->engine || m_request.model.empty())
-        return inputs;
-    inputs.need = placementNeedFor(m_request, m_account);
-    if (inputs.need.segmentTokens == 0)
-        return inputs;
-    inputs.store = segmentStore(inputs);
-    inputs.need.storeHoldsSegment = inputs.store != nullptr
-                                    && m_context.board.storedSegments.areStored(
-                                            inputs.store->address,
-                                            sharedSegmentNames(
-                                                    m_request, m_account,
-                                                    m_context.board.targetVersion(m_request.model)),
-                                            steadyNow());
-    return inputs;
-}
-
-std::vector<endpoint_candidate> routed_request::placementCandidates() const
-{
-    const router_board &board = m_context.board;
-    const bool isEngineCall = m_pool != nullptr && m_pool->engine && !m_request.model.empty();
-    const std::int64_t targetVersion = board.targetVersion(m_request.model);
-    auto candidates = board.endpoints.candidates(
-            m_poolName, isEngineCall ? m_request.model : "", targetVersion,
-            deepestSegmentName(m_request, m_account, targetVersion), m_triedEndpoints, steadyNow());
-    for (endpoint_candidate &candidate : candidates) {
-        if (candidate.staleWeights && !isOwnStatement(candidate.excluded)
-            && board.weightsExpired(m_request.model,
-                                    board.endpoints.weightsOf(candidate.id, m_request.model)))
-            candidate.excluded = exclusion::ExpiredWeights;
-    }
-    if (!m_calledAddresses.empty() && !mayCallAgain(m_route->kind, m_route->resumable))
-        excludeCalled(candidates);
-    return candidates;
-}
-
-/// Excludes the endpoints at addresses that a call of the attempt may have reached.
-void routed_request::excludeCalled(std::vector<endpoint_candidate> &candidates) const
-{
-    for (endpoint_candidate &candidate : candidates) {
-        const endpoint_report *report = m_context.board.endpoints.find(candidate.id);
-        if (report != nullptr && m_calledAddresses.count(report->address) != 0)
-            excludeTried(candidate);
-    }
-}
-
-/// Returns the store for the request's shared segments, chosen by the data centre of the preferred
-/// endpoint.
-const cache_store *routed_request::segmentStore(const placement_inputs &inputs) const
+placement_query routed_request::placementQuery() const
 {
-    const auto preferred = preferredEndpoint(inputs.candidates, inputs.need.affinityKey);
-    const endpoint_report *report = preferred ? m_context.board.endpoints.find(
-                                            inputs.candidates[*preferred].id)
-                                              : nullptr;
-    return m_context.board.storeFor(deepestSegmentId(m_request),
-                                    report == nullptr ? "" : report->dataCentre, steadyNow());
+    return { m_request,
+             m_account,
+             m_pool,
+             m_poolName,
+             m_triedEndpoints,
+             m_calledAddresses,
+             mayCallAgain(m_route->kind, m_route->resumable),
+             m_callsMade == 0 && !m_trialOf };
 }
 
 /// Tells the engine where to copy the shared segments from that it lacks, and where to save them.
 void routed_request::addSegmentTransfer(endpoint_call_fields &fields,
                                         const placement_inputs &inputs, const std::string &holder)
 {
-    router_board &board = m_context.board;
-    const placement_need &need = inputs.need;
-    const cache_store *store = m_expectedWeights > 0 ? inputs.store : nullptr;
-    const auto segments = sharedSegmentNames(m_request, m_account, m_expectedWeights);
-    segment_facts facts;
-    facts.tokens = need.segmentTokens;
-    facts.promptTokens = need.promptTokens;
-    facts.holder = holder;
-    facts.expectedCached = m_load.pendingPrefillTokens < need.promptTokens;
-    if (store != nullptr) {
-        const endpoint_report *engine = board.endpoints.find(m_endpointId);
-        facts.store = store->address;
-        facts.crossesDataCentres = engine != nullptr && engine->dataCentre != store->dataCentre;
-        facts.storeHoldsAllSegments = board.storedSegments.areStored(store->address, segments,
-                                                                     steadyNow());
-        facts.linkHeadroom = board.storeLinkQuota(*store, steadyNow()).headroom();
-    }
-    segment_transfer transfer = planTransfer(facts, board.options.transfers);
-    const time_point now = steadyNow();
-    if (transfer.storeLoad > 0.0
-        && !board.storeLinkQuota(*store, now).tryAdmit(transfer.storeLoad, now)) {
-        board.metrics.count(router_counter::TransfersWithoutRoom);
-        transfer = planWithoutStore(facts, board.options.transfers);
-    } else if (transfer.storeLoad > 0.0) {
-        board.storedSegments.recordUse(store->address, segments, !transfer.saveTo.empty(), now);
-    }
+    segment_call call;
+    call.endpointId = m_endpointId;
+    call.segments = sharedSegmentNames(m_request, m_account, m_expectedWeights);
+    call.segmentTokens = inputs.need.segmentTokens;
+    call.promptTokens = inputs.need.promptTokens;
+    call.expectedCached = m_load.pendingPrefillTokens < inputs.need.promptTokens;
+    call.holder = holder;
+    call.store = m_expectedWeights > 0 ? inputs.store : nullptr;
+    const segment_transfer transfer = planSegments(m_context.board, call, steadyNow());
     fields.copySegmentsFrom = transfer.copyFrom;
     fields.saveSegmentsTo = transfer.saveTo;
     m_copiesSegments = !fields.copySegmentsFrom.empty();
@@ -451,7 +363,7 @@
     const time_point now = steadyNow();
     if (refuseIfBlocked(now))
         return true;
-    placement_inputs inputs = placementInputs();
+    placement_inputs inputs = collectPlacementInputs(m_context.board, placementQuery(), now);
     const auto choice = chooseWithCanary(inputs.candidates, inputs.canary, inputs.need,
                                          hashOf(m_request.attemptId),
                                          m_context.board.options.choice);
@@ -537,16 +449,6 @@
     return fields;
 }
 
-/// Returns the engine's address if it runs the weights that the call expects, or an empty string.
-std::string routed_request::holderAddress(std::string_view engine) const
-{
-    const endpoint_table &endpoints = m_context.board.endpoints;
-    const auto *source = endpoints.find(engine);
-    const bool sameWeights = source != nullptr
-                             && endpoints.weightsOf(engine, m_request.model) == m_expectedWeights;
-    return sameWeights ? source->address : std::string();
-}
-
 void routed_request::startCall(const placement_inputs &inputs, const endpoint_choice &choice)
 {
     const auto &candidates = inputs.candidates;
@@ -565,7 +467,9 @@
     if (!m_connection->isConnected())
         m_context.board.metrics.count(router_counter::NewConnections);
     endpoint_call_fields fields = callFieldsFor(m_endpointId);
-    const std::string holder = choice.copyFrom ? holderAddress(candidates[*choice.copyFrom].id)
+    const std::string holder = choice.copyFrom ? holderAddress(m_context.board,
+                                                               candidates[*choice.copyFrom].id,
+                                                               m_request.model, m_expectedWeights)
                                                : std::string();
     if (!m_segmentKey.empty() && m_pool != nullptr && m_pool->engine)
         addSegmentTransfer(fields, inputs, holder);
@@ -785,37 +689,13 @@
     return classifyResponse(response);
 }
 
-void routed_request::recordRefusal()
+void routed_request::callRefused(time_point now)
 {
-    router_board &board = m_context.board;
-    if (m_head.notice.pause && m_head.status != 421) {
-        if (mayCallAgain(m_route->kind, m_route->resumable))
-            m_triedEndpoints.erase(m_endpointId); // It may take the request after its pause.
-        return;
-    }
-    if (m_head.status != 421) {
-        board.endpoints.recordRefusal(m_endpointId, steadyNow());
-        return;
-    }
-    // Another endpoint uses the address now, so the intended endpoint has terminated.
-    if (!m_head.endpointId.empty() && m_head.endpointId != m_endpointId) {
-        board.endpoints.remove(m_endpointId, steadyNow());
-        return;
-    }
-    if (m_head.weights)
-        return; // The engine stated its version, which is recorded already.
-    // Versions only grow. The guess advances by one version at a time: a guess beyond the engine's
-    // version would be refused until the engine's next record, and meanwhile nobody would order it
-    // to load the newest version.
-    const std::int64_t next = m_expectedWeights == 0 ? 0
-                                                     : board.nextAnnouncedVersion(
-                                                             m_request.model, m_expectedWeights);
-    if (next > 0) {
-        board.endpoints.recordInferredWeights(m_endpointId, m_request.model, next, steadyNow());
-    } else {
-        board.endpoints.dropInferredWeights(m_endpointId, m_request.model);
-        board.endpoints.connectFailed(m_endpointId, steadyNow());
-    }
+    if (!m_head.notice.pause || m_head.status == 421)
+        recordRefusal(m_context.board, { m_endpointId, m_request.model, m_expectedWeights }, m_head,
+                      now);
+    else if (mayCallAgain(m_route->kind, m_route->resumable))
+        m_triedEndpoints.erase(m_endpointId); // It may take the request after its pause.
 }
 
 void routed_request::callEnded(call_end end)
@@ -836,7 +716,7 @@
     if (end == call_end::NotSent)
         board.endpoints.connectFailed(m_endpointId, now);
     else if (isRefusal(end))
-        recordRefusal();
+        callRefused(now);
     if (end != call_end::NotSent && end != call_end::SaidNotRun) {
         m_mayHaveRun = true;
         ++m_runs;
@@ -981,7 +861,8 @@
 /// Returns whether another endpoint is expected to send the next event within this time.
 bool routed_request::hasAlternative(double withinMs) const
 {
-    const placement_inputs inputs = placementInputs();
+    const placement_inputs inputs = collectPlacementInputs(m_context.board, placementQuery(),
+                                                           steadyNow());
     const auto choice = chooseEndpoint(inputs.candidates, inputs.need, hashOf(m_request.attemptId),
                                        m_context.board.options.choice);
     return choice && choice->expectedMs <= withinMs;
@@ -1090,34 +971,8 @@
         m_queueTime = now - m_arrival;
     const bool succeeded = counter == router_counter::Served;
     if (board.log.accepts(succeeded ? log_priority::Success : log_priority::Failure, now)) {
-        board.log.write(
-                log_event::RequestEnded,
-                { { "id", m_request.attemptId },
-                  { "route", m_route == nullptr ? "" : m_route->name },
-                  { "account", m_account == nullptr ? "" : m_account->name },
-                  { "pool", m_poolName },
-                  { "status", status },
-                  { "reason", reason },
-                  { "endpoint", m_lastEndpointId },
-                  { "calls", m_callsMade },
-                  { "runs", m_runs },
-                  { "waited_ms", 1000.0 * toSeconds(m_queueTime) },
-                  { "total_ms", 1000.0 * toSeconds(now - m_arrival) },
-                  { "first_ms", 1000.0 * toSeconds(m_timeToFirstByte) },
-                  { "expected_ms", m_expectedMs },
-                  { "prompt", m_request.promptTokens },
-                  { "output", m_request.maxOutputTokens },
-                  { "unread", m_load.pendingPrefillTokens },
-                  { "copied", m_copiesSegments },
-                  { "saved", m_savesSegments },
-                  { "weights", m_expectedWeights },
-                  { "events", m_events.events() },
-                  { "last_call_events", m_events.events() - m_eventsBeforeCall },
-                  { "resumes", m_resumes },
-                  { "framing", m_headReceived ? nameOf(m_head.framing) : "" },
-                  { "deployment", m_deployment ? m_deployment->source().version : 0 },
-                  { "view_age_ms", std::llround(1000.0 * toSeconds(board.deploymentAge())) } },
-                now);
+        board.log.write(log_event::RequestEnded, requestEndedFields(summary(status, reason, now)),
+                        now);
     }
     if (reason == "no_endpoint" && board.log.accepts(log_priority::Failure, now))
         logPoolFull(now);
@@ -1129,7 +984,40 @@
 {
     m_context.board.log.write(
             log_event::PoolFull,
-            poolFullFields(m_request.attemptId, m_poolName, placementCandidates()), now);
+            poolFullFields(m_request.attemptId, m_poolName,
+                           placementCandidates(m_context.board, placementQuery(), now)),
+            now);
+}
+
+request_summary routed_request::summary(int status, std::string_view reason, time_point now) const
+{
+    request_summary result;
+    result.requestId = m_request.attemptId;
+    result.route = m_route == nullptr ? "" : m_route->name;
+    result.account = m_account == nullptr ? "" : m_account->name;
+    result.pool = m_poolName;
+    result.status = status;
+    result.reason = reason;
+    result.endpoint = m_lastEndpointId;
+    result.calls = m_callsMade;
+    result.runs = m_runs;
+    result.queued = m_queueTime;
+    result.total = now - m_arrival;
+    result.firstByte = m_timeToFirstByte;
+    result.expectedMs = m_expectedMs;
+    result.promptTokens = m_request.promptTokens;
+    result.maxOutputTokens = m_request.maxOutputTokens;
+    result.pendingPrefillTokens = m_load.pendingPrefillTokens;
+    result.copiesSegments = m_copiesSegments;
+    result.savesSegments = m_savesSegments;
+    result.weights = m_expectedWeights;
+    result.events = m_events.events();
+    result.lastCallEvents = m_events.events() - m_eventsBeforeCall;
+    result.resumes = m_resumes;
+    result.framing = m_headReceived ? nameOf(m_head.framing) : "";
+    result.deployment = m_deployment ? m_deployment->source().version : 0;
+    result.viewAge = m_context.board.deploymentAge();
+    return result;
 }
 
 void routed_request::logCall(call_end end)
@@ -1138,17 +1026,16 @@
     const time_point now = steadyNow();
     if (end == call_end::Complete || !board.log.accepts(log_priority::Failure, now))
         return;
-    board.log.write(log_event::CallEnded,
-                    { { "id", m_request.attemptId },
-                      { "endpoint", m_endpointId },
-                      { "end", nameOf(end) },
-                      { "status", m_head.status },
-                      { "weights", m_expectedWeights },
-                      { "call", m_callsMade },
-                      { "events", m_events.events() },
-                      { "framing", m_headReceived ? nameOf(m_head.framing) : "" },
-                      { "after_ms", 1000.0 * toSeconds(now - m_callStarted) } },
-                    now);
+    const call_summary call{ m_request.attemptId,
+                             m_endpointId,
+                             end,
+                             m_head.status,
+                             m_expectedWeights,
+                             m_callsMade,
+                             m_events.events(),
+                             m_headReceived ? nameOf(m_head.framing) : "",
+                             now - m_callStarted };
+    board.log.write(log_event::CallEnded, callEndedFields(call), now);
 }
 
 } // namespace burdockhold
--- a/burdockhold/routed_request.h
+++ b/burdockhold/routed_request.h
@@ -19,6 +19,9 @@
 #include "burdockhold/connection_pool.h"
 #include "burdockhold/event_splitter.h"
 #include "burdockhold/migration_rules.h"
+#include "burdockhold/placement_inputs.h"
+#include "burdockhold/request_admission.h"
+#include "burdockhold/request_log.h"
 #include "burdockhold/router_board.h"
 #include "burdockhold/wait_queue.h"
 
@@ -102,8 +105,8 @@
     void begin();
     bool tryPlace();
     void waitForDeployment();
-    bool findRoute();
-    bool authenticate();
+    bool admit();
+    void refuseAdmission(admission_refusal refusal);
     bool admitTokens();
     void returnTokens();
     void startTimer();
@@ -114,28 +117,13 @@
     void queueWaitEnded();
     time_point queueWaitEnd(time_point now) const;
 
-    /// Inputs of one placement decision. The store belongs to the deployment in force.
-    struct placement_inputs
-    {
-        std::vector<endpoint_candidate> candidates;
-        std::optional<endpoint_candidate> canary; // Endpoint of a new version that is due a call.
-        placement_need need;
-        const cache_store *store = nullptr; // Store for the shared segments; null if there is none.
-    };
-
-    placement_inputs placementInputs() const;
-    std::vector<endpoint_candidate> placementCandidates() const;
-    void excludeCalled(std::vector<endpoint_candidate> &candidates) const;
-    const std::string &choosePool();
-
+    placement_query placementQuery() const;
     bool refuseIfNoneReturns(const std::vector<endpoint_candidate> &candidates, time_point now);
     void startCall(const placement_inputs &inputs, const endpoint_choice &choice);
     void prepareCall(std::string_view endpointId, const endpoint_choice &choice,
                      const placement_need &need);
     void countCall(const endpoint_choice &choice);
     endpoint_call_fields callFieldsFor(const std::string &endpointId) const;
-    std::string holderAddress(std::string_view engine) const;
-    const cache_store *segmentStore(const placement_inputs &inputs) const;
     void addSegmentTransfer(endpoint_call_fields &fields, const placement_inputs &inputs,
                             const std::string &holder);
     std::optional<migration_facts> migrationFacts(time_point now) const;
@@ -151,7 +139,7 @@
     void relayEvents(std::string_view bytes);
     void connectionEnded(http_outcome end);
     call_end classifyEnd(http_outcome end) const;
-    void recordRefusal();
+    void callRefused(time_point now);
     void callEnded(call_end end);
     void checkTermination(const attempt_facts &facts, bool lostUnanswered);
     void terminationChecked(const attempt_facts &facts, bool lostUnanswered,
@@ -168,6 +156,7 @@
     void finish(router_counter counter, int status, std::string_view reason);
     void logPoolFull(time_point now);
     void logCall(call_end end);
+    request_summary summary(int status, std::string_view reason, time_point now) const;
 
     request_context m_context;
     caller_request m_request;
