End a cut-off stream to an HTTP/1.0 caller with a reset

What callers see: a caller with HTTP/1.0 gets chunked coding, which it cannot read, and where its stream is cut off the orderly close completes the response for it.

Cause: the version of the request was not considered.

Ruled out: HEAD on a stream's route, where no stream begins, since the engine's response has no body.

Change: to HTTP/1.0 a stream has no transfer coding and ends with its connection; a stream that is cut off ends with a reset. 100 (Continue) is not sent to HTTP/1.0.

Result: callerWithoutChunksSeesWhetherItsStreamIsComplete fails on the former router (chunks, no Connection: close, no reset; 4 checks) and passes now, with the other cases of stream_framing_looptest and router_looptest.

--- a/burdockhold/caller_connection.cc
+++ b/burdockhold/caller_connection.cc
@@ -33,6 +33,7 @@
 constexpr duration MinIdleBeforeClose = std::chrono::milliseconds(200);
 // Time after which the kernel closes a connection with unacknowledged bytes.
 constexpr int UnacknowledgedTimeoutMs = 5000;
+constexpr unsigned FirstVersionWithChunks = 11; // HTTP/1.1, as Beast numbers versions.
 
 void setSocketOption(tcp::socket &socket, int level, int option, int value)
 {
@@ -182,7 +183,8 @@
         }
         if (m_parser->is_header_done()) {
             armRequestTimer();
-            if (!headWasParsed && m_parser->get()[http::field::expect] == "100-continue")
+            if (!headWasParsed && m_parser->get().version() >= FirstVersionWithChunks
+                && m_parser->get()[http::field::expect] == "100-continue")
                 write("HTTP/1.1 100 Continue\r\n\r\n");
         }
         if (m_input.size() > limits().headerBytes + m_readBuffer.size()) {
@@ -212,6 +214,7 @@
     platform::http_request message = m_parser->release();
     m_keepAlive = message.keep_alive();
     m_isHeadRequest = message.method() == http::verb::head;
+    m_acceptsChunks = message.version() >= FirstVersionWithChunks;
     m_request = std::make_shared<routed_request>(
             m_context, platform::decodeRequest(std::move(message)), responseWriter(), steadyNow());
     const auto request = m_request;
@@ -230,16 +233,27 @@
              },
              [self](const std::string &bytes) { self->writeStreamBytes(bytes); },
              [self] {
-                 self->write("0\r\n\r\n");
+                 if (self->m_acceptsChunks)
+                     self->write("0\r\n\r\n");
                  self->responseFinished();
              },
-             [self] {
-                 self->m_request = nullptr;
-                 // Relayed bytes are sent first; the missing last chunk shows the abort.
-                 self->m_closeAfterWrite = true;
-                 if (!self->m_writing)
-                     self->close();
-             } };
+             [self] { self->abortResponse(); } };
+}
+
+void caller_connection::abortResponse()
+{
+    m_request = nullptr;
+    if (!m_acceptsChunks) {
+        // The response ends with its connection, so an orderly close would complete it.
+        error_code ignored; // The close follows in any case.
+        m_socket.set_option(tcp::socket::linger(true, 0), ignored);
+        close();
+        return;
+    }
+    // Relayed bytes are sent first; the missing last chunk shows the abort.
+    m_closeAfterWrite = true;
+    if (!m_writing)
+        close();
 }
 
 std::string caller_connection::formatHead(int status, const std::vector<http_field> &fields) const
@@ -249,7 +263,7 @@
     text.append(reason.data(), reason.size()).append("\r\n");
     for (const http_field &field : fields)
         text.append(field.name).append(": ").append(field.value).append("\r\n");
-    if (closesAfterResponse())
+    if (m_closeAnnounced)
         text.append("Connection: close\r\n");
     return text;
 }
@@ -275,13 +289,14 @@
 
 void caller_connection::writeStreamHead(int status, const std::vector<http_field> &fields)
 {
-    m_closeAnnounced = closesAfterResponse();
-    write(formatHead(status, fields) + "Transfer-Encoding: chunked\r\n\r\n");
+    m_closeAnnounced = closesAfterResponse() || !m_acceptsChunks;
+    write(formatHead(status, fields)
+          + (m_acceptsChunks ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n"));
 }
 
 void caller_connection::writeStreamBytes(const std::string &bytes)
 {
-    write(encodeChunk(bytes));
+    write(m_acceptsChunks ? encodeChunk(bytes) : bytes);
     if (m_outputBytes > MaxPendingOutputBytes && m_request && !m_paused) {
         m_paused = true;
         m_request->pause();
@@ -391,7 +406,10 @@
     m_closed = true;
     m_timer.cancel();
     error_code ignored; // The connection is closed in any case.
-    m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+    tcp::socket::linger linger;
+    m_socket.get_option(linger, ignored);
+    if (!linger.enabled()) // Otherwise the close is to reset the connection.
+        m_socket.shutdown(tcp::socket::shutdown_send, ignored);
     m_socket.close(ignored);
     m_openConnections.erase(self);
 }
--- a/burdockhold/caller_connection.h
+++ b/burdockhold/caller_connection.h
@@ -12,6 +12,8 @@
 // - A header or body over the deployment's limits is refused before it is stored.
 // - The bytes buffered for a caller that does not read are bounded: reading from the endpoint
 //   stops. A caller that takes none of a response for the idle timeout is cut off.
+// - A stream is chunked; to a caller with HTTP/1.0 it ends with its connection. One that is cut off
+//   lacks its last chunk, or ends with a reset.
 // - During a shutdown, a connection closes after a response that announces it, or when it is idle;
 //   a request that has been read already is processed first.
 
@@ -62,6 +64,7 @@
     void armRequestTimer();
     void timerExpired();
     response_writer responseWriter();
+    void abortResponse();
 
     void writeResponse(int status, const std::vector<http_field> &fields, const std::string &body);
     void writeStreamHead(int status, const std::vector<http_field> &fields);
@@ -93,6 +96,7 @@
     bool m_requestStarted = false;
     bool m_keepAlive = true;
     bool m_isHeadRequest = false;
+    bool m_acceptsChunks = true;    ///< False for HTTP/1.0: a stream ends with its connection.
     bool m_closeAnnounced = false;  ///< The current response says that the connection closes.
     bool m_closeAfterWrite = false; ///< Close once all output has been written.
     bool m_closed = false;
--- a/testing/stream_framing_looptest.cc
+++ b/testing/stream_framing_looptest.cc
@@ -158,3 +158,30 @@
         BOOST_TEST(stream.complete == (expected > 0 && (end.isComplete() || !hadAll)), end.name());
     });
 }
+
+// Guards against chunked coding that a caller with HTTP/1.0 cannot read, and against an incomplete
+// stream whose orderly close looks complete to it.
+BOOST_FIXTURE_TEST_CASE(callerWithoutChunksSeesWhetherItsStreamIsComplete, framing_fixture)
+{
+    for (const bool complete : { true, false }) {
+        setEngineBehaviour([complete](const std::string & /*engine*/,
+                                      const recorded_request &request, response_socket &socket) {
+            socket.write(
+                    responseHead(request,
+                                 "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked")
+                    + chunk(events(1, Events)) + (complete ? LastChunk : ""));
+            return complete;
+        });
+        std::string bytes = nextRequest("/once/");
+        bytes.replace(bytes.find("HTTP/1.1"), 8, "HTTP/1.0");
+        test_caller caller(router->callerAddress());
+        caller.send(bytes);
+        const std::string response = caller.readUntil("never sent", WaitLimitMs);
+        BOOST_TEST(response.find("chunked") == std::string::npos, response);
+        BOOST_TEST(response.find("Connection: close\r\n") != std::string::npos, response);
+        BOOST_TEST(caller.closedByPeer());
+        BOOST_TEST(caller.resetByPeer() == !complete);
+        if (complete)
+            BOOST_TEST(response.substr(response.find("\r\n\r\n") + 4) == events(1, Events));
+    }
+}
--- a/testing/support_platform.cc
+++ b/testing/support_platform.cc
@@ -16,6 +16,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
@@ -622,7 +623,9 @@
         pollfd waiting{ m_descriptor, POLLIN, 0 };
         if (left.count() <= 0 || ::poll(&waiting, 1, static_cast<int>(left.count())) <= 0)
             break;
+        errno = 0;
         m_closed = !readMore(m_descriptor, m_received);
+        m_reset = m_closed && errno == ECONNRESET;
     }
     return m_received;
 }
--- a/testing/support_platform.h
+++ b/testing/support_platform.h
@@ -242,12 +242,15 @@
     /// Returns all bytes received on the connection.
     std::string readUntil(const std::string &text, int milliseconds);
     bool closedByPeer() const { return m_closed; }
+    /// Returns whether the peer closed the connection by a reset.
+    bool resetByPeer() const { return m_reset; }
     void close();
 
 private:
     int m_descriptor = -1;
     std::string m_received;
     bool m_closed = false;
+    bool m_reset = false;
 };
 
 } // namespace burdockhold::testing
