Reset a cut-off HTTP/1.0 response also at the end of a stop or an idle wait

What callers see: with HTTP/1.0, whose responses end with the connection, a stream that runs at the end of the grace period ends with an orderly close, so it looks complete. A caller of any version that reads slowly after the end of its stream, on a connection that is to close, is cut off at the idle timeout though it reads.

Cause: only the abort of a running response reset the connection. The idle timer was not set again after such a response, since the request still counted as started.

Change: a connection with an unfinished HTTP/1.0 response is reset at these two ends as well; a finished response sets the idle timer again.

Result: endOfTheGracePeriodResetsACallerWithoutChunks fails before and passes now. The idle case was not reproduced here: a test with streams of 70 to 100 events of 32 KB passed before and after, so it was dropped.

--- a/burdockhold/caller_connection.cc
+++ b/burdockhold/caller_connection.cc
@@ -128,6 +128,7 @@
         writeResponse(408, {}, {});
         return;
     }
+    abortIfUnfinished();
     close();
 }
 
@@ -244,10 +245,7 @@
 {
     m_request = nullptr;
     if (!m_acceptsChunks) {
-        // The response ends with its connection, so an orderly close would complete it.
-        error_code ignored; // The close follows in any case.
-        m_socket.set_option(tcp::socket::linger(true, 0), ignored);
-        close();
+        reset();
         return;
     }
     // Relayed bytes are sent first; the missing last chunk shows the abort.
@@ -359,6 +357,7 @@
 {
     m_request = nullptr;
     m_paused = false;
+    m_requestStarted = false; // So that the idle timer is set again while the caller reads.
     if (m_closed)
         return;
     armIdleTimer();
@@ -398,6 +397,20 @@
     close();
 }
 
+void caller_connection::reset()
+{
+    error_code ignored; // The close follows in any case.
+    m_socket.set_option(tcp::socket::linger(true, 0), ignored);
+    m_request = nullptr;
+    close();
+}
+
+void caller_connection::abortIfUnfinished()
+{
+    if (!m_acceptsChunks && (m_request || !m_output.empty()))
+        reset();
+}
+
 void caller_connection::close()
 {
     if (m_closed)
--- a/burdockhold/caller_connection.h
+++ b/burdockhold/caller_connection.h
@@ -51,6 +51,9 @@
     /// Closes the connection if no request has started on it and none is waiting to be read.
     void closeIfIdle();
 
+    /// Resets the connection if a response has not been sent whole and only a reset can show it.
+    void abortIfUnfinished();
+
 private:
     using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
@@ -65,6 +68,7 @@
     void timerExpired();
     response_writer responseWriter();
     void abortResponse();
+    void reset();
 
     void writeResponse(int status, const std::vector<http_field> &fields, const std::string &body);
     void writeStreamHead(int status, const std::vector<http_field> &fields);
--- a/burdockhold/event_router.cc
+++ b/burdockhold/event_router.cc
@@ -470,6 +470,8 @@
     const bool mustEnd = elapsed >= m_board.settings.shutdownGrace - ShutdownMargin;
     if (!m_callers.empty() && !mustEnd)
         return;
+    for (const auto &caller : callers)
+        caller->abortIfUnfinished();
     if (m_board.log.accepts(log_priority::StateChange, now))
         m_board.log.write(log_event::Stopped, { { "cut_off", m_callers.size() } }, now);
     m_board.log.flush();
--- a/testing/stream_framing_looptest.cc
+++ b/testing/stream_framing_looptest.cc
@@ -185,3 +185,27 @@
             BOOST_TEST(response.substr(response.find("\r\n\r\n") + 4) == events(1, Events));
     }
 }
+
+// Guards against a stop whose orderly close, at the end of the grace period, completes a running
+// response for a caller without chunks.
+BOOST_FIXTURE_TEST_CASE(endOfTheGracePeriodResetsACallerWithoutChunks, framing_fixture)
+{
+    setEngineBehaviour([](const std::string & /*engine*/, const recorded_request &request,
+                          response_socket &socket) {
+        socket.write(responseHead(request,
+                                  "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked"));
+        for (int id = 1; socket.write(chunk(event(id))); ++id)
+            std::this_thread::sleep_for(std::chrono::milliseconds(200));
+        return false;
+    });
+    std::string bytes = nextRequest("/slow/");
+    bytes.replace(bytes.find("HTTP/1.1"), 8, "HTTP/1.0");
+    bytes.replace(bytes.find("Deadline-Ms: 3000"), 17, "Deadline-Ms: 20000");
+    test_caller caller(router->callerAddress());
+    caller.send(bytes);
+    caller.readUntil(event(1), WaitLimitMs);
+    router->terminate();
+    constexpr int GraceMs = 8000;
+    caller.readUntil("never sent", GraceMs + WaitLimitMs);
+    BOOST_TEST(caller.resetByPeer());
+}
