Keep a caller's backpressure over all calls of its request

What callers see: a caller that reads slower than its engine sends loses its stream, and one that does not read at all lets the router exceed its memory limit, which ends the process for all.

Cause: a pause belonged to one connection to an endpoint. The next call of the request read without a bound. And the endpoint that was not read was taken for a silent or stalled one, which is why there was a next call.

Change: the request keeps the pause. While it lasts, the endpoint is not judged by its silence; the time limits of the request and of the caller's connection hold.

--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -228,7 +228,7 @@
 void routed_request::startTimer()
 {
     time_point next = m_deadline;
-    if (m_route->kind == call_kind::Stream && m_connection)
+    if (m_route->kind == call_kind::Stream && m_connection && !m_paused)
         next = std::min(next, m_lastProgress + maxEventGap(*m_route));
     m_timer.expires_at(next);
     m_timer.async_wait([self = shared_from_this()](error_code error) {
@@ -244,7 +244,7 @@
         deadlineReached();
         return;
     }
-    if (!m_connection || now - m_lastProgress < maxEventGap(*m_route)) {
+    if (!m_connection || m_paused || now - m_lastProgress < maxEventGap(*m_route)) {
         startTimer();
         return;
     }
@@ -474,6 +474,8 @@
     if (!m_segmentKey.empty() && m_pool != nullptr && m_pool->engine)
         addSegmentTransfer(fields, inputs, holder);
     m_connection->call(platform::encodeCall(m_request, fields), callHandlers());
+    if (m_paused)
+        m_connection->pauseReading();
 }
 
 /// Resets the state of the previous call and adds the new call to the chosen endpoint's load.
@@ -847,7 +849,7 @@
 {
     if (m_ended || m_endpointId.empty() || !m_connection || !m_connection->isConnected())
         return std::nullopt;
-    if (!m_events.canContinue())
+    if (m_paused || !m_events.canContinue())
         return std::nullopt;
     // Elsewhere it would be refused.
     if (!m_responseStarted && m_context.board.crashes.isAnyBlocked(m_fingerprints, now))
@@ -943,12 +945,17 @@
 
 void routed_request::pause()
 {
+    m_paused = true;
     if (m_connection)
         m_connection->pauseReading();
 }
 
 void routed_request::resume()
 {
+    m_paused = false;
+    m_lastProgress = steadyNow(); // The endpoint could send nothing meanwhile.
+    if (!m_ended && m_connection)
+        startTimer();
     if (m_connection)
         m_connection->resumeReading();
 }
--- a/burdockhold/routed_request.h
+++ b/burdockhold/routed_request.h
@@ -84,7 +84,8 @@
     /// The caller has closed its connection.
     void callerDisconnected();
 
-    /// Pauses and resumes reading from the endpoint: backpressure from a slow caller.
+    /// Pauses and resumes reading from endpoints: backpressure from a slow caller. An endpoint that
+    /// is not read is not taken for a silent one.
     void pause();
     void resume();
 
@@ -202,6 +203,7 @@
     bool m_mayHaveRun = false;
     bool m_responseStarted = false;
     bool m_isEventStream = false; ///< The response that has started says that it is one.
+    bool m_paused = false;   ///< The caller does not read as fast as the endpoint sends.
     bool m_waiting = false;
     bool m_awaitsRetryBudget = false; ///< The next call must first be admitted by the retry budget.
     bool m_ended = false;
