Refuse unknown transfer codings and continuations of another media type

What callers see: a response with "Transfer-Encoding: chunked, gzip" is relayed with its chunk sizes as text and may end as complete. A stream that began as text/plain is continued with the JSON of an error.

Cause: a transfer coding that is not exactly chunked was read until the end of the connection. The media type of a continuation was compared only if the stream had begun as text/event-stream.

--- a/burdockhold/caller_request.h
+++ b/burdockhold/caller_request.h
@@ -103,8 +103,9 @@
     std::string attemptId;  ///< Echo of the caller's attempt id; empty when absent.
     std::string signature;  ///< Empty when absent.
     bool notExecuted = false;
-    bool encoded = false; ///< Has a content coding, which no engine uses.
+    bool encoded = false; ///< Has a content coding, or a transfer coding other than chunked.
     bool eventStream = false;
+    std::string mediaType; ///< In lower case, without parameters; empty when absent.
     body_framing framing = body_framing::None;
     std::optional<std::int64_t> weights;
     endpoint_notice notice;
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -547,7 +547,8 @@
     const bool success = head.status >= 200 && head.status < 300;
     if (!success)
         return true;
-    const bool continuesStream = !m_responseStarted || head.eventStream || !m_isEventStream;
+    const bool continuesStream = !m_responseStarted || head.eventStream
+                                 || head.mediaType == m_mediaType;
     return head.attemptId == m_request.attemptId && !head.signature.empty() && !head.encoded
            && continuesStream;
 }
@@ -651,7 +652,7 @@
         m_rolloutCall->eventsReceived(m_events.events() - m_eventsBeforeCall, m_lastProgress);
     if (!m_responseStarted) {
         m_responseStarted = true;
-        m_isEventStream = m_head.eventStream;
+        m_mediaType = m_head.mediaType;
         m_writer.beginStream(m_head.status, m_head.forwardedFields);
     }
     m_writer.sendStreamBytes(completeEvents);
--- a/burdockhold/routed_request.h
+++ b/burdockhold/routed_request.h
@@ -202,7 +202,7 @@
     int m_resumes = 0; ///< Calls that were to continue the stream that the caller has begun to get.
     bool m_mayHaveRun = false;
     bool m_responseStarted = false;
-    bool m_isEventStream = false; ///< The response that has started says that it is one.
+    std::string m_mediaType; ///< Of the response that has started; may be empty.
     bool m_paused = false;   ///< The caller does not read as fast as the endpoint sends.
     bool m_waiting = false;
     bool m_awaitsRetryBudget = false; ///< The next call must first be admitted by the retry budget.
--- a/testing/unproven_ends_looptest.cc
+++ b/testing/unproven_ends_looptest.cc
@@ -83,6 +83,18 @@
 
 } // namespace
 
+// Guards against a transfer coding that is relayed as text.
+BOOST_FIXTURE_TEST_CASE(unknownTransferCodingIsNoAnswer, answers_fixture)
+{
+    for (const std::string coding : { "chunked, gzip", "gzip", "chunked, identity" }) {
+        const received_stream stream = call(
+                "/once/", { { "Content-Type: text/event-stream\r\nTransfer-Encoding: " + coding,
+                              chunk(events(1, 2)) } });
+        BOOST_TEST(stream.head.rfind("HTTP/1.1 502", 0) == 0U, coding << ": " << stream.head);
+        BOOST_TEST(stream.body.empty());
+    }
+}
+
 // Guards against an engine's error that tells the caller "not run, try again" although the engine
 // did not say so and may have run the request.
 BOOST_FIXTURE_TEST_CASE(errorThatPromisesNotRunIsAnsweredAsUnknown, answers_fixture)
