Judge a continuation by what earlier calls have begun

What callers see, each on a resumable stream: a stream of which an engine had begun the first event ends as complete, with no event, when the next engine adds none, or without its first events when the next engine skips them. A caller that resumes by itself gets text without an id, such as an error's, as the rest of its stream. An event whose id does not grow is dropped and the stream completes without it. An id with a CR would add a header field to the next call.

Change: event_splitter knows whether an endpoint has begun an event that has not arrived, and its id; a success that adds nothing to such a stream is NothingAdded. Comments are no events. A caller's Last-Event-Id is followed as the last event of an earlier call is. Ids are read as the format says.

Weighed: to refuse an empty answer to a caller that resumes by itself. Nothing shows that its stream has more events, so the engine's whole answer is delivered, as before.

--- a/burdockhold/attempt_rules.cc
+++ b/burdockhold/attempt_rules.cc
@@ -114,7 +114,7 @@
         return call_end::Complete;
     if (response.hasPartialEvent)
         return call_end::Broken;
-    const bool addsNothing = response.responseStarted && !response.deliveredEvents;
+    const bool addsNothing = response.continuesStream && !response.deliveredEvents;
     return addsNothing ? call_end::NothingAdded : call_end::Complete;
 }
 
--- a/burdockhold/attempt_rules.h
+++ b/burdockhold/attempt_rules.h
@@ -118,7 +118,8 @@
     bool calledBefore = false;    ///< An earlier call of the attempt reached the same address.
     bool isStream = false;        ///< The route's responses are streams of events.
     bool hasPartialEvent = false; ///< It ends inside an event.
-    bool responseStarted = false; ///< The caller has received the head of the response.
+    /// Earlier calls have begun the response, or an event that has not arrived since.
+    bool continuesStream = false;
     bool deliveredEvents = false; ///< It has delivered events to the caller.
 };
 
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -499,6 +499,7 @@
     m_head = {};
     discardBody();
     m_eventsBeforeCall = m_events.events();
+    m_continuesStream = m_responseStarted || m_events.lacksBegunEvent();
     m_callStarted = steadyNow();
     m_lastProgress = m_callStarted;
     m_load = { need.promptTokens - choice.expectedCachedTokens,
@@ -687,7 +688,7 @@
     response.calledBefore = m_calledAddresses.count(m_address) != 0;
     response.isStream = m_route->kind == call_kind::Stream;
     response.hasPartialEvent = m_events.hasPartial();
-    response.responseStarted = m_responseStarted;
+    response.continuesStream = m_continuesStream;
     response.deliveredEvents = m_events.events() > m_eventsBeforeCall;
     return classifyResponse(response);
 }
--- a/burdockhold/routed_request.h
+++ b/burdockhold/routed_request.h
@@ -187,6 +187,7 @@
     bool m_headReceived = false;
     std::string m_body;
     std::uint64_t m_eventsBeforeCall = 0; ///< Events that earlier calls delivered to the stream.
+    bool m_continuesStream = false; ///< An earlier call has begun the response or an event of it.
     std::string m_segmentKey;
     std::int64_t m_expectedWeights = 0;
 
--- a/testing/attempt_rules_test.cc
+++ b/testing/attempt_rules_test.cc
@@ -112,7 +112,7 @@
             response.notExecuted = (bits & 1) != 0;
             response.isStream = (bits & 2) != 0;
             response.hasPartialEvent = (bits & 4) != 0;
-            response.responseStarted = response.isStream && (bits & 8) != 0;
+            response.continuesStream = response.isStream && (bits & 8) != 0;
             response.deliveredEvents = response.isStream && (bits & 16) != 0;
             response.calledBefore = (bits & 32) != 0;
             const call_end end = classifyResponse(response);
@@ -122,7 +122,7 @@
             } else if (!response.isStream) {
                 BOOST_TEST((end == call_end::Complete));
             } else {
-                const bool addsNothing = response.responseStarted && !response.deliveredEvents;
+                const bool addsNothing = response.continuesStream && !response.deliveredEvents;
                 BOOST_TEST((end == call_end::NothingAdded)
                            == (addsNothing && !response.hasPartialEvent));
                 BOOST_TEST((end == call_end::Complete)
@@ -143,7 +143,7 @@
             response.notExecuted = (bits & 1) != 0;
             response.calledBefore = (bits & 2) != 0;
             response.isStream = (bits & 4) != 0;
-            response.responseStarted = response.isStream && (bits & 8) != 0;
+            response.continuesStream = response.isStream && (bits & 8) != 0;
             response.deliveredEvents = response.isStream && (bits & 16) != 0;
             const call_end end = classifyResponse(response);
             const bool refused = status >= 300 && response.notExecuted;
--- a/testing/event_splitter_test.cc
+++ b/testing/event_splitter_test.cc
@@ -125,3 +125,84 @@
     splitter.add("data: x\n\n");
     BOOST_TEST(!splitter.canContinue());
 }
+
+// Guards against a stream that cannot be resumed because a comment came before its first event, and
+// against a comment that counts as an event.
+BOOST_AUTO_TEST_CASE(commentsAreNoEvents)
+{
+    for (const std::string comment : { ": ok\n\n", "\n\n", ":\n: x\n\n" }) {
+        event_splitter splitter;
+        BOOST_TEST(splitter.add(comment) == comment);
+        BOOST_TEST(splitter.events() == 0U);
+        BOOST_TEST(splitter.canContinue());
+        splitter.continueElsewhere();
+        BOOST_TEST(!splitter.lacksBegunEvent());
+        BOOST_TEST(splitter.add(stream(1, 3)) == stream(1, 3));
+        BOOST_TEST(splitter.events() == 3U);
+    }
+}
+
+// Guards against an event that an endpoint had begun and that the next one skips.
+BOOST_AUTO_TEST_CASE(begunEventMustArrive)
+{
+    for (int delivered = 0; delivered <= 3; ++delivered) {
+        for (int next = 1; next <= 6; ++next) {
+            event_splitter splitter;
+            splitter.add(stream(1, delivered) + "id: " + std::to_string(delivered + 1) + "\nda");
+            splitter.continueElsewhere();
+            BOOST_TEST(splitter.lacksBegunEvent());
+            const std::string rest = splitter.add(stream(next, 6));
+            BOOST_TEST(splitter.failed() == (next > delivered + 1));
+            BOOST_TEST(splitter.lacksBegunEvent() == splitter.failed());
+            BOOST_TEST(rest == (splitter.failed() ? "" : stream(delivered + 1, 6)));
+        }
+    }
+    event_splitter repeated;
+    repeated.add(stream(1, 3));
+    repeated.continueElsewhere();
+    repeated.add("id: 3\nda"); // Sent again, so nothing is known of a fourth event.
+    repeated.continueElsewhere();
+    BOOST_TEST(!repeated.lacksBegunEvent());
+}
+
+// Guards against text without an id that is relayed to a caller who resumes by itself, and against
+// events that it has.
+BOOST_AUTO_TEST_CASE(streamOfACallerThatResumesFollowsItsLastEvent)
+{
+    event_splitter error("3");
+    BOOST_TEST(error.add("data: error\n\n").empty());
+    BOOST_TEST(error.failed());
+    event_splitter repeated("3");
+    BOOST_TEST(repeated.add(stream(2, 6)) == stream(4, 6));
+    event_splitter steps("3"); // The ids may grow in steps.
+    BOOST_TEST(steps.add(event(6, "x")) == event(6, "x"));
+}
+
+// Guards against an event that is dropped without a trace because its id does not grow.
+BOOST_AUTO_TEST_CASE(idsThatDoNotGrowFail)
+{
+    for (const int id : { 1, 2 }) {
+        event_splitter splitter;
+        BOOST_TEST(splitter.add(stream(1, 2) + event(id, "other")) == stream(1, 2));
+        BOOST_TEST(splitter.failed());
+    }
+}
+
+// Guards against ids that the next endpoint does not understand, or that add a field to the call.
+BOOST_AUTO_TEST_CASE(idsAreReadAsTheFormatSays)
+{
+    const std::pair<std::string, std::string> cases[] = {
+        { "id: 2 \n", "2" },
+        { "id:2\n", "2" },
+        { "id: 1\nid: 2\n", "2" },
+        { "id: 2\rX-Odd: y\n", "2" },
+        { "id\n", "" },
+        { "\xEF\xBB\xBFid: 2\n", "2" },
+        { std::string("id: 2\0\n", 7), "" },
+    };
+    for (const auto &[line, id] : cases) {
+        event_splitter splitter;
+        splitter.add(line + "data: x\n\n");
+        BOOST_TEST(splitter.lastId() == id, line);
+    }
+}
--- a/testing/unproven_ends_looptest.cc
+++ b/testing/unproven_ends_looptest.cc
@@ -83,6 +83,54 @@
 
 } // namespace
 
+// Guards against a stream that counts as complete without an event that an engine had begun.
+BOOST_FIXTURE_TEST_CASE(streamWithoutABegunEventIsNotComplete, answers_fixture)
+{
+    const engine_answer begun = chunked("id: 1\nda", false);
+    for (const engine_answer &empty :
+         { chunked(""), chunked(": ping\n\n"), chunked("\n\n"), chunked(events(3, 5)) }) {
+        const received_stream stream = call("/resume/", { begun, empty });
+        BOOST_TEST(!stream.complete, stream.head << stream.body);
+        BOOST_TEST(!succeeded(stream), stream.head);
+    }
+}
+
+// Guards against an engine that is not asked after one that adds nothing to a begun event.
+BOOST_FIXTURE_TEST_CASE(emptyAnswerAfterABegunEventIsContinuedElsewhere, answers_fixture)
+{
+    const received_stream stream = call(
+            "/resume3/", { chunked("id: 1\nda", false), chunked(""), chunked(events(1, 3)) });
+    BOOST_TEST(stream.complete);
+    BOOST_TEST(stream.body == events(1, 3));
+}
+
+// Guards against a stream that is cut off because it began with a comment.
+BOOST_FIXTURE_TEST_CASE(streamThatBeganWithACommentIsResumed, answers_fixture)
+{
+    for (const std::string comment : { ": ok\n\n", "\n\n" }) {
+        const received_stream stream = call("/resume/",
+                                            { chunked(comment, false), chunked(events(1, 3)) });
+        BOOST_TEST(stream.complete);
+        BOOST_TEST(stream.body == comment + events(1, 3));
+    }
+}
+
+// Guards against an engine's text that is joined to a stream which it does not belong to.
+BOOST_FIXTURE_TEST_CASE(textThatDoesNotFollowIsNotRelayed, answers_fixture)
+{
+    const received_stream resumed = call("/resume/", { chunked("data: error\n\n") },
+                                         "Last-Event-Id: 3\r\n");
+    BOOST_TEST(!succeeded(resumed), resumed.head << resumed.body);
+    const engine_answer text = chunked(events(1, 1), false, "text/plain");
+    const engine_answer json = chunked("id: 2\n{\"error\":1}\n\n", true, "application/json");
+    const received_stream joined = call("/resume/", { text, json });
+    BOOST_TEST(joined.body == events(1, 1));
+    BOOST_TEST(!joined.complete);
+    const received_stream backwards = call("/once/", { chunked(events(1, 2) + event(1)) });
+    BOOST_TEST(backwards.body.find(event(1), 1) == std::string::npos);
+    BOOST_TEST(!backwards.complete, backwards.head << backwards.body);
+}
+
 // Guards against a transfer coding that is relayed as text.
 BOOST_FIXTURE_TEST_CASE(unknownTransferCodingIsNoAnswer, answers_fixture)
 {
