Count the address that a migrated request has left as called

What callers see: a stream that leaves an engine that loads weights may run at one engine more than its route allows. If another entry names the same address, the engine there gets the attempt a second time, and its refusal is taken as proof that this call did not run.

Cause: migrate() recorded the run, but not the address, so the refusal did not count as the answer to a later call of the attempt.

Ruled out, each by a test that passes before and after: a migrated stream completes, or gets other bytes, after an error, an empty success, JSON, a gap or events of another stream (30 continuations, on a route of two and of three engines); one refusal cuts it off; a refusal that is repeated after a pause counts as no run; a request that may run once leaves a loading engine.

Change: migrate() records the address.

Result: refusalAtTheAddressThatAStreamHasLeftCountsAsARun fails on the former code (a third call, the stream completed by it; 4 checks) and passes now. migrated_streams_looptest, resumed_streams_looptest and repeated_refusals_looptest pass.

--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -873,8 +873,8 @@
 {
     ++m_runs;
     m_mayHaveRun = true;
-    const auto connection = m_connection;
-    connection->close();
+    m_calledAddresses.insert(m_address);
+    m_connection->close();
     releaseCall();
     takeStep(try_another{});
 }
