Test streams whose engine becomes silent and sends its bytes late

A connection that is cut in one direction looks to the router like an engine that is silent, and what was held back may come after the request has been continued elsewhere. The stand-in engine holds its bytes back; nothing is dropped below TCP, which the tests cannot do without privileges, so lost acknowledgements are not covered.

The caller gets each event once and no complete end without the last event, when

- the rest, the last chunk alone, half an event or an error comes after the stream has left, also when it lies unread in the socket as the stream leaves (20 combinations);
- the rest comes within 30 ms of the moment the stream leaves, or 500 ms off;
- the request reaches its first engine only after the second has it;
- no byte of the continuation arrives, with and without a third engine.

--- a/testing/migrated_streams_looptest.cc
+++ b/testing/migrated_streams_looptest.cc
@@ -9,7 +9,8 @@
 #include <string>
 #include <vector>
 
-// Requests of a router's loop, without its process, whose first engine is about to load weights.
+// Requests of a router's loop, without its process, whose first engine is about to load weights or
+// becomes silent, and may send the rest of its response late.
 
 using namespace burdockhold;
 using namespace burdockhold::testing;
@@ -21,6 +22,8 @@
 const engine_response firstPart{
     "first", eventStream + chunked, chunk(events(1, 3)), {}, false, "200 OK", true
 };
+const engine_response unendedPart{ "first", eventStream + chunked, chunk(events(1, 3)), {} };
+const engine_response nothing{ "nothing", {}, {}, {}, false, {}, true };
 const engine_response rest{ "rest", eventStream + chunked, chunk(events(4, 6)) + LastChunk, {} };
 
 engine_response refusalWith(const std::string &fields)
@@ -141,6 +144,8 @@
             io.restart();
             io.run_for(ms(2));
             waiting.retry();
+            if (stepsMigration)
+                migrateIfNeeded();
         }
         return true;
     }
@@ -151,10 +156,27 @@
         const time_point now = steadyNow();
         for (const time_point at : { now - MinLoadingToMigrate, now })
             board.endpoints.setLoading(engines.front(), duration::zero(), at);
+        migrateIfNeeded();
+    }
+
+    bool sawFirstPart() const { return record.events == events(1, 3); }
+
+    void migrateIfNeeded()
+    {
         for (const auto &stream : migratable_requests(migratable))
             stream->migrateIfNeeded();
     }
 
+    /// Lets the first engine send its late bytes and waits until they have arrived. The loop does
+    /// not run meanwhile.
+    void sendLate()
+    {
+        lateReleased = true;
+        while (!lateSent)
+            std::this_thread::sleep_for(ms(1));
+        std::this_thread::sleep_for(ms(5));
+    }
+
     /// Plays a stream that leaves its first engine after the events 1 to 3.
     void playMigration(const std::string &path, std::vector<engine_response> toSend)
     {
@@ -183,8 +205,18 @@
         }
         while (number > 0 && holdsNextCalls)
             std::this_thread::sleep_for(ms(1));
-        if (number < responses.size())
+        if (number < responses.size() && !responses[number].status.empty())
             respond(responses[number], call, socket);
+        if (number > 0 || late.empty()) {
+            if (number < responses.size() && responses[number].silent)
+                socket.peerClosed(WaitLimitMs);
+            return false;
+        }
+        while (!lateReleased)
+            std::this_thread::sleep_for(ms(1));
+        socket.write(late);
+        lateSent = true;
+        socket.peerClosed(WaitLimitMs);
         return false;
     }
 
@@ -192,6 +224,10 @@
     std::vector<engine_response> responses;
     std::vector<std::string> lastEventIds;
     std::vector<std::string> engines;
+    std::string late; ///< Sent by the first engine after its response once it is released.
+    std::atomic<bool> lateReleased{ false };
+    std::atomic<bool> lateSent{ false };
+    bool stepsMigration = false;               ///< runUntil() lets requests leave silent engines.
     std::atomic<bool> holdsNextCalls{ false }; ///< Calls after the first one are not answered yet.
     caller_record record;
     boost::asio::io_context io;
@@ -307,3 +343,97 @@
         BOOST_TEST(!fixture.record.complete, path);
     }
 }
+
+// Guards against late bytes of an engine that a stream has left: they end the call to the next
+// engine, complete the stream, or bring an event twice.
+BOOST_AUTO_TEST_CASE(lateBytesOfAnEngineThatAStreamHasLeftAreNotUsed)
+{
+    const engine_response unfinished{
+        "unfinished", eventStream + chunked, chunk(events(4, 5)), {}
+    };
+    const std::string error = "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n";
+    for (const std::string &late : { chunk(events(4, 6)) + LastChunk, std::string(LastChunk),
+                                     chunk("id: 4\nda"), LastChunk + error, error }) {
+        for (const bool unreadAtMigration : { true, false }) {
+            for (const engine_response &next : { unfinished, rest }) {
+                const std::string name = late + next.name;
+                migration_fixture fixture(2);
+                fixture.late = late;
+                fixture.start("/resume/", { unendedPart, next });
+                BOOST_REQUIRE(fixture.runUntil([&] { return fixture.sawFirstPart(); }));
+                if (unreadAtMigration)
+                    fixture.sendLate();
+                fixture.holdsNextCalls = true;
+                fixture.loadAtFirstEngine();
+                BOOST_REQUIRE(
+                        fixture.runUntil([&] { return fixture.resumedAfter().size() == 2U; }));
+                if (!unreadAtMigration)
+                    fixture.sendLate();
+                fixture.holdsNextCalls = false;
+                BOOST_REQUIRE(fixture.runUntil([&] { return fixture.record.ended(); }));
+                const bool whole = next.name == rest.name;
+                BOOST_TEST(fixture.record.events == events(1, whole ? 6 : 5), name);
+                BOOST_TEST(fixture.record.complete == whole, name);
+                BOOST_TEST(fixture.record.aborted == !whole, name);
+            }
+        }
+    }
+}
+
+// Guards against an event that comes twice or is lost where the rest of a stream comes about when
+// the stream leaves its silent engine.
+BOOST_AUTO_TEST_CASE(streamHasEachEventOnceWhenItsEngineSpeaksAgain)
+{
+    std::size_t migrated = 0;
+    const std::vector<int> offsets{ -500, -30, -20, -10, 0, 10, 20, 30, 500 };
+    for (const int offset : offsets) {
+        migration_fixture fixture(2);
+        fixture.late = chunk(events(4, 6)) + LastChunk;
+        fixture.stepsMigration = true;
+        fixture.start("/resume/", { unendedPart, rest });
+        BOOST_REQUIRE(fixture.runUntil([&] { return fixture.sawFirstPart(); }));
+        const time_point due = steadyNow() + MaxEngineSilence + ms(offset);
+        fixture.runUntil([&] { return steadyNow() >= due; });
+        fixture.lateReleased = true;
+        BOOST_REQUIRE(fixture.runUntil([&] { return fixture.record.ended(); }));
+        BOOST_TEST(fixture.record.events == events(1, 6), offset);
+        BOOST_TEST(fixture.record.complete, offset);
+        migrated += fixture.resumedAfter().size() - 1;
+    }
+    BOOST_TEST(migrated > 0U);
+    BOOST_TEST(migrated < offsets.size());
+}
+
+// Guards against events that are lost or come twice, and an end that looks complete, because a
+// request does not reach its engine until later, or no byte of the continuation arrives.
+BOOST_AUTO_TEST_CASE(streamWhoseConnectionIsCutInOneDirectionIsWholeOrCutOff)
+{
+    const engine_response whole{
+        "whole", eventStream + chunked, chunk(events(1, 6)) + LastChunk, {}
+    };
+    migration_fixture lost(2);
+    lost.stepsMigration = true;
+    lost.late =
+            "HTTP/1.1 200 OK\r\nX-Burdockhold-Attempt-Id: id1\r\nX-Burdockhold-Server-Stamp: s1\r\n"
+            + whole.fields + "\r\n" + whole.body;
+    lost.holdsNextCalls = true;
+    lost.start("/resume/", { nothing, whole });
+    BOOST_REQUIRE(lost.runUntil([&] { return lost.resumedAfter().size() == 2U; }));
+    lost.sendLate();
+    lost.holdsNextCalls = false;
+    BOOST_REQUIRE(lost.runUntil([&] { return lost.record.ended(); }));
+    BOOST_TEST(lost.record.events == events(1, 6));
+    BOOST_TEST(lost.record.complete);
+
+    migration_fixture two(3);
+    two.stepsMigration = true;
+    two.start("/resume/", { firstPart, nothing });
+    BOOST_REQUIRE(two.runUntil([&] { return two.record.ended(); }));
+    checkIncomplete(two, nothing.name);
+
+    migration_fixture three(3);
+    three.stepsMigration = true;
+    three.start("/resume3/", { firstPart, nothing, rest });
+    BOOST_REQUIRE(three.runUntil([&] { return three.record.ended(); }));
+    checkComplete(three, nothing.name);
+}
