Don't complete a response by a close while its request is written

What callers see: an engine answers a request with a long body early, by a stream with neither length nor chunks, and its process ends. The stream looks complete.

Cause: the close of the process arrives before the reset that answers the bytes sent after it. Until the write fails, http_client_connection took the close for an orderly end, though the engine cannot have read the whole request.

Ruled out, by tests that pass before and after: responses with a length or chunks; a kept connection on which the engine answers before it reads a body of 1 KB, 64 KB or 32 MB: the next request follows the whole body, or the connection is not used again.

Change: a close counts as orderly only once the request is written. An early error response with neither length nor chunks therefore counts as broken, too; the router answers it with 502 where the request may not be repeated.

--- a/burdockhold/http_client_connection.cc
+++ b/burdockhold/http_client_connection.cc
@@ -276,7 +276,8 @@
 void http_client_connection::serverClosed()
 {
     // A failed write consumes the socket's error, so the read after a reset reports an orderly end.
-    if (!m_headDelivered || m_writeFailed) {
+    // The close of a process that ended arrives before the reset that answers later bytes.
+    if (!m_headDelivered || m_writeFailed || m_writing) {
         finish(http_outcome::Broken);
         return;
     }
