Ignore the address of an entry whose service is not named

What callers see: an engine is out of use until its next heartbeat is read, though it works: requests are refused or go to slower engines.

Cause: an entry of another writer that can be read, but names a service that is not in the configuration, was taken for a later start at its address, so endpoint_table removed the engine there. By the protocol such an entry names no engine, and the others hold.

Ruled out: entries with fields of another type or an unknown state. They never reach the table.

Change: an entry whose pool the deployment does not name replaces none; once a deployment names it, it does. An entry with a named service and a later start replaces the earlier one as before: by the protocol it is an engine's, and an address is used again after its engine has ended.

laterEndpointReplacesTheOneAtItsAddress names its pool first, which the table now needs; its checks are the same. The refusing engines of odd_entries_looptest move into its fixture.

Result: entryThatNamesNoEngineRemovesNoneAtItsAddress fails on the former router (the engine gets no call) and passes now, with the other cases of odd_entries_looptest and endpoint_table_test.

--- a/burdockhold/endpoint_table.cc
+++ b/burdockhold/endpoint_table.cc
@@ -82,9 +82,21 @@
     return changed;
 }
 
+void endpoint_table::namePools(std::set<std::string> pools, time_point now)
+{
+    m_namedPools.swap(pools);
+    for (const auto &[id, entry] : m_entries) {
+        const bool wasNamed = pools.count(entry.report.pool) != 0;
+        if (!wasNamed && !entry.removed)
+            removeReplacedEndpoints(entry.report, now);
+    }
+}
+
 /// Removes earlier endpoints at the same address: a later start there shows that they have ended.
 void endpoint_table::removeReplacedEndpoints(const endpoint_report &report, time_point now)
 {
+    if (m_namedPools.count(report.pool) == 0)
+        return;
     for (const auto &[id, entry] : m_entries) {
         const bool isReplaced = id != report.id && entry.report.address == report.address
                                 && entry.report.incarnation < report.incarnation;
--- a/burdockhold/endpoint_table.h
+++ b/burdockhold/endpoint_table.h
@@ -141,6 +141,10 @@
     /// no newer one has replaced: the clock of these endpoints was behind at their last start.
     std::vector<endpoint_report> confirmView(time_point at);
 
+    /// Sets the pools that the deployment names; none before the first call. An entry whose pool
+    /// has no name there may be another writer's, so it shows nothing about its address.
+    void namePools(std::set<std::string> pools, time_point now);
+
     /// Removes the endpoints that are not in ids, a complete list.
     void keepOnly(const std::set<std::string> &ids, time_point now);
 
@@ -306,6 +310,7 @@
     static std::int64_t knownVersion(const table_entry &entry, std::string_view model);
 
     std::string m_dataCentre;
+    std::set<std::string> m_namedPools;
     std::map<std::string, std::int64_t> m_cacheTokens; // By pool.
     endpoint_table_options m_options;
     std::map<std::string, table_entry, std::less<>> m_entries;
--- a/burdockhold/event_router.cc
+++ b/burdockhold/event_router.cc
@@ -293,10 +293,13 @@
     if (m_board.deployment && next.version <= m_board.deployment->source().version)
         return;
     const std::uint64_t version = next.version;
+    std::set<std::string> pools;
     for (const deployment_pool &pool : next.pools) {
+        pools.insert(pool.name);
         if (pool.engine)
             m_board.endpoints.setCacheTokens(pool.name, pool.engine->cacheTokens);
     }
+    m_board.endpoints.namePools(std::move(pools), now);
     m_board.deployment = std::make_shared<const deployment_index>(std::move(next));
     m_board.applyLimits(now);
     if (m_board.log.accepts(log_priority::StateChange, now))
--- a/testing/endpoint_table_test.cc
+++ b/testing/endpoint_table_test.cc
@@ -161,6 +161,7 @@
 BOOST_AUTO_TEST_CASE(laterEndpointReplacesTheOneAtItsAddress)
 {
     endpoint_table table("dc1");
+    table.namePools({ "pool" }, at(0));
     table.update(report("old", 100), at(0));
     table.update(report("other", 100, "127.0.0.1:2"), at(0));
     table.update(report("new", 200), at(5));
@@ -168,6 +169,24 @@
     BOOST_TEST(candidate(table, "old", at(5)).id.empty());
 }
 
+// Guards against an entry of another writer that removes an engine at its address, and against an
+// engine that has ended and stays in use once the deployment names the pool of the later one.
+BOOST_AUTO_TEST_CASE(entryOfAnUnnamedPoolReplacesNone)
+{
+    endpoint_table table("dc1");
+    endpoint_report other = report("odd", 200);
+    other.pool = "unnamed";
+    table.update(report("e1", 100), at(0));
+    table.update(other, at(1));
+    BOOST_TEST(candidates(table, at(1)) == 1U);
+    table.namePools({ "pool" }, at(2));
+    BOOST_TEST(candidates(table, at(2)) == 1U);
+    table.update(report("e2", 100, "127.0.0.1:2"),
+                 at(2)); // Without it e1 is used for a while more.
+    table.namePools({ "pool", "unnamed" }, at(3));
+    BOOST_TEST(candidate(table, "e1", at(3)).id.empty());
+}
+
 // Guards against state of an earlier incarnation that is applied to a new one with the same id.
 BOOST_AUTO_TEST_CASE(newIncarnationResetsState)
 {
--- a/testing/odd_entries_looptest.cc
+++ b/testing/odd_entries_looptest.cc
@@ -8,6 +8,7 @@
 #include <functional>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 // Entries that another writer has left among those of the engines: no such entry names an engine to
@@ -80,14 +81,41 @@
         return true;
     }
 
+    /// Lets all engines but the first refuse, so that each call reaches it if it is used.
+    void refuseAtOtherEngines()
+    {
+        setEngineBehaviour([](const std::string &name, const recorded_request &r,
+                              response_socket &s) {
+            if (name == "e1")
+                return s.write(completeResponse(r, "body"));
+            return s.write("HTTP/1.1 503 Service Unavailable\r\nX-Burdockhold-Attempt-Id: "
+                           + r.field("X-Burdockhold-Attempt-Id")
+                           + "\r\nX-Burdockhold-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+        });
+    }
+
+    bool firstIsUsed()
+    {
+        const std::size_t before = callsTo("e1");
+        for (int call = 0; call < 5; ++call)
+            exchangeRequest(request("/safe/"));
+        return callsTo("e1") > before;
+    }
+
     /// Lists the third engine and waits until the router has read its entry, and so all earlier
-    /// ones. Then checks that the listed engines serve and that only they do.
-    void checkThatListIsFollowed()
+    /// ones.
+    void listThird()
     {
         putEntry("e3", endpointRecord(third.address(), "ready"));
         BOOST_TEST(waitUntil([this] {
             return router->logText().find(R"("endpoint":"e3")") != std::string::npos;
         }));
+    }
+
+    /// Checks that the listed engines serve and that only they do.
+    void checkThatListIsFollowed()
+    {
+        listThird();
         BOOST_TEST(!router->hasExited(), router->logText());
         for (int call = 0; call < 20; ++call)
             BOOST_TEST(exchangeRequest(request("/safe/")).rfind("HTTP/1.1 200", 0) == 0U);
@@ -160,20 +188,8 @@
 // its own, and against one that stays out of use once its entry can be read again.
 BOOST_FIXTURE_TEST_CASE(unreadableEntryReplacesTheKnownOne, odd_entries_fixture)
 {
-    // The second engine refuses, so that each call reaches the first one if it is used.
-    setEngineBehaviour([](const std::string &name, const recorded_request &r, response_socket &s) {
-        if (name == "e1")
-            return s.write(completeResponse(r, "body"));
-        return s.write("HTTP/1.1 503 Service Unavailable\r\nX-Burdockhold-Attempt-Id: "
-                       + r.field("X-Burdockhold-Attempt-Id")
-                       + "\r\nX-Burdockhold-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
-    });
-    const auto reachesFirst = [this] {
-        const std::size_t before = callsTo("e1");
-        for (int call = 0; call < 5; ++call)
-            exchangeRequest(request("/safe/"));
-        return callsTo("e1") > before;
-    };
+    refuseAtOtherEngines();
+    const auto reachesFirst = [this] { return firstIsUsed(); };
     BOOST_TEST(waitUntil(reachesFirst));
     const std::string good = endpointRecord(first.address(), "ready");
     std::string textSlots = good;
@@ -187,6 +203,26 @@
     }
 }
 
+// Guards against an engine out of use because another writer's entry names its address and a later
+// start.
+BOOST_FIXTURE_TEST_CASE(entryThatNamesNoEngineRemovesNoneAtItsAddress, odd_entries_fixture)
+{
+    refuseAtOtherEngines();
+    BOOST_TEST(waitUntil([this] { return firstIsUsed(); }));
+    auto later = nlohmann::json::parse(endpointRecord(first.address(), "ready"));
+    later["born"] = 2000;
+    const std::vector<std::pair<const char *, nlohmann::json>> oddFields{
+        { "service", "unknown" }, { "service", 7 }, { "state", "well" }, { "slots", "6" }
+    };
+    for (const auto &[field, value] : oddFields) {
+        auto entry = later;
+        entry[field] = value;
+        putEntry("odd-" + std::string(field) + value.dump(), entry.dump());
+    }
+    listThird();
+    BOOST_TEST(firstIsUsed());
+}
+
 // Guards against a log that an odd entry fills, as each read of the entry adds a line.
 BOOST_FIXTURE_TEST_CASE(oddEntryIsLoggedOnce, odd_entries_fixture)
 {
