Judge the budget for repeats in the fault soak

What was missing: the soak did not see a router that repeats calls without limit, or runs a request at more engines than its route allows.

Change: in a span of five seconds of each seed all engines refuse three attempts in four. In each window of ten seconds the arrivals beyond the first of each request, over all routers, stay within the ratio of the requests and a slack, which is 20 for the soak's routers so that the check can fail. A request runs on at most as many engines as its route allows; an engine that crashed meanwhile does not count. Repeats that the soak itself may have read late do not count.

The draws of the new faults are their own, so the other faults of a seed stay as they are.

Tried first: to count refusals towards the limit of endpoints.

--- a/testing/soak_checks.cc
+++ b/testing/soak_checks.cc
@@ -5,7 +5,9 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <iterator>
 #include <optional>
+#include <set>
 #include <tuple>
 
 namespace burdockhold::testing {
@@ -59,6 +61,7 @@
             checkAnswer(call);
             checkStream(call);
             checkRuns(call);
+            checkEngines(call);
             checkKey(call);
             checkLost(call);
             checkGone(call);
@@ -68,6 +71,7 @@
             checkArrival(arrival);
         checkVersions();
         checkLimit();
+        checkRepeats();
         checkPauses();
         checkLeavingAnswers();
         return m_violations;
@@ -177,6 +181,21 @@
             add("refusal", call, "status " + std::to_string(call.status) + ", but it ran");
     }
 
+    /// Runs on at most as many engines as the route allows, besides those that crashed meanwhile.
+    void checkEngines(const soak_call &call)
+    {
+        std::set<int> engines;
+        for (const soak_arrival *arrival : arrivalsOf(call)) {
+            const auto faults = m_history.engineFaults.find(arrival->engine);
+            const bool crashed = faults != m_history.engineFaults.end()
+                                 && overlaps(faults->second, call.sentAt, call.endedAt);
+            if (!arrival->refused && !crashed)
+                engines.insert(arrival->engine);
+        }
+        if (engines.size() > SoakMaxAttempts)
+            add("engines", call, "ran on " + std::to_string(engines.size()) + " engines");
+    }
+
     void checkKey(const soak_call &call)
     {
         const bool lasting = call.key == soakKey(0) || call.key == MeteredKey;
@@ -319,6 +338,54 @@
                                    + std::to_string(m_bounds.windowTokens));
     }
 
+    static double countIn(const std::vector<soak_time> &times, soak_time from, soak_time to)
+    {
+        return static_cast<double>(std::upper_bound(times.begin(), times.end(), to)
+                                   - std::upper_bound(times.begin(), times.end(), from));
+    }
+
+    /// Arrivals of each request beyond its first, but those that the soak may have read late.
+    std::vector<soak_time> repeatTimes() const
+    {
+        std::vector<soak_time> repeats;
+        for (const auto &[attemptId, arrivals] : m_arrivals) {
+            std::vector<soak_time> times;
+            for (const soak_arrival *arrival : arrivals)
+                times.push_back(arrival->at);
+            std::sort(times.begin(), times.end());
+            std::copy_if(
+                    std::next(times.begin()), times.end(), std::back_inserter(repeats),
+                    [this](soak_time time) { return !overlaps(m_history.delays, time, time); });
+        }
+        std::sort(repeats.begin(), repeats.end());
+        return repeats;
+    }
+
+    /// The budget for repeats over all routers. The requests of a window, of the one before it or
+    /// of the one half a window earlier count, whichever are most.
+    void checkRepeats()
+    {
+        std::vector<soak_time> sent;
+        for (const soak_call &call : m_history.calls)
+            sent.push_back(call.sentAt);
+        std::sort(sent.begin(), sent.end());
+        const std::vector<soak_time> repeats = repeatTimes();
+        const auto window = m_bounds.repeatWindow;
+        for (const soak_time end : repeats) {
+            const double requests = std::max(
+                    { countIn(sent, end - window, end),
+                      countIn(sent, end - 2 * window, end - window),
+                      countIn(sent, end - window * 3 / 2, end - window / 2) });
+            const double used = countIn(repeats, end - window, end);
+            if (used > RepeatRatio * requests + RepeatSlack) {
+                m_violations.push_back("repeats: " + std::to_string(used)
+                                       + " in the window that ends at " + std::to_string(since(end))
+                                       + " ms, with " + std::to_string(requests) + " requests");
+                return;
+            }
+        }
+    }
+
     using engine_at_process = std::tuple<int, int, int, int>; // Engine, start, router, start.
 
     std::map<engine_at_process, std::vector<const soak_arrival *>> arrivalsByProcess() const
--- a/testing/soak_checks.h
+++ b/testing/soak_checks.h
@@ -29,6 +29,7 @@
     std::chrono::milliseconds answer{ 2900 }; ///< Just below the time limit of the routes.
     std::chrono::milliseconds contact{ 3000 };
     std::chrono::milliseconds window{ 4000 }; ///< Of the account's limit.
+    std::chrono::milliseconds repeatWindow{ 10000 };
     double windowTokens = (MeteredRate * 4.0 + MeteredBurst) * 1.1 + MeteredTolerance;
 };
 
--- a/testing/soak_engine.cc
+++ b/testing/soak_engine.cc
@@ -191,12 +191,12 @@
     soak_arrival arrival = arrivalOf(request);
     const engine_mode mode = m_mode;
     const std::string target = request.field("X-Burdockhold-Target-Instance");
+    const std::uint64_t hash = soakHash(m_seed + static_cast<std::uint64_t>(m_index),
+                                        arrival.attemptId);
     if ((!target.empty() && target != id()) || mode == engine_mode::Pausing
-        || mode == engine_mode::Full
+        || mode == engine_mode::Full || (mode == engine_mode::RefusingSome && hash / 512 % 4 != 0)
         || (mode == engine_mode::RepeatedRefusals && !refusedBefore(arrival.attemptId)))
         return refuse(request, socket, arrival);
-    const std::uint64_t hash = soakHash(m_seed + static_cast<std::uint64_t>(m_index),
-                                        arrival.attemptId);
     const int events = isStream(request.target) ? soakEventCount(arrival.attemptId) : 0;
     arrival.wouldEndAt = arrival.at
                          + ms(serviceMs(hash) + events * EventGapMs
--- a/testing/soak_engine.h
+++ b/testing/soak_engine.h
@@ -26,6 +26,7 @@
     Slow,     ///< Takes 800 ms longer.
     /// Refuses each attempt once; repeats that refusal before its answer when the attempt is back.
     RepeatedRefusals,
+    RefusingSome, ///< Refuses three attempts in four with 503, without Retry-After.
 };
 
 /// Number of modes that a schedule draws: those before RepeatedRefusals.
--- a/testing/soak_fleet.cc
+++ b/testing/soak_fleet.cc
@@ -20,11 +20,11 @@
 constexpr ms MaxSeriesTime{ 5000 };   ///< From the first to the last stop of a series.
 constexpr ms LeavingService{ 3000 };  ///< Beyond leaving_ms, so that late requests would be seen.
 
-json route(const char *prefix, const char *kind, int attempts, bool resumable)
+json route(const char *prefix, const char *kind, bool resumable)
 {
     return { { "name", prefix },     { "host", "h" },           { "path_prefix", prefix },
              { "kind", kind },       { "timeout_ms", 3000 },    { "target_latency_ms", 400 },
-             { "priority", 1 },      { "service", "desk" },     { "max_attempts", attempts },
+             { "priority", 1 },      { "service", "desk" },     { "max_attempts", SoakMaxAttempts },
              { "anonymous", false }, { "resumable", resumable } };
 }
 
@@ -63,7 +63,7 @@
     for (std::size_t index = 0; index < addresses.size(); ++index) {
         const router_place place{ "vm-" + std::to_string(index),
                                   relayed || index % 2 == 0 ? "dc1" : "dc2", addresses[index],
-                                  MeteredTolerance };
+                                  MeteredTolerance, RepeatSlack };
         m_routers.emplace_back();
         m_routers.back().process = std::make_unique<router_process>(m_log.address(), place);
         m_targets.addresses.push_back(m_routers.back().process->callerAddress());
@@ -141,12 +141,9 @@
                 engine->setStreamFaults(false);
         });
     case soak_action::RepeatRefusals:
-        for (auto &engine : m_engines)
-            engine->setMode(engine_mode::RepeatedRefusals);
-        return after(time, [this] {
-            for (auto &engine : m_engines)
-                engine->endMode();
-        });
+        return setAllModes(engine_mode::RepeatedRefusals, time);
+    case soak_action::RefuseSome:
+        return setAllModes(engine_mode::RefusingSome, time);
     case soak_action::Rollout:
         return startRollout();
     }
@@ -285,6 +282,16 @@
         after(ms(event.forMs), [&engine] { engine.endMode(); });
 }
 
+void soak_fleet::setAllModes(engine_mode mode, ms time)
+{
+    for (auto &engine : m_engines)
+        engine->setMode(mode);
+    after(time, [this] {
+        for (auto &engine : m_engines)
+            engine->endMode();
+    });
+}
+
 void soak_fleet::leaveEngine(std::size_t index)
 {
     m_engines[index]->announceLeaving();
@@ -307,9 +314,8 @@
         keys.push_back(soakKey(key));
     const json body{ { "version", m_version },
                      { "routes",
-                       { route("/safe/", "safe", 2, false), route("/pay/", "unsafe", 2, false),
-                         route("/resume/", "stream", 2, true),
-                         route("/once/", "stream", 2, false) } },
+                       { route("/safe/", "safe", false), route("/pay/", "unsafe", false),
+                         route("/resume/", "stream", true), route("/once/", "stream", false) } },
                      { "services", { { { "name", "desk" } } } },
                      { "limits",
                        { { "max_header_bytes", 16384 },
--- a/testing/soak_fleet.h
+++ b/testing/soak_fleet.h
@@ -57,6 +57,7 @@
     void crashEngine(std::size_t index, std::chrono::milliseconds downTime, bool newId);
     void restartEngine(std::size_t index, bool newId);
     void setEngineMode(const soak_event &event);
+    void setAllModes(engine_mode mode, std::chrono::milliseconds time);
     void leaveEngine(std::size_t index);
     void setLogFault(const soak_event &event);
     void putDeployment();
--- a/testing/soak_history.h
+++ b/testing/soak_history.h
@@ -25,6 +25,11 @@
 inline constexpr int MeteredBurst = 1000;
 inline constexpr int MeteredTolerance = 600;
 
+/// Endpoints that a request may reach by its route, and repeats in ten seconds over all routers.
+inline constexpr int SoakMaxAttempts = 2;
+inline constexpr double RepeatRatio = 0.2; ///< Of the requests.
+inline constexpr int RepeatSlack = 20;     ///< Besides the ratio.
+
 /// A request that an engine has read.
 struct soak_arrival
 {
--- a/testing/soak_schedule.cc
+++ b/testing/soak_schedule.cc
@@ -14,6 +14,7 @@
 constexpr int LargeFleetEvery = 25; ///< One seed in this many runs a large fleet.
 constexpr int MinStreamFaultsMs = 1000;
 constexpr int RepeatRefusalsMs = 4000;
+constexpr int RefuseSomeMs = 5000;
 constexpr int LastWithdrawalMs = 3000; ///< So that the bound of withdrawals ends before the run.
 
 /// How often an action is drawn.
@@ -81,6 +82,15 @@
     std::mt19937_64 m_random;
 };
 
+/// Adds the faults that make routers repeat calls. They have draws of their own, so that the other
+/// faults of a seed stay as they are.
+void addRefusals(soak_plan &plan)
+{
+    plan_drawer drawer(~plan.seed);
+    plan.events.push_back({ drawer.below(plan.faultMs - RefuseSomeMs), soak_action::RefuseSome, 0,
+                            RefuseSomeMs });
+}
+
 } // namespace
 
 soak_plan makeSoakPlan(std::uint64_t seed, int routers, bool repeatRefusals)
@@ -110,6 +120,7 @@
     if (repeatRefusals)
         plan.events.push_back({ drawer.below(plan.faultMs / 2), soak_action::RepeatRefusals, 0,
                                 RepeatRefusalsMs });
+    addRefusals(plan);
     std::stable_sort(plan.events.begin(), plan.events.end(),
                      [](const auto &a, const auto &b) { return a.atMs < b.atMs; });
     return plan;
--- a/testing/soak_schedule.h
+++ b/testing/soak_schedule.h
@@ -31,10 +31,11 @@
     WithdrawKey,     ///< A new deployment without one of the keys.
     StreamFaults,    ///< All engines break streams off and continue some badly for forMs.
     RepeatRefusals,  ///< All engines are in the mode RepeatedRefusals for forMs.
+    RefuseSome,      ///< All engines are in the mode RefusingSome for forMs.
     Rollout,         ///< A roll-out of new software is ordered; one engine has it.
 };
 
-inline constexpr int SoakActions = 18;
+inline constexpr int SoakActions = 19;
 
 /// One fault of a schedule.
 struct soak_event
@@ -87,6 +88,7 @@
             { action::WithdrawKey, "withdraw_key" },
             { action::StreamFaults, "stream_faults" },
             { action::RepeatRefusals, "repeat_refusals" },
+            { action::RefuseSome, "refuse_some" },
             { action::Rollout, "rollout" },
     } };
 };
--- a/testing/support_platform.cc
+++ b/testing/support_platform.cc
@@ -492,9 +492,10 @@
             << "\nfirst_peer_port = " << m_peerPort << "\n[log]\naddress = " << logAddress
             << "\npartitions = 12\n[bounds]\nleaving_ms = 2000\nconfig_ms = 2000\n"
                "revocation_ms = 5000\nweights_ms = 8000\nengines_check_fences = true\n"
-               "lease_ms = 3000\nshutdown_grace_s = 8\n[repeats]\nratio = 0.2\nslack = 400\n"
-               "[accounts]\ntolerance = 0.1\ntolerance_tokens = "
-            << place.toleranceTokens << "\n[limits]\nmemory_mb = 110\ndescriptors = 1024\n";
+               "lease_ms = 3000\nshutdown_grace_s = 8\n[repeats]\nratio = 0.2\nslack = "
+            << place.repeatSlack
+            << "\n[accounts]\ntolerance = 0.1\ntolerance_tokens = " << place.toleranceTokens
+            << "\n[limits]\nmemory_mb = 110\ndescriptors = 1024\n";
     spawn();
 }
 
--- a/testing/support_platform.h
+++ b/testing/support_platform.h
@@ -173,6 +173,7 @@
     std::string dataCentre = "dc1";
     std::string ip; ///< An own loopback address, with fixed ports; if empty, 127.0.0.1, free ports.
     int toleranceTokens = 72000; ///< Tokens by which an account's limit may be exceeded.
+    int repeatSlack = 400;       ///< Repeats in ten seconds besides the ratio of the requests.
 };
 
 /// The router program, started on free ports with the log at the given address.
