Judge the orders of duty holders in the fault soak

What was missing: the soak gave no orders, so it did not see two holders with one fencing token, tokens that go back, or holders that take turns.

Change: a pool of three engines takes orders (soak_order_engine) and loses one answer in five. New weights are named every 700 ms; the holder is stopped, frozen or killed twice, and the log takes all partitions from their holders once. Memberships of the stand-in log end by a leave or by their ttl, if a test asks for it; the other tests keep the former log, in which the first member stays the holder.

Checked: a token is one router's; where engines do not check tokens, none is lower than one before, and a holder in touch does not order within the lease of another in touch; no holder orders again within the lease after another has; each order states the number of orders that it expects and weights that were named. Orders soon after a thaw or a cut and those that the soak may have read late do not count; where engines check tokens, turns count among holders in touch only.

--- a/testing/soak_checks.cc
+++ b/testing/soak_checks.cc
@@ -72,6 +72,7 @@
         checkVersions();
         checkLimit();
         checkRepeats();
+        checkOrders();
         checkPauses();
         checkLeavingAnswers();
         return m_violations;
@@ -386,6 +387,87 @@
         }
     }
 
+    void addOrder(const soak_order &order, const std::string &text)
+    {
+        m_violations.push_back("orders: " + order.holder + " with token "
+                               + std::to_string(order.token) + " at engine "
+                               + std::to_string(order.engine) + " at "
+                               + std::to_string(since(order.at)) + " ms: " + text);
+    }
+
+    static int routerOf(const soak_order &order) { return std::atoi(order.holder.c_str() + 3); }
+
+    /// Orders count unless the sender was thawed or healed shortly before, or the soak was late.
+    bool counts(const soak_order &order) const
+    {
+        if (overlaps(m_history.delays, order.at, order.at))
+            return false;
+        const auto faults = m_history.routerFaults.find(routerOf(order));
+        return faults == m_history.routerFaults.end()
+               || std::none_of(
+                       faults->second.begin(), faults->second.end(), [&](const soak_span &span) {
+                           return span.to <= order.at && order.at <= span.to + m_bounds.thaw;
+                       });
+    }
+
+    bool wasCalm(const soak_order &order) const
+    {
+        return inTouch(routerOf(order), order.at, order.at);
+    }
+
+    /// One holder: a token is one router's, tokens do not go back, and holders do not take turns.
+    void checkOrders()
+    {
+        std::map<std::int64_t, std::string> owners;
+        std::map<int, std::vector<const soak_order *>> byEngine;
+        for (const soak_order &order : m_history.orders) {
+            if (!order.hasExpected)
+                addOrder(order, "without the number of orders that it expects");
+            if (order.version < 1 || order.version > m_history.namedWeights)
+                addOrder(order, "names weights that the operator has not named");
+            if (!counts(order))
+                continue;
+            const auto owner = owners.emplace(order.token, order.holder).first;
+            if (owner->second != order.holder)
+                addOrder(order, "the token was that of " + owner->second);
+            byEngine[order.engine].push_back(&order);
+        }
+        for (const auto &[engine, orders] : byEngine)
+            checkOrdersAt(orders);
+    }
+
+    void checkOrdersAt(const std::vector<const soak_order *> &orders)
+    {
+        std::int64_t highest = 0;
+        for (std::size_t index = 0; index < orders.size(); ++index) {
+            const soak_order &order = *orders[index];
+            if (!m_history.enginesCheckFences && order.token < highest)
+                addOrder(order, "after token " + std::to_string(highest));
+            highest = std::max(highest, order.token);
+            checkTurn(orders, index);
+        }
+    }
+
+    /// Engines that check tokens bind holders in touch only. Where they do not, a holder also waits
+    /// for the lease of the one before to pass.
+    void checkTurn(const std::vector<const soak_order *> &orders, std::size_t index)
+    {
+        const soak_order &order = *orders[index];
+        bool between = false;
+        bool calm = wasCalm(order);
+        for (std::size_t at = index; at-- > 0 && order.at - orders[at]->at < m_bounds.lease;) {
+            const soak_order &earlier = *orders[at];
+            calm = calm && wasCalm(earlier);
+            if (earlier.holder != order.holder) {
+                if (!m_history.enginesCheckFences && calm)
+                    return addOrder(order, "within the lease of " + earlier.holder);
+                between = true;
+            } else if (between && (calm || !m_history.enginesCheckFences)) {
+                return addOrder(order, "holders take turns within the lease");
+            }
+        }
+    }
+
     using engine_at_process = std::tuple<int, int, int, int>; // Engine, start, router, start.
 
     std::map<engine_at_process, std::vector<const soak_arrival *>> arrivalsByProcess() const
--- a/testing/soak_checks.h
+++ b/testing/soak_checks.h
@@ -30,6 +30,8 @@
     std::chrono::milliseconds contact{ 3000 };
     std::chrono::milliseconds window{ 4000 }; ///< Of the account's limit.
     std::chrono::milliseconds repeatWindow{ 10000 };
+    std::chrono::milliseconds lease{ 3000 }; ///< In which holders do not take turns.
+    std::chrono::milliseconds thaw{ 1000 };  ///< After a thaw or a cut, orders do not count.
     double windowTokens = (MeteredRate * 4.0 + MeteredBurst) * 1.1 + MeteredTolerance;
 };
 
--- a/testing/soak_fleet.cc
+++ b/testing/soak_fleet.cc
@@ -15,10 +15,11 @@
 using nlohmann::json;
 
 constexpr int MaxRelayedRouters = 16; ///< Larger fleets exchange sums that name real addresses.
-constexpr ms StopLimit{ 8000 };       ///< shutdown_grace_s of the settings.
-constexpr ms StopAllowance{ 4000 };   ///< For a slow test machine, beyond the grace.
-constexpr ms MaxSeriesTime{ 5000 };   ///< From the first to the last stop of a series.
-constexpr ms LeavingService{ 3000 };  ///< Beyond leaving_ms, so that late requests would be seen.
+constexpr int OrderEngines = 3;
+constexpr ms StopLimit{ 8000 };      ///< shutdown_grace_s of the settings.
+constexpr ms StopAllowance{ 4000 };  ///< For a slow test machine, beyond the grace.
+constexpr ms MaxSeriesTime{ 5000 };  ///< From the first to the last stop of a series.
+constexpr ms LeavingService{ 3000 }; ///< Beyond leaving_ms, so that late requests would be seen.
 
 json route(const char *prefix, const char *kind, bool resumable)
 {
@@ -42,9 +43,14 @@
     , m_history(history)
 {
     m_log.setFaults([this](const std::string &) { return m_logFault.load(); });
+    m_log.endMemberships();
     putDeployment();
     for (int index = 0; index < plan.engines; ++index)
         m_engines.push_back(std::make_unique<soak_engine>(index, plan.seed, history, m_log));
+    history.enginesCheckFences = plan.seed % 2 == 0;
+    for (int index = 0; index < OrderEngines; ++index)
+        m_orderEngines.push_back(std::make_unique<soak_order_engine>(
+                index, history.enginesCheckFences, history, m_log));
     startRouters();
 }
 
@@ -62,8 +68,11 @@
     m_targets.starts = std::make_unique<std::atomic<int>[]>(addresses.size());
     for (std::size_t index = 0; index < addresses.size(); ++index) {
         const router_place place{ "vm-" + std::to_string(index),
-                                  relayed || index % 2 == 0 ? "dc1" : "dc2", addresses[index],
-                                  MeteredTolerance, RepeatSlack };
+                                  relayed || index % 2 == 0 ? "dc1" : "dc2",
+                                  addresses[index],
+                                  MeteredTolerance,
+                                  RepeatSlack,
+                                  m_history.enginesCheckFences };
         m_routers.emplace_back();
         m_routers.back().process = std::make_unique<router_process>(m_log.address(), place);
         m_targets.addresses.push_back(m_routers.back().process->callerAddress());
@@ -144,6 +153,12 @@
         return setAllModes(engine_mode::RepeatedRefusals, time);
     case soak_action::RefuseSome:
         return setAllModes(engine_mode::RefusingSome, time);
+    case soak_action::NameWeights:
+        return nameWeights();
+    case soak_action::HarmHolder:
+        return harmHolder(event);
+    case soak_action::ReassignDuties:
+        return m_log.reassignAll(time);
     case soak_action::Rollout:
         return startRollout();
     }
@@ -312,24 +327,29 @@
     json keys = json::array({ soakKey(0) });
     for (int key = 1 + m_keysWithdrawn; key < SoakKeys; ++key)
         keys.push_back(soakKey(key));
-    const json body{ { "version", m_version },
-                     { "routes",
-                       { route("/safe/", "safe", false), route("/pay/", "unsafe", false),
-                         route("/resume/", "stream", true), route("/once/", "stream", false) } },
-                     { "services", { { { "name", "desk" } } } },
-                     { "limits",
-                       { { "max_header_bytes", 16384 },
-                         { "max_body_bytes", 100000 },
-                         { "header_timeout_ms", 3000 },
-                         { "idle_timeout_ms", 15000 } } },
-                     { "tenants",
-                       { { { "name", "v" + std::to_string(m_version) }, { "api_keys", keys } },
-                         { { "name", "metered" },
-                           { "api_keys", { MeteredKey } },
-                           { "unit", "token_stream" },
-                           { "rate_per_s", MeteredRate },
-                           { "burst", MeteredBurst },
-                           { "uncached_tokens", MeteredCost } } } } };
+    const json body{
+        { "version", m_version },
+        { "routes",
+          { route("/safe/", "safe", false), route("/pay/", "unsafe", false),
+            route("/resume/", "stream", true), route("/once/", "stream", false) } },
+        { "services",
+          { { { "name", "desk" } },
+            { { "name", OrderPool },
+              { "engine", { { "slots", 6 }, { "models", { { { "name", OrderModel } } } } } } } } },
+        { "limits",
+          { { "max_header_bytes", 16384 },
+            { "max_body_bytes", 100000 },
+            { "header_timeout_ms", 3000 },
+            { "idle_timeout_ms", 15000 } } },
+        { "tenants",
+          { { { "name", "v" + std::to_string(m_version) }, { "api_keys", keys } },
+            { { "name", "metered" },
+              { "api_keys", { MeteredKey } },
+              { "unit", "token_stream" },
+              { "rate_per_s", MeteredRate },
+              { "burst", MeteredBurst },
+              { "uncached_tokens", MeteredCost } } } }
+    };
     m_log.put("keyed.op", "config", body.dump());
     const std::lock_guard lock(m_history.mutex);
     m_history.deployments.emplace(m_version, soak_clock::now());
@@ -357,6 +377,32 @@
     m_log.put("keyed.op", "rollout/desk", order.dump());
 }
 
+void soak_fleet::nameWeights()
+{
+    int version = 0;
+    {
+        const std::lock_guard lock(m_history.mutex);
+        version = ++m_history.namedWeights;
+    }
+    m_log.put("keyed.op", std::string("version/") + OrderModel,
+              json{ { "model", OrderModel }, { "version", version } }.dump());
+}
+
+void soak_fleet::harmHolder(const soak_event &event)
+{
+    const std::string holder = m_log.holderOf(std::string("burdockhold-orders/") + OrderPool);
+    for (std::size_t index = 0; index < m_routers.size(); ++index) {
+        if (holder != "vm-" + std::to_string(index))
+            continue;
+        if (event.mode == 0)
+            terminate(index, ms(event.forMs));
+        else if (event.mode == 1)
+            freeze(index, ms(event.forMs));
+        else
+            kill(index, ms(event.forMs));
+    }
+}
+
 void soak_fleet::endFaults()
 {
     m_logFault = log_fault::None;
--- a/testing/soak_fleet.h
+++ b/testing/soak_fleet.h
@@ -5,6 +5,7 @@
 
 #include "testing/soak_caller.h"
 #include "testing/soak_engine.h"
+#include "testing/soak_order_engine.h"
 #include "testing/soak_relay.h"
 #include "testing/soak_schedule.h"
 
@@ -63,6 +64,8 @@
     void putDeployment();
     void withdrawKey();
     void startRollout();
+    void nameWeights();
+    void harmHolder(const soak_event &event);
     void after(std::chrono::milliseconds time, std::function<void()> action);
     router &at(int target) { return m_routers[static_cast<std::size_t>(target)]; }
 
@@ -71,6 +74,7 @@
     std::atomic<log_fault> m_logFault{ log_fault::None };
     fake_log_service m_log;
     std::vector<std::unique_ptr<soak_engine>> m_engines;
+    std::vector<std::unique_ptr<soak_order_engine>> m_orderEngines;
     std::unique_ptr<soak_relay> m_relay;
     std::vector<router> m_routers;
     soak_targets m_targets;
--- a/testing/soak_history.h
+++ b/testing/soak_history.h
@@ -8,6 +8,7 @@
 // it has read, so a slow test machine makes a check more lenient, not stricter.
 
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <mutex>
 #include <string>
@@ -49,6 +50,18 @@
     std::chrono::milliseconds pause{ 0 }; ///< Retry-After of the refusal; 0 without one.
 };
 
+/// An order of a duty holder that an engine has read.
+struct soak_order
+{
+    int engine = 0;
+    std::string holder; ///< Name of the router.
+    std::int64_t token = 0;
+    int version = 0;
+    bool hasExpected = false;
+    int status = 0;
+    soak_time at;
+};
+
 enum class soak_outcome { NoAnswer, Complete, Broken, Refused, Failed, Abandoned, TimedOut };
 
 /// A request that a caller has sent.
@@ -102,6 +115,9 @@
     std::mutex mutex; ///< Guards the fields while threads run.
     std::vector<soak_arrival> arrivals;
     std::vector<soak_call> calls;
+    std::vector<soak_order> orders;
+    bool enginesCheckFences = true; ///< Set before the run.
+    int namedWeights = 1;           ///< Newest version, noted before the log has it.
     std::map<int, std::vector<soak_span>> routerFaults;
     std::map<int, std::vector<soak_span>> engineFaults;
     std::vector<soak_span> delays;
--- a/testing/soak_looptest.cc
+++ b/testing/soak_looptest.cc
@@ -41,8 +41,8 @@
     const soak_result result = runSoak(plan);
     std::cout << "soak: seed " << seed << ", " << plan.routers << " routers: " << result.calls
               << " requests, " << result.completed << " served, " << result.runs
-              << " reached engines, " << result.delays << " spans excused, "
-              << result.violations.size() << " violations" << std::endl;
+              << " reached engines, " << result.orders << " orders, " << result.delays
+              << " spans excused, " << result.violations.size() << " violations" << std::endl;
     constexpr std::size_t MaxReported = 12;
     for (std::size_t index = 0; index < std::min(MaxReported, result.violations.size()); ++index)
         BOOST_ERROR("seed " << seed << ": " << result.violations[index]);
--- /dev/null
+++ b/testing/soak_order_engine.h
@@ -0,0 +1,47 @@
+#ifndef BURDOCKHOLD_SOAK_ORDER_ENGINE_H
+#define BURDOCKHOLD_SOAK_ORDER_ENGINE_H
+
+// An engine of a soak that serves no requests: it takes the orders of duty holders to load named
+// weights, and records them. One answer in five is lost.
+
+#include "testing/soak_history.h"
+#include "testing/support_platform.h"
+
+#include <mutex>
+
+namespace burdockhold::testing {
+
+inline constexpr char OrderPool[] = "gpu";
+inline constexpr char OrderModel[] = "m";
+
+class soak_order_engine
+{
+public:
+    soak_order_engine(int index, bool checksFences, soak_history &history, fake_log_service &log);
+
+private:
+    bool serve(const recorded_request &request, response_socket &socket);
+    int execute(const recorded_request &request);
+    int statusOf(const soak_order &order, bool stated) const;
+    void finishLoad();
+    void announce();
+    std::string id() const { return "o" + std::to_string(m_index); }
+    std::string models() const;
+
+    int m_index;
+    bool m_checksFences;
+    soak_history &m_history;
+    fake_log_service &m_log;
+    std::mutex m_mutex; // Guards the fields below.
+    int m_version = 1;
+    int m_loading = 0; // Version that is being loaded, or 0.
+    int m_accepted = 0;
+    int m_answers = 0;
+    std::int64_t m_highestToken = 0;
+    soak_time m_loadedAt;
+    fake_server m_server;
+};
+
+} // namespace burdockhold::testing
+
+#endif
--- a/testing/soak_run.cc
+++ b/testing/soak_run.cc
@@ -165,6 +165,7 @@
                     return call.outcome == soak_outcome::Complete;
                 }));
         result.runs = m_history.arrivals.size();
+        result.orders = m_history.orders.size();
         result.delays = m_history.delays.size();
         if (!result.violations.empty())
             result.logs = m_fleet.logs();
--- a/testing/soak_run.h
+++ b/testing/soak_run.h
@@ -17,6 +17,7 @@
     std::size_t calls = 0;
     std::size_t completed = 0;
     std::size_t runs = 0;
+    std::size_t orders = 0; ///< Of duty holders, at engines.
     std::size_t delays = 0; ///< Spans in which the soak itself ran late.
     std::string logs;       ///< Log lines of the routers, kept if there are violations.
 };
--- a/testing/soak_schedule.cc
+++ b/testing/soak_schedule.cc
@@ -15,6 +15,8 @@
 constexpr int MinStreamFaultsMs = 1000;
 constexpr int RepeatRefusalsMs = 4000;
 constexpr int RefuseSomeMs = 5000;
+constexpr int NameWeightsMs = 700;     ///< Between two new weights.
+constexpr int MinHarmMs = 1800;        ///< Longer than the ttl of a membership.
 constexpr int LastWithdrawalMs = 3000; ///< So that the bound of withdrawals ends before the run.
 
 /// How often an action is drawn.
@@ -91,6 +93,24 @@
                             RefuseSomeMs });
 }
 
+/// Adds new weights and faults of the holder that orders them.
+void addDutyFaults(soak_plan &plan)
+{
+    plan_drawer drawer(plan.seed * 2654435761U + 1);
+    for (int at = drawer.below(NameWeightsMs); at < plan.faultMs; at += NameWeightsMs)
+        plan.events.push_back({ at, soak_action::NameWeights });
+    const int third = plan.faultMs / 3;
+    const auto harmAt = [&](int from) {
+        const int at = from + drawer.below(third / 2);
+        const int time = MinHarmMs + drawer.below(MinHarmMs);
+        plan.events.push_back({ at, soak_action::HarmHolder, 0, time, drawer.below(3) });
+    };
+    harmAt(third / 2);
+    plan.events.push_back(
+            { third + drawer.below(third), soak_action::ReassignDuties, 0, MinHarmMs });
+    harmAt(2 * third);
+}
+
 } // namespace
 
 soak_plan makeSoakPlan(std::uint64_t seed, int routers, bool repeatRefusals)
@@ -121,6 +141,7 @@
         plan.events.push_back({ drawer.below(plan.faultMs / 2), soak_action::RepeatRefusals, 0,
                                 RepeatRefusalsMs });
     addRefusals(plan);
+    addDutyFaults(plan);
     std::stable_sort(plan.events.begin(), plan.events.end(),
                      [](const auto &a, const auto &b) { return a.atMs < b.atMs; });
     return plan;
--- a/testing/soak_schedule.h
+++ b/testing/soak_schedule.h
@@ -32,10 +32,13 @@
     StreamFaults,    ///< All engines break streams off and continue some badly for forMs.
     RepeatRefusals,  ///< All engines are in the mode RepeatedRefusals for forMs.
     RefuseSome,      ///< All engines are in the mode RefusingSome for forMs.
+    NameWeights,     ///< New weights are named for the engines that take orders.
+    HarmHolder,      ///< The holder of their duty is stopped (mode 0), frozen (1) or killed (2).
+    ReassignDuties,  ///< The log takes all partitions from their holders.
     Rollout,         ///< A roll-out of new software is ordered; one engine has it.
 };
 
-inline constexpr int SoakActions = 19;
+inline constexpr int SoakActions = 22;
 
 /// One fault of a schedule.
 struct soak_event
@@ -89,6 +92,9 @@
             { action::StreamFaults, "stream_faults" },
             { action::RepeatRefusals, "repeat_refusals" },
             { action::RefuseSome, "refuse_some" },
+            { action::NameWeights, "name_weights" },
+            { action::HarmHolder, "harm_holder" },
+            { action::ReassignDuties, "reassign_duties" },
             { action::Rollout, "rollout" },
     } };
 };
--- a/testing/support_platform.cc
+++ b/testing/support_platform.cc
@@ -393,6 +393,8 @@
         return makeResponse(200, latestRecords(queryValue(request.target, "topic")));
     if (request.target.rfind("/log-join", 0) == 0)
         return makeResponse(200, joinGroup(request.body));
+    if (request.target.rfind("/log-leave", 0) == 0)
+        return makeResponse(200, leaveGroup(request.body));
     if (request.target.rfind("/log-append", 0) == 0)
         return append(request);
     if (request.target.rfind("/log-read", 0) == 0)
@@ -463,18 +465,63 @@
 {
     const std::lock_guard lock(m_mutex);
     const json request = json::parse(body);
-    const std::string group = request.at("group");
     const std::string member = request.at("member");
-    if (m_holders.emplace(group, member).second)
-        ++m_generations[group];
+    log_group &group = m_groups[request.at("group")];
+    assign(group, member, std::chrono::milliseconds(request.at("ttl_ms").get<int>()));
     json partitions = json::array();
-    for (int partition = 0; partition < 12 && m_holders[group] == member; ++partition)
+    for (int partition = 0; partition < 12 && group.holder == member; ++partition)
         partitions.push_back({ "t", partition, 0 });
     return json{
-        { "generation", m_generations[group] }, { "ttl_ms", 1600 }, { "parts", partitions }
+        { "generation", group.generation }, { "ttl_ms", 1600 }, { "parts", partitions }
     }.dump();
 }
 
+void fake_log_service::assign(log_group &group, const std::string &member,
+                              std::chrono::milliseconds ttl) const
+{
+    const auto now = steady_clock::now();
+    if (m_membershipsEnd && !group.holder.empty() && now > group.heldUntil) {
+        group.holder.clear();
+        ++group.generation;
+    }
+    const bool barred = member == group.barred && now < group.barredUntil;
+    if (group.holder.empty() && !barred) {
+        group.holder = member;
+        group.barred.clear();
+        ++group.generation;
+    }
+    if (group.holder == member)
+        group.heldUntil = now + ttl;
+}
+
+std::string fake_log_service::leaveGroup(const std::string &body)
+{
+    const std::lock_guard lock(m_mutex);
+    const json request = json::parse(body);
+    log_group &group = m_groups[request.at("group")];
+    if (m_membershipsEnd && group.holder == request.at("member")) {
+        group.holder.clear();
+        ++group.generation;
+    }
+    return "{}";
+}
+
+std::string fake_log_service::holderOf(const std::string &group)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_groups[group].holder;
+}
+
+void fake_log_service::reassignAll(std::chrono::milliseconds barredFor)
+{
+    const std::lock_guard lock(m_mutex);
+    for (auto &[name, group] : m_groups) {
+        group.barred = std::exchange(group.holder, {});
+        group.barredUntil = steady_clock::now() + barredFor;
+        ++group.generation;
+    }
+}
+
 router_process::router_process(const std::string &logAddress, const router_place &place)
     : m_callerAddress(place.ip.empty() ? reserveAddress() : place.ip + ":7001")
     , m_readyAddress(place.ip.empty() ? reserveAddress() : place.ip + ":7002")
@@ -491,8 +538,9 @@
             << "\n[listen]\ncallers = " << m_callerAddress << "\nready = " << m_readyAddress
             << "\nfirst_peer_port = " << m_peerPort << "\n[log]\naddress = " << logAddress
             << "\npartitions = 12\n[bounds]\nleaving_ms = 2000\nconfig_ms = 2000\n"
-               "revocation_ms = 5000\nweights_ms = 8000\nengines_check_fences = true\n"
-               "lease_ms = 3000\nshutdown_grace_s = 8\n[repeats]\nratio = 0.2\nslack = "
+               "revocation_ms = 5000\nweights_ms = 8000\nengines_check_fences = "
+            << (place.enginesCheckFences ? "true" : "false")
+            << "\nlease_ms = 3000\nshutdown_grace_s = 8\n[repeats]\nratio = 0.2\nslack = "
             << place.repeatSlack
             << "\n[accounts]\ntolerance = 0.1\ntolerance_tokens = " << place.toleranceTokens
             << "\n[limits]\nmemory_mb = 110\ndescriptors = 1024\n";
--- a/testing/support_platform.h
+++ b/testing/support_platform.h
@@ -6,6 +6,7 @@
 // Each connection has its own thread. Tests start the real router program against it.
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -100,7 +101,7 @@
 inline constexpr int SlowLogMs = 700;
 
 /// A fake of the log: topics with one partition and keyed records. The first member that joins a
-/// group is assigned all of its partitions and keeps them.
+/// group is assigned all of its partitions; it keeps them unless memberships end.
 class fake_log_service
 {
 public:
@@ -132,6 +133,16 @@
                                                    const std::string &value)>
                                  filter);
 
+    /// Makes memberships of groups end by a leave or by their ttl. Set before any call.
+    void endMemberships() { m_membershipsEnd = true; }
+
+    /// Returns the member that holds the partitions of the group, or an empty string.
+    std::string holderOf(const std::string &group);
+
+    /// Takes all partitions of all groups from their holders, who get none for the given time
+    /// unless another member has joined before.
+    void reassignAll(std::chrono::milliseconds barredFor);
+
     /// The number of calls received since the start.
     int callCount() const { return m_calls; }
 
@@ -143,6 +154,17 @@
         bool removed = false;
     };
 
+    using membership_time = std::chrono::steady_clock::time_point;
+
+    struct log_group
+    {
+        std::string holder;
+        std::string barred; ///< Lost its partitions by reassignAll().
+        int generation = 0;
+        membership_time heldUntil;
+        membership_time barredUntil;
+    };
+
     bool respond(const recorded_request &request, response_socket &socket);
     bool respondFaulty(log_fault fault, const recorded_request &request, response_socket &socket);
     std::string answer(const recorded_request &request);
@@ -151,6 +173,8 @@
     std::string latestRecords(const std::string &topic);
     std::string readPage(const std::string &topic, std::uint64_t from);
     std::string joinGroup(const std::string &body);
+    std::string leaveGroup(const std::string &body);
+    void assign(log_group &group, const std::string &member, std::chrono::milliseconds ttl) const;
 
     std::mutex m_mutex;
     std::map<std::string, std::vector<record>> m_topics;
@@ -158,8 +182,8 @@
     std::function<log_fault(const std::string &)> m_faults;
     std::function<std::string(const std::string &, const std::string &, const std::string &)>
             m_appendFilter;
-    std::map<std::string, std::string> m_holders;
-    std::map<std::string, int> m_generations;
+    std::map<std::string, log_group> m_groups;
+    bool m_membershipsEnd = false;
     std::atomic<bool> m_unavailable{ false };
     std::atomic<int> m_calls{ 0 };
     std::atomic<bool> m_endless{ false };
@@ -174,6 +198,7 @@
     std::string ip; ///< An own loopback address, with fixed ports; if empty, 127.0.0.1, free ports.
     int toleranceTokens = 72000; ///< Tokens by which an account's limit may be exceeded.
     int repeatSlack = 400;       ///< Repeats in ten seconds besides the ratio of the requests.
+    bool enginesCheckFences = true;
 };
 
 /// The router program, started on free ports with the log at the given address.
