--- a/testing/soak_checks.cc
+++ b/testing/soak_checks.cc
@@ -5,7 +5,9 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <iterator>
 #include <optional>
+#include <set>
 #include <tuple>
 
 namespace burdockhold::testing {
@@ -59,6 +61,7 @@
             checkAnswer(call);
             checkStream(call);
             checkRuns(call);
+            checkEngines(call);
             checkKey(call);
             checkLost(call);
             checkGone(call);
@@ -68,6 +71,8 @@
             checkArrival(arrival);
         checkVersions();
         checkLimit();
+        checkRepeats();
+        checkOrders();
         checkPauses();
         checkLeavingAnswers();
         return m_violations;
@@ -177,6 +182,21 @@
             add("refusal", call, "status " + std::to_string(call.status) + ", but it ran");
     }
 
+    /// Runs on at most as many engines as the route allows, besides those that crashed meanwhile.
+    void checkEngines(const soak_call &call)
+    {
+        std::set<int> engines;
+        for (const soak_arrival *arrival : arrivalsOf(call)) {
+            const auto faults = m_history.engineFaults.find(arrival->engine);
+            const bool crashed = faults != m_history.engineFaults.end()
+                                 && overlaps(faults->second, call.sentAt, call.endedAt);
+            if (!arrival->refused && !crashed)
+                engines.insert(arrival->engine);
+        }
+        if (engines.size() > SoakMaxAttempts)
+            add("engines", call, "ran on " + std::to_string(engines.size()) + " engines");
+    }
+
     void checkKey(const soak_call &call)
     {
         const bool lasting = call.key == soakKey(0) || call.key == MeteredKey;
@@ -319,6 +339,135 @@
                                    + std::to_string(m_bounds.windowTokens));
     }
 
+    static double countIn(const std::vector<soak_time> &times, soak_time from, soak_time to)
+    {
+        return static_cast<double>(std::upper_bound(times.begin(), times.end(), to)
+                                   - std::upper_bound(times.begin(), times.end(), from));
+    }
+
+    /// Arrivals of each request beyond its first, but those that the soak may have read late.
+    std::vector<soak_time> repeatTimes() const
+    {
+        std::vector<soak_time> repeats;
+        for (const auto &[attemptId, arrivals] : m_arrivals) {
+            std::vector<soak_time> times;
+            for (const soak_arrival *arrival : arrivals)
+                times.push_back(arrival->at);
+            std::sort(times.begin(), times.end());
+            std::copy_if(
+                    std::next(times.begin()), times.end(), std::back_inserter(repeats),
+                    [this](soak_time time) { return !overlaps(m_history.delays, time, time); });
+        }
+        std::sort(repeats.begin(), repeats.end());
+        return repeats;
+    }
+
+    /// The budget for repeats over all routers. The requests of a window, of the one before it or
+    /// of the one half a window earlier count, whichever are most.
+    void checkRepeats()
+    {
+        std::vector<soak_time> sent;
+        for (const soak_call &call : m_history.calls)
+            sent.push_back(call.sentAt);
+        std::sort(sent.begin(), sent.end());
+        const std::vector<soak_time> repeats = repeatTimes();
+        const auto window = m_bounds.repeatWindow;
+        for (const soak_time end : repeats) {
+            const double requests = std::max(
+                    { countIn(sent, end - window, end),
+                      countIn(sent, end - 2 * window, end - window),
+                      countIn(sent, end - window * 3 / 2, end - window / 2) });
+            const double used = countIn(repeats, end - window, end);
+            if (used > RepeatRatio * requests + RepeatSlack) {
+                m_violations.push_back("repeats: " + std::to_string(used)
+                                       + " in the window that ends at " + std::to_string(since(end))
+                                       + " ms, with " + std::to_string(requests) + " requests");
+                return;
+            }
+        }
+    }
+
+    void addOrder(const soak_order &order, const std::string &text)
+    {
+        m_violations.push_back("orders: " + order.holder + " with token "
+                               + std::to_string(order.token) + " at engine "
+                               + std::to_string(order.engine) + " at "
+                               + std::to_string(since(order.at)) + " ms: " + text);
+    }
+
+    static int routerOf(const soak_order &order) { return std::atoi(order.holder.c_str() + 3); }
+
+    /// Orders count unless the sender was thawed or healed shortly before, or the soak was late.
+    bool counts(const soak_order &order) const
+    {
+        if (overlaps(m_history.delays, order.at, order.at))
+            return false;
+        const auto faults = m_history.routerFaults.find(routerOf(order));
+        return faults == m_history.routerFaults.end()
+               || std::none_of(
+                       faults->second.begin(), faults->second.end(), [&](const soak_span &span) {
+                           return span.to <= order.at && order.at <= span.to + m_bounds.thaw;
+                       });
+    }
+
+    bool wasCalm(const soak_order &order) const
+    {
+        return inTouch(routerOf(order), order.at, order.at);
+    }
+
+    /// One holder: a token is one router's, tokens do not go back, and holders do not take turns.
+    void checkOrders()
+    {
+        std::map<std::int64_t, std::string> owners;
+        std::map<int, std::vector<const soak_order *>> byEngine;
+        for (const soak_order &order : m_history.orders) {
+            if (!order.hasExpected)
+                addOrder(order, "without the number of orders that it expects");
+            if (order.version < 1 || order.version > m_history.namedWeights)
+                addOrder(order, "names weights that the operator has not named");
+            if (!counts(order))
+                continue;
+            const auto owner = owners.emplace(order.token, order.holder).first;
+            if (owner->second != order.holder)
+                addOrder(order, "the token was that of " + owner->second);
+            byEngine[order.engine].push_back(&order);
+        }
+        for (const auto &[engine, orders] : byEngine)
+            checkOrdersAt(orders);
+    }
+
+    void checkOrdersAt(const std::vector<const soak_order *> &orders)
+    {
+        std::int64_t highest = 0;
+        for (std::size_t index = 0; index < orders.size(); ++index) {
+            const soak_order &order = *orders[index];
+            if (!m_history.enginesCheckFences && order.token < highest)
+                addOrder(order, "after token " + std::to_string(highest));
+            highest = std::max(highest, order.token);
+            checkTurn(orders, index);
+        }
+    }
+
+    /// Engines that check tokens bind holders in touch only. Where they do not, a holder also waits
+    /// for the lease of the one before to pass.
+    void checkTurn(const std::vector<const soak_order *> &orders, std::size_t index)
+    {
+        const soak_order &order = *orders[index];
+        bool between = false;
+        bool calm = wasCalm(order);
+        for (std::size_t at = index; at-- > 0 && order.at - orders[at]->at < m_bounds.lease;) {
+            const soak_order &earlier = *orders[at];
+            calm = calm && wasCalm(earlier);
+            if (earlier.holder != order.holder) {
+                if (!m_history.enginesCheckFences && calm)
+                    return addOrder(order, "within the lease of " + earlier.holder);
+                between = true;
+            } else if (between && (calm || !m_history.enginesCheckFences)) {
+                return addOrder(order, "holders take turns within the lease");
+            }
+        }
+    }
+
     using engine_at_process = std::tuple<int, int, int, int>; // Engine, start, router, start.
 
     std::map<engine_at_process, std::vector<const soak_arrival *>> arrivalsByProcess() const
--- a/testing/soak_schedule.h
+++ b/testing/soak_schedule.h
@@ -31,10 +31,14 @@
     WithdrawKey,     ///< A new deployment without one of the keys.
     StreamFaults,    ///< All engines break streams off and continue some badly for forMs.
     RepeatRefusals,  ///< All engines are in the mode RepeatedRefusals for forMs.
+    RefuseSome,      ///< All engines are in the mode RefusingSome for forMs.
+    NameWeights,     ///< New weights are named for the engines that take orders.
+    HarmHolder,      ///< The holder of their duty is stopped (mode 0), frozen (1) or killed (2).
+    ReassignDuties,  ///< The log takes all partitions from their holders.
     Rollout,         ///< A roll-out of new software is ordered; one engine has it.
 };
 
-inline constexpr int SoakActions = 18;
+inline constexpr int SoakActions = 22;
 
 /// One fault of a schedule.
 struct soak_event
@@ -87,6 +91,10 @@
             { action::WithdrawKey, "withdraw_key" },
             { action::StreamFaults, "stream_faults" },
             { action::RepeatRefusals, "repeat_refusals" },
+            { action::RefuseSome, "refuse_some" },
+            { action::NameWeights, "name_weights" },
+            { action::HarmHolder, "harm_holder" },
+            { action::ReassignDuties, "reassign_duties" },
             { action::Rollout, "rollout" },
     } };
 };
