Let the stand-in engine leave and ask for pauses

The stand-in engine spoke only the own interface.

It echoes the id of an attempt and adds a stamp, which is all that the platform's router needs, so engine_notices_nettest runs the router against it.

--- a/cmake/net.cmake
+++ b/cmake/net.cmake
@@ -53,3 +53,7 @@
   # Process tests share the machine; they run one at a time so that no verdict depends on load.
   set_tests_properties(${test_name} PROPERTIES LABELS net TIMEOUT 120 RUN_SERIAL TRUE)
 endforeach()
+
+# The platform's router against the engine program.
+add_dependencies(engine_notices_nettest burdockhold-router)
+target_link_libraries(engine_notices_nettest PRIVATE router_test_support)
--- a/testing/standin.cc
+++ b/testing/standin.cc
@@ -55,6 +55,16 @@
             ("load-ms", value(options.loadMs), "milliseconds to load a version")                 //
             ("check-fencing", po::bool_switch(&options.checkFencing),
              "refuse orders with an old fencing number");
+    engine_statements &statements = options.statements;
+    description.add_options() //
+            ("leaving", po::bool_switch(&statements.leaving),
+             "say Server-Leaving in all answers") //
+            ("answer-status", value(statements.status),
+             "status of the answer to all completion calls, 0: serve them") //
+            ("retry-after", po::value(&statements.retryAfter)->composing(),
+             "text of a Retry-After field beside the answer status; may be repeated") //
+            ("no-length", po::bool_switch(&statements.noLength),
+             "end whole answers with the connection");
 }
 
 std::map<std::string, role> makeRoles(all_options &options)
@@ -91,12 +101,13 @@
     out << "\n`standin ROLE --help` lists the options of a role\n";
 }
 
-// Boost converts a negative number into a large unsigned one without an error.
+// Boost converts a negative number into a large unsigned one without an error. The text of a field
+// may be anything.
 void refuseNegative(const po::parsed_options &parsed)
 {
     for (const po::option &option : parsed.options) {
         for (const std::string &text : option.value) {
-            if (!text.empty() && text.front() == '-')
+            if (option.string_key != "retry-after" && !text.empty() && text.front() == '-')
                 throw std::invalid_argument("option '--" + option.string_key
                                             + "' must not be negative");
         }
--- a/testing/standin_engine.cc
+++ b/testing/standin_engine.cc
@@ -206,6 +206,7 @@
     bool cutWithReset = false;           // The cut is a reset.
     std::int64_t omitEndMarkers = 0;     // Number of coming streams without [DONE].
     std::string wholeUsage;              // When set, the usage of whole answers, as JSON.
+    engine_statements statements;        // What all answers state about new calls.
 };
 
 struct completion_call
@@ -232,6 +233,8 @@
     bool cutWithReset = false;
     std::optional<continuation_answer> continuation;
     std::size_t receivedIndex = 0;
+    engine_statements statements;
+    std::string attemptId; // As a router of the platform sends it; empty for the own interface.
 };
 
 std::string chatPrompt(const nlohmann::json &body)
@@ -255,6 +258,7 @@
     call.maxTokens = body.value("max_tokens", DefaultMaxTokens);
     call.requestId = request.header("X-Request-Id");
     call.salt = request.header("X-Cache-Salt");
+    call.attemptId = request.header("X-Burdockhold-Attempt-Id");
     call.resumeFrom = std::strtoll(request.header("X-Resume-From").c_str(), nullptr, 10);
     call.priority = std::strtoull(request.header("X-Priority").c_str(), nullptr, 10);
     call.promptTokens = (call.prompt.size() + BytesPerToken - 1) / BytesPerToken;
@@ -270,6 +274,7 @@
         , m_cache(m_options.cacheBlocks)
         , m_control([this](field_reader &reader) { readFaults(reader); })
     {
+        m_faults.statements = m_options.statements;
     }
 
     void handle(const http_request &request, connection &peer)
@@ -310,6 +315,10 @@
         reader.read("omit_end_markers", m_faults.omitEndMarkers);
         reader.read("whole_usage", m_faults.wholeUsage);
         reader.read("lose_cache_events", m_cache.loseEvents);
+        reader.read("leaving", m_faults.statements.leaving);
+        reader.read("answer_status", m_faults.statements.status);
+        reader.read("retry_after", m_faults.statements.retryAfter);
+        reader.read("no_length", m_faults.statements.noLength);
     }
 
     engine_faults faults()
@@ -325,6 +334,9 @@
         const std::string marker = faults().exitMarker;
         if (!marker.empty() && call.prompt.find(marker) != std::string::npos)
             _exit(PoisonExitStatus);
+        call.statements = faults().statements;
+        if (call.statements.status != 0)
+            return refuse(call, peer);
         if (!begin(call, peer)) {
             m_received.noteOutcome(call.receivedIndex, "cancelled");
             return;
@@ -335,6 +347,23 @@
         m_changed.notify_all();
     }
 
+    // Answers without running the call.
+    void refuse(const completion_call &call, connection &peer)
+    {
+        std::vector<http_field> headers = statementFields(call);
+        headers.push_back({ "X-Request-Id", call.requestId });
+        for (const std::string &text : call.statements.retryAfter)
+            headers.push_back({ "Retry-After", text });
+        const int status = call.statements.status;
+        if (status == 503 || status == 421)
+            headers.push_back({ "X-Burdockhold-Not-Executed", "1" });
+        m_received.noteOutcome(call.receivedIndex, "refused");
+        const nlohmann::json body{ { "error", "refused by the stand-in's settings" } };
+        if (call.statements.noLength)
+            return peer.respondWithoutLength(status, body.dump(), headers);
+        peer.respond(status, body, headers);
+    }
+
     // Waits for a place among the running calls: lowest priority number first, then by arrival.
     // Returns false when the caller went away while waiting.
     bool begin(completion_call &call, connection &peer)
@@ -399,7 +428,8 @@
     {
         if (faults().failVersion == call.version) {
             m_received.noteOutcome(call.receivedIndex, "failed");
-            return peer.respond(500, nlohmann::json{ { "error", "this version fails" } });
+            return peer.respond(500, nlohmann::json{ { "error", "this version fails" } },
+                                statementFields(call));
         }
         if (call.emptyAnswer) {
             m_received.noteOutcome(call.receivedIndex, "empty");
@@ -430,6 +460,8 @@
         std::string body = replaceId(answer.body, call.requestId);
         std::string head = "HTTP/1.1 " + std::to_string(answer.status)
                            + " -\r\nContent-Type: " + answer.contentType + "\r\n";
+        for (const http_field &field : statementFields(call))
+            head += field.name + ": " + field.value + "\r\n";
         if (answer.echo != "missing")
             head += "X-Request-Id: " + (answer.echo == "own" ? call.requestId : "another") + "\r\n";
         if (answer.framing == "length")
@@ -503,6 +535,8 @@
             const std::string usage = faults().wholeUsage;
             if (!usage.empty())
                 object["usage"] = nlohmann::json::parse(usage);
+            if (call.statements.noLength)
+                return peer.respondWithoutLength(200, object.dump(), responseHeaders(call));
             return peer.respond(200, object, responseHeaders(call));
         }
         // A stream resumed after its last token still needs an event that carries the usage.
@@ -536,11 +570,28 @@
 
     static std::vector<http_field> responseHeaders(const completion_call &call)
     {
-        return { { "X-Engine-Incarnation", incarnation() },
-                 { "X-Weights-Version", call.version },
-                 { "X-Cached-Tokens", std::to_string(call.cachedTokens) },
-                 { "X-Prompt-Tokens", std::to_string(call.promptTokens) },
-                 { "X-Request-Id", call.wrongId ? "another-request" : call.requestId } };
+        std::vector<http_field> headers{ { "X-Engine-Incarnation", incarnation() },
+                                         { "X-Weights-Version", call.version },
+                                         { "X-Cached-Tokens", std::to_string(call.cachedTokens) },
+                                         { "X-Prompt-Tokens", std::to_string(call.promptTokens) },
+                                         { "X-Request-Id",
+                                           call.wrongId ? "another-request" : call.requestId } };
+        for (http_field &field : statementFields(call))
+            headers.push_back(std::move(field));
+        return headers;
+    }
+
+    // Fields of every answer to a call, an error included.
+    static std::vector<http_field> statementFields(const completion_call &call)
+    {
+        std::vector<http_field> fields;
+        if (call.statements.leaving)
+            fields.push_back({ "Server-Leaving", "1" });
+        if (!call.attemptId.empty()) {
+            fields.push_back({ "X-Burdockhold-Attempt-Id", call.attemptId });
+            fields.push_back({ "X-Burdockhold-Server-Stamp", incarnation() });
+        }
+        return fields;
     }
 
     static const std::string &incarnation()
--- a/testing/standin_http.cc
+++ b/testing/standin_http.cc
@@ -249,6 +249,13 @@
     respond(status, body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace), headers);
 }
 
+void connection::respondWithoutLength(int status, const std::string &body,
+                                      const std::vector<http_field> &headers)
+{
+    sendRaw(head(status, headers, "application/json") + "Connection: close\r\n\r\n" + body);
+    drop();
+}
+
 void connection::startStream(const std::vector<http_field> &headers, const std::string &contentType)
 {
     sendRaw(head(200, headers, contentType) + "Transfer-Encoding: chunked\r\n\r\n");
--- a/testing/standin_http.h
+++ b/testing/standin_http.h
@@ -61,6 +61,10 @@
     void respond(int status, const nlohmann::json &body,
                  const std::vector<http_field> &headers = {});
 
+    /// Sends a whole JSON response without a length, which ends with the connection.
+    void respondWithoutLength(int status, const std::string &body,
+                              const std::vector<http_field> &headers);
+
     /// Starts a response in chunks.
     void startStream(const std::vector<http_field> &headers, const std::string &contentType);
 
--- a/testing/standin_nettest.cc
+++ b/testing/standin_nettest.cc
@@ -260,6 +260,60 @@
     });
 }
 
+// Guards against answers of an engine that leaves which do not say so, and against one that says so
+// unasked.
+BOOST_AUTO_TEST_CASE(engineStatesItsLeavingInAnyAnswer)
+{
+    const standin_process engine = start("engine", { "--leaving" });
+    const header_list id{ { "X-Burdockhold-Attempt-Id", "a1" } };
+    const auto check = [&](const json &faults, int status) {
+        setFaults(engine, faults);
+        http_response response = complete(engine, "p", id);
+        BOOST_TEST(response.status == status);
+        BOOST_TEST(response.header("Server-Leaving") == "1", faults);
+        BOOST_TEST(response.header("X-Burdockhold-Attempt-Id") == "a1", faults);
+        return response;
+    };
+    check(json::object(), 200);
+    http_connection stream = openStream(engine, "p", 2);
+    BOOST_TEST(stream.readHead().header("Server-Leaving") == "1");
+    const http_response whole = check({ { "no_length", true } }, 200);
+    BOOST_TEST(whole.header("Content-Length").empty());
+    BOOST_TEST(whole.json()["usage"]["completion_tokens"] == 4);
+    check({ { "answer_status", 500 } }, 500);
+    BOOST_TEST(check({ { "answer_status", 421 }, { "no_length", false } }, 421)
+                       .header("X-Burdockhold-Not-Executed")
+               == "1");
+    check({ { "answer_status", 0 }, { "fail_version", "v1" } }, 500);
+    setFaults(engine, { { "leaving", false }, { "fail_version", "" } });
+    BOOST_TEST(complete(engine, "p").header("Server-Leaving").empty());
+}
+
+// Guards against refusals that lack the stated text, change it, or come after a run.
+BOOST_AUTO_TEST_CASE(engineRefusesWithAnyRetryAfter)
+{
+    const standin_process engine = start(
+            "engine", { "--answer-status", "503", "--retry-after=-5", "--retry-after", "2 s" });
+    const auto stated = [&] {
+        const http_response response = complete(engine, "p");
+        BOOST_TEST(response.status == 503);
+        std::vector<std::string> texts;
+        for (const auto &[name, value] : response.headers) {
+            if (name == "Retry-After")
+                texts.push_back(value);
+        }
+        return texts;
+    };
+    BOOST_TEST((stated() == std::vector<std::string>{ "-5", "2 s" }));
+    for (const json &texts : { json::array(), json{ "" }, json{ "1.5" }, json{ "0.1", "2" } }) {
+        setFaults(engine, { { "retry_after", texts } });
+        BOOST_TEST((json(stated()) == texts), texts);
+    }
+    BOOST_TEST(received(engine)["requests"][0]["outcome"] == "refused");
+    setFaults(engine, { { "answer_status", 0 } });
+    BOOST_TEST(complete(engine, "p").status == 200);
+}
+
 // Guards against an engine that survives its poison request, or returns as the same incarnation.
 BOOST_AUTO_TEST_CASE(engineExitsOnMarkedPrompt)
 {
--- a/testing/standin_roles.h
+++ b/testing/standin_roles.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace burdockhold::standin {
 
@@ -14,6 +15,15 @@
     std::uint64_t retentionRecords = 0; ///< Records kept in each stream; 0 keeps all.
 };
 
+/// How the engine answers a call beside the completion: what it states about new calls.
+struct engine_statements
+{
+    bool leaving = false;  ///< Every answer to a call has Server-Leaving: 1.
+    int status = 0;        ///< Status that every call gets in place of a completion; 0: none.
+    bool noLength = false; ///< Whole answers have no length and end with the connection.
+    std::vector<std::string> retryAfter; ///< Values of the Retry-After fields beside the status.
+};
+
 struct engine_options
 {
     std::string version = "v1";       ///< Weights version at the start.
@@ -24,6 +34,7 @@
     std::uint64_t maxRunning = 0;     ///< Requests that run at once; 0 sets no bound.
     std::uint64_t loadMs = 500;       ///< Milliseconds to load a version.
     bool checkFencing = false;        ///< Refuse orders with an old fencing number.
+    engine_statements statements;     ///< At the start.
 };
 
 struct vmlist_options
