Keep the limit of calls over two quick restarts of an engine

What callers see: requests refused by an engine that restarts twice within a second and asks for a pause from its last start on: all callers return to it at once in its pause, against BUDGET.

Cause: the refusals are recorded at the incarnation whose entry is known. When the entry of the next incarnation comes, the pause becomes a limit of one call; when the entry after that comes, only a pause or a leaving was passed on, and the limit was lost.

Ruled out: late answers of the former incarnations; the trace of the history shows that none of them changed the state.

Change: a limit that no accepted call has lifted passes on too.

Result: limitPassesToTheIncarnationAfterTheNext fails on the former code (the engine is open to a second call) and passes now, with the other cases of endpoint_pause_test and endpoint_table_test.

--- a/burdockhold/endpoint_pause.h
+++ b/burdockhold/endpoint_pause.h
@@ -26,8 +26,8 @@
 //   time limit at the latest.
 // - An answer of an incarnation of which this VM has not read the entry yet is recorded for the
 //   previous one. A pause is forgotten when the entry arrives; therefore the first call to the
-//   incarnation that follows a leaving or pausing one goes alone (limitCalls). What becomes of a
-//   leaving is stated in endpoint_table.h.
+//   incarnation that follows a leaving, pausing or limited one goes alone (limitCalls). What
+//   becomes of a leaving is stated in endpoint_table.h.
 // - Other VMs are not told. The statement concerns this VM's calls, and a garbled or false one then
 //   costs one VM's use of the endpoint, not all of them. What another VM pays for the endpoint's
 //   word is one call, which a leaving endpoint serves and a pausing one refuses without running it.
@@ -81,6 +81,9 @@
     bool isLeaving() const { return m_leaving; }
     bool isPausing(time_point now) const { return now < m_pausedUntil; }
 
+    /// Returns whether the number of calls without an answer is limited, as after a pause.
+    bool isLimited() const { return m_window > 0; }
+
     /// Returns the end of the last pause, with its lengthening.
     time_point pausedUntil() const { return m_pausedUntil; }
     /// Returns the latest end that was stated; later than pausedUntil() if that is shortened.
@@ -99,7 +102,6 @@
 
 private:
     void beginPause();
-    bool isLimited() const { return m_window > 0; }
 
     endpoint_pause_options m_options;
     bool m_leaving = false;
--- a/burdockhold/endpoint_table.cc
+++ b/burdockhold/endpoint_table.cc
@@ -47,7 +47,9 @@
     table_entry &entry = row->second;
     entry.olderReport.reset();
     const bool restarted = !isNew && report.incarnation != entry.report.incarnation;
-    const bool hadNotice = restarted && (entry.pause.isLeaving() || entry.pause.isPausing(now));
+    const bool hadNotice = restarted
+                           && (entry.pause.isLeaving() || entry.pause.isPausing(now)
+                               || entry.pause.isLimited());
     const auto saidLeavingAt = entry.saidLeavingAt;
     const bool maySayLeaving = restarted && report.incarnation > entry.report.incarnation
                                && saidLeavingAt
--- a/testing/endpoint_pause_test.cc
+++ b/testing/endpoint_pause_test.cc
@@ -633,6 +633,21 @@
     BOOST_TEST((pause.pausedUntil() == at(181)));
 }
 
+// Guards against calls at once to a pausing incarnation that follows two restarts, whose first
+// entry arrives after the refusals and shortly before its second.
+BOOST_AUTO_TEST_CASE(limitPassesToTheIncarnationAfterTheNext)
+{
+    endpoint_table table("dc");
+    table.update(report("e1", 1), at(0));
+    const call_ticket ticket = table.callStarted("e1", {}, at(0));
+    table.recordNotice("e1", ticket, pauseOf(5), at(0.1));
+    table.callEnded("e1", {}, true, ticket);
+    table.update(report("e1", 2), at(0.2));
+    table.update(report("e1", 3), at(0.3));
+    table.callStarted("e1", {}, at(0.4));
+    BOOST_TEST((excluded(table, "e1", 0.4) == exclusion::Paused));
+}
+
 // Guards against a notice that the log reports as ended while its endpoint is still excluded.
 BOOST_AUTO_TEST_CASE(removalAndReturnEndNoNotice)
 {
