--- a/burdockhold/admin_server.cc
+++ b/burdockhold/admin_server.cc
@@ -1,5 +1,7 @@
 #include "burdockhold/admin_server.h"
 
+#include "burdockhold/task_guard.h"
+
 #include <cpprest/http_listener.h>
 
 #include <map>
@@ -19,7 +21,7 @@
     message.reply(response).then([](const pplx::task<void> &done) {
         try {
             done.get();
-        } catch (const std::exception &) {
+        } catch (...) {
             // The client left before the reply was written; nothing depends on it.
         }
     });
@@ -78,18 +80,24 @@
     {
         http_request request = message; // Shares the request; reading its body needs a mutable one.
         request.extract_utf8string(true).then([message, page](const pplx::task<std::string> &body) {
-            try {
-                if (page.handler)
-                    send(message, page.handler(body.get()));
-                else
-                    page.slowHandler(body.get(),
-                                     [message](const admin_reply &reply) { send(message, reply); });
-            } catch (const std::exception &error) {
-                send(message, { 400, "text/plain", std::string(error.what()) + "\n" });
-            }
+            runStep("admin_server", "", [&] { answerRead(message, page, body); });
         });
     }
 
+    static void answerRead(const http_request &message, const admin_page &page,
+                           const pplx::task<std::string> &body)
+    {
+        try {
+            if (page.handler)
+                send(message, page.handler(body.get()));
+            else
+                page.slowHandler(body.get(),
+                                 [message](const admin_reply &reply) { send(message, reply); });
+        } catch (const std::exception &error) {
+            send(message, { 400, "text/plain", std::string(error.what()) + "\n" });
+        }
+    }
+
     std::string m_address;
     std::map<std::string, std::map<std::string, admin_page>> m_pages;
     bool m_listening = false;
--- a/burdockhold/caller_reply.cc
+++ b/burdockhold/caller_reply.cc
@@ -1,6 +1,7 @@
 #include "burdockhold/caller_reply.h"
 
 #include "burdockhold/sse.h"
+#include "burdockhold/task_guard.h"
 
 #include <memory>
 #include <utility>
@@ -9,6 +10,12 @@
 
 using web::http::http_response;
 
+namespace {
+
+constexpr std::string_view Component = "caller_reply";
+
+} // namespace
+
 caller_reply::caller_reply(const web::http::http_request &message, std::string requestId)
     : m_message(message)
     , m_requestId(std::move(requestId))
@@ -64,7 +71,7 @@
             .then([bytes, buffer](const pplx::task<std::size_t> &written) mutable {
                 try {
                     written.get();
-                } catch (const std::exception &) {
+                } catch (...) {
                     // The caller disconnected; the task of the response reports it.
                     return;
                 }
@@ -88,18 +95,24 @@
 
 void caller_reply::send(http_response response)
 {
-    response.headers().remove("X-Request-Id");
-    response.headers().add("X-Request-Id", m_requestId);
-    m_message.reply(response).then(
-            [onClosed = std::move(m_onClosed)](const pplx::task<void> &written) {
-                bool delivered = true;
-                try {
-                    written.get();
-                } catch (const std::exception &) {
-                    delivered = false;
-                }
-                onClosed(delivered);
-            });
+    // The callback keeps this object alive, so it is not kept here.
+    const auto onClosed = std::make_shared<closed_callback>(std::exchange(m_onClosed, nullptr));
+    const bool sent = runStep(Component, m_requestId, [&] {
+        response.headers().remove("X-Request-Id");
+        response.headers().add("X-Request-Id", m_requestId);
+        m_message.reply(response).then(
+                [onClosed, id = m_requestId](const pplx::task<void> &written) {
+                    bool delivered = true;
+                    try {
+                        written.get();
+                    } catch (...) {
+                        delivered = false;
+                    }
+                    runStep(Component, id, [&] { (*onClosed)(delivered); });
+                });
+    });
+    if (!sent)
+        (*onClosed)(false);
 }
 
 } // namespace burdockhold
--- a/burdockhold/caller_reply.h
+++ b/burdockhold/caller_reply.h
@@ -26,7 +26,8 @@
 class caller_reply
 {
 public:
-    /// Called once, when the response has been written (true) or the caller disconnected (false).
+    /// Called once, when the response has been written (true), or the caller disconnected or the
+    /// response could not be written (false).
     using closed_callback = std::function<void(bool)>;
 
     caller_reply(const web::http::http_request &message, std::string requestId);
--- a/burdockhold/claims_controller.cc
+++ b/burdockhold/claims_controller.cc
@@ -2,6 +2,7 @@
 
 #include "burdockhold/logging.h"
 #include "burdockhold/random_id.h"
+#include "burdockhold/task_guard.h"
 
 #include <algorithm>
 #include <condition_variable>
@@ -16,6 +17,7 @@
 namespace {
 
 constexpr char ClaimsStream[] = "claims";
+constexpr std::string_view Component = "claims";
 constexpr std::size_t IncarnationBytes = 16;
 
 /// How often deadlines and the delay after a failed append are looked at when nothing happens. A
@@ -202,6 +204,13 @@
                  { { "applied", m_state->ledger.lastOffset() }, { "earliest", earliest } });
     }
 
+    /// The record may hold a key, as one that retention dropped may.
+    void onSkipped(const log_record & /*record*/) override
+    {
+        const std::lock_guard<std::mutex> lock(m_state->mutex);
+        m_state->gapOpen = true;
+    }
+
     void onError(const basic_error<log_error> &error, duration /*retryAfter*/) override
     {
         const std::lock_guard<std::mutex> lock(m_state->mutex);
@@ -227,19 +236,29 @@
         std::unique_lock<std::mutex> lock(m_state->mutex);
         while (!m_state->stopped) {
             m_state->work = false;
-            const time_point now = steadyNow();
-            m_state->writer.expire(now);
-            const std::optional<claim_append> append = m_state->writer.nextAppend(now);
-            deliverDecisions();
+            std::optional<claim_append> append;
+            const bool whole = runStep(Component, "", [&] { append = nextRound(steadyNow()); });
             lock.unlock();
             if (append)
                 startAppend(*append);
             lock.lock();
-            m_state->wake.wait_for(lock, StepInterval,
-                                   [this] { return m_state->work || m_state->stopped; });
+            if (whole)
+                m_state->wake.wait_for(lock, StepInterval,
+                                       [this] { return m_state->work || m_state->stopped; });
+            else
+                m_state->wake.wait_for(lock, FailedRoundDelay, [this] { return m_state->stopped; });
         }
     }
 
+    /// With the lock held. Returns what is to be appended now.
+    std::optional<claim_append> nextRound(time_point now)
+    {
+        m_state->writer.expire(now);
+        std::optional<claim_append> append = m_state->writer.nextAppend(now);
+        runStep(Component, "", [this] { deliverDecisions(); });
+        return append;
+    }
+
     /// With the lock held. The callbacks run on the HTTP library's pool.
     void deliverDecisions()
     {
@@ -249,25 +268,34 @@
             const auto found = m_state->waiting.find(id);
             if (found == m_state->waiting.end())
                 continue;
-            pplx::create_task(
-                    [decided = std::move(found->second), decision] { decided(decision); });
+            pplx::create_task([decided = std::move(found->second), decision] {
+                runStep(Component, "", [&] { decided(decision); });
+            });
             m_state->waiting.erase(found);
         }
     }
 
     void startAppend(const claim_append &append)
     {
-        std::vector<std::string> texts;
-        for (const claim_stream_record &record : append.records)
-            texts.push_back(formatClaimRecord(record));
-        m_client.append(ClaimsStream, texts)
-                .then([state = m_state,
-                       number = append.number](const result<append_answer, log_error> &answer) {
-                    const std::lock_guard<std::mutex> lock(state->mutex);
-                    state->writer.appendEnded(number, outcomeOf(answer), steadyNow());
-                    state->work = true;
-                    state->wake.notify_all();
-                });
+        const auto ended = [state = m_state, number = append.number](append_outcome outcome) {
+            runStep(Component, "", [&] {
+                const std::lock_guard<std::mutex> lock(state->mutex);
+                state->writer.appendEnded(number, outcome, steadyNow());
+                state->work = true;
+                state->wake.notify_all();
+            });
+        };
+        const bool sent = runStep(Component, "", [&] {
+            std::vector<std::string> texts;
+            for (const claim_stream_record &record : append.records)
+                texts.push_back(formatClaimRecord(record));
+            m_client.append(ClaimsStream, texts)
+                    .then([ended](const result<append_answer, log_error> &answer) {
+                        ended(outcomeOf(answer));
+                    });
+        });
+        if (!sent)
+            ended(append_outcome::Unknown);
     }
 
     claims_options m_options;
--- a/burdockhold/config_follower.cc
+++ b/burdockhold/config_follower.cc
@@ -1,6 +1,7 @@
 #include "burdockhold/config_follower.h"
 
 #include "burdockhold/random_id.h"
+#include "burdockhold/task_guard.h"
 
 namespace burdockhold {
 
@@ -80,6 +81,16 @@
         m_options.listener->onConfigRestart(earliest);
 }
 
+void config_follower::onSkipped(const log_record &record)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    ++m_status.errors;
+    m_status.lastError = "the record at offset " + std::to_string(record.offset) + " was skipped";
+    // The record may be an epoch.
+    if (m_options.listener != nullptr)
+        m_options.listener->onConfigRestart(record.offset);
+}
+
 void config_follower::onError(const basic_error<log_error> &error, duration)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
@@ -135,18 +146,20 @@
     const std::string id = randomHex(16);
     if (id.empty())
         return;
-    m_append->running = true;
     std::vector<std::string> texts;
     for (const config_record &record : m_replay.makeRefresh(id))
         texts.push_back(formatRecord(record));
-    m_client.append(ConfigStream, texts)
-            .then([state = m_append](const result<append_answer, log_error> &answer) {
-                if (isOk(answer)) {
-                    ++state->succeeded;
-                    state->lastOffset = valueOf(answer).firstOffset + valueOf(answer).count - 1;
-                }
-                state->running = false;
-            });
+    m_append->running = true;
+    const auto onAnswer = [state = m_append](const result<append_answer, log_error> &answer) {
+        if (isOk(answer)) {
+            ++state->succeeded;
+            state->lastOffset = valueOf(answer).firstOffset + valueOf(answer).count - 1;
+        }
+        state->running = false;
+    };
+    if (!runStep("config_follower", "",
+                 [&] { m_client.append(ConfigStream, texts).then(onAnswer); }))
+        m_append->running = false;
 }
 
 } // namespace burdockhold
--- a/burdockhold/config_follower.h
+++ b/burdockhold/config_follower.h
@@ -87,6 +87,7 @@
     void onRecord(const log_record &record) override;
     void onTail(time_point asOf, const log_page &page) override;
     void onRestart(log_offset earliest) override;
+    void onSkipped(const log_record &record) override;
     void onError(const basic_error<log_error> &error, duration retryAfter) override;
     bool swapRebuilt();
     void publish(time_point asOf);
--- a/burdockhold/daemon.cc
+++ b/burdockhold/daemon.cc
@@ -15,6 +15,7 @@
 #include "burdockhold/metrics.h"
 #include "burdockhold/peer_link.h"
 #include "burdockhold/random_id.h"
+#include "burdockhold/task_guard.h"
 
 #include <nlohmann/json.hpp>
 
@@ -269,7 +270,9 @@
 
     admin_reply metricsText() const
     {
-        return { 200, "text/plain; version=0.0.4", formatMetrics(m_metrics.snapshot()) };
+        metric_snapshot snapshot = m_metrics.snapshot();
+        snapshot.counters[counter::CaughtExceptions][{}] = caughtExceptions();
+        return { 200, "text/plain; version=0.0.4", formatMetrics(snapshot) };
     }
 
     admin_reply accounts() const
--- a/burdockhold/exchange.cc
+++ b/burdockhold/exchange.cc
@@ -3,6 +3,7 @@
 #include "burdockhold/forwarding.h"
 #include "burdockhold/hash.h"
 #include "burdockhold/stream_reader.h"
+#include "burdockhold/task_guard.h"
 
 #include <algorithm>
 #include <cstdlib>
@@ -12,6 +13,7 @@
 
 namespace {
 
+constexpr std::string_view Component = "exchange";
 constexpr std::string_view BearerPrefix = "Bearer ";
 
 /// Time in which a live engine answers a poll after a connection to it broke.
@@ -76,8 +78,62 @@
     m_idle = false;
     m_reply.setClosed(
             [self = shared_from_this()](bool delivered) { self->onReplyClosed(delivered); });
-    if (identifyRoute() && authenticate())
-        readBody();
+    guard([this] {
+        if (identifyRoute() && authenticate())
+            readBody();
+    });
+}
+
+/// Runs a stage, or what follows a callback. An exception ends this request and no other.
+template <typename Stage>
+void exchange::guard(const Stage &stage)
+{
+    const auto self = shared_from_this();
+    if (!runStep(Component, m_requestId, stage))
+        stageFailed();
+}
+
+void exchange::stageFailed()
+{
+    if (runStep(Component, m_requestId, [this] { endAfterException(); }))
+        return;
+    // Neither a reply nor a settlement is possible; the end is reported without them.
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_call.reset();
+        m_idle = true;
+        m_replyClosed = true;
+    }
+    finishIfIdle();
+}
+
+bool exchange::hasEnded() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_idle;
+}
+
+void exchange::endAfterException()
+{
+    std::shared_ptr<upstream_call> call;
+    bool running = false;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        if (m_idle)
+            return;
+        call = m_call;
+        running = m_callRuns;
+    }
+    // Whether the call was written when the stage failed is unknown.
+    m_reached = m_reached || call != nullptr;
+    m_silent = false;
+    m_failureCode = "exception";
+    m_attempt.fault = "the router failed to process the request";
+    m_continuity.giveUp(m_attempt.fault);
+    if (running)
+        call->cancel(); // Its end ends the request.
+    else
+        failRequest();
 }
 
 void exchange::refuseStopping(std::function<void()> closed)
@@ -86,7 +142,9 @@
     m_idle = false;
     m_reply.setClosed(
             [self = shared_from_this()](bool delivered) { self->onReplyClosed(delivered); });
-    refuse(unavailable("stopping", "the router is stopping; the request was not run"));
+    guard([this] {
+        refuse(unavailable("stopping", "the router is stopping; the request was not run"));
+    });
 }
 
 std::string exchange::keyDigest() const
@@ -187,21 +245,29 @@
 {
     const auto limit = static_cast<std::size_t>(m_route.bodyLimitBytes);
     m_bodyTooLarge = m_message.headers().content_length() > limit;
-    auto self = shared_from_this();
-    // What exceeds the limit is read and dropped, because cpprest sends no reply before it has read
-    // the whole body.
+    const auto self = shared_from_this();
     const auto store = [self, limit](std::string_view bytes) {
-        if (self->m_bodyTooLarge)
-            return true;
-        self->m_body += bytes;
-        self->m_bodyTooLarge = self->m_body.size() > limit;
+        self->guard([&] { self->storeBody(bytes, limit); });
         return true;
     };
-    readStream(m_message.body().streambuf(), { store, [self] { self->onBodyRead(); } });
+    const auto end = [self] { self->guard([&self] { self->onBodyRead(); }); };
+    readStream(m_message.body().streambuf(), { store, end });
+}
+
+/// What exceeds the limit is read and dropped, because cpprest sends no reply before it has read
+/// the whole body.
+void exchange::storeBody(std::string_view bytes, std::size_t limit)
+{
+    if (m_bodyTooLarge)
+        return;
+    m_body += bytes;
+    m_bodyTooLarge = m_body.size() > limit;
 }
 
 void exchange::onBodyRead()
 {
+    if (hasEnded())
+        return;
     if (m_bodyTooLarge) {
         refuse(invalid(413, "body_too_large",
                        "the body exceeds " + std::to_string(m_route.bodyLimitBytes) + " bytes"));
@@ -256,10 +322,12 @@
 void exchange::admit()
 {
     auto next = [self = shared_from_this()](const std::optional<error_reply> &refusal) {
-        if (refusal)
-            self->refuse(*refusal);
-        else
-            self->claim();
+        self->guard([&] {
+            if (refusal)
+                self->refuse(*refusal);
+            else
+                self->claim();
+        });
     };
     const std::size_t promptBytes = m_kind ? m_request.prompt.size() : 0;
     m_limits.admit(m_record.account, promptBytes, m_kind ? m_maxTokens : 0, std::move(next));
@@ -276,7 +344,7 @@
             m_record.account, headerOf(m_message, "Idempotency-Key"), m_message.method(),
             m_message.relative_uri().to_string(), m_body);
     m_claim.start(subject, [self = shared_from_this()](const claim_verdict &verdict) {
-        self->onClaimDecided(verdict);
+        self->guard([&] { self->onClaimDecided(verdict); });
     });
 }
 
@@ -394,6 +462,7 @@
         m_call = prepared;
         if (m_cancelled || m_callerLeft)
             prepared->cancel();
+        m_callRuns = true;
     }
     upstream_clients::startCall(prepared);
 }
@@ -427,6 +496,11 @@
 }
 
 void exchange::onHeaders(const upstream_response &response)
+{
+    guard([&] { takeHeaders(response); });
+}
+
+void exchange::takeHeaders(const upstream_response &response)
 {
     m_attempt.response = response;
     m_attempt.firstByte = steadyNow() - m_attempt.startedAt;
@@ -472,6 +546,13 @@
 }
 
 bool exchange::onBytes(std::string_view bytes)
+{
+    bool progress = false;
+    guard([&] { progress = takeBytes(bytes); });
+    return progress;
+}
+
+bool exchange::takeBytes(std::string_view bytes)
 {
     if (!m_attempt.fault.empty())
         return false;
@@ -521,6 +602,15 @@
 }
 
 void exchange::onEnd(const std::optional<upstream_failure> &failure)
+{
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_callRuns = false;
+    }
+    guard([&] { takeEnd(failure); });
+}
+
+void exchange::takeEnd(const std::optional<upstream_failure> &failure)
 {
     m_reached = m_reached || !failure || mayHaveReached(failure->code);
     m_silent = failure && isSilence(failure->code);
@@ -634,7 +724,7 @@
 {
     probeLoad(m_attempt.choice.url, CrashProbeTimeout,
               [self = shared_from_this(), polls](const poll_result &answer) {
-                  self->onProbe(answer, polls);
+                  self->guard([&] { self->onProbe(answer, polls); });
               });
 }
 
@@ -709,9 +799,10 @@
 // Account limits return unused tokens here.
 void exchange::settle(const std::string &outcome, const std::string &reason)
 {
-    m_claim.close(m_reached);
+    runStep(Component, m_requestId, [this] { m_claim.close(m_reached); });
     m_record.claim = nameOf(m_claim.outcome());
-    m_limits.settle(tokenUse(outcome), m_record.outputTokens);
+    runStep(Component, m_requestId,
+            [&] { m_limits.settle(tokenUse(outcome), m_record.outputTokens); });
     m_record.outcome = outcome;
     m_record.reason = reason;
     {
@@ -746,7 +837,7 @@
             running = m_call;
     }
     if (running != nullptr)
-        running->cancel();
+        runStep(Component, m_requestId, [&running] { running->cancel(); });
     finishIfIdle();
 }
 
@@ -761,11 +852,13 @@
         m_closedReported = true;
         callerLeft = m_callerLeft;
     }
-    if (callerLeft)
-        m_record.outcome = "caller_left";
-    m_record.totalSeconds = toSeconds(steadyNow() - m_started);
-    m_measures.ended(m_record, m_route.repeatable);
-    writeAccessLine(m_record);
+    runStep(Component, m_requestId, [this, callerLeft] {
+        if (callerLeft)
+            m_record.outcome = "caller_left";
+        m_record.totalSeconds = toSeconds(steadyNow() - m_started);
+        m_measures.ended(m_record, m_route.repeatable);
+        writeAccessLine(m_record);
+    });
     m_closed();
 }
 
--- a/burdockhold/exchange.h
+++ b/burdockhold/exchange.h
@@ -4,7 +4,8 @@
 // The life of one request: authenticate, read the body, admit, claim, place, call, deliver, settle.
 // Each stage is a function; a stage that refuses the request replies and ends it. An exchange keeps
 // itself alive through the callbacks it waits for. At most one call runs at a time, and the next
-// one starts only after the previous one has ended.
+// one starts only after the previous one has ended. A stage that throws ends its request with an
+// error: 502 if an endpoint may have run it, else 503.
 
 #include "burdockhold/access_log.h"
 #include "burdockhold/caller_reply.h"
@@ -61,6 +62,9 @@
     void onEnd(const std::optional<upstream_failure> &failure) override;
 
 private:
+    void takeHeaders(const upstream_response &response);
+    bool takeBytes(std::string_view bytes);
+    void takeEnd(const std::optional<upstream_failure> &failure);
     enum class delivery { Events, Whole };
 
     /// State of the attempt that runs.
@@ -78,10 +82,17 @@
         bool notJudged = false;   ///< How it ended says nothing about the endpoint.
     };
 
+    template <typename Stage>
+    void guard(const Stage &stage);
+    void stageFailed();
+    void endAfterException();
+
     // Stages, in order. From admit() on, each stage starts the next one, at once or later.
     bool identifyRoute();
     bool authenticate();
     void readBody();
+    void storeBody(std::string_view bytes, std::size_t limit);
+    bool hasEnded() const;
     void onBodyRead();
     bool parseBody();
     void admit();
@@ -153,6 +164,7 @@
     std::shared_ptr<upstream_call> m_call;
     bool m_cancelled = false;
     bool m_callerLeft = false;
+    bool m_callRuns = false; ///< Until the call's onEnd().
     bool m_replyClosed = false;
     bool m_idle = true; ///< No stage and no call is running.
     bool m_closedReported = false;
--- a/burdockhold/front_server.cc
+++ b/burdockhold/front_server.cc
@@ -1,6 +1,7 @@
 #include "burdockhold/front_server.h"
 
 #include "burdockhold/exchange.h"
+#include "burdockhold/task_guard.h"
 
 #include <cpprest/http_listener.h>
 #include <openssl/rand.h>
@@ -137,7 +138,18 @@
 private:
     void handle(const http_request &message)
     {
-        auto request = std::make_shared<exchange>(m_context, message, newRequestId());
+        const std::string id = newRequestId();
+        if (runStep("front_server", id, [&] { accept(message, id); }))
+            return;
+        m_open->remove(id);
+        caller_reply reply(message, id);
+        reply.setClosed([](bool) {});
+        reply.sendError({ 503, error_type::NotRun, "exception", "the request was not run", "" });
+    }
+
+    void accept(const http_request &message, const std::string &requestId)
+    {
+        auto request = std::make_shared<exchange>(m_context, message, requestId);
         m_open->add(request);
         auto closed = [open = m_open, id = request->requestId()] { open->remove(id); };
         if (m_accepting)
--- a/burdockhold/limits_controller.cc
+++ b/burdockhold/limits_controller.cc
@@ -1,5 +1,7 @@
 #include "burdockhold/limits_controller.h"
 
+#include "burdockhold/task_guard.h"
+
 #include <pplx/pplxtasks.h>
 
 #include <condition_variable>
@@ -17,6 +19,8 @@
 /// account_limits asks to be stepped this often.
 constexpr duration StepInterval = std::chrono::milliseconds(10);
 
+constexpr std::string_view Component = "limits_controller";
+
 bool isReplyTo(const addressed_grant_message &item, const std::string &sender,
                const grant_request &request)
 {
@@ -154,9 +158,12 @@
     {
         std::unique_lock<std::mutex> lock(m_mutex);
         while (!m_stopped) {
-            m_limits.step(steadyNow());
-            flush();
-            m_wakeUp.wait_for(lock, StepInterval, [this] { return m_stopped; });
+            const bool whole = runStep(Component, "", [this] {
+                m_limits.step(steadyNow());
+                flush();
+            });
+            m_wakeUp.wait_for(lock, whole ? StepInterval : FailedRoundDelay,
+                              [this] { return m_stopped; });
         }
     }
 
@@ -214,7 +221,9 @@
             const limit_verdict verdict = toVerdict(decision);
             if (verdict.outcome != limit_outcome::Admitted)
                 removeOpen(decision.ticket);
-            pplx::create_task([decided = std::move(found->second), verdict] { decided(verdict); });
+            pplx::create_task([decided = std::move(found->second), verdict] {
+                runStep(Component, "", [&] { decided(verdict); });
+            });
             m_waiting.erase(found);
         }
     }
--- a/burdockhold/load_controller.cc
+++ b/burdockhold/load_controller.cc
@@ -1,5 +1,7 @@
 #include "burdockhold/load_controller.h"
 
+#include "burdockhold/task_guard.h"
+
 #include <cpprest/http_client.h>
 
 #include <condition_variable>
@@ -17,6 +19,8 @@
 using web::http::client::http_client;
 using web::http::client::http_client_config;
 
+constexpr std::string_view Component = "load_controller";
+
 // cpprest reports a failure to connect only by this text.
 constexpr std::string_view ConnectFailurePrefix = "Failed to connect";
 
@@ -53,6 +57,8 @@
         }
     } catch (const std::exception &error) {
         answer.outcome = outcomeOf(error);
+    } catch (...) {
+        answer.outcome = poll_outcome::Failed;
     }
     return answer;
 }
@@ -71,7 +77,7 @@
         client->request(web::http::methods::GET, "/load", cancelled)
                 .then([](const http_response &response) { return response.extract_string(true); })
                 .then([client, sentAt, done](const pplx::task<std::string> &body) {
-                    done(readAnswer(body, sentAt));
+                    runStep(Component, "", [&] { done(readAnswer(body, sentAt)); });
                 });
     } catch (const std::exception &) {
         done(failed);
@@ -143,14 +149,18 @@
     {
         std::unique_lock<std::mutex> lock(m_mutex);
         while (!m_stopped) {
-            takeCatalogue();
-            const std::vector<poll> due = takeDue(steadyNow());
-            publish();
+            std::vector<poll> due;
+            const bool whole = runStep(Component, "", [&] {
+                takeCatalogue();
+                takeDue(steadyNow(), due);
+                publish();
+            });
             lock.unlock();
             for (const poll &next : due)
                 start(next);
             lock.lock();
-            m_wake.wait_until(lock, nextWake(), [this] { return m_stopped; });
+            m_wake.wait_until(lock, whole ? nextWake() : steadyNow() + FailedRoundDelay,
+                              [this] { return m_stopped; });
         }
     }
 
@@ -175,9 +185,8 @@
         m_changed = true;
     }
 
-    std::vector<poll> takeDue(time_point now)
+    void takeDue(time_point now, std::vector<poll> &due)
     {
-        std::vector<poll> due;
         for (auto &[name, polled] : m_engines) {
             if (m_open >= m_options.maxOpenPolls)
                 break;
@@ -185,12 +194,11 @@
                 continue;
             if (polled.client == nullptr)
                 polled.client = makeClient(polled.url, m_options.timeout);
+            due.push_back({ name, polled.url, polled.client });
             polled.open = true;
             polled.due = now + withJitter();
             ++m_open;
-            due.push_back({ name, polled.url, polled.client });
         }
-        return due;
     }
 
     duration withJitter()
@@ -213,21 +221,26 @@
 
     void onAnswer(const std::string &name, const std::string &url, const poll_result &answer)
     {
-        bool report = false;
+        runStep(Component, "", [&] { report(name, url, answer); });
         {
             const std::lock_guard<std::mutex> lock(m_mutex);
-            const auto found = m_engines.find(name);
-            report = !m_stopped && found != m_engines.end() && found->second.url == url;
-            if (report)
-                note(found->second, answer);
+            --m_open;
         }
-        if (report)
-            m_listener(name, answer);
+        m_wake.notify_all();
+    }
+
+    void report(const std::string &name, const std::string &url, const poll_result &answer)
+    {
+        bool known = false;
         {
             const std::lock_guard<std::mutex> lock(m_mutex);
-            --m_open;
+            const auto found = m_engines.find(name);
+            known = !m_stopped && found != m_engines.end() && found->second.url == url;
+            if (known)
+                note(found->second, answer);
         }
-        m_wake.notify_all();
+        if (known)
+            m_listener(name, answer);
     }
 
     void note(engine &polled, const poll_result &answer)
--- a/burdockhold/log_client.cc
+++ b/burdockhold/log_client.cc
@@ -23,9 +23,10 @@
     return code == std::errc::host_unreachable || code == std::errc::connection_refused;
 }
 
-/// Runs a function that may throw what the HTTP library throws.
-template <typename Function>
-response_result convertErrors(const std::string &url, Function function)
+/// Runs a function that may throw what the HTTP library throws, and returns its result or the
+/// error. A task that ended with an exception which nobody observes would end the process.
+template <typename Answer, typename Function>
+Answer convertErrors(const std::string &url, Function function)
 {
     try {
         return function();
@@ -39,6 +40,8 @@
         return basic_error<log_error>{ log_error::Cancelled, "the call was cancelled", url };
     } catch (const std::exception &error) {
         return basic_error<log_error>{ log_error::Unknown, error.what(), url };
+    } catch (...) {
+        return basic_error<log_error>{ log_error::Unknown, "an exception of an unknown type", url };
     }
 }
 
@@ -62,7 +65,8 @@
                 });
             })
             .then([url, client](const pplx::task<full_response> &done) {
-                return convertErrors(url, [&]() { return response_result(done.get()); });
+                return convertErrors<response_result>(
+                        url, [&]() -> response_result { return done.get(); });
             });
 }
 
@@ -88,6 +92,29 @@
     return answer;
 }
 
+result<append_answer, log_error> appendAnswer(const std::string &url,
+                                              const response_result &response, std::size_t count)
+{
+    if (!isOk(response))
+        return errorOf(response);
+    const full_response &full = valueOf(response);
+    if (full.status != http::status_codes::OK && full.status != http::status_codes::Created)
+        return statusError(url, full.status);
+    return withContext(parseAppendAnswer(full.body, count), url);
+}
+
+result<log_page, log_error> pageOf(const std::string &url, const response_result &response)
+{
+    if (!isOk(response))
+        return errorOf(response);
+    const full_response &full = valueOf(response);
+    if (full.status == http::status_codes::Gone)
+        return withContext(parseExpired(full.body), url);
+    if (full.status != http::status_codes::OK)
+        return statusError(url, full.status);
+    return withContext(parsePage(full.body), url);
+}
+
 } // namespace
 
 log_client::log_client(log_client_options options)
@@ -105,14 +132,9 @@
     const std::string url = m_options.url;
     const std::size_t count = records.size();
     return send(url, request, m_options.appendTimeout, pplx::cancellation_token::none())
-            .then([url, count](const response_result &response) -> answer {
-                if (!isOk(response))
-                    return errorOf(response);
-                const full_response &full = valueOf(response);
-                if (full.status != http::status_codes::OK
-                    && full.status != http::status_codes::Created)
-                    return statusError(url, full.status);
-                return withContext(parseAppendAnswer(full.body, count), url);
+            .then([url, count](const response_result &response) {
+                return convertErrors<answer>(url,
+                                             [&]() { return appendAnswer(url, response, count); });
             });
 }
 
@@ -130,15 +152,8 @@
     request.set_request_uri(uri.to_uri());
     const std::string url = m_options.url;
     return send(url, request, wait + m_options.readTimeout, cancelled)
-            .then([url](const response_result &response) -> answer {
-                if (!isOk(response))
-                    return errorOf(response);
-                const full_response &full = valueOf(response);
-                if (full.status == http::status_codes::Gone)
-                    return withContext(parseExpired(full.body), url);
-                if (full.status != http::status_codes::OK)
-                    return statusError(url, full.status);
-                return withContext(parsePage(full.body), url);
+            .then([url](const response_result &response) {
+                return convertErrors<answer>(url, [&]() { return pageOf(url, response); });
             });
 }
 
--- a/burdockhold/log_follower.cc
+++ b/burdockhold/log_follower.cc
@@ -1,9 +1,18 @@
 #include "burdockhold/log_follower.h"
 
+#include "burdockhold/logging.h"
+#include "burdockhold/task_guard.h"
+
 #include <algorithm>
 
 namespace burdockhold {
 
+namespace {
+
+constexpr std::string_view Component = "log_follower";
+
+} // namespace
+
 duration retryDelay(const log_follower_options &options, unsigned attempt, std::mt19937 &random)
 {
     duration most = options.firstDelay;
@@ -55,8 +64,10 @@
 
 void log_follower::run()
 {
-    while (!isStopped())
-        step();
+    while (!isStopped()) {
+        if (!runStep(Component, "", [this] { step(); }))
+            sleepFor(FailedRoundDelay);
+    }
 }
 
 void log_follower::step()
@@ -96,12 +107,21 @@
         if (record.offset < m_next)
             continue;
         m_next = record.offset + 1;
-        m_reader.onRecord(record);
+        if (!runStep(Component, "", [&] { m_reader.onRecord(record); }))
+            return skip(record);
     }
     if (atTail)
         m_reader.onTail(sent, page);
 }
 
+/// Leaves a record out. The rest of the page is read again.
+void log_follower::skip(const log_record &record)
+{
+    logEvent(log_level::Error, Component, "a record was skipped",
+             { { "stream", m_options.stream }, { "offset", record.offset } });
+    m_reader.onSkipped(record);
+}
+
 void log_follower::backOff(const basic_error<log_error> &error)
 {
     const duration delay = retryDelay(m_options, m_failures, m_random);
--- a/burdockhold/log_follower.h
+++ b/burdockhold/log_follower.h
@@ -36,6 +36,10 @@
     /// The position is out of retention; reading goes on from `earliest`, the earliest record.
     virtual void onRestart(log_offset earliest) = 0;
 
+    /// The handling of a record ended with an exception. The record is not passed on again, so
+    /// the view lacks it. onPage() of the page that follows is called next.
+    virtual void onSkipped(const log_record &record) = 0;
+
     /// A read failed; it is retried after `retryAfter`.
     virtual void onError(const basic_error<log_error> &error, duration retryAfter) = 0;
 };
@@ -77,6 +81,7 @@
     void step();
     void takeExpired(const log_page &page);
     void take(const log_page &page, time_point sent);
+    void skip(const log_record &record);
     void backOff(const basic_error<log_error> &error);
     void sleepFor(duration delay);
     bool isStopped() const;
--- a/burdockhold/membership_controller.cc
+++ b/burdockhold/membership_controller.cc
@@ -1,6 +1,7 @@
 #include "burdockhold/membership_controller.h"
 
 #include "burdockhold/random_id.h"
+#include "burdockhold/task_guard.h"
 #include "burdockhold/vm_list.h"
 
 #include <cpprest/http_client.h>
@@ -19,6 +20,7 @@
 namespace {
 
 constexpr char ConfigStream[] = "config";
+constexpr std::string_view Component = "membership";
 constexpr duration StepInterval = std::chrono::milliseconds(20);
 constexpr duration WithdrawAnswerLimit = std::chrono::seconds(1);
 constexpr duration WithdrawResendInterval = std::chrono::milliseconds(250);
@@ -55,7 +57,7 @@
         auto rows = parseVmList(body.get());
         if (isOk(rows))
             return std::move(valueOf(rows));
-    } catch (const std::exception &) {
+    } catch (...) {
         // The service is away; the last list is kept.
     }
     return std::nullopt;
@@ -78,7 +80,7 @@
                 .then([poll, http](const pplx::task<std::string> &body) {
                     poll->finish(rowsOf(body));
                 });
-    } catch (const std::exception &) {
+    } catch (...) {
         poll->finish(std::nullopt);
     }
 }
@@ -254,42 +256,55 @@
         std::unique_lock<std::mutex> lock(m_mutex);
         while (!m_stopped) {
             lock.unlock();
-            step();
+            const bool whole = step();
             lock.lock();
-            m_wakeUp.wait_for(lock, StepInterval, [this] { return m_stopped; });
+            m_wakeUp.wait_for(lock, whole ? StepInterval : FailedRoundDelay,
+                              [this] { return m_stopped; });
         }
     }
 
-    void step()
+    /// Returns false if a part of the round failed.
+    bool step()
+    {
+        step_actions actions;
+        const bool whole = runStep(Component, "", [&] { findActions(actions); });
+        carryOut(actions);
+        return whole;
+    }
+
+    void findActions(step_actions &actions)
     {
         const time_point now = steadyNow();
         // In this order: the catalogue and the records contain all that the tail read showed.
         const view_freshness tail = m_hooks.logFreshness();
         auto config = m_board.config.read();
-        step_actions actions;
-        {
-            const std::lock_guard<std::mutex> lock(m_mutex);
-            takeRecords();
-            takeCatalogue(std::move(config), actions);
-            takeList(now);
-            m_synced = tail.synced;
-            if (tail.synced)
-                m_view.noteTailRead(tail.asOf);
-            m_view.noteApplied(m_config->offset);
-            m_stops.update(m_epochs, m_proposer, isEpochWidelyKnown(), now);
-            applyShares();
-            actions.stale = publishFreshness(now);
-            sendHeartbeats(now);
-            if (!actions.stale)
-                appendEpochRecords(now);
-            appendWithdrawals(now);
-            answerWithdrawals(now, actions);
-        }
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        takeRecords();
+        takeCatalogue(std::move(config), actions);
+        takeList(now);
+        m_synced = tail.synced;
+        if (tail.synced)
+            m_view.noteTailRead(tail.asOf);
+        m_view.noteApplied(m_config->offset);
+        m_stops.update(m_epochs, m_proposer, isEpochWidelyKnown(), now);
+        applyShares();
+        actions.stale = publishFreshness(now);
+        sendHeartbeats(now);
+        if (!actions.stale)
+            appendEpochRecords(now);
+        appendWithdrawals(now);
+        answerWithdrawals(now, actions);
+    }
+
+    /// Requests of withdrawn keys are cancelled even if the rest of the round failed: the next
+    /// round does not find these keys again.
+    void carryOut(const step_actions &actions) const
+    {
         cancelAll(actions.cancelled);
         if (actions.stale)
-            m_hooks.cancelKeyed();
+            runStep(Component, "", m_hooks.cancelKeyed);
         for (const auto &[done, outcome] : actions.answers)
-            done(outcome);
+            runStep(Component, "", [&done = done, &outcome = outcome] { done(outcome); });
     }
 
     void takeRecords()
@@ -455,7 +470,7 @@
     void cancelAll(const std::vector<std::string> &digests) const
     {
         for (const std::string &digest : digests)
-            m_hooks.cancelKey(digest);
+            runStep(Component, "", [&] { m_hooks.cancelKey(digest); });
     }
 
     void sendWithdrawal(const std::string &digest)
@@ -514,9 +529,12 @@
     /// replay drops the second one.
     void append(const std::vector<std::string> &records, const std::shared_ptr<append_slot> &slot)
     {
-        m_log.append(ConfigStream, records).then([slot](const result<append_answer, log_error> &) {
+        const auto send = [&] {
+            m_log.append(ConfigStream, records)
+                    .then([slot](const result<append_answer, log_error> &) { slot->finish(); });
+        };
+        if (!runStep(Component, "", send))
             slot->finish();
-        });
     }
 
     void appendWithdrawals(time_point now)
--- a/burdockhold/metrics.cc
+++ b/burdockhold/metrics.cc
@@ -112,6 +112,8 @@
         return "Claims of non-idempotent calls by outcome.";
     case counter::Moves:
         return "Version moves by outcome.";
+    case counter::CaughtExceptions:
+        return "Steps that ended with an unexpected exception.";
     }
     return {};
 }
--- a/burdockhold/metrics.h
+++ b/burdockhold/metrics.h
@@ -36,12 +36,13 @@
     Resumes,
     Claims, ///< Detail: claim_result.
     Moves,  ///< Detail: move_result. Counted only by the VM that proposed the final record.
+    CaughtExceptions, ///< See task_guard.h.
 };
 
 template <>
 struct enum_names<counter>
 {
-    static constexpr std::array<enum_name<counter>, 12> Table{ {
+    static constexpr std::array<enum_name<counter>, 13> Table{ {
             { counter::PromptTokens, "prompt_tokens" },
             { counter::CachedTokens, "cached_tokens" },
             { counter::RecomputedTokens, "recomputed_tokens" },
@@ -54,6 +55,7 @@
             { counter::Resumes, "resumes" },
             { counter::Claims, "claims" },
             { counter::Moves, "version_moves" },
+            { counter::CaughtExceptions, "caught_exceptions" },
     } };
 };
 
--- a/burdockhold/peer_link.cc
+++ b/burdockhold/peer_link.cc
@@ -1,5 +1,7 @@
 #include "burdockhold/peer_link.h"
 
+#include "burdockhold/task_guard.h"
+
 #include <nng/nng.h>
 #include <nng/protocol/reqrep0/rep.h>
 #include <nng/protocol/reqrep0/req.h>
@@ -37,6 +39,8 @@
 /// below what the reply socket buffers.
 constexpr std::size_t MaxUnanswered = 16;
 
+constexpr std::string_view Component = "peer_link";
+
 constexpr duration LongestPoll = std::chrono::milliseconds(100);
 
 basic_error<peer_link_error> makeError(peer_link_error code, const std::string &text,
@@ -268,19 +272,29 @@
     {
         std::deque<std::function<void()>> work;
         while (takeWork(work)) {
-            for (const auto &item : work)
-                item();
-            serveRequests();
-            for (auto &item : m_peers) {
-                takeReplies(item.first, item.second);
-                sendUnsent(item.second);
-            }
-            expire(steadyNow());
-            wait();
+            runWork(work);
+            if (!runStep(Component, "", [this] { takeTurn(); }))
+                std::this_thread::sleep_for(FailedRoundDelay);
         }
+        runWork(work);
+        runStep(Component, "", [this] { changePeers({}); });
+    }
+
+    static void runWork(const std::deque<std::function<void()>> &work)
+    {
         for (const auto &item : work)
-            item();
-        changePeers({});
+            runStep(Component, "", item);
+    }
+
+    void takeTurn()
+    {
+        serveRequests();
+        for (auto &item : m_peers) {
+            takeReplies(item.first, item.second);
+            sendUnsent(item.second);
+        }
+        expire(steadyNow());
+        wait();
     }
 
     /// Returns false when the link is closing.
@@ -311,7 +325,7 @@
     void refuse(const link_request &request, peer_link_error code, const std::string &text)
     {
         ++m_statistics.refused;
-        request.onReply(makeError(code, text, request.peer));
+        runStep(Component, "", [&] { request.onReply(makeError(code, text, request.peer)); });
     }
 
     void finish(std::uint32_t id, const peer_reply &reply)
@@ -329,7 +343,7 @@
                 --peer->second->unanswered;
             --peer->second->inFlight;
         }
-        request.onReply(reply);
+        runStep(Component, "", [&] { request.onReply(reply); });
     }
 
     void serveRequests()
@@ -341,14 +355,18 @@
                 ++m_statistics.malformed; // No reply: the sender's request times out.
                 continue;
             }
-            const auto reply = formatPeerMessage(m_serve(valueOf(decoded)));
-            if (isOk(reply) && message.replaceBody(valueOf(reply)) && message.send(m_server.get()))
-                ++m_statistics.served;
-            else
-                ++m_statistics.droppedReplies;
+            bool sent = false;
+            runStep(Component, "", [&] { sent = reply(message, valueOf(decoded)); });
+            ++(sent ? m_statistics.served : m_statistics.droppedReplies);
         }
     }
 
+    bool reply(message_holder &message, const peer_message &request)
+    {
+        const auto answer = formatPeerMessage(m_serve(request));
+        return isOk(answer) && message.replaceBody(valueOf(answer)) && message.send(m_server.get());
+    }
+
     void sendUnsent(const std::unique_ptr<linked_peer> &peer)
     {
         while (!peer->unsent.empty() && peer->unanswered < MaxUnanswered) {
--- a/burdockhold/stream_reader.cc
+++ b/burdockhold/stream_reader.cc
@@ -1,6 +1,9 @@
 #include "burdockhold/stream_reader.h"
 
+#include "burdockhold/task_guard.h"
+
 #include <algorithm>
+#include <atomic>
 #include <memory>
 #include <string>
 #include <utility>
@@ -24,12 +27,29 @@
     // taking what is available with it delivers each piece as it arrives.
     void readNext()
     {
-        auto self = shared_from_this();
-        m_buffer.bumpc().then(
-                [self](const pplx::task<buffer_type::int_type> &first) { self->onFirst(first); });
+        guard([this] {
+            m_buffer.bumpc().then(
+                    [self = shared_from_this()](const pplx::task<buffer_type::int_type> &first) {
+                        self->guard([&] { self->onFirst(first); });
+                    });
+        });
     }
 
 private:
+    /// Runs a step of the reading. One that fails ends it.
+    template <typename Step>
+    void guard(const Step &step)
+    {
+        if (!runStep(Component, "", step))
+            end();
+    }
+
+    void end()
+    {
+        if (!m_ended.exchange(true))
+            runStep(Component, "", m_sink.end);
+    }
+
     void onFirst(const pplx::task<buffer_type::int_type> &first)
     {
         buffer_type::int_type byte = buffer_type::traits::eof();
@@ -39,7 +59,7 @@
             byte = buffer_type::traits::eof();
         }
         if (byte == buffer_type::traits::eof()) {
-            m_sink.end();
+            end();
             return;
         }
         const std::size_t more = std::min(m_buffer.in_avail(), MaxPieceBytes - 1);
@@ -57,7 +77,7 @@
                     } catch (const std::exception &) {
                         count = 0;
                     }
-                    self->deliver(count);
+                    self->guard([&] { self->deliver(count); });
                 });
     }
 
@@ -66,11 +86,14 @@
         if (m_sink.bytes(std::string_view(m_piece).substr(0, 1 + more)))
             readNext();
         else
-            m_sink.end();
+            end();
     }
 
+    static constexpr std::string_view Component = "stream_reader";
+
     buffer_type m_buffer;
     stream_sink m_sink;
+    std::atomic<bool> m_ended{ false };
     std::string m_piece;
 };
 
--- a/burdockhold/stream_reader.h
+++ b/burdockhold/stream_reader.h
@@ -12,7 +12,7 @@
 
 struct stream_sink
 {
-    /// Receives each piece. Returning false stops reading.
+    /// Receives each piece. Returning false stops reading, as an exception does.
     std::function<bool(std::string_view)> bytes;
     /// Called exactly once, at the end of the stream, a failure of it, or a stop.
     std::function<void()> end;
--- a/burdockhold/upstream.cc
+++ b/burdockhold/upstream.cc
@@ -1,6 +1,7 @@
 #include "burdockhold/upstream.h"
 
 #include "burdockhold/stream_reader.h"
+#include "burdockhold/task_guard.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <cpprest/http_client.h>
@@ -34,6 +35,15 @@
              "" };
 }
 
+std::string findHeader(const std::vector<header> &headers, std::string_view name)
+{
+    web::http::http_headers lookup;
+    for (const header &field : headers)
+        lookup.add(field.name, field.value);
+    const auto found = lookup.find(std::string(name));
+    return found == lookup.end() ? "" : found->second;
+}
+
 class running_call : public upstream_call, public std::enable_shared_from_this<running_call>
 {
 public:
@@ -42,12 +52,35 @@
         : m_client(std::move(client))
         , m_options(options)
         , m_request(std::move(request))
+        , m_requestId(findHeader(m_request.headers, "X-Request-Id"))
         , m_observer(std::move(observer))
         , m_timer(crossplat::threadpool::shared_instance().service())
     {
     }
 
     void start()
+    {
+        if (!guard([this] { begin(); }))
+            finish(failedStep());
+    }
+
+    void cancel() override { stop({ upstream_error::Cancelled, "the call was cancelled", "" }); }
+
+private:
+    /// Runs a step of the call. Returns false if it threw.
+    template <typename Step>
+    bool guard(const Step &step) const
+    {
+        return runStep("upstream", m_requestId, step);
+    }
+
+    /// The failure of a call whose step threw. Whether the request was written is unknown.
+    static upstream_failure failedStep()
+    {
+        return { upstream_error::ConnectionLost, "a step of the call failed", "" };
+    }
+
+    void begin()
     {
         setDeadline(m_request.silence.value_or(m_options.firstToken));
         watch();
@@ -63,9 +96,6 @@
         }
     }
 
-    void cancel() override { stop({ upstream_error::Cancelled, "the call was cancelled", "" }); }
-
-private:
     void send()
     {
         http_request message(m_request.method);
@@ -79,7 +109,12 @@
         message.set_response_stream(m_buffer.create_ostream());
         auto self = shared_from_this();
         m_client->request(message, m_cancellation.get_token())
-                .then([self](const pplx::task<http_response> &task) { self->onResponse(task); });
+                .then([self](const pplx::task<http_response> &task) {
+                    if (self->guard([&] { self->onResponse(task); }))
+                        return;
+                    self->stop(failedStep());
+                    self->finish(failedStep());
+                });
     }
 
     void onResponse(const pplx::task<http_response> &task)
@@ -98,12 +133,22 @@
         m_observer->onHeaders(response);
 
         auto self = shared_from_this();
-        message.content_ready().then(
-                [self](const pplx::task<http_response> &ready) { self->onContentReady(ready); });
-        readStream(m_buffer, { [self](std::string_view bytes) { return self->onPiece(bytes); },
+        message.content_ready().then([self](const pplx::task<http_response> &ready) {
+            if (!self->guard([&] { self->onContentReady(ready); }))
+                self->stop(failedStep());
+        });
+        readStream(m_buffer, { [self](std::string_view bytes) { return self->takePiece(bytes); },
                                [self] { self->onStreamEnd(); } });
     }
 
+    bool takePiece(std::string_view bytes)
+    {
+        bool more = false;
+        if (!guard([&] { more = onPiece(bytes); }))
+            stop(failedStep());
+        return more;
+    }
+
     void onContentReady(const pplx::task<http_response> &ready)
     {
         try {
@@ -164,7 +209,7 @@
                 failure = m_failure;
             m_timer.cancel();
         }
-        m_observer->onEnd(failure);
+        guard([&] { m_observer->onEnd(failure); });
         m_observer.reset();
     }
 
@@ -186,7 +231,11 @@
         if (m_ended || m_stopped)
             return;
         m_timer.expires_at(m_deadline);
-        m_timer.async_wait([self](const boost::system::error_code &) { self->onTimer(); });
+        m_timer.async_wait([self](const boost::system::error_code &) {
+            // Without its watchdog a silent call would not end.
+            if (!self->guard([&] { self->onTimer(); }))
+                self->stop(failedStep());
+        });
     }
 
     void onTimer()
@@ -214,6 +263,7 @@
     std::shared_ptr<http_client> m_client;
     upstream_options m_options;
     upstream_request m_request;
+    std::string m_requestId;
     std::shared_ptr<upstream_observer> m_observer;
     byte_buffer m_buffer;
     pplx::cancellation_token_source m_cancellation;
@@ -241,11 +291,7 @@
 
 std::string upstream_response::find(std::string_view name) const
 {
-    web::http::http_headers lookup;
-    for (const header &field : headers)
-        lookup.add(field.name, field.value);
-    const auto found = lookup.find(std::string(name));
-    return found == lookup.end() ? "" : found->second;
+    return findHeader(headers, name);
 }
 
 class upstream_clients::impl
--- a/testing/front_server_nettest.cc
+++ b/testing/front_server_nettest.cc
@@ -4,13 +4,18 @@
 #include "burdockhold/claim_stage.h"
 #include "burdockhold/front_server.h"
 #include "burdockhold/hash.h"
+#include "burdockhold/logging.h"
+#include "burdockhold/task_guard.h"
 #include "testing/support_address.h"
+#include "testing/support_mutation.h"
 
 #include <boost/asio.hpp>
 #include <cpprest/http_client.h>
 
 #include <atomic>
 #include <condition_variable>
+#include <filesystem>
+#include <fstream>
 #include <functional>
 #include <list>
 #include <map>
@@ -37,20 +42,35 @@
     return true;
 }
 
-/// Claims that are always won, so that the request path is tested without a log.
+enum class claims_step { None, Claim, Finished, Released };
+
+/// Claims that are always won, so that the request path is tested without a log. One step may be
+/// set to throw.
 class winning_claims : public call_claims
 {
 public:
     claim_start claim(const claim_subject & /*subject*/, decided_callback decided) override
     {
+        throwIn(claims_step::Claim);
         const std::uint64_t id = ++m_count;
         decided(dispatch_permission{ id, std::to_string(id), steadyNow() + WaitLimit });
         return claim_pending{};
     }
-    void finished(const std::string & /*claimId*/, claim_answer /*answer*/) override { }
-    void released(const std::string & /*claimId*/) override { }
+    void finished(const std::string & /*claimId*/, claim_answer /*answer*/) override
+    {
+        throwIn(claims_step::Finished);
+    }
+    void released(const std::string & /*claimId*/) override { throwIn(claims_step::Released); }
+
+    std::atomic<claims_step> throwing{ claims_step::None };
 
 private:
+    void throwIn(claims_step step) const
+    {
+        if (throwing == step)
+            throw std::runtime_error("thrown by the claims of the test");
+    }
+
     std::atomic<std::uint64_t> m_count{ 0 };
 };
 
@@ -348,6 +368,7 @@
     }
 
     front_options &options() { return m_options; }
+    winning_claims &claims() { return m_claims; }
 
     /// Opens a plain connection to the router, for tests that control the bytes they send.
     tcp::socket connect(boost::asio::io_context &service) const
@@ -394,6 +415,31 @@
     return body.size() > end.size() && body.compare(body.size() - end.size(), end.size(), end) == 0;
 }
 
+std::string textOf(const std::filesystem::path &file)
+{
+    std::ifstream in(file);
+    return { std::istreambuf_iterator<char>(in), {} };
+}
+
+std::string answerBytes(const received_request &request, const std::string &type,
+                        const std::string &body)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Type: " + type
+           + "\r\nX-Weights-Version: v1\r\nX-Prompt-Tokens: 1\r\nX-Request-Id: "
+           + request.find("X-Request-Id") + "\r\nContent-Length: " + std::to_string(body.size())
+           + "\r\n\r\n" + body;
+}
+
+std::string wholeStream(const received_request &request)
+{
+    const int from = resumeIndex(request);
+    std::string events;
+    for (int index = from; index < 3; ++index)
+        events += tokenEvent(request, index);
+    return answerBytes(request, "text/event-stream",
+                       events + usageEvent(request, 3) + "data: [DONE]\n\n");
+}
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(front, router_fixture)
@@ -791,4 +837,143 @@
     BOOST_TEST(engine.requests().size() == 1u);
 }
 
+// Guards against an exception in one request's stage that ends the process, leaves the request open
+// for ever, or is answered with "not run" after the service ran the call.
+BOOST_AUTO_TEST_CASE(exceptionInAStageEndsOnlyItsRequest)
+{
+    const std::filesystem::path log = std::filesystem::temp_directory_path()
+                                      / ("burdockhold-front-" + std::to_string(getpid()) + ".log");
+    BOOST_REQUIRE(isOk(startLogging(log.string(), log_level::Info)));
+    fake_endpoint service([](tcp::socket &socket, const received_request &request) {
+        return sendAnswer(socket, request, "booked");
+    });
+    addEndpoint("s1", service, endpoint_role::Service);
+    front_server &server = start();
+    struct expectation
+    {
+        claims_step step;
+        int status;
+        std::string run;
+    };
+    int calls = 0;
+    for (const expectation &expected : { expectation{ claims_step::Claim, 503, "not-run" },
+                                         expectation{ claims_step::Finished, 502, "unknown" } }) {
+        const std::uint64_t before = caughtExceptions();
+        claims().throwing = expected.step;
+        const answer failed = request("POST", "/bookings", "a", "secret", std::to_string(++calls));
+        claims().throwing = claims_step::None;
+        BOOST_TEST(failed.status == expected.status);
+        BOOST_TEST(failed.run == expected.run);
+        BOOST_TEST(failed.body.find(R"("code":"exception")") != std::string::npos);
+        BOOST_TEST(caughtExceptions() == before + 1);
+        const std::string lines = textOf(log);
+        BOOST_TEST(lines.find(R"("request_id":")" + failed.requestId) != std::string::npos);
+        BOOST_TEST(lines.find("thrown by the claims of the test") != std::string::npos);
+        const answer next = request("POST", "/bookings", "b", "secret", std::to_string(++calls));
+        BOOST_TEST(next.status == 200);
+        BOOST_TEST(eventually([&] { return server.openRequests() == 0; }));
+    }
+    BOOST_TEST(service.requests().size() == 3u);
+    std::filesystem::remove(log);
+}
+
+// Guards against an exception at the end of a request, after its reply, that ends the process or
+// leaves the request open.
+BOOST_AUTO_TEST_CASE(exceptionInTheSettlementEndsOnlyItsRequest)
+{
+    {
+        fake_endpoint gone([](tcp::socket &, const received_request &) { return false; });
+        addEndpoint("s1", gone, endpoint_role::Service);
+    }
+    front_server &server = start();
+    const std::uint64_t before = caughtExceptions();
+    claims().throwing = claims_step::Released;
+    const answer reply = request("POST", "/bookings", "a", "secret", "k1");
+    BOOST_TEST(reply.status == 503);
+    BOOST_TEST(reply.run == "not-run");
+    BOOST_TEST(eventually([&] { return server.openRequests() == 0; }));
+    BOOST_TEST(caughtExceptions() == before + 1);
+}
+
+// Guards against an answer of an engine or a service that ends the process or holds its request
+// open: seeded mutations of whole responses, head included.
+BOOST_AUTO_TEST_CASE(mutatedAnswersEndOnlyTheirRequests)
+{
+    constexpr int Rounds = 150;
+    options().resume.maxAttempts = 2;
+    options().upstream.firstToken = std::chrono::milliseconds(100);
+    options().upstream.betweenTokens = std::chrono::milliseconds(100);
+    options().wholeTimeout = std::chrono::milliseconds(100);
+    options().serviceTimeout = std::chrono::milliseconds(100);
+    std::mt19937 random(1);
+    std::mutex mutex;
+    std::atomic<bool> mutates{ true };
+    const auto answerWith = [&](tcp::socket &socket, const std::string &whole) {
+        const std::lock_guard<std::mutex> lock(mutex);
+        sendBytes(socket, mutates ? testing::mutated(whole, random) : whole);
+        return false;
+    };
+    fake_endpoint engine([&](tcp::socket &socket, const received_request &request) {
+        const bool streams = request.body.find(R"("stream":true)") != std::string::npos;
+        return answerWith(socket, streams ? wholeStream(request)
+                                          : answerBytes(request, "application/json",
+                                                        R"({"choices":[{"text":"t"}],"usage":)"
+                                                        R"({"completion_tokens":3}})"));
+    });
+    fake_endpoint service([&](tcp::socket &socket, const received_request &request) {
+        return answerWith(socket, answerBytes(request, "text/plain", "answer"));
+    });
+    addEndpoint("e1", engine);
+    addEndpoint("s1", service, endpoint_role::Service);
+    front_server &server = start();
+    const std::uint64_t before = caughtExceptions();
+    int answered = 0;
+    const auto call = [&](const std::function<answer()> &send) {
+        try {
+            send();
+            ++answered;
+        } catch (const std::exception &error) {
+            BOOST_TEST_MESSAGE("no answer: " << error.what());
+        }
+    };
+    for (int round = 0; round < Rounds; ++round) {
+        call([&] { return stream(); });
+        call([&] { return request("POST", "/v1/completions", R"({"model":"m","prompt":"p"})"); });
+        call([&] { return request("GET", "/menu/soup", "", ""); });
+        call([&] { return request("POST", "/bookings", "a", "secret", std::to_string(round)); });
+    }
+    BOOST_TEST(answered == 4 * Rounds);
+    BOOST_TEST(eventually([&] { return server.openRequests() == 0; }));
+    mutates = false;
+    BOOST_TEST(eventually([&] { return endsProperly(stream().body); }));
+    BOOST_TEST(caughtExceptions() == before);
+}
+
+// Guards against a caller whose request ends the process or stays open: seeded mutations of whole
+// requests.
+BOOST_AUTO_TEST_CASE(mutatedRequestsEndOnlyThemselves)
+{
+    constexpr int Rounds = 600;
+    fake_endpoint engine([](tcp::socket &socket, const received_request &request) {
+        return streamTokens(socket, request, 3);
+    });
+    addEndpoint("e1", engine);
+    front_server &server = start();
+    std::mt19937 random(2);
+    const std::string body = R"({"model":"m","prompt":"hello","stream":true,"max_tokens":3})";
+    const std::string whole = "POST /v1/completions?a=%41 HTTP/1.1\r\nHost: x\r\n"
+                              "Authorization: Bearer secret\r\nIdempotency-Key: k\r\n"
+                              "Content-Type: application/json\r\nContent-Length: "
+                              + std::to_string(body.size()) + "\r\n\r\n" + body;
+    for (int round = 0; round < Rounds; ++round) {
+        boost::asio::io_context io;
+        tcp::socket caller = connect(io);
+        sendBytes(caller, testing::mutated(whole, random));
+        boost::system::error_code ignored;
+        caller.shutdown(tcp::socket::shutdown_send, ignored);
+    }
+    BOOST_TEST(endsProperly(stream().body));
+    BOOST_TEST(eventually([&] { return server.openRequests() == 0; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/testing/log_follower_nettest.cc
+++ b/testing/log_follower_nettest.cc
@@ -2,6 +2,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include "burdockhold/config_follower.h"
+#include "burdockhold/task_guard.h"
+#include "testing/support_mutation.h"
 
 #include <boost/asio.hpp>
 #include <nlohmann/json.hpp>
@@ -60,6 +62,7 @@
     std::atomic<int> lostAnswers{ 0 }; ///< Appends to carry out without an answer.
     std::atomic<int> refusals{ 0 };    ///< Appends to refuse with 413.
     std::atomic<int> reads{ 0 };
+    std::atomic<int> mutations{ 0 }; ///< Answers to reads to mutate.
 
 private:
     using json = nlohmann::json;
@@ -99,13 +102,17 @@
             boost::asio::read(socket, buffer, boost::asio::transfer_exactly(length - buffer.size()),
                               error);
         const std::string body(static_cast<const char *>(buffer.data().data()), length);
-        const std::string answer = head.substr(0, 4) == "POST" ? append(body) : read(head);
+        std::string answer = head.substr(0, 4) == "POST" ? append(body) : read(head);
+        if (head.substr(0, 4) != "POST" && mutations > 0) {
+            --mutations;
+            answer = burdockhold::testing::mutated(answer, m_random);
+        }
         boost::asio::write(socket, boost::asio::buffer(answer), error);
     }
 
     static std::string response(const std::string &status, const json &body)
     {
-        const std::string text = body.dump();
+        const std::string text = body.dump(-1, ' ', false, json::error_handler_t::replace);
         return "HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\nConnection: close"
                + "\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n" + text;
     }
@@ -163,6 +170,7 @@
 
     mutable std::mutex m_mutex;
     std::vector<log_record> m_records;
+    std::mt19937 m_random{ 3 };
     std::atomic<bool> m_stopped{ false };
     std::thread m_thread;
 };
@@ -195,6 +203,47 @@
     return holds();
 }
 
+/// Throws at one record, one page and one tail.
+class throwing_reader : public stream_reader
+{
+public:
+    void onPage(const log_page & /*page*/) override
+    {
+        if (++m_pages == 1)
+            throw std::runtime_error("page");
+    }
+    void onRecord(const log_record &record) override
+    {
+        if (record.offset == 2)
+            throw 2; // Not a std::exception.
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_offsets.push_back(record.offset);
+    }
+    void onTail(time_point /*asOf*/, const log_page & /*page*/) override
+    {
+        if (++m_tails == 1)
+            throw std::runtime_error("tail");
+    }
+    void onRestart(log_offset /*earliest*/) override { }
+    void onSkipped(const log_record &record) override { skipped = record.offset; }
+    void onError(const basic_error<log_error> & /*error*/, duration /*retryAfter*/) override { }
+
+    std::vector<log_offset> offsets() const
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        return m_offsets;
+    }
+    int tails() const { return m_tails; }
+
+    std::atomic<log_offset> skipped{ 0 };
+
+private:
+    mutable std::mutex m_mutex;
+    std::vector<log_offset> m_offsets;
+    std::atomic<int> m_pages{ 0 };
+    std::atomic<int> m_tails{ 0 };
+};
+
 bool reaches(const blackboard &board, log_offset offset)
 {
     return eventually([&]() { return board.config.read()->offset >= offset; });
@@ -354,3 +403,46 @@
     BOOST_TEST((retryDelay(options, 50, random) >= options.maxDelay / 2));
     BOOST_TEST((retryDelay(options, 0, random) <= options.firstDelay));
 }
+
+// Guards against an exception in the handling of a record, a page or the tail that ends the process
+// or the following, or hides that a record is missing.
+BOOST_AUTO_TEST_CASE(exceptionOfTheReaderEndsOnlyItsRound)
+{
+    fake_log log;
+    for (int i = 0; i < 5; ++i)
+        log.add("r");
+    throwing_reader reader;
+    log_follower_options options = quickOptions(log).follow;
+    options.stream = "config";
+    const std::uint64_t before = caughtExceptions();
+    log_follower follower(options, reader);
+    BOOST_REQUIRE(eventually([&]() { return reader.tails() >= 2; }));
+    log.add("r");
+    BOOST_REQUIRE(eventually([&]() { return reader.offsets().size() >= 5U; }));
+    BOOST_TEST((reader.offsets() == std::vector<log_offset>{ 1, 3, 4, 5, 6 }));
+    BOOST_TEST(reader.skipped == 2U);
+    BOOST_TEST(caughtExceptions() == before + 3);
+}
+
+// Guards against a record or an answer of the log that ends the process or the following: seeded
+// mutations of both.
+BOOST_AUTO_TEST_CASE(mutatedRecordsAndAnswersDoNotEndTheFollowing)
+{
+    constexpr int Records = 2000;
+    fake_log log;
+    std::mt19937 random(4);
+    const std::string withdrawal = formatRecord(
+            { "w", key_withdraw_record{ std::string(64, 'a') } });
+    for (int i = 0; i < Records; ++i)
+        log.add(testing::mutated(i % 2 == 0 ? classRecord("id", "c", 0, 1) : withdrawal, random));
+    log.add(classRecord("last", "last", 0, 1));
+    log.mutations = 300;
+    blackboard board;
+    config_follower_options options = quickOptions(log);
+    options.follow.limit = 10;
+    options.follow.log.readTimeout = 50ms;
+    config_follower follower(options, board);
+    BOOST_REQUIRE(eventually([&]() { return log.mutations == 0; }));
+    BOOST_REQUIRE(reaches(board, Records + 1));
+    BOOST_TEST(board.config.read()->classes.count("last") == 1U);
+}
--- a/testing/peer_link_nettest.cc
+++ b/testing/peer_link_nettest.cc
@@ -2,7 +2,9 @@
 #include <boost/test/unit_test.hpp>
 
 #include "burdockhold/peer_link.h"
+#include "burdockhold/task_guard.h"
 #include "testing/support_address.h"
+#include "testing/support_mutation.h"
 
 #include <nng/nng.h>
 #include <nng/protocol/reqrep0/rep.h>
@@ -249,3 +251,54 @@
     BOOST_REQUIRE(!isOk(second));
     BOOST_TEST((errorOf(second).code == peer_link_error::AddressInUse));
 }
+
+// Guards against an exception in the serving of a request or in a reply's callback that ends the
+// process or the link.
+BOOST_AUTO_TEST_CASE(exceptionOfACallbackEndsOnlyItsMessage)
+{
+    const std::string address = freeAddress();
+    const auto server = openLink(optionsFor(address), [](const peer_message &request) {
+        if (request.messageId == 1)
+            throw std::runtime_error("thrown by the test");
+        return request;
+    });
+    const auto client = openLink(optionsFor(freeAddress(), std::chrono::seconds(2)), echo);
+    client->setPeers({ { "b", address } });
+    const std::uint64_t before = caughtExceptions();
+    BOOST_TEST((errorCode(ask(*client, "b", heartbeat(1))) == peer_link_error::Timeout));
+    client->send("b", heartbeat(2), [](const peer_reply &) { throw 2; });
+    client->send("unknown", heartbeat(3), [](const peer_reply &) { throw 3; });
+    BOOST_TEST(isOk(ask(*client, "b", heartbeat(4))));
+    BOOST_TEST(caughtExceptions() == before + 3);
+}
+
+// Guards against bytes of a peer that end the process or the link: seeded mutations of messages.
+BOOST_AUTO_TEST_CASE(mutatedMessagesDoNotEndTheLink)
+{
+    const std::string address = freeAddress();
+    const auto server = openLink(optionsFor(address), echo);
+    nng_socket sender = NNG_SOCKET_INITIALIZER;
+    BOOST_REQUIRE(nng_req0_open_raw(&sender) == 0);
+    BOOST_REQUIRE(nng_dial(sender, address.c_str(), nullptr, 0) == 0);
+    std::mt19937 random(5);
+    const std::vector<peer_body> bodies{ heartbeat_message{ 1, { "a", "b" }, { "c" } },
+                                         grant_request{ "a", 1, 2, 3.0 },
+                                         grant_reply{ "a", 1, 2, 3, 4.0, 5.0 },
+                                         grant_return{ "a", 1, 2, 3, 4.0 },
+                                         withdraw_message{ "d", true } };
+    for (std::uint32_t i = 0; i < 5000; ++i) {
+        const auto bytes = formatPeerMessage({ "vm-a", 7, i, bodies[i % bodies.size()] });
+        BOOST_REQUIRE(isOk(bytes));
+        const std::string changed = testing::mutated(valueOf(bytes), random);
+        nng_msg *message = nullptr;
+        BOOST_REQUIRE(nng_msg_alloc(&message, 0) == 0);
+        BOOST_REQUIRE(nng_msg_header_append_u32(message, 0x80000000U | i) == 0);
+        BOOST_REQUIRE(nng_msg_append(message, changed.data(), changed.size()) == 0);
+        BOOST_REQUIRE(nng_sendmsg(sender, message, 0) == 0);
+    }
+    const auto client = openLink(optionsFor(freeAddress()), echo);
+    client->setPeers({ { "b", address } });
+    BOOST_TEST(isOk(ask(*client, "b", heartbeat(1))));
+    BOOST_TEST(server->statistics().malformed > 0U);
+    nng_close(sender);
+}
