Test truncated answers of the own interface in each framing

resumed_streams_nettest cuts a chunked stream at each byte and answers continuations with errors. It lacks first responses with a length or with neither length nor chunks, whole completions, plain routes, calls that must not be repeated, and a refusal that is sent twice.

Streams and whole completions cut short in the three framings are run again and arrive whole. A refusal sent twice on its connection is not taken for the answer to a later call: each call has a connection of its own.

Not covered: callers with HTTP/1.0.

--- a/testing/front_server_nettest.cc
+++ b/testing/front_server_nettest.cc
@@ -301,7 +301,8 @@
 class router_fixture
 {
 public:
-    router_fixture()
+    explicit router_fixture(const placement_router_options &routing = {})
+        : m_router(routing)
     {
         m_config.accounts["acme"].value = { "ops", "", 1000, 1000, 1.0, 100 };
         key_entry key;
@@ -430,6 +431,56 @@
            + "\r\n\r\n" + body;
 }
 
+/// Retries and ejections have tests of their own.
+placement_router_options ampleRetries()
+{
+    placement_router_options routing;
+    routing.retries.minimum = 1000000;
+    return routing;
+}
+
+class retrying_fixture : public router_fixture
+{
+public:
+    retrying_fixture()
+        : router_fixture(ampleRetries())
+    {
+    }
+};
+
+enum class framing { Length, Chunks, None };
+
+/// Returns the response with its body framed so; the body is sent in two chunks.
+std::string framed(const received_request &request, const std::string &body, framing how)
+{
+    std::string head = "HTTP/1.1 200 OK\r\nX-Weights-Version: v1\r\nX-Request-Id: "
+                       + request.find("X-Request-Id") + "\r\n";
+    if (how == framing::Length)
+        return head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    if (how == framing::None)
+        return head + "Connection: close\r\n\r\n" + body;
+    std::ostringstream chunks;
+    chunks << std::hex;
+    for (const std::string &part :
+         { body.substr(0, body.size() / 2), body.substr(body.size() / 2) })
+        chunks << part.size() << "\r\n" << part << "\r\n";
+    return head + "Transfer-Encoding: chunked\r\n\r\n" + chunks.str() + "0\r\n\r\n";
+}
+
+/// Ends the connection after the bytes, orderly or with a reset.
+bool sendAndEnd(tcp::socket &socket, const std::string &bytes, bool reset)
+{
+    sendBytes(socket, bytes);
+    if (!reset)
+        return false;
+    // A reset discards what the other side has not read yet.
+    std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    boost::system::error_code ignored;
+    socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+    return false;
+}
+
 std::string wholeStream(const received_request &request)
 {
     const int from = resumeIndex(request);
@@ -976,4 +1027,145 @@
     BOOST_TEST(eventually([&] { return server.openRequests() == 0; }));
 }
 
+// Guards against a part of an answer that is delivered as a whole one, a call that must not be
+// repeated that runs twice, and "not run" for one that ran, when a service ends the connection
+// after any byte of its response. Without a length and chunks an orderly end after the head
+// completes the response.
+BOOST_FIXTURE_TEST_CASE(truncatedAnswerOfAServiceIsNotDelivered, retrying_fixture)
+{
+    const std::string body = "the whole answer";
+    std::mutex mutex;
+    std::size_t cut = 0;
+    framing how = framing::Length;
+    bool reset = false;
+    std::size_t size = 0;
+    std::size_t head = 0;
+    std::atomic<int> runs{ 0 };
+    fake_endpoint service([&](tcp::socket &socket, const received_request &request) {
+        const std::lock_guard<std::mutex> lock(mutex);
+        ++runs;
+        const std::string whole = framed(request, body, how);
+        size = whole.size();
+        head = whole.find("\r\n\r\n") + 4;
+        return sendAndEnd(socket, whole.substr(0, cut), reset);
+    });
+    addEndpoint("s1", service, endpoint_role::Service);
+    front_server &server = start();
+    int calls = 0;
+    for (const framing next : { framing::Length, framing::Chunks, framing::None }) {
+        how = next;
+        size = 1;
+        for (cut = 0; cut <= size; cut += cut + 8 < head ? 7 : 1) {
+            for (const bool resets : { false, true }) {
+                reset = resets;
+                runs = 0;
+                const answer booked = request("POST", "/bookings", "a", "secret",
+                                              std::to_string(++calls));
+                const bool whole = cut == size;
+                const bool endsHere = how == framing::None && cut >= head && !reset;
+                BOOST_TEST_CONTEXT("framing " << int(how) << " cut " << cut << " of " << size
+                                              << " reset " << reset)
+                {
+                    BOOST_TEST(runs == 1);
+                    // The reset may come before or after the end of a whole response.
+                    if (endsHere)
+                        BOOST_TEST(booked.body == body.substr(0, cut - head));
+                    else if (booked.status == 200)
+                        BOOST_TEST((whole && booked.body == body && how != framing::None));
+                    else
+                        BOOST_TEST((booked.status == 502 && booked.run == "unknown"));
+                    BOOST_TEST((booked.status == 200 || !whole || reset));
+                }
+            }
+        }
+    }
+    BOOST_TEST(calls > 200);
+    BOOST_TEST(eventually([&] { return server.openRequests() == 0; }));
+}
+
+// Guards against a whole completion or a stream that is cut short and taken for complete, whatever
+// the framing of the engine's response.
+BOOST_FIXTURE_TEST_CASE(truncatedAnswerOfAnEngineIsResumed, retrying_fixture)
+{
+    std::mutex mutex;
+    std::size_t cut = 0;
+    framing how = framing::Length;
+    bool reset = false;
+    std::size_t size = 0;
+    int runs = 0;
+    const std::string whole =
+            R"({"id":"x","choices":[{"text":"t"}],"usage":{"completion_tokens":1}})";
+    fake_endpoint engine([&](tcp::socket &socket, const received_request &request) {
+        const std::lock_guard<std::mutex> lock(mutex);
+        const bool streams = request.body.find(R"("stream":true)") != std::string::npos;
+        std::string body = whole;
+        if (streams) {
+            const std::string stream = wholeStream(request);
+            body = stream.substr(stream.find("\r\n\r\n") + 4);
+        }
+        const std::string bytes = framed(request, body, how);
+        if (++runs > 1)
+            return sendBytes(socket, bytes) && how != framing::None;
+        size = bytes.size();
+        return sendAndEnd(socket, bytes.substr(0, cut), reset);
+    });
+    addEndpoint("e1", engine);
+    front_server &server = start();
+    for (const framing next : { framing::Length, framing::Chunks, framing::None }) {
+        how = next;
+        size = 1;
+        for (cut = 0; cut <= size; cut += 9) {
+            reset = cut % 2 == 1;
+            runs = 0;
+            const answer streamed = stream();
+            BOOST_TEST_CONTEXT("stream, framing " << int(how) << " cut " << cut << " reset "
+                                                  << reset)
+            {
+                BOOST_TEST(tokensOf(streamed.body) == expectedTokens(3));
+                BOOST_TEST(endsProperly(streamed.body));
+            }
+        }
+        size = 1;
+        for (cut = 0; cut <= size; cut += 3) {
+            reset = cut % 2 == 1;
+            runs = 0;
+            const answer reply = request("POST", "/v1/completions",
+                                         R"({"model":"m","prompt":"p"})");
+            BOOST_TEST_CONTEXT("whole, framing " << int(how) << " cut " << cut << " reset "
+                                                 << reset)
+            {
+                BOOST_TEST(reply.status == 200);
+                BOOST_TEST(reply.body == whole);
+            }
+        }
+    }
+    BOOST_TEST(eventually([&] { return server.openRequests() == 0; }));
+}
+
+// Guards against an earlier refusal, sent once more on its connection, that is taken for the answer
+// to a later call: that call would be reported with another call's outcome.
+BOOST_AUTO_TEST_CASE(repeatedRefusalIsNotTakenForALaterAnswer)
+{
+    constexpr int Calls = 16;
+    const std::string refusal = "HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy";
+    std::atomic<int> runs{ 0 };
+    fake_endpoint service([&](tcp::socket &socket, const received_request &request) {
+        if (++runs % 2 == 1)
+            return sendBytes(socket, refusal + refusal);
+        return sendAnswer(socket, request, request.body);
+    });
+    addEndpoint("s1", service, endpoint_role::Service);
+    start();
+    for (int call = 1; call <= Calls; ++call) {
+        const std::string text = "call " + std::to_string(call);
+        const answer reply = request("POST", "/bookings", text, "secret", text);
+        BOOST_TEST(reply.status == (call % 2 == 1 ? 503 : 200));
+        BOOST_TEST(reply.body == (call % 2 == 1 ? "busy" : text));
+        BOOST_TEST(reply.run != "not-run");
+    }
+    BOOST_TEST(runs == Calls);
+    for (const received_request &request : service.requests())
+        BOOST_TEST(request.onConnection == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
