Ignore withdrawals of peers that are no digests of keys

What operators see: a peer's heartbeat or withdrawal with a text that is no digest makes each VM append a malformed record to the config stream every half second without end, and keeps the withdrawal pending.

Cause: the texts were only bounded in length. Their record is malformed to all readers, so no VM ever sees the withdrawal as logged.

Ruled out, by odd_entries_nettest on the code before this commit, which passed it: records of the config and claims streams nested 100,000 deep, numbers too large, ports and hosts out of range, and other types end neither the daemon nor its following.

Change: the digests of a peer are checked; the others of its message hold. What is ignored is logged.

Result: oddWithdrawalOfAPeerIsNotAppended failed before (8 records instead of 4, one withdrawal pending) and passes now.

--- a/burdockhold/membership_controller.cc
+++ b/burdockhold/membership_controller.cc
@@ -1,5 +1,6 @@
 #include "burdockhold/membership_controller.h"
 
+#include "burdockhold/logging.h"
 #include "burdockhold/random_id.h"
 #include "burdockhold/task_guard.h"
 #include "burdockhold/vm_list.h"
@@ -9,6 +10,7 @@
 #include <algorithm>
 #include <condition_variable>
 #include <deque>
+#include <iterator>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -449,7 +451,13 @@
     /// Merges withdrawals that a peer holds and publishes the new ones. Returns the new ones.
     std::vector<std::string> take(const std::string &peer, const std::vector<std::string> &digests)
     {
-        auto added = m_pending.merge(peer, digests);
+        std::vector<std::string> valid;
+        std::copy_if(digests.begin(), digests.end(), std::back_inserter(valid), isKeyDigest);
+        // A record with any other text is malformed, and would be appended again without end.
+        if (valid.size() < digests.size())
+            logEvent(log_level::Warn, Component, "withdrawals of a peer are no digests of keys",
+                     { { "peer", peer }, { "ignored", digests.size() - valid.size() } });
+        auto added = m_pending.merge(peer, valid);
         for (const std::string &digest : added) {
             m_appendFrom[digest] = steadyNow() + ForeignAppendDelay;
             if (isKeyWithdrawn(*m_config, digest))
