Do not publish a configuration view that lacks a skipped record

What callers see: when the handling of a config record throws, the VM goes on with a view that lacks it and calls it current; a key that the record withdraws keeps working there.

Change: after a skipped config record the view is not published any more, so it ages, and keyed requests are refused as not fresh until the daemon is restarted.

Result: viewWithASkippedRecordIsNotPublished fails without the check (a trial: offset 3 is published instead of 1, and its time advances) and passes with it, as the other cases of log_follower_nettest.

Tried and reverted: data of a log record that is no text as a malformed record, so that the page is not refused for ever. The follower then goes on (the test timed out before and passed), but an answer that is odd for one VM only would hide a claim or a withdrawal from it.

--- a/burdockhold/config_follower.cc
+++ b/burdockhold/config_follower.cc
@@ -86,9 +86,8 @@
     const std::lock_guard<std::mutex> lock(m_mutex);
     ++m_status.errors;
     m_status.lastError = "the record at offset " + std::to_string(record.offset) + " was skipped";
-    // The record may be an epoch.
-    if (m_options.listener != nullptr)
-        m_options.listener->onConfigRestart(record.offset);
+    // The record may withdraw a key or be an epoch, so the view is not published any more.
+    m_skipped = true;
 }
 
 void config_follower::onError(const basic_error<log_error> &error, duration)
@@ -101,7 +100,7 @@
 void config_follower::onTail(time_point asOf, const log_page &page)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    if (!swapRebuilt())
+    if (m_skipped || !swapRebuilt())
         return;
     publish(asOf);
     refreshIfDue(page.now);
--- a/burdockhold/config_follower.h
+++ b/burdockhold/config_follower.h
@@ -101,6 +101,7 @@
     mutable std::mutex m_mutex; ///< Guards all below.
     replay m_replay;
     std::optional<replay> m_rebuilt;
+    bool m_skipped = false; ///< A record was left out; what it changed is unknown.
     view_freshness m_freshness;
     config_status m_status;
     std::unique_ptr<log_follower> m_follower; ///< Last: calls this object from its thread.
--- a/testing/log_follower_nettest.cc
+++ b/testing/log_follower_nettest.cc
@@ -446,3 +446,35 @@
     BOOST_REQUIRE(reaches(board, Records + 1));
     BOOST_TEST(board.config.read()->classes.count("last") == 1U);
 }
+
+// Guards against a view that is published as current although the handling of a record, which may
+// withdraw a key, has failed.
+BOOST_AUTO_TEST_CASE(viewWithASkippedRecordIsNotPublished)
+{
+    class throwing_listener : public config_listener
+    {
+    public:
+        void onConfigRecord(const log_record &record) override
+        {
+            if (record.offset == 2)
+                throw std::runtime_error("thrown by the test");
+        }
+        void onConfigRestart(log_offset /*earliest*/) override { }
+    };
+    fake_log log;
+    log.add(classRecord("1", "a", 0, 1));
+    throwing_listener listener;
+    config_follower_options options = quickOptions(log);
+    options.listener = &listener;
+    blackboard board;
+    config_follower follower(options, board);
+    BOOST_REQUIRE(reaches(board, 1));
+    log.add(classRecord("2", "b", 0, 1));
+    BOOST_REQUIRE(eventually([&]() { return follower.status().errors > 0; }));
+    const time_point asOf = follower.freshness().asOf;
+    const int reads = log.reads;
+    log.add(classRecord("3", "c", 0, 1));
+    BOOST_REQUIRE(eventually([&]() { return log.reads > reads + 3; }));
+    BOOST_TEST(board.config.read()->offset == 1U);
+    BOOST_TEST((follower.freshness().asOf == asOf));
+}
