Log target weights that cannot be read

What operators see: weights that they name in a record that cannot be read are not loaded, and no line says so.

Cause: applyTargetWeights() returned without a line; the deployment's record and the rollout's have one.

Ruled out: a line for each read of the same record; it has the priority of a state change, which the log bounds, as that of a deployment.

Change: weights_refused with the reason. The weights named before hold.

Result: refusedTargetWeightsAreLogged fails without the line (not found within 8 s) and passes now, with the other cases of odd_entries_looptest.

--- a/burdockhold/decision_log.h
+++ b/burdockhold/decision_log.h
@@ -35,6 +35,7 @@
     DeploymentApplied,
     DeploymentRefused,
     WeightsWanted,
+    WeightsRefused,
     EndpointChanged,
     EndpointRefused,
     EndpointLeaving,
@@ -67,7 +68,7 @@
 template <>
 struct enum_names<log_event>
 {
-    static constexpr std::array<enum_name<log_event>, 36> Table{ {
+    static constexpr std::array<enum_name<log_event>, 37> Table{ {
             { log_event::Started, "started" },
             { log_event::Stopping, "stopping" },
             { log_event::Stopped, "stopped" },
@@ -77,6 +78,7 @@
             { log_event::DeploymentApplied, "deployment_applied" },
             { log_event::DeploymentRefused, "deployment_refused" },
             { log_event::WeightsWanted, "weights_wanted" },
+            { log_event::WeightsRefused, "weights_refused" },
             { log_event::EndpointChanged, "endpoint_changed" },
             { log_event::EndpointRefused, "endpoint_refused" },
             { log_event::EndpointLeaving, "endpoint_leaving" },
--- a/burdockhold/event_router.cc
+++ b/burdockhold/event_router.cc
@@ -306,8 +306,13 @@
 void event_router::applyTargetWeights(std::string_view body)
 {
     const auto decoded = platform::decodeTargetWeights(body);
-    if (!isOk(decoded))
+    const time_point now = steadyNow();
+    if (!isOk(decoded)) {
+        if (m_board.log.accepts(log_priority::StateChange, now))
+            m_board.log.write(log_event::WeightsRefused, { { "reason", errorOf(decoded).text } },
+                              now);
         return;
+    }
     const platform::target_weights &target = valueOf(decoded);
 
     // A version that a starting VM finds may have been announced at any earlier time. Unless
@@ -317,7 +322,6 @@
                                  : duration::zero();
     if (!m_board.recordAnnouncedVersion(target.model, target.version, age, atStart))
         return;
-    const time_point now = steadyNow();
     if (m_board.log.accepts(log_priority::StateChange, now))
         m_board.log.write(log_event::WeightsWanted,
                           { { "model", target.model }, { "weights", target.version } }, now);
--- a/testing/odd_entries_looptest.cc
+++ b/testing/odd_entries_looptest.cc
@@ -205,3 +205,16 @@
                    != std::string::npos);
     }
 }
+
+// Guards against target weights that are refused without a log line, and against one that stops
+// the operator's other records.
+BOOST_FIXTURE_TEST_CASE(refusedTargetWeightsAreLogged, odd_entries_fixture)
+{
+    const auto logs = [this](const std::string &text) {
+        return waitUntil([&] { return router->logText().find(text) != std::string::npos; });
+    };
+    log.put("keyed.op", "version/m", R"({"model":"m","version":"seven"})");
+    BOOST_TEST(logs(R"("event":"weights_refused","reason":")"));
+    log.put("keyed.op", "version/m", R"({"model":"m","version":7})");
+    BOOST_TEST(logs(R"("event":"weights_wanted","model":"m","weights":7)"));
+}
