--- a/burdockhold/routed_request.h
+++ b/burdockhold/routed_request.h
@@ -12,12 +12,16 @@
 // - A stream is ended if it delivers no complete event for longer than its caller waits, even if
 //   other bytes arrive; a slow stream that keeps within that time is not ended.
 // - Responses that are buffered until they are complete use at most a quarter of the memory limit.
+// - An unforeseen exception ends the request that it belongs to at once, and no other.
 
 #include "burdockhold/attempt_rules.h"
 #include "burdockhold/caller_request.h"
 #include "burdockhold/connection_pool.h"
 #include "burdockhold/event_splitter.h"
 #include "burdockhold/migration_rules.h"
+#include "burdockhold/placement_inputs.h"
+#include "burdockhold/request_admission.h"
+#include "burdockhold/request_log.h"
 #include "burdockhold/router_board.h"
 #include "burdockhold/wait_queue.h"
 
@@ -47,6 +51,15 @@
 
 class routed_request;
 
+/// Log reasons of a request that ends without a response of an endpoint.
+struct unserved_reasons
+{
+    int unknownStatus = 502;          ///< Status if an endpoint may have run the request.
+    std::string_view responseStarted; ///< The response has started and is cut off.
+    std::string_view mayHaveRun;
+    std::string_view notRun;
+};
+
 /// Requests whose current call may be migrated to another endpoint.
 using migratable_requests = std::set<std::shared_ptr<routed_request>>;
 
@@ -71,7 +84,8 @@
     /// The caller has closed its connection.
     void callerDisconnected();
 
-    /// Pauses and resumes reading from the endpoint: backpressure from a slow caller.
+    /// Pauses and resumes reading from endpoints: backpressure from a slow caller. An endpoint that
+    /// is not read is not taken for a silent one.
     void pause();
     void resume();
 
@@ -79,54 +93,44 @@
     /// and true if it was placed or has ended.
     bool place();
 
-    /// Migrates to another endpoint if the current one is about to load weights: the endpoint would
-    /// otherwise wait for the stream to end, and the pool would wait for the endpoint.
-    void migrateFromLoadingEndpoint();
-
-    /// Migrates to another endpoint if the current one sends nothing to any VM.
-    void migrateFromSilentEndpoint();
+    /// Migrates to another endpoint if the current one is about to load weights or is silent.
+    void migrateIfNeeded();
 
     int priority() const { return m_priority; }
     time_point arrival() const { return m_arrival; }
 
 private:
+    template <typename Step>
+    void guard(const Step &step);
+    void stepFailed(const std::string &what);
+    void begin();
+    bool tryPlace();
     void waitForDeployment();
-    bool findRoute();
-    bool authenticate();
+    bool admit();
+    void refuseAdmission(admission_refusal refusal);
     bool admitTokens();
     void returnTokens();
     void startTimer();
     void onTimer();
     void deadlineReached();
+    void endUnserved(const unserved_reasons &reasons);
     void enterWaitQueue();
+    void queueWaitEnded();
     time_point queueWaitEnd(time_point now) const;
 
-    /// Inputs of one placement decision. The store belongs to the deployment in force.
-    struct placement_inputs
-    {
-        std::vector<endpoint_candidate> candidates;
-        std::optional<endpoint_candidate> canary; // Endpoint of a new version that is due a call.
-        placement_need need;
-        const cache_store *store = nullptr; // Store for the shared segments; null if there is none.
-    };
-
-    placement_inputs placementInputs() const;
-    std::vector<endpoint_candidate> placementCandidates() const;
-    void excludeCalled(std::vector<endpoint_candidate> &candidates) const;
-    const std::string &choosePool();
-
+    placement_query placementQuery() const;
     bool refuseIfNoneReturns(const std::vector<endpoint_candidate> &candidates, time_point now);
     void startCall(const placement_inputs &inputs, const endpoint_choice &choice);
     void prepareCall(std::string_view endpointId, const endpoint_choice &choice,
                      const placement_need &need);
     void countCall(const endpoint_choice &choice);
     endpoint_call_fields callFieldsFor(const std::string &endpointId) const;
-    std::string holderAddress(std::string_view engine) const;
-    const cache_store *segmentStore(const placement_inputs &inputs) const;
     void addSegmentTransfer(endpoint_call_fields &fields, const placement_inputs &inputs,
                             const std::string &holder);
     std::optional<migration_facts> migrationFacts(time_point now) const;
     bool hasAlternative(double withinMs) const;
+    void migrateFromLoadingEndpoint();
+    void migrateFromSilentEndpoint();
     void migrate();
     http_handlers callHandlers();
     bool headReceived(const response_message &message);
@@ -136,9 +140,11 @@
     void relayEvents(std::string_view bytes);
     void connectionEnded(http_outcome end);
     call_end classifyEnd(http_outcome end) const;
-    void recordRefusal();
+    void callRefused(time_point now);
     void callEnded(call_end end);
     void checkTermination(const attempt_facts &facts, bool lostUnanswered);
+    void terminationChecked(const attempt_facts &facts, bool lostUnanswered,
+                            connect_outcome outcome);
     bool refuseIfBlocked(time_point now);
     void recordAnswer();
     void takeStep(const next_step &step);
@@ -151,6 +157,7 @@
     void finish(router_counter counter, int status, std::string_view reason);
     void logPoolFull(time_point now);
     void logCall(call_end end);
+    request_summary summary(int status, std::string_view reason, time_point now) const;
 
     request_context m_context;
     caller_request m_request;
@@ -180,6 +187,7 @@
     bool m_headReceived = false;
     std::string m_body;
     std::uint64_t m_eventsBeforeCall = 0; ///< Events that earlier calls delivered to the stream.
+    bool m_continuesStream = false; ///< An earlier call has begun the response or an event of it.
     std::string m_segmentKey;
     std::int64_t m_expectedWeights = 0;
 
@@ -195,7 +203,8 @@
     int m_resumes = 0; ///< Calls that were to continue the stream that the caller has begun to get.
     bool m_mayHaveRun = false;
     bool m_responseStarted = false;
-    bool m_isEventStream = false; ///< The response that has started says that it is one.
+    std::string m_mediaType; ///< Of the response that has started; may be empty.
+    bool m_paused = false;   ///< The caller does not read as fast as the endpoint sends.
     bool m_waiting = false;
     bool m_awaitsRetryBudget = false; ///< The next call must first be admitted by the retry budget.
     bool m_ended = false;
--- a/testing/soak_schedule.cc
+++ b/testing/soak_schedule.cc
@@ -14,6 +14,9 @@
 constexpr int LargeFleetEvery = 25; ///< One seed in this many runs a large fleet.
 constexpr int MinStreamFaultsMs = 1000;
 constexpr int RepeatRefusalsMs = 4000;
+constexpr int RefuseSomeMs = 5000;
+constexpr int NameWeightsMs = 700;     ///< Between two new weights.
+constexpr int MinHarmMs = 1800;        ///< Longer than the ttl of a membership.
 constexpr int LastWithdrawalMs = 3000; ///< So that the bound of withdrawals ends before the run.
 
 /// How often an action is drawn.
@@ -81,6 +84,33 @@
     std::mt19937_64 m_random;
 };
 
+/// Adds the faults that make routers repeat calls. They have draws of their own, so that the other
+/// faults of a seed stay as they are.
+void addRefusals(soak_plan &plan)
+{
+    plan_drawer drawer(~plan.seed);
+    plan.events.push_back({ drawer.below(plan.faultMs - RefuseSomeMs), soak_action::RefuseSome, 0,
+                            RefuseSomeMs });
+}
+
+/// Adds new weights and faults of the holder that orders them.
+void addDutyFaults(soak_plan &plan)
+{
+    plan_drawer drawer(plan.seed * 2654435761U + 1);
+    for (int at = drawer.below(NameWeightsMs); at < plan.faultMs; at += NameWeightsMs)
+        plan.events.push_back({ at, soak_action::NameWeights });
+    const int third = plan.faultMs / 3;
+    const auto harmAt = [&](int from) {
+        const int at = from + drawer.below(third / 2);
+        const int time = MinHarmMs + drawer.below(MinHarmMs);
+        plan.events.push_back({ at, soak_action::HarmHolder, 0, time, drawer.below(3) });
+    };
+    harmAt(third / 2);
+    plan.events.push_back(
+            { third + drawer.below(third), soak_action::ReassignDuties, 0, MinHarmMs });
+    harmAt(2 * third);
+}
+
 } // namespace
 
 soak_plan makeSoakPlan(std::uint64_t seed, int routers, bool repeatRefusals)
@@ -110,6 +140,8 @@
     if (repeatRefusals)
         plan.events.push_back({ drawer.below(plan.faultMs / 2), soak_action::RepeatRefusals, 0,
                                 RepeatRefusalsMs });
+    addRefusals(plan);
+    addDutyFaults(plan);
     std::stable_sort(plan.events.begin(), plan.events.end(),
                      [](const auto &a, const auto &b) { return a.atMs < b.atMs; });
     return plan;
--- a/testing/support_platform.cc
+++ b/testing/support_platform.cc
@@ -1,6 +1,6 @@
 #include "testing/support_platform.h"
 
-#include "burdockhold/free_port.h"
+#include "testing/support_address.h"
 
 #include <nlohmann/json.hpp>
 
@@ -16,6 +16,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
@@ -127,14 +128,6 @@
            + " X\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-std::string freeAddress()
-{
-    const std::string scheme = "http://";
-    const auto address = withFreePort(scheme + "127.0.0.1:0");
-    BOOST_REQUIRE(isOk(address));
-    return valueOf(address).substr(scheme.size());
-}
-
 int connectTo(const std::string &address)
 {
     const std::size_t colon = address.find(':');
@@ -400,6 +393,8 @@
         return makeResponse(200, latestRecords(queryValue(request.target, "topic")));
     if (request.target.rfind("/log-join", 0) == 0)
         return makeResponse(200, joinGroup(request.body));
+    if (request.target.rfind("/log-leave", 0) == 0)
+        return makeResponse(200, leaveGroup(request.body));
     if (request.target.rfind("/log-append", 0) == 0)
         return append(request);
     if (request.target.rfind("/log-read", 0) == 0)
@@ -470,27 +465,72 @@
 {
     const std::lock_guard lock(m_mutex);
     const json request = json::parse(body);
-    const std::string group = request.at("group");
     const std::string member = request.at("member");
-    if (m_holders.emplace(group, member).second)
-        ++m_generations[group];
+    log_group &group = m_groups[request.at("group")];
+    assign(group, member, std::chrono::milliseconds(request.at("ttl_ms").get<int>()));
     json partitions = json::array();
-    for (int partition = 0; partition < 12 && m_holders[group] == member; ++partition)
+    for (int partition = 0; partition < 12 && group.holder == member; ++partition)
         partitions.push_back({ "t", partition, 0 });
     return json{
-        { "generation", m_generations[group] }, { "ttl_ms", 1600 }, { "parts", partitions }
+        { "generation", group.generation }, { "ttl_ms", 1600 }, { "parts", partitions }
     }.dump();
 }
 
+void fake_log_service::assign(log_group &group, const std::string &member,
+                              std::chrono::milliseconds ttl) const
+{
+    const auto now = steady_clock::now();
+    if (m_membershipsEnd && !group.holder.empty() && now > group.heldUntil) {
+        group.holder.clear();
+        ++group.generation;
+    }
+    const bool barred = member == group.barred && now < group.barredUntil;
+    if (group.holder.empty() && !barred) {
+        group.holder = member;
+        group.barred.clear();
+        ++group.generation;
+    }
+    if (group.holder == member)
+        group.heldUntil = now + ttl;
+}
+
+std::string fake_log_service::leaveGroup(const std::string &body)
+{
+    const std::lock_guard lock(m_mutex);
+    const json request = json::parse(body);
+    log_group &group = m_groups[request.at("group")];
+    if (m_membershipsEnd && group.holder == request.at("member")) {
+        group.holder.clear();
+        ++group.generation;
+    }
+    return "{}";
+}
+
+std::string fake_log_service::holderOf(const std::string &group)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_groups[group].holder;
+}
+
+void fake_log_service::reassignAll(std::chrono::milliseconds barredFor)
+{
+    const std::lock_guard lock(m_mutex);
+    for (auto &[name, group] : m_groups) {
+        group.barred = std::exchange(group.holder, {});
+        group.barredUntil = steady_clock::now() + barredFor;
+        ++group.generation;
+    }
+}
+
 router_process::router_process(const std::string &logAddress, const router_place &place)
-    : m_callerAddress(place.ip.empty() ? freeAddress() : place.ip + ":7001")
-    , m_readyAddress(place.ip.empty() ? freeAddress() : place.ip + ":7002")
+    : m_callerAddress(place.ip.empty() ? reserveAddress() : place.ip + ":7001")
+    , m_readyAddress(place.ip.empty() ? reserveAddress() : place.ip + ":7002")
     , m_settingsFile("/tmp/burdockhold-router-" + std::to_string(::getpid()) + "-" + place.vm
                      + ".ini")
     , m_logFile(m_settingsFile + ".log")
 {
     ::unlink(m_logFile.c_str());
-    const std::string peerAddress = place.ip.empty() ? freeAddress() : place.ip + ":7003";
+    const std::string peerAddress = place.ip.empty() ? reserveAddress() : place.ip + ":7003";
     m_peerPort = std::stoi(peerAddress.substr(peerAddress.find(':') + 1));
     std::ofstream(m_settingsFile)
             << "[vm]\nname = " << place.vm << "\ndata_centre = " << place.dataCentre
@@ -498,10 +538,12 @@
             << "\n[listen]\ncallers = " << m_callerAddress << "\nready = " << m_readyAddress
             << "\nfirst_peer_port = " << m_peerPort << "\n[log]\naddress = " << logAddress
             << "\npartitions = 12\n[bounds]\nleaving_ms = 2000\nconfig_ms = 2000\n"
-               "revocation_ms = 5000\nweights_ms = 8000\nengines_check_fences = true\n"
-               "lease_ms = 3000\nshutdown_grace_s = 8\n[repeats]\nratio = 0.2\nslack = 400\n"
-               "[accounts]\ntolerance = 0.1\ntolerance_tokens = "
-            << place.toleranceTokens << "\n[limits]\nmemory_mb = 110\ndescriptors = 1024\n";
+               "revocation_ms = 5000\nweights_ms = 8000\nengines_check_fences = "
+            << (place.enginesCheckFences ? "true" : "false")
+            << "\nlease_ms = 3000\nshutdown_grace_s = 8\n[repeats]\nratio = 0.2\nslack = "
+            << place.repeatSlack
+            << "\n[accounts]\ntolerance = 0.1\ntolerance_tokens = " << place.toleranceTokens
+            << "\n[limits]\nmemory_mb = 110\ndescriptors = 1024\n";
     spawn();
 }
 
@@ -630,7 +672,9 @@
         pollfd waiting{ m_descriptor, POLLIN, 0 };
         if (left.count() <= 0 || ::poll(&waiting, 1, static_cast<int>(left.count())) <= 0)
             break;
+        errno = 0;
         m_closed = !readMore(m_descriptor, m_received);
+        m_reset = m_closed && errno == ECONNRESET;
     }
     return m_received;
 }
