--- a/burdockhold/event_router.cc
+++ b/burdockhold/event_router.cc
@@ -293,10 +293,13 @@
     if (m_board.deployment && next.version <= m_board.deployment->source().version)
         return;
     const std::uint64_t version = next.version;
+    std::set<std::string> pools;
     for (const deployment_pool &pool : next.pools) {
+        pools.insert(pool.name);
         if (pool.engine)
             m_board.endpoints.setCacheTokens(pool.name, pool.engine->cacheTokens);
     }
+    m_board.endpoints.namePools(std::move(pools), now);
     m_board.deployment = std::make_shared<const deployment_index>(std::move(next));
     m_board.applyLimits(now);
     if (m_board.log.accepts(log_priority::StateChange, now))
@@ -306,8 +309,13 @@
 void event_router::applyTargetWeights(std::string_view body)
 {
     const auto decoded = platform::decodeTargetWeights(body);
-    if (!isOk(decoded))
+    const time_point now = steadyNow();
+    if (!isOk(decoded)) {
+        if (m_board.log.accepts(log_priority::StateChange, now))
+            m_board.log.write(log_event::WeightsRefused, { { "reason", errorOf(decoded).text } },
+                              now);
         return;
+    }
     const platform::target_weights &target = valueOf(decoded);
 
     // A version that a starting VM finds may have been announced at any earlier time. Unless
@@ -317,7 +325,6 @@
                                  : duration::zero();
     if (!m_board.recordAnnouncedVersion(target.model, target.version, age, atStart))
         return;
-    const time_point now = steadyNow();
     if (m_board.log.accepts(log_priority::StateChange, now))
         m_board.log.write(log_event::WeightsWanted,
                           { { "model", target.model }, { "weights", target.version } }, now);
@@ -470,6 +477,8 @@
     const bool mustEnd = elapsed >= m_board.settings.shutdownGrace - ShutdownMargin;
     if (!m_callers.empty() && !mustEnd)
         return;
+    for (const auto &caller : callers)
+        caller->abortIfUnfinished();
     if (m_board.log.accepts(log_priority::StateChange, now))
         m_board.log.write(log_event::Stopped, { { "cut_off", m_callers.size() } }, now);
     m_board.log.flush();
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -228,7 +228,7 @@
 void routed_request::startTimer()
 {
     time_point next = m_deadline;
-    if (m_route->kind == call_kind::Stream && m_connection)
+    if (m_route->kind == call_kind::Stream && m_connection && !m_paused)
         next = std::min(next, m_lastProgress + maxEventGap(*m_route));
     m_timer.expires_at(next);
     m_timer.async_wait([self = shared_from_this()](error_code error) {
@@ -244,7 +244,7 @@
         deadlineReached();
         return;
     }
-    if (!m_connection || now - m_lastProgress < maxEventGap(*m_route)) {
+    if (!m_connection || m_paused || now - m_lastProgress < maxEventGap(*m_route)) {
         startTimer();
         return;
     }
@@ -474,6 +474,8 @@
     if (!m_segmentKey.empty() && m_pool != nullptr && m_pool->engine)
         addSegmentTransfer(fields, inputs, holder);
     m_connection->call(platform::encodeCall(m_request, fields), callHandlers());
+    if (m_paused)
+        m_connection->pauseReading();
 }
 
 /// Resets the state of the previous call and adds the new call to the chosen endpoint's load.
@@ -497,6 +499,7 @@
     m_head = {};
     discardBody();
     m_eventsBeforeCall = m_events.events();
+    m_continuesStream = m_responseStarted || m_events.lacksBegunEvent();
     m_callStarted = steadyNow();
     m_lastProgress = m_callStarted;
     m_load = { need.promptTokens - choice.expectedCachedTokens,
@@ -545,7 +548,8 @@
     const bool success = head.status >= 200 && head.status < 300;
     if (!success)
         return true;
-    const bool continuesStream = !m_responseStarted || head.eventStream || !m_isEventStream;
+    const bool continuesStream = !m_responseStarted || head.eventStream
+                                 || head.mediaType == m_mediaType;
     return head.attemptId == m_request.attemptId && !head.signature.empty() && !head.encoded
            && continuesStream;
 }
@@ -649,7 +653,7 @@
         m_rolloutCall->eventsReceived(m_events.events() - m_eventsBeforeCall, m_lastProgress);
     if (!m_responseStarted) {
         m_responseStarted = true;
-        m_isEventStream = m_head.eventStream;
+        m_mediaType = m_head.mediaType;
         m_writer.beginStream(m_head.status, m_head.forwardedFields);
     }
     m_writer.sendStreamBytes(completeEvents);
@@ -684,7 +688,7 @@
     response.calledBefore = m_calledAddresses.count(m_address) != 0;
     response.isStream = m_route->kind == call_kind::Stream;
     response.hasPartialEvent = m_events.hasPartial();
-    response.responseStarted = m_responseStarted;
+    response.continuesStream = m_continuesStream;
     response.deliveredEvents = m_events.events() > m_eventsBeforeCall;
     return classifyResponse(response);
 }
@@ -736,6 +740,7 @@
     facts.responseStarted = m_responseStarted;
     facts.deliveredEvents = m_events.events() > m_eventsBeforeCall;
     facts.mayHaveRun = m_mayHaveRun;
+    facts.statusSaysNotRun = promisesNotRun(m_head.status);
     facts.executionsLeft = m_route->maxEndpoints - m_runs;
     facts.attemptsLeft = (m_responseStarted ? MaxCallsOfStartedStream : MaxCalls) - m_callsMade;
     facts.timeLeft = m_deadline - now;
@@ -847,7 +852,7 @@
 {
     if (m_ended || m_endpointId.empty() || !m_connection || !m_connection->isConnected())
         return std::nullopt;
-    if (!m_events.canContinue())
+    if (m_paused || !m_events.canContinue())
         return std::nullopt;
     // Elsewhere it would be refused.
     if (!m_responseStarted && m_context.board.crashes.isAnyBlocked(m_fingerprints, now))
@@ -873,8 +878,8 @@
 {
     ++m_runs;
     m_mayHaveRun = true;
-    const auto connection = m_connection;
-    connection->close();
+    m_calledAddresses.insert(m_address);
+    m_connection->close();
     releaseCall();
     takeStep(try_another{});
 }
@@ -943,12 +948,17 @@
 
 void routed_request::pause()
 {
+    m_paused = true;
     if (m_connection)
         m_connection->pauseReading();
 }
 
 void routed_request::resume()
 {
+    m_paused = false;
+    m_lastProgress = steadyNow(); // The endpoint could send nothing meanwhile.
+    if (!m_ended && m_connection)
+        startTimer();
     if (m_connection)
         m_connection->resumeReading();
 }
--- a/burdockhold/routed_request.h
+++ b/burdockhold/routed_request.h
@@ -84,7 +84,8 @@
     /// The caller has closed its connection.
     void callerDisconnected();
 
-    /// Pauses and resumes reading from the endpoint: backpressure from a slow caller.
+    /// Pauses and resumes reading from endpoints: backpressure from a slow caller. An endpoint that
+    /// is not read is not taken for a silent one.
     void pause();
     void resume();
 
@@ -186,6 +187,7 @@
     bool m_headReceived = false;
     std::string m_body;
     std::uint64_t m_eventsBeforeCall = 0; ///< Events that earlier calls delivered to the stream.
+    bool m_continuesStream = false; ///< An earlier call has begun the response or an event of it.
     std::string m_segmentKey;
     std::int64_t m_expectedWeights = 0;
 
@@ -201,7 +203,8 @@
     int m_resumes = 0; ///< Calls that were to continue the stream that the caller has begun to get.
     bool m_mayHaveRun = false;
     bool m_responseStarted = false;
-    bool m_isEventStream = false; ///< The response that has started says that it is one.
+    std::string m_mediaType; ///< Of the response that has started; may be empty.
+    bool m_paused = false;   ///< The caller does not read as fast as the endpoint sends.
     bool m_waiting = false;
     bool m_awaitsRetryBudget = false; ///< The next call must first be admitted by the retry budget.
     bool m_ended = false;
--- a/testing/front_server_nettest.cc
+++ b/testing/front_server_nettest.cc
@@ -4,13 +4,18 @@
 #include "burdockhold/claim_stage.h"
 #include "burdockhold/front_server.h"
 #include "burdockhold/hash.h"
+#include "burdockhold/logging.h"
+#include "burdockhold/task_guard.h"
 #include "testing/support_address.h"
+#include "testing/support_mutation.h"
 
 #include <boost/asio.hpp>
 #include <cpprest/http_client.h>
 
 #include <atomic>
 #include <condition_variable>
+#include <filesystem>
+#include <fstream>
 #include <functional>
 #include <list>
 #include <map>
@@ -37,20 +42,35 @@
     return true;
 }
 
-/// Claims that are always won, so that the request path is tested without a log.
+enum class claims_step { None, Claim, Finished, Released };
+
+/// Claims that are always won, so that the request path is tested without a log. One step may be
+/// set to throw.
 class winning_claims : public call_claims
 {
 public:
     claim_start claim(const claim_subject & /*subject*/, decided_callback decided) override
     {
+        throwIn(claims_step::Claim);
         const std::uint64_t id = ++m_count;
         decided(dispatch_permission{ id, std::to_string(id), steadyNow() + WaitLimit });
         return claim_pending{};
     }
-    void finished(const std::string & /*claimId*/, claim_answer /*answer*/) override { }
-    void released(const std::string & /*claimId*/) override { }
+    void finished(const std::string & /*claimId*/, claim_answer /*answer*/) override
+    {
+        throwIn(claims_step::Finished);
+    }
+    void released(const std::string & /*claimId*/) override { throwIn(claims_step::Released); }
+
+    std::atomic<claims_step> throwing{ claims_step::None };
 
 private:
+    void throwIn(claims_step step) const
+    {
+        if (throwing == step)
+            throw std::runtime_error("thrown by the claims of the test");
+    }
+
     std::atomic<std::uint64_t> m_count{ 0 };
 };
 
@@ -281,7 +301,8 @@
 class router_fixture
 {
 public:
-    router_fixture()
+    explicit router_fixture(const placement_router_options &routing = {})
+        : m_router(routing)
     {
         m_config.accounts["acme"].value = { "ops", "", 1000, 1000, 1.0, 100 };
         key_entry key;
@@ -348,6 +369,7 @@
     }
 
     front_options &options() { return m_options; }
+    winning_claims &claims() { return m_claims; }
 
     /// Opens a plain connection to the router, for tests that control the bytes they send.
     tcp::socket connect(boost::asio::io_context &service) const
@@ -394,6 +416,81 @@
     return body.size() > end.size() && body.compare(body.size() - end.size(), end.size(), end) == 0;
 }
 
+std::string textOf(const std::filesystem::path &file)
+{
+    std::ifstream in(file);
+    return { std::istreambuf_iterator<char>(in), {} };
+}
+
+std::string answerBytes(const received_request &request, const std::string &type,
+                        const std::string &body)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Type: " + type
+           + "\r\nX-Weights-Version: v1\r\nX-Prompt-Tokens: 1\r\nX-Request-Id: "
+           + request.find("X-Request-Id") + "\r\nContent-Length: " + std::to_string(body.size())
+           + "\r\n\r\n" + body;
+}
+
+/// Retries and ejections have tests of their own.
+placement_router_options ampleRetries()
+{
+    placement_router_options routing;
+    routing.retries.minimum = 1000000;
+    return routing;
+}
+
+class retrying_fixture : public router_fixture
+{
+public:
+    retrying_fixture()
+        : router_fixture(ampleRetries())
+    {
+    }
+};
+
+enum class framing { Length, Chunks, None };
+
+/// Returns the response with its body framed so; the body is sent in two chunks.
+std::string framed(const received_request &request, const std::string &body, framing how)
+{
+    std::string head = "HTTP/1.1 200 OK\r\nX-Weights-Version: v1\r\nX-Request-Id: "
+                       + request.find("X-Request-Id") + "\r\n";
+    if (how == framing::Length)
+        return head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    if (how == framing::None)
+        return head + "Connection: close\r\n\r\n" + body;
+    std::ostringstream chunks;
+    chunks << std::hex;
+    for (const std::string &part :
+         { body.substr(0, body.size() / 2), body.substr(body.size() / 2) })
+        chunks << part.size() << "\r\n" << part << "\r\n";
+    return head + "Transfer-Encoding: chunked\r\n\r\n" + chunks.str() + "0\r\n\r\n";
+}
+
+/// Ends the connection after the bytes, orderly or with a reset.
+bool sendAndEnd(tcp::socket &socket, const std::string &bytes, bool reset)
+{
+    sendBytes(socket, bytes);
+    if (!reset)
+        return false;
+    // A reset discards what the other side has not read yet.
+    std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    boost::system::error_code ignored;
+    socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+    return false;
+}
+
+std::string wholeStream(const received_request &request)
+{
+    const int from = resumeIndex(request);
+    std::string events;
+    for (int index = from; index < 3; ++index)
+        events += tokenEvent(request, index);
+    return answerBytes(request, "text/event-stream",
+                       events + usageEvent(request, 3) + "data: [DONE]\n\n");
+}
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(front, router_fixture)
@@ -791,4 +888,284 @@
     BOOST_TEST(engine.requests().size() == 1u);
 }
 
+// Guards against an exception in one request's stage that ends the process, leaves the request open
+// for ever, or is answered with "not run" after the service ran the call.
+BOOST_AUTO_TEST_CASE(exceptionInAStageEndsOnlyItsRequest)
+{
+    const std::filesystem::path log = std::filesystem::temp_directory_path()
+                                      / ("burdockhold-front-" + std::to_string(getpid()) + ".log");
+    BOOST_REQUIRE(isOk(startLogging(log.string(), log_level::Info)));
+    fake_endpoint service([](tcp::socket &socket, const received_request &request) {
+        return sendAnswer(socket, request, "booked");
+    });
+    addEndpoint("s1", service, endpoint_role::Service);
+    front_server &server = start();
+    struct expectation
+    {
+        claims_step step;
+        int status;
+        std::string run;
+    };
+    int calls = 0;
+    for (const expectation &expected : { expectation{ claims_step::Claim, 503, "not-run" },
+                                         expectation{ claims_step::Finished, 502, "unknown" } }) {
+        const std::uint64_t before = caughtExceptions();
+        claims().throwing = expected.step;
+        const answer failed = request("POST", "/bookings", "a", "secret", std::to_string(++calls));
+        claims().throwing = claims_step::None;
+        BOOST_TEST(failed.status == expected.status);
+        BOOST_TEST(failed.run == expected.run);
+        BOOST_TEST(failed.body.find(R"("code":"exception")") != std::string::npos);
+        BOOST_TEST(caughtExceptions() == before + 1);
+        const std::string lines = textOf(log);
+        BOOST_TEST(lines.find(R"("request_id":")" + failed.requestId) != std::string::npos);
+        BOOST_TEST(lines.find("thrown by the claims of the test") != std::string::npos);
+        const answer next = request("POST", "/bookings", "b", "secret", std::to_string(++calls));
+        BOOST_TEST(next.status == 200);
+        BOOST_TEST(eventually([&] { return server.openRequests() == 0; }));
+    }
+    BOOST_TEST(service.requests().size() == 3u);
+    std::filesystem::remove(log);
+}
+
+// Guards against an exception at the end of a request, after its reply, that ends the process or
+// leaves the request open.
+BOOST_AUTO_TEST_CASE(exceptionInTheSettlementEndsOnlyItsRequest)
+{
+    {
+        fake_endpoint gone([](tcp::socket &, const received_request &) { return false; });
+        addEndpoint("s1", gone, endpoint_role::Service);
+    }
+    front_server &server = start();
+    const std::uint64_t before = caughtExceptions();
+    claims().throwing = claims_step::Released;
+    const answer reply = request("POST", "/bookings", "a", "secret", "k1");
+    BOOST_TEST(reply.status == 503);
+    BOOST_TEST(reply.run == "not-run");
+    BOOST_TEST(eventually([&] { return server.openRequests() == 0; }));
+    BOOST_TEST(caughtExceptions() == before + 1);
+}
+
+// Guards against an answer of an engine or a service that ends the process or holds its request
+// open: seeded mutations of whole responses, head included.
+BOOST_AUTO_TEST_CASE(mutatedAnswersEndOnlyTheirRequests)
+{
+    constexpr int Rounds = 150;
+    options().resume.maxAttempts = 2;
+    options().upstream.firstToken = std::chrono::milliseconds(100);
+    options().upstream.betweenTokens = std::chrono::milliseconds(100);
+    options().wholeTimeout = std::chrono::milliseconds(100);
+    options().serviceTimeout = std::chrono::milliseconds(100);
+    std::mt19937 random(1);
+    std::mutex mutex;
+    std::atomic<bool> mutates{ true };
+    const auto answerWith = [&](tcp::socket &socket, const std::string &whole) {
+        const std::lock_guard<std::mutex> lock(mutex);
+        sendBytes(socket, mutates ? testing::mutated(whole, random) : whole);
+        return false;
+    };
+    fake_endpoint engine([&](tcp::socket &socket, const received_request &request) {
+        const bool streams = request.body.find(R"("stream":true)") != std::string::npos;
+        return answerWith(socket, streams ? wholeStream(request)
+                                          : answerBytes(request, "application/json",
+                                                        R"({"choices":[{"text":"t"}],"usage":)"
+                                                        R"({"completion_tokens":3}})"));
+    });
+    fake_endpoint service([&](tcp::socket &socket, const received_request &request) {
+        return answerWith(socket, answerBytes(request, "text/plain", "answer"));
+    });
+    addEndpoint("e1", engine);
+    addEndpoint("s1", service, endpoint_role::Service);
+    front_server &server = start();
+    const std::uint64_t before = caughtExceptions();
+    int answered = 0;
+    const auto call = [&](const std::function<answer()> &send) {
+        try {
+            send();
+            ++answered;
+        } catch (const std::exception &error) {
+            BOOST_TEST_MESSAGE("no answer: " << error.what());
+        }
+    };
+    for (int round = 0; round < Rounds; ++round) {
+        call([&] { return stream(); });
+        call([&] { return request("POST", "/v1/completions", R"({"model":"m","prompt":"p"})"); });
+        call([&] { return request("GET", "/menu/soup", "", ""); });
+        call([&] { return request("POST", "/bookings", "a", "secret", std::to_string(round)); });
+    }
+    BOOST_TEST(answered == 4 * Rounds);
+    BOOST_TEST(eventually([&] { return server.openRequests() == 0; }));
+    mutates = false;
+    BOOST_TEST(eventually([&] { return endsProperly(stream().body); }));
+    BOOST_TEST(caughtExceptions() == before);
+}
+
+// Guards against a caller whose request ends the process or stays open: seeded mutations of whole
+// requests.
+BOOST_AUTO_TEST_CASE(mutatedRequestsEndOnlyThemselves)
+{
+    constexpr int Rounds = 600;
+    fake_endpoint engine([](tcp::socket &socket, const received_request &request) {
+        return streamTokens(socket, request, 3);
+    });
+    addEndpoint("e1", engine);
+    front_server &server = start();
+    std::mt19937 random(2);
+    const std::string body = R"({"model":"m","prompt":"hello","stream":true,"max_tokens":3})";
+    const std::string whole = "POST /v1/completions?a=%41 HTTP/1.1\r\nHost: x\r\n"
+                              "Authorization: Bearer secret\r\nIdempotency-Key: k\r\n"
+                              "Content-Type: application/json\r\nContent-Length: "
+                              + std::to_string(body.size()) + "\r\n\r\n" + body;
+    for (int round = 0; round < Rounds; ++round) {
+        boost::asio::io_context io;
+        tcp::socket caller = connect(io);
+        sendBytes(caller, testing::mutated(whole, random));
+        boost::system::error_code ignored;
+        caller.shutdown(tcp::socket::shutdown_send, ignored);
+    }
+    BOOST_TEST(endsProperly(stream().body));
+    BOOST_TEST(eventually([&] { return server.openRequests() == 0; }));
+}
+
+// Guards against a part of an answer that is delivered as a whole one, a call that must not be
+// repeated that runs twice, and "not run" for one that ran, when a service ends the connection
+// after any byte of its response. Without a length and chunks an orderly end after the head
+// completes the response.
+BOOST_FIXTURE_TEST_CASE(truncatedAnswerOfAServiceIsNotDelivered, retrying_fixture)
+{
+    const std::string body = "the whole answer";
+    std::mutex mutex;
+    std::size_t cut = 0;
+    framing how = framing::Length;
+    bool reset = false;
+    std::size_t size = 0;
+    std::size_t head = 0;
+    std::atomic<int> runs{ 0 };
+    fake_endpoint service([&](tcp::socket &socket, const received_request &request) {
+        const std::lock_guard<std::mutex> lock(mutex);
+        ++runs;
+        const std::string whole = framed(request, body, how);
+        size = whole.size();
+        head = whole.find("\r\n\r\n") + 4;
+        return sendAndEnd(socket, whole.substr(0, cut), reset);
+    });
+    addEndpoint("s1", service, endpoint_role::Service);
+    front_server &server = start();
+    int calls = 0;
+    for (const framing next : { framing::Length, framing::Chunks, framing::None }) {
+        how = next;
+        size = 1;
+        for (cut = 0; cut <= size; cut += cut + 8 < head ? 7 : 1) {
+            for (const bool resets : { false, true }) {
+                reset = resets;
+                runs = 0;
+                const answer booked = request("POST", "/bookings", "a", "secret",
+                                              std::to_string(++calls));
+                const bool whole = cut == size;
+                const bool endsHere = how == framing::None && cut >= head && !reset;
+                BOOST_TEST_CONTEXT("framing " << int(how) << " cut " << cut << " of " << size
+                                              << " reset " << reset)
+                {
+                    BOOST_TEST(runs == 1);
+                    // The reset may come before or after the end of a whole response.
+                    if (endsHere)
+                        BOOST_TEST(booked.body == body.substr(0, cut - head));
+                    else if (booked.status == 200)
+                        BOOST_TEST((whole && booked.body == body && how != framing::None));
+                    else
+                        BOOST_TEST((booked.status == 502 && booked.run == "unknown"));
+                    BOOST_TEST((booked.status == 200 || !whole || reset));
+                }
+            }
+        }
+    }
+    BOOST_TEST(calls > 200);
+    BOOST_TEST(eventually([&] { return server.openRequests() == 0; }));
+}
+
+// Guards against a whole completion or a stream that is cut short and taken for complete, whatever
+// the framing of the engine's response.
+BOOST_FIXTURE_TEST_CASE(truncatedAnswerOfAnEngineIsResumed, retrying_fixture)
+{
+    std::mutex mutex;
+    std::size_t cut = 0;
+    framing how = framing::Length;
+    bool reset = false;
+    std::size_t size = 0;
+    int runs = 0;
+    const std::string whole =
+            R"({"id":"x","choices":[{"text":"t"}],"usage":{"completion_tokens":1}})";
+    fake_endpoint engine([&](tcp::socket &socket, const received_request &request) {
+        const std::lock_guard<std::mutex> lock(mutex);
+        const bool streams = request.body.find(R"("stream":true)") != std::string::npos;
+        std::string body = whole;
+        if (streams) {
+            const std::string stream = wholeStream(request);
+            body = stream.substr(stream.find("\r\n\r\n") + 4);
+        }
+        const std::string bytes = framed(request, body, how);
+        if (++runs > 1)
+            return sendBytes(socket, bytes) && how != framing::None;
+        size = bytes.size();
+        return sendAndEnd(socket, bytes.substr(0, cut), reset);
+    });
+    addEndpoint("e1", engine);
+    front_server &server = start();
+    for (const framing next : { framing::Length, framing::Chunks, framing::None }) {
+        how = next;
+        size = 1;
+        for (cut = 0; cut <= size; cut += 9) {
+            reset = cut % 2 == 1;
+            runs = 0;
+            const answer streamed = stream();
+            BOOST_TEST_CONTEXT("stream, framing " << int(how) << " cut " << cut << " reset "
+                                                  << reset)
+            {
+                BOOST_TEST(tokensOf(streamed.body) == expectedTokens(3));
+                BOOST_TEST(endsProperly(streamed.body));
+            }
+        }
+        size = 1;
+        for (cut = 0; cut <= size; cut += 3) {
+            reset = cut % 2 == 1;
+            runs = 0;
+            const answer reply = request("POST", "/v1/completions",
+                                         R"({"model":"m","prompt":"p"})");
+            BOOST_TEST_CONTEXT("whole, framing " << int(how) << " cut " << cut << " reset "
+                                                 << reset)
+            {
+                BOOST_TEST(reply.status == 200);
+                BOOST_TEST(reply.body == whole);
+            }
+        }
+    }
+    BOOST_TEST(eventually([&] { return server.openRequests() == 0; }));
+}
+
+// Guards against an earlier refusal, sent once more on its connection, that is taken for the answer
+// to a later call: that call would be reported with another call's outcome.
+BOOST_AUTO_TEST_CASE(repeatedRefusalIsNotTakenForALaterAnswer)
+{
+    constexpr int Calls = 16;
+    const std::string refusal = "HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy";
+    std::atomic<int> runs{ 0 };
+    fake_endpoint service([&](tcp::socket &socket, const received_request &request) {
+        if (++runs % 2 == 1)
+            return sendBytes(socket, refusal + refusal);
+        return sendAnswer(socket, request, request.body);
+    });
+    addEndpoint("s1", service, endpoint_role::Service);
+    start();
+    for (int call = 1; call <= Calls; ++call) {
+        const std::string text = "call " + std::to_string(call);
+        const answer reply = request("POST", "/bookings", text, "secret", text);
+        BOOST_TEST(reply.status == (call % 2 == 1 ? 503 : 200));
+        BOOST_TEST(reply.body == (call % 2 == 1 ? "busy" : text));
+        BOOST_TEST(reply.run != "not-run");
+    }
+    BOOST_TEST(runs == Calls);
+    for (const received_request &request : service.requests())
+        BOOST_TEST(request.onConnection == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
