--- a/testing/unproven_ends_looptest.cc
+++ b/testing/unproven_ends_looptest.cc
@@ -162,7 +162,7 @@
 // engine that is not read meanwhile for a silent one.
 BOOST_FIXTURE_TEST_CASE(callerThatDoesNotReadCostsBoundedMemory, answers_fixture)
 {
-    const std::string data(32 * 1024, 'x');
+    const std::string data(std::size_t(32) * 1024, 'x');
     setEngineBehaviour([&data](const std::string & /*engine*/, const recorded_request &request,
                                response_socket &socket) {
         socket.write(responseHead(request,
