--- a/review/standins/standins.cc
+++ b/review/standins/standins.cc
@@ -18,6 +18,7 @@
 #include <filesystem>
 #include <iomanip>
 #include <sstream>
+#include <stdexcept>
 #include <utility>
 
 extern char **environ;
@@ -303,9 +304,12 @@
     m_listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in address = socketAddress("127.0.0.1:0");
     socklen_t size = sizeof address;
-    ::bind(m_listener, reinterpret_cast<sockaddr *>(&address), size);
-    ::getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &size);
-    ::listen(m_listener, 256);
+    const bool listens = ::bind(m_listener, reinterpret_cast<sockaddr *>(&address), size) == 0
+                         && ::getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &size)
+                                    == 0
+                         && ::listen(m_listener, 256) == 0;
+    if (!listens)
+        throw std::runtime_error("cannot listen on loopback");
     m_address = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
     m_acceptor = std::thread([this] { acceptConnections(); });
 }
