--- a/review/2/smuggled.cc
+++ b/review/2/smuggled.cc
@@ -63,12 +63,5 @@
 
 int main(int, char **arguments)
 {
-    record out(arguments[1]);
-    const std::string folder = makeFolder();
-    const int result = runCase([&] { return run(folder, out); });
-    removeFolder(folder);
-    out.line(result == 1   ? "UNASKED is broken"
-             : result == 0 ? "UNASKED holds"
-                           : "the case could not run");
-    return result;
+    return runCase(arguments[1], "UNASKED", run);
 }
--- a/review/4/tenants.cc
+++ b/review/4/tenants.cc
@@ -48,12 +48,5 @@
 
 int main(int, char **arguments)
 {
-    record out(arguments[1]);
-    const std::string folder = makeFolder();
-    const int result = runCase([&] { return run(folder, out); });
-    removeFolder(folder);
-    out.line(result == 1   ? "ROUTE is broken"
-             : result == 0 ? "ROUTE holds"
-                           : "the case could not run");
-    return result;
+    return runCase(arguments[1], "ROUTE", run);
 }
--- a/review/standins/standins.cc
+++ b/review/standins/standins.cc
@@ -740,26 +740,25 @@
     return { std::istreambuf_iterator<char>(file), {} };
 }
 
-int runCase(const std::function<int()> &run)
+int runCase(const std::string &recordFolder, const std::string &rule,
+            const std::function<int(const std::string &folder, record &out)> &run)
 {
+    record out(recordFolder);
+    std::string folder = (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
+    int result = 2;
     try {
-        return run();
+        if (::mkdtemp(folder.data()) != nullptr)
+            result = run(folder, out);
     } catch (const std::exception &error) {
-        std::fputs((std::string("exception: ") + error.what() + "\n").c_str(), stderr);
-        return 2;
+        out.line(std::string("exception: ") + error.what());
     }
-}
-
-std::string makeFolder()
-{
-    std::string name = (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
-    return ::mkdtemp(name.data()) == nullptr ? std::string() : name;
-}
-
-void removeFolder(const std::string &folder)
-{
     std::error_code ignored; // What is left in the temporary folder does no harm.
     std::filesystem::remove_all(folder, ignored);
+    if (result == 2)
+        out.line("the case could not run");
+    else
+        out.line(rule + (result == 1 ? " is broken" : " holds"));
+    return result;
 }
 
 } // namespace review
--- a/review/standins/standins.h
+++ b/review/standins/standins.h
@@ -231,12 +231,11 @@
     std::atomic<pid_t> m_process{ -1 };
 };
 
-/// Returns the result of the case, or 2 (it could not run) after an exception.
-int runCase(const std::function<int()> &run);
-
-/// Creates a temporary folder for a case; removed with its files by removeFolder().
-std::string makeFolder();
-void removeFolder(const std::string &folder);
+/// Runs a case with a temporary folder and the record in the given folder, and writes whether the
+/// rule holds. Returns the exit code: 1 if the rule was broken, 0 if not, 2 if the case could not
+/// run.
+int runCase(const std::string &recordFolder, const std::string &rule,
+            const std::function<int(const std::string &folder, record &out)> &run);
 
 } // namespace review
 
