--- a/review/standins/standins.cc
+++ b/review/standins/standins.cc
@@ -29,6 +29,19 @@
 
 constexpr int PollMs = 20;
 constexpr int Partitions = 12;
+/// A case that runs for longer ends as one that could not run.
+constexpr unsigned MaxSeconds = 110;
+
+/// The router that runs now, for endCase(); -1 if none does.
+std::atomic<pid_t> runningRouter{ -1 };
+
+/// Ends the router and the case, at the time limit or when the case is told to end.
+void endCase(int)
+{
+    if (runningRouter > 0)
+        ::kill(runningRouter, SIGKILL);
+    ::_exit(2);
+}
 
 std::string toLower(std::string text)
 {
@@ -693,6 +706,7 @@
                          == 0;
     ::posix_spawn_file_actions_destroy(&actions);
     m_process = started ? process : -1;
+    runningRouter = m_process.load();
     return started;
 }
 
@@ -707,6 +721,7 @@
     if (m_process > 0)
         ::waitpid(m_process, nullptr, 0);
     m_process = -1;
+    runningRouter = -1;
 }
 
 bool router_program::waitReady() const
@@ -743,6 +758,9 @@
 int runCase(const std::string &recordFolder, const std::string &rule,
             const std::function<int(const std::string &folder, record &out)> &run)
 {
+    for (const int number : { SIGALRM, SIGTERM, SIGINT, SIGHUP })
+        static_cast<void>(std::signal(number, endCase));
+    ::alarm(MaxSeconds);
     record out(recordFolder);
     std::string folder = (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
     int result = 2;
