Refuse requests of uncertain length on the own interface

The exchange applies message_framing.h before it looks for a route, answers 400 or 501 and closes the connection.

--- a/burdockhold/caller_reply.cc
+++ b/burdockhold/caller_reply.cc
@@ -33,6 +33,8 @@
     response.headers().add("X-Burdockhold-Run", std::string(nameOf(error.run)));
     if (error.status == 409 || error.status == 429 || error.status == 503)
         response.headers().add("Retry-After", std::to_string(error.retryAfterSeconds));
+    if (error.closes)
+        response.headers().add("Connection", "close");
     response.set_body(formatError(error), std::string("application/json"));
     send(std::move(response));
 }
--- a/burdockhold/completion.h
+++ b/burdockhold/completion.h
@@ -96,6 +96,7 @@
     std::string param; ///< Field at fault, or empty (sent as null).
     run_state run = run_state::NotRun;
     int retryAfterSeconds = 1; ///< Sent with 409, 429 and 503 only.
+    bool closes = false;       ///< The connection closes: its next bytes may not be a request.
 };
 
 /// Returns the JSON body of an error reply.
--- a/burdockhold/exchange.cc
+++ b/burdockhold/exchange.cc
@@ -2,6 +2,7 @@
 
 #include "burdockhold/forwarding.h"
 #include "burdockhold/hash.h"
+#include "burdockhold/message_framing.h"
 #include "burdockhold/stream_reader.h"
 #include "burdockhold/task_guard.h"
 
@@ -79,7 +80,7 @@
     m_reply.setClosed(
             [self = shared_from_this()](bool delivered) { self->onReplyClosed(delivered); });
     guard([this] {
-        if (identifyRoute() && authenticate())
+        if (checkFraming() && identifyRoute() && authenticate())
             readBody();
     });
 }
@@ -158,6 +159,25 @@
     return !keyDigest().empty() && m_kind.has_value();
 }
 
+/// Refuses a request whose body cpprest may have read with another length than an endpoint or an
+/// intermediary would. cpprest joins repeated fields with commas.
+bool exchange::checkFraming()
+{
+    const auto &headers = m_message.headers();
+    const web::http::http_version version = m_message.http_version();
+    framing_fields fields;
+    fields.allowsCodings = !(version < web::http::http_versions::HTTP_1_1);
+    if (const auto found = headers.find("Transfer-Encoding"); found != headers.end())
+        fields.codings.emplace_back(found->second);
+    if (const auto found = headers.find("Content-Length"); found != headers.end())
+        fields.lengths.emplace_back(found->second);
+    const int status = statusForFraming(fields);
+    if (status != 0)
+        refuse({ status, error_type::InvalidRequest, "ambiguous_framing",
+                 "the length of the body is not certain", "", run_state::NotRun, 1, true });
+    return status == 0;
+}
+
 bool exchange::identifyRoute()
 {
     const std::string method = m_message.method();
--- a/burdockhold/exchange.h
+++ b/burdockhold/exchange.h
@@ -88,6 +88,7 @@
     void endAfterException();
 
     // Stages, in order. From admit() on, each stage starts the next one, at once or later.
+    bool checkFraming();
     bool identifyRoute();
     bool authenticate();
     void readBody();
--- a/burdockhold/front_server.h
+++ b/burdockhold/front_server.h
@@ -7,6 +7,7 @@
 // What cpprest does not promise: it sends no reply before it has read the request's whole body. A
 // body over the limit is dropped as it arrives, which bounds memory, but the 413 follows only at
 // the body's end. Completing the request early through cpprest's internals crashed the process.
+// Of several Content-Length fields it keeps the last one, and does not show that there were more.
 
 #include "burdockhold/blackboard.h"
 #include "burdockhold/limit_stage.h"
--- a/testing/front_server_nettest.cc
+++ b/testing/front_server_nettest.cc
@@ -491,6 +491,26 @@
                        events + usageEvent(request, 3) + "data: [DONE]\n\n");
 }
 
+/// Returns what arrives until the other side closes, for at most two seconds.
+std::string readUntilClosed(tcp::socket &socket)
+{
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(2);
+    std::string received;
+    std::array<char, 4096> buffer{};
+    boost::system::error_code error;
+    socket.non_blocking(true);
+    while (std::chrono::steady_clock::now() < end) {
+        const std::size_t bytes = socket.read_some(boost::asio::buffer(buffer), error);
+        received.append(buffer.data(), bytes);
+        if (error == boost::asio::error::would_block)
+            std::this_thread::sleep_for(std::chrono::milliseconds(2));
+        else if (error)
+            return received;
+    }
+    BOOST_TEST_MESSAGE("the connection stayed open");
+    return received;
+}
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(front, router_fixture)
@@ -741,6 +761,66 @@
     }
 }
 
+// Guards against a request that is smuggled in a body of unknown length.
+BOOST_AUTO_TEST_CASE(bodyOfUnknownLengthIsNotTheNextRequest)
+{
+    fake_endpoint service([](tcp::socket &socket, const received_request &request) {
+        return sendAnswer(socket, request, "booked");
+    });
+    addEndpoint("s1", service, endpoint_role::Service);
+    start();
+    const std::string head =
+            "POST /bookings HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer secret\r\n"
+            "Idempotency-Key: ";
+    const std::string inner = head + "inner\r\nContent-Length: 1\r\n\r\nb";
+    const std::vector<std::string> framings{
+        "Transfer-Encoding: gzip\r\n",
+        "Transfer-Encoding: identity\r\n",
+        "Transfer-Encoding: chunked, identity\r\n",
+        "Transfer-Encoding: xchunked\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+        "Transfer-Encoding:\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+        "Content-Length: 0, 4\r\n",
+        "Content-Length: +4\r\n",
+        "Content-Length: 0x4\r\n",
+        "Content-Length: 4x\r\n",
+    };
+    for (const std::string &framing : framings) {
+        boost::asio::io_context io;
+        tcp::socket caller = connect(io);
+        sendBytes(caller, head + "outer\r\n" + framing + "\r\n" + inner);
+        const std::string reply = readUntilClosed(caller);
+        const bool isRefused = reply.rfind("HTTP/1.1 400", 0) == 0u
+                               || reply.rfind("HTTP/1.1 501", 0) == 0u;
+        BOOST_TEST(isRefused, framing << reply);
+        BOOST_TEST(reply.find("HTTP/1.1", 1) == std::string::npos, framing << reply);
+    }
+    BOOST_TEST(service.requests().empty());
+}
+
+// Guards against a body that is read by one of two lengths.
+BOOST_AUTO_TEST_CASE(repeatedLengthIsRefused)
+{
+    fake_endpoint service([](tcp::socket &socket, const received_request &request) {
+        return sendAnswer(socket, request, "booked");
+    });
+    addEndpoint("s1", service, endpoint_role::Service);
+    start();
+    for (const std::string lengths : { "0\r\nContent-Length: 4", "4\r\nContent-Length: 0" }) {
+        boost::asio::io_context io;
+        tcp::socket caller = connect(io);
+        sendBytes(caller, "POST /bookings HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer secret\r\n"
+                          "Idempotency-Key: k\r\nContent-Length: "
+                                  + lengths + "\r\n\r\nbody");
+        BOOST_TEST(readUntilClosed(caller).rfind("HTTP/1.1 400", 0) == 0u, lengths);
+    }
+    BOOST_TEST(service.requests().empty());
+    for (const auto &request : service.requests())
+        BOOST_TEST_MESSAGE(request.head << request.body);
+}
+
 // Guards against the HTTP library's own retry: a booking whose service dies on a kept-alive
 // connection must be executed once and reported as unknown.
 BOOST_AUTO_TEST_CASE(sendsANonRepeatableCallOnce)
