Drop the fields of a request's trailer

An engine got the fields of a trailer as header fields of its call: they changed the model, the account's field was removed only because its name is on the list of fields that the router sets, and a second attempt id stood beside the first. Parsing the body in chunks adds the fields of its trailer to Beast's message, so request_parser keeps the head apart, as http_client_connection does for responses. Trailers on the own interface were not tested.

Before: trailerFieldsDoNotReachTheEngine fails on the code before (X-Late and X-Burdockhold-Model arrive). After: no failure.

--- a/burdockhold/request_parser.cc
+++ b/burdockhold/request_parser.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include <utility>
 
 namespace burdockhold {
 
@@ -76,6 +77,8 @@
 {
     const platform::http_request &message = m_parser.get();
     m_refusal = statusForHead(message);
+    if (m_parser.chunked())
+        m_headOfChunked = message.base();
     m_parser.eager(true);
 }
 
@@ -88,7 +91,10 @@
 
 platform::http_request request_parser::release()
 {
-    return m_parser.release();
+    platform::http_request message = m_parser.release();
+    if (m_headOfChunked)
+        message.base() = std::move(*m_headOfChunked);
+    return message;
 }
 
 } // namespace burdockhold
--- a/burdockhold/request_parser.h
+++ b/burdockhold/request_parser.h
@@ -8,6 +8,7 @@
 //   state. A request that can be read in two ways is refused: two lengths, a length together with
 //   a transfer coding, a coding other than a single "chunked", any coding in HTTP/1.0, two Host
 //   fields, lines that do not end in CR LF.
+// - The fields of a trailer are dropped: none becomes a field of the header.
 // - A header or body over the limits is refused before it is stored.
 // After a refusal, the rest of the input belongs to no request.
 
@@ -17,6 +18,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <optional>
 #include <string>
 
 namespace burdockhold {
@@ -53,6 +55,9 @@
     void headCompleted();
 
     parser m_parser;
+    /// The head of a chunked request: parsing the body adds the fields of its trailer to the
+    /// message.
+    std::optional<boost::beast::http::request_header<>> m_headOfChunked;
     std::size_t m_maxHeaderBytes;
     int m_refusal = 0;
 };
--- a/testing/request_framing_looptest.cc
+++ b/testing/request_framing_looptest.cc
@@ -110,3 +110,27 @@
     }
     BOOST_TEST(callCount() == 3U);
 }
+
+// Guards against fields of a trailer that change the header of the call to the engine.
+BOOST_FIXTURE_TEST_CASE(trailerFieldsDoNotReachTheEngine, fixture)
+{
+    const std::string trailer = "X-Own: trailer\r\nX-Late: 1\r\nX-Burdockhold-Model: other\r\n"
+                                "X-Burdockhold-Attempt-Id: other\r\nX-Burdockhold-Tenant: other\r\n"
+                                "Host: other\r\nX-Burdockhold-Hold: h\r\n";
+    const std::string bytes = outerRequest("X-Own: head\r\nTransfer-Encoding: chunked\r\n",
+                                           chunk("hello") + "0\r\n" + trailer + "\r\n");
+    for (const std::size_t cut : { bytes.size(), bytes.find("\r\n\r\n") + 4, bytes.size() - 9 }) {
+        test_caller caller(router->callerAddress());
+        caller.send(bytes.substr(0, cut));
+        std::this_thread::sleep_for(std::chrono::milliseconds(30));
+        caller.send(bytes.substr(cut));
+        const std::string answer = caller.readUntil("body", WaitLimitMs);
+        BOOST_TEST(answer.rfind("HTTP/1.1 200", 0) == 0U, answer);
+        BOOST_TEST(calls.back().body == "hello");
+        BOOST_TEST(calls.back().field("X-Own") == "head");
+        BOOST_TEST(calls.back().field("X-Late").empty());
+        BOOST_TEST(calls.back().field("X-Burdockhold-Model").empty());
+        BOOST_TEST(calls.back().field("X-Burdockhold-Attempt-Id") == "outer");
+        BOOST_TEST(calls.back().field("X-Burdockhold-Tenant") == "acct");
+    }
+}
