Stop sharing segments that an account computed before it was isolated

The isolated account got a salt of its own, and the salt of all others stayed as it was. The shared salt now contains a hash of the set of isolated accounts, which depends on the deployment alone: VMs agree in whatever order they learn of a change. A request follows the deployment in force when its call starts, since it may have waited or may resume a stream after the change.

Ruled out: the engine and the store (they find segments under the salt alone), the isolated account's own salt, the names in digests (they contain the salt).

--- a/burdockhold/deployment.cc
+++ b/burdockhold/deployment.cc
@@ -1,7 +1,10 @@
 #include "burdockhold/deployment.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cctype>
+#include <set>
 #include <utility>
 
 namespace burdockhold {
@@ -16,6 +19,21 @@
     return text;
 }
 
+/// Returns a hash of the names of the isolated accounts that does not depend on their order, or 0
+/// if there are none.
+std::uint64_t hashOfIsolated(const std::vector<deployment_account> &accounts)
+{
+    std::set<std::string_view> names;
+    for (const deployment_account &account : accounts) {
+        if (account.isolated)
+            names.insert(account.name);
+    }
+    std::uint64_t hash = 0;
+    for (const std::string_view name : names)
+        hash = XXH64(name.data(), name.size(), hash);
+    return hash;
+}
+
 } // namespace
 
 deployment_index::deployment_index(deployment source)
@@ -29,11 +47,13 @@
         });
     }
     for (const deployment_account &account : m_source.accounts) {
+        m_accountsByName.emplace(account.name, &account);
         for (const std::string &key : account.keys)
             m_accountsByKey.emplace(key, &account);
     }
     for (const deployment_pool &pool : m_source.pools)
         m_pools.emplace(pool.name, &pool);
+    m_isolatedSet = hashOfIsolated(m_source.accounts);
 }
 
 const deployment_route *deployment_index::findRoute(std::string_view host,
@@ -62,6 +82,18 @@
     return found == m_pools.end() ? nullptr : found->second;
 }
 
+cache_domain deployment_index::cacheDomainOf(const deployment_account *account) const
+{
+    if (account != nullptr) {
+        const auto current = m_accountsByName.find(account->name);
+        const bool isIsolated = current == m_accountsByName.end() ? account->isolated
+                                                                  : current->second->isolated;
+        if (isIsolated)
+            return { account->name, 0 };
+    }
+    return { {}, m_isolatedSet };
+}
+
 double deployment_index::tokensPerSecond(const cache_store &store) const
 {
     for (const deployment_pool &pool : m_source.pools) {
--- a/burdockhold/deployment.h
+++ b/burdockhold/deployment.h
@@ -81,6 +81,16 @@
     double defaultCost = 1.0;    ///< For requests without a token count.
 };
 
+/// The requests that may use each other's cached segments.
+struct cache_domain
+{
+    std::string
+            isolatedAccount; ///< Only requests of this account. Empty: of all but isolated ones.
+    /// Identifies the set of accounts that are isolated, whose requests may have computed shared
+    /// segments before. 0 if none is.
+    std::uint64_t isolatedSet = 0;
+};
+
 /// Limits on callers' requests and connections.
 struct caller_limits
 {
@@ -117,6 +127,10 @@
 
     const deployment_pool *findPool(std::string_view name) const;
 
+    /// Returns the domain of the account's requests, or of requests without an account for nullptr.
+    /// The account may come from another version of the deployment; what this one says of it holds.
+    cache_domain cacheDomainOf(const deployment_account *account) const;
+
     /// Returns the number of cached tokens per second that the store's link can transfer within a
     /// data centre, or 0 if the deployment does not configure it.
     double tokensPerSecond(const cache_store &store) const;
@@ -125,7 +139,9 @@
     deployment m_source;
     std::unordered_map<std::string, std::vector<const deployment_route *>> m_routesByHost;
     std::unordered_map<std::string, const deployment_account *> m_accountsByKey;
+    std::unordered_map<std::string, const deployment_account *> m_accountsByName;
     std::unordered_map<std::string, const deployment_pool *> m_pools;
+    std::uint64_t m_isolatedSet = 0; ///< See cache_domain.
 };
 
 /// Bounds of what an endpoint may report. A report beyond them is not an endpoint's.
--- a/burdockhold/placement_inputs.cc
+++ b/burdockhold/placement_inputs.cc
@@ -45,7 +45,7 @@
     const std::int64_t targetVersion = board.targetVersion(request.model);
     auto candidates = board.endpoints.candidates(
             query.poolName, isEngineCall(query) ? request.model : "", targetVersion,
-            deepestSegmentName(request, query.account, targetVersion), query.triedEndpoints, now);
+            deepestSegmentName(request, query.domain, targetVersion), query.triedEndpoints, now);
     for (endpoint_candidate &candidate : candidates) {
         if (candidate.staleWeights && !isOwnStatement(candidate.excluded)
             && board.weightsExpired(request.model,
@@ -69,13 +69,13 @@
     }
     if (!isEngineCall(query))
         return inputs;
-    inputs.need = placementNeedFor(query.request, query.account);
+    inputs.need = placementNeedFor(query.request, query.domain);
     if (inputs.need.segmentTokens == 0)
         return inputs;
     inputs.store = segmentStore(board, query.request, inputs, now);
     if (inputs.store == nullptr)
         return inputs;
-    const auto segments = sharedSegmentNames(query.request, query.account,
+    const auto segments = sharedSegmentNames(query.request, query.domain,
                                              board.targetVersion(query.request.model));
     inputs.need.storeHoldsSegment = board.storedSegments.areStored(inputs.store->address, segments,
                                                                    now);
--- a/burdockhold/placement_inputs.h
+++ b/burdockhold/placement_inputs.h
@@ -17,8 +17,8 @@
 struct placement_query
 {
     const caller_request &request;
-    const deployment_account *account = nullptr; ///< Null if no key is needed.
-    const deployment_pool *pool = nullptr;       ///< Null if the deployment does not define it.
+    cache_domain domain;
+    const deployment_pool *pool = nullptr; ///< Null if the deployment does not define it.
     const std::string &poolName;
     const std::set<std::string> &triedEndpoints;
     const std::set<std::string> &calledAddresses; ///< A call of the attempt may have arrived there.
--- a/burdockhold/prompt_segments.cc
+++ b/burdockhold/prompt_segments.cc
@@ -4,36 +4,37 @@
 
 namespace {
 
-bool isIsolated(const deployment_account *account)
+std::string ownerPart(const cache_domain &domain)
 {
-    return account != nullptr && account->isolated;
+    if (!domain.isolatedAccount.empty())
+        return "a." + domain.isolatedAccount;
+    return domain.isolatedSet == 0 ? "s" : "s." + std::to_string(domain.isolatedSet);
 }
 
 } // namespace
 
-std::string cacheSalt(const caller_request &request, const deployment_account *account,
+std::string cacheSalt(const caller_request &request, const cache_domain &domain,
                       std::int64_t version)
 {
     if (version == 0)
         return "u." + request.attemptId;
-    const std::string owner = isIsolated(account) ? "a." + account->name : std::string("s");
-    return owner + "." + std::to_string(version);
+    return ownerPart(domain) + "." + std::to_string(version);
 }
 
 std::vector<std::string> sharedSegmentNames(const caller_request &request,
-                                            const deployment_account *account, std::int64_t version)
+                                            const cache_domain &domain, std::int64_t version)
 {
     std::vector<std::string> names;
-    const std::string start = request.model + "/" + cacheSalt(request, account, version) + "/";
+    const std::string start = request.model + "/" + cacheSalt(request, domain, version) + "/";
     for (std::size_t index = 0; index + 1 < request.promptSegments.size(); ++index)
         names.push_back(start + request.promptSegments[index].id);
     return names;
 }
 
-std::string deepestSegmentName(const caller_request &request, const deployment_account *account,
+std::string deepestSegmentName(const caller_request &request, const cache_domain &domain,
                                std::int64_t version)
 {
-    const auto names = sharedSegmentNames(request, account, version);
+    const auto names = sharedSegmentNames(request, domain, version);
     return names.empty() ? std::string() : names.back();
 }
 
@@ -44,13 +45,15 @@
                    : request.promptSegments[request.promptSegments.size() - 2].id;
 }
 
-placement_need placementNeedFor(const caller_request &request, const deployment_account *account)
+placement_need placementNeedFor(const caller_request &request, const cache_domain &domain)
 {
     placement_need need;
     need.promptTokens = request.promptTokens;
     need.outputTokens = request.expectedOutputTokens();
     need.unsharedTokens = request.promptTokens;
-    need.affinityKey = request.model + (isIsolated(account) ? "/" + account->name : std::string());
+    need.affinityKey = request.model;
+    if (!domain.isolatedAccount.empty())
+        need.affinityKey += "/" + domain.isolatedAccount;
     if (request.promptSegments.size() < 2) {
         need.affinityKey += "/" + request.attemptId;
         return need;
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -310,10 +310,18 @@
                                                        m_context.board.settings.mechanisms));
 }
 
+/// Returns the domain in the deployment in force, since segments must not be shared with an account
+/// that has become isolated after this request was admitted.
+cache_domain routed_request::cacheDomain() const
+{
+    const auto &inForce = m_context.board.deployment;
+    return (inForce ? inForce : m_deployment)->cacheDomainOf(m_account);
+}
+
 placement_query routed_request::placementQuery() const
 {
     return { m_request,
-             m_account,
+             cacheDomain(),
              m_pool,
              m_poolName,
              m_triedEndpoints,
@@ -328,7 +336,7 @@
 {
     segment_call call;
     call.endpointId = m_endpointId;
-    call.segments = sharedSegmentNames(m_request, m_account, m_expectedWeights);
+    call.segments = sharedSegmentNames(m_request, m_cacheDomain, m_expectedWeights);
     call.segmentTokens = inputs.need.segmentTokens;
     call.promptTokens = inputs.need.promptTokens;
     call.expectedCached = m_load.pendingPrefillTokens < inputs.need.promptTokens;
@@ -442,7 +450,7 @@
     fields.resumeAfter = m_events.lastId();
     if (m_pool != nullptr && m_pool->engine) {
         fields.priority = std::clamp(m_priority, 0, 9);
-        fields.cacheSalt = cacheSalt(m_request, m_account, m_expectedWeights);
+        fields.cacheSalt = cacheSalt(m_request, m_cacheDomain, m_expectedWeights);
         if (m_expectedWeights > 0)
             fields.weights = m_expectedWeights;
     }
@@ -507,7 +515,8 @@
     m_expectedWeights = board.endpoints.weightsOf(m_endpointId, m_request.model);
     if (m_expectedWeights == 0)
         m_expectedWeights = board.targetVersion(m_request.model);
-    m_segmentKey = deepestSegmentName(m_request, m_account, m_expectedWeights);
+    m_cacheDomain = cacheDomain();
+    m_segmentKey = deepestSegmentName(m_request, m_cacheDomain, m_expectedWeights);
     m_ticket = board.endpoints.callStarted(m_endpointId, m_load, m_callStarted);
     if (m_load.pendingPrefillTokens >= ImmediateDigestTokens)
         board.digestRequested = true;
--- a/burdockhold/routed_request.h
+++ b/burdockhold/routed_request.h
@@ -118,6 +118,7 @@
     void queueWaitEnded();
     time_point queueWaitEnd(time_point now) const;
 
+    cache_domain cacheDomain() const;
     placement_query placementQuery() const;
     bool refuseIfNoneReturns(const std::vector<endpoint_candidate> &candidates, time_point now);
     void startCall(const placement_inputs &inputs, const endpoint_choice &choice);
@@ -188,6 +189,7 @@
     std::string m_body;
     std::uint64_t m_eventsBeforeCall = 0; ///< Events that earlier calls delivered to the stream.
     bool m_continuesStream = false; ///< An earlier call has begun the response or an event of it.
+    cache_domain m_cacheDomain;
     std::string m_segmentKey;
     std::int64_t m_expectedWeights = 0;
 
--- a/testing/support_router.h
+++ b/testing/support_router.h
@@ -130,6 +130,12 @@
 
     /// Writes a deployment with the given version and one account, which has the given API keys.
     void putDeployment(int version, const std::vector<std::string> &keys, int idleTimeoutMs = 15000)
+    {
+        log.put("keyed.op", "config", deploymentBody(version, keys, idleTimeoutMs).dump());
+    }
+
+    static nlohmann::json deploymentBody(int version, const std::vector<std::string> &keys,
+                                         int idleTimeoutMs = 15000)
     {
         const auto route = [](const char *prefix, const char *kind, int attempts, bool resumable,
                               int timeoutMs = 3000) {
@@ -145,7 +151,7 @@
                                    { "anonymous", false },
                                    { "resumable", resumable } };
         };
-        const nlohmann::json body{
+        return {
             { "version", version },
             { "routes",
               { route("/safe/", "safe", 2, false), route("/pay/", "unsafe", 1, false),
@@ -157,9 +163,8 @@
                 { "max_body_bytes", 100000 },
                 { "header_timeout_ms", 3000 },
                 { "idle_timeout_ms", idleTimeoutMs } } },
-            { "tenants", { { { "name", "acct" }, { "api_keys", keys } } } }
+            { "tenants", nlohmann::json::array({ { { "name", "acct" }, { "api_keys", keys } } }) }
         };
-        log.put("keyed.op", "config", body.dump());
     }
 
     /// Records a call to an engine and handles it by the current behaviour.
