Let the test of isolated accounts wait for known weights

Its fixture took the first salt, which is the attempt's own while the weights are unknown, so that one of the two cases did not fail on the code before the fix.

--- a/testing/isolated_accounts_looptest.cc
+++ b/testing/isolated_accounts_looptest.cc
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr int PollMs = 20;
+
 /// A pool of model engines and two accounts, of which the first may be isolated.
 struct fixture : router_fixture
 {
@@ -22,8 +24,19 @@
             log.put("keyed.servers", id, entry.dump());
         }
         BOOST_REQUIRE(waitForResponse(request("/safe/", "key-b"), "HTTP/1.1 200"));
-        const std::lock_guard lock(mutex);
-        calls.clear();
+        // While the weights are unknown, each attempt has a salt of its own, which contains its id.
+        BOOST_REQUIRE(
+                waitUntil([this] { return saltOf("key-b").find("id1") == std::string::npos; }));
+    }
+
+    static bool waitUntil(const std::function<bool()> &condition)
+    {
+        for (int round = 0; round < WaitLimitMs / PollMs; ++round) {
+            if (condition())
+                return true;
+            std::this_thread::sleep_for(std::chrono::milliseconds(PollMs));
+        }
+        return false;
     }
 
     void putAccounts(int version, bool isolated)
@@ -48,12 +61,7 @@
 
     bool waitForSalt(const std::string &key, const std::string &unlike)
     {
-        for (int round = 0; round < 400; ++round) {
-            if (saltOf(key) != unlike)
-                return true;
-            std::this_thread::sleep_for(std::chrono::milliseconds(20));
-        }
-        return false;
+        return waitUntil([&] { return saltOf(key) != unlike; });
     }
 
     const std::string promptFields = "X-Burdockhold-Model: m\r\nX-Burdockhold-Token-Count: 60,5\r\n"
