Require a key also when the list of accounts is empty

The router asked whether it knew any account instead of whether the deployment has accounts, and decoding did not tell an empty list from an absent field. deployment::requiresKeys states it, and is true by default. Besides, an empty key belongs to nobody: an account with one served requests without a key.

Ruled out: the age of the view (the deployment was in force) and the table of keys (it was empty).

The reference of request_admission_test has a third state.

--- a/burdockhold/deployment.cc
+++ b/burdockhold/deployment.cc
@@ -73,7 +73,7 @@
 const deployment_account *deployment_index::findAccount(std::string_view key) const
 {
     const auto found = m_accountsByKey.find(std::string(key));
-    return found == m_accountsByKey.end() ? nullptr : found->second;
+    return key.empty() || found == m_accountsByKey.end() ? nullptr : found->second;
 }
 
 const deployment_pool *deployment_index::findPool(std::string_view name) const
--- a/burdockhold/deployment.h
+++ b/burdockhold/deployment.h
@@ -106,6 +106,8 @@
     std::vector<deployment_route> routes;
     std::vector<deployment_pool> pools;
     std::vector<deployment_account> accounts;
+    /// Requests on routes that are not public need an account's key. With no account, none runs.
+    bool requiresKeys = true;
     caller_limits limits;
 };
 
@@ -122,7 +124,8 @@
     /// be in any case and include a port; the path may include a query.
     const deployment_route *findRoute(std::string_view host, std::string_view path) const;
 
-    /// Returns the account that owns the API key, or nullptr.
+    /// Returns the account that owns the API key, or nullptr. Nobody owns an empty key, which is
+    /// what a request without a key has.
     const deployment_account *findAccount(std::string_view key) const;
 
     const deployment_pool *findPool(std::string_view name) const;
--- a/testing/platform_codec_looptest.cc
+++ b/testing/platform_codec_looptest.cc
@@ -298,6 +298,20 @@
     BOOST_TEST((platform::decodeOrderResult(500) == order_result::Refused));
 }
 
+// Guards against an empty list of accounts that is taken for a deployment without accounts.
+BOOST_AUTO_TEST_CASE(emptyListOfAccountsStillRequiresKeys)
+{
+    const auto requiresKeys = [](const std::string &fields) {
+        const auto decoded = platform::decodeDeployment(R"({"version":3,"routes":[],"services":[])"
+                                                        + fields + "}");
+        BOOST_REQUIRE(isOk(decoded));
+        return valueOf(decoded).requiresKeys;
+    };
+    BOOST_TEST(requiresKeys(R"(,"tenants":[])"));
+    BOOST_TEST(requiresKeys(R"(,"tenants":[{"name":"t"}])"));
+    BOOST_TEST(!requiresKeys(""));
+}
+
 // Guards against a record or response that is nested so deeply that reading it exhausts the stack.
 BOOST_AUTO_TEST_CASE(deeplyNestedTextIsRefused)
 {
--- a/testing/request_admission_test.cc
+++ b/testing/request_admission_test.cc
@@ -16,7 +16,10 @@
 constexpr milliseconds ConfigBound(2000);
 constexpr milliseconds RevocationBound(5000);
 
-deployment_index makeDeployment(bool withAccounts)
+/// What a deployment says of accounts.
+enum class accounts_state { NotConfigured, None, One };
+
+deployment_index makeDeployment(accounts_state accounts)
 {
     deployment source;
     deployment_route keyed;
@@ -30,7 +33,8 @@
     empty.pathPrefix = "/empty/";
     empty.pools.clear();
     source.routes = { keyed, open, empty };
-    if (withAccounts) {
+    source.requiresKeys = accounts != accounts_state::NotConfigured;
+    if (accounts == accounts_state::One) {
         deployment_account account;
         account.name = "a";
         account.keys = { "key-1" };
@@ -40,17 +44,17 @@
 }
 
 /// The rules as a person would state them; returns a word for each outcome.
-std::string reference(const std::string &path, const std::string &key, bool withAccounts,
+std::string reference(const std::string &path, const std::string &key, accounts_state accounts,
                       milliseconds age)
 {
     const bool mayBeOutdated = age > ConfigBound + milliseconds(800);
     if (path != "/keyed/" && path != "/open/")
         return mayBeOutdated ? "stale" : "no route";
-    if (path == "/open/" || !withAccounts)
+    if (path == "/open/" || accounts == accounts_state::NotConfigured)
         return "without account";
     if (age > RevocationBound - milliseconds(300))
         return "stale";
-    if (key == "key-1")
+    if (key == "key-1" && accounts == accounts_state::One)
         return "with account";
     return mayBeOutdated ? "stale" : "unknown key";
 }
@@ -73,7 +77,8 @@
 
 } // namespace
 
-// Guards against a wrong 401 or 404 of a VM with an old view, and against a key that counts for
+// Guards against routes that are open to everybody once the last account is taken away, against a
+// wrong 401 or 404 of a VM with an old view, and against a key that counts for
 // longer than its withdrawal may take.
 BOOST_AUTO_TEST_CASE(oldViewsRefuseOnlyAsNotRun)
 {
@@ -81,18 +86,21 @@
     const auto draw = [&random](std::size_t count) { return random() % count; };
     const std::string paths[] = { "/keyed/", "/open/", "/empty/", "/none/" };
     const std::string keys[] = { "key-1", "key-2", "" };
-    const deployment_index deployments[] = { makeDeployment(false), makeDeployment(true) };
+    const accounts_state states[] = { accounts_state::NotConfigured, accounts_state::None,
+                                      accounts_state::One };
+    const deployment_index deployments[] = { makeDeployment(states[0]), makeDeployment(states[1]),
+                                             makeDeployment(states[2]) };
     for (int round = 0; round < 5000; ++round) {
         caller_request request;
         request.host = "h";
         request.target = paths[draw(4)];
         request.key = keys[draw(3)];
-        const std::size_t withAccounts = draw(2);
+        const std::size_t accounts = draw(3);
         const milliseconds age(draw(7000));
-        const auto result = admitRequest(deployments[withAccounts], request,
+        const auto result = admitRequest(deployments[accounts], request,
                                          { age, ConfigBound, RevocationBound });
         BOOST_TEST(outcomeOf(result)
-                           == reference(request.target, request.key, withAccounts == 1, age),
+                           == reference(request.target, request.key, states[accounts], age),
                    request.target << " " << request.key << " " << age.count());
     }
 }
--- a/testing/router_looptest.cc
+++ b/testing/router_looptest.cc
@@ -57,6 +57,27 @@
     BOOST_TEST(exchangeRequest(request("/safe/")).rfind("HTTP/1.1 401", 0) == 0U);
 }
 
+// Guards against routes that are open to everybody once the last account is taken away, or to
+// requests without a key where an account has an empty one.
+BOOST_FIXTURE_TEST_CASE(accountsThatAreTakenAwayOpenNoRoute, fixture)
+{
+    const auto isRefused = [this](const std::string &key) {
+        return exchangeRequest(request("/pay/", key)).rfind("HTTP/1.1 401", 0) == 0;
+    };
+    nlohmann::json body = deploymentBody(5, {});
+    body["tenants"] = nlohmann::json::array();
+    log.put("keyed.op", "config", body.dump());
+    BOOST_TEST(waitForResponse(request("/safe/"), "HTTP/1.1 401"));
+    BOOST_TEST(isRefused("never-a-key"));
+    BOOST_TEST(isRefused(""));
+    putDeployment(6, { "", "key-2" });
+    BOOST_TEST(waitForResponse(request("/safe/", "key-2"), "HTTP/1.1 200"));
+    BOOST_TEST(isRefused(""));
+    const std::lock_guard lock(mutex);
+    for (const recorded_request &call : calls)
+        BOOST_TEST(call.target == "/safe/");
+}
+
 // Guards against a payment that runs twice: its endpoint resets the connection, and the router
 // sends the call to another endpoint although the first one may have run it.
 BOOST_FIXTURE_TEST_CASE(callThatMayHaveRunIsNotRepeated, fixture)
