Read null and empty lists of a deployment as empty

Two relatives of the empty list of accounts. A list of keys, or of accounts, that is null refused the whole deployment, so that the keys of the earlier one went on working. A route with an empty list of shares had no pool and was answered with 404 although it names its one pool.

--- a/testing/platform_codec_looptest.cc
+++ b/testing/platform_codec_looptest.cc
@@ -308,10 +308,34 @@
         return valueOf(decoded).requiresKeys;
     };
     BOOST_TEST(requiresKeys(R"(,"tenants":[])"));
+    BOOST_TEST(requiresKeys(R"(,"tenants":null)"));
     BOOST_TEST(requiresKeys(R"(,"tenants":[{"name":"t"}])"));
     BOOST_TEST(!requiresKeys(""));
 }
 
+// Guards against a list of keys that is null and keeps the earlier deployment in force, and against
+// a route whose empty list of shares leaves it without a pool.
+BOOST_AUTO_TEST_CASE(listsThatAreNullOrEmptyAreRead)
+{
+    const auto decoded = [](const std::string &routeFields, const std::string &accountFields) {
+        const auto result = platform::decodeDeployment(
+                R"({"version":3,"routes":[{"host":"h","path_prefix":"/a/","kind":"safe")"
+                + routeFields + R"(}],"services":[],"tenants":[{"name":"t")" + accountFields
+                + "}]}");
+        BOOST_REQUIRE_MESSAGE(isOk(result), routeFields << accountFields);
+        return valueOf(result);
+    };
+    for (const char *keys : { "", R"(,"api_keys":null)", R"(,"api_keys":[])" })
+        BOOST_TEST(decoded("", keys).accounts.front().keys.empty());
+    for (const char *split : { "", R"(,"traffic_split":null)", R"(,"traffic_split":[])" }) {
+        const auto pools = decoded(std::string(R"(,"service":"p")") + split, "").routes[0].pools;
+        BOOST_REQUIRE(pools.size() == 1U);
+        BOOST_TEST(pools[0].pool == "p");
+    }
+    const char *both = R"(,"service":"p","traffic_split":[{"service":"q"}])";
+    BOOST_TEST(decoded(both, "").routes[0].pools[0].pool == "q");
+}
+
 // Guards against a record or response that is nested so deeply that reading it exhausts the stack.
 BOOST_AUTO_TEST_CASE(deeplyNestedTextIsRefused)
 {
