Bound the responses that come before the answer to a call

A faulty engine that sent interim responses (100, 102), or complete answers to other requests, was read until the call's deadline: 185 to 198 MB in 5 s, with flat memory. Each response had bounds of its own, and nothing bounded their sum. A call now ends as malformed once 64 KB of such responses have come before its own. Heads, bodies, events, chunk extensions and trailers without end were bounded before (faults_looptest). The test that was named "interim responses" sent them within a head that had begun, so it is named after that.

--- a/burdockhold/http_client_connection.cc
+++ b/burdockhold/http_client_connection.cc
@@ -30,6 +30,9 @@
 // Limit of received bytes that the parser has not consumed, such as an incomplete chunk header. A
 // valid response leaves only a few.
 constexpr std::size_t MaxUnparsedBytes = std::size_t(2) * MaxResponseHeadBytes;
+// Limit of the bytes of all responses before the one to the call. A server sends few interim
+// responses, and answers to earlier calls are rare.
+constexpr std::size_t MaxSkippedBytes = std::size_t(4) * MaxResponseHeadBytes;
 
 void setSocketOption(tcp::socket &socket, int level, int option, int value)
 {
@@ -96,6 +99,7 @@
     m_active = true;
     m_keepAlive = false;
     m_paused = false;
+    m_skippedBytes = 0;
     ++m_callCount;
     resetParser();
     if (m_connected)
@@ -251,14 +255,7 @@
         if (interim || !m_handlers.onHead(head)) {
             if (!m_active)
                 return false;
-            // If the skipped response is incomplete, its remaining bytes cannot be told from the
-            // response to this call.
-            if (!m_parser->is_done()) {
-                finish(http_outcome::Malformed);
-                return false;
-            }
-            resetParser();
-            return true;
+            return skipResponse(consumed);
         }
         if (!m_active)
             return false;
@@ -277,6 +274,21 @@
     return consumed > 0;
 }
 
+/// Goes on to the next response after one that does not answer the call. Returns false if that ends
+/// the call.
+bool http_client_connection::skipResponse(std::size_t bytes)
+{
+    m_skippedBytes += bytes;
+    // If the skipped response is incomplete, its remaining bytes cannot be told from the response
+    // to this call.
+    if (!m_parser->is_done() || m_skippedBytes > MaxSkippedBytes) {
+        finish(http_outcome::Malformed);
+        return false;
+    }
+    resetParser();
+    return true;
+}
+
 void http_client_connection::deliverBody()
 {
     std::string &body = m_parser->get().body();
--- a/burdockhold/http_client_connection.h
+++ b/burdockhold/http_client_connection.h
@@ -12,8 +12,10 @@
 //   orderly.
 // - A connection is reused only after a complete response, with the request fully written, no byte
 //   beyond the response, and the server's consent.
-// - Bytes that do not form a response end the call once they exceed a bound. Memory is limited by
-//   that bound and by what the owner keeps of the body.
+// - Bytes that do not form a response end the call once they exceed a bound, and so do responses
+// that
+//   do not answer it: interim ones, and those that the owner skips. Memory is limited by that bound
+//   and by what the owner keeps of the body.
 // Not thread-safe: all functions run on the event loop's thread.
 
 #include "burdockhold/clock.h"
@@ -121,6 +123,7 @@
     void serverClosed();
     void finish(http_outcome end);
     void resetParser();
+    bool skipResponse(std::size_t bytes);
 
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_connectTimer;
@@ -141,6 +144,7 @@
     bool m_keepAlive = false;
     bool m_closed = false;
     int m_callCount = 0;
+    std::size_t m_skippedBytes = 0; ///< Of responses before the one to the current call.
     time_point m_idleSince;
     duration m_maxIdle = std::chrono::seconds(2);
 };
--- a/testing/faults_looptest.cc
+++ b/testing/faults_looptest.cc
@@ -56,7 +56,7 @@
     const std::vector<endless_response> kinds{
         { "head that is not HTTP", "", std::string(4096, 'x'), "/safe/" },
         { "head with endless fields", "", "X-Field: " + std::string(200, 'x') + "\r\n", "/safe/" },
-        { "interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n", "/safe/" },
+        { "interim responses after half a head", "", "HTTP/1.1 102 Processing\r\n\r\n", "/safe/" },
         { "body with a length", "Content-Length: 99999999999", std::string(8192, 'x'), "/safe/" },
         { "chunked body", chunked, oneChunk, "/safe/" },
         { "body of a call that may run once", chunked, oneChunk, "/pay/" },
@@ -92,6 +92,41 @@
     BOOST_TEST(waitForResponse(request("/safe/"), "HTTP/1.1 200"));
 }
 
+// Guards against interim responses, or answers to other requests, that are read until the call's
+// deadline.
+BOOST_FIXTURE_TEST_CASE(responsesBeforeTheAnswerAreCutOff, fixture)
+{
+    constexpr std::size_t MostBytes = std::size_t(16) * 1024 * 1024; // Socket buffers included.
+    const std::string other = "HTTP/1.1 200 OK\r\nX-Burdockhold-Attempt-Id: other\r\n"
+                              "X-Burdockhold-Server-Stamp: s\r\nContent-Length: 0\r\n\r\n";
+    for (const std::string &response :
+         { std::string("HTTP/1.1 100 Continue\r\n\r\n"),
+           "HTTP/1.1 102 Processing\r\nX: " + std::string(200, 'x') + "\r\n\r\n", other }) {
+        std::string piece;
+        while (piece.size() < 8192)
+            piece += response;
+        for (const std::string path : { "/safe/", "/pay/", "/once/" }) {
+            std::atomic<std::size_t> sent{ 0 };
+            setEngineBehaviour(
+                    [&](const std::string &, const recorded_request &, response_socket &socket) {
+                        while (socket.write(piece) && sent < 4 * MostBytes)
+                            sent += piece.size();
+                        return false;
+                    });
+            const std::string answer = exchangeRequest(request(path));
+            BOOST_TEST(answer.rfind("HTTP/1.1 502", 0) == 0U, path << ": " << answer);
+            BOOST_TEST(sent < MostBytes, path << " " << piece.substr(0, 30));
+        }
+    }
+    // A server may send some before its answer.
+    setEngineBehaviour(
+            [](const std::string &, const recorded_request &call, response_socket &socket) {
+                return socket.write("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n"
+                                    + completeResponse(call, "body"));
+            });
+    BOOST_TEST(exchangeRequest(request("/pay/")).rfind("HTTP/1.1 200", 0) == 0U);
+}
+
 // Guards against a faulty log whose endless responses exhaust the memory.
 BOOST_FIXTURE_TEST_CASE(logThatSendsWithoutEndIsCutOff, fixture)
 {
