Answer the requests that are left at the end of a stop

At the end of the grace period the router closed the connections of requests without an answer, also of those that had never been sent to an engine. Now each gets its answer 0.5 s before: 503 if it has not run, else 502; a stream that has begun is cut off as before. And a request that waits for a place while the process stops is refused when its answer is not expected in time, since another VM can run it and a call that is cut off has an unknown outcome.

The refusal by the expected time has no test of its own.

--- a/burdockhold/caller_connection.cc
+++ b/burdockhold/caller_connection.cc
@@ -364,6 +364,12 @@
         close();
 }
 
+void caller_connection::endRequest()
+{
+    if (const auto request = m_request)
+        request->processEnds();
+}
+
 void caller_connection::peerClosed()
 {
     const auto self = shared_from_this();
--- a/burdockhold/caller_connection.h
+++ b/burdockhold/caller_connection.h
@@ -16,7 +16,8 @@
 // - A stream is chunked; to a caller with HTTP/1.0 it ends with its connection. One that is cut off
 //   lacks its last chunk, or ends with a reset.
 // - During a shutdown, a connection closes after a response that announces it, or when it is idle;
-//   a request that has been read already is processed first.
+//   a request that has been read already is processed first. At the end of the grace period, it is
+//   answered that its outcome is unknown, or that it has not run if that is certain.
 
 #include "burdockhold/request_parser.h"
 #include "burdockhold/routed_request.h"
@@ -48,6 +49,10 @@
     /// Closes the connection if no request has started on it and none is waiting to be read.
     void closeIfIdle();
 
+    /// Ends the request that is processed, since the process ends: with an answer, unless its
+    /// response has started.
+    void endRequest();
+
     /// Resets the connection if a response has not been sent whole and only a reset can show it.
     void abortIfUnfinished();
 
--- a/burdockhold/event_router.cc
+++ b/burdockhold/event_router.cc
@@ -30,6 +30,8 @@
 constexpr duration LoadBalancerDelay = std::chrono::milliseconds(2600);
 // The process ends this long before the platform would kill it.
 constexpr duration ShutdownMargin = std::chrono::milliseconds(300);
+// Requests without an answer get one this long before the process ends, so that it is written out.
+constexpr duration LastAnswersMargin = std::chrono::milliseconds(200);
 // Tenths of the revocation bound after which a VM that cannot read the log reports itself as not
 // ready.
 constexpr int MaxReadyAgeTenths = 6;
@@ -445,6 +447,8 @@
 {
     m_board.leaving = true;
     m_board.leavingSince = steadyNow();
+    m_board.endsCallsAt = m_board.leavingSince + m_board.settings.shutdownGrace - ShutdownMargin
+                          - LastAnswersMargin;
     m_duties->leave();
     m_board.digestRequested = true;
     if (m_board.log.accepts(log_priority::StateChange, m_board.leavingSince))
@@ -474,6 +478,10 @@
     const caller_connections callers = m_callers;
     for (const auto &caller : callers)
         caller->closeIfIdle();
+    if (now >= m_board.endsCallsAt) {
+        for (const auto &caller : callers)
+            caller->endRequest();
+    }
     const bool mustEnd = elapsed >= m_board.settings.shutdownGrace - ShutdownMargin;
     if (!m_callers.empty() && !mustEnd)
         return;
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -53,6 +53,8 @@
                                              "time_limit_waiting" };
 constexpr unserved_reasons ExceptionReasons{ 502, "exception_in_stream", "exception",
                                              "exception_not_run" };
+constexpr unserved_reasons ProcessEndReasons{ 502, "process_end_in_stream", "process_end",
+                                              "leaving" };
 
 std::uint64_t hashOf(std::string_view text)
 {
@@ -377,6 +379,8 @@
                                          m_context.board.options.choice);
     if (!choice)
         return refuseIfNoneReturns(inputs.candidates, now);
+    if (refuseIfTooLate(*choice, now))
+        return true;
     if (m_awaitsRetryBudget && !m_context.board.tryRetry(m_poolName, now))
         return false;
     m_awaitsRetryBudget = false;
@@ -419,6 +423,19 @@
     return true;
 }
 
+/// Refuses a request that has not run if the process is expected to end before its answer: another
+/// VM can still run it, and a call that is cut off has an unknown outcome.
+bool routed_request::refuseIfTooLate(const endpoint_choice &choice, time_point now)
+{
+    const router_board &board = m_context.board;
+    const auto expected = std::chrono::duration_cast<duration>(
+            std::chrono::duration<double, std::milli>(choice.expectedMs));
+    if (!board.leaving || m_mayHaveRun || m_responseStarted || now + expected < board.endsCallsAt)
+        return false;
+    refuse(503, "leaving", MinRetryAfter);
+    return true;
+}
+
 /// Refuses a request that has not run if all endpoints leave, have been tried, or pause until after
 /// its longest wait.
 bool routed_request::refuseIfNoneReturns(const std::vector<endpoint_candidate> &candidates,
@@ -955,6 +972,14 @@
     finish(router_counter::CallerLeft, 0, "caller_left");
 }
 
+void routed_request::processEnds()
+{
+    guard([this] {
+        if (!m_ended)
+            endUnserved(ProcessEndReasons);
+    });
+}
+
 void routed_request::pause()
 {
     m_paused = true;
--- a/burdockhold/routed_request.h
+++ b/burdockhold/routed_request.h
@@ -9,6 +9,7 @@
 //   endpoint's connection is closed at once and nothing more is sent.
 // - The final response comes no later than the route's time limit or the caller's deadline.
 // - An incomplete response never looks complete.
+// - While the process stops, no first call is made that is not expected to be answered in time.
 // - A stream is ended if it delivers no complete event for longer than its caller waits, even if
 //   other bytes arrive; a slow stream that keeps within that time is not ended.
 // - Responses that are buffered until they are complete use at most a quarter of the memory limit.
@@ -84,6 +85,9 @@
     /// The caller has closed its connection.
     void callerDisconnected();
 
+    /// The process ends before the request could.
+    void processEnds();
+
     /// Pauses and resumes reading from endpoints: backpressure from a slow caller. An endpoint that
     /// is not read is not taken for a silent one.
     void pause();
@@ -120,6 +124,7 @@
 
     cache_domain cacheDomain() const;
     placement_query placementQuery() const;
+    bool refuseIfTooLate(const endpoint_choice &choice, time_point now);
     bool refuseIfNoneReturns(const std::vector<endpoint_candidate> &candidates, time_point now);
     void startCall(const placement_inputs &inputs, const endpoint_choice &choice);
     void prepareCall(std::string_view endpointId, const endpoint_choice &choice,
--- a/burdockhold/router_board.h
+++ b/burdockhold/router_board.h
@@ -221,6 +221,7 @@
     // Written by event_router at shutdown.
     bool leaving = false;
     time_point leavingSince;
+    time_point endsCallsAt; ///< Unfinished requests are answered then. Valid while leaving.
 
     // Written by all components.
     decision_log log;
