Refuse requests whose body arrives during a stop on the own interface

Whether the daemon still accepts was asked when the head had arrived. A body that arrived slowly was run however late in the stop, and the call could be cut off without a known outcome. It is asked again once the body is there.

The router asks when the request is complete, so it is not concerned.

--- a/burdockhold/exchange.cc
+++ b/burdockhold/exchange.cc
@@ -289,6 +289,11 @@
 {
     if (hasEnded())
         return;
+    // Its body may have arrived slowly, and little may be left of the time to drain.
+    if (!m_context.accepting) {
+        refuse(unavailable("stopping", "the router is stopping; the request was not run"));
+        return;
+    }
     if (m_bodyTooLarge) {
         refuse(invalid(413, "body_too_large",
                        "the body exceeds " + std::to_string(m_route.bodyLimitBytes) + " bytes"));
--- a/burdockhold/exchange.h
+++ b/burdockhold/exchange.h
@@ -34,7 +34,8 @@
     const blackboard &board;
     const front_services &services;
     upstream_clients &clients;
-    byte_budget &responseBytes; ///< Of responses that are delivered whole, of all requests.
+    const std::atomic<bool> &accepting; ///< False once the process stops.
+    byte_budget &responseBytes;         ///< Of responses that are delivered whole, of all requests.
 };
 
 class exchange : public upstream_observer, public std::enable_shared_from_this<exchange>
--- a/burdockhold/front_server.cc
+++ b/burdockhold/front_server.cc
@@ -83,7 +83,7 @@
         , m_services(services)
         , m_clients(m_options.upstream)
         , m_responseBytes(m_options.allResponsesLimitBytes)
-        , m_context{ m_options, board, m_services, m_clients, m_responseBytes }
+        , m_context{ m_options, board, m_services, m_clients, m_accepting, m_responseBytes }
     {
     }
 
@@ -163,9 +163,9 @@
     front_services m_services;
     upstream_clients m_clients;
     byte_budget m_responseBytes;
+    std::atomic<bool> m_accepting{ true };
     exchange_context m_context;
     std::shared_ptr<open_requests> m_open = std::make_shared<open_requests>();
-    std::atomic<bool> m_accepting{ true };
     bool m_listening = false;
     http_listener m_listener;
 };
--- a/testing/front_server_nettest.cc
+++ b/testing/front_server_nettest.cc
@@ -955,6 +955,28 @@
     BOOST_TEST(reply.run == "unknown");
 }
 
+// Guards against a request that is run late in a stop since its body arrived slowly: it may be cut
+// off, and its caller cannot know whether it ran.
+BOOST_AUTO_TEST_CASE(bodyThatArrivesDuringAStopIsNotRun)
+{
+    fake_endpoint service([](tcp::socket &socket, const received_request &request) {
+        return sendAnswer(socket, request, "booked");
+    });
+    addEndpoint("s1", service, endpoint_role::Service);
+    front_server &server = start();
+    boost::asio::io_context io;
+    tcp::socket caller = connect(io);
+    sendBytes(caller, "POST /bookings HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer secret\r\n"
+                      "Connection: close\r\nIdempotency-Key: k\r\nContent-Length: 4\r\n\r\nbo");
+    BOOST_TEST(eventually([&] { return server.openRequests() == 1; }));
+    server.stopAccepting();
+    sendBytes(caller, "dy");
+    const std::string reply = readUntilClosed(caller);
+    BOOST_TEST(reply.rfind("HTTP/1.1 503", 0) == 0u, reply);
+    BOOST_TEST(reply.find("X-Burdockhold-Run: not-run") != std::string::npos, reply);
+    BOOST_TEST(service.requests().empty());
+}
+
 // Guards against a drain that cuts an open stream or still takes new requests.
 BOOST_AUTO_TEST_CASE(finishesOpenRequestsAfterStopAccepting)
 {
