Ask whether an engine has terminated before an unframed answer is complete

An answer with neither length nor chunks ends with its connection, and the system closes the connections of a process that ends in order: a stream got its last chunk, a whole answer was delivered with 200. A connection attempt to the endpoint now precedes the end of such an answer; if it is refused, the call counts as broken off, so resumable streams go on elsewhere.

--- a/burdockhold/http_client_connection.cc
+++ b/burdockhold/http_client_connection.cc
@@ -100,6 +100,7 @@
     m_keepAlive = false;
     m_paused = false;
     m_skippedBytes = 0;
+    m_endedByClose = false;
     ++m_callCount;
     resetParser();
     if (m_connected)
@@ -301,6 +302,7 @@
 
 void http_client_connection::serverClosed()
 {
+    m_endedByClose = true;
     // A failed write consumes the socket's error, so the read after a reset reports an orderly end.
     // The close of a process that ended arrives before the reset that answers later bytes.
     if (!m_headDelivered || m_writeFailed || m_writing) {
--- a/burdockhold/http_client_connection.h
+++ b/burdockhold/http_client_connection.h
@@ -100,6 +100,10 @@
     /// Returns whether the current call is the first one on this connection.
     bool isFirstCall() const { return m_callCount <= 1; }
     bool isConnected() const { return m_connected; }
+    /// Returns whether the last call ended when the server closed the connection. A response
+    /// without length and chunks then counts as complete, also if the server's process has
+    /// terminated.
+    bool endedByClose() const { return m_endedByClose; }
     /// Returns the response of the last call as far as it has arrived; at the end of the call, with
     /// the fields of its trailer. Only after onHead.
     const response_message &response() const { return m_parser->get(); }
@@ -143,6 +147,7 @@
     bool m_active = false;
     bool m_keepAlive = false;
     bool m_closed = false;
+    bool m_endedByClose = false;
     int m_callCount = 0;
     std::size_t m_skippedBytes = 0; ///< Of responses before the one to the current call.
     time_point m_idleSince;
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -697,7 +697,27 @@
     if (end == http_outcome::Complete && m_headReceived)
         ignoreLateNotices(m_context.board, m_head.notice.fields,
                           platform::countNoticeFields(m_connection->response()));
-    callEnded(classifyEnd(end));
+    const call_end ended = classifyEnd(end);
+    if (ended == call_end::Complete && m_connection->endedByClose())
+        checkUnframedEnd();
+    else
+        callEnded(ended);
+}
+
+/// Probes whether the endpoint has terminated before a response counts as complete whose end is
+/// that of its connection: the system closes the connections of a process that terminates in order.
+void routed_request::checkUnframedEnd()
+{
+    m_mayHaveRun = true; // The request may end during the check.
+    checkConnect(m_context.io, m_address, TerminationCheckTimeout,
+                 [self = shared_from_this(), call = m_callsMade](connect_outcome outcome) {
+                     if (self->m_callsMade != call)
+                         return;
+                     const bool terminated = outcome == connect_outcome::Refused;
+                     self->guard([&] {
+                         self->callEnded(terminated ? call_end::Broken : call_end::Complete);
+                     });
+                 });
 }
 
 call_end routed_request::classifyEnd(http_outcome end) const
--- a/burdockhold/routed_request.h
+++ b/burdockhold/routed_request.h
@@ -145,6 +145,7 @@
     void firstByteReceived();
     void relayEvents(std::string_view bytes);
     void connectionEnded(http_outcome end);
+    void checkUnframedEnd();
     call_end classifyEnd(http_outcome end) const;
     void callRefused(time_point now);
     void callEnded(call_end end);
