--- a/burdockhold/request_parser.cc
+++ b/burdockhold/request_parser.cc
@@ -82,12 +82,6 @@
     m_parser.eager(true);
 }
 
-std::optional<std::size_t> request_parser::statedLength() const
-{
-    const auto length = m_parser.content_length();
-    return length ? std::optional<std::size_t>(*length) : std::nullopt;
-}
-
 bool request_parser::awaitsContinue() const
 {
     const platform::http_request &message = m_parser.get();
--- a/burdockhold/request_parser.h
+++ b/burdockhold/request_parser.h
@@ -38,11 +38,6 @@
     /// Returns the HTTP status with which the request must be refused, or 0.
     int refusalStatus() const { return m_refusal; }
 
-    /// Returns the length of the body if it is stated. Only after the head.
-    std::optional<std::size_t> statedLength() const;
-    /// Returns the bytes of the body that have been read.
-    std::size_t bodyBytes() const { return m_parser.get().body().size(); }
-
     /// Returns whether the caller waits for status 100 before it sends the body. Only after the
     /// head.
     bool awaitsContinue() const;
--- a/burdockhold/router_board.h
+++ b/burdockhold/router_board.h
@@ -7,7 +7,6 @@
 // Ages of views are measured on the boot-time clock, which counts suspensions: the views of a VM
 // that resumes after a suspension are old.
 
-#include "burdockhold/body_memory.h"
 #include "burdockhold/clock.h"
 #include "burdockhold/crash_fingerprints.h"
 #include "burdockhold/decision_log.h"
@@ -55,10 +54,6 @@
 /// only.
 duration bootTimeNow();
 
-/// Bodies of requests may use the memory limit divided by this. While it is read and sent to an
-/// endpoint, a body takes up to four times its size.
-inline constexpr std::size_t RequestBodiesDivisor = 8;
-
 struct router_board
 {
     explicit router_board(router_settings source);
@@ -197,9 +192,6 @@
     // Written by the routed requests: bytes of responses that are buffered until complete.
     std::size_t bufferedBytes = 0;
 
-    // Written by the callers' connections.
-    body_memory requestBodies{ settings.memoryBytes / RequestBodiesDivisor };
-
     // Written by the duty controller (own checks) and the digest exchange (checks by other VMs):
     // the time until which a store of prefix segments is treated as unavailable, by its address.
     std::map<std::string, time_point> storeUnavailableUntil;
--- a/tools/burdockhold_router.cc
+++ b/tools/burdockhold_router.cc
@@ -5,8 +5,6 @@
 
 #include <boost/program_options.hpp>
 
-#include <malloc.h>
-
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
@@ -17,7 +15,6 @@
 
 namespace po = boost::program_options;
 
-constexpr int LargeAllocationBytes = 128 * 1024;
 constexpr int ExitUsage = 2;
 constexpr int ExitSettings = 3;
 constexpr int ExitListen = 4;
@@ -59,9 +56,6 @@
 
 int main(int argc, char **argv)
 {
-    // A fixed threshold returns the memory of large bodies to the system when they are freed. By
-    // default it grows with the first of them, and the heap keeps the rest.
-    mallopt(M_MMAP_THRESHOLD, LargeAllocationBytes);
     po::options_description described("burdockhold-router [options]");
     described.add_options()("help", "print this text")(
             "settings", po::value<std::string>(),
