Keep the names in lines of requests until they are written

request_ended had wrong names of routes and accounts, as the review saw: a conditional expression with a literal made temporary strings, and the line was written after they were gone. Bytes from freed memory may also be no valid text, for which writing the line throws.

Before: linesOfRequestsNameTheirRouteAndAccount fails. After: no failure.

--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -1057,8 +1057,11 @@
 {
     request_summary result;
     result.requestId = m_request.attemptId;
-    result.route = m_route == nullptr ? "" : m_route->name;
-    result.account = m_account == nullptr ? "" : m_account->name;
+    // A conditional expression with a literal would make a temporary string.
+    if (m_route != nullptr)
+        result.route = m_route->name;
+    if (m_account != nullptr)
+        result.account = m_account->name;
     result.pool = m_poolName;
     result.status = status;
     result.reason = reason;
--- a/testing/router_looptest.cc
+++ b/testing/router_looptest.cc
@@ -39,6 +39,19 @@
     BOOST_TEST(calls[0].field("X-Burdockhold-Target-Instance") == engines[0]);
 }
 
+// Guards against a line whose names were freed before it was written.
+BOOST_FIXTURE_TEST_CASE(linesOfRequestsNameTheirRouteAndAccount, fixture)
+{
+    nlohmann::json body = deploymentBody(5, { "key-1" });
+    body["routes"][0]["name"] = "a-route-whose-name-does-not-fit-into-a-string-object";
+    body["tenants"][0]["name"] = "an-account-whose-name-does-not-either";
+    log.put("keyed.op", "config", body.dump());
+    BOOST_REQUIRE(waitForLog(R"("event":"deployment_applied","version":5)"));
+    exchangeRequest(request("/safe/"));
+    BOOST_TEST(waitForLog(R"("route":"a-route-whose-name-does-not-fit-into-a-string-object",)"
+                          R"("account":"an-account-whose-name-does-not-either")"));
+}
+
 BOOST_FIXTURE_TEST_CASE(unknownRouteAndKeyAreRefused, fixture)
 {
     BOOST_TEST(exchangeRequest(request("/none/")).rfind("HTTP/1.1 404", 0) == 0U);
