--- a/testing/request_framing_looptest.cc
+++ b/testing/request_framing_looptest.cc
@@ -27,7 +27,7 @@
 {
     test_caller caller(router.callerAddress());
     caller.send(bytes);
-    const std::string received = caller.readUntil("no such text", WaitLimitMs);
+    std::string received = caller.readUntil("no such text", WaitLimitMs);
     BOOST_TEST(caller.closedByPeer(), bytes);
     return received;
 }
