--- a/burdockhold/attempt_rules.h
+++ b/burdockhold/attempt_rules.h
@@ -12,8 +12,7 @@
 //   answer to a later call cannot be told from a repetition of an earlier refusal.
 // - An attempt that may run once is sent to an address once: a second refusal would prove nothing.
 // - An error response whose status promises "not run" is not delivered: the endpoint may have run
-// the
-//   call.
+//   the call.
 // - A stream that has started continues only if its route is resumable.
 // - A stream that has started ends as complete only if the call that ended it completed a response
 //   which added events to it. Anything else, an error response included, is resumed elsewhere or
--- a/burdockhold/caller_connection.h
+++ b/burdockhold/caller_connection.h
@@ -5,10 +5,9 @@
 // and writes the responses in order.
 //
 // Promises:
-// - A request is forwarded only once it has been read completely and its framing is unambiguous;
-// see
-//   request_parser.h. After a refused request, the connection closes and no byte of it is a
-//   request.
+// - A request is forwarded only once it has been read completely and its framing is unambiguous
+//   (request_parser.h). After a refused request the connection closes, and none of its further
+//   bytes is taken for a request.
 // - The connection is read while a request is processed, so that a disconnecting caller is noticed.
 // - A header or body over the deployment's limits is refused before it is stored.
 // - The bytes buffered for a caller that does not read are bounded: reading from the endpoint
--- a/burdockhold/deployment.h
+++ b/burdockhold/deployment.h
@@ -84,8 +84,8 @@
 /// The requests that may use each other's cached segments.
 struct cache_domain
 {
-    std::string
-            isolatedAccount; ///< Only requests of this account. Empty: of all but isolated ones.
+    /// Only requests of this account. If empty, the requests of all accounts that are not isolated.
+    std::string isolatedAccount;
     /// Identifies the set of accounts that are isolated, whose requests may have computed shared
     /// segments before. 0 if none is.
     std::uint64_t isolatedSet = 0;
--- a/burdockhold/http_client_connection.h
+++ b/burdockhold/http_client_connection.h
@@ -12,10 +12,9 @@
 //   orderly.
 // - A connection is reused only after a complete response, with the request fully written, no byte
 //   beyond the response, and the server's consent.
-// - Bytes that do not form a response end the call once they exceed a bound, and so do responses
-// that
-//   do not answer it: interim ones, and those that the owner skips. Memory is limited by that bound
-//   and by what the owner keeps of the body.
+// - Bytes that do not form a response end the call once they exceed a bound. So do responses that
+//   do not answer it: interim ones, and those that the owner skips. Memory is limited by that
+//   bound and by what the owner keeps of the body.
 // Not thread-safe: all functions run on the event loop's thread.
 
 #include "burdockhold/clock.h"
--- a/burdockhold/prompt_segments.h
+++ b/burdockhold/prompt_segments.h
@@ -8,10 +8,9 @@
 // - Segments computed under different versions of the weights have different names, and so have
 //   segments of an isolated account and of any other account. Engines check neither account nor
 //   version; they find a cached segment only under the salt that it was computed with.
-// - When an account becomes isolated, all other accounts stop using the segments computed until
-// then,
-//   since engines and stores do not tell which of them its requests computed. They are computed
-//   anew once.
+// - When an account becomes isolated, all others stop using the segments computed until then, since
+//   engines and stores do not tell which of them its requests computed. They are computed anew
+//   once.
 // - Segments computed under unknown weights are shared with no other request.
 // - A prompt's preferred endpoint does not change with the version of the weights.
 
