Free the request of a call once it has ended

The buffered body of a response and byte_budget.h had the same fault.

Found by counting: at most four requests were alive while each request served added 4 MB, so not the requests but the connections held the memory.

Before: idleConnectionsKeepNoRequest, 24 bodies of 4 MB one after the other, peak 51 MB (allowed 33). After: passes.

--- a/burdockhold/byte_budget.h
+++ b/burdockhold/byte_budget.h
@@ -6,6 +6,8 @@
 // Promise: the texts never hold more than the budget's bytes. A text that would exceed it is not
 // extended; what to do then is its owner's decision. Thread-safe, except for one text itself.
 
+#include "burdockhold/text_memory.h"
+
 #include <atomic>
 #include <cstddef>
 #include <string>
@@ -68,7 +70,7 @@
     void clear()
     {
         m_budget.give(m_text.size());
-        m_text = {};
+        freeText(m_text);
     }
 
     const std::string &text() const { return m_text; }
--- a/burdockhold/http_client_connection.cc
+++ b/burdockhold/http_client_connection.cc
@@ -2,6 +2,7 @@
 
 #include "burdockhold/field_values.h"
 #include "burdockhold/message_framing.h"
+#include "burdockhold/text_memory.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
@@ -171,6 +172,7 @@
     boost::asio::async_write(m_socket, boost::asio::buffer(m_request),
                              [self = shared_from_this()](error_code error, std::size_t) {
                                  self->m_writing = false;
+                                 self->discardRequest();
                                  self->m_writeFailed = self->m_writeFailed || error;
                                  // A response that arrived before the write failed is still read;
                                  // the read reports the end of the connection.
@@ -322,6 +324,7 @@
     const auto self = shared_from_this();
     m_active = false;
     m_idleSince = steadyNow();
+    discardRequest();
     const bool reusable = end == http_outcome::Complete && m_keepAlive && !m_writing
                           && !m_writeFailed && m_input.empty();
     const http_handlers handlers = std::exchange(m_handlers, {});
@@ -330,6 +333,13 @@
     handlers.onEnd(end);
 }
 
+/// Frees the request's bytes once the call has ended; an idle connection would keep them.
+void http_client_connection::discardRequest()
+{
+    if (!m_active && !m_writing)
+        freeText(m_request);
+}
+
 void http_client_connection::close()
 {
     if (m_closed)
@@ -338,6 +348,7 @@
     m_active = false;
     m_connected = false;
     m_connectTimer.cancel();
+    discardRequest();
     // The handlers keep their owner alive and one of them may be running, so they are destroyed
     // later, by the event loop.
     boost::asio::post(m_socket.get_executor(), [handlers = std::exchange(m_handlers, {})] {});
--- a/burdockhold/http_client_connection.h
+++ b/burdockhold/http_client_connection.h
@@ -14,7 +14,8 @@
 //   beyond the response, and the server's consent.
 // - Bytes that do not form a response end the call once they exceed a bound. So do responses that
 //   do not answer it: interim ones, and those that the owner skips. Memory is limited by that
-//   bound and by what the owner keeps of the body.
+//   bound and by what the owner keeps of the body. An idle connection keeps nothing of the last
+//   request.
 // Not thread-safe: all functions run on the event loop's thread.
 
 #include "burdockhold/clock.h"
@@ -125,6 +126,7 @@
     void deliverBody();
     void serverClosed();
     void finish(http_outcome end);
+    void discardRequest();
     void resetParser();
     bool skipResponse(std::size_t bytes);
 
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -9,6 +9,7 @@
 #include "burdockhold/retry_after.h"
 #include "burdockhold/rollout_calls.h"
 #include "burdockhold/segment_calls.h"
+#include "burdockhold/text_memory.h"
 #include "burdockhold/wait_rules.h"
 #include "platform/request_codec.h"
 
@@ -643,7 +644,7 @@
 void routed_request::discardBody()
 {
     m_context.board.bufferedBytes -= m_body.size();
-    m_body = {};
+    freeText(m_body);
 }
 
 void routed_request::firstByteReceived()
