Read the body of a request only once its memory is reserved

While a connection waits it is not read; after 0.9 s its request is refused with 503. The parser stops at the end of the head, so that memory for the body is not allocated before.

--- a/burdockhold/caller_connection.cc
+++ b/burdockhold/caller_connection.cc
@@ -32,6 +32,11 @@
 constexpr duration MinIdleBeforeClose = std::chrono::milliseconds(200);
 // Time after which the kernel closes a connection with unacknowledged bytes.
 constexpr int UnacknowledgedTimeoutMs = 5000;
+// Callers give up a request that is not read for about a second.
+constexpr duration MaxWaitForMemory = std::chrono::milliseconds(900);
+// Most bodies without a stated length are not longer.
+constexpr std::size_t ShortBodyBytes = std::size_t(64) * 1024;
+constexpr char RetryAfterMemory[] = "0.5";      // Seconds.
 constexpr unsigned FirstVersionWithChunks = 11; // HTTP/1.1, as Beast numbers versions.
 
 void setSocketOption(tcp::socket &socket, int level, int option, int value)
@@ -109,6 +114,10 @@
 {
     if (m_closed || m_request)
         return;
+    if (m_reservation != 0) {
+        memoryWaitEnded();
+        return;
+    }
     if (m_requestStarted && !m_closeAfterWrite) {
         m_keepAlive = false;
         m_closeAfterWrite = true;
@@ -122,7 +131,7 @@
 void caller_connection::startRead()
 {
     const bool full = m_request != nullptr && m_input.size() >= MaxReadAhead;
-    if (m_reading || m_closed || full)
+    if (m_reading || m_closed || full || m_reservation != 0)
         return;
     m_reading = true;
     m_socket.async_read_some(boost::asio::buffer(m_readBuffer),
@@ -147,7 +156,8 @@
 
 void caller_connection::parseInput()
 {
-    while (!m_request && !m_closed && !m_closeAfterWrite && !m_input.empty()) {
+    while (!m_request && !m_closed && !m_closeAfterWrite && m_reservation == 0
+           && !m_input.empty()) {
         if (!m_requestStarted) {
             m_requestStarted = true;
             armRequestTimer();
@@ -166,14 +176,80 @@
             armRequestTimer();
             if (!headWasComplete && m_parser->awaitsContinue())
                 write("HTTP/1.1 100 Continue\r\n\r\n");
+            if (!reserveBody())
+                return;
         }
         if (!progressed)
             return;
     }
 }
 
+/// Reserves memory for the body before more of it is read. If its length is not stated, that is
+/// little at first and then all that it may have: bodies that each waited for a further part of
+/// their memory could wait for each other. Returns false if it has to wait.
+bool caller_connection::reserveBody()
+{
+    const auto length = m_parser->statedLength();
+    const bool isLong = m_parser->bodyBytes() + m_readBuffer.size() > ShortBodyBytes;
+    const std::size_t needed = length   ? *length
+                               : isLong ? std::max(limits().bodyBytes, ShortBodyBytes)
+                                        : ShortBodyBytes;
+    if (needed <= m_reservedBytes)
+        return true;
+    const std::size_t bytes = needed - m_reservedBytes;
+    m_reservation = m_context.board.requestBodies.reserve(
+            bytes, [self = shared_from_this(), bytes] { self->bodyReserved(bytes); });
+    if (m_reservation == 0) {
+        m_reservedBytes += bytes;
+        return true;
+    }
+    m_timer.expires_after(MaxWaitForMemory);
+    m_timer.async_wait([self = shared_from_this()](error_code error) {
+        if (!error)
+            self->timerExpired();
+    });
+    return false;
+}
+
+void caller_connection::bodyReserved(std::size_t bytes)
+{
+    m_reservation = 0;
+    m_reservedBytes += bytes;
+    armRequestTimer();
+    boost::asio::post(m_context.io, [self = shared_from_this()] {
+        self->parseInput();
+        self->startRead();
+    });
+}
+
+/// Gives back the memory of the body beyond the bytes that it keeps, and stops waiting for more.
+void caller_connection::releaseBody(std::size_t kept)
+{
+    if (const std::uint64_t reservation = std::exchange(m_reservation, 0); reservation != 0)
+        m_context.board.requestBodies.cancel(reservation);
+    const std::size_t bytes = m_reservedBytes - std::min(kept, m_reservedBytes);
+    m_reservedBytes -= bytes;
+    if (bytes != 0)
+        m_context.board.requestBodies.release(bytes);
+}
+
+void caller_connection::memoryWaitEnded()
+{
+    const time_point now = steadyNow();
+    releaseBody(0);
+    decision_log &log = m_context.board.log;
+    if (log.accepts(log_priority::Failure, now))
+        log.write(log_event::MessageRefused, { { "id", m_parser->attemptId() }, { "status", 503 } },
+                  now);
+    m_keepAlive = false;
+    m_closeAfterWrite = true;
+    writeResponse(503, { { "Retry-After", RetryAfterMemory } }, {});
+    startRead(); // What still arrives is discarded.
+}
+
 void caller_connection::rejectMessage(int status)
 {
+    releaseBody(0);
     decision_log &log = m_context.board.log;
     const time_point now = steadyNow();
     if (log.accepts(log_priority::Failure, now))
@@ -187,6 +263,7 @@
 void caller_connection::serve()
 {
     m_timer.cancel();
+    releaseBody(m_parser->bodyBytes());
     platform::http_request message = m_parser->release();
     m_keepAlive = message.keep_alive();
     m_isHeadRequest = message.method() == http::verb::head;
@@ -219,6 +296,7 @@
 void caller_connection::abortResponse()
 {
     m_request = nullptr;
+    releaseBody(0);
     if (!m_acceptsChunks) {
         reset();
         return;
@@ -331,6 +409,7 @@
 void caller_connection::responseFinished()
 {
     m_request = nullptr;
+    releaseBody(0);
     m_paused = false;
     m_requestStarted = false; // So that the idle timer is set again while the caller reads.
     if (m_closed)
@@ -398,6 +477,7 @@
         return;
     const auto self = shared_from_this();
     m_closed = true;
+    releaseBody(0);
     m_timer.cancel();
     error_code ignored; // The connection is closed in any case.
     tcp::socket::linger linger;
--- a/burdockhold/caller_connection.h
+++ b/burdockhold/caller_connection.h
@@ -10,6 +10,8 @@
 //   bytes is taken for a request.
 // - The connection is read while a request is processed, so that a disconnecting caller is noticed.
 // - A header or body over the deployment's limits is refused before it is stored.
+// - The bodies of all requests are bounded by a part of the memory: the rest of a body is not read
+//   until there is room for it, and the request is refused if that takes too long.
 // - The bytes buffered for a caller that does not read are bounded: reading from the endpoint
 //   stops. A caller that takes none of a response for the idle timeout is cut off.
 // - A stream is chunked; to a caller with HTTP/1.0 it ends with its connection. One that is cut off
@@ -61,6 +63,10 @@
     void bytesReceived(std::size_t bytes);
     void parseInput();
     void rejectMessage(int status);
+    bool reserveBody();
+    void bodyReserved(std::size_t bytes);
+    void releaseBody(std::size_t kept);
+    void memoryWaitEnded();
     void serve();
     void armIdleTimer();
     void armRequestTimer();
@@ -94,6 +100,8 @@
     std::size_t m_frontBytesWritten = 0; ///< Of the first element of m_output.
     time_point m_responseFinishedAt;     ///< Of the last response that kept the connection open.
     std::shared_ptr<routed_request> m_request;
+    std::size_t m_reservedBytes = 0; ///< Of board.requestBodies.
+    std::uint64_t m_reservation = 0; ///< That waits; 0 if none does.
     bool m_reading = false;
     bool m_writing = false;
     bool m_requestStarted = false;
--- a/burdockhold/request_parser.cc
+++ b/burdockhold/request_parser.cc
@@ -49,28 +49,23 @@
 {
     const std::size_t before = input.size();
     const bool headWasComplete = isHeadComplete();
-    if (!feed(input))
-        return true;
-    if (!headWasComplete && isHeadComplete()) {
+    feed(input);
+    if (m_refusal == 0 && !headWasComplete && isHeadComplete())
         headCompleted();
-        if (m_refusal == 0 && !m_parser.is_done() && !input.empty())
-            feed(input);
-    }
     // An overlong header of a chunk, for example.
-    if (m_refusal == 0 && !m_parser.is_done() && input.size() > m_maxHeaderBytes)
+    const bool needsMore = headWasComplete && !m_parser.is_done();
+    if (m_refusal == 0 && needsMore && input.size() > m_maxHeaderBytes)
         m_refusal = StatusHeaderTooLarge;
     return input.size() < before;
 }
 
-/// Returns false once the request is refused.
-bool request_parser::feed(std::string &input)
+void request_parser::feed(std::string &input)
 {
     boost::system::error_code error;
     const std::size_t consumed = m_parser.put(boost::asio::buffer(input), error);
     input.erase(0, consumed);
     if (error && error != http::error::need_more)
         m_refusal = statusForError(error);
-    return m_refusal == 0;
 }
 
 void request_parser::headCompleted()
@@ -82,6 +77,12 @@
     m_parser.eager(true);
 }
 
+std::optional<std::size_t> request_parser::statedLength() const
+{
+    const auto length = m_parser.content_length();
+    return length ? std::optional<std::size_t>(*length) : std::nullopt;
+}
+
 bool request_parser::awaitsContinue() const
 {
     const platform::http_request &message = m_parser.get();
--- a/burdockhold/request_parser.h
+++ b/burdockhold/request_parser.h
@@ -28,8 +28,9 @@
 public:
     explicit request_parser(const caller_limits &limits);
 
-    /// Parses the input and removes what belongs to this request. Returns whether any byte was
-    /// removed.
+    /// Parses the input and removes what belongs to this request, up to the end of the head or,
+    /// once the head is complete, of the body. Returns whether any byte was removed. Memory for the
+    /// body is allocated by the first call after the head.
     bool parse(std::string &input);
 
     bool isHeadComplete() const { return m_parser.is_header_done(); }
@@ -38,6 +39,11 @@
     /// Returns the HTTP status with which the request must be refused, or 0.
     int refusalStatus() const { return m_refusal; }
 
+    /// Returns the length of the body if it is stated. Only after the head.
+    std::optional<std::size_t> statedLength() const;
+    /// Returns the bytes of the body that have been read.
+    std::size_t bodyBytes() const { return m_parser.get().body().size(); }
+
     /// Returns whether the caller waits for status 100 before it sends the body. Only after the
     /// head.
     bool awaitsContinue() const;
@@ -51,7 +57,7 @@
 private:
     using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
-    bool feed(std::string &input);
+    void feed(std::string &input);
     void headCompleted();
 
     parser m_parser;
--- a/burdockhold/router_board.h
+++ b/burdockhold/router_board.h
@@ -7,6 +7,7 @@
 // Ages of views are measured on the boot-time clock, which counts suspensions: the views of a VM
 // that resumes after a suspension are old.
 
+#include "burdockhold/body_memory.h"
 #include "burdockhold/clock.h"
 #include "burdockhold/crash_fingerprints.h"
 #include "burdockhold/decision_log.h"
@@ -54,6 +55,10 @@
 /// only.
 duration bootTimeNow();
 
+/// Bodies of requests may use the memory limit divided by this. A body is held twice while it is
+/// sent to an endpoint, and takes up to three times its size if it came in chunks.
+inline constexpr std::size_t RequestBodiesDivisor = 6;
+
 struct router_board
 {
     explicit router_board(router_settings source);
@@ -192,6 +197,9 @@
     // Written by the routed requests: bytes of responses that are buffered until complete.
     std::size_t bufferedBytes = 0;
 
+    // Written by the callers' connections.
+    body_memory requestBodies{ settings.memoryBytes / RequestBodiesDivisor };
+
     // Written by the duty controller (own checks) and the digest exchange (checks by other VMs):
     // the time until which a store of prefix segments is treated as unavailable, by its address.
     std::map<std::string, time_point> storeUnavailableUntil;
--- a/testing/request_bodies_looptest.cc
+++ b/testing/request_bodies_looptest.cc
@@ -62,3 +62,60 @@
     BOOST_TEST(countAnswers(large, 1, Requests, "200") == Requests);
     BOOST_TEST(router->peakMemoryBytes() < 8 * BodyBytes, router->peakMemoryBytes());
 }
+
+// Guards against bodies within the limits that exceed the memory when many arrive at once.
+BOOST_FIXTURE_TEST_CASE(largeBodiesAtOnceStayWithinTheMemory, fixture)
+{
+    setEngineBehaviour([](const std::string &, const recorded_request &call,
+                          response_socket &socket) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(80));
+        return call.body.size() == BodyBytes && socket.write(completeResponse(call, "body"));
+    });
+    const std::string body(BodyBytes, 'x');
+    constexpr int Callers = 16;
+    for (const std::string &bytes : { request("/pay/", "key-1", "", body), inChunks(body) }) {
+        const int served = countAnswers(bytes, Callers, 2, "200");
+        const int refused = 2 * Callers - served;
+        BOOST_TEST(served > Callers);
+        BOOST_TEST_MESSAGE(refused << " refused");
+        BOOST_TEST_MESSAGE(router->peakMemoryBytes() << " bytes");
+        BOOST_TEST(router->peakMemoryBytes() < MemoryBytes, router->peakMemoryBytes());
+    }
+    BOOST_TEST(!router->hasExited());
+}
+
+// Guards against memory that stays reserved after its body was refused, cut off or abandoned.
+BOOST_FIXTURE_TEST_CASE(memoryOfBodiesIsGivenBack, fixture)
+{
+    const std::string large = request("/pay/", "key-1", "", std::string(BodyBytes, 'x'));
+    for (int round = 0; round < 20; ++round) {
+        test_caller leaves(router->callerAddress());
+        leaves.send(large.substr(0, 20000));
+        test_caller unread(router->callerAddress());
+        unread.send(inChunks("x").substr(0, 300) + "zz\r\n");
+        unread.readUntil("\r\n\r\n", WaitLimitMs);
+    }
+    BOOST_TEST(exchangeRequest(request("/none/", "key-1", "", std::string(BodyBytes, 'x')))
+                       .rfind("HTTP/1.1 404", 0)
+               == 0U);
+    BOOST_TEST(countAnswers(large, 4, 2, "200") == 8);
+}
+
+// Guards against requests that wait without an answer while slow bodies hold the memory.
+BOOST_FIXTURE_TEST_CASE(requestsWithoutRoomAreRefused, fixture)
+{
+    const std::string large = request("/pay/", "key-1", "", std::string(BodyBytes, 'x'));
+    std::vector<std::unique_ptr<test_caller>> slow;
+    for (int caller = 0; caller < 8; ++caller) {
+        slow.push_back(std::make_unique<test_caller>(router->callerAddress()));
+        slow.back()->send(large.substr(0, 20000));
+    }
+    test_caller caller(router->callerAddress());
+    caller.send(large.substr(0, 20000));
+    const std::string answer = caller.readUntil("\r\n\r\n", WaitLimitMs);
+    BOOST_TEST(answer.rfind("HTTP/1.1 503", 0) == 0U, answer);
+    BOOST_TEST(answer.find("Retry-After") != std::string::npos);
+    BOOST_TEST(waitForLog(R"("event":"message_refused","id":"id1","status":503)"));
+    // One without a body needs no room.
+    BOOST_TEST(exchangeRequest(request("/safe/")).rfind("HTTP/1.1 200", 0) == 0U);
+}
