--- a/burdockhold/caller_connection.cc
+++ b/burdockhold/caller_connection.cc
@@ -1,5 +1,6 @@
 #include "burdockhold/caller_connection.h"
 
+#include "burdockhold/message_framing.h"
 #include "platform/request_codec.h"
 
 #include <boost/asio/buffer.hpp>
@@ -36,8 +37,7 @@
 constexpr duration MaxWaitForMemory = std::chrono::milliseconds(900);
 // Most bodies without a stated length are not longer.
 constexpr std::size_t ShortBodyBytes = std::size_t(64) * 1024;
-constexpr char RetryAfterMemory[] = "0.5";      // Seconds.
-constexpr unsigned FirstVersionWithChunks = 11; // HTTP/1.1, as Beast numbers versions.
+constexpr char RetryAfterMemory[] = "0.5"; // Seconds.
 
 void setSocketOption(tcp::socket &socket, int level, int option, int value)
 {
--- a/burdockhold/exchange.cc
+++ b/burdockhold/exchange.cc
@@ -161,7 +161,7 @@
 }
 
 /// Refuses a request whose body cpprest may have read with another length than an endpoint or an
-/// intermediary would. cpprest joins repeated fields with commas.
+/// intermediary would. Of repeated fields of one name, cpprest may show only one.
 bool exchange::checkFraming()
 {
     const auto &headers = m_message.headers();
@@ -173,10 +173,13 @@
     if (const auto found = headers.find("Content-Length"); found != headers.end())
         fields.lengths.emplace_back(found->second);
     const int status = statusForFraming(fields);
-    if (status != 0)
-        refuse({ status, error_type::InvalidRequest, "ambiguous_framing",
-                 "the length of the body is not certain", "", run_state::NotRun, 1, true });
-    return status == 0;
+    if (status == 0)
+        return true;
+    error_reply error = invalid(status, "ambiguous_framing",
+                                "the length of the body is not certain");
+    error.closes = true;
+    refuse(error);
+    return false;
 }
 
 bool exchange::identifyRoute()
--- a/burdockhold/http_client_connection.h
+++ b/burdockhold/http_client_connection.h
@@ -8,8 +8,7 @@
 // - After close(), no handler is called.
 // - A response counts as complete only if its framing says so: its length, its last chunk, or an
 //   orderly close if it has neither. One with a transfer coding other than "chunked" is malformed.
-//   Unless the request is fully written, no close counts as
-//   orderly.
+//   Unless the request is fully written, no close counts as orderly.
 // - A connection is reused only after a complete response, with the request fully written, no byte
 //   beyond the response, and the server's consent.
 // - Bytes that do not form a response end the call once they exceed a bound. So do responses that
--- a/burdockhold/mechanisms.cc
+++ b/burdockhold/mechanisms.cc
@@ -1,22 +1,11 @@
 #include "burdockhold/mechanisms.h"
 
+#include "burdockhold/text_trim.h"
+
 #include <algorithm>
 
 namespace burdockhold {
 
-namespace {
-
-std::string_view trimmed(std::string_view text)
-{
-    constexpr std::string_view Blanks = " \t";
-    const auto first = text.find_first_not_of(Blanks);
-    if (first == std::string_view::npos)
-        return {};
-    return text.substr(first, text.find_last_not_of(Blanks) - first + 1);
-}
-
-} // namespace
-
 std::string mechanism_set::disabledNames() const
 {
     std::string names;
--- a/burdockhold/message_framing.cc
+++ b/burdockhold/message_framing.cc
@@ -1,5 +1,7 @@
 #include "burdockhold/message_framing.h"
 
+#include "burdockhold/text_trim.h"
+
 #include <algorithm>
 #include <cctype>
 
@@ -10,14 +12,6 @@
 constexpr int StatusBadRequest = 400;
 constexpr int StatusNotImplemented = 501;
 
-std::string_view trimmed(std::string_view text)
-{
-    constexpr std::string_view OptionalSpace = " \t";
-    text.remove_prefix(std::min(text.find_first_not_of(OptionalSpace), text.size()));
-    text.remove_suffix(text.size() - (text.find_last_not_of(OptionalSpace) + 1));
-    return text;
-}
-
 bool isChunked(std::string_view coding)
 {
     constexpr std::string_view Chunked = "chunked";
--- a/burdockhold/message_framing.h
+++ b/burdockhold/message_framing.h
@@ -12,6 +12,10 @@
 
 namespace burdockhold {
 
+/// HTTP/1.1, the first version with transfer codings and interim responses, as Beast numbers
+/// versions.
+inline constexpr unsigned FirstVersionWithChunks = 11;
+
 /// What a header states about its message's body.
 struct framing_fields
 {
--- a/burdockhold/request_parser.cc
+++ b/burdockhold/request_parser.cc
@@ -17,7 +17,6 @@
 constexpr int StatusBadRequest = 400;
 constexpr int StatusBodyTooLarge = 413;
 constexpr int StatusHeaderTooLarge = 431;
-constexpr unsigned FirstVersionWithChunks = 11; // HTTP/1.1, as Beast numbers versions.
 
 int statusForError(boost::system::error_code error)
 {
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -429,9 +429,8 @@
 bool routed_request::refuseIfTooLate(const endpoint_choice &choice, time_point now)
 {
     const router_board &board = m_context.board;
-    const auto expected = std::chrono::duration_cast<duration>(
-            std::chrono::duration<double, std::milli>(choice.expectedMs));
-    if (!board.leaving || m_mayHaveRun || m_responseStarted || now + expected < board.endsCallsAt)
+    if (!board.leaving || m_mayHaveRun || m_responseStarted
+        || isAnsweredBefore(board.endsCallsAt, now, choice.expectedMs))
         return false;
     refuse(503, "leaving", MinRetryAfter);
     return true;
--- a/burdockhold/wait_rules.h
+++ b/burdockhold/wait_rules.h
@@ -56,6 +56,12 @@
     return account != nullptr && account->priority ? *account->priority : route.priority;
 }
 
+/// Returns whether a call that starts now is expected to be answered before the end.
+inline bool isAnsweredBefore(time_point end, time_point now, double expectedMs)
+{
+    return expectedMs < 1000.0 * toSeconds(end - now);
+}
+
 } // namespace burdockhold
 
 #endif
--- a/testing/odd_entries_looptest.cc
+++ b/testing/odd_entries_looptest.cc
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE odd_entries
+#include "testing/support_nesting.h"
 #include "testing/support_router.h"
 
 #include <boost/test/unit_test.hpp>
@@ -19,21 +20,6 @@
 
 namespace {
 
-constexpr int NestedLevels = 100000;
-
-std::string nestedArrays()
-{
-    return std::string(NestedLevels, '[') + std::string(NestedLevels, ']');
-}
-
-std::string nestedObjects()
-{
-    std::string text;
-    for (int level = 0; level < NestedLevels; ++level)
-        text += R"({"a":)";
-    return text + "1" + std::string(NestedLevels, '}');
-}
-
 /// A router with three engines, e1 to e3, of which the third is not listed at first, and a server
 /// that only odd entries name.
 struct odd_entries_fixture : router_fixture
--- a/testing/platform_codec_looptest.cc
+++ b/testing/platform_codec_looptest.cc
@@ -7,6 +7,7 @@
 #include "platform/request_codec.h"
 #include "platform/rollout_codec.h"
 #include "testing/support_mutation.h"
+#include "testing/support_nesting.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -81,21 +82,6 @@
                errorOf(decoded).text << " for " << body.substr(0, 300));
 }
 
-constexpr int NestedLevels = 100000;
-
-std::string nestedArrays()
-{
-    return std::string(NestedLevels, '[') + std::string(NestedLevels, ']');
-}
-
-std::string nestedObjects()
-{
-    std::string text;
-    for (int level = 0; level < NestedLevels; ++level)
-        text += R"({"a":)";
-    return text + "1" + std::string(NestedLevels, '}');
-}
-
 } // namespace
 
 // Guards against request smuggling: ambiguous framing that the router reads as one request and the
@@ -342,7 +328,7 @@
     const std::string deployment = R"({"version":3,"routes":[],"services":[],"tenants":[],)"
                                    R"("limits":{}})";
     BOOST_REQUIRE(isOk(platform::decodeDeployment(deployment)));
-    for (const std::string &nested : { nestedArrays(), nestedObjects() }) {
+    for (const std::string &nested : { testing::nestedArrays(), testing::nestedObjects() }) {
         const auto extended = changed(entry, R"("seq":4)", R"("seq":4,"later":)" + nested);
         const auto models = changed(entry, R"("models":[)", R"("models":[)" + nested + ",");
         const auto nestedModels = changed(entry,
