--- a/testing/request_bodies_looptest.cc
+++ b/testing/request_bodies_looptest.cc
@@ -38,6 +38,7 @@
     {
         std::atomic<int> answered{ 0 };
         std::vector<std::thread> threads;
+        threads.reserve(static_cast<std::size_t>(callers));
         for (int caller = 0; caller < callers; ++caller) {
             threads.emplace_back([&] {
                 for (int number = 0; number < requests; ++number) {
