End events at blank lines of any line end

Cause: event_splitter looked for two LF bytes only, so that such a stream was one event without end. The format allows LF, CR LF and CR.

The splitter reads lines of any of the three ends; no byte changes. It waits for the LF of a blank line in a text with CR LF, so that a stream that resumes there has the same bytes.

--- a/burdockhold/event_splitter.cc
+++ b/burdockhold/event_splitter.cc
@@ -11,7 +11,6 @@
 // Large enough for several hundred tokens, small enough for a small VM on which every stream
 // buffers an incomplete event.
 constexpr std::size_t MaxEventBytes = std::size_t(128) * 1024;
-constexpr std::string_view EventEnd = "\n\n";
 
 constexpr std::string_view ByteOrderMark = "\xEF\xBB\xBF";
 
@@ -22,11 +21,38 @@
     return text;
 }
 
-/// Returns the value of an id field. A CR ends the line, and a space at its end is not part of a
-/// field that is sent on.
+/// Removes the first line and its end, which is LF, CR LF or CR, and returns it without its end.
+/// Returns nothing if the line has not ended.
+std::optional<std::string_view> takeLine(std::string_view &text)
+{
+    const std::size_t end = text.find_first_of("\r\n");
+    if (end == std::string_view::npos)
+        return std::nullopt;
+    const std::string_view line = text.substr(0, end);
+    text.remove_prefix(end + (text.substr(end, 2) == "\r\n" ? 2 : 1));
+    return line;
+}
+
+/// Returns the first block of the text: all up to and including its first blank line. Returns
+/// nothing if no blank line has arrived, or only the CR of one in a text with CR LF.
+std::optional<std::string_view> firstBlock(std::string_view text)
+{
+    std::string_view rest = text;
+    while (const auto line = takeLine(rest)) {
+        if (!line->empty())
+            continue;
+        const std::string_view block = text.substr(0, text.size() - rest.size());
+        constexpr std::string_view Unfinished = "\r\n\r";
+        const bool lacksLineFeed = rest.empty() && block.size() >= Unfinished.size()
+                                   && block.substr(block.size() - Unfinished.size()) == Unfinished;
+        return lacksLineFeed ? std::nullopt : std::optional(block);
+    }
+    return std::nullopt;
+}
+
+/// Returns the value of an id field. A space at its end is not part of a field that is sent on.
 std::string_view idValue(std::string_view value)
 {
-    value = value.substr(0, value.find('\r'));
     if (!value.empty() && value.front() == ' ')
         value.remove_prefix(1);
     const std::size_t last = value.find_last_not_of(" \t");
@@ -39,28 +65,23 @@
 {
     std::string_view id;
     event = withoutByteOrderMark(event);
-    for (std::size_t end = event.find('\n'); end != std::string_view::npos;
-         end = event.find('\n')) {
-        if (event.substr(0, 3) == "id:")
-            id = idValue(event.substr(3, end - 3));
-        event.remove_prefix(end + 1);
+    while (const auto line = takeLine(event)) {
+        if (line->substr(0, 3) == "id:")
+            id = idValue(line->substr(3));
     }
     return id;
 }
 
-/// Returns whether the block consists of comments and blank lines, which carry nothing.
+/// Returns whether the block consists of comments and blank lines, which carry nothing. The last
+/// line need not be complete.
 bool isComment(std::string_view block)
 {
     block = withoutByteOrderMark(block);
-    while (!block.empty()) {
-        if (block.front() != '\n' && block.front() != ':')
+    while (const auto line = takeLine(block)) {
+        if (!line->empty() && line->front() != ':')
             return false;
-        const std::size_t end = block.find('\n');
-        if (end == std::string_view::npos)
-            return true;
-        block.remove_prefix(end + 1);
     }
-    return true;
+    return block.empty() || block.front() == ':';
 }
 
 std::optional<std::uint64_t> parseNumber(std::string_view text)
@@ -86,16 +107,13 @@
     if (m_failed)
         return complete;
     m_partial.append(bytes);
-    std::size_t begin = 0;
-    for (std::size_t end = m_partial.find(EventEnd); end != std::string::npos && !m_failed;
-         end = m_partial.find(EventEnd, begin)) {
-        const std::size_t next = end + EventEnd.size();
-        const std::string_view event = std::string_view(m_partial).substr(begin, next - begin);
-        if (accept(event))
-            complete.append(m_events > 1 ? withoutByteOrderMark(event) : event);
-        begin = next;
+    std::string_view rest = m_partial;
+    while (const auto block = m_failed ? std::nullopt : firstBlock(rest)) {
+        if (accept(*block))
+            complete.append(m_events > 1 ? withoutByteOrderMark(*block) : *block);
+        rest.remove_prefix(block->size());
     }
-    m_partial.erase(0, begin);
+    m_partial.erase(0, m_partial.size() - rest.size());
     m_failed = m_failed || m_partial.size() > MaxEventBytes;
     return complete;
 }
--- a/burdockhold/event_splitter.h
+++ b/burdockhold/event_splitter.h
@@ -9,6 +9,7 @@
 // - The first new event of a continuation must follow the stream, or the stream fails before any of
 //   its bytes is returned. It must have an id. It must not skip ids in a stream that has numbered
 //   its events one by one, nor the id of an event that an earlier endpoint had begun.
+// - Lines end with LF, CR LF or CR, and a blank line ends an event.
 // - Comments and blank lines are not events. They are returned, but not at the start of a
 //   continuation.
 // - Memory is bounded by the largest event; an event above 128 KiB makes the stream fail.
--- a/testing/event_splitter_test.cc
+++ b/testing/event_splitter_test.cc
@@ -23,6 +23,16 @@
     return text;
 }
 
+std::string withLineEnds(const std::string &text, const std::string &lineEnd)
+{
+    std::string out;
+    for (const char byte : text)
+        out += byte == '\n' ? lineEnd : std::string(1, byte);
+    return out;
+}
+
+constexpr const char *LineEnds[] = { "\n", "\r\n", "\r" };
+
 } // namespace
 
 // Guards against bytes that are lost or changed when events arrive in pieces of any size.
@@ -30,7 +40,7 @@
 {
     std::mt19937 random(7);
     for (int round = 0; round < 300; ++round) {
-        const std::string text = stream(1, 40);
+        const std::string text = withLineEnds(stream(1, 40), LineEnds[round % 3]);
         event_splitter splitter;
         std::string out;
         for (std::size_t at = 0; at < text.size();) {
@@ -40,6 +50,23 @@
         }
         BOOST_TEST(out == text);
         BOOST_TEST(splitter.lastId() == "40");
+        BOOST_TEST(splitter.events() == 40U);
+        BOOST_TEST(!splitter.hasPartial());
+    }
+}
+
+// Guards against events with CR LF or CR that are kept back as one event without end.
+BOOST_AUTO_TEST_CASE(linesOfAnyEndEndEvents)
+{
+    for (const char *const lineEnd : LineEnds) {
+        const std::string first = withLineEnds(event(1, "x"), lineEnd);
+        event_splitter splitter;
+        BOOST_TEST(splitter.add(first + "id: 2") == first);
+        BOOST_TEST(splitter.hasPartial());
+        BOOST_TEST(splitter.add(lineEnd) == "");
+        BOOST_TEST(splitter.add(withLineEnds("data: y\n\n", lineEnd))
+                   == withLineEnds(event(2, "y"), lineEnd));
+        BOOST_TEST(splitter.lastId() == "2");
         BOOST_TEST(!splitter.hasPartial());
     }
 }
@@ -48,15 +75,17 @@
 // twice.
 BOOST_AUTO_TEST_CASE(streamResumesAfterTheLastCompleteEvent)
 {
-    const std::string text = stream(1, 30);
-    for (std::size_t cut = 0; cut <= text.size(); ++cut) {
-        event_splitter splitter;
-        std::string out = splitter.add(text.substr(0, cut));
-        splitter.continueElsewhere();
-        const int last = splitter.lastId().empty() ? 0 : std::stoi(splitter.lastId());
-        // The second endpoint sends the last delivered event again.
-        out += splitter.add(stream(std::max(1, last), 30));
-        BOOST_TEST(out == text);
+    for (const char *const lineEnd : LineEnds) {
+        const std::string text = withLineEnds(stream(1, 30), lineEnd);
+        for (std::size_t cut = 0; cut <= text.size(); ++cut) {
+            event_splitter splitter;
+            std::string out = splitter.add(text.substr(0, cut));
+            splitter.continueElsewhere();
+            const int last = splitter.lastId().empty() ? 0 : std::stoi(splitter.lastId());
+            // The second endpoint sends the last delivered event again.
+            out += splitter.add(withLineEnds(stream(std::max(1, last), 30), lineEnd));
+            BOOST_TEST(out == text);
+        }
     }
 }
 
