--- a/testing/platform_codec_looptest.cc
+++ b/testing/platform_codec_looptest.cc
@@ -146,6 +146,30 @@
     BOOST_TEST(call.find("X-Own: kept\r\n") != std::string::npos);
 }
 
+// Guards against a target in absolute form that matches no route, and against an endpoint that is
+// told another host than the one that decided the route.
+BOOST_AUTO_TEST_CASE(absoluteTargetsAreReadAsTheirOriginForm)
+{
+    const std::array<std::array<std::string, 3>, 6> cases{ {
+            { "http://own:81/a/b?c=d", "/a/b?c=d", "own:81" },
+            { "HTTPS://own", "/", "own" },
+            { "http://own?c=d", "/?c=d", "own" },
+            { "/a", "/a", "h" },
+            { "/http://own/a", "/http://own/a", "h" },
+            { "ftp://own/a", "ftp://own/a", "h" },
+    } };
+    for (const auto &[target, origin, host] : cases) {
+        auto message = parsed("GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n");
+        BOOST_REQUIRE(message.has_value());
+        const caller_request decoded = platform::decodeRequest(std::move(*message));
+        BOOST_TEST(decoded.target == origin);
+        BOOST_TEST(decoded.host == host);
+        const std::string call = platform::encodeCall(decoded, {});
+        BOOST_TEST(call.find("GET " + origin + " HTTP/1.1\r\n") == 0U, call);
+        BOOST_TEST(call.find("Host: " + host + "\r\n") != std::string::npos, call);
+    }
+}
+
 // Guards against a caller that lists fields in its Connection field so that the router drops them,
 // although the endpoint identifies the request by them.
 BOOST_AUTO_TEST_CASE(connectionFieldCannotRemoveProtectedFields)
