Take replies that a replaced connection still brings

Cause: a peer that has answered nothing for silentLimit gets a new connection, and the former one was closed at once, with the replies to requests that had just been sent. In the daemon, requests in flight at a replacement were lost likewise. Ruled out: the exceptions, since the same loss shows without them in callbacks.

The former socket stays open until the requests that it took have ended. Nothing is sent again.

--- a/burdockhold/peer_link.cc
+++ b/burdockhold/peer_link.cc
@@ -144,6 +144,15 @@
         return nng_listen(m_socket, address.c_str(), nullptr, 0);
     }
 
+    void close()
+    {
+        if (nng_socket_id(m_socket) > 0)
+            nng_close(m_socket);
+        m_socket = NNG_SOCKET_INITIALIZER;
+    }
+
+    void swap(owned_socket &other) { std::swap(m_socket, other.m_socket); }
+
     nng_socket get() const { return m_socket; }
 
     /// Returns a descriptor that is readable while the option's operation can proceed, or -1.
@@ -161,13 +170,6 @@
         nng_socket_set_bool(m_socket, NNG_OPT_TCP_KEEPALIVE, true);
     }
 
-    void close()
-    {
-        if (nng_socket_id(m_socket) > 0)
-            nng_close(m_socket);
-        m_socket = NNG_SOCKET_INITIALIZER;
-    }
-
     nng_socket m_socket = NNG_SOCKET_INITIALIZER;
 };
 
@@ -185,6 +187,8 @@
 {
     std::string address;
     owned_socket socket;
+    owned_socket replaced;    ///< The former socket, which may still bring replies.
+    time_point replacedUntil; ///< All requests sent on the former socket have ended by then.
     std::deque<std::uint32_t> unsent; ///< Ids, oldest first.
     std::size_t inFlight = 0;
     std::size_t unanswered = 0;            ///< Of those in flight, the ones that were sent.
@@ -290,7 +294,8 @@
     {
         serveRequests();
         for (auto &item : m_peers) {
-            takeReplies(item.first, item.second);
+            takeReplies(item.first, *item.second, item.second->socket);
+            takeReplies(item.first, *item.second, item.second->replaced);
             sendUnsent(item.second);
         }
         expire(steadyNow());
@@ -383,11 +388,11 @@
         }
     }
 
-    void takeReplies(const std::string &name, const std::unique_ptr<linked_peer> &peer)
+    void takeReplies(const std::string &name, linked_peer &peer, const owned_socket &socket)
     {
         message_holder message;
-        for (int i = 0; i < MessagesPerTurn && message.receive(peer->socket.get()); ++i) {
-            peer->silentSince.reset();
+        for (int i = 0; i < MessagesPerTurn && message.receive(socket.get()); ++i) {
+            peer.silentSince.reset();
             const auto id = message.requestId();
             const auto request = id ? m_requests.find(*id) : m_requests.end();
             if (request == m_requests.end() || request->second.peer != name)
@@ -419,10 +424,14 @@
 
     void replaceSilent(linked_peer &peer, time_point now)
     {
+        if (now >= peer.replacedUntil)
+            peer.replaced.close();
         if (!peer.silentSince || now - *peer.silentSince < m_options.silentLimit)
             return;
         peer.silentSince.reset();
         ++m_statistics.reconnected;
+        peer.replaced.swap(peer.socket);
+        peer.replacedUntil = now + m_options.timeout;
         peer.socket.openRequester(peer.address, m_options);
     }
 
@@ -463,6 +472,7 @@
         for (const auto &item : m_peers) {
             const linked_peer &peer = *item.second;
             watched.push_back({ peer.socket.descriptor(NNG_OPT_RECVFD), POLLIN, 0 });
+            watched.push_back({ peer.replaced.descriptor(NNG_OPT_RECVFD), POLLIN, 0 });
             if (!peer.unsent.empty() && peer.unanswered < MaxUnanswered)
                 watched.push_back({ peer.socket.descriptor(NNG_OPT_SENDFD), POLLIN, 0 });
         }
--- a/burdockhold/peer_link.h
+++ b/burdockhold/peer_link.h
@@ -6,7 +6,8 @@
 // nothing runs beside a close. The sockets are nng's raw request and reply sockets: unlike
 // nng_req0, a raw socket never sends a request twice by itself.
 //
-// A peer whose connection is open but has answered nothing for silentLimit gets a new connection.
+// A peer whose connection is open but has answered nothing for silentLimit gets a new connection;
+// replies that the former one brings before their requests end are taken.
 // A request that was handed to a connection may be executed although it ended with an error.
 //
 // Limits: maxInFlight unanswered requests to one peer, maxQueued requests not yet taken by the
--- a/testing/peer_link_nettest.cc
+++ b/testing/peer_link_nettest.cc
@@ -173,6 +173,31 @@
     BOOST_TEST(client->statistics().reconnected > 0);
 }
 
+// Guards against a reply that is lost because a request before it had none and the connection was
+// replaced in between.
+BOOST_AUTO_TEST_CASE(replyOfAReplacedConnectionArrives)
+{
+    const std::string address = freeAddress();
+    std::atomic<peer_link *> replacing{ nullptr };
+    const auto server = openLink(optionsFor(address), [&](const peer_message &request) {
+        if (request.messageId == 1)
+            throw std::runtime_error("thrown by the test");
+        const auto deadline = std::chrono::steady_clock::now() + TestLimit;
+        while (replacing.load()->statistics().reconnected == 0
+               && std::chrono::steady_clock::now() < deadline)
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        return request;
+    });
+    peer_link_options options = optionsFor(freeAddress());
+    options.silentLimit = std::chrono::milliseconds(100);
+    const auto client = openLink(options, echo);
+    replacing = client.get();
+    client->setPeers({ { "b", address } });
+    client->send("b", heartbeat(1), [](const peer_reply &) {});
+    BOOST_TEST(isOk(ask(*client, "b", heartbeat(2))));
+    BOOST_TEST(client->statistics().reconnected > 0U);
+}
+
 // Guards against a crash or an accepted message when the bytes are no peer message: as a request it
 // is counted and gets no reply, as a reply it ends the request with an error.
 BOOST_AUTO_TEST_CASE(garbageIsAnError)
