Correct two comments and reflow a page

The comment of countAnswers said that a connection is kept; each request has its own. The promise of body_memory.h was broken over two lines in the middle of a list item. No code changes.

--- a/burdockhold/body_memory.h
+++ b/burdockhold/body_memory.h
@@ -5,8 +5,8 @@
 // memory is reserved.
 //
 // Promises:
-// - The reservations never exceed the limit together, except for a single one that exceeds it
-// alone.
+// - The reservations never exceed the limit together, except for a single one that is larger than
+//   the limit.
 // - Reservations are granted in the order in which they were asked for, so none waits for ever.
 // Not thread-safe.
 
--- a/testing/request_bodies_looptest.cc
+++ b/testing/request_bodies_looptest.cc
@@ -32,8 +32,8 @@
         return bytes + chunk(body) + LastChunk;
     }
 
-    /// Sends the request from each of the callers at the same time, one after the other on a kept
-    /// connection. Returns how many got the status.
+    /// Sends the request the given number of times from each of the callers, which work at the same
+    /// time. Each request has its own connection. Returns how many got the status.
     int countAnswers(const std::string &bytes, int callers, int requests, const std::string &status)
     {
         std::atomic<int> answered{ 0 };
