--- a/cmake/net.cmake
+++ b/cmake/net.cmake
@@ -26,7 +26,7 @@
 # Tests of the shell and of real processes: testing/NAME_nettest.cc.
 file(GLOB NET_TESTS CONFIGURE_DEPENDS testing/*_nettest.cc)
 file(GLOB NET_TEST_SUPPORT CONFIGURE_DEPENDS testing/support_*.cc)
-list(FILTER NET_TEST_SUPPORT EXCLUDE REGEX "support_platform\\.cc$")
+list(FILTER NET_TEST_SUPPORT EXCLUDE REGEX "support_(platform|slow_link)\\.cc$")
 if(NET_TEST_SUPPORT)
   add_library(test_support STATIC ${NET_TEST_SUPPORT})
   target_link_libraries(test_support PUBLIC burdockhold_core)
--- a/cmake/router.cmake
+++ b/cmake/router.cmake
@@ -49,6 +49,8 @@
     add_test(NAME ${test_name} COMMAND ${test_name})
     set_tests_properties(${test_name} PROPERTIES LABELS loop TIMEOUT 120 RUN_SERIAL TRUE)
   endforeach()
+  target_sources(deployment_transfers_looptest PRIVATE
+                 ${CMAKE_SOURCE_DIR}/testing/support_slow_link.cc)
   target_link_libraries(soak_looptest PRIVATE soak_support)
   set_tests_properties(soak_looptest PROPERTIES TIMEOUT 300)
 endif()
--- /dev/null
+++ b/testing/support_slow_link.h
@@ -0,0 +1,48 @@
+#ifndef BURDOCKHOLD_SUPPORT_SLOW_LINK_H
+#define BURDOCKHOLD_SUPPORT_SLOW_LINK_H
+
+// A TCP relay on loopback that counts the bytes from its server and passes them on at a limited
+// rate, as the link of a small VM does. Bytes to the server are passed on at once. It runs on its
+// own thread.
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <atomic>
+#include <cstddef>
+#include <string>
+#include <thread>
+
+namespace burdockhold::testing {
+
+class slow_link
+{
+public:
+    /// Relays connections to the server at IP:PORT. The rate holds for each connection.
+    slow_link(const std::string &serverAddress, std::size_t bytesPerSecond);
+    ~slow_link();
+    slow_link(const slow_link &) = delete;
+    slow_link &operator=(const slow_link &) = delete;
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(m_port); }
+    /// Returns how many bytes were passed on from the server.
+    std::size_t bytesPassed() const { return m_bytesPassed; }
+    void setRate(std::size_t bytesPerSecond) { m_bytesPerSecond = bytesPerSecond; }
+
+private:
+    friend class slow_link_session;
+
+    void accept();
+
+    boost::asio::io_context m_io;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::ip::tcp::endpoint m_server;
+    int m_port = 0;
+    std::atomic<std::size_t> m_bytesPerSecond;
+    std::atomic<std::size_t> m_bytesPassed{ 0 };
+    std::thread m_thread;
+};
+
+} // namespace burdockhold::testing
+
+#endif
