--- a/burdockhold/decision_log.h
+++ b/burdockhold/decision_log.h
@@ -34,6 +34,8 @@
     DependencyRegained,
     DeploymentApplied,
     DeploymentRefused,
+    ViewReceived,
+    ViewRequestFailed,
     WeightsWanted,
     WeightsRefused,
     EndpointChanged,
@@ -69,7 +71,7 @@
 template <>
 struct enum_names<log_event>
 {
-    static constexpr std::array<enum_name<log_event>, 38> Table{ {
+    static constexpr std::array<enum_name<log_event>, 40> Table{ {
             { log_event::Started, "started" },
             { log_event::Stopping, "stopping" },
             { log_event::Stopped, "stopped" },
@@ -78,6 +80,8 @@
             { log_event::DependencyRegained, "dependency_regained" },
             { log_event::DeploymentApplied, "deployment_applied" },
             { log_event::DeploymentRefused, "deployment_refused" },
+            { log_event::ViewReceived, "view_received" },
+            { log_event::ViewRequestFailed, "view_request_failed" },
             { log_event::WeightsWanted, "weights_wanted" },
             { log_event::WeightsRefused, "weights_refused" },
             { log_event::EndpointChanged, "endpoint_changed" },
--- a/burdockhold/topic_follower.cc
+++ b/burdockhold/topic_follower.cc
@@ -52,7 +52,7 @@
             return;
         // A connection with an outstanding response cannot be reused.
         self->m_httpConnection->close();
-        self->finish({});
+        self->finishWithoutResponse();
     });
     m_httpConnection->call(formatRequest(call, m_server),
                            { [self](const response_message &message) {
@@ -61,20 +61,29 @@
                             },
                              [self](std::string_view bytes) { self->bodyReceived(bytes); },
                              [self](http_outcome end) {
-                                 self->finish(end == http_outcome::Complete
-                                                      ? std::move(self->m_response)
-                                                      : log_response{});
+                                 if (end == http_outcome::Complete)
+                                     self->finish(std::move(self->m_response));
+                                 else
+                                     self->finishWithoutResponse();
                              } });
 }
 
 void log_connection::bodyReceived(std::string_view bytes)
 {
     m_response.body.append(bytes);
-    if (m_response.body.size() <= MaxResponseBytes)
+    m_response.receivedBytes += bytes.size();
+    if (m_response.receivedBytes <= MaxResponseBytes)
         return;
-    m_response = {};
     m_httpConnection->close();
-    finish({});
+    finishWithoutResponse();
+}
+
+void log_connection::finishWithoutResponse()
+{
+    log_response none;
+    none.receivedBytes = m_response.receivedBytes;
+    m_response = {};
+    finish(std::move(none));
 }
 
 void log_connection::close()
--- a/burdockhold/topic_follower.h
+++ b/burdockhold/topic_follower.h
@@ -28,6 +28,7 @@
 {
     int status = 0;
     std::string body;
+    std::size_t receivedBytes = 0; ///< Of the body, also of one that was cut off.
 };
 
 /// Makes one call at a time over one connection. A response longer than MaxResponseBytes closes the
@@ -48,6 +49,7 @@
 
 private:
     void bodyReceived(std::string_view bytes);
+    void finishWithoutResponse();
     void finish(log_response response);
 
     boost::asio::io_context &m_context;
--- a/burdockhold/view_controller.cc
+++ b/burdockhold/view_controller.cc
@@ -19,6 +19,8 @@
 
 constexpr int StatusOk = 200;
 constexpr std::size_t MaxRequestBytes = 1024;
+/// A response of this length takes over 50 ms on a link of 10 Mbit/s.
+constexpr std::size_t LargeViewBytes = std::size_t(64) * 1024;
 /// Further connections are closed at once. More than the VMs of a data centre at the target size.
 constexpr std::size_t MaxSessions = 512;
 /// A requester that is silent for this long counts as departed: requesters send several requests a
@@ -398,7 +400,9 @@
 {
     const time_point now = steadyNow();
     const auto decoded = decodeViewResponse(response.body);
-    if (response.status != StatusOk || !isOk(decoded)) {
+    const bool isReadable = response.status == StatusOk && isOk(decoded);
+    logTransfer(from, sentAt, response, isReadable);
+    if (!isReadable) {
         m_source.requestFailed(from.name, now);
         return;
     }
@@ -425,6 +429,25 @@
     m_source.responseReceived(isFresh(), now);
 }
 
+/// Logs a failed request, and a response long enough to delay what it contains.
+void view_controller::logTransfer(const group_vm &from, duration sentAt,
+                                  const log_response &response, bool isReadable)
+{
+    const time_point now = steadyNow();
+    if (isReadable && response.receivedBytes < LargeViewBytes)
+        return;
+    if (!m_board.log.accepts(log_priority::StateChange, now))
+        return;
+    const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(bootTimeNow()
+                                                                               - sentAt);
+    m_board.log.write(isReadable ? log_event::ViewReceived : log_event::ViewRequestFailed,
+                      { { "from", from.name },
+                        { "status", response.status },
+                        { "bytes", response.receivedBytes },
+                        { "total_ms", elapsed.count() } },
+                      now);
+}
+
 void view_controller::applyOperator(const topic_view &view)
 {
     for (const topic_record &record : view.records) {
--- a/burdockhold/view_controller.h
+++ b/burdockhold/view_controller.h
@@ -92,6 +92,8 @@
 
     void sendRequest(time_point now);
     void responseReceived(const group_vm &from, duration sentAt, const log_response &response);
+    void logTransfer(const group_vm &from, duration sentAt, const log_response &response,
+                     bool isReadable);
     void applyOperator(const topic_view &view);
     void applyEndpoints(const topic_view &view);
     bool isFresh() const;
