Send VMs what a configuration changes, not the whole of it

Cause: the VM that reads the log sent the operator's record, 1.1 MB at 4,200 routes, to each VM of its data centre for every version, also for one that changes nothing. A request for the view ended 0.8 s after it was sent, however much had arrived. On links of 10 Mbit/s no transfer of that size ends in time, so all VMs turned to the log, whose read rate they share; those reads were cut off after 1.5 s in their turn.

Ruled out: decoding alone (the delay is the same with --no-cpu); the log as the origin (its calls rise only after requests between VMs have failed).

Change: - deployment_history keeps the configuration in parts and answers with those that changed since the version that a VM has. A VM whose response is arriving does not begin to read the log. The time of a transfer does not make a response count as stale. - One encoded update is shared by all sessions that need the same one.

views_looptest: the record named config is a configuration now, since text that is none is refused; what each test checks is unchanged.

Measured: deployment_transfers_looptest, 4 failures before, none after.

--- a/burdockhold/caller_connection.cc
+++ b/burdockhold/caller_connection.cc
@@ -83,7 +83,7 @@
 caller_limits caller_connection::limits() const
 {
     const auto &deployment = m_context.board.deployment;
-    return deployment ? deployment->source().limits : caller_limits{};
+    return deployment ? deployment->rules().limits : caller_limits{};
 }
 
 void caller_connection::resetParser()
--- a/burdockhold/deployment.h
+++ b/burdockhold/deployment.h
@@ -8,8 +8,11 @@
 
 #include "burdockhold/clock.h"
 
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -100,6 +103,13 @@
     duration idleTimeout = std::chrono::seconds(15);
 };
 
+/// What holds for all callers.
+struct caller_rules
+{
+    bool requiresKeys = true; ///< See deployment.
+    caller_limits limits;
+};
+
 struct deployment
 {
     std::uint64_t version = 0;
@@ -111,14 +121,51 @@
     caller_limits limits;
 };
 
+/// What identifies a route: no request finds a second one with the same values.
+struct route_key
+{
+    std::string host;
+    std::string pathPrefix;
+};
+
+/// Returns the key as text, with the host in lower case and without a port.
+std::string routeKeyText(std::string_view host, std::string_view pathPrefix);
+route_key parseRouteKey(std::string_view text);
+
+/// What a version of the deployment changes of the one before. Without a version before, all of it.
+struct deployment_changes
+{
+    std::uint64_t version = 0;
+    std::vector<deployment_route> routes;               ///< New or changed.
+    std::vector<std::string> removedRoutes;             ///< Their routeKeyText().
+    std::map<std::string, deployment_account> accounts; ///< New or changed, by a unique key.
+    std::vector<std::string> removedAccounts;           ///< Their keys.
+    std::optional<std::vector<deployment_pool>> pools;
+    std::optional<caller_rules> rules;
+};
+
+/// Returns the changes that make the deployment of nothing. An account with a repeated name gets a
+/// key of its own.
+deployment_changes changesOf(deployment source);
+
 /// An accepted deployment with its lookup tables. Returned pointers are valid while the index
-/// lives.
+/// lives. An index of a later version shares the routes that have not changed.
 class deployment_index
 {
 public:
     explicit deployment_index(deployment source);
 
-    const deployment &source() const { return m_source; }
+    /// Applies the changes to the previous version, or to an empty deployment for nullptr.
+    deployment_index(const deployment_index *previous, deployment_changes changes);
+    deployment_index(const deployment_index &) = delete;
+    deployment_index &operator=(const deployment_index &) = delete;
+
+    std::uint64_t version() const { return m_version; }
+    const std::vector<deployment_pool> &pools() const { return m_pools; }
+    /// Returns the accounts by unique keys.
+    const std::map<std::string, deployment_account> &accounts() const { return m_accounts; }
+    const caller_rules &rules() const { return m_rules; }
+    std::size_t routeCount() const { return m_routes.size(); }
 
     /// Returns the route of the host with the longest prefix of the path, or nullptr. The host may
     /// be in any case and include a port; the path may include a query.
@@ -139,11 +186,30 @@
     double tokensPerSecond(const cache_store &store) const;
 
 private:
-    deployment m_source;
-    std::unordered_map<std::string, std::vector<const deployment_route *>> m_routesByHost;
+    struct indexed_route
+    {
+        std::string key; ///< routeKeyText().
+        deployment_route route;
+    };
+    /// The number of routes of a host for each length of their prefixes, the longest first.
+    using prefix_lengths = std::map<std::size_t, std::size_t, std::greater<>>;
+
+    void applyChanges(deployment_changes changes);
+    void addRoute(deployment_route route);
+    void removeRoute(const std::string &key);
+    void indexAccounts();
+    void indexPools();
+
+    std::uint64_t m_version = 0;
+    std::map<std::string, deployment_account> m_accounts;
+    std::vector<deployment_pool> m_pools;
+    caller_rules m_rules;
+    /// By indexed_route::key.
+    std::unordered_map<std::string_view, std::shared_ptr<const indexed_route>> m_routes;
+    std::unordered_map<std::string, prefix_lengths> m_prefixLengths; ///< By host.
     std::unordered_map<std::string, const deployment_account *> m_accountsByKey;
     std::unordered_map<std::string, const deployment_account *> m_accountsByName;
-    std::unordered_map<std::string, const deployment_pool *> m_pools;
+    std::unordered_map<std::string, const deployment_pool *> m_poolsByName;
     std::uint64_t m_isolatedSet = 0; ///< See cache_domain.
 };
 
--- a/burdockhold/digest_exchange.cc
+++ b/burdockhold/digest_exchange.cc
@@ -351,7 +351,7 @@
 {
     if (digest.unavailableStores.empty() || !m_board.deployment)
         return;
-    for (const deployment_pool &pool : m_board.deployment->source().pools) {
+    for (const deployment_pool &pool : m_board.deployment->pools()) {
         if (!pool.store)
             continue;
         const std::uint32_t hash = shortHash(pool.store->address);
--- a/burdockhold/duty_controller.cc
+++ b/burdockhold/duty_controller.cc
@@ -178,7 +178,7 @@
     if (now - m_storesCheckedAt < StoreCheckInterval)
         return;
     m_storesCheckedAt = now;
-    for (const deployment_pool &pool : m_board.deployment->source().pools) {
+    for (const deployment_pool &pool : m_board.deployment->pools()) {
         if (pool.store && dutyOf(pool.name, now).lease.holds(bootTimeNow()))
             checkStore(pool.store->address);
     }
@@ -203,7 +203,7 @@
 {
     if (!m_board.deployment || m_leaving)
         return;
-    for (const deployment_pool &pool : m_board.deployment->source().pools) {
+    for (const deployment_pool &pool : m_board.deployment->pools()) {
         const software_rollout *rollout = m_board.rolloutOf(pool.name);
         if (!pool.engine && !pool.store && (rollout == nullptr || !rollout->isOrdered()))
             continue;
--- a/burdockhold/event_router.cc
+++ b/burdockhold/event_router.cc
@@ -198,6 +198,8 @@
 {
     view_handlers handlers;
     handlers.operatorRecord = [this](const auto &record) { operatorRecord(record); };
+    handlers.deploymentChanged = [this](const auto &index) { applyDeployment(index); };
+    handlers.deploymentRefused = [this](const auto &reason) { deploymentRefused(reason); };
     handlers.endpointReported = [this](const auto &report) { endpointReported(report); };
     handlers.endpointRemoved = [this](const auto &id) { endpointRemoved(id); };
     handlers.endpointRecordRejected = [this](const auto &id, const auto &reason) {
@@ -266,46 +268,42 @@
     if (!record.value)
         return;
     switch (platform::subjectOf(record.key)) {
-    case platform::operator_subject::Deployment:
-        applyDeployment(*record.value);
-        break;
     case platform::operator_subject::TargetWeights:
         applyTargetWeights(*record.value);
         break;
     case platform::operator_subject::SoftwareRollout:
         m_rollouts->orderReceived(*record.value, steadyNow());
         break;
+    case platform::operator_subject::Deployment: // See deploymentChanged.
     case platform::operator_subject::Other:
         break;
     }
 }
 
-void event_router::applyDeployment(std::string_view body)
+void event_router::applyDeployment(std::shared_ptr<const deployment_index> next)
 {
     const time_point now = steadyNow();
-    auto decoded = platform::decodeDeployment(body);
-    if (!isOk(decoded)) {
-        const auto &error = errorOf(decoded);
-        if (m_board.log.accepts(log_priority::StateChange, now))
-            m_board.log.write(log_event::DeploymentRefused, { { "reason", error.text } }, now);
-        return;
-    }
-    deployment &next = valueOf(decoded);
-    // An older or equal version is ignored, so a deployment is never rolled back by a stale read.
-    if (m_board.deployment && next.version <= m_board.deployment->source().version)
-        return;
-    const std::uint64_t version = next.version;
     std::set<std::string> pools;
-    for (const deployment_pool &pool : next.pools) {
+    for (const deployment_pool &pool : next->pools()) {
         pools.insert(pool.name);
         if (pool.engine)
             m_board.endpoints.setCacheTokens(pool.name, pool.engine->cacheTokens);
     }
     m_board.endpoints.namePools(std::move(pools), now);
-    m_board.deployment = std::make_shared<const deployment_index>(std::move(next));
+    m_board.deployment = std::move(next);
     m_board.applyLimits(now);
     if (m_board.log.accepts(log_priority::StateChange, now))
-        m_board.log.write(log_event::DeploymentApplied, { { "version", version } }, now);
+        m_board.log.write(log_event::DeploymentApplied,
+                          { { "version", m_board.deployment->version() },
+                            { "routes", m_board.deployment->routeCount() } },
+                          now);
+}
+
+void event_router::deploymentRefused(const std::string &reason)
+{
+    const time_point now = steadyNow();
+    if (m_board.log.accepts(log_priority::StateChange, now))
+        m_board.log.write(log_event::DeploymentRefused, { { "reason", reason } }, now);
 }
 
 void event_router::applyTargetWeights(std::string_view body)
--- a/burdockhold/event_router.h
+++ b/burdockhold/event_router.h
@@ -51,7 +51,8 @@
     void listVms(const std::string &after);
     void vmPageReceived(const log_response &response);
     void operatorRecord(const platform::keyed_record &record);
-    void applyDeployment(std::string_view body);
+    void applyDeployment(std::shared_ptr<const deployment_index> next);
+    void deploymentRefused(const std::string &reason);
     void applyTargetWeights(std::string_view body);
     void endpointReported(const endpoint_report &report);
     void endpointRemoved(const std::string &id);
--- a/burdockhold/request_admission.cc
+++ b/burdockhold/request_admission.cc
@@ -27,7 +27,7 @@
     admitted.route = deployment.findRoute(request.host, request.target);
     if (admitted.route == nullptr || admitted.route->pools.empty())
         return refusalOfMissing(admission_refusal::NoRoute, view);
-    if (admitted.route->publicAccess || !deployment.source().requiresKeys)
+    if (admitted.route->publicAccess || !deployment.rules().requiresKeys)
         return admitted;
     if (view.age > view.revocationBound - RevocationMargin)
         return admission_refusal::StaleView;
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -1082,7 +1082,7 @@
     result.lastCallEvents = m_events.events() - m_eventsBeforeCall;
     result.resumes = m_resumes;
     result.framing = m_headReceived ? nameOf(m_head.framing) : "";
-    result.deployment = m_deployment ? m_deployment->source().version : 0;
+    result.deployment = m_deployment ? m_deployment->version() : 0;
     result.viewAge = m_context.board.deploymentAge();
     return result;
 }
--- a/burdockhold/router_board.cc
+++ b/burdockhold/router_board.cc
@@ -122,7 +122,7 @@
     if (!deployment)
         return best;
     const std::uint64_t seed = XXH64(segment.data(), segment.size(), 0);
-    for (const deployment_pool &pool : deployment->source().pools) {
+    for (const deployment_pool &pool : deployment->pools()) {
         if (!pool.store)
             continue;
         const std::string &address = pool.store->address;
@@ -166,14 +166,14 @@
 
 void router_board::applyLimits(time_point now)
 {
-    for (const deployment_account &account : deployment->source().accounts) {
+    for (const auto &[key, account] : deployment->accounts()) {
         const auto quota = quotas.find(account.name);
         if (quota != quotas.end())
             quota->second.setLimit({ account.ratePerSecond, account.burst }, now);
         else if (account.ratePerSecond > 0.0)
             accountQuota(account, now);
     }
-    for (const deployment_pool &pool : deployment->source().pools) {
+    for (const deployment_pool &pool : deployment->pools()) {
         if (pool.store)
             storeLinkQuota(*pool.store, now).setLimit(linkLimit(*pool.store), now);
         else
--- a/burdockhold/topic_follower.cc
+++ b/burdockhold/topic_follower.cc
@@ -31,10 +31,11 @@
 } // namespace
 
 log_connection::log_connection(boost::asio::io_context &context,
-                               boost::asio::ip::tcp::endpoint server)
+                               boost::asio::ip::tcp::endpoint server, std::size_t maxResponseBytes)
     : m_context(context)
     , m_server(std::move(server))
     , m_timer(context)
+    , m_maxResponseBytes(maxResponseBytes)
 {
 }
 
@@ -46,14 +47,7 @@
     if (!m_httpConnection || !m_httpConnection->isReusable())
         m_httpConnection = std::make_shared<http_client_connection>(m_context, m_server);
     const auto self = shared_from_this();
-    m_timer.expires_after(timeout);
-    m_timer.async_wait([self](error_code error) {
-        if (error || !self->m_done)
-            return;
-        // A connection with an outstanding response cannot be reused.
-        self->m_httpConnection->close();
-        self->finishWithoutResponse();
-    });
+    startTimer(timeout);
     m_httpConnection->call(formatRequest(call, m_server),
                            { [self](const response_message &message) {
                                 self->m_response.status = static_cast<int>(message.result_int());
@@ -68,11 +62,39 @@
                              } });
 }
 
+void log_connection::startTimer(duration timeout)
+{
+    m_bytesAtTimerStart = m_response.receivedBytes;
+    m_timer.expires_after(timeout);
+    m_timer.async_wait([self = shared_from_this(), timeout](error_code error) {
+        if (!error && self->m_done)
+            self->timerExpired(timeout);
+    });
+}
+
+void log_connection::timerExpired(duration timeout)
+{
+    const std::size_t received = m_response.receivedBytes - m_bytesAtTimerStart;
+    const double requiredBytes = toSeconds(timeout) * static_cast<double>(MinBytesPerSecond);
+    const bool isFirstPiece = m_bytesAtTimerStart == 0 && received > 0;
+    if (isFirstPiece || static_cast<double>(received) >= requiredBytes) {
+        startTimer(timeout);
+        return;
+    }
+    // A connection with an outstanding response cannot be reused.
+    m_httpConnection->close();
+    finishWithoutResponse();
+}
+
 void log_connection::bodyReceived(std::string_view bytes)
 {
+    const time_point now = steadyNow();
+    if (m_response.receivedBytes == 0)
+        m_firstBytesAt = now;
+    m_response.transferTime = now - m_firstBytesAt;
     m_response.body.append(bytes);
     m_response.receivedBytes += bytes.size();
-    if (m_response.receivedBytes <= MaxResponseBytes)
+    if (m_response.receivedBytes <= m_maxResponseBytes)
         return;
     m_httpConnection->close();
     finishWithoutResponse();
@@ -107,7 +129,8 @@
                                follower_handlers handlers)
     : m_options(std::move(options))
     , m_handlers(std::move(handlers))
-    , m_logConnection(std::make_shared<log_connection>(context, std::move(server)))
+    , m_logConnection(std::make_shared<log_connection>(context, std::move(server),
+                                                       m_options.maxResponseBytes))
     , m_timer(context)
 {
 }
--- a/burdockhold/topic_follower.h
+++ b/burdockhold/topic_follower.h
@@ -29,25 +29,37 @@
     int status = 0;
     std::string body;
     std::size_t receivedBytes = 0; ///< Of the body, also of one that was cut off.
+    duration transferTime = duration::zero(); ///< From the first part of the body to the last.
 };
 
-/// Makes one call at a time over one connection. A response longer than MaxResponseBytes closes the
-/// connection and counts as no response, since a faulty server may send an endless body.
+/// Makes one call at a time over one connection. A response longer than the limit closes the
+/// connection and counts as no response, since a faulty server may send an endless body. A body
+/// that arrives at MinBytesPerSecond or more is never cut off for the time it takes.
 class log_connection : public std::enable_shared_from_this<log_connection>
 {
 public:
-    /// The longest responses are pages of 1 MB in base64, and views of 10,000 endpoints.
+    /// The longest of the usual responses are pages of 1 MB in base64.
     static constexpr std::size_t MaxResponseBytes = std::size_t(4) * 1024 * 1024;
+    /// A hundredth of the slowest link.
+    static constexpr std::size_t MinBytesPerSecond = std::size_t(16) * 1024;
 
-    log_connection(boost::asio::io_context &context, boost::asio::ip::tcp::endpoint server);
+    log_connection(boost::asio::io_context &context, boost::asio::ip::tcp::endpoint server,
+                   std::size_t maxResponseBytes = MaxResponseBytes);
 
+    /// Without a response the call ends after the timeout. Once a body arrives, the timeout applies
+    /// to each further piece of it.
     void call(const platform::log_call &call, duration timeout,
               std::function<void(log_response)> done);
 
     /// Cancels the call in progress without calling its handler.
     void close();
 
+    /// Returns true while a call is in progress and a part of its response's body has arrived.
+    bool isReceiving() const { return m_done && m_response.receivedBytes > 0; }
+
 private:
+    void startTimer(duration timeout);
+    void timerExpired(duration timeout);
     void bodyReceived(std::string_view bytes);
     void finishWithoutResponse();
     void finish(log_response response);
@@ -58,6 +70,9 @@
     std::shared_ptr<http_client_connection> m_httpConnection;
     std::function<void(log_response)> m_done;
     log_response m_response;
+    std::size_t m_maxResponseBytes;
+    std::size_t m_bytesAtTimerStart = 0; // Of the body.
+    time_point m_firstBytesAt;
 };
 
 struct follower_options
@@ -67,6 +82,7 @@
     std::function<duration()> readPause;  ///< Returns the pause before the next read.
     std::function<duration()> retryPause; ///< Returns the pause after a failed call.
     duration callTimeout = std::chrono::milliseconds(1500); ///< In addition to readWait.
+    std::size_t maxResponseBytes = log_connection::MaxResponseBytes;
 };
 
 /// Notifications of a follower.
--- a/burdockhold/view_controller.cc
+++ b/burdockhold/view_controller.cc
@@ -23,10 +23,16 @@
 constexpr std::size_t LargeViewBytes = std::size_t(64) * 1024;
 /// Further connections are closed at once. More than the VMs of a data centre at the target size.
 constexpr std::size_t MaxSessions = 512;
+/// Encoded updates that are kept for further requests: usually one since the last version, one for
+/// VMs that missed it, and a snapshot for VMs that start.
+constexpr std::size_t MaxEncodedUpdates = 4;
+/// The operator's topic may use the memory limit divided by this for one response: the response,
+/// its text and the decoded document are in memory at the same time.
+constexpr std::size_t OperatorResponseDivisor = 10;
 /// A requester that is silent for this long counts as departed: requesters send several requests a
 /// second.
 constexpr duration SessionIdleTimeout = std::chrono::seconds(10);
-/// A requester that does not take a response within this time is cut off; it has given up by then.
+/// A requester that takes nothing of a response for this time is cut off; it has given up by then.
 constexpr duration ResponseWriteTimeout = std::chrono::seconds(3);
 /// Added to a request's wait for its timeout. Covers a few round trips and a busy reader.
 constexpr duration ResponseSlack = std::chrono::milliseconds(300);
@@ -143,35 +149,58 @@
 
     void refuse()
     {
-        write("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", false);
+        write("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", nullptr,
+              false);
     }
 
     void respond()
     {
-        const std::string body = encodeViewResponse(
-                m_controller->responseTo(*m_request, m_receivedAt));
+        auto update = m_controller->deploymentUpdateFor(*m_request);
+        const std::size_t updateBytes = update ? update->size() : 0;
+        const std::string head = encodeViewResponseHead(
+                m_controller->responseTo(*m_request, m_receivedAt), updateBytes);
         m_request.reset();
-        write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
-                      + body,
-              true);
+        write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(head.size() + updateBytes)
+                      + "\r\n\r\n" + head,
+              std::move(update), true);
     }
 
-    void write(std::string text, bool keepOpen)
+    void write(std::string text, std::shared_ptr<const std::string> update, bool keepOpen)
+    {
+        m_output = std::move(text);
+        m_update = std::move(update);
+        m_written = 0;
+        writeRest(keepOpen);
+    }
+
+    /// Writes piece by piece, with a timeout for each piece.
+    void writeRest(bool keepOpen)
     {
         m_timer.expires_after(ResponseWriteTimeout);
         m_timer.async_wait([self = shared_from_this()](error_code error) {
             if (!error)
                 self->close();
         });
-        const auto bytes = std::make_shared<std::string>(std::move(text));
-        boost::asio::async_write(
-                m_socket, boost::asio::buffer(*bytes),
-                [self = shared_from_this(), bytes, keepOpen](error_code error, std::size_t) {
-                    if (error || !keepOpen)
-                        self->close();
-                    else
-                        self->readRequest();
-                });
+        m_socket.async_write_some(unwrittenBytes(), [self = shared_from_this(), keepOpen](
+                                                            error_code error, std::size_t bytes) {
+            self->m_written += bytes;
+            const bool isComplete = self->m_written == self->outputBytes();
+            if (error || (isComplete && !keepOpen))
+                self->close();
+            else if (isComplete)
+                self->readRequest();
+            else
+                self->writeRest(keepOpen);
+        });
+    }
+
+    std::size_t outputBytes() const { return m_output.size() + (m_update ? m_update->size() : 0); }
+
+    boost::asio::const_buffer unwrittenBytes() const
+    {
+        if (m_written < m_output.size())
+            return boost::asio::buffer(m_output) + m_written;
+        return boost::asio::buffer(*m_update) + (m_written - m_output.size());
     }
 
     tcp::socket m_socket;
@@ -180,6 +209,10 @@
     std::string m_input;
     std::optional<view_request> m_request; // Set until its response is sent.
     duration m_receivedAt = duration::zero();
+    // The response is m_output, followed by the update if there is one.
+    std::string m_output;
+    std::shared_ptr<const std::string> m_update;
+    std::size_t m_written = 0;
 };
 
 view_controller::view_controller(boost::asio::io_context &context, router_board &board,
@@ -234,6 +267,7 @@
 void view_controller::step(time_point now)
 {
     m_source.setGroup(m_board.groupVms);
+    m_source.setResponseArriving(m_requestInFlight && m_connection->isReceiving());
     const bool reads = m_source.shouldReadLog(now);
     if (reads && !m_reading)
         startReading();
@@ -271,12 +305,20 @@
 {
     follower_options options;
     options.topic = std::string(platform::OperatorTopic);
+    options.maxResponseBytes = operatorResponseBytes();
     options.readPause = [] { return duration::zero(); };
     options.readWait = fractionOf(m_board.settings.revocationBound, OperatorWaitFraction);
     options.retryPause = [this] { return retryPause(); };
     return options;
 }
 
+/// The longest response with the operator's records: configurations have no limit of their own.
+std::size_t view_controller::operatorResponseBytes() const
+{
+    return std::max(log_connection::MaxResponseBytes,
+                    m_board.settings.memoryBytes / OperatorResponseDivisor);
+}
+
 follower_options view_controller::endpointOptions()
 {
     follower_options options;
@@ -342,6 +384,11 @@
 
 void view_controller::operatorChanged(const platform::keyed_record &record)
 {
+    if (platform::subjectOf(record.key) == platform::operator_subject::Deployment) {
+        if (record.value)
+            deploymentRead(*record.value);
+        return;
+    }
     if (record.value)
         m_operator.changelog.put(record.key, *record.value);
     else
@@ -349,6 +396,20 @@
     m_handlers.operatorRecord(record);
 }
 
+void view_controller::deploymentRead(std::string_view body)
+{
+    const auto decoded = platform::decodeDeployment(body);
+    if (!isOk(decoded)) {
+        m_handlers.deploymentRefused(errorOf(decoded).text);
+        return;
+    }
+    // An older or equal version is ignored, so a deployment is never rolled back by a stale read.
+    if (!m_deployments.put(valueOf(decoded)))
+        return;
+    m_encodedUpdates.clear();
+    m_handlers.deploymentChanged(m_deployments.index());
+}
+
 void view_controller::endpointChanged(const platform::keyed_record &record)
 {
     if (!record.value) {
@@ -380,11 +441,13 @@
     if (!server)
         return;
     if (!m_connection || m_connectionAddress != reader->address) {
-        m_connection = std::make_shared<log_connection>(m_context, *server);
+        m_connection = std::make_shared<log_connection>(m_context, *server,
+                                                        operatorResponseBytes());
         m_connectionAddress = reader->address;
     }
     m_requestInFlight = true;
     m_nextRequest.wait = requestWait(m_board.settings);
+    m_nextRequest.deploymentVersion = m_deployments.version();
     const duration sentAt = bootTimeNow();
     m_connection->call({ "GET", encodeViewRequest(m_nextRequest), {}, {} },
                        m_nextRequest.wait + ResponseSlack,
@@ -416,17 +479,19 @@
     // Sequence numbers are valid for one reader only, also for a topic that the new reader has not
     // loaded yet.
     if (m_nextRequest.reader != view.reader)
-        m_nextRequest = { view.reader, 0, 0, m_nextRequest.wait };
+        m_nextRequest = { view.reader, 0, 0, {}, m_nextRequest.wait };
+    const bool hasNewest = applyDeploymentUpdate(view.deploymentUpdate, from);
     if (view.operatorTopic.loaded) {
         applyOperator(view.operatorTopic);
-        m_board.deploymentConfirmedAt = std::max(m_board.deploymentConfirmedAt,
-                                                 confirmedAt(view.operatorTopic));
+        if (hasNewest)
+            m_board.deploymentConfirmedAt = std::max(m_board.deploymentConfirmedAt,
+                                                     confirmedAt(view.operatorTopic));
     }
     if (view.endpointTopic.loaded) {
         applyEndpoints(view.endpointTopic);
         m_board.confirmEndpoints(confirmedAt(view.endpointTopic));
     }
-    m_source.responseReceived(isFresh(), now);
+    m_source.responseReceived(isFresh(response.transferTime), now);
 }
 
 /// Logs a failed request, and a response long enough to delay what it contains.
@@ -448,6 +513,27 @@
                       now);
 }
 
+bool view_controller::applyDeploymentUpdate(const std::string &encoded, const group_vm &from)
+{
+    if (encoded.empty())
+        return true;
+    const auto update = decodeDeploymentUpdate(encoded);
+    const auto applied = isOk(update) ? m_deployments.apply(valueOf(update))
+                                      : result<bool, deployment_update_error>(errorOf(update));
+    if (!isOk(applied)) {
+        m_handlers.deploymentRefused("from " + from.name + ": " + errorOf(applied).text);
+        m_source.requestFailed(from.name, steadyNow());
+        return false;
+    }
+    if (valueOf(applied)) {
+        m_encodedUpdates.clear();
+        m_handlers.deploymentChanged(m_deployments.index());
+    }
+    // An update that does not apply is since an older version than this VM has by now. The next
+    // request states the version.
+    return m_deployments.version() >= valueOf(update).version;
+}
+
 void view_controller::applyOperator(const topic_view &view)
 {
     for (const topic_record &record : view.records) {
@@ -480,10 +566,13 @@
 }
 
 /// Returns true if the view is no older than expected from a reader that polls at its usual rate.
-bool view_controller::isFresh() const
+/// The time that the response took to arrive does not count: the reader is not to blame for it, and
+/// the next response is short.
+bool view_controller::isFresh(duration transferTime) const
 {
-    const duration operatorAge = bootTimeNow() - m_board.deploymentConfirmedAt;
-    const duration endpointAge = bootTimeNow() - m_board.endpointsConfirmedAt;
+    const duration arrivalBegan = bootTimeNow() - transferTime;
+    const duration operatorAge = arrivalBegan - m_board.deploymentConfirmedAt;
+    const duration endpointAge = arrivalBegan - m_board.endpointsConfirmedAt;
     const duration operatorWait = fractionOf(m_board.settings.revocationBound,
                                              OperatorWaitFraction);
     return operatorAge < 2 * operatorWait + FreshnessSlack
@@ -521,7 +610,8 @@
     };
     const bool allLoaded = m_operator.loaded && m_endpoints.loaded;
     return allLoaded
-           && (hasChanged(m_operator, request.operatorSequenceNumber)
+           && (m_deployments.isNewerThan(request.deploymentVersion)
+               || hasChanged(m_operator, request.operatorSequenceNumber)
                || hasChanged(m_endpoints, request.endpointSequenceNumber));
 }
 
@@ -530,7 +620,24 @@
     const bool sameReader = request.reader == m_incarnation;
     return { m_incarnation,
              viewOf(m_operator, sameReader ? request.operatorSequenceNumber : 0, receivedAt),
-             viewOf(m_endpoints, sameReader ? request.endpointSequenceNumber : 0, receivedAt) };
+             viewOf(m_endpoints, sameReader ? request.endpointSequenceNumber : 0, receivedAt),
+             {} };
+}
+
+/// Returns the encoded update for the requester's deployment, or nullptr if it needs none.
+std::shared_ptr<const std::string> view_controller::deploymentUpdateFor(const view_request &request)
+{
+    if (!m_operator.loaded || !m_deployments.isNewerThan(request.deploymentVersion))
+        return nullptr;
+    const auto known = m_encodedUpdates.find(request.deploymentVersion);
+    if (known != m_encodedUpdates.end())
+        return known->second;
+    if (m_encodedUpdates.size() >= MaxEncodedUpdates)
+        m_encodedUpdates.clear();
+    const auto encoded = std::make_shared<const std::string>(
+            encodeDeploymentUpdate(m_deployments.since(request.deploymentVersion)));
+    m_encodedUpdates.emplace(request.deploymentVersion, encoded);
+    return encoded;
 }
 
 topic_view view_controller::viewOf(const read_topic &topic, std::uint64_t knownSequenceNumber,
--- a/burdockhold/view_controller.h
+++ b/burdockhold/view_controller.h
@@ -9,12 +9,16 @@
 // - A time that is passed on as confirmed is the time of a read of the log, or earlier.
 // - A request gets its response at once if something has changed, otherwise after the wait that the
 //   request states.
+// - A response contains of the deployment only what has changed since the requester's version,
+//   whichever VM that version is from.
+// - A transfer that progresses is not cut off, however long it takes.
 // - A malformed request or an undecodable response affects only its own connection.
 //
 // Requests use HTTP over the event loop's own client. Datagrams were rejected because a deployment
 // with many routes does not fit into one, and nng request sockets because they resend a request
 // without a response and need their own threads.
 
+#include "burdockhold/deployment_history.h"
 #include "burdockhold/router_board.h"
 #include "burdockhold/topic_follower.h"
 #include "burdockhold/view_message.h"
@@ -24,9 +28,11 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <cstdint>
 #include <functional>
-#include <list>
+#include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -36,7 +42,12 @@
 /// Callbacks for the contents of the log.
 struct view_handlers
 {
+    /// Called with the operator's records other than the deployment.
     std::function<void(const platform::keyed_record &)> operatorRecord;
+    /// Called with a deployment of a higher version than the one before.
+    std::function<void(const std::shared_ptr<const deployment_index> &)> deploymentChanged;
+    /// Called with the reason if a deployment in the log cannot be decoded; the one before holds.
+    std::function<void(const std::string &reason)> deploymentRefused;
     std::function<void(const endpoint_report &)> endpointReported;
     std::function<void(const std::string &id)> endpointRemoved;
     /// Called with the id of a record that names no endpoint to use, also if the endpoint was known
@@ -86,23 +97,28 @@
     follower_handlers operatorHandlers();
     follower_handlers endpointHandlers();
     void operatorChanged(const platform::keyed_record &record);
+    void deploymentRead(std::string_view body);
     void endpointChanged(const platform::keyed_record &record);
     void recordConfirmation(read_topic &topic, duration at, std::string_view name);
     duration retryPause() const;
+    std::size_t operatorResponseBytes() const;
 
     void sendRequest(time_point now);
     void responseReceived(const group_vm &from, duration sentAt, const log_response &response);
     void logTransfer(const group_vm &from, duration sentAt, const log_response &response,
                      bool isReadable);
+    /// Returns true if this VM then has the reader's deployment.
+    bool applyDeploymentUpdate(const std::string &encoded, const group_vm &from);
     void applyOperator(const topic_view &view);
     void applyEndpoints(const topic_view &view);
-    bool isFresh() const;
+    bool isFresh(duration transferTime) const;
 
     void acceptConnections();
     /// Responds to the waiting requests for which there are changes.
     void notifySessions();
     bool hasChangesFor(const view_request &request) const;
     view_response responseTo(const view_request &request, duration receivedAt) const;
+    std::shared_ptr<const std::string> deploymentUpdateFor(const view_request &request);
     topic_view viewOf(const read_topic &topic, std::uint64_t knownSequenceNumber,
                       duration receivedAt) const;
 
@@ -114,6 +130,9 @@
     bool m_reading = false;
     read_topic m_operator;
     read_topic m_endpoints;
+    deployment_history m_deployments;
+    /// Encoded updates to m_deployments.version(), by the version since which they are.
+    std::map<std::optional<std::uint64_t>, std::shared_ptr<const std::string>> m_encodedUpdates;
 
     // State of this VM's own requests.
     std::string m_connectionAddress; // Peer address of m_connection.
--- a/burdockhold/view_message.cc
+++ b/burdockhold/view_message.cc
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::string_view Path = "/views/1";
+constexpr std::string_view Path = "/views/2";
 constexpr duration MaxWait = std::chrono::seconds(5); // Far above any wait that VMs request.
 
 /// The fields of a report. The software version is missing in reports of older builds.
@@ -33,27 +33,34 @@
     return { view_error::NotReadable, text, "view" };
 }
 
-/// Returns the value of a numeric query field, or nothing if it is missing or not a number.
-std::optional<std::uint64_t> numericField(std::string_view query, std::string_view name)
+/// Returns the value of a query field, or nothing if it is missing.
+std::optional<std::string_view> queryField(std::string_view query, std::string_view name)
 {
     while (!query.empty()) {
         const std::size_t end = std::min(query.find('&'), query.size());
         const std::string_view field = query.substr(0, end);
         query.remove_prefix(std::min(end + 1, query.size()));
         const std::size_t equals = field.find('=');
-        if (equals == std::string_view::npos || field.substr(0, equals) != name)
-            continue;
-        std::uint64_t number = 0;
-        const char *begin = field.data() + equals + 1;
-        const char *last = field.data() + field.size();
-        const auto parsed = std::from_chars(begin, last, number);
-        if (parsed.ec == std::errc() && parsed.ptr == last)
-            return number;
-        return std::nullopt;
+        if (equals != std::string_view::npos && field.substr(0, equals) == name)
+            return field.substr(equals + 1);
     }
     return std::nullopt;
 }
 
+/// Returns the value of a numeric query field, or nothing if it is missing or not a number.
+std::optional<std::uint64_t> numericField(std::string_view query, std::string_view name)
+{
+    const auto text = queryField(query, name);
+    if (!text)
+        return std::nullopt;
+    std::uint64_t number = 0;
+    const char *last = text->data() + text->size();
+    const auto parsed = std::from_chars(text->data(), last, number);
+    if (parsed.ec == std::errc() && parsed.ptr == last)
+        return number;
+    return std::nullopt;
+}
+
 /// Decodes an array of at least this many fields.
 template <typename T>
 result<T, view_error> unpackAs(std::string_view bytes, std::uint32_t requiredFields = 0)
@@ -85,6 +92,9 @@
     return std::string(Path) + "?reader=" + std::to_string(request.reader)
            + "&operator=" + std::to_string(request.operatorSequenceNumber)
            + "&endpoints=" + std::to_string(request.endpointSequenceNumber)
+           + (request.deploymentVersion
+                      ? "&deployment=" + std::to_string(*request.deploymentVersion)
+                      : std::string())
            + "&wait_ms=" + std::to_string(wait.count());
 }
 
@@ -101,17 +111,34 @@
     const auto operatorSequenceNumber = numericField(query, "operator");
     const auto endpointSequenceNumber = numericField(query, "endpoints");
     const auto wait = numericField(query, "wait_ms");
-    if (!reader || !operatorSequenceNumber || !endpointSequenceNumber || !wait)
+    const auto deployment = numericField(query, "deployment");
+    const bool isDeploymentMalformed = !deployment && queryField(query, "deployment");
+    if (!reader || !operatorSequenceNumber || !endpointSequenceNumber || !wait
+        || isDeploymentMalformed)
         return malformed("a numeric query field is missing or malformed");
     constexpr auto MaxWaitMs = std::chrono::duration_cast<std::chrono::milliseconds>(MaxWait);
     const auto ms = std::min(*wait, static_cast<std::uint64_t>(MaxWaitMs.count()));
-    return view_request{ *reader, *operatorSequenceNumber, *endpointSequenceNumber,
+    return view_request{ *reader, *operatorSequenceNumber, *endpointSequenceNumber, deployment,
                          std::chrono::milliseconds(ms) };
 }
 
 std::string encodeViewResponse(const view_response &response)
 {
-    return packed(response);
+    return encodeViewResponseHead(response, response.deploymentUpdate.size())
+           + response.deploymentUpdate;
+}
+
+std::string encodeViewResponseHead(const view_response &response, std::size_t updateBytes)
+{
+    constexpr std::uint32_t Fields = 4;
+    msgpack::sbuffer buffer;
+    msgpack::packer<msgpack::sbuffer> packer(buffer);
+    packer.pack_array(Fields);
+    packer.pack(response.reader);
+    packer.pack(response.operatorTopic);
+    packer.pack(response.endpointTopic);
+    packer.pack_str(static_cast<std::uint32_t>(updateBytes));
+    return { buffer.data(), buffer.size() };
 }
 
 result<view_response, view_error> decodeViewResponse(std::string_view body)
--- a/burdockhold/view_message.h
+++ b/burdockhold/view_message.h
@@ -19,7 +19,9 @@
 
 #include <msgpack.hpp>
 
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -32,10 +34,13 @@
     std::uint64_t reader = 0; ///< Incarnation of the reader that assigned the numbers.
     std::uint64_t operatorSequenceNumber = 0; ///< In the topic_changelog of operator records.
     std::uint64_t endpointSequenceNumber = 0; ///< In the topic_changelog of endpoint records.
-    duration wait = duration::zero();         ///< Time to the response if nothing changes.
+    /// Version of the requester's deployment, whichever VM it is from.
+    std::optional<std::uint64_t> deploymentVersion;
+    duration wait = duration::zero(); ///< Time to the response if nothing changes.
 };
 
-/// The reader's view of one topic of the log, or its changes.
+/// The reader's view of one topic of the log, or its changes. The operator's deployment is not
+/// among the records: view_response::deploymentUpdate has it.
 struct topic_view
 {
     bool loaded = false;
@@ -53,7 +58,9 @@
     std::uint64_t reader = 0;
     topic_view operatorTopic;
     topic_view endpointTopic; ///< The values are encoded endpoint reports.
-    MSGPACK_DEFINE_ARRAY(reader, operatorTopic, endpointTopic)
+    /// An encoded deployment_update; empty if the requester has the reader's deployment.
+    std::string deploymentUpdate;
+    MSGPACK_DEFINE_ARRAY(reader, operatorTopic, endpointTopic, deploymentUpdate)
 };
 
 enum class view_error { NotReadable, UnsupportedFormat };
@@ -63,6 +70,11 @@
 result<view_request, view_error> decodeViewRequest(std::string_view target);
 
 std::string encodeViewResponse(const view_response &response);
+
+/// Encodes the response up to an update of the given size, so that one encoded update can be sent
+/// to several VMs. The deploymentUpdate of the response is ignored.
+std::string encodeViewResponseHead(const view_response &response, std::size_t updateBytes);
+
 result<view_response, view_error> decodeViewResponse(std::string_view body);
 
 std::string encodeReport(const endpoint_report &report);
--- a/burdockhold/view_source.cc
+++ b/burdockhold/view_source.cc
@@ -97,7 +97,7 @@
     if (!m_startedAt)
         return false;
     const bool startupTimedOut = now - *m_startedAt >= m_options.startupTimeout;
-    const bool lacksFreshView = !m_freshSince && startupTimedOut;
+    const bool lacksFreshView = !m_freshSince && startupTimedOut && !m_responseArriving;
     const bool freshLongEnough = m_freshSince && now - *m_freshSince >= m_options.readingLinger;
     if (hasRecentRequest(now) || !preferredReader(now) || lacksFreshView)
         m_reading = true;
--- a/burdockhold/view_source.h
+++ b/burdockhold/view_source.h
@@ -10,7 +10,8 @@
 // on which VMs are live only cause some additional calls for a short time.
 //
 // Guarantees:
-// - A VM without a fresh view reads the log itself, whatever the other VMs do.
+// - A VM without a fresh view reads the log itself, whatever the other VMs do, unless a response
+//   with a view is just arriving.
 // - A VM that receives a request for its view reads the log. VMs pass on only what they have read
 //   from the log themselves, so two VMs cannot keep sending each other the same stale view.
 // The class has no clock and does no I/O. Beyond the list of the group, its memory is linear in the
@@ -71,6 +72,10 @@
     /// Records that a request to the VM failed.
     void requestFailed(const std::string &vm, time_point now);
 
+    /// Tells whether a response to this VM's request is arriving. Meanwhile the VM does not begin
+    /// to read the log, which would take longer than the rest of the response.
+    void setResponseArriving(bool arriving) { m_responseArriving = arriving; }
+
     /// Returns the VM to request the view from, or nothing if this VM ranks first among the VMs to
     /// which no request failed recently.
     std::optional<group_vm> preferredReader(time_point now) const;
@@ -98,6 +103,7 @@
     std::optional<time_point> m_startedAt;
     std::optional<time_point> m_lastRequestAt;
     std::optional<time_point> m_freshSince; // Set while responses give fresh views.
+    bool m_responseArriving = false;
     bool m_reading = false;
 };
 
--- a/testing/deployment_transfers_looptest.cc
+++ b/testing/deployment_transfers_looptest.cc
@@ -1,6 +1,5 @@
 #define BOOST_TEST_MODULE deployment_transfers
 #include "burdockhold/view_controller.h"
-#include "platform/deployment_codec.h"
 #include "testing/support_platform.h"
 #include "testing/support_slow_link.h"
 
@@ -75,11 +74,9 @@
     view_handlers handlers()
     {
         view_handlers made;
-        made.operatorRecord = [this](const auto &record) {
-            const auto decoded = platform::decodeDeployment(record.value.value_or(""));
-            if (isOk(decoded))
-                version = valueOf(decoded).version;
-        };
+        made.operatorRecord = [](const auto &) {};
+        made.deploymentChanged = [this](const auto &index) { version = index->version(); };
+        made.deploymentRefused = [](const auto &) {};
         made.endpointReported = [](const auto &) {};
         made.endpointRemoved = [](const auto &) {};
         made.endpointRecordRejected = [](const auto &, const auto &) {};
--- a/testing/view_message_test.cc
+++ b/testing/view_message_test.cc
@@ -34,7 +34,8 @@
 {
     view_response response;
     response.reader = 77;
-    response.operatorTopic = { true, true, 5, -1200, { { "config", false, "{}" } } };
+    response.operatorTopic = { true, true, 5, -1200, { { "version/m", false, "{}" } } };
+    response.deploymentUpdate = std::string("update\0", 7);
     response.endpointTopic = {
         true, false, 9, 15, { { "e1", false, encodeReport(sampleReport()) }, { "e2", true, {} } }
     };
@@ -45,35 +46,49 @@
 
 BOOST_AUTO_TEST_CASE(requestRoundTrips)
 {
-    const view_request request{ 18446744073709551615U, 7, 12, std::chrono::milliseconds(700) };
+    const view_request request{ 18446744073709551615U, 7, 12, 31, std::chrono::milliseconds(700) };
     const auto decoded = decodeViewRequest(encodeViewRequest(request));
     BOOST_REQUIRE(isOk(decoded));
     BOOST_TEST(valueOf(decoded).reader == request.reader);
     BOOST_TEST(valueOf(decoded).operatorSequenceNumber == 7U);
     BOOST_TEST(valueOf(decoded).endpointSequenceNumber == 12U);
+    BOOST_TEST((valueOf(decoded).deploymentVersion == request.deploymentVersion));
     BOOST_TEST((valueOf(decoded).wait == request.wait));
 }
 
+// Guards against a VM without a deployment that counts as having version 0.
+BOOST_AUTO_TEST_CASE(requestWithoutADeploymentRoundTrips)
+{
+    const auto none = decodeViewRequest(encodeViewRequest({ 1, 2, 3, {}, {} }));
+    const auto zero = decodeViewRequest(encodeViewRequest({ 1, 2, 3, 0, {} }));
+    BOOST_REQUIRE(isOk(none));
+    BOOST_REQUIRE(isOk(zero));
+    BOOST_TEST(!valueOf(none).deploymentVersion.has_value());
+    BOOST_TEST(valueOf(zero).deploymentVersion.value() == 0U);
+}
+
 // Guards against accepting a request of another format version or a malformed request.
 BOOST_AUTO_TEST_CASE(malformedOrOtherVersionRequestIsRefused)
 {
     const std::string fields = "?reader=1&operator=2&endpoints=3&wait_ms=4";
-    BOOST_TEST(isOk(decodeViewRequest("/views/1" + fields)));
-    BOOST_TEST(!isOk(decodeViewRequest("/views/2" + fields)));
-    BOOST_TEST(!isOk(decodeViewRequest("/views/1")));
+    BOOST_TEST(isOk(decodeViewRequest("/views/2" + fields)));
+    BOOST_TEST(!isOk(decodeViewRequest("/views/1" + fields)));
+    BOOST_TEST(!isOk(decodeViewRequest("/views/2")));
     BOOST_TEST(!isOk(decodeViewRequest("")));
-    BOOST_TEST(!isOk(decodeViewRequest("/views/1?reader=1&operator=2&endpoints=3")));
-    BOOST_TEST(!isOk(decodeViewRequest("/views/1?reader=-1&operator=2&endpoints=3&wait_ms=4")));
-    BOOST_TEST(!isOk(decodeViewRequest("/views/1?reader=1x&operator=2&endpoints=3&wait_ms=4")));
+    BOOST_TEST(!isOk(decodeViewRequest("/views/2?reader=1&operator=2&endpoints=3")));
+    BOOST_TEST(!isOk(decodeViewRequest("/views/2?reader=-1&operator=2&endpoints=3&wait_ms=4")));
+    BOOST_TEST(!isOk(decodeViewRequest("/views/2?reader=1x&operator=2&endpoints=3&wait_ms=4")));
     BOOST_TEST(!isOk(decodeViewRequest(
-            "/views/1?reader=99999999999999999999&operator=2&endpoints=3&wait_ms=4")));
+            "/views/2?reader=99999999999999999999&operator=2&endpoints=3&wait_ms=4")));
+    BOOST_TEST(!isOk(decodeViewRequest("/views/2" + fields + "&deployment=")));
+    BOOST_TEST(!isOk(decodeViewRequest("/views/2" + fields + "&deployment=-1")));
 }
 
 // Guards against a request that keeps its connection waiting without a limit.
 BOOST_AUTO_TEST_CASE(waitOfARequestIsBounded)
 {
     const auto decoded = decodeViewRequest(
-            "/views/1?reader=1&operator=2&endpoints=3&wait_ms=18446744073709551615");
+            "/views/2?reader=1&operator=2&endpoints=3&wait_ms=18446744073709551615");
     BOOST_REQUIRE(isOk(decoded));
     BOOST_TEST((valueOf(decoded).wait <= std::chrono::seconds(5)));
 }
@@ -86,6 +101,7 @@
     BOOST_TEST(response.reader == 77U);
     BOOST_TEST(response.operatorTopic.isSnapshot);
     BOOST_TEST(response.operatorTopic.confirmedOffsetMs == -1200);
+    BOOST_TEST(response.deploymentUpdate == sampleResponse().deploymentUpdate);
     BOOST_TEST(response.endpointTopic.sequenceNumber == 9U);
     BOOST_REQUIRE(response.endpointTopic.records.size() == 2U);
     BOOST_TEST(response.endpointTopic.records[1].removed);
@@ -122,7 +138,7 @@
     std::mt19937 random(1);
     const std::string response = encodeViewResponse(sampleResponse());
     const std::string report = encodeReport(sampleReport());
-    const std::string request = encodeViewRequest({ 1, 2, 3, std::chrono::milliseconds(4) });
+    const std::string request = encodeViewRequest({ 1, 2, 3, 5, std::chrono::milliseconds(4) });
     for (int round = 0; round < 20000; ++round) {
         BOOST_CHECK_NO_THROW(decodeViewResponse(mutated(response, random)));
         BOOST_CHECK_NO_THROW(decodeReport("e1", mutated(report, random)));
--- a/testing/views_looptest.cc
+++ b/testing/views_looptest.cc
@@ -51,6 +51,8 @@
         made.operatorRecord = [this](const auto &record) {
             operatorRecords[record.key] = record.value.value_or("(removed)");
         };
+        made.deploymentChanged = [this](const auto &index) { deployment = index; };
+        made.deploymentRefused = [](const auto &) {};
         made.endpointReported = [this](const auto &report) {
             board.endpoints.update(report, steadyNow());
         };
@@ -71,6 +73,11 @@
         return board.endpoints.candidates("desk", "", 0, "", {}, steadyNow()).size();
     }
 
+    bool hasVersion(std::uint64_t version) const
+    {
+        return deployment && deployment->version() == version;
+    }
+
     bool isFresh() const
     {
         return board.deploymentAge() < std::chrono::seconds(3)
@@ -79,10 +86,21 @@
 
     router_board board;
     std::map<std::string, std::string> operatorRecords;
+    std::shared_ptr<const deployment_index> deployment;
     int refused = 0;
     view_controller controller;
 };
 
+std::string configuration(std::uint64_t version)
+{
+    return nlohmann::json{
+        { "version", version },
+        { "routes", nlohmann::json::array() },
+        { "services", nlohmann::json::array() },
+        { "limits", nlohmann::json::object() }
+    }.dump();
+}
+
 std::string endpointRecord(const std::string &state, int heartbeat = 1)
 {
     return nlohmann::json{
@@ -102,7 +120,7 @@
 {
     test_group()
     {
-        log.put("keyed.op", "config", "first");
+        log.put("keyed.op", "config", configuration(1));
         log.put("keyed.servers", "e1", endpointRecord("ready"));
         for (int number = 0; number < VmCount; ++number)
             vms.push_back(std::make_unique<test_vm>(io, number, log.address()));
@@ -207,14 +225,13 @@
 BOOST_FIXTURE_TEST_CASE(changesReachAllVms, test_group)
 {
     BOOST_TEST(reaches([](const test_vm &vm) {
-        return vm.isFresh() && vm.operatorRecords.count("config") && vm.usableEndpoints() == 1;
+        return vm.isFresh() && vm.hasVersion(1) && vm.usableEndpoints() == 1;
     }));
-    log.put("keyed.op", "config", "second");
+    log.put("keyed.op", "config", configuration(2));
     log.put("keyed.servers", "e1", endpointRecord("draining"));
     log.put("keyed.servers", "e2", "not an entry");
-    BOOST_TEST(reaches([](const test_vm &vm) {
-        return vm.operatorRecords.at("config") == "second" && vm.usableEndpoints() == 0;
-    }));
+    BOOST_TEST(reaches(
+            [](const test_vm &vm) { return vm.hasVersion(2) && vm.usableEndpoints() == 0; }));
     log.put("keyed.servers", "e1", endpointRecord("ready", 2));
     BOOST_TEST(reaches([](const test_vm &vm) { return vm.usableEndpoints() == 1; }));
     log.remove("keyed.servers", "e1");
@@ -247,10 +264,9 @@
     while (vms.size() > 1) {
         vms.erase(vms.begin());
         BOOST_TEST(reaches([](const test_vm &vm) { return vm.isFresh(); }));
-        log.put("keyed.op", "config", std::to_string(vms.size()));
-        const std::string newest = std::to_string(vms.size());
-        BOOST_TEST(reaches(
-                [&](const test_vm &vm) { return vm.operatorRecords.at("config") == newest; }));
+        const std::uint64_t newest = VmCount + 1 - vms.size();
+        log.put("keyed.op", "config", configuration(newest));
+        BOOST_TEST(reaches([&](const test_vm &vm) { return vm.hasVersion(newest); }));
     }
 }
 
@@ -272,9 +288,8 @@
         callers.back()->send(bytes);
         run(std::chrono::milliseconds(30));
     }
-    log.put("keyed.op", "config", "second");
-    BOOST_TEST(
-            reaches([](const test_vm &vm) { return vm.operatorRecords.at("config") == "second"; }));
+    log.put("keyed.op", "config", configuration(2));
+    BOOST_TEST(reaches([](const test_vm &vm) { return vm.hasVersion(2); }));
 }
 
 // Guards against a requester that never reads its response and holds a session for good.
