--- a/burdockhold/topic_follower.h
+++ b/burdockhold/topic_follower.h
@@ -28,7 +28,7 @@
 {
     int status = 0;
     std::string body;
-    std::size_t receivedBytes = 0; ///< Of the body, also of one that was cut off.
+    std::size_t receivedBytes = 0;            ///< Of the body, also of one that was cut off.
     duration transferTime = duration::zero(); ///< From the first part of the body to the last.
 };
 
