Relay events that arrive together with a failure of their stream

When a read contained whole events and then what makes a stream fail (an id that does not grow, an event over the limit, a continuation that does not follow), event_splitter counted and returned the events, but the request dropped them, and the next engine was asked for what follows them.

Change: the events are sent before the call ends.

--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -666,13 +666,16 @@
 void routed_request::relayEvents(std::string_view bytes)
 {
     const std::string completeEvents = m_events.add(bytes);
-    if (m_events.failed()) {
+    if (!completeEvents.empty())
+        sendEvents(completeEvents);
+    if (m_events.failed() && !m_ended) {
         m_connection->close();
         callEnded(call_end::WrongAnswer);
-        return;
     }
-    if (completeEvents.empty())
-        return;
+}
+
+void routed_request::sendEvents(const std::string &completeEvents)
+{
     m_lastProgress = steadyNow();
     recordAnswer();
     if (m_rolloutCall)
--- a/testing/resumed_streams_looptest.cc
+++ b/testing/resumed_streams_looptest.cc
@@ -191,3 +191,22 @@
     BOOST_REQUIRE(resumedAfter.size() == 1U);
     BOOST_TEST(resumedAfter[0] == "3");
 }
+
+// Guards against events that are lost because what makes the stream fail arrives together with
+// them: the caller got the rest of the stream, framed as complete.
+BOOST_AUTO_TEST_CASE(eventsThatArriveWithAFailureAreDelivered)
+{
+    const std::string failures[] = { "id: 2\ndata: again\n\n", std::string(200000, 'x') };
+    for (const std::string &failure : failures) {
+        resumed_fixture fixture;
+        const engine_response first{
+            "failure", eventStream + chunked, chunk(events(1, 3) + failure), {}
+        };
+        const engine_response rest{
+            "rest", eventStream + chunked, chunk(events(4, 6)) + LastChunk, {}
+        };
+        const received_stream stream = fixture.call("/resume3/", { first, rest });
+        BOOST_TEST(stream.body == events(1, 6), stream.body);
+        BOOST_TEST(stream.complete);
+    }
+}
