Return only events with data, and refuse text that is no stream's

An engine stopped inside an event and the bytes that followed ended its line and its block (CR LF, the last chunk's size): since the splitter took the block, which has an id but no data, for an event, relayed it and resumed after its id.

A begun id that does not grow is the beginning of one that does, and no longer forbids the event.

Weighed and not done: to hold an event until its chunk is complete, which would delay the events of a large chunk on a slow link.

--- a/burdockhold/event_splitter.cc
+++ b/burdockhold/event_splitter.cc
@@ -1,6 +1,8 @@
 #include "burdockhold/event_splitter.h"
 
+#include <algorithm>
 #include <charconv>
+#include <cstddef>
 #include <optional>
 #include <utility>
 
@@ -21,6 +23,13 @@
     return text;
 }
 
+constexpr std::string_view LineEnds[] = { "", "\n", "\r\n", "\r" }; // By line_end.
+
+std::string_view textOf(line_end end)
+{
+    return LineEnds[static_cast<std::size_t>(end)];
+}
+
 /// Removes the first line and its end, which is LF, CR LF or CR, and returns it without its end.
 /// Returns nothing if the line has not ended.
 std::optional<std::string_view> takeLine(std::string_view &text)
@@ -33,21 +42,65 @@
     return line;
 }
 
-/// Returns the first block of the text: all up to and including its first blank line. Returns
-/// nothing if no blank line has arrived, or only the CR of one in a text with CR LF.
-std::optional<std::string_view> firstBlock(std::string_view text)
+/// Returns the name of the line's field. A line without a colon is the name of an empty field.
+std::string_view fieldName(std::string_view line)
+{
+    return line.substr(0, line.find(':'));
+}
+
+/// Returns whether the line may be one of an event stream. The format ignores unknown fields, but
+/// no engine sends one without a colon.
+bool isFieldOrComment(std::string_view line)
+{
+    if (line.find(':') != std::string_view::npos)
+        return true;
+    return line == "data" || line == "id" || line == "event" || line == "retry";
+}
+
+/// The beginning of a stream's text.
+enum class block_state {
+    Incomplete,
+    WithoutData, ///< Whole blocks without data, and nothing or the beginning of another block.
+    Complete,    ///< An event, or comments and blank lines.
+    Foreign,     ///< It is not the text of an event stream.
+};
+
+struct first_block
+{
+    block_state state = block_state::Incomplete;
+    std::size_t size = 0; ///< Of the whole blocks.
+    bool hasBlockWithoutData = false;
+};
+
+/// Finds the first event of the text with the blocks without data before it, or the first comment.
+first_block firstBlock(std::string_view text, line_end end)
 {
-    std::string_view rest = text;
-    while (const auto line = takeLine(rest)) {
-        if (!line->empty())
-            continue;
-        const std::string_view block = text.substr(0, text.size() - rest.size());
-        constexpr std::string_view Unfinished = "\r\n\r";
-        const bool lacksLineFeed = rest.empty() && block.size() >= Unfinished.size()
-                                   && block.substr(block.size() - Unfinished.size()) == Unfinished;
-        return lacksLineFeed ? std::nullopt : std::optional(block);
+    first_block found;
+    const std::string_view endText = textOf(end);
+    bool hasField = false;
+    bool hasData = false;
+    std::size_t at = 0;
+    while (end != line_end::Unknown) {
+        const std::size_t stop = text.find_first_of("\r\n", at);
+        const std::string_view rest = text.substr(std::min(stop, text.size()));
+        if (rest.size() < endText.size() && endText.substr(0, rest.size()) == rest)
+            return found;
+        if (rest.substr(0, endText.size()) != endText)
+            return { block_state::Foreign };
+        std::string_view line = text.substr(at, stop - at);
+        line = at == 0 ? withoutByteOrderMark(line) : line;
+        at = stop + endText.size();
+        if (line.empty()) {
+            if (hasData || !hasField)
+                return { block_state::Complete, at, found.hasBlockWithoutData };
+            found = { block_state::WithoutData, at, true };
+        } else if (!isFieldOrComment(line)) {
+            return { block_state::Foreign };
+        }
+        hasField = hasField || (!line.empty() && line.front() != ':');
+        hasData = hasData || fieldName(line) == "data";
     }
-    return std::nullopt;
+    return found;
 }
 
 /// Returns the value of an id field. A space at its end is not part of a field that is sent on.
@@ -107,17 +160,47 @@
     if (m_failed)
         return complete;
     m_partial.append(bytes);
+    learnLineEnd();
     std::string_view rest = m_partial;
-    while (const auto block = m_failed ? std::nullopt : firstBlock(rest)) {
-        if (accept(*block))
-            complete.append(m_events > 1 ? withoutByteOrderMark(*block) : *block);
-        rest.remove_prefix(block->size());
+    while (!m_failed) {
+        const first_block found = firstBlock(rest, m_lineEnd);
+        const bool doesNotFollow = m_awaitsFollowing && found.hasBlockWithoutData;
+        m_failed = found.state == block_state::Foreign || doesNotFollow;
+        if (m_failed || found.state != block_state::Complete)
+            break;
+        const std::string_view block = rest.substr(0, found.size);
+        if (accept(block))
+            complete.append(m_events > 1 ? withoutByteOrderMark(block) : block);
+        rest.remove_prefix(block.size());
     }
     m_partial.erase(0, m_partial.size() - rest.size());
     m_failed = m_failed || m_partial.size() > MaxEventBytes;
     return complete;
 }
 
+/// Learns the line end from the first one of the response. A CR at the end of the text may be the
+/// beginning of CR LF.
+void event_splitter::learnLineEnd()
+{
+    const std::size_t end = m_partial.find_first_of("\r\n");
+    if (m_lineEnd != line_end::Unknown || end == std::string::npos)
+        return;
+    if (m_partial[end] == '\n')
+        m_lineEnd = line_end::Lf;
+    else if (end + 1 < m_partial.size())
+        m_lineEnd = m_partial[end + 1] == '\n' ? line_end::CrLf : line_end::Cr;
+}
+
+std::string event_splitter::takeBlocksAtEnd()
+{
+    const first_block found = m_failed ? first_block() : firstBlock(m_partial, m_lineEnd);
+    if (found.state != block_state::WithoutData || m_awaitsFollowing)
+        return {};
+    const std::string blocks = m_partial.substr(0, found.size);
+    m_partial.erase(0, found.size);
+    return blocks;
+}
+
 void event_splitter::continueElsewhere()
 {
     if (!m_failed && !isComment(m_partial)) {
@@ -127,10 +210,12 @@
                                    && !(id && last && *id > *last);
         if (!mayBeRepeated) {
             m_lacksBegunEvent = true;
-            m_begunId = id;
+            // An id that does not grow is the beginning of one that does.
+            m_begunId = id && last && *id <= *last ? std::nullopt : id;
         }
     }
     m_partial.clear();
+    m_lineEnd = line_end::Unknown;
     m_failed = false;
     m_awaitsFollowing = m_events > 0 || !m_lastId.empty() || m_begunId;
 }
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -674,6 +674,14 @@
     }
 }
 
+/// Relays blocks without data at the end of a response that is complete by its framing.
+void routed_request::relayBlocksAtEnd()
+{
+    const std::string blocks = m_events.takeBlocksAtEnd();
+    if (!blocks.empty())
+        sendEvents(blocks);
+}
+
 void routed_request::sendEvents(const std::string &completeEvents)
 {
     m_lastProgress = steadyNow();
@@ -700,6 +708,8 @@
     if (end == http_outcome::Complete && m_headReceived)
         ignoreLateNotices(m_context.board, m_head.notice.fields,
                           platform::countNoticeFields(m_connection->response()));
+    if (end == http_outcome::Complete && m_headReceived && !m_connection->endedByClose())
+        relayBlocksAtEnd();
     const call_end ended = classifyEnd(end);
     if (ended == call_end::Complete && m_connection->endedByClose())
         checkUnframedEnd();
