--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -665,25 +665,17 @@
 
 void routed_request::relayEvents(std::string_view bytes)
 {
-    const std::string completeEvents = m_events.add(bytes);
-    if (!completeEvents.empty())
-        sendEvents(completeEvents);
+    sendEvents(m_events.add(bytes));
     if (m_events.failed() && !m_ended) {
         m_connection->close();
         callEnded(call_end::WrongAnswer);
     }
 }
 
-/// Relays blocks without data at the end of a response that is complete by its framing.
-void routed_request::relayBlocksAtEnd()
-{
-    const std::string blocks = m_events.takeBlocksAtEnd();
-    if (!blocks.empty())
-        sendEvents(blocks);
-}
-
-void routed_request::sendEvents(const std::string &completeEvents)
+void routed_request::sendEvents(const std::string &text)
 {
+    if (text.empty())
+        return;
     m_lastProgress = steadyNow();
     recordAnswer();
     if (m_rolloutCall)
@@ -693,7 +685,7 @@
         m_mediaType = m_head.mediaType;
         m_writer.beginStream(m_head.status, m_head.forwardedFields);
     }
-    m_writer.sendStreamBytes(completeEvents);
+    m_writer.sendStreamBytes(text);
 }
 
 void routed_request::recordAnswer()
@@ -709,7 +701,7 @@
         ignoreLateNotices(m_context.board, m_head.notice.fields,
                           platform::countNoticeFields(m_connection->response()));
     if (end == http_outcome::Complete && m_headReceived && !m_connection->endedByClose())
-        relayBlocksAtEnd();
+        sendEvents(m_events.takeBlocksAtEnd());
     const call_end ended = classifyEnd(end);
     if (ended == call_end::Complete && m_connection->endedByClose())
         checkUnframedEnd();
--- a/burdockhold/routed_request.h
+++ b/burdockhold/routed_request.h
@@ -144,8 +144,7 @@
     void bodyReceived(std::string_view bytes);
     void firstByteReceived();
     void relayEvents(std::string_view bytes);
-    void relayBlocksAtEnd();
-    void sendEvents(const std::string &completeEvents);
+    void sendEvents(const std::string &text);
     void connectionEnded(http_outcome end);
     void checkUnframedEnd();
     call_end classifyEnd(http_outcome end) const;
--- a/testing/deployment_transfers_looptest.cc
+++ b/testing/deployment_transfers_looptest.cc
@@ -1,9 +1,7 @@
 #define BOOST_TEST_MODULE deployment_transfers
-#include "burdockhold/view_controller.h"
 #include "testing/support_platform.h"
 #include "testing/support_slow_link.h"
-
-#include <nlohmann/json.hpp>
+#include "testing/support_views.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
@@ -22,74 +20,9 @@
 namespace {
 
 constexpr int VmCount = 5;
-constexpr int FirstPort = 17750;
 constexpr duration Timeout = std::chrono::seconds(20); // Generous: no check depends on speed.
 constexpr std::size_t FastBytesPerSecond = 1000000000;
 
-/// Returns a configuration as the operator writes it.
-std::string configuration(std::uint64_t version, int routes)
-{
-    nlohmann::json rows = nlohmann::json::array();
-    for (int number = 0; number < routes; ++number)
-        rows.push_back({ { "name", "route-" + std::to_string(number) },
-                         { "host", "host" + std::to_string(number % 20) + ".example" },
-                         { "path_prefix", "/prefix" + std::to_string(number) + "/" },
-                         { "kind", "safe" },
-                         { "timeout_ms", 1000 },
-                         { "target_latency_ms", 100 },
-                         { "priority", 2 },
-                         { "service", "desk" },
-                         { "max_attempts", 2 },
-                         { "anonymous", false },
-                         { "sticky", false } });
-    return nlohmann::json{
-        { "version", version },
-        { "routes", rows },
-        { "services", { { { "name", "desk" } } } },
-        { "limits", nlohmann::json::object() },
-        { "tenants", nlohmann::json::array() }
-    }.dump();
-}
-
-/// A VM that requests views of the others through slow links.
-struct test_vm
-{
-    test_vm(boost::asio::io_context &io, int number, const std::string &logAddress)
-        : board(settingsOf(number, logAddress))
-        , controller(io, board, handlers())
-    {
-        BOOST_REQUIRE(controller.open().empty());
-    }
-
-    static router_settings settingsOf(int number, const std::string &logAddress)
-    {
-        router_settings settings;
-        settings.vmName = "vm-" + std::to_string(number);
-        settings.ip = "127.0.0.1";
-        settings.firstPeerPort = FirstPort + number;
-        settings.logAddress = logAddress;
-        return settings;
-    }
-
-    view_handlers handlers()
-    {
-        view_handlers made;
-        made.operatorRecord = [](const auto &) {};
-        made.deploymentChanged = [this](const auto &index) { version = index->version(); };
-        made.deploymentRefused = [](const auto &) {};
-        made.endpointReported = [](const auto &) {};
-        made.endpointRemoved = [](const auto &) {};
-        made.endpointRecordRejected = [](const auto &, const auto &) {};
-        made.endpointsListed = [](const auto &) {};
-        made.logCallCompleted = [](std::string_view, int) {};
-        return made;
-    }
-
-    router_board board;
-    std::uint64_t version = 0; ///< Of the deployment that is in force.
-    view_controller controller;
-};
-
 struct transfer_fixture
 {
     transfer_fixture()
@@ -106,9 +39,9 @@
     {
         log.put("keyed.op", "config", configuration(version, routes));
         for (int number = 0; number < VmCount; ++number) {
-            const std::string peer = "127.0.0.1:" + std::to_string(FirstPort + number);
+            const std::string peer = "127.0.0.1:" + std::to_string(view_vm::FirstPort + number);
             links.push_back(std::make_unique<slow_link>(peer, FastBytesPerSecond));
-            vms.push_back(std::make_unique<test_vm>(io, number, log.address()));
+            vms.push_back(std::make_unique<view_vm>(io, number, log.address()));
         }
         for (auto &vm : vms) {
             for (int number = 0; number < VmCount; ++number) {
@@ -139,7 +72,7 @@
     bool reaches(std::uint64_t version)
     {
         const time_point end = steadyNow() + Timeout;
-        const auto hasVersion = [version](const auto &vm) { return vm->version == version; };
+        const auto hasVersion = [version](const auto &vm) { return vm->hasVersion(version); };
         while (steadyNow() < end && !std::all_of(vms.begin(), vms.end(), hasVersion))
             run(std::chrono::milliseconds(20));
         return std::all_of(vms.begin(), vms.end(), hasVersion);
@@ -156,7 +89,7 @@
     boost::asio::io_context io;
     fake_log_service log;
     std::vector<std::unique_ptr<slow_link>> links;
-    std::vector<std::unique_ptr<test_vm>> vms;
+    std::vector<std::unique_ptr<view_vm>> vms;
     std::atomic<int> loads{ 0 }; ///< Calls with which a VM begins to read the log.
 };
 
@@ -198,7 +131,7 @@
 {
     log.put("keyed.op", "config", configuration(2, 3000));
     slow_link link(log.address(), 250000);
-    vms.push_back(std::make_unique<test_vm>(io, 0, link.address()));
+    vms.push_back(std::make_unique<view_vm>(io, 0, link.address()));
     vms.back()->controller.begin();
     BOOST_TEST(reaches(2));
 }
--- a/testing/views_looptest.cc
+++ b/testing/views_looptest.cc
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE views
 #include "burdockhold/view_controller.h"
 #include "testing/support_platform.h"
+#include "testing/support_views.h"
 
 #include <nlohmann/json.hpp>
 
@@ -22,85 +23,9 @@
 namespace {
 
 constexpr int VmCount = 6;
-constexpr int FirstPort = 17700;
+constexpr int FirstPort = view_vm::FirstPort;
 constexpr duration Timeout = std::chrono::seconds(15); // Generous: no check depends on speed.
 
-/// A VM with its router_board and its view_controller, on its own loopback port.
-struct test_vm
-{
-    test_vm(boost::asio::io_context &io, int number, const std::string &logAddress)
-        : board(settingsOf(number, logAddress))
-        , controller(io, board, handlers())
-    {
-        BOOST_REQUIRE(controller.open().empty());
-    }
-
-    static router_settings settingsOf(int number, const std::string &logAddress)
-    {
-        router_settings settings;
-        settings.vmName = "vm-" + std::to_string(number);
-        settings.ip = "127.0.0.1";
-        settings.firstPeerPort = FirstPort + number;
-        settings.logAddress = logAddress;
-        return settings;
-    }
-
-    view_handlers handlers()
-    {
-        view_handlers made;
-        made.operatorRecord = [this](const auto &record) {
-            operatorRecords[record.key] = record.value.value_or("(removed)");
-        };
-        made.deploymentChanged = [this](const auto &index) { deployment = index; };
-        made.deploymentRefused = [](const auto &) {};
-        made.endpointReported = [this](const auto &report) {
-            board.endpoints.update(report, steadyNow());
-        };
-        made.endpointRemoved = [this](const auto &id) { board.endpoints.remove(id, steadyNow()); };
-        made.endpointRecordRejected = [this](const auto &id, const auto &) {
-            ++refused;
-            board.endpoints.remove(id, steadyNow());
-        };
-        made.endpointsListed = [this](const auto &ids) {
-            board.endpoints.keepOnly(ids, steadyNow());
-        };
-        made.logCallCompleted = [](std::string_view, int) {};
-        return made;
-    }
-
-    std::size_t usableEndpoints() const
-    {
-        return board.endpoints.candidates("desk", "", 0, "", {}, steadyNow()).size();
-    }
-
-    bool hasVersion(std::uint64_t version) const
-    {
-        return deployment && deployment->version() == version;
-    }
-
-    bool isFresh() const
-    {
-        return board.deploymentAge() < std::chrono::seconds(3)
-               && bootTimeNow() - board.endpointsConfirmedAt < std::chrono::seconds(3);
-    }
-
-    router_board board;
-    std::map<std::string, std::string> operatorRecords;
-    std::shared_ptr<const deployment_index> deployment;
-    int refused = 0;
-    view_controller controller;
-};
-
-std::string configuration(std::uint64_t version)
-{
-    return nlohmann::json{
-        { "version", version },
-        { "routes", nlohmann::json::array() },
-        { "services", nlohmann::json::array() },
-        { "limits", nlohmann::json::object() }
-    }.dump();
-}
-
 std::string endpointRecord(const std::string &state, int heartbeat = 1)
 {
     return nlohmann::json{
@@ -123,7 +48,7 @@
         log.put("keyed.op", "config", configuration(1));
         log.put("keyed.servers", "e1", endpointRecord("ready"));
         for (int number = 0; number < VmCount; ++number)
-            vms.push_back(std::make_unique<test_vm>(io, number, log.address()));
+            vms.push_back(std::make_unique<view_vm>(io, number, log.address()));
         announceGroup();
         for (auto &vm : vms)
             vm->controller.begin();
@@ -155,7 +80,7 @@
         }
     }
 
-    bool reaches(const std::function<bool(const test_vm &)> &condition)
+    bool reaches(const std::function<bool(const view_vm &)> &condition)
     {
         const time_point end = steadyNow() + Timeout;
         while (steadyNow() < end) {
@@ -170,7 +95,7 @@
 
     boost::asio::io_context io;
     fake_log_service log;
-    std::vector<std::unique_ptr<test_vm>> vms;
+    std::vector<std::unique_ptr<view_vm>> vms;
 };
 
 /// Sends a request and does not read the response.
@@ -213,36 +138,36 @@
     std::string second = endpointRecord("ready");
     second.replace(second.find("127.0.0.1:1"), 11, "127.0.0.1:2");
     log.put("keyed.servers", "e2", second);
-    BOOST_REQUIRE(reaches([](const test_vm &vm) { return vm.usableEndpoints() == 2; }));
+    BOOST_REQUIRE(reaches([](const view_vm &vm) { return vm.usableEndpoints() == 2; }));
     log.put("keyed.servers", "e1", "[]");
-    BOOST_TEST(reaches([](const test_vm &vm) { return vm.usableEndpoints() == 1; }));
+    BOOST_TEST(reaches([](const view_vm &vm) { return vm.usableEndpoints() == 1; }));
     log.put("keyed.servers", "e1", endpointRecord("ready"));
-    BOOST_TEST(reaches([](const test_vm &vm) { return vm.usableEndpoints() == 2; }));
+    BOOST_TEST(reaches([](const view_vm &vm) { return vm.usableEndpoints() == 2; }));
 }
 
 // Guards against changes that reach only the VM that reads the log, so that a departed endpoint or
 // a revoked key stays in use at the other VMs.
 BOOST_FIXTURE_TEST_CASE(changesReachAllVms, test_group)
 {
-    BOOST_TEST(reaches([](const test_vm &vm) {
+    BOOST_TEST(reaches([](const view_vm &vm) {
         return vm.isFresh() && vm.hasVersion(1) && vm.usableEndpoints() == 1;
     }));
     log.put("keyed.op", "config", configuration(2));
     log.put("keyed.servers", "e1", endpointRecord("draining"));
     log.put("keyed.servers", "e2", "not an entry");
     BOOST_TEST(reaches(
-            [](const test_vm &vm) { return vm.hasVersion(2) && vm.usableEndpoints() == 0; }));
+            [](const view_vm &vm) { return vm.hasVersion(2) && vm.usableEndpoints() == 0; }));
     log.put("keyed.servers", "e1", endpointRecord("ready", 2));
-    BOOST_TEST(reaches([](const test_vm &vm) { return vm.usableEndpoints() == 1; }));
+    BOOST_TEST(reaches([](const view_vm &vm) { return vm.usableEndpoints() == 1; }));
     log.remove("keyed.servers", "e1");
-    BOOST_TEST(reaches([](const test_vm &vm) { return vm.usableEndpoints() == 0; }));
+    BOOST_TEST(reaches([](const view_vm &vm) { return vm.usableEndpoints() == 0; }));
 }
 
 // Guards against a number of calls to the log that grows with the number of VMs: six VMs that each
 // read the log make some thirty calls more in three seconds.
 BOOST_FIXTURE_TEST_CASE(oneVmCallsTheLog, test_group)
 {
-    BOOST_TEST(reaches([](const test_vm &vm) { return vm.isFresh(); }));
+    BOOST_TEST(reaches([](const view_vm &vm) { return vm.isFresh(); }));
     run(std::chrono::seconds(4)); // Additional readers from the start have stopped.
     const int before = log.callCount();
     run(std::chrono::seconds(3));
@@ -253,27 +178,27 @@
 // against a view that counts as fresh during the outage.
 BOOST_FIXTURE_TEST_CASE(viewsAgeWithTheLogAndRecoverWithoutTheReader, test_group)
 {
-    BOOST_TEST(reaches([](const test_vm &vm) { return vm.isFresh(); }));
+    BOOST_TEST(reaches([](const view_vm &vm) { return vm.isFresh(); }));
     log.setUnavailable(true);
     run(std::chrono::seconds(4));
     for (const auto &vm : vms)
         BOOST_TEST(toSeconds(vm->board.deploymentAge()) > 3.5);
     log.setUnavailable(false);
-    BOOST_TEST(reaches([](const test_vm &vm) { return vm.isFresh(); }));
+    BOOST_TEST(reaches([](const view_vm &vm) { return vm.isFresh(); }));
     // The VMs stop one after the other; the remaining VMs have a fresh view each time.
     while (vms.size() > 1) {
         vms.erase(vms.begin());
-        BOOST_TEST(reaches([](const test_vm &vm) { return vm.isFresh(); }));
+        BOOST_TEST(reaches([](const view_vm &vm) { return vm.isFresh(); }));
         const std::uint64_t newest = VmCount + 1 - vms.size();
         log.put("keyed.op", "config", configuration(newest));
-        BOOST_TEST(reaches([&](const test_vm &vm) { return vm.hasVersion(newest); }));
+        BOOST_TEST(reaches([&](const view_vm &vm) { return vm.hasVersion(newest); }));
     }
 }
 
 // Guards against malformed requests that end the process or keep it from serving other requests.
 BOOST_FIXTURE_TEST_CASE(malformedRequestsCloseTheirConnectionOnly, test_group)
 {
-    BOOST_TEST(reaches([](const test_vm &vm) { return vm.isFresh(); }));
+    BOOST_TEST(reaches([](const view_vm &vm) { return vm.isFresh(); }));
     const std::string address = "127.0.0.1:" + std::to_string(FirstPort);
     const std::vector<std::string> malformedRequests{ "",
                                                       "\r\n\r\n",
@@ -289,7 +214,7 @@
         run(std::chrono::milliseconds(30));
     }
     log.put("keyed.op", "config", configuration(2));
-    BOOST_TEST(reaches([](const test_vm &vm) { return vm.hasVersion(2); }));
+    BOOST_TEST(reaches([](const view_vm &vm) { return vm.hasVersion(2); }));
 }
 
 // Guards against a requester that never reads its response and holds a session for good.
@@ -300,7 +225,7 @@
     const std::vector<std::string> keys{ "first", "second", "third" };
     for (const std::string &key : keys) {
         log.put("keyed.op", key, std::string(RecordBytes, 'x'));
-        BOOST_REQUIRE(reaches([&](const test_vm &vm) { return vm.operatorRecords.count(key); }));
+        BOOST_REQUIRE(reaches([&](const view_vm &vm) { return vm.operatorRecords.count(key); }));
     }
     const std::string request = "GET " + encodeViewRequest({}) + " HTTP/1.1\r\n\r\n";
     std::vector<std::unique_ptr<slow_reader>> readers;
@@ -332,7 +257,7 @@
                             + "\r\n\r\n" + body);
     });
     boost::asio::io_context io;
-    test_vm vm(io, 0, "127.0.0.1:1");
+    view_vm vm(io, 0, "127.0.0.1:1");
     vm.board.groupVms = { { "reader", reader.address(), vm.board.settings.capacity() + 1 } };
     vm.controller.begin();
     const time_point end = steadyNow() + Timeout;
