--- a/burdockhold/view_controller.cc
+++ b/burdockhold/view_controller.cc
@@ -28,7 +28,7 @@
 constexpr std::size_t MaxEncodedUpdates = 4;
 /// The operator's topic may use the memory limit divided by this for one response: the response,
 /// its text and the decoded document are in memory at the same time.
-constexpr std::size_t OperatorResponseDivisor = 10;
+constexpr std::size_t OperatorResponseDivisor = 20;
 /// A requester that is silent for this long counts as departed: requesters send several requests a
 /// second.
 constexpr duration SessionIdleTimeout = std::chrono::seconds(10);
--- a/tools/capacity_bench.cc
+++ b/tools/capacity_bench.cc
@@ -8,6 +8,7 @@
 #include "burdockhold/cache_view.h"
 #include "burdockhold/claim_ledger.h"
 #include "burdockhold/clock.h"
+#include "burdockhold/deployment_history.h"
 #include "burdockhold/hash.h"
 #include "burdockhold/heat.h"
 #include "burdockhold/membership.h"
@@ -740,13 +741,56 @@
     }
 }
 
+deployment deploymentOf(std::uint64_t version, std::size_t routes)
+{
+    deployment source;
+    source.version = version;
+    for (std::size_t i = 0; i < routes; ++i) {
+        deployment_route route;
+        route.name = "route-" + std::to_string(i);
+        route.host = "host" + std::to_string(i % 20) + ".example";
+        route.pathPrefix = "/prefix" + std::to_string(i) + "/";
+        route.pools = { { "pool", 1.0 } };
+        source.routes.push_back(std::move(route));
+    }
+    return source;
+}
+
+/// The cost of a version that changes nothing, and of one that adds 1,400 routes, at the VM that
+/// reads the log ("put") and at the others ("apply"), by the routes that the deployment has.
+void measureDeployments(recorder &out)
+{
+    constexpr std::size_t Added = 1400;
+    for (const std::size_t size : { 1400, 2800, 5600, 11200, 22400 }) {
+        const double before = allocatedBytes();
+        deployment_history history;
+        history.put(deploymentOf(1, size));
+        out.bytes("deployment.state", size, allocatedBytes() - before);
+        const deployment_history replica = history;
+        out.bytes("deployment.snapshot", size,
+                  static_cast<double>(encodeDeploymentUpdate(history.since({})).size()));
+        for (const std::size_t added : { std::size_t(0), Added }) {
+            const std::string name = "deployment.add_" + std::to_string(added);
+            const deployment next = deploymentOf(2, size + added);
+            deployment_history reader = history;
+            out.time(name + ".put", size, secondsOnce([&] { reader.put(next); }));
+            const deployment_update update = reader.since(1);
+            out.bytes(name + ".update", size,
+                      static_cast<double>(encodeDeploymentUpdate(update).size()));
+            deployment_history follower = replica;
+            out.time(name + ".apply", size,
+                     secondsOnce([&] { sink += isOk(follower.apply(update)) ? 1.0 : 0.0; }));
+        }
+    }
+}
+
 struct bench_case
 {
     const char *name;
     void (*run)(recorder &out);
 };
 
-constexpr std::array<bench_case, 11> Cases{ {
+constexpr std::array<bench_case, 12> Cases{ {
         { "config", measureConfig },
         { "claims", measureClaims },
         { "limits", measureLimits },
@@ -758,6 +802,7 @@
         { "cache_events", measureCacheEvents },
         { "metrics", measureMetrics },
         { "evidence", measureEvidence },
+        { "deployments", measureDeployments },
 } };
 
 } // namespace
