--- a/burdockhold/view_controller.cc
+++ b/burdockhold/view_controller.cc
@@ -185,6 +185,8 @@
                                                             error_code error, std::size_t bytes) {
             self->m_written += bytes;
             const bool isComplete = self->m_written == self->outputBytes();
+            if (isComplete)
+                self->m_update.reset(); // An idle session must not keep an old update in memory.
             if (error || (isComplete && !keepOpen))
                 self->close();
             else if (isComplete)
