--- a/burdockhold/event_splitter.cc
+++ b/burdockhold/event_splitter.cc
@@ -196,7 +196,7 @@
     const first_block found = m_failed ? first_block() : firstBlock(m_partial, m_lineEnd);
     if (found.state != block_state::WithoutData || m_awaitsFollowing)
         return {};
-    const std::string blocks = m_partial.substr(0, found.size);
+    std::string blocks = m_partial.substr(0, found.size);
     m_partial.erase(0, found.size);
     return blocks;
 }
