--- a/burdockhold/view_controller.cc
+++ b/burdockhold/view_controller.cc
@@ -636,7 +636,7 @@
         return known->second;
     if (m_encodedUpdates.size() >= MaxEncodedUpdates)
         m_encodedUpdates.clear();
-    const auto encoded = std::make_shared<const std::string>(
+    auto encoded = std::make_shared<const std::string>(
             encodeDeploymentUpdate(m_deployments.since(request.deploymentVersion)));
     m_encodedUpdates.emplace(request.deploymentVersion, encoded);
     return encoded;
