--- a/burdockhold/decision_options.cc
+++ b/burdockhold/decision_options.cc
@@ -57,6 +57,8 @@
     options.choice = choiceOptions(mechanisms);
     if (!mechanisms.uses(mechanism::SilenceSuspicion))
         options.endpoints.suspectAfter = duration::max();
+    if (!mechanisms.uses(mechanism::EngineLanes))
+        options.lanes.minEngines = std::numeric_limits<std::size_t>::max();
     options.transfers.copySegments = mechanisms.uses(mechanism::SegmentCopies);
     options.transfers.saveSegments = mechanisms.uses(mechanism::SegmentSaves);
     options.rollout = rolloutOptions(mechanisms);
--- a/burdockhold/decision_options.h
+++ b/burdockhold/decision_options.h
@@ -7,6 +7,7 @@
 
 #include "burdockhold/endpoint_choice.h"
 #include "burdockhold/endpoint_table.h"
+#include "burdockhold/engine_lanes.h"
 #include "burdockhold/mechanisms.h"
 #include "burdockhold/quota_ledger.h"
 #include "burdockhold/segment_transfer.h"
@@ -17,6 +18,7 @@
 struct decision_options
 {
     endpoint_choice_options choice;
+    engine_lane_options lanes;
     endpoint_table_options endpoints;
     segment_transfer_options transfers;
     rollout_options rollout;
--- a/burdockhold/deployment.cc
+++ b/burdockhold/deployment.cc
@@ -106,6 +106,7 @@
         m_rules = *changes.rules;
     indexAccounts();
     indexPools();
+    indexStreamTargets();
 }
 
 /// Adds the route in place of the one with the same key.
@@ -148,6 +149,26 @@
         m_poolsByName.emplace(pool.name, &pool);
 }
 
+void deployment_index::indexStreamTargets()
+{
+    for (const auto &[key, indexed] : m_routes) {
+        const deployment_route &route = indexed->route;
+        if (route.kind != call_kind::Stream)
+            continue;
+        for (const weighted_pool &share : route.pools) {
+            const auto [shortest, isNew] = m_shortestStreamTargets.try_emplace(share.pool,
+                                                                               route.latencyTarget);
+            shortest->second = std::min(shortest->second, route.latencyTarget);
+        }
+    }
+}
+
+std::optional<duration> deployment_index::shortestStreamTarget(std::string_view pool) const
+{
+    const auto found = m_shortestStreamTargets.find(pool);
+    return found == m_shortestStreamTargets.end() ? std::nullopt : std::make_optional(found->second);
+}
+
 const deployment_route *deployment_index::findRoute(std::string_view host,
                                                     std::string_view path) const
 {
--- a/burdockhold/deployment.h
+++ b/burdockhold/deployment.h
@@ -177,6 +177,10 @@
 
     const deployment_pool *findPool(std::string_view name) const;
 
+    /// Returns the shortest latency target among the routes whose streams the pool serves, or
+    /// nothing if there is none.
+    std::optional<duration> shortestStreamTarget(std::string_view pool) const;
+
     /// Returns the domain of the account's requests, or of requests without an account for nullptr.
     /// The account may come from another version of the deployment; what this one says of it holds.
     cache_domain cacheDomainOf(const deployment_account *account) const;
@@ -199,6 +203,7 @@
     void removeRoute(const std::string &key);
     void indexAccounts();
     void indexPools();
+    void indexStreamTargets();
 
     std::uint64_t m_version = 0;
     std::map<std::string, deployment_account> m_accounts;
@@ -210,6 +215,7 @@
     std::unordered_map<std::string, const deployment_account *> m_accountsByKey;
     std::unordered_map<std::string, const deployment_account *> m_accountsByName;
     std::unordered_map<std::string, const deployment_pool *> m_poolsByName;
+    std::map<std::string, duration, std::less<>> m_shortestStreamTargets; ///< By pool.
     std::uint64_t m_isolatedSet = 0; ///< See cache_domain.
 };
 
--- a/burdockhold/digest_exchange.cc
+++ b/burdockhold/digest_exchange.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/buffer.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <random>
 #include <set>
 #include <sstream>
@@ -339,6 +340,7 @@
     addAnnouncedVersions(digest);
     for (const auto &[pool, rollout] : m_board.rollouts)
         rollout.fillDigest(digest, now);
+    addLaneWork(digest, now);
     digest.storedSegments = m_board.storedSegments.nextAnnouncement();
     for (const auto &[address, until] : m_board.storeUnavailableUntil) {
         if (now < until && m_board.storesFoundUnavailable.count(address) != 0)
@@ -406,6 +408,33 @@
     }
 }
 
+void digest_exchange::addLaneWork(vm_digest &digest, time_point now) const
+{
+    for (const auto &[pool, demand] : m_board.laneDemand) {
+        const lane_work work = demand.ownWork(now);
+        const auto scaled = [](double tokens) {
+            return static_cast<std::uint32_t>(
+                    std::clamp(std::round(tokens / lane_row::WorkScale), 0.0, 4e9));
+        };
+        digest.lanes.push_back({ shortHash(pool), scaled(work.shortTokens),
+                                 scaled(work.longTokens) });
+    }
+}
+
+void digest_exchange::recordLaneWork(const vm_digest &digest, time_point now)
+{
+    for (auto &[pool, demand] : m_board.laneDemand) {
+        const std::uint32_t hash = shortHash(pool);
+        for (const lane_row &row : digest.lanes) {
+            if (row.pool == hash)
+                demand.applyPeerWork(digest.vm,
+                                     { row.shortWork * lane_row::WorkScale,
+                                       row.longWork * lane_row::WorkScale },
+                                     now);
+        }
+    }
+}
+
 void digest_exchange::receive()
 {
     m_socket.async_receive_from(boost::asio::buffer(m_buffer), m_sender,
@@ -535,6 +564,7 @@
         m_board.storedSegments.applyPeerStored(segment, now);
     recordUnavailableStores(digest, now);
     recordCrashes(digest, now);
+    recordLaneWork(digest, now);
 }
 
 void digest_exchange::applyTotals(const vm_digest &digest, bool restarted, bool isLocalVm,
--- a/burdockhold/digest_exchange.h
+++ b/burdockhold/digest_exchange.h
@@ -125,6 +125,8 @@
     void recordUnavailableStores(const vm_digest &digest, time_point now);
     void recordCrashes(const vm_digest &digest, time_point now);
     void addAnnouncedVersions(vm_digest &digest) const;
+    void addLaneWork(vm_digest &digest, time_point now) const;
+    void recordLaneWork(const vm_digest &digest, time_point now);
     void applyTotals(const vm_digest &digest, bool restarted, bool isLocalVm, time_point now);
 
     boost::asio::ip::udp::socket m_socket;
--- a/burdockhold/digest_summary.cc
+++ b/burdockhold/digest_summary.cc
@@ -114,6 +114,12 @@
     sum.oldSlow = saturatingSum(sum.oldSlow, row.oldSlow);
 }
 
+void mergeInto(lane_row &sum, const lane_row &row)
+{
+    sum.shortWork = saturatingSum(sum.shortWork, row.shortWork);
+    sum.longWork = saturatingSum(sum.longWork, row.longWork);
+}
+
 /// Returns the rows of all members; rows with equal keys are merged.
 template <typename Row, typename Rows, typename Key>
 std::vector<Row> mergedRows(const std::vector<const vm_digest *> &members, Rows rowsOf, Key keyOf)
@@ -186,6 +192,9 @@
             [](const rollout_evidence_row &row) {
                 return std::make_tuple(row.pool, row.target, row.route);
             });
+    summary.lanes = mergedRows<lane_row>(
+            members, [](digest_ref d) -> const auto & { return d.lanes; },
+            [](const lane_row &row) { return row.pool; });
     summary.storedSegments = unionOf(
             members, [](digest_ref d) -> const auto & { return d.storedSegments; });
     summary.unavailableStores = unionOf(
--- a/burdockhold/endpoint_choice.cc
+++ b/burdockhold/endpoint_choice.cc
@@ -54,6 +54,11 @@
     return callMs * (1.0 + utilization);
 }
 
+bool isOfLane(const endpoint_candidate &candidate, engine_lane lane)
+{
+    return lane == engine_lane::Any || candidate.lane == engine_lane::Any || candidate.lane == lane;
+}
+
 double penaltyMs(const endpoint_candidate &candidate, const endpoint_choice_options &options)
 {
     const double failures = candidate.failureShare * candidate.recentCalls
@@ -109,6 +114,8 @@
     choice.expectedMs = penaltyMs(candidate, options)
                         + (isPlainService ? serviceMs(candidate, options)
                                           : engineMs(candidate, need, holds, canCopy, options));
+    if (!isOfLane(candidate, need.lane))
+        choice.expectedMs += options.laneCrossingMs;
     choice.expectedCachedTokens = holds ? need.promptTokens - need.unsharedTokens : 0;
     return choice;
 }
@@ -122,16 +129,17 @@
 } // namespace
 
 std::optional<std::size_t> preferredEndpoint(const std::vector<endpoint_candidate> &candidates,
-                                             std::string_view key)
+                                             std::string_view key, engine_lane lane)
 {
     std::optional<std::size_t> best;
-    std::uint64_t bestScore = 0;
+    std::pair<bool, std::uint64_t> bestScore;
     const std::uint64_t keyHash = XXH64(key.data(), key.size(), 0);
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         if (candidates[index].excluded == exclusion::Leaving)
             continue;
         const std::string_view id = candidates[index].id;
-        const std::uint64_t score = XXH64(id.data(), id.size(), keyHash);
+        const std::pair<bool, std::uint64_t> score{ isOfLane(candidates[index], lane),
+                                                    XXH64(id.data(), id.size(), keyHash) };
         if (!best || score > bestScore) {
             best = index;
             bestScore = score;
@@ -140,6 +148,29 @@
     return best;
 }
 
+namespace {
+
+/// Compares the candidates of the request's lane, or the others, with the best so far.
+void compareLane(const std::vector<endpoint_candidate> &candidates, bool ownLane,
+                 std::optional<std::size_t> preferred, const placement_need &need,
+                 std::uint64_t seed, const endpoint_choice_options &options,
+                 std::optional<endpoint_choice> &best)
+{
+    const bool sampled = !need.affinityKey.empty() && candidates.size() > options.fullScanLimit;
+    std::size_t compared = 0;
+    for (std::size_t step = 0; step < candidates.size(); ++step) {
+        const std::size_t index = (step + seed) % candidates.size();
+        if (index == preferred || isOfLane(candidates[index], need.lane) != ownLane)
+            continue;
+        if (sampled && compared >= options.sampleSize && best)
+            break;
+        compared += candidates[index].excluded == exclusion::None ? 1 : 0;
+        keepBetter(best, estimateCall(candidates, index, preferred, need, options));
+    }
+}
+
+} // namespace
+
 std::optional<endpoint_choice> chooseEndpoint(const std::vector<endpoint_candidate> &candidates,
                                               const placement_need &need, std::uint64_t seed,
                                               const endpoint_choice_options &options)
@@ -148,22 +179,14 @@
     const std::optional<std::size_t> preferred = isPlainService || !options.usePreferred
                                                          ? std::nullopt
                                                          : preferredEndpoint(candidates,
-                                                                             need.affinityKey);
-    const bool sampled = !isPlainService && candidates.size() > options.fullScanLimit;
+                                                                             need.affinityKey,
+                                                                             need.lane);
     std::optional<endpoint_choice> best;
     if (preferred)
         keepBetter(best, estimateCall(candidates, *preferred, preferred, need, options));
-    std::size_t compared = 0;
-    for (std::size_t step = 0; step < candidates.size(); ++step) {
-        const std::size_t index = (step + seed) % candidates.size();
-        if (index == preferred)
-            continue;
-        if (sampled && compared >= options.sampleSize && best)
-            break;
-        const auto choice = estimateCall(candidates, index, preferred, need, options);
-        compared += candidates[index].excluded == exclusion::None ? 1 : 0;
-        keepBetter(best, choice);
-    }
+    compareLane(candidates, true, preferred, need, seed, options, best);
+    if (need.lane != engine_lane::Any && (!best || best->expectedMs > options.laneCrossingMs))
+        compareLane(candidates, false, preferred, need, seed, options, best);
     return best;
 }
 
--- a/burdockhold/endpoint_choice.h
+++ b/burdockhold/endpoint_choice.h
@@ -10,6 +10,9 @@
 // segment, or than copying it from the preferred endpoint. The function is pure; equal inputs give
 // equal choices. Time is linear in the number of candidates.
 //
+// In a pool that is divided into lanes (engine_lanes.h), the endpoints of the request's lane are
+// compared first.
+//
 // In a pool of more than fullScanLimit endpoints, only the preferred endpoint and a sample that
 // depends on the seed are compared: many VMs with views of the same age would otherwise all choose
 // the same idle endpoint. The other endpoints are evaluated only when none in the sample has
@@ -56,6 +59,9 @@
     return reason == exclusion::Leaving || reason == exclusion::Paused;
 }
 
+/// Which prompts an engine is set aside for, and which kind a prompt is; see engine_lanes.h.
+enum class engine_lane { Any, Short, Long };
+
 /// State of an endpoint at the time of the choice.
 struct endpoint_candidate
 {
@@ -76,6 +82,7 @@
     double latencyMs = 0.0;                ///< Moving average; plain services only.
     bool staleWeights = false;             ///< The weights are older than the target version.
     bool holdsSegment = false; ///< Caches the deepest shared segment for its current weights.
+    engine_lane lane = engine_lane::Any;
 };
 
 /// Excludes an endpoint that the request must not be sent to again.
@@ -95,6 +102,7 @@
     std::int64_t outputTokens = 0;
     std::int64_t promptTokens = 0;
     bool storeHoldsSegment = false; ///< The segment can be copied from the segment store.
+    engine_lane lane = engine_lane::Any;
 };
 
 struct endpoint_choice_options
@@ -124,6 +132,9 @@
     double failureMs = 800.0;      ///< A failed call costs about a latency target and a retry.
     double priorCalls = 3.0;       ///< Successful calls assumed for each endpoint in advance.
     double crossDataCentreMs = 1.0;
+    /// Engines of the other lane are considered only if those of the own lane are expected to take
+    /// longer than this, and are charged it: what they are doing is seen too late.
+    double laneCrossingMs = 150.0;
     double serviceMs = 20.0; ///< Latency assumed for plain services before their first response.
     std::size_t fullScanLimit = 16;
     std::size_t sampleSize = 6; ///< In addition to the preferred endpoint.
@@ -146,9 +157,11 @@
                                               const placement_need &need, std::uint64_t seed,
                                               const endpoint_choice_options &options = {});
 
-/// Returns the preferred endpoint for the key: the candidate with the highest rendezvous score.
+/// Returns the preferred endpoint for the key: the candidate with the highest rendezvous score among
+/// those of the lane, if there is any.
 std::optional<std::size_t> preferredEndpoint(const std::vector<endpoint_candidate> &candidates,
-                                             std::string_view key);
+                                             std::string_view key,
+                                             engine_lane lane = engine_lane::Any);
 
 } // namespace burdockhold
 
--- a/burdockhold/placement_inputs.cc
+++ b/burdockhold/placement_inputs.cc
@@ -28,7 +28,8 @@
 const cache_store *segmentStore(const router_board &board, const caller_request &request,
                                 const placement_inputs &inputs, time_point now)
 {
-    const auto preferred = preferredEndpoint(inputs.candidates, inputs.need.affinityKey);
+    const auto preferred = preferredEndpoint(inputs.candidates, inputs.need.affinityKey,
+                                             inputs.need.lane);
     const endpoint_report *report = nullptr;
     if (preferred)
         report = board.endpoints.find(inputs.candidates[*preferred].id);
@@ -36,6 +37,23 @@
                           now);
 }
 
+/// Sets the lanes of the candidates and of the request.
+void divideIntoLanes(router_board &board, const placement_query &query, placement_inputs &inputs,
+                     time_point now)
+{
+    const engine_lane_options &options = board.options.lanes;
+    const auto target = board.deployment ? board.deployment->shortestStreamTarget(query.poolName)
+                                         : std::nullopt;
+    if (!target || inputs.candidates.size() < options.minEngines)
+        return;
+    inputs.need.lane = laneOf(query.request.promptTokens, *target, options);
+    lane_demand &demand = board.laneDemand.try_emplace(query.poolName, options).first->second;
+    if (query.isFirstPlacement)
+        demand.record(inputs.need.lane, inputs.need, now);
+    assignLanes(inputs.candidates,
+                shortLaneShare(demand.totalWork(now), inputs.candidates.size(), options));
+}
+
 } // namespace
 
 std::vector<endpoint_candidate> placementCandidates(const router_board &board,
@@ -70,6 +88,7 @@
     if (!isEngineCall(query))
         return inputs;
     inputs.need = placementNeedFor(query.request, query.domain);
+    divideIntoLanes(board, query, inputs, now);
     if (inputs.need.segmentTokens == 0)
         return inputs;
     inputs.store = segmentStore(board, query.request, inputs, now);
--- a/burdockhold/placement_inputs.h
+++ b/burdockhold/placement_inputs.h
@@ -24,6 +24,7 @@
     const std::set<std::string> &calledAddresses; ///< A call of the attempt may have arrived there.
     bool mayCallAgain = false;                    ///< At an address that was called before.
     bool mayUseCanary = false;                    ///< The call may go to a version under test.
+    bool isFirstPlacement = false;                ///< The request's first attempt to be placed.
 };
 
 /// Inputs of one placement decision. The store belongs to the deployment in force.
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -330,7 +330,8 @@
              m_triedEndpoints,
              m_calledAddresses,
              mayCallAgain(m_route->kind, m_route->resumable),
-             m_callsMade == 0 && !m_trialOf };
+             m_callsMade == 0 && !m_trialOf,
+             m_callsMade == 0 && !m_waiting };
 }
 
 /// Tells the engine where to copy the shared segments from that it lacks, and where to save them.
--- a/burdockhold/router_board.h
+++ b/burdockhold/router_board.h
@@ -15,6 +15,7 @@
 #include "burdockhold/deployment.h"
 #include "burdockhold/endpoint_health.h"
 #include "burdockhold/endpoint_table.h"
+#include "burdockhold/engine_lanes.h"
 #include "burdockhold/quota_ledger.h"
 #include "burdockhold/router_metrics.h"
 #include "burdockhold/router_settings.h"
@@ -194,6 +195,10 @@
     // the log is to be written or deleted.
     std::set<fingerprint> crashRecordsDue;
 
+    // Written by the routed requests (this VM's demand) and the digest exchange (that of the other
+    // VMs), by pool.
+    std::map<std::string, lane_demand> laneDemand;
+
     // Written by the routed requests: bytes of responses that are buffered until complete.
     std::size_t bufferedBytes = 0;
 
--- a/burdockhold/vm_digest.h
+++ b/burdockhold/vm_digest.h
@@ -141,6 +141,16 @@
                          oldFailed, oldJudged, oldSlow)
 };
 
+/// Recent work of a pool's requests by kind of prompt (engine_lanes.h), in thousands of tokens.
+struct lane_row
+{
+    std::uint32_t pool = 0; ///< shortHash of the pool's name.
+    std::uint32_t shortWork = 0;
+    std::uint32_t longWork = 0;
+    static constexpr double WorkScale = 1000.0;
+    MSGPACK_DEFINE_ARRAY(pool, shortWork, longWork)
+};
+
 struct vm_digest
 {
     std::string vm;
@@ -168,10 +178,11 @@
     std::vector<crash_row> crashes;       ///< Empty from an older build.
     std::vector<rollout_row> rollouts;    ///< Empty from an older build, as is the next one.
     std::vector<rollout_evidence_row> rolloutEvidence;
+    std::vector<lane_row> lanes; ///< Empty from an older build.
     MSGPACK_DEFINE_ARRAY(vm, incarnation, number, leaving, accounts, endpoints, weights,
                          storedSegments, unavailableStores, duties, announcedVersions,
                          departedEndpoints, dataCentre, aggregator, vms, capacity, intervalMs,
-                         loadTimes, crashes, rollouts, rolloutEvidence)
+                         loadTimes, crashes, rollouts, rolloutEvidence, lanes)
 
     bool isSummary() const { return !aggregator.empty(); }
 };
