--- a/burdockhold/endpoint_choice.cc
+++ b/burdockhold/endpoint_choice.cc
@@ -37,9 +37,13 @@
     if (need.affinityKey.empty() || candidate.running == 0)
         return true;
     const std::int64_t prefillTokens = holds ? need.unsharedTokens : need.promptTokens;
-    if (candidate.pendingPrefillTokens + prefillTokens > options.maxPendingPrefillTokens
-        && candidate.pendingPrefillTokens > 0)
+    if (need.lane == engine_lane::Long && options.maxPendingAheadOfLong) {
+        if (candidate.pendingPrefillTokens > *options.maxPendingAheadOfLong)
+            return false;
+    } else if (candidate.pendingPrefillTokens + prefillTokens > options.maxPendingPrefillTokens
+               && candidate.pendingPrefillTokens > 0) {
         return false;
+    }
     const auto requiredTokens = static_cast<double>(candidate.activeTokens + need.promptTokens
                                                     + need.outputTokens);
     return candidate.cacheTokens <= 0
@@ -111,9 +115,9 @@
     if (!isPlainService && !holds && options.copySegments)
         choice.copyFrom = findCopySource(candidates, index, preferred);
     const bool canCopy = choice.copyFrom || (need.storeHoldsSegment && options.copySegments);
-    choice.expectedMs = penaltyMs(candidate, options)
-                        + (isPlainService ? serviceMs(candidate, options)
-                                          : engineMs(candidate, need, holds, canCopy, options));
+    choice.firstEventMs = isPlainService ? serviceMs(candidate, options)
+                                         : engineMs(candidate, need, holds, canCopy, options);
+    choice.expectedMs = choice.firstEventMs + penaltyMs(candidate, options);
     if (!isOfLane(candidate, need.lane))
         choice.expectedMs += options.laneCrossingMs;
     choice.expectedCachedTokens = holds ? need.promptTokens - need.unsharedTokens : 0;
--- a/burdockhold/endpoint_choice.h
+++ b/burdockhold/endpoint_choice.h
@@ -124,6 +124,11 @@
     /// at the router, where the most urgent one goes first and a caller that disconnects costs
     /// nothing. An engine that prefills without pause slows its streams to a tenth.
     std::int64_t maxPendingPrefillTokens = 12000;
+    /// Limit on the pending prefill ahead of a long prompt, in the same way. It takes the place of
+    /// the limit above where the pending prefill is known exactly (placement_scheduler.h): then a
+    /// long prompt waits at the router until its engine has nearly finished the one before, and a
+    /// short one is behind one long prompt at most.
+    std::optional<std::int64_t> maxPendingAheadOfLong;
     /// Share of an engine's KV cache for running requests. The rest keeps shared segments: without
     /// them every prompt is computed in full, and the pool does not recover from an overload.
     double maxActiveShare = 0.75;
@@ -145,7 +150,8 @@
 struct endpoint_choice
 {
     std::size_t index = 0; ///< Into the candidates.
-    double expectedMs = 0.0;
+    double expectedMs = 0.0;   ///< Expected time to the first event, and penalties.
+    double firstEventMs = 0.0; ///< Expected time to the first event.
     std::int64_t expectedCachedTokens = 0;
     std::optional<std::size_t> copyFrom; ///< Candidate to copy the missing segment from.
 };
--- a/burdockhold/placement_client.cc
+++ b/burdockhold/placement_client.cc
@@ -205,11 +205,7 @@
         placement.dataCentre = *other;
     }
     const bool queues = stage == ask_stage::OwnQueue;
-    placement.question.maxExpectedMs
-            = queues ? 0
-                     : std::max<std::uint32_t>(1, milliseconds(fromSeconds(
-                                                          m_options.fastShareOfTarget
-                                                          * toSeconds(placement.target))));
+    placement.question.maxExpectedMs = queues ? 0 : fastMs(placement);
     placement.question.maxWaitMs = queues ? milliseconds(placement.maxWait) : 0;
     send(number, now);
 }
@@ -218,7 +214,7 @@
 {
     open_placement &placement = *m_placements.at(number);
     if (isOwnScheduler(placement.dataCentre)) {
-        answerReceived(m_scheduler.ask(placement.question, now), now);
+        answerReceived(m_scheduler.ask(placement.question, now), placement.dataCentre, now);
         return;
     }
     const auto address = schedulerOf(placement.dataCentre);
@@ -249,6 +245,7 @@
     const time_point now = steadyNow();
     if (placement.state == ask_state::Queued && placement.repeats < m_options.maxRepeats) {
         ++placement.repeats;
+        askElsewhere(number, now);
         send(number, now);
         return;
     }
@@ -276,23 +273,58 @@
         answered();
 }
 
+/// Asks another data centre for a fast endpoint while the request waits in its queue.
+void placement_client::askElsewhere(std::uint32_t number, time_point now)
+{
+    const open_placement &placement = *m_placements.at(number);
+    const auto other = otherDataCentre(number + static_cast<std::uint32_t>(placement.repeats), now);
+    const auto address = other ? schedulerOf(*other) : std::nullopt;
+    if (!address)
+        return;
+    placement_question question = placement.question;
+    question.maxExpectedMs = fastMs(placement);
+    question.maxWaitMs = 0;
+    sendTo(*address, question);
+}
+
+/// Returns the longest expected time to the first event that counts as fast, in milliseconds.
+std::uint32_t placement_client::fastMs(const open_placement &placement) const
+{
+    const double seconds = m_options.fastShareOfTarget * toSeconds(placement.target);
+    return std::max<std::uint32_t>(1, milliseconds(fromSeconds(seconds)));
+}
+
 void placement_client::settle(open_placement &placement, ask_state state)
 {
     placement.timer.cancel();
     placement.state = state;
 }
 
-void placement_client::answerReceived(const placement_answer &answer, time_point now)
+void placement_client::answerReceived(const placement_answer &answer,
+                                      const std::string &dataCentre, time_point now)
 {
+    if (answer.vm != m_vm || dataCentre.empty())
+        return;
+    const auto verdict = static_cast<placement_verdict>(answer.verdict);
     const auto found = m_placements.find(answer.number);
-    if (answer.vm != m_vm || found == m_placements.end())
+    const bool isGrant = verdict == placement_verdict::Granted;
+    const call_row withdrawn{ answer.number, 0, 0, 0, std::uint8_t(call_stage::Ended) };
+    if (found == m_placements.end()) {
+        if (isGrant)
+            stateChange(dataCentre, withdrawn);
         return;
+    }
     open_placement &placement = *found->second;
-    if (placement.state != ask_state::Asked && placement.state != ask_state::Queued)
+    const bool isOpen = placement.state == ask_state::Asked || placement.state == ask_state::Queued;
+    const bool isElsewhere = dataCentre != placement.dataCentre;
+    if (isElsewhere && isGrant)
+        stateChange(isOpen ? placement.dataCentre : dataCentre, withdrawn);
+    if (!isOpen || (isElsewhere && !isGrant))
         return;
-    m_silentUntil.erase(placement.dataCentre);
-    switch (static_cast<placement_verdict>(answer.verdict)) {
+    m_silentUntil.erase(dataCentre);
+    switch (verdict) {
     case placement_verdict::Granted:
+        placement.dataCentre = dataCentre;
         placement.answer = answer;
         settle(placement, ask_state::Granted);
         break;
@@ -359,6 +391,7 @@
     if (!isKnown) // This VM knows more of the endpoint than the scheduler.
         return place_locally{};
     choice.expectedMs = placement.answer.expectedMs;
+    choice.firstEventMs = placement.answer.expectedMs;
     choice.expectedCachedTokens = std::min<std::int64_t>(placement.answer.cachedTokens,
                                                          facts.inputs.need.promptTokens);
     return choice;
@@ -440,7 +473,7 @@
 {
     for (const placement_answer &answer : m_scheduler.takeGrants(now)) {
         if (answer.vm == m_vm) {
-            answerReceived(answer, now);
+            answerReceived(answer, m_board.settings.dataCentre, now);
             notify(answer.number);
             continue;
         }
@@ -477,6 +510,16 @@
     m_socket.send_to(boost::asio::buffer(encodeSchedulerMessage(message)), address, 0, ignored);
 }
 
+/// Returns the data centre whose scheduler has this address, or an empty string.
+std::string placement_client::dataCentreOf(const udp::endpoint &scheduler) const
+{
+    for (const auto &[dataCentre, address] : m_board.schedulers) {
+        if (schedulerOf(dataCentre) == scheduler)
+            return dataCentre;
+    }
+    return {};
+}
+
 void placement_client::receive()
 {
     m_socket.async_receive_from(boost::asio::buffer(m_buffer), m_sender,
@@ -507,7 +550,7 @@
                               sendTo(m_sender, m_scheduler.ask(question, now));
                           },
                            [&](const placement_answer &answer) {
-                               answerReceived(answer, now);
+                               answerReceived(answer, dataCentreOf(m_sender), now);
                                if (answer.vm == m_vm)
                                    notify(answer.number);
                            },
--- a/burdockhold/placement_client.h
+++ b/burdockhold/placement_client.h
@@ -9,7 +9,8 @@
 // from summaries, so there is no election, and nothing has to be agreed on.
 //
 // A request asks the scheduler of the own data centre for an endpoint that is expected to be fast,
-// then one other data centre, then its own for a place in its queue.
+// then one other data centre, then its own for a place in its queue. While it waits there, it asks
+// the other data centres in turn.
 //
 // Failures:
 // - A scheduler that does not answer within answerTimeout: the request is placed by this VM alone,
@@ -48,8 +49,8 @@
     /// Schedulers of other data centres.
     duration remoteAnswerTimeout = std::chrono::milliseconds(50);
     /// A queued question is repeated this often, since its answer may have been lost.
-    duration repeatInterval = std::chrono::milliseconds(120);
-    int maxRepeats = 2;
+    duration repeatInterval = std::chrono::milliseconds(60);
+    int maxRepeats = 3;
     duration silencePause = std::chrono::milliseconds(300);
     duration statementInterval = std::chrono::milliseconds(250);
     /// After no endpoint had room, the schedulers are asked again after this time.
@@ -164,7 +165,11 @@
     void armTimer(std::uint32_t number);
     void timedOut(std::uint32_t number);
     void notify(std::uint32_t number);
-    void answerReceived(const placement_answer &answer, time_point now);
+    void answerReceived(const placement_answer &answer, const std::string &dataCentre,
+                        time_point now);
+    void askElsewhere(std::uint32_t number, time_point now);
+    std::uint32_t fastMs(const open_placement &placement) const;
+    std::string dataCentreOf(const boost::asio::ip::udp::endpoint &scheduler) const;
     void declined(std::uint32_t number, time_point now);
     void settle(open_placement &placement, ask_state state);
     void callStarted(std::uint32_t &number, const endpoint_report &endpoint, const call_load &load);
--- a/burdockhold/placement_scheduler.cc
+++ b/burdockhold/placement_scheduler.cc
@@ -46,6 +46,7 @@
 {
     // The loads are known, so there is no reason to compare a sample only.
     m_choice.fullScanLimit = std::numeric_limits<std::size_t>::max();
+    m_choice.maxPendingAheadOfLong = m_options.maxPendingAheadOfLong;
 }
 
 placement_answer placement_scheduler::ask(const placement_question &question, time_point now)
@@ -81,7 +82,7 @@
 
 /// Returns the data centre's endpoints with the loads of the calls that are known.
 std::vector<endpoint_candidate>
-placement_scheduler::candidatesFor(const placement_question &question) const
+placement_scheduler::candidatesFor(const placement_question &question, time_point now) const
 {
     std::vector<endpoint_candidate> candidates = m_candidates(question);
     for (endpoint_candidate &candidate : candidates) {
@@ -89,7 +90,7 @@
         const auto load = m_loads.find(hash);
         const engine_load known = load == m_loads.end() ? engine_load{} : load->second;
         candidate.running = known.running;
-        candidate.pendingPrefillTokens = known.pendingTokens;
+        candidate.pendingPrefillTokens = pendingAt(known, now);
         candidate.activeTokens = known.activeTokens;
         const auto cached = m_cached.find(hash);
         candidate.holdsSegment = question.segment != 0 && cached != m_cached.end()
@@ -103,17 +104,17 @@
 std::optional<placement_answer> placement_scheduler::tryPlace(const placement_question &question,
                                                               time_point now)
 {
-    const std::vector<endpoint_candidate> candidates = candidatesFor(question);
+    const std::vector<endpoint_candidate> candidates = candidatesFor(question, now);
     const placement_need need = needOf(question);
     const auto choice = chooseEndpoint(candidates, need, question.segment, m_choice);
     if (!choice)
         return std::nullopt;
-    if (question.maxExpectedMs != 0 && choice->expectedMs > question.maxExpectedMs)
+    if (question.maxExpectedMs != 0 && choice->firstEventMs > question.maxExpectedMs)
         return std::nullopt;
     const endpoint_candidate &engine = candidates[choice->index];
     placement_answer answer = answerTo(question, placement_verdict::Granted);
     answer.endpoint = shortHash(engine.id);
-    answer.expectedMs = static_cast<std::uint32_t>(choice->expectedMs);
+    answer.expectedMs = static_cast<std::uint32_t>(choice->firstEventMs);
     answer.cachedTokens = static_cast<std::uint32_t>(choice->expectedCachedTokens);
     if (choice->copyFrom)
         answer.copyFrom = shortHash(candidates[*choice->copyFrom].id);
@@ -125,7 +126,7 @@
     call.row.activeTokens = question.promptTokens + question.outputTokens;
     call.grantedAt = now;
     call.answer = answer;
-    put({ question.vm, question.number }, call);
+    put({ question.vm, question.number }, call, now);
     recordSegment(question, engine);
     return answer;
 }
@@ -157,30 +158,44 @@
     }
 }
 
-void placement_scheduler::addLoad(const call_row &row, int sign)
+/// Returns the pending prefill less what the engine has probably done of the prefill in progress.
+std::int64_t placement_scheduler::pendingAt(const engine_load &load, time_point now) const
+{
+    constexpr double MinLeft = 0.1; // It has not finished, whatever the rate says.
+    const double done = 1000.0 * toSeconds(now - load.prefillSince) * m_choice.prefillTokensPerMs;
+    const auto pending = static_cast<double>(load.pendingTokens);
+    return static_cast<std::int64_t>(std::max(pending - done, MinLeft * pending));
+}
+
+void placement_scheduler::addLoad(const call_row &row, int sign, time_point now)
 {
     engine_load &load = m_loads[row.endpoint];
     load.running += sign;
     load.activeTokens += sign * static_cast<std::int64_t>(row.activeTokens);
-    if (isStage(row, call_stage::Prefill))
+    if (isStage(row, call_stage::Prefill)) {
+        // A prefill that ends is followed by the next one; one that is added starts at once only if
+        // nothing was pending.
+        if (sign < 0 || load.pendingTokens == 0)
+            load.prefillSince = now;
         load.pendingTokens += sign * static_cast<std::int64_t>(row.unreadTokens);
+    }
     if (load.running <= 0)
         m_loads.erase(row.endpoint);
 }
 
-void placement_scheduler::put(const call_id &id, const known_call &call)
+void placement_scheduler::put(const call_id &id, const known_call &call, time_point now)
 {
-    erase(id);
+    erase(id, now);
     m_calls.emplace(id, call);
-    addLoad(call.row, 1);
+    addLoad(call.row, 1, now);
 }
 
-void placement_scheduler::erase(const call_id &id)
+void placement_scheduler::erase(const call_id &id, time_point now)
 {
     const auto known = m_calls.find(id);
     if (known == m_calls.end())
         return;
-    addLoad(known->second.row, -1);
+    addLoad(known->second.row, -1, now);
     m_calls.erase(known);
     m_roomChanged = true;
 }
@@ -207,7 +222,7 @@
         stated.insert(row.number);
         if (isStage(row, call_stage::Ended)) {
             withdraw(id);
-            erase(id);
+            erase(id, now);
             continue;
         }
         if (row.endpoint == 0) // Waits, or its answer has not arrived.
@@ -220,7 +235,13 @@
             call = known->second;
         call.row = row;
         call.isStated = true;
-        put(id, call);
+        const bool isUnchanged = known != m_calls.end() && known->second.row.stage == row.stage
+                                 && known->second.row.endpoint == row.endpoint;
+        if (isUnchanged) {
+            known->second.isStated = true;
+            continue;
+        }
+        put(id, call, now);
         m_roomChanged = m_roomChanged || finishesPrefill;
     }
     if (!statement.isComplete)
@@ -234,7 +255,7 @@
             ended.push_back(call->first);
     }
     for (const call_id &id : ended)
-        erase(id);
+        erase(id, now);
 }
 
 std::vector<placement_answer> placement_scheduler::takeGrants(time_point now)
@@ -275,7 +296,7 @@
              call != m_calls.end() && call->first.first == vm->first; ++call)
             lost.push_back(call->first);
         for (const call_id &id : lost)
-            erase(id);
+            erase(id, now);
         vm = m_vms.erase(vm);
     }
     std::vector<call_id> lost;
@@ -284,7 +305,7 @@
             lost.push_back(id);
     }
     for (const call_id &id : lost)
-        erase(id);
+        erase(id, now);
     m_roomChanged = true; // Exclusions end with time.
 }
 
--- a/burdockhold/placement_scheduler.h
+++ b/burdockhold/placement_scheduler.h
@@ -45,6 +45,8 @@
     std::size_t maxWaiting = 2000;
     /// Share of an engine's KV cache that is assumed to hold the segments placed last.
     double cachedShare = 0.6;
+    /// See endpoint_choice_options. The time of one exchange with the VM and the next in the queue.
+    std::int64_t maxPendingAheadOfLong = 1000;
 };
 
 /// Which endpoints may take a request, with the loads that the scheduler's own table knows.
@@ -84,6 +86,7 @@
         int running = 0;
         std::int64_t pendingTokens = 0;
         std::int64_t activeTokens = 0;
+        time_point prefillSince; // Start of the prefill that is in progress.
     };
     struct waiting_question
     {
@@ -104,12 +107,14 @@
     };
 
     std::optional<placement_answer> tryPlace(const placement_question &question, time_point now);
-    std::vector<endpoint_candidate> candidatesFor(const placement_question &question) const;
+    std::vector<endpoint_candidate> candidatesFor(const placement_question &question,
+                                                  time_point now) const;
     void enqueue(const placement_question &question, time_point now);
     void withdraw(const call_id &id);
-    void put(const call_id &id, const known_call &call);
-    void erase(const call_id &id);
-    void addLoad(const call_row &row, int sign);
+    std::int64_t pendingAt(const engine_load &load, time_point now) const;
+    void put(const call_id &id, const known_call &call, time_point now);
+    void erase(const call_id &id, time_point now);
+    void addLoad(const call_row &row, int sign, time_point now);
     void recordSegment(const placement_question &question, const endpoint_candidate &engine);
 
     scheduler_options m_options;
