Log the expected and the actual time of a call's first event, and the longest gap

The logged cost of a placement contains weights and penalties, so it could not be compared with the time that came. request_ended now states the expected time without them, the time from the call to its first byte, the load of the endpoint as known at the placement, and the longest time between two events without times in which the caller did not read.

endpoint_choice_test, router_parts_test, routed_request_looptest and router_looptest pass.

--- a/burdockhold/endpoint_choice.cc
+++ b/burdockhold/endpoint_choice.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace burdockhold {
 
@@ -68,6 +69,21 @@
     return ms;
 }
 
+/// Sets what the first event of the call depends on, and its expected time.
+void expectFirstEvent(endpoint_choice &choice, const endpoint_candidate &candidate,
+                      const placement_need &need, bool holds, bool canCopy,
+                      const endpoint_choice_options &options)
+{
+    const double segmentShare = holds ? 0.0 : canCopy ? options.copyTimeShare : 1.0;
+    choice.unreadTokens = need.unsharedTokens
+                          + std::llround(segmentShare * static_cast<double>(need.segmentTokens));
+    choice.tokensAhead = candidate.pendingPrefillTokens;
+    choice.running = candidate.running;
+    choice.expectedFirstEventMs = options.firstEventBaseMs
+                                  + static_cast<double>(choice.unreadTokens + choice.tokensAhead)
+                                            / options.prefillTokensPerMs;
+}
+
 /// Returns a usable candidate other than the chosen one that holds the segment. The preferred
 /// endpoint is assumed to hold it: if it has lost the segment, the attempt costs a millisecond.
 std::optional<std::size_t> findCopySource(const std::vector<endpoint_candidate> &candidates,
@@ -106,6 +122,9 @@
     if (!isPlainService && !holds && options.copySegments)
         choice.copyFrom = findCopySource(candidates, index, preferred);
     const bool canCopy = choice.copyFrom || (need.storeHoldsSegment && options.copySegments);
+    choice.expectedFirstEventMs = serviceMs(candidate, options);
+    if (!isPlainService)
+        expectFirstEvent(choice, candidate, need, holds, canCopy, options);
     choice.expectedMs = penaltyMs(candidate, options)
                         + (isPlainService ? serviceMs(candidate, options)
                                           : engineMs(candidate, need, holds, canCopy, options));
--- a/burdockhold/endpoint_choice.h
+++ b/burdockhold/endpoint_choice.h
@@ -100,6 +100,11 @@
 struct endpoint_choice_options
 {
     double prefillTokensPerMs = 50.0; ///< Prefill rate of an engine; engines do not report it.
+    /// Time from a call to its first event beyond the prefill. Only expectedFirstEventMs includes
+    /// it, since it is the same for all endpoints.
+    double firstEventBaseMs = 27.0;
+    /// Copying a segment takes this share of the time that recomputing it takes.
+    double copyTimeShare = 1.0 / 7.0;
     /// Cost of copying a segment to an engine that lacks it. The copy itself takes a seventh of the
     /// prefill time; the rest accounts for the transfers queued behind it on the link, and for the
     /// segment that it evicts. If only the copy time were charged, prompts would leave their
@@ -133,9 +138,16 @@
 
 struct endpoint_choice
 {
-    std::size_t index = 0; ///< Into the candidates.
-    double expectedMs = 0.0;
+    std::size_t index = 0;   ///< Into the candidates.
+    double expectedMs = 0.0; ///< Cost that was compared: includes weights and penalties.
     std::int64_t expectedCachedTokens = 0;
+    /// Tokens that the engine has to read for the request, and before it; 0 for plain services. A
+    /// copied segment counts as the tokens that the engine reads in the time of the copy.
+    std::int64_t unreadTokens = 0;
+    std::int64_t tokensAhead = 0;
+    int running = 0; ///< Requests that run at the endpoint without this one.
+    /// Expected time from the call to its first event, without weights and penalties.
+    double expectedFirstEventMs = 0.0;
     std::optional<std::size_t> copyFrom; ///< Candidate to copy the missing segment from.
 };
 
--- a/burdockhold/endpoint_refusals.cc
+++ b/burdockhold/endpoint_refusals.cc
@@ -1,5 +1,7 @@
 #include "burdockhold/endpoint_refusals.h"
 
+#include "burdockhold/placement_log.h"
+
 namespace burdockhold {
 
 namespace {
@@ -37,4 +39,14 @@
         inferWeights(board, call, now);
 }
 
+void logPoolFull(router_board &board, const std::string &requestId, const placement_query &query,
+                 time_point now)
+{
+    if (!board.log.accepts(log_priority::Failure, now))
+        return;
+    board.log.write(
+            log_event::PoolFull,
+            poolFullFields(requestId, query.poolName, placementCandidates(board, query, now)), now);
+}
+
 } // namespace burdockhold
--- a/burdockhold/endpoint_refusals.h
+++ b/burdockhold/endpoint_refusals.h
@@ -1,8 +1,10 @@
 #ifndef BURDOCKHOLD_ENDPOINT_REFUSALS_H
 #define BURDOCKHOLD_ENDPOINT_REFUSALS_H
 
-// Records what an endpoint's refusal of a call shows about the endpoint.
+// Records what an endpoint's refusal of a call shows about the endpoint, and logs why no endpoint
+// could take a request.
 
+#include "burdockhold/placement_inputs.h"
 #include "burdockhold/router_board.h"
 
 #include <cstdint>
@@ -23,6 +25,10 @@
 void recordRefusal(router_board &board, const refused_call &call,
                    const endpoint_response_head &head, time_point now);
 
+/// Logs why no endpoint could take the request.
+void logPoolFull(router_board &board, const std::string &requestId, const placement_query &query,
+                 time_point now);
+
 } // namespace burdockhold
 
 #endif
--- a/burdockhold/request_log.cc
+++ b/burdockhold/request_log.cc
@@ -13,6 +13,17 @@
 
 } // namespace
 
+void addFirstEvent(request_summary &summary, const endpoint_choice &choice, duration callFirstByte,
+                   duration longestGap)
+{
+    summary.expectedMs = choice.expectedMs;
+    summary.expectedFirstEventMs = choice.expectedFirstEventMs;
+    summary.callFirstByte = callFirstByte;
+    summary.longestGap = longestGap;
+    summary.tokensAhead = choice.tokensAhead;
+    summary.running = choice.running;
+}
+
 nlohmann::ordered_json requestEndedFields(const request_summary &request)
 {
     return { { "id", request.requestId },
@@ -28,6 +39,11 @@
              { "total_ms", milliseconds(request.total) },
              { "first_ms", milliseconds(request.firstByte) },
              { "expected_ms", request.expectedMs },
+             { "expected_first_ms", request.expectedFirstEventMs },
+             { "call_first_ms", milliseconds(request.callFirstByte) },
+             { "longest_gap_ms", milliseconds(request.longestGap) },
+             { "ahead", request.tokensAhead },
+             { "running", request.running },
              { "prompt", request.promptTokens },
              { "output", request.maxOutputTokens },
              { "unread", request.pendingPrefillTokens },
--- a/burdockhold/request_log.h
+++ b/burdockhold/request_log.h
@@ -6,6 +6,7 @@
 
 #include "burdockhold/attempt_rules.h"
 #include "burdockhold/clock.h"
+#include "burdockhold/endpoint_choice.h"
 
 #include <nlohmann/json.hpp>
 
@@ -30,7 +31,15 @@
     duration queued = duration::zero();    ///< From the arrival to the first call.
     duration total = duration::zero();     ///< From the arrival to the end.
     duration firstByte = duration::zero(); ///< From the arrival to the response's first byte.
-    double expectedMs = 0.0; ///< Time that the last placement expected the call to take.
+    double expectedMs = 0.0;           ///< Cost of the last placement, with weights and penalties.
+    double expectedFirstEventMs = 0.0; ///< Of the last call, from its start.
+    /// From the start of the last call to its first byte; zero if none came.
+    duration callFirstByte = duration::zero();
+    /// Longest time between two events of the stream, over all calls, without times in which the
+    /// caller did not read.
+    duration longestGap = duration::zero();
+    std::int64_t tokensAhead = 0; ///< Known to be pending at the endpoint at the last call.
+    int running = 0;              ///< Requests known to run at the endpoint at the last call.
     std::int64_t promptTokens = 0;
     std::int64_t maxOutputTokens = 0;
     std::int64_t pendingPrefillTokens = 0; ///< Of the last call.
@@ -45,6 +54,10 @@
     duration viewAge = duration::zero();
 };
 
+/// Adds what the last placement expected of the first event, and what came of it.
+void addFirstEvent(request_summary &summary, const endpoint_choice &choice, duration callFirstByte,
+                   duration longestGap);
+
 nlohmann::ordered_json requestEndedFields(const request_summary &request);
 
 /// A call to an endpoint that did not complete.
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -448,8 +448,7 @@
     if (!mustRefuseAtOnce(endpoints, waitEnd))
         return false;
     m_context.board.metrics.count(router_counter::RefusedAllPaused);
-    if (m_context.board.log.accepts(log_priority::Failure, now))
-        logPoolFull(now);
+    logPoolFull(m_context.board, m_request.attemptId, placementQuery(), now);
     if (endpoints.firstEnd)
         refuse(503, "all_paused", *endpoints.firstEnd - now);
     else
@@ -516,7 +515,8 @@
     m_answered = false;
     m_triedEndpoints.insert(m_endpointId);
     ++m_callsMade;
-    m_expectedMs = choice.expectedMs;
+    m_choice = choice;
+    m_callFirstByte = duration::zero();
     m_prefillDone = false;
     m_headReceived = false;
     m_copiesSegments = false;
@@ -649,8 +649,10 @@
 void routed_request::firstByteReceived()
 {
     m_prefillDone = true;
+    const time_point now = steadyNow();
+    m_callFirstByte = now - m_callStarted;
     if (m_rolloutCall)
-        m_rolloutCall->firstByteReceived(steadyNow());
+        m_rolloutCall->firstByteReceived(now);
     router_board &board = m_context.board;
     board.endpoints.prefillFinished(m_endpointId, m_load);
     if (m_context.waiting.size() > 0)
@@ -658,7 +660,7 @@
     if (!m_segmentKey.empty() && m_head.status == StatusOk)
         board.endpoints.recordCachedSegment(m_endpointId, m_segmentKey);
     if (!m_responseStarted) {
-        m_timeToFirstByte = steadyNow() - m_arrival;
+        m_timeToFirstByte = now - m_arrival;
         board.metrics.recordFirstByte(m_timeToFirstByte);
     }
 }
@@ -677,6 +679,7 @@
     if (text.empty())
         return;
     m_lastProgress = steadyNow();
+    m_gaps.eventArrived(m_lastProgress);
     recordAnswer();
     if (m_rolloutCall)
         m_rolloutCall->eventsReceived(m_events.events() - m_eventsBeforeCall, m_lastProgress);
@@ -1016,6 +1019,7 @@
 {
     m_paused = false;
     m_lastProgress = steadyNow(); // The endpoint could send nothing meanwhile.
+    m_gaps.resumed(m_lastProgress);
     if (!m_ended && m_connection)
         startTimer();
     if (m_connection)
@@ -1043,21 +1047,11 @@
         board.log.write(log_event::RequestEnded, requestEndedFields(summary(status, reason, now)),
                         now);
     }
-    if (reason == "no_endpoint" && board.log.accepts(log_priority::Failure, now))
-        logPoolFull(now);
+    if (reason == "no_endpoint")
+        logPoolFull(board, m_request.attemptId, placementQuery(), now);
     m_writer = {};
 }
 
-/// Logs why no endpoint could take the request.
-void routed_request::logPoolFull(time_point now)
-{
-    m_context.board.log.write(
-            log_event::PoolFull,
-            poolFullFields(m_request.attemptId, m_poolName,
-                           placementCandidates(m_context.board, placementQuery(), now)),
-            now);
-}
-
 request_summary routed_request::summary(int status, std::string_view reason, time_point now) const
 {
     request_summary result;
@@ -1076,7 +1070,7 @@
     result.queued = m_queueTime;
     result.total = now - m_arrival;
     result.firstByte = m_timeToFirstByte;
-    result.expectedMs = m_expectedMs;
+    addFirstEvent(result, m_choice, m_callFirstByte, m_gaps.longest());
     result.promptTokens = m_request.promptTokens;
     result.maxOutputTokens = m_request.maxOutputTokens;
     result.pendingPrefillTokens = m_load.pendingPrefillTokens;
--- a/burdockhold/routed_request.h
+++ b/burdockhold/routed_request.h
@@ -18,6 +18,7 @@
 #include "burdockhold/attempt_rules.h"
 #include "burdockhold/caller_request.h"
 #include "burdockhold/connection_pool.h"
+#include "burdockhold/event_gaps.h"
 #include "burdockhold/event_splitter.h"
 #include "burdockhold/migration_rules.h"
 #include "burdockhold/placement_inputs.h"
@@ -163,7 +164,6 @@
     void refuse(int status, std::string_view reason, duration retryAfter);
     void fail(int status, std::string_view reason);
     void finish(router_counter counter, int status, std::string_view reason);
-    void logPoolFull(time_point now);
     void logCall(call_end end);
     request_summary summary(int status, std::string_view reason, time_point now) const;
 
@@ -221,7 +221,9 @@
     duration m_queueTime = duration::zero();
     /// Time from the request's arrival to the first byte of the response.
     duration m_timeToFirstByte = duration::zero();
-    double m_expectedMs = 0.0; ///< Time that the last placement expected the call to take.
+    endpoint_choice m_choice;                    ///< The last placement.
+    duration m_callFirstByte = duration::zero(); ///< From the last call to its first byte.
+    event_gaps m_gaps;
     bool m_copiesSegments = false;
     bool m_savesSegments = false;
     event_splitter m_events;
--- a/testing/endpoint_choice_test.cc
+++ b/testing/endpoint_choice_test.cc
@@ -237,3 +237,27 @@
         BOOST_TEST(choice->index == 211U);
     }
 }
+
+// Guards against a logged expectation that contains penalties: it could not be compared with the
+// time that came.
+BOOST_AUTO_TEST_CASE(expected_first_event_has_no_penalties)
+{
+    std::vector<endpoint_candidate> engines = idleEngines(1);
+    engines[0].pendingPrefillTokens = 5000;
+    engines[0].running = 4;
+    engines[0].holdsSegment = true;
+    const placement_need need = longPrompt("s");
+    const auto clean = chooseEndpoint(engines, need, 0);
+    engines[0].suspect = true;
+    engines[0].staleWeights = true;
+    const auto penalized = chooseEndpoint(engines, need, 0);
+    BOOST_TEST(penalized->expectedMs > clean->expectedMs + 1000.0);
+    BOOST_TEST(penalized->expectedFirstEventMs == clean->expectedFirstEventMs);
+    BOOST_TEST(clean->tokensAhead == 5000);
+    BOOST_TEST(clean->unreadTokens == need.unsharedTokens);
+    const endpoint_choice_options options;
+    const double tokens = static_cast<double>(5000 + need.unsharedTokens);
+    BOOST_TEST(clean->expectedFirstEventMs
+                       == options.firstEventBaseMs + tokens / options.prefillTokensPerMs,
+               boost::test_tools::tolerance(1e-9));
+}
--- a/testing/router_parts_test.cc
+++ b/testing/router_parts_test.cc
@@ -1,5 +1,7 @@
 #define BOOST_TEST_MODULE router_parts
 #include "burdockhold/decision_log.h"
+#include "burdockhold/event_gaps.h"
+#include "burdockhold/request_log.h"
 #include "burdockhold/router_metrics.h"
 #include "burdockhold/router_settings.h"
 #include "burdockhold/vm_digest.h"
@@ -259,3 +261,29 @@
     BOOST_TEST(page.find("burdockhold_served_total 100000\n") != std::string::npos);
     BOOST_TEST(page.find("burdockhold_first_byte_seconds_count 100000\n") != std::string::npos);
 }
+
+// Guards against a caller's slow reading that is logged as a pause of the endpoint.
+BOOST_AUTO_TEST_CASE(longestGapLeavesOutTheCallersPauses)
+{
+    const time_point start{ std::chrono::seconds(1) };
+    const auto at = [start](int ms) { return start + std::chrono::milliseconds(ms); };
+    event_gaps gaps;
+    gaps.resumed(at(0));
+    gaps.eventArrived(at(100));
+    gaps.eventArrived(at(140));
+    gaps.resumed(at(900));
+    gaps.eventArrived(at(930));
+    BOOST_TEST((gaps.longest() == std::chrono::milliseconds(40)));
+
+    request_summary summary;
+    endpoint_choice choice;
+    choice.expectedMs = 900.0;
+    choice.expectedFirstEventMs = 62.5;
+    choice.tokensAhead = 1500;
+    addFirstEvent(summary, choice, std::chrono::milliseconds(80), gaps.longest());
+    const auto fields = requestEndedFields(summary);
+    BOOST_TEST(fields["expected_first_ms"] == 62.5);
+    BOOST_TEST(fields["call_first_ms"] == 80.0);
+    BOOST_TEST(fields["longest_gap_ms"] == 40.0);
+    BOOST_TEST(fields["ahead"] == 1500);
+}
