--- a/burdockhold/placement_client.cc
+++ b/burdockhold/placement_client.cc
@@ -390,10 +390,13 @@
     }
     if (!isKnown) // This VM knows more of the endpoint than the scheduler.
         return place_locally{};
-    choice.expectedMs = placement.answer.expectedMs;
-    choice.firstEventMs = placement.answer.expectedMs;
     choice.expectedCachedTokens = std::min<std::int64_t>(placement.answer.cachedTokens,
                                                          facts.inputs.need.promptTokens);
+    choice.expectedMs = placement.answer.expectedMs;
+    choice.expectedFirstEventMs = placement.answer.expectedMs;
+    choice.unreadTokens = facts.inputs.need.promptTokens - choice.expectedCachedTokens;
+    choice.tokensAhead = placement.answer.tokensAhead;
+    choice.running = static_cast<int>(std::min<std::uint32_t>(placement.answer.running, INT32_MAX));
     return choice;
 }
 
--- a/burdockhold/placement_scheduler.cc
+++ b/burdockhold/placement_scheduler.cc
@@ -109,13 +109,15 @@
     const auto choice = chooseEndpoint(candidates, need, question.segment, m_choice);
     if (!choice)
         return std::nullopt;
-    if (question.maxExpectedMs != 0 && choice->firstEventMs > question.maxExpectedMs)
+    if (question.maxExpectedMs != 0 && choice->expectedFirstEventMs > question.maxExpectedMs)
         return std::nullopt;
     const endpoint_candidate &engine = candidates[choice->index];
     placement_answer answer = answerTo(question, placement_verdict::Granted);
     answer.endpoint = shortHash(engine.id);
-    answer.expectedMs = static_cast<std::uint32_t>(choice->firstEventMs);
+    answer.expectedMs = static_cast<std::uint32_t>(choice->expectedFirstEventMs);
     answer.cachedTokens = static_cast<std::uint32_t>(choice->expectedCachedTokens);
+    answer.tokensAhead = static_cast<std::uint32_t>(engine.pendingPrefillTokens);
+    answer.running = static_cast<std::uint32_t>(engine.running);
     if (choice->copyFrom)
         answer.copyFrom = shortHash(candidates[*choice->copyFrom].id);
     known_call call;
