--- a/burdockhold/endpoint_choice.cc
+++ b/burdockhold/endpoint_choice.cc
@@ -208,7 +208,7 @@
     if (preferred)
         keepBetter(best, estimateCall(candidates, *preferred, preferred, need, options));
     compareLane(candidates, true, preferred, need, seed, options, best);
-    if (need.lane != engine_lane::Any && (!best || best->expectedMs > options.laneCrossingMs))
+    if (need.lane != engine_lane::Any && need.mayCrossLanes && (!best || best->expectedMs > options.laneCrossingMs))
         compareLane(candidates, false, preferred, need, seed, options, best);
     return best;
 }
--- a/burdockhold/placement_inputs.cc
+++ b/burdockhold/placement_inputs.cc
@@ -103,9 +103,14 @@
     excludeExpiredWeights(candidates, board, modelName);
     if (const software_rollout *rollout = board.rolloutOf(found->name))
         rollout->removeNewVersion(candidates, now);
+    const std::size_t poolSize = candidates.size();
     candidates.erase(std::remove_if(candidates.begin(), candidates.end(),
                                     [](const auto &candidate) { return !candidate.sameDataCentre; }),
                      candidates.end());
+    const auto demand = board.laneDemand.find(found->name);
+    if (demand != board.laneDemand.end())
+        assignLanes(candidates, shortLaneShare(demand->second.totalWork(now), poolSize,
+                                               board.options.lanes));
     return candidates;
 }
 
--- a/burdockhold/placement_scheduler.cc
+++ b/burdockhold/placement_scheduler.cc
@@ -60,7 +60,8 @@
     });
     if (waits)
         return answerTo(question, placement_verdict::Queued);
-    if (const auto granted = tryPlace(question, now))
+    const time_point targetAt = now + std::chrono::milliseconds(question.targetMs);
+    if (const auto granted = tryPlace(question, targetAt, now))
         return *granted;
     if (question.maxWaitMs == 0 || m_waiting.size() >= m_options.maxWaiting)
         return answerTo(question, placement_verdict::Declined);
@@ -101,11 +102,20 @@
     return candidates;
 }
 
+bool placement_scheduler::mayCrossLanes(const placement_question &question, time_point targetAt,
+                                        time_point now) const
+{
+    const double prefillMs = question.promptTokens / m_choice.prefillTokensPerMs;
+    return static_cast<engine_lane>(question.lane) != engine_lane::Long
+           || targetAt - now < fromSeconds(prefillMs / 1000.0) + m_options.crossingMargin;
+}
+
 std::optional<placement_answer> placement_scheduler::tryPlace(const placement_question &question,
-                                                              time_point now)
+                                                              time_point targetAt, time_point now)
 {
     const std::vector<endpoint_candidate> candidates = candidatesFor(question, now);
-    const placement_need need = needOf(question);
+    placement_need need = needOf(question);
+    need.mayCrossLanes = mayCrossLanes(question, targetAt, now);
     const auto choice = chooseEndpoint(candidates, need, question.segment, m_choice);
     if (!choice)
         return std::nullopt;
@@ -271,7 +281,7 @@
     constexpr int MaxFailures = 8;
     int failures = 0;
     for (auto next = m_waiting.begin(); next != m_waiting.end() && failures < MaxFailures;) {
-        const auto granted = tryPlace(next->question, now);
+        const auto granted = tryPlace(next->question, next->targetAt, now);
         if (!granted) {
             ++failures;
             ++next;
--- a/burdockhold/placement_scheduler.h
+++ b/burdockhold/placement_scheduler.h
@@ -47,6 +47,10 @@
     double cachedShare = 0.6;
     /// See endpoint_choice_options. The time of one exchange with the VM and the next in the queue.
     std::int64_t maxPendingAheadOfLong = 1000;
+    /// A long prompt uses the engines of short ones only when its prefill, and this time, would
+    /// otherwise not fit into its latency target: each event of a stream there would take as long as
+    /// the chunks of the long prompt between its tokens.
+    duration crossingMargin = std::chrono::milliseconds(150);
 };
 
 /// Which endpoints may take a request, with the loads that the scheduler's own table knows.
@@ -106,7 +110,10 @@
         time_point statedAt;
     };
 
-    std::optional<placement_answer> tryPlace(const placement_question &question, time_point now);
+    std::optional<placement_answer> tryPlace(const placement_question &question,
+                                             time_point targetAt, time_point now);
+    bool mayCrossLanes(const placement_question &question, time_point targetAt,
+                       time_point now) const;
     std::vector<endpoint_candidate> candidatesFor(const placement_question &question,
                                                   time_point now) const;
     void enqueue(const placement_question &question, time_point now);
