--- a/burdockhold/endpoint_choice.cc
+++ b/burdockhold/endpoint_choice.cc
@@ -121,7 +121,8 @@
 {
     const endpoint_candidate &candidate = candidates[index];
     const bool isPlainService = need.affinityKey.empty();
-    const bool holds = candidate.holdsSegment || index == preferred;
+    const bool holds = candidate.holdsSegment
+                       || (options.assumePreferredHolds && index == preferred);
     if (candidate.excluded != exclusion::None
         || !hasRoom(candidate, need, holds || (need.storeHoldsSegment && options.copySegments),
                     options))
@@ -129,7 +130,8 @@
     endpoint_choice choice;
     choice.index = index;
     if (!isPlainService && !holds && options.copySegments)
-        choice.copyFrom = findCopySource(candidates, index, preferred);
+        choice.copyFrom = findCopySource(candidates, index,
+                                         options.assumePreferredHolds ? preferred : std::nullopt);
     const bool canCopy = choice.copyFrom || (need.storeHoldsSegment && options.copySegments);
     choice.expectedFirstEventMs = serviceMs(candidate, options);
     if (!isPlainService)
--- a/burdockhold/endpoint_choice.h
+++ b/burdockhold/endpoint_choice.h
@@ -151,6 +151,9 @@
     std::size_t sampleSize = 6; ///< In addition to the preferred endpoint.
     bool usePreferred = true;   ///< False: no endpoint is preferred for a prompt.
     bool copySegments = true;   ///< False: missing segments are always recomputed.
+    /// Without knowledge of the caches, the preferred endpoint is assumed to hold the segment. False
+    /// where the caches are known: then only holdsSegment counts.
+    bool assumePreferredHolds = true;
 };
 
 struct endpoint_choice
@@ -166,6 +169,7 @@
     /// Expected time from the call to its first event, without weights and penalties.
     double expectedFirstEventMs = 0.0;
     std::optional<std::size_t> copyFrom; ///< Candidate to copy the missing segment from.
+    bool copySourceIsKnown = false;      ///< It is known to hold the segment.
 };
 
 /// Returns the choice, or nothing when every candidate is excluded or full. A candidate is full
--- a/burdockhold/placement_client.cc
+++ b/burdockhold/placement_client.cc
@@ -139,20 +139,45 @@
            && !facts.inputs.need.affinityKey.empty();
 }
 
-/// Returns a data centre with a scheduler other than the own, a different one for each request.
-std::optional<std::string> placement_client::otherDataCentre(std::uint32_t number,
-                                                             time_point now) const
+std::vector<std::string> placement_client::otherDataCentres(const std::string &home,
+                                                            time_point now) const
 {
     std::vector<std::string> others;
+    const std::string &own = m_board.settings.dataCentre;
+    if (own != home && isOwnScheduler(own))
+        others.push_back(own);
     for (const auto &[dataCentre, address] : m_board.schedulers) {
-        if (dataCentre != m_board.settings.dataCentre && !isSilent(dataCentre, now))
+        if (dataCentre != home && !isSilent(dataCentre, now))
             others.push_back(dataCentre);
     }
+    return others;
+}
+
+/// Returns a data centre with a scheduler other than the home, a different one for each number.
+std::optional<std::string> placement_client::otherDataCentre(const std::string &home,
+                                                             std::uint32_t number,
+                                                             time_point now) const
+{
+    const std::vector<std::string> others = otherDataCentres(home, now);
     if (others.empty())
         return std::nullopt;
     return others[number % others.size()];
 }
 
+std::string placement_client::homeOf(const placement_facts &facts, time_point now) const
+{
+    const std::string &own = m_board.settings.dataCentre;
+    if (facts.inputs.need.lane != engine_lane::Long || facts.inputs.need.segmentTokens == 0)
+        return own;
+    std::vector<std::string> all = otherDataCentres(own, now);
+    all.push_back(own);
+    const std::string &key = facts.inputs.need.affinityKey;
+    const std::uint64_t keyHash = XXH64(key.data(), key.size(), 0);
+    return *std::max_element(all.begin(), all.end(), [&](const auto &a, const auto &b) {
+        return XXH64(a.data(), a.size(), keyHash) < XXH64(b.data(), b.size(), keyHash);
+    });
+}
+
 std::uint32_t placement_client::begin(const placement_facts &facts,
                                       const std::function<void()> &answered)
 {
@@ -182,10 +207,11 @@
             question.tried.push_back(shortHash(candidate.id));
     }
     placement->answered = answered;
+    placement->home = homeOf(facts, steadyNow());
     placement->target = facts.target;
     placement->maxWait = facts.maxWait;
     m_placements.emplace(number, std::move(placement));
-    ask(number, ask_stage::OwnFast, steadyNow());
+    ask(number, ask_stage::HomeFast, steadyNow());
     return number;
 }
 
@@ -195,16 +221,16 @@
     placement.stage = stage;
     placement.state = ask_state::Asked;
     placement.repeats = 0;
-    placement.dataCentre = m_board.settings.dataCentre;
+    placement.dataCentre = placement.home;
     if (stage == ask_stage::OtherFast) {
-        const auto other = otherDataCentre(number, now);
+        const auto other = otherDataCentre(placement.home, number, now);
         if (!other) {
-            ask(number, ask_stage::OwnQueue, now);
+            ask(number, ask_stage::HomeQueue, now);
             return;
         }
         placement.dataCentre = *other;
     }
-    const bool queues = stage == ask_stage::OwnQueue;
+    const bool queues = stage == ask_stage::HomeQueue;
     placement.question.maxExpectedMs = queues ? 0 : fastMs(placement);
     placement.question.maxWaitMs = queues ? milliseconds(placement.maxWait) : 0;
     send(number, now);
@@ -255,7 +281,7 @@
     m_silentUntil[placement.dataCentre] = now + m_options.silencePause;
     stateChange(placement.dataCentre, { number, 0, 0, 0, std::uint8_t(call_stage::Ended) });
     if (placement.stage == ask_stage::OtherFast)
-        ask(number, ask_stage::OwnQueue, now);
+        ask(number, ask_stage::HomeQueue, now);
     else
         settle(placement, ask_state::Local);
     notify(number);
@@ -277,7 +303,8 @@
 void placement_client::askElsewhere(std::uint32_t number, time_point now)
 {
     const open_placement &placement = *m_placements.at(number);
-    const auto other = otherDataCentre(number + static_cast<std::uint32_t>(placement.repeats), now);
+    const auto other = otherDataCentre(placement.home,
+                                       number + static_cast<std::uint32_t>(placement.repeats), now);
     const auto address = other ? schedulerOf(*other) : std::nullopt;
     if (!address)
         return;
@@ -345,13 +372,13 @@
 {
     open_placement &placement = *m_placements.at(number);
     switch (placement.stage) {
-    case ask_stage::OwnFast:
+    case ask_stage::HomeFast:
         ask(number, ask_stage::OtherFast, now);
         break;
     case ask_stage::OtherFast:
-        ask(number, ask_stage::OwnQueue, now);
+        ask(number, ask_stage::HomeQueue, now);
         break;
-    case ask_stage::OwnQueue:
+    case ask_stage::HomeQueue:
         placement.retryAt = now + m_options.declinedPause;
         settle(placement, ask_state::NoRoom);
         break;
@@ -363,7 +390,7 @@
 {
     open_placement &placement = *m_placements.at(number);
     if (placement.state == ask_state::NoRoom && now >= placement.retryAt)
-        ask(number, ask_stage::OwnFast, now);
+        ask(number, ask_stage::HomeFast, now);
     switch (placement.state) {
     case ask_state::Asked:
     case ask_state::Queued:
@@ -387,6 +414,7 @@
         }
         if (placement.answer.copyFrom != 0 && hash == placement.answer.copyFrom)
             choice.copyFrom = index;
+        choice.copySourceIsKnown = choice.copyFrom.has_value();
     }
     if (!isKnown) // This VM knows more of the endpoint than the scheduler.
         return place_locally{};
--- a/burdockhold/placement_client.h
+++ b/burdockhold/placement_client.h
@@ -8,9 +8,12 @@
 // largest capacity. All VMs of the data centre compute it from digests, and those of others learn it
 // from summaries, so there is no election, and nothing has to be agreed on.
 //
-// A request asks the scheduler of the own data centre for an endpoint that is expected to be fast,
-// then one other data centre, then its own for a place in its queue. While it waits there, it asks
-// the other data centres in turn.
+// A request asks the scheduler of its home data centre for an endpoint that is expected to be fast,
+// then one other data centre, then its home for a place in its queue. While it waits there, it asks
+// the other data centres in turn. Home is the own data centre for short prompts. For long ones it is
+// chosen by rendezvous hashing of their shared segments: an exchange between data centres takes
+// milliseconds, the prefill of a segment 100, and the caches of one data centre do not hold what
+// those of all hold.
 //
 // Failures:
 // - A scheduler that does not answer within answerTimeout: the request is placed by this VM alone,
@@ -40,6 +43,7 @@
 #include <string_view>
 #include <unordered_map>
 #include <variant>
+#include <vector>
 
 namespace burdockhold {
 
@@ -131,7 +135,7 @@
 private:
     friend class request_placement;
 
-    enum class ask_stage { OwnFast, OtherFast, OwnQueue };
+    enum class ask_stage { HomeFast, OtherFast, HomeQueue };
     enum class ask_state { Asked, Queued, Granted, NoRoom, Local, InCall };
 
     struct open_placement
@@ -142,9 +146,10 @@
         }
 
         ask_state state = ask_state::Asked;
-        ask_stage stage = ask_stage::OwnFast;
+        ask_stage stage = ask_stage::HomeFast;
         placement_question question;
         std::function<void()> answered;
+        std::string home;       // Data centre that is asked first.
         std::string dataCentre; // Of the scheduler that was asked, or of the call's endpoint.
         duration maxWait = duration::zero();
         duration target = duration::zero();
@@ -157,7 +162,10 @@
 
     bool isUsable(const placement_facts &facts, time_point now) const;
     bool isSilent(const std::string &dataCentre, time_point now) const;
-    std::optional<std::string> otherDataCentre(std::uint32_t number, time_point now) const;
+    std::vector<std::string> otherDataCentres(const std::string &home, time_point now) const;
+    std::optional<std::string> otherDataCentre(const std::string &home, std::uint32_t number,
+                                               time_point now) const;
+    std::string homeOf(const placement_facts &facts, time_point now) const;
     std::uint32_t begin(const placement_facts &facts, const std::function<void()> &answered);
     placement_step stepOf(std::uint32_t number, const placement_facts &facts, time_point now);
     void ask(std::uint32_t number, ask_stage stage, time_point now);
--- a/burdockhold/placement_scheduler.cc
+++ b/burdockhold/placement_scheduler.cc
@@ -46,6 +46,7 @@
 {
     // The loads are known, so there is no reason to compare a sample only.
     m_choice.fullScanLimit = std::numeric_limits<std::size_t>::max();
+    m_choice.assumePreferredHolds = false;
     m_choice.maxPendingAheadOfLong = m_options.maxPendingAheadOfLong;
 }
 
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -337,7 +337,8 @@
 
 /// Tells the engine where to copy the shared segments from that it lacks, and where to save them.
 void routed_request::addSegmentTransfer(endpoint_call_fields &fields,
-                                        const placement_inputs &inputs, const std::string &holder)
+                                        const placement_inputs &inputs, const std::string &holder,
+                                        bool holderIsKnown)
 {
     segment_call call;
     call.endpointId = m_endpointId;
@@ -346,6 +347,7 @@
     call.promptTokens = inputs.need.promptTokens;
     call.expectedCached = m_load.pendingPrefillTokens < inputs.need.promptTokens;
     call.holder = holder;
+    call.holderIsKnown = holderIsKnown;
     call.store = m_expectedWeights > 0 ? inputs.store : nullptr;
     const segment_transfer transfer = planSegments(m_context.board, call, steadyNow());
     fields.copySegmentsFrom = transfer.copyFrom;
@@ -528,7 +530,7 @@
                                                                m_request.model, m_expectedWeights)
                                                : std::string();
     if (!m_segmentKey.empty() && m_pool != nullptr && m_pool->engine)
-        addSegmentTransfer(fields, inputs, holder);
+        addSegmentTransfer(fields, inputs, holder, choice.copySourceIsKnown);
     m_connection->call(platform::encodeCall(m_request, fields), callHandlers());
     if (m_paused)
         m_connection->pauseReading();
--- a/burdockhold/routed_request.h
+++ b/burdockhold/routed_request.h
@@ -137,7 +137,7 @@
     void countCall(const endpoint_choice &choice);
     endpoint_call_fields callFieldsFor(const std::string &endpointId) const;
     void addSegmentTransfer(endpoint_call_fields &fields, const placement_inputs &inputs,
-                            const std::string &holder);
+                            const std::string &holder, bool holderIsKnown);
     std::optional<migration_facts> migrationFacts(time_point now) const;
     bool hasAlternative(double withinMs) const;
     void migrateFromLoadingEndpoint();
--- a/burdockhold/segment_calls.cc
+++ b/burdockhold/segment_calls.cc
@@ -10,6 +10,7 @@
     facts.tokens = call.segmentTokens;
     facts.promptTokens = call.promptTokens;
     facts.holder = call.holder;
+    facts.holderIsKnown = call.holderIsKnown;
     facts.expectedCached = call.expectedCached;
     if (call.store == nullptr)
         return facts;
--- a/burdockhold/segment_calls.h
+++ b/burdockhold/segment_calls.h
@@ -23,6 +23,7 @@
     std::int64_t promptTokens = 0;
     bool expectedCached = false;        ///< The engine should hold a part of the prompt.
     std::string holder;                 ///< Address of another engine that should hold them.
+    bool holderIsKnown = false;         ///< See segment_facts.
     const cache_store *store = nullptr; ///< Null if there is none for these weights.
 };
 
--- a/burdockhold/segment_transfer.cc
+++ b/burdockhold/segment_transfer.cc
@@ -8,10 +8,14 @@
     if (facts.store.empty() || (isShort && facts.linkHeadroom < options.minIdleHeadroom))
         return planWithoutStore(facts, options);
     segment_transfer transfer;
-    const bool fromStore = facts.storeHoldsAllSegments || facts.holder.empty();
+    const bool useHolder = facts.holderIsKnown && !facts.holder.empty();
+    const bool fromStore = !useHolder && (facts.storeHoldsAllSegments || facts.holder.empty());
     if (options.copySegments)
         transfer.copyFrom = fromStore ? facts.store : facts.holder;
     double transferredTokens = 0.0;
+    if (facts.storeHoldsAllSegments && useHolder) {
+        return transfer;
+    }
     if (facts.storeHoldsAllSegments && options.copySegments) {
         transferredTokens = static_cast<double>(facts.tokens)
                             * (facts.expectedCached ? options.missShare : 1.0);
--- a/burdockhold/segment_transfer.h
+++ b/burdockhold/segment_transfer.h
@@ -41,6 +41,8 @@
     bool expectedCached = false;
     bool crossesDataCentres = false; ///< The engine and the store are in different data centres.
     std::string holder;              ///< Address of another engine that should hold the segment.
+    /// The holder has lately computed or copied the segment, as its scheduler knows.
+    bool holderIsKnown = false;
     std::string store;               ///< Address of the segment's store; may be empty.
     /// The store is believed to hold the segment and all segments before it.
     bool storeHoldsAllSegments = false;
@@ -56,7 +58,8 @@
     double storeLoad = 0.0;
 };
 
-/// Plans a copy from the store if it holds all segments, else from the other engine. Without such
+/// Plans a copy from an engine that is known to hold the segment, since engines' links are rarely
+/// busy; else from the store if it holds all segments, else from the other engine. Without such
 /// an engine, a store that is not known to hold the segment is tried: another VM may have saved it,
 /// and a miss costs a millisecond.
 segment_transfer planTransfer(const segment_facts &facts,
