--- a/burdockhold/endpoint_choice.h
+++ b/burdockhold/endpoint_choice.h
@@ -81,6 +81,7 @@
     double recentCalls = 0.0;              ///< Number of calls behind failureShare, decayed.
     double latencyMs = 0.0;                ///< Moving average; plain services only.
     bool staleWeights = false;             ///< The weights are older than the target version.
+    std::int64_t weights = 0;              ///< Version of the model's weights; 0 if unknown.
     bool holdsSegment = false; ///< Caches the deepest shared segment for its current weights.
     engine_lane lane = engine_lane::Any;
 };
--- a/burdockhold/endpoint_table.cc
+++ b/burdockhold/endpoint_table.cc
@@ -216,7 +216,8 @@
         candidate.excluded = exclusion::Loading;
     else if (now < entry.backOffUntil)
         candidate.excluded = exclusion::BackOff;
-    candidate.staleWeights = !model.empty() && knownVersion(entry, model) < targetVersion;
+    candidate.weights = model.empty() ? 0 : knownVersion(entry, model);
+    candidate.staleWeights = !model.empty() && candidate.weights < targetVersion;
     candidate.holdsSegment = !segmentKey.empty()
                              && entry.segments.count(std::string(segmentKey)) != 0;
     return candidate;
--- a/burdockhold/placement_client.cc
+++ b/burdockhold/placement_client.cc
@@ -190,7 +190,8 @@
     question.pool = shortHash(facts.query.poolName);
     question.model = shortHash(facts.query.request.model);
     question.affinityKey = need.affinityKey;
-    question.segment = facts.segment;
+    if (need.segmentTokens > 0)
+        question.segment = XXH64(need.affinityKey.data(), need.affinityKey.size(), 0);
     question.segmentTokens = tokens(need.segmentTokens);
     question.unsharedTokens = tokens(need.unsharedTokens);
     question.outputTokens = tokens(need.outputTokens);
--- a/burdockhold/placement_client.h
+++ b/burdockhold/placement_client.h
@@ -74,7 +74,6 @@
     duration target = duration::zero();   ///< Latency target that is left.
     duration deadline = duration::zero(); ///< Time that is left.
     duration maxWait = duration::zero();
-    std::uint64_t segment = 0; ///< Hash of the deepest shared segment; 0 if there is none.
 };
 
 /// The VM chooses the endpoint by itself.
--- a/burdockhold/placement_scheduler.cc
+++ b/burdockhold/placement_scheduler.cc
@@ -96,6 +96,7 @@
         candidate.activeTokens = known.activeTokens;
         const auto cached = m_cached.find(hash);
         candidate.holdsSegment = question.segment != 0 && cached != m_cached.end()
+                                 && cached->second.weights == candidate.weights
                                  && cached->second.tokens.count(question.segment) != 0;
         if (std::find(question.tried.begin(), question.tried.end(), hash) != question.tried.end())
             excludeTried(candidate);
@@ -152,6 +153,9 @@
     if (question.segment == 0 || engine.cacheTokens <= 0)
         return;
     cached_segments &cached = m_cached[shortHash(engine.id)];
+    if (cached.weights != engine.weights) // Loading weights clears the engine's cache.
+        cached = {};
+    cached.weights = engine.weights;
     const auto known = cached.tokens.find(question.segment);
     if (known != cached.tokens.end()) {
         const auto entry = std::find_if(
--- a/burdockhold/placement_scheduler.h
+++ b/burdockhold/placement_scheduler.h
@@ -103,6 +103,7 @@
         std::deque<std::pair<std::uint64_t, std::int64_t>> order; // Least recently used first.
         std::unordered_map<std::uint64_t, std::int64_t> tokens;
         std::int64_t total = 0;
+        std::int64_t weights = 0; // The segments were computed with this version.
     };
     struct vm_state
     {
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -412,16 +412,13 @@
 placement_step routed_request::choosePlacement(placement_inputs &inputs,
                                                const placement_query &query, time_point now)
 {
-    const std::string segment = deepestSegmentName(m_request, cacheDomain(),
-                                                   m_context.board.targetVersion(m_request.model));
     const placement_facts facts{ query,
                                  inputs,
                                  m_account == nullptr ? "" : m_account->name,
                                  m_priority,
                                  m_arrival + m_route->latencyTarget - now,
                                  m_deadline - now,
-                                 queueWaitEnd(now) - now,
-                                 segment.empty() ? 0 : hashOf(segment) };
+                                 queueWaitEnd(now) - now };
     const placement_step step = m_placement.choose(facts, [self = weak_from_this()] {
         if (const auto request = self.lock())
             request->place();
--- a/burdockhold/scheduler_message.h
+++ b/burdockhold/scheduler_message.h
@@ -29,7 +29,8 @@
     std::uint32_t pool = 0;   ///< shortHash of the pool's name.
     std::uint32_t model = 0;  ///< shortHash of the model's name.
     std::string affinityKey;
-    std::uint64_t segment = 0; ///< Hash of the deepest shared segment; 0 if there is none.
+    /// Hash of the deepest shared segment, whatever the weights; 0 if there is none.
+    std::uint64_t segment = 0;
     std::uint32_t segmentTokens = 0;
     std::uint32_t unsharedTokens = 0;
     std::uint32_t outputTokens = 0;
