--- a/burdockhold/endpoint_choice.cc
+++ b/burdockhold/endpoint_choice.cc
@@ -38,6 +38,12 @@
     if (need.affinityKey.empty() || candidate.running == 0)
         return true;
     const std::int64_t prefillTokens = holds ? need.unsharedTokens : need.promptTokens;
+    // Each event of a stream there would take as long as the chunks of the long prompt between its
+    // tokens.
+    const bool delaysShort = need.lane == engine_lane::Long
+                             && candidate.lane == engine_lane::Short;
+    if (delaysShort && options.maxPendingAheadOfLong)
+        return false;
     if (need.lane == engine_lane::Long && options.maxPendingAheadOfLong) {
         if (candidate.pendingPrefillTokens > *options.maxPendingAheadOfLong)
             return false;
@@ -210,7 +216,7 @@
     if (preferred)
         keepBetter(best, estimateCall(candidates, *preferred, preferred, need, options));
     compareLane(candidates, true, preferred, need, seed, options, best);
-    if (need.lane != engine_lane::Any && need.mayCrossLanes && (!best || best->expectedMs > options.laneCrossingMs))
+    if (need.lane != engine_lane::Any && (!best || best->expectedMs > options.laneCrossingMs))
         compareLane(candidates, false, preferred, need, seed, options, best);
     return best;
 }
--- a/burdockhold/endpoint_choice.h
+++ b/burdockhold/endpoint_choice.h
@@ -104,7 +104,6 @@
     std::int64_t promptTokens = 0;
     bool storeHoldsSegment = false; ///< The segment can be copied from the segment store.
     engine_lane lane = engine_lane::Any;
-    bool mayCrossLanes = true; ///< Engines of the other lane may be used.
 };
 
 struct endpoint_choice_options
--- a/burdockhold/engine_lanes.cc
+++ b/burdockhold/engine_lanes.cc
@@ -24,7 +24,7 @@
 {
     m_own = ownWork(now);
     m_ownAt = now;
-    const double work = static_cast<double>(need.unsharedTokens)
+    const double work = static_cast<double>(need.promptTokens)
                         + m_options.outputTokenWeight * static_cast<double>(need.outputTokens);
     (kind == engine_lane::Short ? m_own.shortTokens : m_own.longTokens) += work;
 }
--- a/burdockhold/engine_lanes.h
+++ b/burdockhold/engine_lanes.h
@@ -38,9 +38,9 @@
     double longShareOfTarget = 0.25;
     double prefillTokensPerMs = 50.0;
     /// Work of an output token, in prompt tokens: each takes a step of its own.
-    double outputTokenWeight = 10.0;
+    double outputTokenWeight = 6.0;
     /// The short lane gets this multiple of its share of the work, since its prompts are urgent.
-    double shortLaneWeight = 1.3;
+    double shortLaneWeight = 1.5;
     double maxShortShare = 0.5; ///< Of the pool's engines.
     /// Below this share of the work, either kind uses the whole pool.
     double minWorkShare = 0.03;
--- a/burdockhold/placement_scheduler.cc
+++ b/burdockhold/placement_scheduler.cc
@@ -61,8 +61,7 @@
     });
     if (waits)
         return answerTo(question, placement_verdict::Queued);
-    const time_point targetAt = now + std::chrono::milliseconds(question.targetMs);
-    if (const auto granted = tryPlace(question, targetAt, now))
+    if (const auto granted = tryPlace(question, now))
         return *granted;
     if (question.maxWaitMs == 0 || m_waiting.size() >= m_options.maxWaiting)
         return answerTo(question, placement_verdict::Declined);
@@ -104,20 +103,11 @@
     return candidates;
 }
 
-bool placement_scheduler::mayCrossLanes(const placement_question &question, time_point targetAt,
-                                        time_point now) const
-{
-    const double prefillMs = question.promptTokens / m_choice.prefillTokensPerMs;
-    return static_cast<engine_lane>(question.lane) != engine_lane::Long
-           || targetAt - now < fromSeconds(prefillMs / 1000.0) + m_options.crossingMargin;
-}
-
 std::optional<placement_answer> placement_scheduler::tryPlace(const placement_question &question,
-                                                              time_point targetAt, time_point now)
+                                                              time_point now)
 {
     const std::vector<endpoint_candidate> candidates = candidatesFor(question, now);
-    placement_need need = needOf(question);
-    need.mayCrossLanes = mayCrossLanes(question, targetAt, now);
+    const placement_need need = needOf(question);
     const auto choice = chooseEndpoint(candidates, need, question.segment, m_choice);
     if (!choice)
         return std::nullopt;
@@ -281,12 +271,25 @@
     if (!m_roomChanged || m_waiting.empty())
         return grants;
     m_roomChanged = false;
+    grantWaiting(grants, now, [now](const waiting_question &next) { return next.targetAt > now; });
+    grantWaiting(grants, now, [now](const waiting_question &next) { return next.targetAt <= now; });
+    return grants;
+}
+
+template <typename Condition>
+void placement_scheduler::grantWaiting(std::vector<placement_answer> &grants, time_point now,
+                                       const Condition &isServed)
+{
     // Questions with equal needs would fail alike: after some failures, the rest waits for the next
     // change.
     constexpr int MaxFailures = 8;
     int failures = 0;
     for (auto next = m_waiting.begin(); next != m_waiting.end() && failures < MaxFailures;) {
-        const auto granted = tryPlace(next->question, next->targetAt, now);
+        if (!isServed(*next)) {
+            ++next;
+            continue;
+        }
+        const auto granted = tryPlace(next->question, now);
         if (!granted) {
             ++failures;
             ++next;
@@ -295,7 +298,6 @@
         grants.push_back(*granted);
         next = m_waiting.erase(next);
     }
-    return grants;
 }
 
 void placement_scheduler::step(time_point now)
--- a/burdockhold/placement_scheduler.h
+++ b/burdockhold/placement_scheduler.h
@@ -12,8 +12,9 @@
 //
 // Promises:
 // - A question that is repeated gets the same answer, until its call has ended.
-// - A waiting question is answered in order of priority, then of latency target. It is dropped when
-//   its time is over: the VM that asked decides then.
+// - Waiting questions are answered in order of priority, then of latency target; those whose target
+//   has passed come last. A question is dropped when its time is over: the VM that asked decides
+//   then.
 // - What a VM states of its calls replaces what was granted to it, so calls at engines that it has
 //   placed itself count too, and a grant that was lost is forgotten. The calls of a VM that states
 //   nothing for callExpiry are forgotten.
@@ -47,10 +48,6 @@
     double cachedShare = 0.6;
     /// See endpoint_choice_options. The time of one exchange with the VM and the next in the queue.
     std::int64_t maxPendingAheadOfLong = 1000;
-    /// A long prompt uses the engines of short ones only when its prefill, and this time, would
-    /// otherwise not fit into its latency target: each event of a stream there would take as long as
-    /// the chunks of the long prompt between its tokens.
-    duration crossingMargin = std::chrono::milliseconds(150);
 };
 
 /// Which endpoints may take a request, with the loads that the scheduler's own table knows.
@@ -111,10 +108,10 @@
         time_point statedAt;
     };
 
-    std::optional<placement_answer> tryPlace(const placement_question &question,
-                                             time_point targetAt, time_point now);
-    bool mayCrossLanes(const placement_question &question, time_point targetAt,
-                       time_point now) const;
+    std::optional<placement_answer> tryPlace(const placement_question &question, time_point now);
+    template <typename Condition>
+    void grantWaiting(std::vector<placement_answer> &grants, time_point now,
+                      const Condition &isServed);
     std::vector<endpoint_candidate> candidatesFor(const placement_question &question,
                                                   time_point now) const;
     void enqueue(const placement_question &question, time_point now);
