--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -309,9 +309,11 @@
 /// Returns when a request that enters the wait queue now has to leave it.
 time_point routed_request::queueWaitEnd(time_point now) const
 {
-    return std::min(m_deadline, now
-                                        + maxQueueWait(m_responseStarted, m_route->latencyTarget,
-                                                       m_context.board.settings.mechanisms));
+    duration wait = maxQueueWait(m_responseStarted, m_route->latencyTarget,
+                                 m_context.board.settings.mechanisms);
+    if (m_context.board.usesSchedulers() && m_route->kind == call_kind::Stream)
+        wait = std::max(wait, maxLateWait(m_deadline - now));
+    return std::min(m_deadline, now + wait);
 }
 
 /// Returns the domain in the deployment in force, since segments must not be shared with an account
--- a/burdockhold/router_board.h
+++ b/burdockhold/router_board.h
@@ -218,7 +218,8 @@
     /// Addresses for digests of the VMs that schedule placements, by data centre, without this VM.
     /// Empty unless digests are exchanged in groups.
     std::map<std::string, std::string> schedulers;
-    bool actsAsScheduler = false;  ///< This VM is the scheduler of its data centre.
+    bool actsAsScheduler = false; ///< This VM is the scheduler of its data centre.
+    bool usesSchedulers() const { return actsAsScheduler || !schedulers.empty(); }
     std::vector<group_vm> groupVms;     ///< VMs of the own group that are not shutting down.
     /// Longest time between two digests of a VM, or two summaries of a data centre, if none is
     /// lost.
--- a/burdockhold/wait_rules.h
+++ b/burdockhold/wait_rules.h
@@ -47,6 +47,16 @@
     return responseStarted ? MaxStreamQueueWait : latencyTarget * MaxQueueWaitTenths / 10;
 }
 
+/// Longest time in a scheduler's queue, in tenths of the time that the caller still waits. A request
+/// whose latency target has passed is served there after those that can still meet theirs.
+inline constexpr int MaxLateWaitTenths = 4;
+
+/// Returns how long a request may wait in a scheduler's queue.
+inline duration maxLateWait(duration timeLeft)
+{
+    return timeLeft * MaxLateWaitTenths / 10;
+}
+
 /// Returns the priority of a request; 0 is the most urgent. The account may be nullptr.
 inline int requestPriority(const deployment_route &route, const deployment_account *account,
                            const mechanism_set &mechanisms)
