--- a/burdockhold/deployment.cc
+++ b/burdockhold/deployment.cc
@@ -166,7 +166,8 @@
 std::optional<duration> deployment_index::shortestStreamTarget(std::string_view pool) const
 {
     const auto found = m_shortestStreamTargets.find(pool);
-    return found == m_shortestStreamTargets.end() ? std::nullopt : std::make_optional(found->second);
+    return found == m_shortestStreamTargets.end() ? std::nullopt
+                                                  : std::make_optional(found->second);
 }
 
 const deployment_route *deployment_index::findRoute(std::string_view host,
--- a/burdockhold/deployment.h
+++ b/burdockhold/deployment.h
@@ -216,7 +216,7 @@
     std::unordered_map<std::string, const deployment_account *> m_accountsByName;
     std::unordered_map<std::string, const deployment_pool *> m_poolsByName;
     std::map<std::string, duration, std::less<>> m_shortestStreamTargets; ///< By pool.
-    std::uint64_t m_isolatedSet = 0; ///< See cache_domain.
+    std::uint64_t m_isolatedSet = 0;                                      ///< See cache_domain.
 };
 
 /// Bounds of what an endpoint may report. A report beyond them is not an endpoint's.
--- a/burdockhold/digest_exchange.cc
+++ b/burdockhold/digest_exchange.cc
@@ -443,8 +443,8 @@
             return static_cast<std::uint32_t>(
                     std::clamp(std::round(tokens / lane_row::WorkScale), 0.0, 4e9));
         };
-        digest.lanes.push_back({ shortHash(pool), scaled(work.shortTokens),
-                                 scaled(work.longTokens) });
+        digest.lanes.push_back(
+                { shortHash(pool), scaled(work.shortTokens), scaled(work.longTokens) });
     }
 }
 
@@ -454,10 +454,10 @@
         const std::uint32_t hash = shortHash(pool);
         for (const lane_row &row : digest.lanes) {
             if (row.pool == hash)
-                demand.applyPeerWork(digest.vm,
-                                     { row.shortWork * lane_row::WorkScale,
-                                       row.longWork * lane_row::WorkScale },
-                                     now);
+                demand.applyPeerWork(
+                        digest.vm,
+                        { row.shortWork * lane_row::WorkScale, row.longWork * lane_row::WorkScale },
+                        now);
         }
     }
 }
--- a/burdockhold/endpoint_choice.cc
+++ b/burdockhold/endpoint_choice.cc
@@ -40,8 +40,7 @@
     const std::int64_t prefillTokens = holds ? need.unsharedTokens : need.promptTokens;
     // Each event of a stream there would take as long as the chunks of the long prompt between its
     // tokens.
-    const bool delaysShort = need.lane == engine_lane::Long
-                             && candidate.lane == engine_lane::Short;
+    const bool delaysShort = need.lane == engine_lane::Long && candidate.lane == engine_lane::Short;
     if (delaysShort && options.maxPendingAheadOfLong)
         return false;
     if (need.lane == engine_lane::Long && options.maxPendingAheadOfLong) {
--- a/burdockhold/endpoint_choice.h
+++ b/burdockhold/endpoint_choice.h
@@ -151,8 +151,8 @@
     std::size_t sampleSize = 6; ///< In addition to the preferred endpoint.
     bool usePreferred = true;   ///< False: no endpoint is preferred for a prompt.
     bool copySegments = true;   ///< False: missing segments are always recomputed.
-    /// Without knowledge of the caches, the preferred endpoint is assumed to hold the segment. False
-    /// where the caches are known: then only holdsSegment counts.
+    /// Without knowledge of the caches, the preferred endpoint is assumed to hold the segment.
+    /// False where the caches are known: then only holdsSegment counts.
     bool assumePreferredHolds = true;
 };
 
@@ -179,8 +179,8 @@
                                               const placement_need &need, std::uint64_t seed,
                                               const endpoint_choice_options &options = {});
 
-/// Returns the preferred endpoint for the key: the candidate with the highest rendezvous score among
-/// those of the lane, if there is any.
+/// Returns the preferred endpoint for the key: the candidate with the highest rendezvous score
+/// among those of the lane, if there is any.
 std::optional<std::size_t> preferredEndpoint(const std::vector<endpoint_candidate> &candidates,
                                              std::string_view key,
                                              engine_lane lane = engine_lane::Any);
--- a/burdockhold/engine_lanes.h
+++ b/burdockhold/engine_lanes.h
@@ -12,7 +12,8 @@
 // - Every VM assigns an engine to the same lane without exchanging more than the pool's demand: the
 //   engines are ranked by a hash, and the short lane is the first part of the ranking. If two VMs
 //   disagree on the demand, they disagree on the engines next to the boundary only.
-// - The lanes are a preference. An engine of the other lane is used when the own lane is full, or so
+// - The lanes are a preference. An engine of the other lane is used when the own lane is full, or
+// so
 //   busy that the other lane is expected to be faster even with a penalty.
 // - A pool below minEngines, or with demand of one kind only, is not divided.
 // Nothing here fails. Time is linear in the number of engines; memory is constant for a pool.
@@ -44,7 +45,7 @@
     double maxShortShare = 0.5; ///< Of the pool's engines.
     /// Below this share of the work, either kind uses the whole pool.
     double minWorkShare = 0.03;
-    duration halfLife = std::chrono::seconds(10); ///< Decay of the observed demand.
+    duration halfLife = std::chrono::seconds(10);  ///< Decay of the observed demand.
     duration peerExpiry = std::chrono::seconds(5); ///< Of what another VM has stated.
     /// Demand that is assumed before any is observed, in tokens, divided evenly.
     double priorTokens = 20000.0;
--- a/burdockhold/event_router.cc
+++ b/burdockhold/event_router.cc
@@ -149,8 +149,8 @@
 
 void event_router::startCaller(tcp::socket socket)
 {
-    const request_context context{ m_io, m_board, m_connections, m_waitQueue, m_migratable,
-                                   &m_placements };
+    const request_context context{ m_io,        m_board,      m_connections,
+                                   m_waitQueue, m_migratable, &m_placements };
     std::make_shared<caller_connection>(std::move(socket), context, m_callers)->start();
 }
 
--- a/burdockhold/placement_client.cc
+++ b/burdockhold/placement_client.cc
@@ -328,8 +328,8 @@
     placement.state = state;
 }
 
-void placement_client::answerReceived(const placement_answer &answer,
-                                      const std::string &dataCentre, time_point now)
+void placement_client::answerReceived(const placement_answer &answer, const std::string &dataCentre,
+                                      time_point now)
 {
     if (answer.vm != m_vm || dataCentre.empty())
         return;
--- a/burdockhold/placement_client.h
+++ b/burdockhold/placement_client.h
@@ -5,13 +5,13 @@
 // this VM's calls to them, and acts as the scheduler of this VM's data centre if it is the one.
 //
 // The scheduler of a data centre is the VM that also summarizes its digests: the live VM with the
-// largest capacity. All VMs of the data centre compute it from digests, and those of others learn it
-// from summaries, so there is no election, and nothing has to be agreed on.
+// largest capacity. All VMs of the data centre compute it from digests, and those of others learn
+// it from summaries, so there is no election, and nothing has to be agreed on.
 //
 // A request asks the scheduler of its home data centre for an endpoint that is expected to be fast,
 // then one other data centre, then its home for a place in its queue. While it waits there, it asks
-// the other data centres in turn. Home is the own data centre for short prompts. For long ones it is
-// chosen by rendezvous hashing of their shared segments: an exchange between data centres takes
+// the other data centres in turn. Home is the own data centre for short prompts. For long ones it
+// is chosen by rendezvous hashing of their shared segments: an exchange between data centres takes
 // milliseconds, the prefill of a segment 100, and the caches of one data centre do not hold what
 // those of all hold.
 //
@@ -20,7 +20,8 @@
 //   and the scheduler is not asked for silencePause.
 // - A datagram that is lost, repeated, absurd or of another format: dropped; see
 //   scheduler_message.h.
-// - A scheduler that answers a queued question no more: the question is repeated, then the request is
+// - A scheduler that answers a queued question no more: the question is repeated, then the request
+// is
 //   placed by this VM alone.
 // All functions run on the event loop's thread.
 
--- a/burdockhold/placement_inputs.cc
+++ b/burdockhold/placement_inputs.cc
@@ -88,8 +88,8 @@
 {
     const deployment_pool *found = nullptr;
     std::string modelName;
-    for (const deployment_pool &known : board.deployment ? board.deployment->pools()
-                                                         : std::vector<deployment_pool>()) {
+    for (const deployment_pool &known :
+         board.deployment ? board.deployment->pools() : std::vector<deployment_pool>()) {
         if (shortHash(known.name) != pool || !known.engine)
             continue;
         found = &known;
@@ -104,13 +104,14 @@
     if (const software_rollout *rollout = board.rolloutOf(found->name))
         rollout->removeNewVersion(candidates, now);
     const std::size_t poolSize = candidates.size();
-    candidates.erase(std::remove_if(candidates.begin(), candidates.end(),
-                                    [](const auto &candidate) { return !candidate.sameDataCentre; }),
-                     candidates.end());
+    candidates.erase(
+            std::remove_if(candidates.begin(), candidates.end(),
+                           [](const auto &candidate) { return !candidate.sameDataCentre; }),
+            candidates.end());
     const auto demand = board.laneDemand.find(found->name);
     if (demand != board.laneDemand.end())
-        assignLanes(candidates, shortLaneShare(demand->second.totalWork(now), poolSize,
-                                               board.options.lanes));
+        assignLanes(candidates,
+                    shortLaneShare(demand->second.totalWork(now), poolSize, board.options.lanes));
     return candidates;
 }
 
--- a/burdockhold/placement_scheduler.cc
+++ b/burdockhold/placement_scheduler.cc
@@ -82,8 +82,8 @@
 }
 
 /// Returns the data centre's endpoints with the loads of the calls that are known.
-std::vector<endpoint_candidate>
-placement_scheduler::candidatesFor(const placement_question &question, time_point now) const
+std::vector<endpoint_candidate> placement_scheduler::candidatesFor(
+        const placement_question &question, time_point now) const
 {
     std::vector<endpoint_candidate> candidates = m_candidates(question);
     for (endpoint_candidate &candidate : candidates) {
@@ -209,12 +209,12 @@
 
 void placement_scheduler::withdraw(const call_id &id)
 {
-    m_waiting.erase(std::remove_if(m_waiting.begin(), m_waiting.end(),
-                                   [&](const auto &other) {
-                                       return call_id{ other.question.vm, other.question.number }
-                                              == id;
-                                   }),
-                    m_waiting.end());
+    m_waiting.erase(
+            std::remove_if(m_waiting.begin(), m_waiting.end(),
+                           [&](const auto &other) {
+                               return call_id{ other.question.vm, other.question.number } == id;
+                           }),
+            m_waiting.end());
 }
 
 void placement_scheduler::apply(const call_statement &statement, time_point now)
--- a/burdockhold/placement_scheduler.h
+++ b/burdockhold/placement_scheduler.h
@@ -126,8 +126,8 @@
     endpoint_choice_options m_choice;
     candidate_source m_candidates;
     std::map<call_id, known_call> m_calls;
-    std::unordered_map<std::uint32_t, engine_load> m_loads;          // By shortHash.
-    std::unordered_map<std::uint32_t, cached_segments> m_cached;     // By shortHash.
+    std::unordered_map<std::uint32_t, engine_load> m_loads;      // By shortHash.
+    std::unordered_map<std::uint32_t, cached_segments> m_cached; // By shortHash.
     std::map<std::uint64_t, vm_state> m_vms;
     std::vector<waiting_question> m_waiting; // In the order in which they are served.
     bool m_roomChanged = false;
--- a/burdockhold/router_board.h
+++ b/burdockhold/router_board.h
@@ -220,7 +220,7 @@
     std::map<std::string, std::string> schedulers;
     bool actsAsScheduler = false; ///< This VM is the scheduler of its data centre.
     bool usesSchedulers() const { return actsAsScheduler || !schedulers.empty(); }
-    std::vector<group_vm> groupVms;     ///< VMs of the own group that are not shutting down.
+    std::vector<group_vm> groupVms; ///< VMs of the own group that are not shutting down.
     /// Longest time between two digests of a VM, or two summaries of a data centre, if none is
     /// lost.
     duration digestInterval = std::chrono::milliseconds(200);
--- a/burdockhold/scheduler_message.h
+++ b/burdockhold/scheduler_message.h
@@ -64,7 +64,7 @@
     std::uint32_t endpoint = 0; ///< shortHash of its id.
     std::uint32_t expectedMs = 0;
     std::uint32_t cachedTokens = 0;
-    std::uint32_t copyFrom = 0; ///< shortHash of an endpoint to copy the segment from, or 0.
+    std::uint32_t copyFrom = 0;    ///< shortHash of an endpoint to copy the segment from, or 0.
     std::uint32_t tokensAhead = 0; ///< Prompt tokens that the endpoint has to read before.
     std::uint32_t running = 0;     ///< Other requests that run at the endpoint.
     MSGPACK_DEFINE_ARRAY(vm, number, verdict, endpoint, expectedMs, cachedTokens, copyFrom,
--- a/burdockhold/segment_transfer.h
+++ b/burdockhold/segment_transfer.h
@@ -43,7 +43,7 @@
     std::string holder;              ///< Address of another engine that should hold the segment.
     /// The holder has lately computed or copied the segment, as its scheduler knows.
     bool holderIsKnown = false;
-    std::string store;               ///< Address of the segment's store; may be empty.
+    std::string store; ///< Address of the segment's store; may be empty.
     /// The store is believed to hold the segment and all segments before it.
     bool storeHoldsAllSegments = false;
     double linkHeadroom = 1.0; ///< Headroom of the store's link, as a fraction of its burst.
--- a/burdockhold/wait_rules.h
+++ b/burdockhold/wait_rules.h
@@ -47,8 +47,8 @@
     return responseStarted ? MaxStreamQueueWait : latencyTarget * MaxQueueWaitTenths / 10;
 }
 
-/// Longest time in a scheduler's queue, in tenths of the time that the caller still waits. A request
-/// whose latency target has passed is served there after those that can still meet theirs.
+/// Longest time in a scheduler's queue, in tenths of the time that the caller still waits. A
+/// request whose latency target has passed is served there after those that can still meet theirs.
 inline constexpr int MaxLateWaitTenths = 4;
 
 /// Returns how long a request may wait in a scheduler's queue.
--- /dev/null
+++ b/testing/scheduler_message_test.cc
@@ -0,0 +1,64 @@
+#define BOOST_TEST_MODULE scheduler_message
+#include "burdockhold/scheduler_message.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <random>
+#include <string>
+
+using namespace burdockhold;
+
+namespace {
+
+placement_question sampleQuestion()
+{
+    placement_question question;
+    question.vm = 0x1122334455667788;
+    question.number = 77;
+    question.affinityKey = "model/segment";
+    question.promptTokens = 9190;
+    question.tried = { 1, 2, 3 };
+    return question;
+}
+
+} // namespace
+
+// Guards against fields that are lost on the way.
+BOOST_AUTO_TEST_CASE(messagesSurviveTheWire)
+{
+    const auto question = decodeSchedulerMessage(encodeSchedulerMessage(sampleQuestion()));
+    BOOST_REQUIRE(isOk(question));
+    const auto &decoded = std::get<placement_question>(valueOf(question));
+    BOOST_TEST(decoded.vm == sampleQuestion().vm);
+    BOOST_TEST(decoded.affinityKey == "model/segment");
+    BOOST_TEST(decoded.tried.size() == 3U);
+
+    call_statement statement{ 5, 6, true, { { 1, 2, 3, 4, 1 } } };
+    const auto stated = decodeSchedulerMessage(encodeSchedulerMessage(statement));
+    BOOST_REQUIRE(isOk(stated));
+    BOOST_TEST(std::get<call_statement>(valueOf(stated)).calls.front().activeTokens == 4U);
+
+    placement_answer answer;
+    answer.copyFrom = 99;
+    const auto answered = decodeSchedulerMessage(encodeSchedulerMessage(answer));
+    BOOST_REQUIRE(isOk(answered));
+    BOOST_TEST(std::get<placement_answer>(valueOf(answered)).copyFrom == 99U);
+}
+
+// Guards against a datagram that ends the process: any sender in the network can reach the port.
+BOOST_AUTO_TEST_CASE(damagedMessagesAreRefused)
+{
+    const std::string bytes = encodeSchedulerMessage(sampleQuestion());
+    for (std::size_t length = 0; length < bytes.size(); ++length)
+        BOOST_TEST(!isOk(decodeSchedulerMessage(bytes.substr(0, length))));
+    std::string other = bytes;
+    other[0] = 2;
+    BOOST_TEST(!isOk(decodeSchedulerMessage(other)));
+    std::mt19937 random(9);
+    for (int round = 0; round < 5000; ++round) {
+        std::string damaged = bytes;
+        for (int change = 0; change < 4; ++change)
+            damaged[random() % damaged.size()] = static_cast<char>(random());
+        decodeSchedulerMessage(damaged); // May be accepted; must return.
+    }
+}
