Test memory and descriptors under crowds of clients

Cause: each kind of misuse is bounded on its own, the sum over connections is not.

Change: 12 crowds against the router's own process with memory_mb 32 or 200 descriptors. They check that it lives, its peak resident memory against 0.8 of memory_mb, its descriptors, and an ordinary request beside and after the crowd.

--- a/cmake/router.cmake
+++ b/cmake/router.cmake
@@ -52,6 +52,7 @@
   endforeach()
   target_sources(deployment_transfers_looptest PRIVATE
                  ${CMAKE_SOURCE_DIR}/testing/support_slow_link.cc)
+  target_sources(client_crowds_looptest PRIVATE ${CMAKE_SOURCE_DIR}/testing/support_crowd.cc)
   target_link_libraries(soak_looptest PRIVATE soak_support)
   set_tests_properties(soak_looptest PROPERTIES TIMEOUT 300)
 endif()
--- a/testing/support_platform.cc
+++ b/testing/support_platform.cc
@@ -11,6 +11,7 @@
 #include <netinet/in.h>
 #include <poll.h>
 #include <spawn.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -20,6 +21,7 @@
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <iterator>
 
@@ -528,6 +530,7 @@
     , m_settingsFile("/tmp/burdockhold-router-" + std::to_string(::getpid()) + "-" + place.vm
                      + ".ini")
     , m_logFile(m_settingsFile + ".log")
+    , m_enforcedDescriptors(place.enforcedDescriptors)
 {
     ::unlink(m_logFile.c_str());
     const std::string peerAddress = place.ip.empty() ? reserveAddress() : place.ip + ":7003";
@@ -543,7 +546,8 @@
             << "\nlease_ms = 3000\nshutdown_grace_s = 8\n[repeats]\nratio = 0.2\nslack = "
             << place.repeatSlack
             << "\n[accounts]\ntolerance = 0.1\ntolerance_tokens = " << place.toleranceTokens
-            << "\n[limits]\nmemory_mb = 110\ndescriptors = 1024\n";
+            << "\n[limits]\nmemory_mb = " << place.memoryMb
+            << "\ndescriptors = " << place.descriptors << "\n";
     spawn();
 }
 
@@ -560,6 +564,11 @@
     BOOST_REQUIRE(::posix_spawn(&m_process, program.c_str(), &actions, nullptr, arguments, environ)
                   == 0);
     ::posix_spawn_file_actions_destroy(&actions);
+    if (m_enforcedDescriptors == 0)
+        return;
+    const auto most = static_cast<rlim_t>(m_enforcedDescriptors);
+    const rlimit limit{ most, most };
+    BOOST_REQUIRE(::prlimit(m_process, RLIMIT_NOFILE, &limit, nullptr) == 0);
 }
 
 void router_process::startAgain()
@@ -616,6 +625,14 @@
     return 0;
 }
 
+std::size_t router_process::openDescriptors() const
+{
+    const std::filesystem::path directory("/proc/" + std::to_string(m_process) + "/fd");
+    std::error_code error; // The process may end meanwhile; then it has none.
+    const std::filesystem::directory_iterator entries(directory, error);
+    return error ? 0 : static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
+}
+
 bool router_process::waitReady(bool ready) const
 {
     const auto deadline = steady_clock::now() + std::chrono::seconds(10);
--- a/testing/support_platform.h
+++ b/testing/support_platform.h
@@ -199,6 +199,9 @@
     int toleranceTokens = 72000; ///< Tokens by which an account's limit may be exceeded.
     int repeatSlack = 400;       ///< Repeats in ten seconds besides the ratio of the requests.
     bool enginesCheckFences = true;
+    int memoryMb = 110;
+    int descriptors = 1024;      ///< As stated in the settings.
+    int enforcedDescriptors = 0; ///< Limit that the system enforces; 0 leaves it as it is.
 };
 
 /// The router program, started on free ports with the log at the given address.
@@ -228,6 +231,9 @@
     /// Peak resident memory of the process.
     std::size_t peakMemoryBytes() const;
 
+    /// The number of descriptors that the process has open.
+    std::size_t openDescriptors() const;
+
     /// The port on which the router receives gossip digests of other VMs.
     int peerPort() const { return m_peerPort; }
 
@@ -244,6 +250,7 @@
     std::string m_settingsFile;
     std::string m_logFile;
     int m_peerPort = 0;
+    int m_enforcedDescriptors = 0;
 };
 
 /// Writes the bytes repeatedly until the peer closes, for at most the given time. Returns false if
--- a/testing/support_router.h
+++ b/testing/support_router.h
@@ -103,7 +103,7 @@
 /// A log, two engines and one router. Construction waits until the router is ready.
 struct router_fixture
 {
-    router_fixture()
+    explicit router_fixture(const router_place &place = {}, int slots = 6)
         : first([this](const recorded_request &r, response_socket &s) {
             return engine("e1", r, s);
         })
@@ -112,18 +112,19 @@
         })
     {
         putDeployment(1, { "key-1", "key-2" });
-        log.put("keyed.servers", "e1", endpointRecord(first.address(), "ready"));
-        log.put("keyed.servers", "e2", endpointRecord(second.address(), "ready"));
-        router = std::make_unique<router_process>(log.address());
+        log.put("keyed.servers", "e1", endpointRecord(first.address(), "ready", slots));
+        log.put("keyed.servers", "e2", endpointRecord(second.address(), "ready", slots));
+        router = std::make_unique<router_process>(log.address(), place);
         BOOST_REQUIRE_MESSAGE(router->waitReady(true), router->logText());
     }
 
     /// Returns the log record of an endpoint at the given address.
-    static std::string endpointRecord(const std::string &address, const std::string &state)
+    static std::string endpointRecord(const std::string &address, const std::string &state,
+                                      int slots = 6)
     {
         return nlohmann::json{
             { "service", "desk" },      { "address", address }, { "zone", "dc1" },
-            { "version", "v1" },        { "slots", 6 },         { "state", state },
+            { "version", "v1" },        { "slots", slots },     { "state", state },
             { "cold_remaining_ms", 0 }, { "born", 1000 },       { "seq", 1 }
         }.dump();
     }
