--- a/burdockhold/body_memory.h
+++ b/burdockhold/body_memory.h
@@ -6,10 +6,12 @@
 //
 // Promises:
 // - The reservations never exceed the limit together, except for a single one that is larger than
-//   the limit.
+//   the limit. With a budget of the process, they fit into that as well.
 // - Reservations are granted in the order in which they were asked for, so none waits for ever.
 // Not thread-safe.
 
+#include "burdockhold/memory_budget.h"
+
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
@@ -22,8 +24,10 @@
 class body_memory
 {
 public:
-    explicit body_memory(std::size_t limit)
+    /// The budget of the process must outlive this object; nullptr if there is none.
+    explicit body_memory(std::size_t limit, memory_budget *budget = nullptr)
         : m_limit(limit)
+        , m_budget(budget)
     {
     }
 
@@ -31,10 +35,8 @@
     /// when they are, unless cancel() is called with the returned id before.
     std::uint64_t reserve(std::size_t bytes, std::function<void()> granted)
     {
-        if (m_waiting.empty() && fits(bytes)) {
-            m_reserved += bytes;
+        if (m_waiting.empty() && tryReserve(bytes))
             return 0;
-        }
         m_waiting.push_back({ ++m_lastId, bytes, std::move(granted) });
         return m_lastId;
     }
@@ -53,10 +55,32 @@
     /// Gives back bytes that were granted.
     void release(std::size_t bytes)
     {
-        m_reserved -= bytes;
+        giveBack(bytes);
         grant();
     }
 
+    /// Grants what fits now. To be called now and then if other parts of the budget are in use.
+    void grant()
+    {
+        if (m_granting) // Freeing memory for the first one has released another.
+            return;
+        m_granting = true;
+        while (!m_waiting.empty()) {
+            const std::uint64_t id = m_waiting.front().id;
+            const std::size_t bytes = m_waiting.front().bytes;
+            if (!tryReserve(bytes))
+                break;
+            if (m_waiting.empty() || m_waiting.front().id != id) {
+                giveBack(bytes); // Withdrawn while memory was freed for it.
+                continue;
+            }
+            const waiter next = std::move(m_waiting.front());
+            m_waiting.pop_front();
+            next.granted();
+        }
+        m_granting = false;
+    }
+
     std::size_t reserved() const { return m_reserved; }
 
 private:
@@ -67,22 +91,31 @@
         std::function<void()> granted;
     };
 
-    bool fits(std::size_t bytes) const
+    bool tryReserve(std::size_t bytes)
     {
-        return m_reserved == 0 || (m_reserved <= m_limit && bytes <= m_limit - m_reserved);
+        const bool isAlone = m_reserved == 0;
+        if (!isAlone && (m_reserved > m_limit || bytes > m_limit - m_reserved))
+            return false;
+        const bool fitsBudget = m_budget == nullptr
+                                || m_budget->tryTake(memory_part::Bodies, RequestCopies * bytes);
+        if (!fitsBudget && !isAlone)
+            return false;
+        if (!fitsBudget)
+            m_budget->take(memory_part::Bodies, RequestCopies * bytes);
+        m_reserved += bytes;
+        return true;
     }
 
-    void grant()
+    void giveBack(std::size_t bytes)
     {
-        while (!m_waiting.empty() && fits(m_waiting.front().bytes)) {
-            const waiter next = std::move(m_waiting.front());
-            m_waiting.pop_front();
-            m_reserved += next.bytes;
-            next.granted();
-        }
+        m_reserved -= bytes;
+        if (m_budget != nullptr)
+            m_budget->give(memory_part::Bodies, RequestCopies * bytes);
     }
 
     const std::size_t m_limit;
+    memory_budget *const m_budget;
+    bool m_granting = false;
     std::size_t m_reserved = 0;
     std::uint64_t m_lastId = 0;
     std::deque<waiter> m_waiting;
