Bound the memory and the descriptors of clients in the router

Cause: heads, bodies, requests, responses and events were bounded each on its own, unread responses not at all once they were complete, and a lack of descriptors made the listeners spin.

Change: connections take what they hold from the board's memory budget. An idle connection has no read buffer, parser or output queue. caller_registry closes half-read requests, callers that do not read and idle connections, the oldest first, when room is needed, and bounds the connections by the descriptors; refused requests get 503 and have not run. A connection's next request waits until most of its responses have been read. The readiness address and the sessions of other VMs have bounds; the oldest silent connection makes room.

--- a/burdockhold/caller_connection.h
+++ b/burdockhold/caller_connection.h
@@ -13,40 +13,42 @@
 // - The bodies of all requests are bounded by a part of the memory: the rest of a body is not read
 //   until there is room for it, and the request is refused if that takes too long.
 // - The bytes buffered for a caller that does not read are bounded: reading from the endpoint
-//   stops. A caller that takes none of a response for the idle timeout is cut off.
+//   stops. A caller that takes none of a response for the idle timeout is cut off. The next request
+//   starts only once most of the responses before it have been read.
+// - What the connection holds counts against the memory budget of the process. A request for which
+//   there is no memory is refused with 503 before it runs; caller_registry.h says which connections
+//   are closed. An idle connection holds no buffer and no parser.
 // - A stream is chunked; to a caller with HTTP/1.0 it ends with its connection. One that is cut off
 //   lacks its last chunk, or ends with a reset.
 // - During a shutdown, a connection closes after a response that announces it, or when it is idle;
 //   a request that has been read already is processed first. At the end of the grace period, it is
 //   answered that its outcome is unknown, or that it has not run if that is certain.
 
+#include "burdockhold/caller_registry.h"
 #include "burdockhold/request_parser.h"
 #include "burdockhold/routed_request.h"
 
 #include <boost/asio/ip/tcp.hpp>
 
-#include <array>
-#include <deque>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace burdockhold {
 
-class caller_connection;
-
-/// All open caller connections.
-using caller_connections = std::set<std::shared_ptr<caller_connection>>;
-
 class caller_connection : public std::enable_shared_from_this<caller_connection>
 {
 public:
     caller_connection(boost::asio::ip::tcp::socket socket, request_context context,
-                      caller_connections &openConnections);
+                      caller_registry &registry);
 
+    /// Begins to read, or closes the connection if there is no room for it.
     void start();
 
+    /// Closes the connection since its memory or its descriptor is needed. A request that has not
+    /// been read completely is refused with 503 if that can be sent at once.
+    void closeForRoom();
+
     /// Closes the connection if no request has started on it and none is waiting to be read.
     void closeIfIdle();
 
@@ -60,13 +62,21 @@
 private:
     void resetParser();
     void startRead();
+    void readAvailable();
     void bytesReceived(std::size_t bytes);
+    void scheduleParse();
+    void updateQueue();
+    bool charge(std::size_t &charged, memory_part part, std::size_t held);
+    void chargeInput();
+    void chargeOutput();
+    bool beginRequest();
+    void releaseRequest();
     void parseInput();
     void rejectMessage(int status);
     bool reserveBody();
     void bodyReserved(std::size_t bytes);
     void releaseBody(std::size_t kept);
-    void memoryWaitEnded();
+    void refuseForMemory();
     void serve();
     void armIdleTimer();
     void armRequestTimer();
@@ -84,24 +94,35 @@
     void responseFinished();
     void peerClosed();
     void close();
+    void releaseAll();
     bool closesAfterResponse() const;
     std::string formatHead(int status, const std::vector<http_field> &fields) const;
     caller_limits limits() const;
 
     boost::asio::ip::tcp::socket m_socket;
     request_context m_context;
-    caller_connections &m_openConnections;
+    caller_registry &m_registry;
+    caller_registry::queue::place m_place;       ///< Unless a request runs.
+    caller_registry::queue::place m_unreadPlace; ///< While output is not written.
     boost::asio::steady_timer m_timer;
     std::optional<request_parser> m_parser;
-    std::array<char, 4096> m_readBuffer;
     std::string m_input;
-    std::deque<std::string> m_output;
-    std::size_t m_outputBytes = 0;
-    std::size_t m_frontBytesWritten = 0; ///< Of the first element of m_output.
-    time_point m_responseFinishedAt;     ///< Of the last response that kept the connection open.
+    std::string m_sending; ///< Is being written; followed by m_output.
+    std::string m_output;
+    std::size_t m_outputBytes = 0;    ///< Of both that have not been written.
+    std::size_t m_sentBytes = 0;      ///< Of m_sending.
+    std::size_t m_pausedAbove = 0;    ///< Output bytes at which reading from the endpoint paused.
+    std::size_t m_headBytes = 0;      ///< Of the request that is read.
+    std::size_t m_chargedInput = 0;   ///< Taken of the memory budget.
+    std::size_t m_chargedOutput = 0;  ///< Taken of the memory budget.
+    std::size_t m_chargedRequest = 0; ///< Taken of the memory budget.
+    time_point m_responseFinishedAt;  ///< Of the last response that kept the connection open.
     std::shared_ptr<routed_request> m_request;
     std::size_t m_reservedBytes = 0; ///< Of board.requestBodies.
     std::uint64_t m_reservation = 0; ///< That waits; 0 if none does.
+    bool m_hasSmallBody = false;     ///< The body counts as a part of the request.
+    bool m_countsCall = false;       ///< In the registry.
+    bool m_dropsInput = false;       ///< No memory for what follows; closes after the response.
     bool m_reading = false;
     bool m_writing = false;
     bool m_requestStarted = false;
--- a/burdockhold/decision_log.h
+++ b/burdockhold/decision_log.h
@@ -53,6 +53,7 @@
     OrderGiven,
     OrderAnswered,
     MessageRefused,
+    ConnectionClosed,
     RequestEnded,
     CallEnded,
     EndpointChosen,
@@ -71,7 +72,7 @@
 template <>
 struct enum_names<log_event>
 {
-    static constexpr std::array<enum_name<log_event>, 40> Table{ {
+    static constexpr std::array<enum_name<log_event>, 41> Table{ {
             { log_event::Started, "started" },
             { log_event::Stopping, "stopping" },
             { log_event::Stopped, "stopped" },
@@ -99,6 +100,7 @@
             { log_event::OrderGiven, "order_given" },
             { log_event::OrderAnswered, "order_answered" },
             { log_event::MessageRefused, "message_refused" },
+            { log_event::ConnectionClosed, "connection_closed" },
             { log_event::RequestEnded, "request_ended" },
             { log_event::CallEnded, "call_ended" },
             { log_event::EndpointChosen, "endpoint_chosen" },
--- a/burdockhold/event_router.cc
+++ b/burdockhold/event_router.cc
@@ -4,10 +4,6 @@
 #include "burdockhold/guarded_loop.h"
 #include "platform/deployment_codec.h"
 
-#include <boost/asio/buffer.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
-
 #include <csignal>
 
 #include <algorithm>
@@ -39,7 +35,6 @@
 // announcement time, less the margin of the weights bound. Long enough for the first digests to
 // arrive, and shorter than the platform permits for a started VM.
 constexpr duration GuessedVersionGrace = std::chrono::milliseconds(4000);
-constexpr std::size_t MaxProbeBytes = 4096;
 constexpr int StatusOk = 200;
 
 std::int64_t unixMilliseconds()
@@ -55,6 +50,9 @@
     : m_io(1)
     , m_board(std::move(settings))
     , m_connections(m_io)
+    , m_callers(m_board)
+    , m_readiness(m_io, descriptor_shares(m_board.settings.descriptors).readiness,
+                  [this](std::string_view request) { return probeResponse(request); })
     , m_digests(m_io, m_board)
     , m_views(m_io, m_board, viewHandlers())
     , m_callerAcceptor(m_io)
@@ -77,8 +75,7 @@
                             { "disabled", m_board.settings.mechanisms.disabledNames() } },
                           now);
     waitForSignal();
-    acceptCallers();
-    acceptReadiness();
+    acceptConnections();
     announce();
     m_crashRecords->load();
     scheduleTick();
@@ -116,32 +113,22 @@
     return error;
 }
 
-std::string event_router::listen(tcp::acceptor &acceptor, const std::string &address)
+std::string event_router::listen(connection_acceptor &acceptor, const std::string &address)
 {
     const auto endpoint = parseAddress(address);
     if (!endpoint)
         return "not an IP:PORT address: " + address;
-    error_code error;
-    acceptor.open(tcp::v4(), error);
-    if (!error)
-        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    if (!error)
-        acceptor.bind(*endpoint, error);
-    if (!error)
-        acceptor.listen(tcp::acceptor::max_listen_connections, error);
-    return error ? address + ": " + error.message() : std::string();
+    const std::string error = acceptor.listen(*endpoint);
+    return error.empty() ? error : address + ": " + error;
 }
 
-void event_router::acceptCallers()
+void event_router::acceptConnections()
 {
-    m_callerAcceptor.async_accept([this](error_code error, tcp::socket socket) {
-        if (error == boost::asio::error::operation_aborted)
-            return;
-        // Any other error concerns a single connection or a temporary lack of descriptors.
-        if (!error)
-            startCaller(std::move(socket));
-        acceptCallers();
-    });
+    const auto exhausted = [this] { descriptorsExhausted(); };
+    m_callerAcceptor.start(
+            { [this](tcp::socket socket) { startCaller(std::move(socket)); }, exhausted });
+    m_readyAcceptor.start(
+            { [this](tcp::socket socket) { m_readiness.accepted(std::move(socket)); }, exhausted });
 }
 
 void event_router::startCaller(tcp::socket socket)
@@ -150,32 +137,10 @@
     std::make_shared<caller_connection>(std::move(socket), context, m_callers)->start();
 }
 
-void event_router::acceptReadiness()
+void event_router::descriptorsExhausted()
 {
-    m_readyAcceptor.async_accept([this](error_code error, tcp::socket socket) {
-        if (error == boost::asio::error::operation_aborted)
-            return;
-        if (!error)
-            serveReadiness(std::make_shared<tcp::socket>(std::move(socket)));
-        acceptReadiness();
-    });
-}
-
-void event_router::serveReadiness(std::shared_ptr<tcp::socket> socket)
-{
-    const auto request = std::make_shared<std::string>();
-    boost::asio::async_read_until(
-            *socket, boost::asio::dynamic_buffer(*request, MaxProbeBytes), "\r\n\r\n",
-            [this, socket, request](error_code error, std::size_t) {
-                if (error)
-                    return;
-                const auto response = std::make_shared<std::string>(probeResponse(*request));
-                boost::asio::async_write(*socket, boost::asio::buffer(*response),
-                                         [this, socket, response](error_code failed, std::size_t) {
-                                             if (!failed)
-                                                 serveReadiness(socket);
-                                         });
-            });
+    m_board.metrics.count(router_counter::AcceptPauses);
+    m_callers.freeDescriptor();
 }
 
 std::string event_router::probeResponse(std::string_view request) const
@@ -408,6 +373,7 @@
     m_duties->step(now);
     m_crashRecords->step(now);
     m_rollouts->step([this](const std::string &pool) { return m_duties->holds(pool); }, now);
+    m_board.requestBodies.grant(); // Other parts of the memory may have become free.
     m_digests.step(now);
     m_views.step(now);
     const migratable_requests migratable = m_migratable;
@@ -450,30 +416,18 @@
     m_duties->leave();
     m_board.digestRequested = true;
     if (m_board.log.accepts(log_priority::StateChange, m_board.leavingSince))
-        m_board.log.write(log_event::Stopping, { { "callers", m_callers.size() } },
+        m_board.log.write(log_event::Stopping, { { "callers", m_callers.open().size() } },
                           m_board.leavingSince);
 }
 
-/// Accepts the connections in the kernel's listen backlog, which would be reset otherwise.
-void event_router::acceptPendingCallers()
-{
-    error_code error;
-    m_callerAcceptor.non_blocking(true, error);
-    while (!error) {
-        tcp::socket socket(m_io);
-        m_callerAcceptor.accept(socket, error);
-        if (!error)
-            startCaller(std::move(socket));
-    }
-}
-
 void event_router::stepShutdown(time_point now)
 {
     const duration elapsed = now - m_board.leavingSince;
     if (elapsed < LoadBalancerDelay)
         return;
-    acceptPendingCallers();
-    const caller_connections callers = m_callers;
+    // They would be reset otherwise.
+    m_callerAcceptor.acceptPending();
+    const caller_registry::connection_set callers = m_callers.open();
     for (const auto &caller : callers)
         caller->closeIfIdle();
     if (now >= m_board.endsCallsAt) {
@@ -481,12 +435,12 @@
             caller->endRequest();
     }
     const bool mustEnd = elapsed >= m_board.settings.shutdownGrace - ShutdownMargin;
-    if (!m_callers.empty() && !mustEnd)
+    if (!m_callers.open().empty() && !mustEnd)
         return;
     for (const auto &caller : callers)
         caller->abortIfUnfinished();
     if (m_board.log.accepts(log_priority::StateChange, now))
-        m_board.log.write(log_event::Stopped, { { "cut_off", m_callers.size() } }, now);
+        m_board.log.write(log_event::Stopped, { { "cut_off", m_callers.open().size() } }, now);
     m_board.log.flush();
     m_io.stop();
 }
--- a/burdockhold/event_router.h
+++ b/burdockhold/event_router.h
@@ -6,9 +6,11 @@
 // the load balancer's readiness probes and shuts down.
 
 #include "burdockhold/caller_connection.h"
+#include "burdockhold/connection_acceptor.h"
 #include "burdockhold/crash_records.h"
 #include "burdockhold/digest_exchange.h"
 #include "burdockhold/duty_controller.h"
+#include "burdockhold/readiness_server.h"
 #include "burdockhold/rollout_controller.h"
 #include "burdockhold/router_board.h"
 #include "burdockhold/topic_follower.h"
@@ -35,13 +37,11 @@
 
 private:
     std::string open();
-    std::string listen(boost::asio::ip::tcp::acceptor &acceptor, const std::string &address);
+    static std::string listen(connection_acceptor &acceptor, const std::string &address);
     void handlerFailed(const std::string &text);
-    void acceptCallers();
-    void acceptPendingCallers();
+    void acceptConnections();
     void startCaller(boost::asio::ip::tcp::socket socket);
-    void acceptReadiness();
-    void serveReadiness(std::shared_ptr<boost::asio::ip::tcp::socket> socket);
+    void descriptorsExhausted();
     std::string probeResponse(std::string_view request) const;
     bool isReady() const;
 
@@ -71,14 +71,15 @@
     connection_pool m_connections;
     wait_queue m_waitQueue;
     migratable_requests m_migratable;
-    caller_connections m_callers;
+    caller_registry m_callers;
+    readiness_server m_readiness;
     digest_exchange m_digests;
     view_controller m_views;
     std::unique_ptr<duty_controller> m_duties;
     std::unique_ptr<crash_records> m_crashRecords;
     std::unique_ptr<rollout_controller> m_rollouts;
-    boost::asio::ip::tcp::acceptor m_callerAcceptor;
-    boost::asio::ip::tcp::acceptor m_readyAcceptor;
+    connection_acceptor m_callerAcceptor;
+    connection_acceptor m_readyAcceptor;
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_tickTimer;
     boost::asio::steady_timer m_announceTimer;
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -32,8 +32,6 @@
 // caller has received, and overloaded engines refuse several times in a row.
 constexpr int MaxCallsOfStartedStream = 8;
 constexpr std::size_t MaxBufferedResponseBytes = std::size_t(8) * 1024 * 1024;
-// Responses that are buffered until they are complete may use the memory limit divided by this.
-constexpr std::size_t BufferMemoryDivisor = 4;
 constexpr duration MaxWaitForDeployment = std::chrono::milliseconds(600);
 // A stale view is renewed within about this time, or the caller's next attempt reaches another VM.
 constexpr duration StaleViewRetryAfter = std::chrono::milliseconds(300);
@@ -630,19 +628,18 @@
         relayEvents(bytes);
         return;
     }
-    m_body.append(bytes);
-    router_board &board = m_context.board;
-    board.bufferedBytes += bytes.size();
-    if (m_body.size() > MaxBufferedResponseBytes
-        || board.bufferedBytes > board.settings.memoryBytes / BufferMemoryDivisor) {
+    if (m_body.size() + bytes.size() > MaxBufferedResponseBytes
+        || !m_context.board.memory.tryTake(memory_part::Responses, bytes.size())) {
         m_connection->close();
         callEnded(call_end::WrongAnswer);
+        return;
     }
+    m_body.append(bytes);
 }
 
 void routed_request::discardBody()
 {
-    m_context.board.bufferedBytes -= m_body.size();
+    m_context.board.memory.give(memory_part::Responses, m_body.size());
     freeText(m_body);
 }
 
--- a/burdockhold/routed_request.h
+++ b/burdockhold/routed_request.h
@@ -12,7 +12,7 @@
 // - While the process stops, no first call is made that is not expected to be answered in time.
 // - A stream is ended if it delivers no complete event for longer than its caller waits, even if
 //   other bytes arrive; a slow stream that keeps within that time is not ended.
-// - Responses that are buffered until they are complete use at most a quarter of the memory limit.
+// - Responses that are buffered until they are complete are bounded by a part of the memory budget.
 // - An unforeseen exception ends the request that it belongs to at once, and no other.
 
 #include "burdockhold/attempt_rules.h"
--- a/burdockhold/router_board.h
+++ b/burdockhold/router_board.h
@@ -15,6 +15,7 @@
 #include "burdockhold/deployment.h"
 #include "burdockhold/endpoint_health.h"
 #include "burdockhold/endpoint_table.h"
+#include "burdockhold/memory_budget.h"
 #include "burdockhold/quota_ledger.h"
 #include "burdockhold/router_metrics.h"
 #include "burdockhold/router_settings.h"
@@ -194,11 +195,13 @@
     // the log is to be written or deleted.
     std::set<fingerprint> crashRecordsDue;
 
-    // Written by the routed requests: bytes of responses that are buffered until complete.
-    std::size_t bufferedBytes = 0;
+    // Written by the callers' connections and, for responses that are buffered until complete, by
+    // the routed requests; the sessions of other VMs take their output from it.
+    memory_budget memory{ { settings.memoryBytes,
+                            !settings.mechanisms.uses(mechanism::ClientMemory) } };
 
     // Written by the callers' connections.
-    body_memory requestBodies{ settings.memoryBytes / RequestBodiesDivisor };
+    body_memory requestBodies{ settings.memoryBytes / RequestBodiesDivisor, &memory };
 
     // Written by the duty controller (own checks) and the digest exchange (checks by other VMs):
     // the time until which a store of prefix segments is treated as unavailable, by its address.
--- a/burdockhold/router_metrics.h
+++ b/burdockhold/router_metrics.h
@@ -49,12 +49,18 @@
     EngineNoticesIgnored,
     RefusedAllPaused,
     ChoicesWithoutPaused,
+    ClosedHalfRead,
+    ClosedIdle,
+    ClosedUnread,
+    ConnectionsRefused,
+    RefusedMemory,
+    AcceptPauses,
 };
 
 template <>
 struct enum_names<router_counter>
 {
-    static constexpr std::array<enum_name<router_counter>, 32> Table{ {
+    static constexpr std::array<enum_name<router_counter>, 38> Table{ {
             { router_counter::Requests, "requests" },
             { router_counter::Served, "served" },
             { router_counter::RefusedNotRun, "refused_not_run" },
@@ -87,6 +93,12 @@
             { router_counter::EngineNoticesIgnored, "engine_notices_ignored" },
             { router_counter::RefusedAllPaused, "refused_all_paused" },
             { router_counter::ChoicesWithoutPaused, "choices_with_paused_left_out" },
+            { router_counter::ClosedHalfRead, "connections_closed_half_read" },
+            { router_counter::ClosedIdle, "connections_closed_idle" },
+            { router_counter::ClosedUnread, "connections_closed_unread" },
+            { router_counter::ConnectionsRefused, "connections_refused" },
+            { router_counter::RefusedMemory, "refused_memory" },
+            { router_counter::AcceptPauses, "accept_pauses" },
     } };
 };
 
--- a/burdockhold/view_controller.cc
+++ b/burdockhold/view_controller.cc
@@ -1,5 +1,6 @@
 #include "burdockhold/view_controller.h"
 
+#include "burdockhold/text_memory.h"
 #include "platform/deployment_codec.h"
 
 #include <boost/asio/buffer.hpp>
@@ -21,8 +22,6 @@
 constexpr std::size_t MaxRequestBytes = 1024;
 /// A response of this length takes over 50 ms on a link of 10 Mbit/s.
 constexpr std::size_t LargeViewBytes = std::size_t(64) * 1024;
-/// Further connections are closed at once. More than the VMs of a data centre at the target size.
-constexpr std::size_t MaxSessions = 512;
 /// Encoded updates that are kept for further requests: usually one since the last version, one for
 /// VMs that missed it, and a snapshot for VMs that start.
 constexpr std::size_t MaxEncodedUpdates = 4;
@@ -78,6 +77,12 @@
     {
     }
 
+    void start()
+    {
+        m_controller->m_silentSessions.enter(*this, m_place, steadyNow());
+        readRequest();
+    }
+
     void readRequest()
     {
         m_timer.expires_after(SessionIdleTimeout);
@@ -112,11 +117,14 @@
     void close()
     {
         const auto self = shared_from_this();
+        client_queue<view_session>::leave(m_place);
         m_timer.cancel();
         error_code ignored; // The socket is closed in any case.
         m_socket.close(ignored);
-        if (m_controller != nullptr)
-            m_controller->m_sessions.erase(self);
+        if (m_controller == nullptr)
+            return;
+        releaseOutput();
+        m_controller->m_sessions.erase(self);
     }
 
 private:
@@ -135,6 +143,7 @@
             return;
         }
         m_request = valueOf(request);
+        client_queue<view_session>::leave(m_place);
         m_controller->m_source.requestReceived(steadyNow());
         if (m_controller->hasChangesFor(*m_request)) {
             respond();
@@ -167,6 +176,12 @@
 
     void write(std::string text, std::shared_ptr<const std::string> update, bool keepOpen)
     {
+        releaseOutput();
+        memory_budget &memory = m_controller->m_board.memory;
+        if (!memory.tryTake(memory_part::Output, text.size())) {
+            close();
+            return;
+        }
         m_output = std::move(text);
         m_update = std::move(update);
         m_written = 0;
@@ -185,8 +200,10 @@
                                                             error_code error, std::size_t bytes) {
             self->m_written += bytes;
             const bool isComplete = self->m_written == self->outputBytes();
+            if (self->m_controller == nullptr)
+                return;
             if (isComplete)
-                self->m_update.reset(); // An idle session must not keep an old update in memory.
+                self->releaseOutput();
             if (error || (isComplete && !keepOpen))
                 self->close();
             else if (isComplete)
@@ -196,6 +213,14 @@
         });
     }
 
+    /// An idle session must not keep a response or an old update in memory.
+    void releaseOutput()
+    {
+        m_controller->m_board.memory.give(memory_part::Output, m_output.size());
+        freeText(m_output);
+        m_update.reset();
+    }
+
     std::size_t outputBytes() const { return m_output.size() + (m_update ? m_update->size() : 0); }
 
     boost::asio::const_buffer unwrittenBytes() const
@@ -207,7 +232,8 @@
 
     tcp::socket m_socket;
     boost::asio::steady_timer m_timer;
-    view_controller *m_controller; // Null once the controller is destroyed.
+    view_controller *m_controller;             // Null once the controller is destroyed.
+    client_queue<view_session>::place m_place; // Until the first request.
     std::string m_input;
     std::optional<view_request> m_request; // Set until its response is sent.
     duration m_receivedAt = duration::zero();
@@ -224,14 +250,14 @@
     , m_handlers(std::move(handlers))
     , m_source({}, board.settings.vmName, board.settings.capacity())
     , m_incarnation(newIncarnation())
+    , m_maxSessions(descriptor_shares(board.settings.descriptors).vms)
     , m_acceptor(context)
 {
 }
 
 view_controller::~view_controller()
 {
-    error_code ignored; // The acceptor is closed in any case.
-    m_acceptor.close(ignored);
+    m_acceptor.close();
     if (m_connection)
         m_connection->close();
     if (m_reading)
@@ -245,16 +271,12 @@
 {
     error_code error;
     const auto ip = boost::asio::ip::make_address_v4(m_board.settings.ip, error);
-    if (!error)
-        m_acceptor.open(tcp::v4(), error);
-    if (!error)
-        m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    if (!error)
-        m_acceptor.bind({ ip, static_cast<unsigned short>(m_board.settings.firstPeerPort) }, error);
-    if (!error)
-        m_acceptor.listen(tcp::acceptor::max_listen_connections, error);
     if (error)
         return error.message();
+    std::string problem = m_acceptor.listen(
+            { ip, static_cast<unsigned short>(m_board.settings.firstPeerPort) });
+    if (!problem.empty())
+        return problem;
     acceptConnections();
     return {};
 }
@@ -583,17 +605,33 @@
 
 void view_controller::acceptConnections()
 {
-    m_acceptor.async_accept([this](error_code error, tcp::socket socket) {
-        if (error == boost::asio::error::operation_aborted)
-            return;
-        // Other errors affect one connection, or are a temporary lack of file descriptors.
-        if (!error && m_sessions.size() < MaxSessions) {
-            const auto session = std::make_shared<view_session>(std::move(socket), *this);
-            m_sessions.insert(session);
-            session->readRequest();
-        }
-        acceptConnections();
-    });
+    m_acceptor.start({ [this](tcp::socket socket) { startSession(std::move(socket)); },
+                       [this] {
+                           m_board.metrics.count(router_counter::AcceptPauses);
+                           closeSilentSession();
+                       } });
+}
+
+/// Starts a session in place of one that has never sent a request if there are too many.
+void view_controller::startSession(tcp::socket socket)
+{
+    if (m_sessions.size() >= m_maxSessions && !closeSilentSession()) {
+        m_board.metrics.count(router_counter::ConnectionsRefused);
+        return;
+    }
+    const auto session = std::make_shared<view_session>(std::move(socket), *this);
+    m_sessions.insert(session);
+    session->start();
+}
+
+bool view_controller::closeSilentSession()
+{
+    view_session *oldest = m_silentSessions.oldest();
+    if (oldest == nullptr)
+        return false;
+    m_board.metrics.count(router_counter::ClosedIdle);
+    oldest->close();
+    return true;
 }
 
 void view_controller::notifySessions()
--- a/burdockhold/view_controller.h
+++ b/burdockhold/view_controller.h
@@ -18,6 +18,8 @@
 // with many routes does not fit into one, and nng request sockets because they resend a request
 // without a response and need their own threads.
 
+#include "burdockhold/client_queue.h"
+#include "burdockhold/connection_acceptor.h"
 #include "burdockhold/deployment_history.h"
 #include "burdockhold/router_board.h"
 #include "burdockhold/topic_follower.h"
@@ -114,6 +116,8 @@
     bool isFresh(duration transferTime) const;
 
     void acceptConnections();
+    void startSession(boost::asio::ip::tcp::socket socket);
+    bool closeSilentSession();
     /// Responds to the waiting requests for which there are changes.
     void notifySessions();
     bool hasChangesFor(const view_request &request) const;
@@ -141,7 +145,9 @@
     bool m_requestInFlight = false;
     time_point m_nextRequestAt;
 
-    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::size_t m_maxSessions;
+    client_queue<view_session> m_silentSessions; ///< They have sent no request yet.
+    connection_acceptor m_acceptor;
     std::set<std::shared_ptr<view_session>> m_sessions;
 };
 
