--- a/burdockhold/mechanisms.h
+++ b/burdockhold/mechanisms.h
@@ -41,12 +41,13 @@
     ReturnedTokens,
     EngineLanes,
     Schedulers,
+    ClientMemory,
 };
 
 template <>
 struct enum_names<mechanism>
 {
-    static constexpr std::array<enum_name<mechanism>, 21> Table{ {
+    static constexpr std::array<enum_name<mechanism>, 22> Table{ {
             { mechanism::PreferredEndpoint, "preferred_endpoint" },
             { mechanism::PoolSampling, "pool_sampling" },
             { mechanism::SegmentCopies, "segment_copies" },
@@ -68,6 +69,7 @@
             { mechanism::ReturnedTokens, "returned_tokens" },
             { mechanism::EngineLanes, "engine_lanes" },
             { mechanism::Schedulers, "schedulers" },
+            { mechanism::ClientMemory, "client_memory" },
     } };
 };
 
--- a/cmake/router.cmake
+++ b/cmake/router.cmake
@@ -4,8 +4,9 @@
     attempt_rules.cc crash_fingerprints.cc decision_log.cc decision_options.cc deployment.cc
     deployment_history.cc deployment_part.cc
     digest_summary.cc duty_lease.cc endpoint_choice.cc endpoint_health.cc endpoint_pause.cc
-    endpoint_table.cc engine_lanes.cc event_splitter.cc json_depth.cc left_out.cc mechanisms.cc message_framing.cc move_evidence.cc placement_log.cc
-    placement_scheduler.cc prompt_segments.cc quota_ledger.cc request_admission.cc request_log.cc rollout_sampler.cc
+    endpoint_table.cc engine_lanes.cc event_splitter.cc json_depth.cc left_out.cc mechanisms.cc
+    memory_budget.cc message_framing.cc move_evidence.cc placement_log.cc placement_scheduler.cc
+    prompt_segments.cc quota_ledger.cc request_admission.cc request_log.cc rollout_sampler.cc
     router_metrics.cc router_settings.cc scheduler_message.cc
     segment_transfer.cc software_rollout.cc stored_segments.cc
     topic_changelog.cc view_message.cc view_source.cc vm_digest.cc weights_load_estimator.cc
@@ -52,6 +53,7 @@
   endforeach()
   target_sources(deployment_transfers_looptest PRIVATE
                  ${CMAKE_SOURCE_DIR}/testing/support_slow_link.cc)
+  target_sources(client_crowds_looptest PRIVATE ${CMAKE_SOURCE_DIR}/testing/support_crowd.cc)
   target_link_libraries(soak_looptest PRIVATE soak_support)
   set_tests_properties(soak_looptest PROPERTIES TIMEOUT 300)
 endif()
