Test the bound of a pool's retries over all VMs, and move the limit into a module

223 retries of 217 allowed were seen at a pool while 3 of 8 VMs were partitioned, and no test covered the limit over all VMs. The limit moves from router_board into retry_limit, without a change of its rules, so that a test without sockets uses it. retry_fleet_test counts every retry of 7, 8 and 60 VMs in every window of 10 s.

The bound is exceeded also without a partition: by 114, 137 and 1403 when all VMs retry at once, since each may use half of the slack before it hears of the others; by 126, 152 and 1490 with 3 of 8 VMs cut off; by up to 2204 after a restart.

--- a/burdockhold/digest_exchange.cc
+++ b/burdockhold/digest_exchange.cc
@@ -305,13 +305,12 @@
     const auto interval = std::chrono::duration_cast<std::chrono::milliseconds>(m_summaryInterval);
     summary.intervalMs = static_cast<std::uint32_t>(interval.count());
     summary.aggregator = m_board.settings.ip + ":" + std::to_string(m_board.settings.firstPeerPort);
-    for (const auto *ledgers : m_board.sharedLimits()) {
-        for (const auto &[name, ledger] : *ledgers)
-            summary.accounts.push_back({ shortHash(name),
-                                         static_cast<std::uint64_t>(ledger.groupAdmittedTotal()),
-                                         static_cast<std::uint64_t>(ledger.groupRequestedTotal()),
-                                         static_cast<std::uint64_t>(ledger.groupReturnedTotal()) });
-    }
+    m_board.forEachSharedLimit([&](const std::string &name, const auto &ledger) {
+        summary.accounts.push_back({ shortHash(name),
+                                     static_cast<std::uint64_t>(ledger.groupAdmittedTotal()),
+                                     static_cast<std::uint64_t>(ledger.groupRequestedTotal()),
+                                     static_cast<std::uint64_t>(ledger.groupReturnedTotal()) });
+    });
     return summary;
 }
 
@@ -324,14 +323,12 @@
     digest.leaving = m_board.leaving;
     digest.dataCentre = m_board.settings.dataCentre;
     digest.capacity = m_board.settings.capacity();
-    for (const auto *ledgers : m_board.sharedLimits()) {
-        for (const auto &[name, ledger] : *ledgers) {
-            const auto admitted = static_cast<std::uint64_t>(ledger.admittedTotal());
-            const auto requested = static_cast<std::uint64_t>(ledger.requestedTotal());
-            const auto returned = static_cast<std::uint64_t>(ledger.returnedTotal());
-            digest.accounts.push_back({ shortHash(name), admitted, requested, returned });
-        }
-    }
+    m_board.forEachSharedLimit([&](const std::string &name, const auto &ledger) {
+        const auto admitted = static_cast<std::uint64_t>(ledger.admittedTotal());
+        const auto requested = static_cast<std::uint64_t>(ledger.requestedTotal());
+        const auto returned = static_cast<std::uint64_t>(ledger.returnedTotal());
+        digest.accounts.push_back({ shortHash(name), admitted, requested, returned });
+    });
     m_board.endpoints.fillDigest(digest, now);
     digest.duties = m_board.ownDuties;
     digest.loadTimes = m_board.ownLoadTimes;
@@ -541,28 +538,23 @@
                                   time_point now)
 {
     quota_peer quotaPeer{ std::max<std::size_t>(1, digest.vms.size()), isLocalVm };
-    for (auto *ledgers : m_board.sharedLimits()) {
-        for (auto &[name, ledger] : *ledgers) {
-            const std::uint32_t hash = shortHash(name);
-            const auto row = std::find_if(digest.accounts.begin(), digest.accounts.end(),
-                                          [hash](const auto &r) { return r.account == hash; });
-            // The digest of a VM that has admitted nothing yet has no row.
-            const double total = row == digest.accounts.end() ? 0.0
-                                                              : static_cast<double>(row->admitted);
-            quotaPeer.requested = row == digest.accounts.end()
-                                          ? 0.0
-                                          : static_cast<double>(row->requested);
-            quotaPeer.returned = row == digest.accounts.end() ? 0.0
-                                                              : static_cast<double>(row->returned);
-            if (quotaPeer.returned > total)
-                m_board.metrics.count(router_counter::DigestRowsRejected);
-            if (restarted && digest.isSummary())
-                ledger.rebasePeerTotal(digest.vm, total, now, quotaPeer);
-            else if (restarted)
-                ledger.resetPeerTotal(digest.vm);
-            ledger.applyPeerTotal(digest.vm, total, now, quotaPeer);
-        }
-    }
+    m_board.forEachSharedLimit([&](const std::string &name, auto &ledger) {
+        const std::uint32_t hash = shortHash(name);
+        const auto row = std::find_if(digest.accounts.begin(), digest.accounts.end(),
+                                      [hash](const auto &r) { return r.account == hash; });
+        // The digest of a VM that has admitted nothing yet has no row.
+        const account_row reported = row == digest.accounts.end() ? account_row{} : *row;
+        const auto total = static_cast<double>(reported.admitted);
+        quotaPeer.requested = static_cast<double>(reported.requested);
+        quotaPeer.returned = static_cast<double>(reported.returned);
+        if (quotaPeer.returned > total)
+            m_board.metrics.count(router_counter::DigestRowsRejected);
+        if (restarted && digest.isSummary())
+            ledger.rebasePeerTotal(digest.vm, total, now, quotaPeer);
+        else if (restarted)
+            ledger.resetPeerTotal(digest.vm);
+        ledger.applyPeerTotal(digest.vm, total, now, quotaPeer);
+    });
 }
 
 } // namespace burdockhold
--- a/burdockhold/event_router.cc
+++ b/burdockhold/event_router.cc
@@ -399,12 +399,10 @@
     m_board.endpoints.step(m_board.digestInterval, now);
     m_board.crashes.step(now);
     logEndedNotices(m_board, now);
-    for (auto *ledgers : m_board.sharedLimits()) {
-        for (auto &[name, ledger] : *ledgers) {
-            ledger.setReportInterval(m_board.digestInterval);
-            ledger.step(m_board.knownPeers, now);
-        }
-    }
+    m_board.forEachSharedLimit([&](const std::string &, auto &ledger) {
+        ledger.setReportInterval(m_board.digestInterval);
+        ledger.step(m_board.knownPeers, now);
+    });
     m_duties->step(now);
     m_crashRecords->step(now);
     m_rollouts->step([this](const std::string &pool) { return m_duties->holds(pool); }, now);
--- a/burdockhold/router_board.cc
+++ b/burdockhold/router_board.cc
@@ -15,11 +15,6 @@
 constexpr std::size_t MaxVersionsKept = 16;
 /// Allows for the time between the placement of a call and its beginning at the endpoint.
 constexpr duration StaleWeightsMargin = std::chrono::milliseconds(1500);
-/// Period over which retries are limited to a fraction of the requests.
-constexpr duration RetryBudgetWindow = std::chrono::seconds(10);
-/// Fraction of the retry budget and its slack that is used. The rest covers windows of different
-/// VMs that are not aligned.
-constexpr double RetryBudgetShare = 0.9;
 /// How long a store is treated as unavailable after the last report of a failed check. Covers two
 /// missed checks.
 constexpr duration StoreUnavailableTime = std::chrono::milliseconds(1200);
@@ -177,7 +172,7 @@
         if (pool.store)
             storeLinkQuota(*pool.store, now).setLimit(linkLimit(*pool.store), now);
         else
-            retrySlackQuota(pool.name, now);
+            retryLimit(pool.name, now);
     }
 }
 
@@ -214,49 +209,33 @@
               now);
 }
 
-retry_budget &router_board::retryBudgetOf(const std::string &pool)
-{
-    const auto found = retryBudgets.find(pool);
-    if (found != retryBudgets.end())
-        return found->second;
-    const retry_budget_options budgetOptions{ RetryBudgetShare * settings.retryRatio, 0, 0 };
-    return retryBudgets.emplace(pool, retry_budget(budgetOptions)).first->second;
-}
-
-/// In any window of the budget, half of the slack may be used as a burst and half at a steady rate.
-quota_ledger &router_board::retrySlackQuota(const std::string &pool, time_point now)
+retry_limit &router_board::retryLimit(const std::string &pool, time_point now)
 {
     const std::string name = "repeats/" + pool;
-    const auto found = retrySlack.find(name);
-    if (found != retrySlack.end())
+    const auto found = retryLimits.find(name);
+    if (found != retryLimits.end())
         return found->second;
-    const double half = RetryBudgetShare * settings.retrySlack / 2.0;
-    const quota_limit limit{ half / toSeconds(RetryBudgetWindow), half };
-    return retrySlack.emplace(name, quota_ledger(sharedLimitOptions(name), limit, now))
+    retry_limit_options limitOptions;
+    limitOptions.ratio = settings.retryRatio;
+    limitOptions.slack = settings.retrySlack;
+    limitOptions.sharesSlack = settings.mechanisms.uses(mechanism::SharedRetrySlack);
+    return retryLimits.emplace(name, retry_limit(limitOptions, sharedLimitOptions(name), now))
             .first->second;
 }
 
 void router_board::countRequest(const std::string &pool, time_point now)
 {
-    retryBudgetOf(pool).countRequest(now);
+    retryLimit(pool, now).countRequest(now);
 }
 
 bool router_board::tryRetry(const std::string &pool, time_point now)
 {
-    return retryBudgetOf(pool).tryRetry(now)
-           || (settings.mechanisms.uses(mechanism::SharedRetrySlack)
-               && retrySlackQuota(pool, now).tryAdmit(1.0, now));
+    return retryLimit(pool, now).tryRetry(now);
 }
 
 bool router_board::tryOptionalRetry(const std::string &pool, time_point now)
 {
-    constexpr double MinHeadroom = 0.5;
-    if (retryBudgetOf(pool).tryOptionalRetry(now))
-        return true;
-    if (!settings.mechanisms.uses(mechanism::SharedRetrySlack))
-        return false;
-    quota_ledger &slack = retrySlackQuota(pool, now);
-    return slack.headroom() >= MinHeadroom && slack.tryAdmit(1.0, now);
+    return retryLimit(pool, now).tryOptionalRetry(now);
 }
 
 quota_ledger &router_board::accountQuota(const deployment_account &account, time_point now)
--- a/burdockhold/router_board.h
+++ b/burdockhold/router_board.h
@@ -13,16 +13,15 @@
 #include "burdockhold/decision_log.h"
 #include "burdockhold/decision_options.h"
 #include "burdockhold/deployment.h"
-#include "burdockhold/endpoint_health.h"
 #include "burdockhold/endpoint_table.h"
 #include "burdockhold/quota_ledger.h"
+#include "burdockhold/retry_limit.h"
 #include "burdockhold/router_metrics.h"
 #include "burdockhold/router_settings.h"
 #include "burdockhold/software_rollout.h"
 #include "burdockhold/stored_segments.h"
 #include "burdockhold/view_source.h"
 
-#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -114,21 +113,28 @@
     void confirmEndpoints(duration at);
     void logEndpointChanged(const endpoint_report &report, time_point now);
 
-    /// Counts a request towards the pool's retry budget.
-    ///
-    /// Retries of a pool's calls are limited to a fraction of this VM's requests plus a slack that
-    /// all VMs share. The slack is not divided evenly among the VMs, as that leaves too few retries
-    /// where they are needed: of 630 for 295 VMs, each VM would get two.
+    /// Counts a request towards the pool's retry limit (retry_limit.h).
     void countRequest(const std::string &pool, time_point now);
     /// Returns true and charges the budget if a retry is allowed now.
     bool tryRetry(const std::string &pool, time_point now);
     /// Like tryRetry(), for a retry that is useful but not necessary: it leaves at least half of
-    /// the budget and of the slack.
+    /// the limit.
     bool tryOptionalRetry(const std::string &pool, time_point now);
 
     /// Limits that apply to all VMs together, by name. Digests report their use.
     using shared_limits = std::map<std::string, quota_ledger>;
-    std::array<shared_limits *, 3> sharedLimits() { return { &quotas, &storeLinks, &retrySlack }; }
+
+    /// Calls visit(name, ledger) for each limit that applies to all VMs together.
+    template <typename Visit>
+    void forEachSharedLimit(const Visit &visit)
+    {
+        for (shared_limits *limits : { &quotas, &storeLinks }) {
+            for (auto &[name, ledger] : *limits)
+                visit(name, ledger);
+        }
+        for (auto &[name, limit] : retryLimits)
+            visit(name, limit.slack());
+    }
 
     /// Returns the state of the pool's software versions, or nullptr if none is known.
     software_rollout *rolloutOf(const std::string &pool)
@@ -155,8 +161,7 @@
     const decision_options options;
 
 private:
-    retry_budget &retryBudgetOf(const std::string &pool);
-    quota_ledger &retrySlackQuota(const std::string &pool, time_point now);
+    retry_limit &retryLimit(const std::string &pool, time_point now);
     quota_ledger_options sharedLimitOptions(std::string_view limit) const;
     std::uint64_t phaseSeedOf(std::string_view limit) const;
     quota_limit linkLimit(const cache_store &store) const;
@@ -179,10 +184,9 @@
     std::map<std::string, software_rollout> rollouts;
 
     // Written by the routed requests and the digest exchange.
-    shared_limits quotas;     ///< By account.
-    shared_limits storeLinks; ///< By "link/" followed by the store's address.
-    shared_limits retrySlack; ///< By "repeats/" followed by the pool.
-    std::map<std::string, retry_budget> retryBudgets;
+    shared_limits quotas;                           ///< By account.
+    shared_limits storeLinks;                       ///< By "link/" followed by the store's address.
+    std::map<std::string, retry_limit> retryLimits; ///< By "repeats/" followed by the pool.
 
     // Written by the routed requests (saves by this VM) and the digest exchange (saves by others).
     stored_segments storedSegments;
