Keep the bound of a pool's retries while VMs are cut off, frozen or restarted

Cause: the slack was a ledger of the kind that accounts' limits use. Each VM could take half of it, 25 of 50, before a digest told the others, so VMs that retry at once or cannot hear each other took it several times. Besides, requests that the load balancer moves away from VMs that are cut off earned retries at both VMs.

Change: retry_slack gives each VM only its part of what is left until the others have surely heard of its last retries, and a fixed part while it hears no more than half of the VMs; silent VMs are charged with that part at least. Requests that have only moved between VMs earn no retries for one window, which the totals of requests in the digests show.

--- a/burdockhold/digest_exchange.cc
+++ b/burdockhold/digest_exchange.cc
@@ -538,6 +538,7 @@
                                   time_point now)
 {
     quota_peer quotaPeer{ std::max<std::size_t>(1, digest.vms.size()), isLocalVm };
+    quotaPeer.leaving = digest.leaving;
     m_board.forEachSharedLimit([&](const std::string &name, auto &ledger) {
         const std::uint32_t hash = shortHash(name);
         const auto row = std::find_if(digest.accounts.begin(), digest.accounts.end(),
--- a/burdockhold/quota_ledger.h
+++ b/burdockhold/quota_ledger.h
@@ -113,6 +113,7 @@
     bool inOwnGroup = false; ///< True for a VM of this VM's data centre; see groupAdmittedTotal().
     double requested = 0.0;  ///< Total demand; 0 if the sender does not report it.
     double returned = 0.0;   ///< Total of returned tokens; 0 if the sender does not report it.
+    bool leaving = false;    ///< The VM is shutting down.
 };
 
 class quota_ledger
--- a/burdockhold/retry_limit.h
+++ b/burdockhold/retry_limit.h
@@ -1,14 +1,12 @@
 #ifndef BURDOCKHOLD_RETRY_LIMIT_H
 #define BURDOCKHOLD_RETRY_LIMIT_H
 
-// Limits the retries to one pool: a fraction of this VM's requests, and a slack that all VMs share.
-//
-// The slack is not divided evenly among the VMs, as that leaves too few retries where they are
-// needed: of 630 for 295 VMs, each VM would get two.
+// Limits the retries to one pool: a fraction of this VM's requests, and a slack that all VMs share
+// (retry_slack.h).
 
 #include "burdockhold/clock.h"
-#include "burdockhold/endpoint_health.h"
-#include "burdockhold/quota_ledger.h"
+#include "burdockhold/recent_counts.h"
+#include "burdockhold/retry_slack.h"
 
 namespace burdockhold {
 
@@ -25,11 +23,11 @@
 class retry_limit
 {
 public:
-    retry_limit(retry_limit_options options, const quota_ledger_options &slackOptions,
-                time_point now);
+    /// The amount of the slack is taken from the limit's options.
+    retry_limit(retry_limit_options options, retry_slack_options slackOptions, time_point now);
 
     /// Counts a first attempt.
-    void countRequest(time_point now) { m_own.countRequest(now); }
+    void countRequest(time_point now) { m_slack.countRequest(now); }
 
     /// Returns true and charges the limit if a retry is allowed now.
     bool tryRetry(time_point now);
@@ -39,12 +37,14 @@
     bool tryOptionalRetry(time_point now);
 
     /// Returns the shared slack, whose use the VMs tell each other.
-    quota_ledger &slack() { return m_slack; }
+    retry_slack &slack() { return m_slack; }
 
 private:
+    bool tryOwn(double share, time_point now);
+
     retry_limit_options m_options;
-    retry_budget m_own;
-    quota_ledger m_slack;
+    recent_count m_own; // Retries that this VM's requests have earned.
+    retry_slack m_slack;
 };
 
 } // namespace burdockhold
--- a/burdockhold/router_board.cc
+++ b/burdockhold/router_board.cc
@@ -219,8 +219,12 @@
     limitOptions.ratio = settings.retryRatio;
     limitOptions.slack = settings.retrySlack;
     limitOptions.sharesSlack = settings.mechanisms.uses(mechanism::SharedRetrySlack);
-    return retryLimits.emplace(name, retry_limit(limitOptions, sharedLimitOptions(name), now))
-            .first->second;
+    retry_slack_options slackOptions;
+    slackOptions.minVms = std::max(slackOptions.minVms, knownPeers + 1);
+    slackOptions.phaseSeed = phaseSeedOf(name);
+    if (!settings.mechanisms.uses(mechanism::StartGuard))
+        slackOptions.startGuard = duration::zero();
+    return retryLimits.emplace(name, retry_limit(limitOptions, slackOptions, now)).first->second;
 }
 
 void router_board::countRequest(const std::string &pool, time_point now)
--- a/cmake/router.cmake
+++ b/cmake/router.cmake
@@ -5,7 +5,7 @@
     deployment_history.cc deployment_part.cc
     digest_summary.cc duty_lease.cc endpoint_choice.cc endpoint_health.cc endpoint_pause.cc
     endpoint_table.cc event_splitter.cc json_depth.cc left_out.cc mechanisms.cc message_framing.cc move_evidence.cc placement_log.cc
-    prompt_segments.cc quota_ledger.cc request_admission.cc request_log.cc retry_limit.cc rollout_sampler.cc
+    prompt_segments.cc quota_ledger.cc request_admission.cc request_log.cc retry_limit.cc retry_slack.cc rollout_sampler.cc
     router_metrics.cc router_settings.cc
     segment_transfer.cc software_rollout.cc stored_segments.cc
     topic_changelog.cc view_message.cc view_source.cc vm_digest.cc weights_load_estimator.cc
