Limit the requests of all VMs to cold engines

An engine that has just started takes few requests per second and crashes well above that rate. Each VM placed requests there as at any other engine.

Entries state the remaining cold time, and services state the cold time and rate. A cold engine is used by at most three VMs, chosen by rendezvous hashing of its incarnation, each with a fixed share. An engine that refused a connection or did not answer counts as cold until the view contains an entry that it wrote later; a reader of the log marks entries that are not written any more, since passed-on views do not contain heartbeats. Without the bounds in the settings nothing changes.

--- a/burdockhold/attempt_rules.cc
+++ b/burdockhold/attempt_rules.cc
@@ -2,6 +2,11 @@
 
 namespace burdockhold {
 
+bool mayHaveRestarted(call_end end, bool answered)
+{
+    return end == call_end::NotSent || (end == call_end::Broken && !answered);
+}
+
 bool isRetryable(call_kind kind, bool resumable)
 {
     return kind == call_kind::Idempotent || (kind == call_kind::Stream && resumable);
--- a/burdockhold/attempt_rules.h
+++ b/burdockhold/attempt_rules.h
@@ -145,6 +145,10 @@
 /// Returns true if the endpoint refused the call, whether or not this proves that it did not run.
 bool isRefusal(call_end end);
 
+/// Returns true if the endpoint refused the connection or did not answer the call, so that it may
+/// have restarted.
+bool mayHaveRestarted(call_end end, bool answered);
+
 /// Returns true if a route's calls may run more than once.
 bool isRetryable(call_kind kind, bool resumable);
 
--- a/burdockhold/deployment.h
+++ b/burdockhold/deployment.h
@@ -64,12 +64,20 @@
     double linkBytesPerSecond = 0.0; ///< 0 if not configured.
 };
 
+/// How a pool's engines behave after a start.
+struct cold_traits
+{
+    duration coldTime = duration::zero();
+    double perSecond = 0.0; ///< Requests that a cold engine takes.
+};
+
 struct deployment_pool
 {
     std::string name;
     int maxConnections = 0; ///< Per endpoint, over all callers; 0 if not configured.
     std::optional<engine_traits> engine;
     std::optional<cache_store> store;
+    std::optional<cold_traits> cold;
 };
 
 struct deployment_account
@@ -217,6 +225,7 @@
 inline constexpr std::int64_t MaxEndpointSlots = 65536;             ///< Concurrent requests.
 inline constexpr std::int64_t MaxIncarnationMs = 4102444800000;     ///< Unix time of the year 2100.
 inline constexpr std::int64_t MaxWeightsVersion = 9007199254740991; ///< 2^53 - 1, exact in JSON.
+inline constexpr std::int64_t MaxColdMs = 86400000;                 ///< Remaining cold time.
 
 /// An endpoint's own report. A restarted endpoint has a new incarnation and usually a new id.
 struct endpoint_report
@@ -230,6 +239,9 @@
     bool leaving = false;
     std::int64_t incarnation = 0;                ///< Start time in Unix milliseconds; 0 if unknown.
     std::map<std::string, std::int64_t> weights; ///< Version of each loaded model.
+    std::optional<duration> coldLeft; ///< Remaining cold time, if stated within its bounds.
+    bool coldTimeRefused = false;     ///< The stated cold time was out of bounds.
+    bool isSilent = false;            ///< The entry is not written any more (entry_silence.h).
 };
 
 /// The endpoints of a pool that run one software version.
--- a/burdockhold/deployment_part.cc
+++ b/burdockhold/deployment_part.cc
@@ -72,13 +72,21 @@
     MSGPACK_DEFINE_ARRAY(address, dataCentre, linkBytesPerSecond)
 };
 
+struct cold_row
+{
+    std::int64_t coldMs = 0;
+    double perSecond = 0.0;
+    MSGPACK_DEFINE_ARRAY(coldMs, perSecond)
+};
+
 struct pool_row
 {
     std::string name;
     int maxConnections = 0;
     std::vector<engine_row> engine; ///< At most one.
     std::vector<store_row> store;   ///< At most one.
-    MSGPACK_DEFINE_ARRAY(name, maxConnections, engine, store)
+    std::vector<cold_row> cold;     ///< At most one; missing in parts of an older build.
+    MSGPACK_DEFINE_ARRAY(name, maxConnections, engine, store, cold)
 };
 
 struct rules_row
@@ -198,13 +206,15 @@
 {
     std::vector<pool_row> rows;
     for (const deployment_pool &pool : pools) {
-        pool_row row{ pool.name, pool.maxConnections, {}, {} };
+        pool_row row{ pool.name, pool.maxConnections, {}, {}, {} };
         if (pool.engine)
             row.engine.push_back({ pool.engine->slots, pool.engine->cacheTokens,
                                    pool.engine->tokenBytes, pool.engine->models });
         if (pool.store)
             row.store.push_back({ pool.store->address, pool.store->dataCentre,
                                   pool.store->linkBytesPerSecond });
+        if (pool.cold)
+            row.cold.push_back({ millisecondsOf(pool.cold->coldTime), pool.cold->perSecond });
         rows.push_back(std::move(row));
     }
     return packed(rows);
@@ -214,7 +224,7 @@
 {
     std::vector<deployment_pool> pools;
     for (pool_row &row : unpacked<std::vector<pool_row>>(value)) {
-        deployment_pool pool{ std::move(row.name), row.maxConnections, {}, {} };
+        deployment_pool pool{ std::move(row.name), row.maxConnections, {}, {}, {} };
         if (!row.engine.empty()) {
             engine_row &engine = row.engine.front();
             pool.engine = engine_traits{ engine.slots, engine.cacheTokens, engine.tokenBytes,
@@ -225,6 +235,9 @@
             pool.store = cache_store{ std::move(store.address), std::move(store.dataCentre),
                                       store.linkBytesPerSecond };
         }
+        if (!row.cold.empty())
+            pool.cold = cold_traits{ fromMilliseconds(row.cold.front().coldMs),
+                                     row.cold.front().perSecond };
         pools.push_back(std::move(pool));
     }
     return pools;
--- a/burdockhold/digest_exchange.cc
+++ b/burdockhold/digest_exchange.cc
@@ -173,6 +173,7 @@
     for (const aggregator_candidate &local : liveLocalVms(now))
         m_board.liveVms.push_back(local.vm);
     m_board.groupVms = liveGroup(now);
+    publishKnownVms();
     duration summaryInterval = isGrouped() ? m_options.interval : duration::zero();
     for (const auto &[dataCentre, group] : m_groups) {
         summaryInterval = std::max(summaryInterval, group.interval);
@@ -185,6 +186,17 @@
     m_board.digestInterval = m_interval + 2 * summaryInterval;
 }
 
+/// Publishes all VMs that were heard or announced within peerExpiry.
+void digest_exchange::publishKnownVms()
+{
+    std::vector<std::uint32_t> known;
+    for (const auto &[vm, other] : m_peers)
+        known.push_back(shortHash(vm));
+    for (const auto &[dataCentre, group] : m_groups)
+        known.insert(known.end(), group.vms.begin(), group.vms.end());
+    m_board.knownVms.update(std::move(known));
+}
+
 void digest_exchange::sendTo(const udp::endpoint &address, std::string_view bytes)
 {
     error_code ignored; // The next digest makes up for a lost one.
--- a/burdockhold/digest_exchange.h
+++ b/burdockhold/digest_exchange.h
@@ -102,6 +102,7 @@
     bool isLive(const peer &other, time_point now) const;
     void expirePeers(time_point now);
     void publishPeers(time_point now);
+    void publishKnownVms();
     std::vector<aggregator_candidate> liveLocalVms(time_point now) const;
     bool actsAsAggregator(time_point now) const;
     std::vector<group_vm> liveGroup(time_point now) const;
--- a/burdockhold/endpoint_choice.h
+++ b/burdockhold/endpoint_choice.h
@@ -34,12 +34,26 @@
 /// of the endpoint, and a penalty by hearsay would move load for a statement that was not about
 /// them. A leaving endpoint is nobody's preferred endpoint, since its cached segments go with it; a
 /// paused one keeps its place, since it comes back with them.
-enum class exclusion { None, Tried, Loading, BackOff, ExpiredWeights, Leaving, Paused };
+///
+/// Evacuated is the operator's order for a data centre and weighs more than all other reasons; like
+/// a leaving endpoint, an evacuated one is nobody's preferred endpoint. Cold means that this VM's
+/// share of a cold engine's rate is used up.
+enum class exclusion {
+    None,
+    Tried,
+    Loading,
+    BackOff,
+    ExpiredWeights,
+    Leaving,
+    Paused,
+    Evacuated,
+    Cold,
+};
 
 template <>
 struct enum_names<exclusion>
 {
-    static constexpr std::array<enum_name<exclusion>, 7> Table{ {
+    static constexpr std::array<enum_name<exclusion>, 9> Table{ {
             { exclusion::None, "none" },
             { exclusion::Tried, "tried" },
             { exclusion::Loading, "loading" },
@@ -47,6 +61,8 @@
             { exclusion::ExpiredWeights, "expired_weights" },
             { exclusion::Leaving, "leaving" },
             { exclusion::Paused, "paused" },
+            { exclusion::Evacuated, "evacuated" },
+            { exclusion::Cold, "cold" },
     } };
 };
 
--- a/burdockhold/endpoint_refusals.cc
+++ b/burdockhold/endpoint_refusals.cc
@@ -37,4 +37,13 @@
         inferWeights(board, call, now);
 }
 
+void recordUnanswered(router_board &board, const std::string &endpointId, call_end end,
+                      time_point now)
+{
+    if (const endpoint_report *report = board.endpoints.find(endpointId))
+        board.coldEngines.maybeCold(*report, now);
+    if (end == call_end::NotSent)
+        board.endpoints.connectFailed(endpointId, now);
+}
+
 } // namespace burdockhold
--- a/burdockhold/endpoint_refusals.h
+++ b/burdockhold/endpoint_refusals.h
@@ -3,6 +3,7 @@
 
 // Records what an endpoint's refusal of a call shows about the endpoint.
 
+#include "burdockhold/attempt_rules.h"
 #include "burdockhold/router_board.h"
 
 #include <cstdint>
@@ -23,6 +24,10 @@
 void recordRefusal(router_board &board, const refused_call &call,
                    const endpoint_response_head &head, time_point now);
 
+/// Records that the endpoint refused the connection or did not answer the call.
+void recordUnanswered(router_board &board, const std::string &endpointId, call_end end,
+                      time_point now);
+
 } // namespace burdockhold
 
 #endif
--- a/burdockhold/event_router.cc
+++ b/burdockhold/event_router.cc
@@ -178,10 +178,10 @@
             });
 }
 
-std::string event_router::probeResponse(std::string_view request) const
+std::string event_router::probeResponse(std::string_view request)
 {
     const bool metrics = request.substr(0, 13) == "GET /metrics ";
-    const std::string body = metrics ? m_board.metrics.text() : std::string();
+    const std::string body = metrics ? m_board.metricsText(steadyNow()) : std::string();
     const std::string status = metrics || isReady() ? "200 OK" : "503 Service Unavailable";
     return "HTTP/1.1 " + status + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
            + body;
@@ -259,7 +259,9 @@
         listVms(valueOf(page).records.back().key);
         return;
     }
-    m_digests.step(steadyNow());
+    const time_point now = steadyNow();
+    m_digests.step(now);
+    m_board.coldEngines.vmsListed(now);
     m_views.begin();
 }
 
@@ -284,12 +286,16 @@
 {
     const time_point now = steadyNow();
     std::set<std::string> pools;
+    std::map<std::string, cold_traits> coldPools;
     for (const deployment_pool &pool : next->pools()) {
         pools.insert(pool.name);
+        if (pool.cold)
+            coldPools[pool.name] = *pool.cold;
         if (pool.engine)
             m_board.endpoints.setCacheTokens(pool.name, pool.engine->cacheTokens);
     }
     m_board.endpoints.namePools(std::move(pools), now);
+    m_board.coldEngines.setPools(std::move(coldPools));
     m_board.deployment = std::move(next);
     m_board.applyLimits(now);
     if (m_board.log.accepts(log_priority::StateChange, now))
@@ -334,14 +340,36 @@
 {
     const time_point now = steadyNow();
     m_refusedRecords.erase(report.id);
+    const endpoint_report *known = m_board.endpoints.find(report.id);
+    const bool isNewIncarnation = known == nullptr || known->incarnation < report.incarnation;
+    const bool isOlder = known != nullptr && known->incarnation > report.incarnation;
     if (m_board.endpoints.update(report, now))
         m_board.logEndpointChanged(report, now);
+    if (!isOlder)
+        m_board.coldEngines.reported(report, isNewIncarnation, now);
+    logRefusedColdTime(report, now);
+}
+
+/// Logs a cold time out of bounds once, until the endpoint states one within its bounds.
+void event_router::logRefusedColdTime(const endpoint_report &report, time_point now)
+{
+    if (!report.coldTimeRefused) {
+        m_refusedColdTimes.erase(report.id);
+        return;
+    }
+    if (m_refusedColdTimes.insert(report.id).second
+        && m_board.log.accepts(log_priority::StateChange, now))
+        m_board.log.write(log_event::EndpointRefused,
+                          { { "endpoint", report.id },
+                            { "reason", "the cold time is out of bounds and is ignored" } },
+                          now);
 }
 
 void event_router::endpointRemoved(const std::string &id)
 {
     const time_point now = steadyNow();
     m_refusedRecords.erase(id);
+    m_refusedColdTimes.erase(id);
     m_board.endpoints.remove(id, now);
     if (m_board.log.accepts(log_priority::StateChange, now))
         m_board.log.write(log_event::EndpointChanged, { { "endpoint", id }, { "state", "gone" } },
@@ -397,6 +425,7 @@
     const time_point now = steadyNow();
     m_board.endpoints.setUnixTime(unixMilliseconds(), now);
     m_board.endpoints.step(m_board.digestInterval, now);
+    m_board.coldEngines.step(now);
     m_board.crashes.step(now);
     logEndedNotices(m_board, now);
     for (auto *ledgers : m_board.sharedLimits()) {
--- a/burdockhold/event_router.h
+++ b/burdockhold/event_router.h
@@ -42,7 +42,7 @@
     void startCaller(boost::asio::ip::tcp::socket socket);
     void acceptReadiness();
     void serveReadiness(std::shared_ptr<boost::asio::ip::tcp::socket> socket);
-    std::string probeResponse(std::string_view request) const;
+    std::string probeResponse(std::string_view request);
     bool isReady() const;
 
     view_handlers viewHandlers();
@@ -55,6 +55,7 @@
     void deploymentRefused(const std::string &reason);
     void applyTargetWeights(std::string_view body);
     void endpointReported(const endpoint_report &report);
+    void logRefusedColdTime(const endpoint_report &report, time_point now);
     void endpointRemoved(const std::string &id);
     void endpointRecordRejected(const std::string &id, const std::string &reason);
     void endpointsListed(const std::set<std::string> &ids);
@@ -85,6 +86,7 @@
     std::shared_ptr<log_connection> m_announceConnection;
     std::map<std::string, bool, std::less<>> m_topicUnavailable; // By topic of the log.
     std::map<std::string, std::string> m_refusedRecords;         // Reasons, by endpoint id.
+    std::set<std::string> m_refusedColdTimes;                    // By endpoint id.
     time_point m_sweptAt;
 };
 
--- a/burdockhold/placement_inputs.cc
+++ b/burdockhold/placement_inputs.cc
@@ -23,6 +23,16 @@
     }
 }
 
+/// Excludes the engines whose cold rate leaves this VM no request now.
+void excludeCold(std::vector<endpoint_candidate> &candidates, router_board &board, time_point now)
+{
+    for (endpoint_candidate &candidate : candidates) {
+        if (candidate.excluded == exclusion::None
+            && board.coldEngines.isExcluded(candidate.id, board.knownVms, now))
+            candidate.excluded = exclusion::Cold;
+    }
+}
+
 /// Returns the store for the request's shared segments, chosen by the data centre of the preferred
 /// endpoint.
 const cache_store *segmentStore(const router_board &board, const caller_request &request,
@@ -38,7 +48,7 @@
 
 } // namespace
 
-std::vector<endpoint_candidate> placementCandidates(const router_board &board,
+std::vector<endpoint_candidate> placementCandidates(router_board &board,
                                                     const placement_query &query, time_point now)
 {
     const caller_request &request = query.request;
@@ -54,6 +64,7 @@
     }
     if (!query.calledAddresses.empty() && !query.mayCallAgain)
         excludeCalled(candidates, board, query.calledAddresses);
+    excludeCold(candidates, board, now);
     return candidates;
 }
 
--- a/burdockhold/placement_inputs.h
+++ b/burdockhold/placement_inputs.h
@@ -37,7 +37,7 @@
 
 /// Returns the endpoints of the pool with their state; those that cannot take the call are marked
 /// as excluded.
-std::vector<endpoint_candidate> placementCandidates(const router_board &board,
+std::vector<endpoint_candidate> placementCandidates(router_board &board,
                                                     const placement_query &query, time_point now);
 
 placement_inputs collectPlacementInputs(router_board &board, const placement_query &query,
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -534,7 +534,7 @@
         m_expectedWeights = board.targetVersion(m_request.model);
     m_cacheDomain = cacheDomain();
     m_segmentKey = deepestSegmentName(m_request, m_cacheDomain, m_expectedWeights);
-    m_ticket = board.endpoints.callStarted(m_endpointId, m_load, m_callStarted);
+    m_ticket = board.callStarted(m_endpointId, m_load, m_callStarted);
     if (m_load.pendingPrefillTokens >= ImmediateDigestTokens)
         board.digestRequested = true;
     countCall(choice);
@@ -768,8 +768,8 @@
         board.endpoints.recordCallResult(m_endpointId, succeeded,
                                          1000.0 * toSeconds(now - m_callStarted), now);
     }
-    if (end == call_end::NotSent)
-        board.endpoints.connectFailed(m_endpointId, now);
+    if (mayHaveRestarted(end, m_headReceived))
+        recordUnanswered(board, m_endpointId, end, now);
     else if (isRefusal(end))
         callRefused(now);
     if (end != call_end::NotSent && end != call_end::SaidNotRun) {
--- a/burdockhold/router_board.cc
+++ b/burdockhold/router_board.cc
@@ -5,6 +5,7 @@
 #include <ctime>
 
 #include <algorithm>
+#include <sstream>
 #include <utility>
 
 namespace burdockhold {
@@ -46,12 +47,24 @@
     return options;
 }
 
+cold_engine_options coldOptions(const router_settings &settings)
+{
+    cold_engine_options options;
+    if (!settings.mechanisms.uses(mechanism::ColdRate))
+        return options;
+    options.overshoot = settings.coldOvershoot;
+    options.slack = settings.coldSlack;
+    return options;
+}
+
 } // namespace
 
 router_board::router_board(router_settings source)
     : settings(std::move(source))
     , options(optionsFor(settings.mechanisms))
     , endpoints(settings.dataCentre, tableOptions(settings, options.endpoints))
+    , coldEngines(coldOptions(settings))
+    , knownVms(shortHash(settings.vmName))
     , log(settings.vmName)
 {
 }
@@ -197,9 +210,12 @@
 {
     endpointsConfirmedAt = std::max(endpointsConfirmedAt, at);
     const time_point now = steadyNow();
-    for (const endpoint_report &report :
-         endpoints.confirmView(now - (bootTimeNow() - endpointsConfirmedAt)))
+    const time_point confirmedAt = now - (bootTimeNow() - endpointsConfirmedAt);
+    for (const endpoint_report &report : endpoints.confirmView(confirmedAt)) {
+        coldEngines.reported(report, true, now);
         logEndpointChanged(report, now);
+    }
+    coldEngines.confirmView(confirmedAt);
 }
 
 void router_board::logEndpointChanged(const endpoint_report &report, time_point now)
@@ -214,6 +230,23 @@
               now);
 }
 
+call_ticket router_board::callStarted(std::string_view endpointId, const call_load &load,
+                                      time_point now)
+{
+    coldEngines.requestSent(endpointId, now);
+    return endpoints.callStarted(endpointId, load, now);
+}
+
+std::string router_board::metricsText(time_point now)
+{
+    std::ostringstream gauges;
+    gauges << "# TYPE burdockhold_cold_engines gauge\nburdockhold_cold_engines "
+           << coldEngines.coldCount(now)
+           << "\n# TYPE burdockhold_cold_rate gauge\nburdockhold_cold_rate "
+           << coldEngines.rate(knownVms, now) << "\n";
+    return metrics.text() + gauges.str();
+}
+
 retry_budget &router_board::retryBudgetOf(const std::string &pool)
 {
     const auto found = retryBudgets.find(pool);
--- a/burdockhold/router_board.h
+++ b/burdockhold/router_board.h
@@ -9,12 +9,14 @@
 
 #include "burdockhold/body_memory.h"
 #include "burdockhold/clock.h"
+#include "burdockhold/cold_engines.h"
 #include "burdockhold/crash_fingerprints.h"
 #include "burdockhold/decision_log.h"
 #include "burdockhold/decision_options.h"
 #include "burdockhold/deployment.h"
 #include "burdockhold/endpoint_health.h"
 #include "burdockhold/endpoint_table.h"
+#include "burdockhold/known_vms.h"
 #include "burdockhold/quota_ledger.h"
 #include "burdockhold/router_metrics.h"
 #include "burdockhold/router_settings.h"
@@ -114,6 +116,12 @@
     void confirmEndpoints(duration at);
     void logEndpointChanged(const endpoint_report &report, time_point now);
 
+    /// Adds a call that is sent now to the endpoint's load and to its cold rate.
+    call_ticket callStarted(std::string_view endpointId, const call_load &load, time_point now);
+
+    /// Returns the page of metrics, including the gauges of cold engines.
+    std::string metricsText(time_point now);
+
     /// Counts a request towards the pool's retry budget.
     ///
     /// Retries of a pool's calls are limited to a fraction of this VM's requests plus a slack that
@@ -174,6 +182,10 @@
     // (loading of weights) and the digest exchange (digests), each through its own methods.
     endpoint_table endpoints;
 
+    // Written by the event router (entries, pools, ticks), the routed requests (calls) and the view
+    // controller (changes of the reader), each through its own methods.
+    cold_engines coldEngines;
+
     // Written by the rollout controller (orders, versions), the routed requests (calls) and the
     // digest exchange (other VMs' evidence), each through its own methods. By pool.
     std::map<std::string, software_rollout> rollouts;
@@ -209,6 +221,7 @@
 
     // Written by the digest exchange.
     std::size_t knownPeers = 0;
+    known_vms knownVms;
     std::vector<std::uint32_t> liveVms; ///< shortHashes of the other VMs with recent digests.
     std::vector<group_vm> groupVms;     ///< VMs of the own group that are not shutting down.
     /// Longest time between two digests of a VM, or two summaries of a data centre, if none is
--- a/burdockhold/router_settings.cc
+++ b/burdockhold/router_settings.cc
@@ -66,6 +66,27 @@
             value = parsed;
     }
 
+    /// Like readOptionalBetween(), for a value without a default.
+    void readOptionalBetween(const char *key, double least, double most,
+                             std::optional<double> &value)
+    {
+        if (tree.get<std::string>(key, "").empty())
+            return;
+        double parsed = least;
+        readOptionalBetween(key, least, most, parsed);
+        value = parsed;
+    }
+
+    /// Reads all keys of a section as texts.
+    void readTexts(const char *section, std::map<std::string, std::string> &values) const
+    {
+        const auto found = tree.get_child_optional(section);
+        if (!found)
+            return;
+        for (const auto &[key, value] : *found)
+            values[key] = value.data();
+    }
+
     /// Reads the mechanisms to disable; a missing or empty value disables none.
     void readDisabled(const char *key, mechanism_set &value)
     {
@@ -130,6 +151,13 @@
     double rollbackMs = 1000.0 * toSeconds(settings.rollbackBound);
     reader.readOptionalBetween("rollouts.rollback_ms", 1.0, 1e9, rollbackMs);
     settings.rollbackBound = fromSeconds(rollbackMs / 1000.0);
+    reader.readOptionalBetween("bounds.cold_overshoot", 0.0, 1e6, settings.coldOvershoot);
+    reader.readOptionalBetween("bounds.cold_slack", 0.0, 1e6, settings.coldSlack);
+    std::optional<double> evacuateMs;
+    reader.readOptionalBetween("bounds.evacuate_ms", 1.0, 1e9, evacuateMs);
+    if (evacuateMs)
+        settings.evacuationBound = fromSeconds(*evacuateMs / 1000.0);
+    reader.readTexts("zones", settings.regions);
     double memoryMb = 0.0;
     reader.read("limits.memory_mb", memoryMb);
     settings.memoryBytes = static_cast<std::size_t>(memoryMb * 1024 * 1024);
--- a/burdockhold/router_settings.h
+++ b/burdockhold/router_settings.h
@@ -10,6 +10,8 @@
 #include "burdockhold/result.h"
 
 #include <cstdint>
+#include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -48,6 +50,14 @@
     double exposureSlack = 50.0; ///< Calls beyond the share that the operator tolerates.
     /// Longest time from the evidence that a version is bad until it gets no more calls.
     duration rollbackBound = std::chrono::seconds(5);
+    /// Factor and requests by which all VMs together may exceed a cold engine's rate in a second.
+    /// The rate is not limited unless the platform states both.
+    std::optional<double> coldOvershoot;
+    std::optional<double> coldSlack;
+    /// Longest time from the order to evacuate a data centre until its endpoints get no more calls.
+    /// Orders to evacuate have no effect unless the platform states it.
+    std::optional<duration> evacuationBound;
+    std::map<std::string, std::string> regions; ///< Regions of data centres.
     std::size_t memoryBytes = std::size_t(128) * 1024 * 1024;
     int descriptors = 1024;
     double processorShare = 1.0; ///< Fraction of one core.
--- a/burdockhold/view_controller.cc
+++ b/burdockhold/view_controller.cc
@@ -285,6 +285,7 @@
     if (!server)
         return; // Checked when the process starts.
     m_reading = true;
+    m_board.coldEngines.readerChanged(steadyNow());
     m_operator.follower = std::make_shared<topic_follower>(m_context, *server, operatorOptions(),
                                                            operatorHandlers());
     m_operator.follower->start();
@@ -371,10 +372,12 @@
         }
         m_handlers.endpointsListed(ids);
         m_endpoints.changelog.keepOnly(ids);
+        m_silence.keepOnly(ids);
         m_endpoints.loaded = true;
     };
     handlers.changed = [this](const auto &record) { endpointChanged(record); };
     handlers.confirmed = [this](duration at) {
+        markSilentEntries(at);
         m_board.confirmEndpoints(at);
         recordConfirmation(m_endpoints, at, platform::EndpointTopic);
     };
@@ -415,20 +418,33 @@
 void view_controller::endpointChanged(const platform::keyed_record &record)
 {
     if (!record.value) {
+        m_silence.entryRemoved(record.key);
         m_endpoints.changelog.remove(record.key);
         m_handlers.endpointRemoved(record.key);
         return;
     }
     const auto decoded = platform::decodeEndpoint(record.key, *record.value);
     if (!isOk(decoded)) {
+        m_silence.entryRemoved(record.key);
         m_endpoints.changelog.remove(record.key);
         m_handlers.endpointRecordRejected(record.key, errorOf(decoded).text);
         return;
     }
+    if (m_board.coldEngines.isEnabled())
+        m_silence.entryRead(valueOf(decoded), bootTimeNow());
     m_endpoints.changelog.put(record.key, encodeReport(valueOf(decoded)));
     m_handlers.endpointReported(valueOf(decoded));
 }
 
+/// Passes on which endpoints no longer write their entries.
+void view_controller::markSilentEntries(duration at)
+{
+    for (const endpoint_report &report : m_silence.takeSilent(at)) {
+        m_endpoints.changelog.put(report.id, encodeReport(report));
+        m_handlers.endpointReported(report);
+    }
+}
+
 void view_controller::recordConfirmation(read_topic &topic, duration at, std::string_view name)
 {
     topic.confirmedAt = at;
@@ -480,8 +496,10 @@
     };
     // Sequence numbers are valid for one reader only, also for a topic that the new reader has not
     // loaded yet.
-    if (m_nextRequest.reader != view.reader)
+    if (m_nextRequest.reader != view.reader) {
         m_nextRequest = { view.reader, 0, 0, {}, m_nextRequest.wait };
+        m_board.coldEngines.readerChanged(now);
+    }
     const bool hasNewest = applyDeploymentUpdate(view.deploymentUpdate, from);
     if (view.operatorTopic.loaded) {
         applyOperator(view.operatorTopic);
--- a/burdockhold/view_controller.h
+++ b/burdockhold/view_controller.h
@@ -19,6 +19,7 @@
 // without a response and need their own threads.
 
 #include "burdockhold/deployment_history.h"
+#include "burdockhold/entry_silence.h"
 #include "burdockhold/router_board.h"
 #include "burdockhold/topic_follower.h"
 #include "burdockhold/view_message.h"
@@ -99,6 +100,7 @@
     void operatorChanged(const platform::keyed_record &record);
     void deploymentRead(std::string_view body);
     void endpointChanged(const platform::keyed_record &record);
+    void markSilentEntries(duration at);
     void recordConfirmation(read_topic &topic, duration at, std::string_view name);
     duration retryPause() const;
     std::size_t operatorResponseBytes() const;
@@ -130,6 +132,7 @@
     bool m_reading = false;
     read_topic m_operator;
     read_topic m_endpoints;
+    entry_silence m_silence; // Of the entries that this VM has read itself.
     deployment_history m_deployments;
     /// Encoded updates to m_deployments.version(), by the version since which they are.
     std::map<std::optional<std::uint64_t>, std::shared_ptr<const std::string>> m_encodedUpdates;
--- a/burdockhold/view_message.cc
+++ b/burdockhold/view_message.cc
@@ -12,7 +12,7 @@
 constexpr std::string_view Path = "/views/2";
 constexpr duration MaxWait = std::chrono::seconds(5); // Far above any wait that VMs request.
 
-/// The fields of a report. The software version is missing in reports of older builds.
+/// The fields of a report. Those after the weights are missing in reports of older builds.
 struct report_row
 {
     std::string pool;
@@ -23,9 +23,12 @@
     std::int64_t incarnation = 0;
     std::map<std::string, std::int64_t> weights;
     std::string softwareVersion;
+    std::int64_t coldMs = NoTime; ///< Remaining cold time when the reader read the entry.
+    bool isSilent = false;
+    static constexpr std::int64_t NoTime = -1;
     static constexpr std::uint32_t RequiredFields = 7;
     MSGPACK_DEFINE_ARRAY(pool, address, dataCentre, slots, leaving, incarnation, weights,
-                         softwareVersion)
+                         softwareVersion, coldMs, isSilent)
 };
 
 basic_error<view_error> malformed(const std::string &text)
@@ -148,9 +151,11 @@
 
 std::string encodeReport(const endpoint_report &report)
 {
-    return packed(report_row{ report.pool, report.address, report.dataCentre, report.slots,
-                              report.leaving, report.incarnation, report.weights,
-                              report.softwareVersion });
+    const duration cold = report.coldLeft.value_or(std::chrono::milliseconds(report_row::NoTime));
+    return packed(report_row{
+            report.pool, report.address, report.dataCentre, report.slots, report.leaving,
+            report.incarnation, report.weights, report.softwareVersion,
+            std::chrono::duration_cast<std::chrono::milliseconds>(cold).count(), report.isSilent });
 }
 
 result<endpoint_report, view_error> decodeReport(std::string_view id, std::string_view value)
@@ -174,6 +179,10 @@
     report.leaving = row.leaving;
     report.incarnation = row.incarnation;
     report.weights = std::move(row.weights);
+    if (row.coldMs >= 0 && row.coldMs <= MaxColdMs)
+        report.coldLeft = std::chrono::milliseconds(row.coldMs);
+    report.coldTimeRefused = row.coldMs < report_row::NoTime || row.coldMs > MaxColdMs;
+    report.isSilent = row.isSilent;
     return report;
 }
 
--- /dev/null
+++ b/testing/cold_engines_test.cc
@@ -0,0 +1,256 @@
+#define BOOST_TEST_MODULE cold_engines
+#include "burdockhold/cold_engines.h"
+#include "burdockhold/entry_silence.h"
+#include "burdockhold/vm_digest.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace burdockhold;
+
+namespace {
+
+constexpr double PerSecond = 8.7;
+constexpr double Bound = 18.05; // 8.7 * 1.5 + 5
+
+time_point at(double seconds)
+{
+    return time_point(std::chrono::hours(1)) + fromSeconds(seconds);
+}
+
+cold_engine_options options()
+{
+    cold_engine_options result;
+    result.overshoot = 1.5;
+    result.slack = 5.0;
+    return result;
+}
+
+endpoint_report engine(int number, std::int64_t incarnation, std::optional<double> coldSeconds)
+{
+    endpoint_report report;
+    report.id = "e" + std::to_string(number);
+    report.pool = "p";
+    report.incarnation = incarnation;
+    if (coldSeconds)
+        report.coldLeft = fromSeconds(*coldSeconds);
+    return report;
+}
+
+struct simulated_vm
+{
+    explicit simulated_vm(std::uint32_t hash)
+        : vms(hash)
+        , cold(options())
+    {
+        cold.setPools({ { "p", { std::chrono::seconds(3), PerSecond } } });
+        cold.vmsListed(at(-10));
+    }
+
+    known_vms vms;
+    cold_engines cold;
+};
+
+std::vector<std::uint32_t> hashes(int count)
+{
+    std::vector<std::uint32_t> result;
+    result.reserve(static_cast<std::size_t>(count));
+    for (int vm = 0; vm < count; ++vm)
+        result.push_back(shortHash("vm-" + std::to_string(vm)));
+    return result;
+}
+
+/// Returns the most arrivals within any second, by comparing all pairs.
+std::size_t mostInOneSecond(std::vector<time_point> arrivals)
+{
+    std::sort(arrivals.begin(), arrivals.end());
+    std::size_t most = 0;
+    for (std::size_t first = 0; first < arrivals.size(); ++first) {
+        std::size_t last = first;
+        while (last < arrivals.size() && arrivals[last] < arrivals[first] + std::chrono::seconds(1))
+            ++last;
+        most = std::max(most, last - first);
+    }
+    return most;
+}
+
+struct fleet_result
+{
+    std::size_t most = 0;   ///< Requests that one engine got within a second.
+    double perSecond = 0.0; ///< Mean over engines and the cold time.
+};
+
+/// Every VM always has requests for every engine. All engines become cold at 0 s; each VM learns it
+/// from an entry, a refused connection or the end of an evacuation.
+fleet_result runFleet(int vmCount, unsigned seed, const std::vector<bool> &partitioned = {})
+{
+    constexpr int Engines = 20;
+    constexpr int Steps = 300; // Of 10 ms.
+    std::mt19937 random(seed);
+    const auto all = hashes(vmCount);
+    std::vector<simulated_vm> vms;
+    for (int vm = 0; vm < vmCount; ++vm) {
+        vms.emplace_back(all[static_cast<std::size_t>(vm)]);
+        vms.back().vms.update(all);
+        // A partitioned VM hears its side only, and the others forget it.
+        std::vector<std::uint32_t> heard;
+        for (std::size_t other = 0; other < partitioned.size(); ++other) {
+            if (partitioned[other] == partitioned[static_cast<std::size_t>(vm)])
+                heard.push_back(all[other]);
+        }
+        if (!partitioned.empty())
+            vms.back().vms.update(heard);
+        for (int number = 0; number < Engines; ++number) {
+            if (random() % 2 == 0)
+                vms.back().cold.reported(engine(number, 1, 3.0), true, at(0));
+            else
+                vms.back().cold.maybeCold(engine(number, 1, 0.0), at(0));
+        }
+    }
+    std::vector<std::vector<time_point>> arrivals(Engines);
+    for (int step = 0; step < Steps; ++step) {
+        for (simulated_vm &vm : vms) {
+            const time_point now = at(0.01 * step) + std::chrono::microseconds(random() % 10000);
+            for (int number = 0; number < Engines; ++number) {
+                const std::string id = "e" + std::to_string(number);
+                if (!vm.cold.isCold(id, now) || vm.cold.isExcluded(id, vm.vms, now))
+                    continue;
+                vm.cold.requestSent(id, now);
+                arrivals[static_cast<std::size_t>(number)].push_back(
+                        now + std::chrono::milliseconds(random() % 100));
+            }
+        }
+    }
+    fleet_result result;
+    for (const auto &times : arrivals) {
+        result.most = std::max(result.most, mostInOneSecond(times));
+        result.perSecond += static_cast<double>(times.size()) / (0.01 * Steps) / Engines;
+    }
+    return result;
+}
+
+} // namespace
+
+// Guards against engines that crash when all VMs send to them at once, and against shares so small
+// that cold engines stay idle.
+BOOST_AUTO_TEST_CASE(no_second_has_more_arrivals_than_the_bound)
+{
+    for (const int vmCount : { 1, 8, 58 }) {
+        for (unsigned seed = 1; seed <= 5; ++seed) {
+            const fleet_result result = runFleet(vmCount, seed);
+            BOOST_TEST_MESSAGE(vmCount << " VMs, seed " << seed << ": at most " << result.most
+                                       << " in a second, mean " << result.perSecond);
+            BOOST_TEST(static_cast<double>(result.most) <= Bound);
+            BOOST_TEST(result.perSecond >= 0.8 * PerSecond);
+        }
+    }
+}
+
+// Guards against partitioned VMs that each take over the whole rate.
+BOOST_AUTO_TEST_CASE(partitioned_vms_stay_within_the_bound)
+{
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+        std::mt19937 random(seed);
+        std::vector<bool> partitioned(58);
+        for (std::size_t vm = 0; vm < partitioned.size(); ++vm)
+            partitioned[vm] = random() % 3 == 0;
+        const fleet_result result = runFleet(58, seed, partitioned);
+        BOOST_TEST(static_cast<double>(result.most) <= Bound);
+    }
+}
+
+// Guards against bounds so small that several shares exceed them.
+BOOST_AUTO_TEST_CASE(shares_of_any_rate_stay_within_the_bound)
+{
+    std::mt19937 random(7);
+    std::uniform_real_distribution<double> any(0.05, 60.0);
+    for (int round = 0; round < 2000; ++round) {
+        cold_engine_options cold;
+        cold.overshoot = 1.0 + any(random) / 60.0;
+        cold.slack = any(random);
+        const double perSecond = any(random);
+        const double bound = perSecond * *cold.overshoot + *cold.slack;
+        const cold_share share = coldShare(perSecond, 1 + random() % 60, cold);
+        const double window = toSeconds(std::chrono::seconds(1) + cold.arrivalSpread);
+        const double mostOfOne = std::ceil(window / toSeconds(share.interval));
+        const double disagreement = bound >= 2.0 ? 2.0 : 1.0;
+        BOOST_TEST(disagreement * mostOfOne * static_cast<double>(share.sharers)
+                   <= std::max(1.0, bound));
+    }
+}
+
+// Guards against an engine that counts as warm again by an entry from before it was lost.
+BOOST_AUTO_TEST_CASE(only_a_later_entry_ends_the_doubt)
+{
+    simulated_vm vm(1);
+    vm.cold.maybeCold(engine(1, 1, 0.0), at(0));
+    vm.cold.reported(engine(1, 1, 0.0), false, at(0.5)); // May have been written before.
+    vm.cold.confirmView(at(4.4));
+    BOOST_TEST(vm.cold.isCold("e1", at(4.4)));
+    vm.cold.confirmView(at(4.6));
+    BOOST_TEST(!vm.cold.isCold("e1", at(4.6)));
+
+    vm.cold.maybeCold(engine(2, 1, 0.0), at(0));
+    endpoint_report silent = engine(2, 1, 0.0);
+    silent.isSilent = true;
+    vm.cold.reported(silent, false, at(3));
+    vm.cold.confirmView(at(60)); // The engine has written nothing since.
+    BOOST_TEST(vm.cold.isCold("e2", at(60)));
+    vm.cold.reported(engine(2, 1, 2.0), false, at(61));
+    vm.cold.confirmView(at(61));
+    BOOST_TEST(vm.cold.isCold("e2", at(62.9)));
+    BOOST_TEST(!vm.cold.isCold("e2", at(63.1)));
+
+    vm.cold.maybeCold(engine(3, 1, 0.0), at(0));
+    vm.cold.readerChanged(at(4)); // The new reader has not seen yet which entries are silent.
+    vm.cold.confirmView(at(5));
+    BOOST_TEST(vm.cold.isCold("e3", at(5)));
+}
+
+// Guards against a stated time that keeps an engine cold for years, and against a new incarnation
+// that is taken for warm because its entry states nothing.
+BOOST_AUTO_TEST_CASE(stated_times_are_bounded)
+{
+    simulated_vm vm(1);
+    vm.cold.reported(engine(1, 1, 80000.0), true, at(0));
+    BOOST_TEST(vm.cold.isCold("e1", at(2.9)));
+    BOOST_TEST(!vm.cold.isCold("e1", at(3.1)));
+    vm.cold.reported(engine(2, 1, std::nullopt), true, at(0));
+    BOOST_TEST(vm.cold.isCold("e2", at(2.9)));
+    BOOST_TEST(!vm.cold.isCold("e2", at(3.1)));
+    vm.cold.reported(engine(3, 1, 0.0), true, at(0));
+    BOOST_TEST(!vm.cold.isCold("e3", at(0)));
+}
+
+// Guards against limits where the platform configures none.
+BOOST_AUTO_TEST_CASE(without_bounds_no_engine_is_cold)
+{
+    cold_engines cold;
+    cold.setPools({ { "p", { std::chrono::seconds(3), PerSecond } } });
+    cold.reported(engine(1, 1, 3.0), true, at(0));
+    cold.maybeCold(engine(2, 1, 0.0), at(0));
+    BOOST_TEST(cold.coldCount(at(0)) == 0U);
+}
+
+// Guards against the mark on entries that are written, and against entries that never get it.
+BOOST_AUTO_TEST_CASE(an_entry_that_is_not_written_becomes_silent_once)
+{
+    entry_silence silence;
+    const auto second = [](double seconds) { return fromSeconds(seconds); };
+    silence.entryRead(engine(1, 1, 0.0), second(1));
+    silence.entryRead(engine(2, 1, 0.0), second(1));
+    silence.entryRead(engine(2, 1, 0.0), second(3));
+    const auto silent = silence.takeSilent(second(4.5));
+    BOOST_REQUIRE(silent.size() == 1U);
+    BOOST_TEST(silent.front().id == "e1");
+    BOOST_TEST(silent.front().isSilent);
+    BOOST_TEST(silence.takeSilent(second(5)).empty());
+    silence.entryRead(engine(1, 1, 0.0), second(6));
+    BOOST_TEST(silence.takeSilent(second(8)).size() == 1U); // Only the other one.
+}
