--- a/burdockhold/endpoint_refusals.cc
+++ b/burdockhold/endpoint_refusals.cc
@@ -49,4 +49,13 @@
             poolFullFields(requestId, query.poolName, placementCandidates(board, query, now)), now);
 }
 
+void recordUnanswered(router_board &board, const std::string &endpointId, call_end end,
+                      time_point now)
+{
+    if (const endpoint_report *report = board.endpoints.find(endpointId))
+        board.coldEngines.maybeCold(*report, now);
+    if (end == call_end::NotSent)
+        board.endpoints.connectFailed(endpointId, now);
+}
+
 } // namespace burdockhold
--- a/burdockhold/mechanisms.h
+++ b/burdockhold/mechanisms.h
@@ -42,12 +42,14 @@
     EngineLanes,
     Schedulers,
     ClientMemory,
+    ColdRate,
+    Evacuation,
 };
 
 template <>
 struct enum_names<mechanism>
 {
-    static constexpr std::array<enum_name<mechanism>, 22> Table{ {
+    static constexpr std::array<enum_name<mechanism>, 24> Table{ {
             { mechanism::PreferredEndpoint, "preferred_endpoint" },
             { mechanism::PoolSampling, "pool_sampling" },
             { mechanism::SegmentCopies, "segment_copies" },
@@ -70,6 +72,8 @@
             { mechanism::EngineLanes, "engine_lanes" },
             { mechanism::Schedulers, "schedulers" },
             { mechanism::ClientMemory, "client_memory" },
+            { mechanism::ColdRate, "cold_rate" },
+            { mechanism::Evacuation, "evacuation" },
     } };
 };
 
