Add the order and bounds of requests that wait for one pool

First come, first served makes every request late in an overload and lets one account take the share of the others. waiting_room serves by priority, then those that can still meet their target, then accounts by weighted tokens, then the earliest target. An eighth of the tokens goes to requests that have waited for their whole target, so that no class and no size starves.

fair_queue had a type of the same name; it is called queued_request there.

--- a/burdockhold/fair_queue.cc
+++ b/burdockhold/fair_queue.cc
@@ -13,12 +13,12 @@
     return { code, std::move(text), account };
 }
 
-time_point expiryOf(const waiting_request &request, time_point now)
+time_point expiryOf(const queued_request &request, time_point now)
 {
     return request.maxWait < time_point::max() - now ? now + request.maxWait : time_point::max();
 }
 
-double costOf(const waiting_request &request)
+double costOf(const queued_request &request)
 {
     return std::isfinite(request.costTokens) ? std::max(request.costTokens, 1.0) : 1.0;
 }
@@ -30,7 +30,7 @@
 {
 }
 
-result<success, queue_error> fair_queue::push(const waiting_request &request, time_point now)
+result<success, queue_error> fair_queue::push(const queued_request &request, time_point now)
 {
     if (!std::isfinite(request.weight) || request.weight <= 0.0)
         return refusal(queue_error::BadWeight, "weight must be above 0", request.account);
@@ -72,7 +72,7 @@
     return chosen;
 }
 
-std::optional<waiting_request> fair_queue::pop()
+std::optional<queued_request> fair_queue::pop()
 {
     const auto chosen = nextClass();
     if (chosen == m_classes.end())
@@ -86,7 +86,7 @@
     const auto [startTag, name] = *queue.order.begin();
     account_queue &account = queue.accounts.at(name);
     const auto it = m_items.find(*account.waiting.begin());
-    waiting_request request = it->second.request;
+    queued_request request = it->second.request;
     const double cost = costOf(request);
     queue.virtualTime = startTag;
     queue.order.erase(queue.order.begin());
@@ -99,7 +99,7 @@
 
 void fair_queue::remove(std::map<std::uint64_t, item>::iterator it)
 {
-    const waiting_request &request = it->second.request;
+    const queued_request &request = it->second.request;
     class_queue &queue = m_classes.at(request.priority);
     account_queue &account = queue.accounts.at(request.account);
     account.waiting.erase(request.id);
@@ -132,9 +132,9 @@
     return true;
 }
 
-std::vector<waiting_request> fair_queue::takeExpired(time_point now)
+std::vector<queued_request> fair_queue::takeExpired(time_point now)
 {
-    std::vector<waiting_request> expired;
+    std::vector<queued_request> expired;
     while (!m_expiries.empty() && m_expiries.begin()->first <= now) {
         const auto it = m_items.find(m_expiries.begin()->second);
         expired.push_back(it->second.request);
--- a/burdockhold/fair_queue.h
+++ b/burdockhold/fair_queue.h
@@ -40,7 +40,7 @@
 };
 
 /// A request for a turn. Account and class properties come from the catalogue.
-struct waiting_request
+struct queued_request
 {
     std::uint64_t id = 0; ///< Unique among those waiting; lower ids of an account go first.
     std::string account;
@@ -79,18 +79,18 @@
     explicit fair_queue(fair_queue_options options = {});
 
     /// Adds a request, or says why there is no room: the request is not run.
-    result<success, queue_error> push(const waiting_request &request, time_point now);
+    result<success, queue_error> push(const queued_request &request, time_point now);
 
     /// Removes and returns the request whose turn it is, or nothing when none waits. Requests past
     /// their longest wait are for takeExpired() and must be taken first.
-    std::optional<waiting_request> pop();
+    std::optional<queued_request> pop();
 
     /// Removes a waiting request, for instance when its caller has disconnected. Returns false when
     /// it does not wait. The account pays nothing for it.
     bool cancel(std::uint64_t id);
 
     /// Removes and returns the requests that have waited for their longest wait.
-    std::vector<waiting_request> takeExpired(time_point now);
+    std::vector<queued_request> takeExpired(time_point now);
 
     /// Returns the account with the lowest share in the current period, among those that had
     /// requests waiting all the time, or nothing when there is none or nothing was served.
@@ -119,7 +119,7 @@
     };
     struct item
     {
-        waiting_request request;
+        queued_request request;
         time_point expiresAt;
     };
     using class_map = std::map<std::int64_t, class_queue>;
--- a/cmake/router.cmake
+++ b/cmake/router.cmake
@@ -8,8 +8,8 @@
     prompt_segments.cc quota_ledger.cc request_admission.cc request_log.cc rollout_sampler.cc
     router_metrics.cc router_settings.cc
     segment_transfer.cc software_rollout.cc stored_segments.cc
-    topic_changelog.cc view_message.cc view_source.cc vm_digest.cc weights_load_estimator.cc
-    weights_rollout.cc)
+    topic_changelog.cc view_message.cc view_source.cc vm_digest.cc waiting_room.cc
+    weights_load_estimator.cc weights_rollout.cc)
 list(TRANSFORM ROUTER_DECISIONS PREPEND ${CMAKE_SOURCE_DIR}/burdockhold/)
 file(GLOB PLATFORM_SOURCES CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/platform/*.cc)
 
--- a/testing/fair_queue_test.cc
+++ b/testing/fair_queue_test.cc
@@ -16,8 +16,8 @@
     return time_point(std::chrono::milliseconds(ms));
 }
 
-waiting_request requestOf(std::uint64_t id, const std::string &account, double weight = 1.0,
-                          double cost = 1.0, std::int64_t priority = 0)
+queued_request requestOf(std::uint64_t id, const std::string &account, double weight = 1.0,
+                         double cost = 1.0, std::int64_t priority = 0)
 {
     return { id, account, priority, weight, cost, std::chrono::seconds(10) };
 }
@@ -188,7 +188,7 @@
     options.maxWaiting = 3;
     options.maxWaitingPerAccount = 2;
     fair_queue queue(options);
-    const auto codeOf = [&](const waiting_request &request) {
+    const auto codeOf = [&](const queued_request &request) {
         return errorOf(queue.push(request, at(0))).code;
     };
     BOOST_TEST((codeOf(requestOf(1, "a", 0.0)) == queue_error::BadWeight));
