Let requests wait in order, as long as their answer is still of use

A request left the wait queue after 0.6 of its latency target, also where its caller waited five targets: plain services refused callers although slots came free every few milliseconds. Arrivals overtook what waited, in order of arrival only, and each release of any pool retried every waiting request.

The wait queue has a waiting_room and an overload_admission for each pool. A request may wait until its target, and beyond it for half of what its caller has left, at most four targets. One that is not expected to be placed by then is refused at once, with a Retry-After from the rate of placements. Streams that have started and callers that come back go before the others of their priority. The rule for engines that pause is as before: a pause that is longer than 0.6 of the target is told to the caller. The mechanism fair_waiting switches it off.

--- a/burdockhold/drain_rate.h
+++ b/burdockhold/drain_rate.h
@@ -18,8 +18,9 @@
 public:
     /// Observations lose half of their weight in this time.
     static constexpr duration HalfLife = std::chrono::seconds(1);
-    /// Less observed waiting time than this says nothing about the rate.
-    static constexpr duration MinObserved = std::chrono::milliseconds(20);
+    /// Less observed waiting time than this says nothing about the rate: calls that began together
+    /// end together, and until then nothing is placed.
+    static constexpr duration MinObserved = std::chrono::milliseconds(300);
 
     /// Counts the time since the last observation. isBusy says whether something waited in it.
     void observe(bool isBusy, time_point now)
@@ -38,15 +39,15 @@
     /// Counts a request that was placed.
     void placed(double tokens) { m_tokens += tokens; }
 
-    /// Returns the rate in tokens per second, as if it was observed now; negative while it is
-    /// unknown.
-    double tokensPerSecond(bool isBusy, time_point now) const
+    /// Returns the rate in tokens per second, as if it was observed now and this many tokens more
+    /// were placed; negative while it is unknown.
+    double tokensPerSecond(bool isBusy, time_point now, double moreTokens = 0.0) const
     {
         drain_rate current = *this;
         current.observe(isBusy, now);
         return current.m_busySeconds < toSeconds(MinObserved)
                        ? -1.0
-                       : current.m_tokens / current.m_busySeconds;
+                       : (current.m_tokens + moreTokens) / current.m_busySeconds;
     }
 
 private:
--- a/burdockhold/mechanisms.h
+++ b/burdockhold/mechanisms.h
@@ -39,12 +39,13 @@
     StartGuard,
     SharedRetrySlack,
     ReturnedTokens,
+    FairWaiting,
 };
 
 template <>
 struct enum_names<mechanism>
 {
-    static constexpr std::array<enum_name<mechanism>, 19> Table{ {
+    static constexpr std::array<enum_name<mechanism>, 20> Table{ {
             { mechanism::PreferredEndpoint, "preferred_endpoint" },
             { mechanism::PoolSampling, "pool_sampling" },
             { mechanism::SegmentCopies, "segment_copies" },
@@ -64,6 +65,7 @@
             { mechanism::StartGuard, "start_guard" },
             { mechanism::SharedRetrySlack, "shared_retry_slack" },
             { mechanism::ReturnedTokens, "returned_tokens" },
+            { mechanism::FairWaiting, "fair_waiting" },
     } };
 };
 
--- a/burdockhold/request_log.cc
+++ b/burdockhold/request_log.cc
@@ -11,35 +11,45 @@
     return 1000.0 * toSeconds(time);
 }
 
+nlohmann::ordered_json waitFields(const wait_record &wait)
+{
+    return { { "cause", nameOf(wait.cause) },    { "expected_ms", milliseconds(wait.expected) },
+             { "before", wait.waitingBefore },   { "served", wait.servedMeanwhile },
+             { "more_urgent", wait.moreUrgent }, { "returned", wait.returned } };
+}
+
 } // namespace
 
 nlohmann::ordered_json requestEndedFields(const request_summary &request)
 {
-    return { { "id", request.requestId },
-             { "route", request.route },
-             { "account", request.account },
-             { "pool", request.pool },
-             { "status", request.status },
-             { "reason", request.reason },
-             { "endpoint", request.endpoint },
-             { "calls", request.calls },
-             { "runs", request.runs },
-             { "waited_ms", milliseconds(request.queued) },
-             { "total_ms", milliseconds(request.total) },
-             { "first_ms", milliseconds(request.firstByte) },
-             { "expected_ms", request.expectedMs },
-             { "prompt", request.promptTokens },
-             { "output", request.maxOutputTokens },
-             { "unread", request.pendingPrefillTokens },
-             { "copied", request.copiesSegments },
-             { "saved", request.savesSegments },
-             { "weights", request.weights },
-             { "events", request.events },
-             { "last_call_events", request.lastCallEvents },
-             { "resumes", request.resumes },
-             { "framing", request.framing },
-             { "deployment", request.deployment },
-             { "view_age_ms", std::llround(milliseconds(request.viewAge)) } };
+    nlohmann::ordered_json fields{ { "id", request.requestId },
+                                   { "route", request.route },
+                                   { "account", request.account },
+                                   { "pool", request.pool },
+                                   { "status", request.status },
+                                   { "reason", request.reason },
+                                   { "endpoint", request.endpoint },
+                                   { "calls", request.calls },
+                                   { "runs", request.runs },
+                                   { "waited_ms", milliseconds(request.queued) },
+                                   { "total_ms", milliseconds(request.total) },
+                                   { "first_ms", milliseconds(request.firstByte) },
+                                   { "expected_ms", request.expectedMs },
+                                   { "prompt", request.promptTokens },
+                                   { "output", request.maxOutputTokens },
+                                   { "unread", request.pendingPrefillTokens },
+                                   { "copied", request.copiesSegments },
+                                   { "saved", request.savesSegments },
+                                   { "weights", request.weights },
+                                   { "events", request.events },
+                                   { "last_call_events", request.lastCallEvents },
+                                   { "resumes", request.resumes },
+                                   { "framing", request.framing },
+                                   { "deployment", request.deployment },
+                                   { "view_age_ms", std::llround(milliseconds(request.viewAge)) } };
+    if (request.wait.cause != wait_cause::None)
+        fields["wait"] = waitFields(request.wait);
+    return fields;
 }
 
 nlohmann::ordered_json callEndedFields(const call_summary &call)
--- a/burdockhold/request_log.h
+++ b/burdockhold/request_log.h
@@ -6,6 +6,7 @@
 
 #include "burdockhold/attempt_rules.h"
 #include "burdockhold/clock.h"
+#include "burdockhold/wait_record.h"
 
 #include <nlohmann/json.hpp>
 
@@ -28,6 +29,7 @@
     int calls = 0;
     int runs = 0;                          ///< Endpoints that may have run the request.
     duration queued = duration::zero();    ///< From the arrival to the first call.
+    wait_record wait;                      ///< How it waited in the wait queue, if it did.
     duration total = duration::zero();     ///< From the arrival to the end.
     duration firstByte = duration::zero(); ///< From the arrival to the response's first byte.
     double expectedMs = 0.0; ///< Time that the last placement expected the call to take.
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -13,7 +13,6 @@
 #include "burdockhold/wait_rules.h"
 #include "platform/request_codec.h"
 
-#include <boost/asio/post.hpp>
 #include <xxhash.h>
 
 #include <algorithm>
@@ -34,7 +33,6 @@
 constexpr std::size_t MaxBufferedResponseBytes = std::size_t(8) * 1024 * 1024;
 // Responses that are buffered until they are complete may use the memory limit divided by this.
 constexpr std::size_t BufferMemoryDivisor = 4;
-constexpr duration MaxWaitForDeployment = std::chrono::milliseconds(600);
 // A stale view is renewed within about this time, or the caller's next attempt reaches another VM.
 constexpr duration StaleViewRetryAfter = std::chrono::milliseconds(300);
 // Requests that arrive later than this after the stop notice are refused, since they could outlast
@@ -75,21 +73,6 @@
 {
 }
 
-/// Runs a step of the request. An exception must not reach the event loop: the request would keep
-/// its caller waiting, and the requests after it in a loop would miss their step.
-template <typename Step>
-void routed_request::guard(const Step &step)
-{
-    const auto self = shared_from_this();
-    try {
-        step();
-    } catch (const std::exception &error) {
-        stepFailed(error.what());
-    } catch (...) {
-        stepFailed("an exception of an unknown type");
-    }
-}
-
 void routed_request::stepFailed(const std::string &what)
 {
     router_board &board = m_context.board;
@@ -142,28 +125,7 @@
     m_context.board.countRequest(m_poolName, steadyNow());
     m_fingerprints = fingerprintsOf(m_request, m_account == nullptr ? "" : m_account->name);
     startTimer();
-    if (!place())
-        enterWaitQueue();
-}
-
-/// Waits for the first deployment, which a VM usually has about ten milliseconds after its start.
-void routed_request::waitForDeployment()
-{
-    if (!m_waiting) {
-        m_context.board.metrics.count(router_counter::Requests);
-        m_waiting = true;
-        m_context.waiting.add(shared_from_this());
-        m_timer.expires_after(MaxWaitForDeployment);
-        m_timer.async_wait([self = shared_from_this()](error_code error) {
-            if (error || self->m_ended || self->m_deployment)
-                return;
-            self->m_context.waiting.remove(self.get());
-            self->m_waiting = false;
-            self->guard([&self] {
-                self->refuse(503, "no_deployment", std::chrono::milliseconds(300));
-            });
-        });
-    }
+    placeOrWait();
 }
 
 /// Finds the route and the account. Returns false if the request has been refused.
@@ -281,38 +243,6 @@
     }
 }
 
-void routed_request::enterWaitQueue()
-{
-    m_waiting = true;
-    m_context.waiting.add(shared_from_this());
-    m_timer.expires_at(queueWaitEnd(steadyNow()));
-    m_timer.async_wait([self = shared_from_this()](error_code error) {
-        if (error || self->m_ended || !self->m_waiting)
-            return;
-        self->m_context.waiting.remove(self.get());
-        self->m_waiting = false;
-        self->guard([&self] { self->queueWaitEnded(); });
-    });
-}
-
-void routed_request::queueWaitEnded()
-{
-    if (m_responseStarted)
-        takeStep(abort_response{});
-    else if (m_mayHaveRun)
-        fail(502, "no_endpoint_for_repeat");
-    else
-        refuse(503, "no_endpoint", m_route->latencyTarget);
-}
-
-/// Returns when a request that enters the wait queue now has to leave it.
-time_point routed_request::queueWaitEnd(time_point now) const
-{
-    return std::min(m_deadline, now
-                                        + maxQueueWait(m_responseStarted, m_route->latencyTarget,
-                                                       m_context.board.settings.mechanisms));
-}
-
 /// Returns the domain in the deployment in force, since segments must not be shared with an account
 /// that has become isolated after this request was admitted.
 cache_domain routed_request::cacheDomain() const
@@ -387,7 +317,7 @@
     m_awaitsRetryBudget = false;
     if (m_waiting) {
         m_waiting = false;
-        m_context.waiting.remove(this);
+        m_context.waiting.placed(this, m_wait);
     }
     if (m_callsMade == 0) {
         m_queueTime = now - m_arrival;
@@ -444,7 +374,10 @@
     if (m_mayHaveRun || m_responseStarted)
         return false;
     const left_out endpoints = countLeftOut(candidates);
-    const time_point waitEnd = m_waiting ? m_timer.expiry() : queueWaitEnd(now);
+    // A caller that is told the end of a long pause does better than one that waits for it.
+    const time_point waitEnd = std::min(
+            m_waiting ? m_timer.expiry() : queueWaitEnd(now),
+            now + maxQueueWait(false, m_route->latencyTarget, m_context.board.settings.mechanisms));
     if (!mustRefuseAtOnce(endpoints, waitEnd))
         return false;
     m_context.board.metrics.count(router_counter::RefusedAllPaused);
@@ -653,8 +586,7 @@
         m_rolloutCall->firstByteReceived(steadyNow());
     router_board &board = m_context.board;
     board.endpoints.prefillFinished(m_endpointId, m_load);
-    if (m_context.waiting.size() > 0)
-        boost::asio::post(m_context.io, [&waiting = m_context.waiting] { waiting.retry(); });
+    m_context.waiting.roomFreed(m_context.io, m_poolName);
     if (!m_segmentKey.empty() && m_head.status == StatusOk)
         board.endpoints.recordCachedSegment(m_endpointId, m_segmentKey);
     if (!m_responseStarted) {
@@ -837,8 +769,7 @@
     std::visit(
             overloaded{ [this](const try_another &) {
                            m_events.continueElsewhere();
-                           if (!place())
-                               enterWaitQueue();
+                           placeOrWait();
                        },
                         [this](const deliver_response &) { deliver(); },
                         [this](const end_stream &) {
@@ -851,7 +782,7 @@
                         [this](const respond_outcome_unknown &) { fail(502, "outcome_unknown"); },
                         [this](const await_retry_budget &) {
                             m_awaitsRetryBudget = true;
-                            enterWaitQueue();
+                            enterWaitQueue(wait_cause::RetryBudget);
                         },
                         [this](const abort_response &) {
                             m_writer.abortResponse();
@@ -949,9 +880,7 @@
         return;
     const auto connection = std::exchange(m_connection, nullptr);
     m_context.connections.release(m_address, connection);
-    // Posted, so that a migrating stream gets its new endpoint before the waiting requests retry.
-    if (m_context.waiting.size() > 0)
-        boost::asio::post(m_context.io, [&waiting = m_context.waiting] { waiting.retry(); });
+    m_context.waiting.roomFreed(m_context.io, m_poolName);
 }
 
 void routed_request::deliver()
@@ -1031,7 +960,7 @@
     discardBody();
     if (m_waiting) {
         m_waiting = false;
-        m_context.waiting.remove(this);
+        m_context.waiting.remove(this, m_wait);
     }
     router_board &board = m_context.board;
     board.metrics.count(counter);
@@ -1074,6 +1003,7 @@
     result.calls = m_callsMade;
     result.runs = m_runs;
     result.queued = m_queueTime;
+    result.wait = m_wait;
     result.total = now - m_arrival;
     result.firstByte = m_timeToFirstByte;
     result.expectedMs = m_expectedMs;
--- a/burdockhold/routed_request.h
+++ b/burdockhold/routed_request.h
@@ -23,6 +23,7 @@
 #include "burdockhold/placement_inputs.h"
 #include "burdockhold/request_admission.h"
 #include "burdockhold/request_log.h"
+#include "burdockhold/request_waiting.h"
 #include "burdockhold/router_board.h"
 #include "burdockhold/wait_queue.h"
 
@@ -100,6 +101,9 @@
     /// Migrates to another endpoint if the current one is about to load weights or is silent.
     void migrateIfNeeded();
 
+    /// The request has left the wait queue without being placed.
+    void waitEnded();
+
     int priority() const { return m_priority; }
     time_point arrival() const { return m_arrival; }
 
@@ -118,9 +122,12 @@
     void onTimer();
     void deadlineReached();
     void endUnserved(const unserved_reasons &reasons);
-    void enterWaitQueue();
-    void queueWaitEnded();
+    void placeOrWait();
+    void enterWaitQueue(wait_cause cause);
+    bool joinWaitQueue(time_point now);
+    void queueWaitEnded(duration retryAfter);
     time_point queueWaitEnd(time_point now) const;
+    waiting_call waitingCall() const;
 
     cache_domain cacheDomain() const;
     placement_query placementQuery() const;
@@ -215,6 +222,7 @@
     std::string m_mediaType; ///< Of the response that has started; may be empty.
     bool m_paused = false;   ///< The caller does not read as fast as the endpoint sends.
     bool m_waiting = false;
+    wait_record m_wait;
     bool m_awaitsRetryBudget = false; ///< The next call must first be admitted by the retry budget.
     bool m_ended = false;
     double m_chargedTokens = 0.0; ///< Charged to the account, and returned if nothing runs.
@@ -228,6 +236,21 @@
     std::shared_ptr<rollout_call> m_rolloutCall; ///< Set while the call is sampled.
 };
 
+/// Runs a step of the request. An exception must not reach the event loop: the request would keep
+/// its caller waiting, and the requests after it in a loop would miss their step.
+template <typename Step>
+void routed_request::guard(const Step &step)
+{
+    const auto self = shared_from_this();
+    try {
+        step();
+    } catch (const std::exception &error) {
+        stepFailed(error.what());
+    } catch (...) {
+        stepFailed("an exception of an unknown type");
+    }
+}
+
 } // namespace burdockhold
 
 #endif
--- a/burdockhold/wait_rules.h
+++ b/burdockhold/wait_rules.h
@@ -1,8 +1,8 @@
 #ifndef BURDOCKHOLD_WAIT_RULES_H
 #define BURDOCKHOLD_WAIT_RULES_H
 
-// Decides how long a request waits for an endpoint, in which order, and how long a stream's caller
-// waits for an event. All functions are pure.
+// Decides how long a request waits for an endpoint, with which priority, and how long a stream's
+// caller waits for an event. All functions are pure. waiting_room.h has the order of service.
 //
 // Load pattern: every endpoint of a pool is full for a moment. A request that is placed within a
 // part of its latency target is still served in time; one that is placed later would be late
@@ -11,6 +11,7 @@
 #include "burdockhold/clock.h"
 #include "burdockhold/deployment.h"
 #include "burdockhold/mechanisms.h"
+#include "burdockhold/waiting_room.h"
 
 #include <algorithm>
 
@@ -47,6 +48,12 @@
     return responseStarted ? MaxStreamQueueWait : latencyTarget * MaxQueueWaitTenths / 10;
 }
 
+/// Returns whether requests wait in the order of waiting_room.h.
+inline bool usesFairWaiting(const mechanism_set &mechanisms)
+{
+    return mechanisms.uses(mechanism::WaitQueue) && mechanisms.uses(mechanism::FairWaiting);
+}
+
 /// Returns the priority of a request; 0 is the most urgent. The account may be nullptr.
 inline int requestPriority(const deployment_route &route, const deployment_account *account,
                            const mechanism_set &mechanisms)
@@ -56,6 +63,45 @@
     return account != nullptr && account->priority ? *account->priority : route.priority;
 }
 
+/// A request may wait for this share of the time that its caller has left, so that a refused caller
+/// can still come back within its deadline.
+inline constexpr double LateWaitShare = 0.5;
+/// Longest total wait in latency targets. A response that comes later is worth little.
+inline constexpr int MaxWaitTargets = 4;
+/// Time of an engine for each output token; long responses are mostly faster.
+inline constexpr duration ExpectedTokenTime = std::chrono::milliseconds(6);
+/// Time of a call to a plain service.
+inline constexpr duration ExpectedServiceTime = std::chrono::milliseconds(60);
+/// Expected times are rough, so they use at most this share of what the caller has left.
+inline constexpr double MaxExpectedShare = 0.5;
+
+/// What the time that a request may wait depends on.
+struct wait_facts
+{
+    time_point now;
+    time_point arrivedAt;
+    time_point deadline;              ///< When the caller has to have the complete response.
+    std::int64_t unreadTokens = 0;    ///< Prompt tokens that an engine may have to compute.
+    std::int64_t outputTokens = 0;    ///< Expected; 0 for plain services.
+    double prefillTokensPerMs = 50.0; ///< Of an engine.
+};
+
+/// Returns when a waiting request must be placed at the latest.
+inline time_point latestStart(const waiting_request &request)
+{
+    return request.deadlineAt - request.expectedRun;
+}
+
+/// Sets the times of a request that is to wait: its target, how long a call takes, and the end of
+/// its wait as the deadline that the waiting room keeps.
+///
+/// It may wait until its target, and for a share of what its caller has left beyond that, but not
+/// so long that the call would end after the deadline or that a stream's caller gives up.
+void setWaitTimes(waiting_request &request, const wait_facts &facts, const deployment_route &route);
+
+/// The same for a stream that has started, whose caller soon abandons it.
+void setStreamWaitTimes(waiting_request &request, const wait_facts &facts);
+
 /// Returns whether a call that starts now is expected to be answered before the end.
 inline bool isAnsweredBefore(time_point end, time_point now, double expectedMs)
 {
--- a/burdockhold/waiting_room.cc
+++ b/burdockhold/waiting_room.cc
@@ -258,6 +258,8 @@
             erase(request.id);
             continue;
         }
+        if (!contains(request.id))
+            continue; // It has left otherwise, which says nothing about the others.
         const auto known = failed.emplace(request.shape, request.tokens).first;
         known->second = std::min(known->second, request.tokens);
     }
@@ -351,7 +353,7 @@
     }
 }
 
-double waiting_room::tokensPerSecond(int priority, time_point now) const
+double waiting_room::tokensPerSecond(int priority, time_point now, double moreTokens) const
 {
     // A priority of which nothing has waited yet has the rate of the next less urgent one, or else
     // of all.
@@ -359,7 +361,7 @@
     double rate = -1.0;
     for (auto queue = m_priorities.rbegin(); queue != m_priorities.rend(); ++queue) {
         isBusy = isBusy || !queue->second.isEmpty();
-        const double observed = queue->second.drained.tokensPerSecond(isBusy, now);
+        const double observed = queue->second.drained.tokensPerSecond(isBusy, now, moreTokens);
         const bool isOwn = queue->first >= priority;
         if (observed >= 0.0 && (isOwn || rate < 0.0))
             rate = observed;
@@ -390,12 +392,12 @@
 duration waiting_room::expectedWait(const waiting_request &request, time_point now) const
 {
     const double ahead = tokensAhead(request);
-    const double rate = tokensPerSecond(request.priority, now);
-    if (ahead <= 0.0 || rate < 0.0)
+    // The next placement is assumed to be due: a short time without any is no evidence of none.
+    const double rate = tokensPerSecond(request.priority, now, costOf(request));
+    if (ahead <= 0.0 || rate <= 0.0)
         return duration::zero();
     constexpr double LongestSeconds = 1e6;
-    const double seconds = rate > 0.0 ? ahead / rate : LongestSeconds;
-    return seconds < LongestSeconds ? fromSeconds(seconds) : duration::max();
+    return fromSeconds(std::min(ahead / rate, LongestSeconds));
 }
 
 } // namespace burdockhold
--- a/burdockhold/waiting_room.h
+++ b/burdockhold/waiting_room.h
@@ -112,7 +112,7 @@
     void remove(std::uint64_t id);
 
     /// Calls tryPlace in order; true means placed, and the request leaves. Stops when nothing more
-    /// can be placed. tryPlace may add and remove requests.
+    /// can be placed. tryPlace may add and remove requests, also the one that it is called for.
     void serve(time_point now, const place_function &tryPlace);
 
     /// Removes and returns the requests that cannot be answered before their deadline, and those
@@ -121,7 +121,7 @@
 
     /// Returns how long the request is expected to wait if it is added now, from the rate at which
     /// requests of its priority and of less urgent ones were placed while such waited. Zero if
-    /// nothing is ahead of it or the rate is unknown; duration::max() if nothing is placed.
+    /// nothing is ahead of it or the rate is unknown.
     duration expectedWait(const waiting_request &request, time_point now) const;
 
     /// Returns when takeExpired() will next have a request to return; time_point::max() if never.
@@ -132,8 +132,8 @@
     bool isEmpty() const { return m_items.empty(); }
 
     /// Returns the rate of placement of requests of this priority and less urgent ones, in tokens
-    /// per second; negative while it is unknown.
-    double tokensPerSecond(int priority, time_point now) const;
+    /// per second, as if this many tokens more had been placed; negative while it is unknown.
+    double tokensPerSecond(int priority, time_point now, double moreTokens = 0.0) const;
 
 private:
     using time_and_id = std::pair<time_point, std::uint64_t>;
--- a/cmake/router.cmake
+++ b/cmake/router.cmake
@@ -4,11 +4,12 @@
     attempt_rules.cc crash_fingerprints.cc decision_log.cc decision_options.cc deployment.cc
     deployment_history.cc deployment_part.cc
     digest_summary.cc duty_lease.cc endpoint_choice.cc endpoint_health.cc endpoint_pause.cc
-    endpoint_table.cc event_splitter.cc json_depth.cc left_out.cc mechanisms.cc message_framing.cc move_evidence.cc placement_log.cc
-    prompt_segments.cc quota_ledger.cc request_admission.cc request_log.cc rollout_sampler.cc
+    endpoint_table.cc event_splitter.cc json_depth.cc left_out.cc mechanisms.cc message_framing.cc move_evidence.cc
+    overload_admission.cc placement_log.cc
+    prompt_segments.cc quota_ledger.cc request_admission.cc request_log.cc request_waiting.cc rollout_sampler.cc
     router_metrics.cc router_settings.cc
     segment_transfer.cc software_rollout.cc stored_segments.cc
-    topic_changelog.cc view_message.cc view_source.cc vm_digest.cc waiting_room.cc
+    topic_changelog.cc view_message.cc view_source.cc vm_digest.cc wait_rules.cc waiting_room.cc
     weights_load_estimator.cc weights_rollout.cc)
 list(TRANSFORM ROUTER_DECISIONS PREPEND ${CMAKE_SOURCE_DIR}/burdockhold/)
 file(GLOB PLATFORM_SOURCES CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/platform/*.cc)
