Merge the waiting room and the admission under overload

Requests that schedulers place wait in the schedulers' queues, so they bypass the wait queue's rooms, in which one that waits for an answer would hold up the arrivals after it.

--- a/burdockhold/mechanisms.h
+++ b/burdockhold/mechanisms.h
@@ -44,12 +44,13 @@
     ClientMemory,
     ColdRate,
     Evacuation,
+    FairWaiting,
 };
 
 template <>
 struct enum_names<mechanism>
 {
-    static constexpr std::array<enum_name<mechanism>, 24> Table{ {
+    static constexpr std::array<enum_name<mechanism>, 25> Table{ {
             { mechanism::PreferredEndpoint, "preferred_endpoint" },
             { mechanism::PoolSampling, "pool_sampling" },
             { mechanism::SegmentCopies, "segment_copies" },
@@ -74,6 +75,7 @@
             { mechanism::ClientMemory, "client_memory" },
             { mechanism::ColdRate, "cold_rate" },
             { mechanism::Evacuation, "evacuation" },
+            { mechanism::FairWaiting, "fair_waiting" },
     } };
 };
 
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -13,7 +13,6 @@
 #include "burdockhold/wait_rules.h"
 #include "platform/request_codec.h"
 
-#include <boost/asio/post.hpp>
 #include <xxhash.h>
 
 #include <algorithm>
@@ -32,7 +31,6 @@
 // caller has received, and overloaded engines refuse several times in a row.
 constexpr int MaxCallsOfStartedStream = 8;
 constexpr std::size_t MaxBufferedResponseBytes = std::size_t(8) * 1024 * 1024;
-constexpr duration MaxWaitForDeployment = std::chrono::milliseconds(600);
 // A stale view is renewed within about this time, or the caller's next attempt reaches another VM.
 constexpr duration StaleViewRetryAfter = std::chrono::milliseconds(300);
 // Requests that arrive later than this after the stop notice are refused, since they could outlast
@@ -74,21 +72,6 @@
 {
 }
 
-/// Runs a step of the request. An exception must not reach the event loop: the request would keep
-/// its caller waiting, and the requests after it in a loop would miss their step.
-template <typename Step>
-void routed_request::guard(const Step &step)
-{
-    const auto self = shared_from_this();
-    try {
-        step();
-    } catch (const std::exception &error) {
-        stepFailed(error.what());
-    } catch (...) {
-        stepFailed("an exception of an unknown type");
-    }
-}
-
 void routed_request::stepFailed(const std::string &what)
 {
     router_board &board = m_context.board;
@@ -141,28 +124,7 @@
     m_context.board.countRequest(m_poolName, steadyNow());
     m_fingerprints = fingerprintsOf(m_request, m_account == nullptr ? "" : m_account->name);
     startTimer();
-    if (!place())
-        enterWaitQueue();
-}
-
-/// Waits for the first deployment, which a VM usually has about ten milliseconds after its start.
-void routed_request::waitForDeployment()
-{
-    if (!m_waiting) {
-        m_context.board.metrics.count(router_counter::Requests);
-        m_waiting = true;
-        m_context.waiting.add(shared_from_this());
-        m_timer.expires_after(MaxWaitForDeployment);
-        m_timer.async_wait([self = shared_from_this()](error_code error) {
-            if (error || self->m_ended || self->m_deployment)
-                return;
-            self->m_context.waiting.remove(self.get());
-            self->m_waiting = false;
-            self->guard([&self] {
-                self->refuse(503, "no_deployment", std::chrono::milliseconds(300));
-            });
-        });
-    }
+    placeOrWait();
 }
 
 /// Finds the route and the account. Returns false if the request has been refused.
@@ -280,40 +242,6 @@
     }
 }
 
-void routed_request::enterWaitQueue()
-{
-    m_waiting = true;
-    m_context.waiting.add(shared_from_this());
-    m_timer.expires_at(queueWaitEnd(steadyNow()));
-    m_timer.async_wait([self = shared_from_this()](error_code error) {
-        if (error || self->m_ended || !self->m_waiting)
-            return;
-        self->m_context.waiting.remove(self.get());
-        self->m_waiting = false;
-        self->guard([&self] { self->queueWaitEnded(); });
-    });
-}
-
-void routed_request::queueWaitEnded()
-{
-    if (m_responseStarted)
-        takeStep(abort_response{});
-    else if (m_mayHaveRun)
-        fail(502, "no_endpoint_for_repeat");
-    else
-        refuse(503, "no_endpoint", m_route->latencyTarget);
-}
-
-/// Returns when a request that enters the wait queue now has to leave it.
-time_point routed_request::queueWaitEnd(time_point now) const
-{
-    duration wait = maxQueueWait(m_responseStarted, m_route->latencyTarget,
-                                 m_context.board.settings.mechanisms);
-    if (m_context.board.usesSchedulers() && m_route->kind == call_kind::Stream)
-        wait = std::max(wait, maxLateWait(m_deadline - now));
-    return std::min(m_deadline, now + wait);
-}
-
 /// Returns the domain in the deployment in force, since segments must not be shared with an account
 /// that has become isolated after this request was admitted.
 cache_domain routed_request::cacheDomain() const
@@ -393,7 +321,7 @@
     m_awaitsRetryBudget = false;
     if (m_waiting) {
         m_waiting = false;
-        m_context.waiting.remove(this);
+        m_context.waiting.placed(this, m_wait);
     }
     if (m_callsMade == 0) {
         m_queueTime = now - m_arrival;
@@ -475,7 +403,10 @@
     if (m_mayHaveRun || m_responseStarted)
         return false;
     const left_out endpoints = countLeftOut(candidates);
-    const time_point waitEnd = m_waiting ? m_timer.expiry() : queueWaitEnd(now);
+    // A caller that is told the end of a long pause does better than one that waits for it.
+    const time_point waitEnd = std::min(
+            m_waiting ? m_timer.expiry() : queueWaitEnd(now),
+            now + maxQueueWait(false, m_route->latencyTarget, m_context.board.settings.mechanisms));
     if (!mustRefuseAtOnce(endpoints, waitEnd))
         return false;
     m_context.board.metrics.count(router_counter::RefusedAllPaused);
@@ -687,8 +618,7 @@
     router_board &board = m_context.board;
     board.endpoints.prefillFinished(m_endpointId, m_load);
     m_placement.prefillFinished();
-    if (m_context.waiting.size() > 0)
-        boost::asio::post(m_context.io, [&waiting = m_context.waiting] { waiting.retry(); });
+    m_context.waiting.roomFreed(m_context.io, m_poolName);
     if (!m_segmentKey.empty() && m_head.status == StatusOk)
         board.endpoints.recordCachedSegment(m_endpointId, m_segmentKey);
     if (!m_responseStarted) {
@@ -872,8 +802,7 @@
     std::visit(
             overloaded{ [this](const try_another &) {
                            m_events.continueElsewhere();
-                           if (!place())
-                               enterWaitQueue();
+                           placeOrWait();
                        },
                         [this](const deliver_response &) { deliver(); },
                         [this](const end_stream &) {
@@ -886,7 +815,7 @@
                         [this](const respond_outcome_unknown &) { fail(502, "outcome_unknown"); },
                         [this](const await_retry_budget &) {
                             m_awaitsRetryBudget = true;
-                            enterWaitQueue();
+                            enterWaitQueue(wait_cause::RetryBudget);
                         },
                         [this](const abort_response &) {
                             m_writer.abortResponse();
@@ -985,9 +914,7 @@
         return;
     const auto connection = std::exchange(m_connection, nullptr);
     m_context.connections.release(m_address, connection);
-    // Posted, so that a migrating stream gets its new endpoint before the waiting requests retry.
-    if (m_context.waiting.size() > 0)
-        boost::asio::post(m_context.io, [&waiting = m_context.waiting] { waiting.retry(); });
+    m_context.waiting.roomFreed(m_context.io, m_poolName);
 }
 
 void routed_request::deliver()
@@ -1069,7 +996,7 @@
     discardBody();
     if (m_waiting) {
         m_waiting = false;
-        m_context.waiting.remove(this);
+        m_context.waiting.remove(this, m_wait);
     }
     router_board &board = m_context.board;
     board.metrics.count(counter);
@@ -1102,6 +1029,7 @@
     result.calls = m_callsMade;
     result.runs = m_runs;
     result.queued = m_queueTime;
+    result.wait = m_wait;
     result.total = now - m_arrival;
     result.firstByte = m_timeToFirstByte;
     addFirstEvent(result, m_choice, m_callFirstByte, m_gaps.longest());
--- a/burdockhold/router_board.h
+++ b/burdockhold/router_board.h
@@ -239,7 +239,11 @@
     /// Empty unless digests are exchanged in groups.
     std::map<std::string, std::string> schedulers;
     bool actsAsScheduler = false; ///< This VM is the scheduler of its data centre.
-    bool usesSchedulers() const { return actsAsScheduler || !schedulers.empty(); }
+    bool usesSchedulers() const
+    {
+        return settings.mechanisms.uses(mechanism::Schedulers)
+               && (actsAsScheduler || !schedulers.empty());
+    }
     std::vector<group_vm> groupVms; ///< VMs of the own group that are not shutting down.
     /// Longest time between two digests of a VM, or two summaries of a data centre, if none is
     /// lost.
