Place by the engines' learned pace, and bound what a started engine gets

endpoint_table keeps the pace of each engine and pool and the limit of each engine; a new incarnation or new weights drop the pace. The limit starts with an incarnation, after a load, after failures to connect and after a pause. The mechanisms engine_pace and pace_limit switch the two off. Counters: first_events_judged, first_events_later_than_expected, pace_limits_started.

--- a/burdockhold/decision_options.cc
+++ b/burdockhold/decision_options.cc
@@ -57,6 +57,8 @@
     options.choice = choiceOptions(mechanisms);
     if (!mechanisms.uses(mechanism::SilenceSuspicion))
         options.endpoints.suspectAfter = duration::max();
+    options.endpoints.usePace = mechanisms.uses(mechanism::EnginePace);
+    options.endpoints.limitPace = mechanisms.uses(mechanism::PaceLimit);
     options.transfers.copySegments = mechanisms.uses(mechanism::SegmentCopies);
     options.transfers.saveSegments = mechanisms.uses(mechanism::SegmentSaves);
     options.rollout = rolloutOptions(mechanisms);
--- a/burdockhold/endpoint_choice.cc
+++ b/burdockhold/endpoint_choice.cc
@@ -12,12 +12,15 @@
 double engineMs(const endpoint_candidate &candidate, const placement_need &need, bool holds,
                 bool canCopy, const endpoint_choice_options &options)
 {
-    double ms = static_cast<double>(candidate.pendingPrefillTokens + need.unsharedTokens)
-                / options.prefillTokensPerMs;
+    const pace_line line = candidate.pace.value_or(
+            pace_line{ 0.0, 1.0 / options.prefillTokensPerMs, 0.0, 1.0, 0.0 });
+    // Running requests are charged below, and what views miss is the same for all engines.
+    double ms = line.lineMs(need.unsharedTokens, candidate.pendingPrefillTokens, 0);
+    ms += options.paceErrorWeight * line.errorShare * ms;
     if (!holds) {
         const auto tokens = static_cast<double>(need.segmentTokens);
         ms += canCopy ? tokens / options.copyTokensPerMs
-                      : options.recomputeWeight * tokens / options.prefillTokensPerMs;
+                      : options.recomputeWeight * tokens * line.msPerToken;
     }
     ms += options.runningRequestMs * candidate.running;
     const double requiredTokens = static_cast<double>(candidate.activeTokens + need.promptTokens
@@ -35,10 +38,16 @@
 {
     if (candidate.running >= candidate.slots)
         return false;
-    if (need.affinityKey.empty() || candidate.running == 0)
+    if (need.affinityKey.empty())
         return true;
     const std::int64_t prefillTokens = holds ? need.unsharedTokens : need.promptTokens;
-    if (candidate.pendingPrefillTokens + prefillTokens > options.maxPendingPrefillTokens
+    if (static_cast<double>(prefillTokens) > candidate.tokensLeft)
+        return false;
+    if (candidate.running == 0)
+        return true;
+    const double maxPendingTokens = static_cast<double>(options.maxPendingPrefillTokens)
+                                    / std::max(1.0, candidate.slowness);
+    if (static_cast<double>(candidate.pendingPrefillTokens + prefillTokens) > maxPendingTokens
         && candidate.pendingPrefillTokens > 0)
         return false;
     const auto requiredTokens = static_cast<double>(candidate.activeTokens + need.promptTokens
@@ -79,9 +88,12 @@
                           + std::llround(segmentShare * static_cast<double>(need.segmentTokens));
     choice.tokensAhead = candidate.pendingPrefillTokens;
     choice.running = candidate.running;
-    choice.expectedFirstEventMs = options.firstEventBaseMs
-                                  + static_cast<double>(choice.unreadTokens + choice.tokensAhead)
-                                            / options.prefillTokensPerMs;
+    const pace_line line = candidate.pace.value_or(
+            pace_line{ options.firstEventBaseMs, 1.0 / options.prefillTokensPerMs, 0.0, 1.0, 0.0 });
+    const pace_estimate estimate = line.estimate(choice.unreadTokens, choice.tokensAhead,
+                                                 choice.running);
+    choice.expectedFirstEventMs = estimate.expectedMs;
+    choice.expectedErrorMs = estimate.errorMs;
 }
 
 /// Returns a usable candidate other than the chosen one that holds the segment. The preferred
--- a/burdockhold/endpoint_choice.h
+++ b/burdockhold/endpoint_choice.h
@@ -16,10 +16,12 @@
 // capacity.
 
 #include "burdockhold/clock.h"
+#include "burdockhold/engine_pace.h"
 #include "burdockhold/enum_names.h"
 
 #include <array>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -76,6 +78,11 @@
     double latencyMs = 0.0;                ///< Moving average; plain services only.
     bool staleWeights = false;             ///< The weights are older than the target version.
     bool holdsSegment = false; ///< Caches the deepest shared segment for its current weights.
+    /// The engine's pace; nothing for plain services and while too little is known.
+    std::optional<pace_line> pace;
+    double slowness = 1.0; ///< Relative to the pool's engines, with pace.
+    /// Unread prompt tokens that this VM may still place there (pace_limit.h).
+    double tokensLeft = std::numeric_limits<double>::infinity();
 };
 
 /// Excludes an endpoint that the request must not be sent to again.
@@ -99,10 +106,11 @@
 
 struct endpoint_choice_options
 {
-    double prefillTokensPerMs = 50.0; ///< Prefill rate of an engine; engines do not report it.
-    /// Time from a call to its first event beyond the prefill. Only expectedFirstEventMs includes
-    /// it, since it is the same for all endpoints.
+    double prefillTokensPerMs = 50.0; ///< Prefill rate of an engine whose pace is not known.
+    /// Time from a call to its first event beyond the prefill. Without paces, only
+    /// expectedFirstEventMs includes it, since it is the same for all endpoints.
     double firstEventBaseMs = 27.0;
+    double paceErrorWeight = 0.25; ///< Weight of the expected time's error.
     /// Copying a segment takes this share of the time that recomputing it takes.
     double copyTimeShare = 1.0 / 7.0;
     /// Cost of copying a segment to an engine that lacks it. The copy itself takes a seventh of the
@@ -117,9 +125,10 @@
     double runningRequestMs = 1.0;   ///< Each running request slows the decode steps of all.
     double preemptionMs = 600.0;     ///< Prefill of preempted requests has to be repeated.
     double usableMemoryShare = 0.92; ///< Cache blocks are partly filled, so some memory is lost.
-    /// Limit on pending prefill at an engine, about 240 ms of work. Beyond the limit, requests wait
-    /// at the router, where the most urgent one goes first and a caller that disconnects costs
-    /// nothing. An engine that prefills without pause slows its streams to a tenth.
+    /// Limit on pending prefill at an engine, about 240 ms of work; less at a slow engine. Beyond
+    /// the limit, requests wait at the router, where the most urgent one goes first and a caller
+    /// that disconnects costs nothing. An engine that prefills without pause slows its streams to a
+    /// tenth.
     std::int64_t maxPendingPrefillTokens = 12000;
     /// Share of an engine's KV cache for running requests. The rest keeps shared segments: without
     /// them every prompt is computed in full, and the pool does not recover from an overload.
@@ -148,6 +157,7 @@
     int running = 0; ///< Requests that run at the endpoint without this one.
     /// Expected time from the call to its first event, without weights and penalties.
     double expectedFirstEventMs = 0.0;
+    double expectedErrorMs = 0.0;        ///< How much longer it may well take; 0 if not known.
     std::optional<std::size_t> copyFrom; ///< Candidate to copy the missing segment from.
 };
 
--- a/burdockhold/endpoint_table.cc
+++ b/burdockhold/endpoint_table.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <utility>
 
 namespace burdockhold {
@@ -13,6 +14,7 @@
 constexpr double CountScale = 10.0;   // Digests carry decayed counts in tenths.
 constexpr double LatencyWeight = 0.2; // Weight of the newest call in the moving average.
 constexpr std::int64_t MaxClockDifferenceMs = 200; // Between VMs and engines.
+constexpr std::int64_t MaxStartAgeMs = 60'000;     // Limits of engines end long before.
 
 std::uint32_t clamped(std::int64_t value)
 {
@@ -58,6 +60,8 @@
         noteEndedNotices(entry, notice_end::NewIncarnation, maySayLeaving);
     if (restarted || isNew) {
         entry = table_entry{};
+        entry.pace = engine_pace(m_options.pace);
+        entry.limit = pace_limit(m_options.paceLimit);
         entry.pause = endpoint_pause(m_options.pause);
         entry.saidLeavingAt = saidLeavingAt;
         if (hadNotice)
@@ -75,6 +79,8 @@
                          || entry.report.address != report.address;
     entry.report = report;
     entry.removed = false;
+    if (isNew || restarted)
+        limitNewIncarnation(entry, isNew, now);
     if (changed)
         entry.peerReportedLeavingAt.reset();
     if (report.leaving && changed)
@@ -167,6 +173,10 @@
     const bool poolIsEmpty = std::none_of(m_entries.begin(), m_entries.end(), [&](const auto &row) {
         return row.second.report.pool == pool && !row.second.removed;
     });
+    const auto poolPace = m_poolPaces.find(pool);
+    std::optional<pace_line> poolLine;
+    if (m_options.usePace && poolPace != m_poolPaces.end() && poolPace->second.isKnown())
+        poolLine = poolPace->second.lineAt(now);
     std::vector<endpoint_candidate> found;
     for (const auto &[id, entry] : m_entries) {
         if (entry.report.pool != pool || !isUsable(entry, poolIsEmpty, now))
@@ -174,6 +184,12 @@
         endpoint_candidate candidate = makeCandidate(entry, model, targetVersion, segmentKey, now);
         candidate.id = id;
         candidate.softwareVersion = entry.report.softwareVersion;
+        if (poolLine && !model.empty()) {
+            candidate.slowness = entry.pace.slowness(now);
+            candidate.pace = poolLine->slowedBy(candidate.slowness);
+        }
+        if (m_options.limitPace && !model.empty())
+            candidate.tokensLeft = tokensLeft(entry, candidate, now);
         if (tried.count(id) != 0)
             excludeTried(candidate);
         found.push_back(candidate);
@@ -291,6 +307,7 @@
     if (version <= known)
         return;
     known = version;
+    entry->pace = engine_pace(m_options.pace);
     // Loading new weights clears the engine's KV cache.
     entry->segments.clear();
     entry->segmentOrder.clear();
@@ -335,6 +352,7 @@
 {
     if (now >= entry.loadingUntil)
         entry.loadingSince = now;
+    entry.loadEnds = true;
     entry.loadingUntil = now
                          + std::clamp(timeLeft, m_options.loadingExpiry, m_options.maxLoadingMark);
 }
@@ -348,8 +366,10 @@
 
 void endpoint_table::recordRefusal(std::string_view id, time_point now)
 {
-    if (table_entry *entry = findEntry(id))
+    if (table_entry *entry = findEntry(id)) {
         entry->backOffUntil = std::max(entry->backOffUntil, now + m_options.refusalBackOff);
+        entry->limit.failed(now);
+    }
 }
 
 bool endpoint_table::isLoading(std::string_view id, time_point now) const
@@ -502,7 +522,8 @@
     if (entry == nullptr)
         return;
     entry->lastActivityAt = now;
-    entry->connectFailures = 0;
+    if (std::exchange(entry->connectFailures, 0) > 0)
+        startLimit(*entry, now);
 }
 
 void endpoint_table::recordCallResult(std::string_view id, bool succeeded, double latencyMs,
@@ -515,6 +536,7 @@
     entry->recent.calls += 1.0;
     if (!succeeded) {
         entry->recent.failures += 1.0;
+        entry->limit.failed(now);
         return;
     }
     entry->latencyMs = entry->latencyMs == 0.0
@@ -642,6 +664,10 @@
         peer = m_peers.erase(peer);
     }
     for (auto &[id, entry] : m_entries) {
+        if (entry.loadEnds && now >= entry.loadingUntil) {
+            entry.loadEnds = false;
+            startLimit(entry, now);
+        }
         if (entry.leavingAssumed && now >= entry.leavingAssumedUntil) {
             entry.leavingAssumed = false;
             if (!entry.pause.isLeaving())
@@ -651,6 +677,7 @@
         if (!entry.pauseRuns || entry.pause.isPausing(now))
             continue;
         entry.pauseRuns = false;
+        startLimit(entry, now);
         m_endedNotices.push_back({ id, entry.report.incarnation, false, notice_end::TimeOver });
     }
     constexpr duration RemovedRetention = std::chrono::seconds(30);
@@ -665,6 +692,59 @@
     }
 }
 
+void endpoint_table::recordFirstEvent(const first_event &event, time_point now)
+{
+    table_entry *entry = findEntry(event.endpointId);
+    if (entry == nullptr || entry->report.incarnation != event.incarnation)
+        return;
+    engine_pace &pool = m_poolPaces.try_emplace(entry->report.pool, m_options.pace).first->second;
+    pool.record(event.sample, now);
+    entry->pace.follow(pool);
+    entry->pace.record(event.sample, now);
+    entry->limit.firstEvent(event.expectedMs, event.sample.firstEventMs, event.sample.unreadTokens,
+                            now);
+}
+
+void endpoint_table::startLimit(table_entry &entry, time_point at)
+{
+    entry.limit.setVms(m_vms);
+    entry.limit.started(at);
+    ++m_startedLimits;
+}
+
+/// Limits an engine from its start. An engine that this VM has not known before may have run for
+/// long; without a clock to tell, it is not limited.
+void endpoint_table::limitNewIncarnation(table_entry &entry, bool isNew, time_point now)
+{
+    const auto unixMs = unixTimeAt(now);
+    if (isNew && !unixMs)
+        return;
+    duration age = duration::zero();
+    if (unixMs)
+        age = std::chrono::milliseconds(
+                std::clamp<std::int64_t>(*unixMs - entry.report.incarnation, 0, MaxStartAgeMs));
+    startLimit(entry, now - age);
+}
+
+/// Returns the tokens that this VM may still place at an engine with a limit. A VM with a part of
+/// the limit may always have one call there, or a long prompt would never be placed.
+double endpoint_table::tokensLeft(const table_entry &entry, const endpoint_candidate &candidate,
+                                  time_point now) const
+{
+    constexpr double Infinity = std::numeric_limits<double>::infinity();
+    const double limit = entry.limit.tokens(now);
+    if (std::isinf(limit))
+        return Infinity;
+    const std::string &id = entry.report.id;
+    const auto seed = m_options.returnSeed ^ static_cast<std::uint64_t>(entry.report.incarnation);
+    const double draw = std::ldexp(static_cast<double>(XXH64(id.data(), id.size(), seed)), -64);
+    const double part = tokensOfVm(limit, m_vms, draw);
+    if (part <= 0.0 || static_cast<double>(candidate.pendingPrefillTokens) >= limit)
+        return 0.0;
+    const auto ownTokens = static_cast<double>(entry.pendingPrefillTokens);
+    return ownTokens == 0.0 ? Infinity : part - ownTokens;
+}
+
 int endpoint_table::ownRunning(std::string_view id) const
 {
     const table_entry *entry = findEntry(id);
--- a/burdockhold/endpoint_table.h
+++ b/burdockhold/endpoint_table.h
@@ -23,6 +23,8 @@
 #include "burdockhold/deployment.h"
 #include "burdockhold/endpoint_choice.h"
 #include "burdockhold/endpoint_pause.h"
+#include "burdockhold/engine_pace.h"
+#include "burdockhold/pace_limit.h"
 #include "burdockhold/vm_digest.h"
 #include "burdockhold/weights_rollout.h"
 
@@ -69,6 +71,10 @@
     /// How long an incarnation is excluded that may have been the one that said it leaves. An
     /// engine that leaves ends many seconds after it has said so at the latest.
     duration assumedLeavingTime = std::chrono::seconds(30);
+    pace_options pace;
+    pace_limit_options paceLimit;
+    bool usePace = true;   ///< False: candidates have no pace.
+    bool limitPace = true; ///< False: candidates have no limit of tokens left.
     /// Differs between VMs, so that they come back at different times after an endpoint's pause.
     std::uint64_t returnSeed = 0;
     /// Maximum number of segments tracked per endpoint; more than an engine's KV cache holds.
@@ -90,6 +96,15 @@
     std::uint32_t pause = 0;
 };
 
+/// The first event of a call to a model engine.
+struct first_event
+{
+    std::string_view endpointId;
+    std::int64_t incarnation = 0; ///< That the call was made to.
+    pace_sample sample;
+    double expectedMs = 0.0;
+};
+
 /// What the table has learned from an endpoint's notice.
 struct notice_result
 {
@@ -220,6 +235,13 @@
     void recordActivity(std::string_view id, time_point now);
     void recordCallResult(std::string_view id, bool succeeded, double latencyMs, time_point now);
     void connectFailed(std::string_view id, time_point now);
+    /// Records a first event in the paces of the engine and its pool. It has no effect if the
+    /// engine has restarted.
+    void recordFirstEvent(const first_event &event, time_point now);
+    /// Sets the number of VMs that share the engines' limits, this VM included.
+    void setVms(std::size_t vms) { m_vms = vms; }
+    /// Returns how many limits of engines have started since the last call.
+    std::uint64_t takeStartedLimits() { return std::exchange(m_startedLimits, 0); }
     void recordCachedSegment(std::string_view id, const std::string &segmentKey);
 
     /// Adds the endpoint rows, weights rows and departed endpoints to this VM's digest.
@@ -275,6 +297,9 @@
         std::optional<std::int64_t> saidLeavingAt;
         bool leavingAssumed = false; // The end of the assumption has not been noted yet.
         time_point leavingAssumedUntil = time_point::min();
+        engine_pace pace = engine_pace();
+        pace_limit limit = pace_limit();
+        bool loadEnds = false; ///< The end of the load has not been noted yet.
     };
     struct peer_totals
     {
@@ -291,6 +316,10 @@
     };
 
     bool adopt(const endpoint_report &report, time_point now);
+    void startLimit(table_entry &entry, time_point at);
+    void limitNewIncarnation(table_entry &entry, bool isNew, time_point now);
+    double tokensLeft(const table_entry &entry, const endpoint_candidate &candidate,
+                      time_point now) const;
     void noteEndedNotices(const table_entry &entry, notice_end reason, bool leavingHolds = false);
     std::optional<std::int64_t> unixTimeAt(time_point now) const;
     static bool saysLeaving(const table_entry &entry, time_point now);
@@ -317,6 +346,9 @@
     std::unordered_map<std::uint32_t, std::string> m_idsByHash;
     std::unordered_map<std::uint32_t, peer_totals> m_peerTotals;
     std::map<std::string, peer_view, std::less<>> m_peers;
+    std::map<std::string, engine_pace, std::less<>> m_poolPaces;
+    std::size_t m_vms = 1;
+    std::uint64_t m_startedLimits = 0;
     std::vector<ended_notice> m_endedNotices;
     std::optional<std::int64_t> m_unixOffsetMs; // Unix time minus the table's time.
 };
--- a/burdockhold/engine_pace.cc
+++ b/burdockhold/engine_pace.cc
@@ -106,11 +106,14 @@
                                      m_options.maxSampleChange);
     const double limit = std::log(m_options.maxSlowness);
     m_slowness = std::clamp(m_slowness + weight * change, -limit, limit);
+    m_slownessFactor = std::exp(m_slowness);
 }
 
 /// Returns the logarithm of the present slowness beyond that for good; 0 if there is none.
 double engine_pace::momentExcess(time_point now) const
 {
+    if (m_samples < m_options.momentSamples)
+        return 0.0;
     double least = std::log(m_options.maxSlowness);
     for (int index = 0; index < m_options.momentSamples; ++index) {
         const past_sample &sample = m_recent[static_cast<std::size_t>(index)];
@@ -124,14 +127,15 @@
 
 double engine_pace::slowness(time_point now) const
 {
-    return std::exp(m_slowness + momentExcess(now));
+    const double excess = momentExcess(now);
+    return excess == 0.0 ? m_slownessFactor : m_slownessFactor * std::exp(excess);
 }
 
 pace_line engine_pace::lineAt(time_point now) const
 {
-    const double factor = slowness(now);
-    return { m_baseMs * factor, m_msPerToken * factor, m_options.runningMs * factor,
-             std::exp(m_unseen), std::exp(m_error) - 1.0 };
+    const pace_line line{ m_baseMs, m_msPerToken, m_options.runningMs, std::exp(m_unseen),
+                          std::exp(m_error) - 1.0 };
+    return line.slowedBy(slowness(now));
 }
 
 void engine_pace::follow(const engine_pace &poolPace)
--- a/burdockhold/engine_pace.h
+++ b/burdockhold/engine_pace.h
@@ -86,6 +86,13 @@
     double unseenFactor = 1.0; ///< Median of actual times relative to the line.
     double errorShare = 0.0;   ///< Error relative to the expected time.
 
+    /// Returns the line of an engine that is this many times slower.
+    pace_line slowedBy(double factor) const
+    {
+        return { baseMs * factor, msPerToken * factor, runningMs * factor, unseenFactor,
+                 errorShare };
+    }
+
     /// Returns the time without queueing that the view misses.
     double lineMs(std::int64_t unreadTokens, std::int64_t tokensAhead, int running) const
     {
@@ -136,7 +143,7 @@
         double excess = 0.0;
         time_point at = time_point::min();
     };
-    static constexpr std::size_t MaxMomentSamples = 8;
+    static constexpr std::size_t MaxMomentSamples = 4;
 
     double lineMs(const pace_sample &sample) const;
     void moveLine(const pace_sample &sample, double predictedMs, time_point now);
@@ -151,9 +158,10 @@
     bool m_followsPool = false;
     time_point m_lastSampleAt = time_point::min();
     // Logarithms of factors.
-    double m_unseen = 0.0;   ///< Median of actual times relative to the line.
-    double m_error = 0.4;    ///< Before the first samples, about half of the expected time.
-    double m_slowness = 0.0; ///< For good, relative to the pool.
+    double m_unseen = 0.0;         ///< Median of actual times relative to the line.
+    double m_error = 0.4;          ///< Before the first samples, about half of the expected time.
+    double m_slowness = 0.0;       ///< For good, relative to the pool.
+    double m_slownessFactor = 1.0; ///< exp(m_slowness), which every choice reads.
     std::array<past_sample, MaxMomentSamples> m_recent{};
     std::size_t m_nextRecent = 0;
 };
--- a/burdockhold/event_router.cc
+++ b/burdockhold/event_router.cc
@@ -396,7 +396,9 @@
 {
     const time_point now = steadyNow();
     m_board.endpoints.setUnixTime(unixMilliseconds(), now);
+    m_board.endpoints.setVms(m_board.knownPeers + 1);
     m_board.endpoints.step(m_board.digestInterval, now);
+    m_board.metrics.count(router_counter::PaceLimitsStarted, m_board.endpoints.takeStartedLimits());
     m_board.crashes.step(now);
     logEndedNotices(m_board, now);
     for (auto *ledgers : m_board.sharedLimits()) {
--- a/burdockhold/mechanisms.h
+++ b/burdockhold/mechanisms.h
@@ -39,12 +39,14 @@
     StartGuard,
     SharedRetrySlack,
     ReturnedTokens,
+    EnginePace,
+    PaceLimit,
 };
 
 template <>
 struct enum_names<mechanism>
 {
-    static constexpr std::array<enum_name<mechanism>, 19> Table{ {
+    static constexpr std::array<enum_name<mechanism>, 21> Table{ {
             { mechanism::PreferredEndpoint, "preferred_endpoint" },
             { mechanism::PoolSampling, "pool_sampling" },
             { mechanism::SegmentCopies, "segment_copies" },
@@ -64,6 +66,8 @@
             { mechanism::StartGuard, "start_guard" },
             { mechanism::SharedRetrySlack, "shared_retry_slack" },
             { mechanism::ReturnedTokens, "returned_tokens" },
+            { mechanism::EnginePace, "engine_pace" },
+            { mechanism::PaceLimit, "pace_limit" },
     } };
 };
 
--- a/burdockhold/request_log.cc
+++ b/burdockhold/request_log.cc
@@ -18,6 +18,7 @@
 {
     summary.expectedMs = choice.expectedMs;
     summary.expectedFirstEventMs = choice.expectedFirstEventMs;
+    summary.expectedErrorMs = choice.expectedErrorMs;
     summary.callFirstByte = callFirstByte;
     summary.longestGap = longestGap;
     summary.tokensAhead = choice.tokensAhead;
@@ -40,6 +41,7 @@
              { "first_ms", milliseconds(request.firstByte) },
              { "expected_ms", request.expectedMs },
              { "expected_first_ms", request.expectedFirstEventMs },
+             { "expected_error_ms", request.expectedErrorMs },
              { "call_first_ms", milliseconds(request.callFirstByte) },
              { "longest_gap_ms", milliseconds(request.longestGap) },
              { "ahead", request.tokensAhead },
--- a/burdockhold/request_log.h
+++ b/burdockhold/request_log.h
@@ -33,6 +33,7 @@
     duration firstByte = duration::zero(); ///< From the arrival to the response's first byte.
     double expectedMs = 0.0;           ///< Cost of the last placement, with weights and penalties.
     double expectedFirstEventMs = 0.0; ///< Of the last call, from its start.
+    double expectedErrorMs = 0.0;      ///< How much longer it may well take; 0 if not known.
     /// From the start of the last call to its first byte; zero if none came.
     duration callFirstByte = duration::zero();
     /// Longest time between two events of the stream, over all calls, without times in which the
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -4,6 +4,7 @@
 #include "burdockhold/endpoint_notices.h"
 #include "burdockhold/endpoint_refusals.h"
 #include "burdockhold/enum_names.h"
+#include "burdockhold/first_events.h"
 #include "burdockhold/placement_log.h"
 #include "burdockhold/prompt_segments.h"
 #include "burdockhold/retry_after.h"
@@ -651,6 +652,10 @@
     m_prefillDone = true;
     const time_point now = steadyNow();
     m_callFirstByte = now - m_callStarted;
+    recordFirstEvent(m_context.board,
+                     { m_endpointId, m_endpointIncarnation, m_pool, *m_route, m_head.status,
+                       m_continuesStream, m_callFirstByte },
+                     m_choice, now);
     if (m_rolloutCall)
         m_rolloutCall->firstByteReceived(now);
     router_board &board = m_context.board;
--- a/burdockhold/router_metrics.h
+++ b/burdockhold/router_metrics.h
@@ -49,12 +49,15 @@
     EngineNoticesIgnored,
     RefusedAllPaused,
     ChoicesWithoutPaused,
+    FirstEventsJudged,
+    FirstEventsLate,
+    PaceLimitsStarted,
 };
 
 template <>
 struct enum_names<router_counter>
 {
-    static constexpr std::array<enum_name<router_counter>, 32> Table{ {
+    static constexpr std::array<enum_name<router_counter>, 35> Table{ {
             { router_counter::Requests, "requests" },
             { router_counter::Served, "served" },
             { router_counter::RefusedNotRun, "refused_not_run" },
@@ -87,6 +90,9 @@
             { router_counter::EngineNoticesIgnored, "engine_notices_ignored" },
             { router_counter::RefusedAllPaused, "refused_all_paused" },
             { router_counter::ChoicesWithoutPaused, "choices_with_paused_left_out" },
+            { router_counter::FirstEventsJudged, "first_events_judged" },
+            { router_counter::FirstEventsLate, "first_events_later_than_expected" },
+            { router_counter::PaceLimitsStarted, "pace_limits_started" },
     } };
 };
 
--- a/testing/endpoint_choice_test.cc
+++ b/testing/endpoint_choice_test.cc
@@ -261,3 +261,32 @@
                        == options.firstEventBaseMs + tokens / options.prefillTokensPerMs,
                boost::test_tools::tolerance(1e-9));
 }
+
+// Guards against an engine in a slow moment that gets as much as the others, and against a limit
+// that excludes an engine from a prompt which it has cached.
+BOOST_AUTO_TEST_CASE(slow_and_limited_engines_get_less)
+{
+    std::vector<endpoint_candidate> engines = idleEngines(2);
+    const pace_line line{ 27.0, 1.0 / 40.0, 0.2, 1.0, 0.4 };
+    for (endpoint_candidate &engine : engines) {
+        engine.pace = line;
+        engine.holdsSegment = true;
+        engine.running = 1;
+        engine.pendingPrefillTokens = 2000;
+    }
+    placement_need need = longPrompt("s");
+    engines[0].slowness = 2.5;
+    engines[0].pace = line.slowedBy(2.5);
+    engines[1].pendingPrefillTokens = 4500;
+    const auto choice = chooseEndpoint(engines, need, 0);
+    BOOST_REQUIRE(choice);
+    BOOST_TEST(choice->index == 1U);
+    BOOST_TEST(choice->expectedErrorMs == 0.4 * choice->expectedFirstEventMs,
+               boost::test_tools::tolerance(1e-9));
+
+    engines[0].pendingPrefillTokens = 6000; // Half of what an engine at full speed may have.
+    engines[1].tokensLeft = 0.0;
+    BOOST_TEST(!chooseEndpoint(engines, need, 0).has_value());
+    need.unsharedTokens = 0;
+    BOOST_TEST(chooseEndpoint(engines, need, 0)->index == 1U);
+}
--- a/testing/endpoint_table_test.cc
+++ b/testing/endpoint_table_test.cc
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <cmath>
 #include <string>
 
 using namespace burdockhold;
@@ -290,3 +291,59 @@
     other.applyPeerDigest(digestOf(table, "vm", at(1.2)), at(1.2));
     BOOST_TEST(other.weightsOf("e1", Model) == 3);
 }
+
+// Guards against an engine that is judged by its previous incarnation, and against samples of calls
+// to that one.
+BOOST_AUTO_TEST_CASE(paceBelongsToAnIncarnation)
+{
+    endpoint_table table("dc1");
+    for (const char *id : { "e1", "e2" })
+        table.update(report(id), at(0));
+    BOOST_TEST(!candidate(table, "e1", at(0)).pace.has_value());
+    for (int index = 0; index < 60; ++index) {
+        const time_point now = at(0.1 * index);
+        table.recordFirstEvent({ "e1", 1, { 800, 0, 0, 43.0 }, 43.0 }, now);
+        table.recordFirstEvent({ "e2", 1, { 800, 0, 0, 86.0 }, 43.0 }, now);
+    }
+    const endpoint_candidate fast = candidate(table, "e1", at(6));
+    const endpoint_candidate slow = candidate(table, "e2", at(6));
+    BOOST_TEST(slow.pace->msPerToken > 1.4 * fast.pace->msPerToken);
+    table.update(report("e2", 2), at(6));
+    table.recordFirstEvent({ "e2", 1, { 800, 0, 0, 860.0 }, 43.0 }, at(6));
+    BOOST_TEST(candidate(table, "e2", at(6)).slowness == 1.0);
+    BOOST_TEST(candidate(table, "e2", at(6)).pace.has_value());
+
+    endpoint_table_options options;
+    options.usePace = false;
+    endpoint_table without("dc1", options);
+    without.update(report("e1"), at(0));
+    for (int index = 0; index < 60; ++index)
+        without.recordFirstEvent({ "e1", 1, { 800, 0, 0, 43.0 }, 43.0 }, at(0.1 * index));
+    BOOST_TEST(!candidate(without, "e1", at(6)).pace.has_value());
+}
+
+// Guards against all VMs sending what they have to an engine that has just started, and against
+// limits on engines that ran before this VM started.
+BOOST_AUTO_TEST_CASE(startedEngineIsSharedByFewVms)
+{
+    constexpr std::int64_t NowMs = 1'700'000'000'000;
+    int users = 0;
+    for (std::uint64_t vm = 0; vm < 77; ++vm) {
+        endpoint_table_options options;
+        options.returnSeed = shortHash("vm-" + std::to_string(vm));
+        endpoint_table table("dc1", options);
+        table.setVms(77);
+        table.setUnixTime(NowMs, at(0));
+        table.update(report("old", NowMs - 3'600'000, "127.0.0.1:2"), at(0));
+        table.update(report("new", NowMs - 50), at(0));
+        BOOST_TEST(std::isinf(candidate(table, "old", at(0)).tokensLeft));
+        if (candidate(table, "new", at(0)).tokensLeft > 0.0) {
+            ++users;
+            table.callStarted("new", { 1500, 1600 }, at(0));
+            BOOST_TEST(candidate(table, "new", at(0)).tokensLeft < 1500.0);
+        }
+        BOOST_TEST(std::isinf(candidate(table, "new", at(3)).tokensLeft));
+    }
+    BOOST_TEST(users >= 1);
+    BOOST_TEST(users <= 6);
+}
