--- a/burdockhold/mechanisms.h
+++ b/burdockhold/mechanisms.h
@@ -45,12 +45,14 @@
     ColdRate,
     Evacuation,
     FairWaiting,
+    EnginePace,
+    PaceLimit,
 };
 
 template <>
 struct enum_names<mechanism>
 {
-    static constexpr std::array<enum_name<mechanism>, 25> Table{ {
+    static constexpr std::array<enum_name<mechanism>, 27> Table{ {
             { mechanism::PreferredEndpoint, "preferred_endpoint" },
             { mechanism::PoolSampling, "pool_sampling" },
             { mechanism::SegmentCopies, "segment_copies" },
@@ -76,6 +78,8 @@
             { mechanism::ColdRate, "cold_rate" },
             { mechanism::Evacuation, "evacuation" },
             { mechanism::FairWaiting, "fair_waiting" },
+            { mechanism::EnginePace, "engine_pace" },
+            { mechanism::PaceLimit, "pace_limit" },
     } };
 };
 
--- a/burdockhold/placement_scheduler.cc
+++ b/burdockhold/placement_scheduler.cc
@@ -93,6 +93,9 @@
         candidate.running = known.running;
         candidate.pendingPrefillTokens = pendingAt(known, now);
         candidate.activeTokens = known.activeTokens;
+        // The limit of an engine that has become usable bounds what a VM places without knowing
+        // what the others place. Here all of it is known.
+        candidate.tokensLeft = std::numeric_limits<double>::infinity();
         const auto cached = m_cached.find(hash);
         candidate.holdsSegment = question.segment != 0 && cached != m_cached.end()
                                  && cached->second.weights == candidate.weights
--- a/burdockhold/router_metrics.h
+++ b/burdockhold/router_metrics.h
@@ -56,12 +56,15 @@
     ConnectionsRefused,
     RefusedMemory,
     AcceptPauses,
+    FirstEventsJudged,
+    FirstEventsLate,
+    PaceLimitsStarted,
 };
 
 template <>
 struct enum_names<router_counter>
 {
-    static constexpr std::array<enum_name<router_counter>, 39> Table{ {
+    static constexpr std::array<enum_name<router_counter>, 42> Table{ {
             { router_counter::Requests, "requests" },
             { router_counter::Served, "served" },
             { router_counter::RefusedNotRun, "refused_not_run" },
@@ -101,6 +104,9 @@
             { router_counter::ConnectionsRefused, "connections_refused" },
             { router_counter::RefusedMemory, "refused_memory" },
             { router_counter::AcceptPauses, "accept_pauses" },
+            { router_counter::FirstEventsJudged, "first_events_judged" },
+            { router_counter::FirstEventsLate, "first_events_later_than_expected" },
+            { router_counter::PaceLimitsStarted, "pace_limits_started" },
     } };
 };
 
