Begin no call on old weights where the time of a newer version is not known

A VM that starts assumes that a version was announced 4 s ago, so its calls on older weights could begin for 2.5 s although the other VMs knew of an announcement long ago. Now it begins none before it has heard most of them.

A version that was read late, after a suspension or from a reader with an old view, counted as just announced, and the digest told this time as a known one. Now it counts as announced when the view was last confirmed, as a guess.

A VM that is cut off from the log and the others placed calls and continued streams without a bound where the route needs no key. Now it begins no call on any version of the model once its view and the last digests of most of the other VMs are as old as the bound.

--- a/burdockhold/digest_exchange.cc
+++ b/burdockhold/digest_exchange.cc
@@ -40,6 +40,7 @@
     , m_buffer()
     , m_incarnation(std::random_device{}())
 {
+    m_board.fleetHeardAt = duration::min() / 2;
 }
 
 std::string digest_exchange::open()
@@ -173,18 +174,43 @@
     for (const aggregator_candidate &local : liveLocalVms(now))
         m_board.liveVms.push_back(local.vm);
     m_board.groupVms = liveGroup(now);
+    std::size_t heard = heardLocalVms(now);
     duration summaryInterval = isGrouped() ? m_options.interval : duration::zero();
     for (const auto &[dataCentre, group] : m_groups) {
         summaryInterval = std::max(summaryInterval, group.interval);
         m_board.knownPeers += group.vms.size();
-        if (hasLiveAggregator(group, now))
-            m_board.liveVms.insert(m_board.liveVms.end(), group.vms.begin(), group.vms.end());
+        if (!hasLiveAggregator(group, now))
+            continue;
+        m_board.liveVms.insert(m_board.liveVms.end(), group.vms.begin(), group.vms.end());
+        heard += group.vms.size();
     }
+    recordHeardVms(heard);
     // A summary contains digests that are up to one interval old, and is forwarded at the same
     // pace.
     m_board.digestInterval = m_interval + 2 * summaryInterval;
 }
 
+/// Returns the number of VMs whose digests this VM receives. One that was only announced in the log
+/// counts from its first digest.
+std::size_t digest_exchange::heardLocalVms(time_point now) const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_peers.begin(), m_peers.end(), [&](const auto &row) {
+                return receivesDigests(row.second) && row.second.incarnation != 0
+                       && isLive(row.second, now);
+            }));
+}
+
+/// A VM that is cut off still expects the others after they have expired.
+void digest_exchange::recordHeardVms(std::size_t heard)
+{
+    const std::size_t expected = std::max(m_expectedPeers, m_board.knownPeers);
+    const bool hearsMost = expected == 0 || 2 * (heard + 1) > expected + 1;
+    m_expectedPeers = hearsMost ? m_board.knownPeers : expected;
+    if (hearsMost)
+        m_board.fleetHeardAt = bootTimeNow();
+}
+
 void digest_exchange::sendTo(const udp::endpoint &address, std::string_view bytes)
 {
     error_code ignored; // The next digest makes up for a lost one.
--- a/burdockhold/digest_exchange.h
+++ b/burdockhold/digest_exchange.h
@@ -102,6 +102,8 @@
     bool isLive(const peer &other, time_point now) const;
     void expirePeers(time_point now);
     void publishPeers(time_point now);
+    std::size_t heardLocalVms(time_point now) const;
+    void recordHeardVms(std::size_t heard);
     std::vector<aggregator_candidate> liveLocalVms(time_point now) const;
     bool actsAsAggregator(time_point now) const;
     std::vector<group_vm> liveGroup(time_point now) const;
@@ -142,6 +144,7 @@
     time_point m_summaryDueAt;
     duration m_summaryInterval = duration::zero(); // Between this VM's summaries.
     time_point m_forwardDueAt;
+    std::size_t m_expectedPeers = 0; // Other VMs when most of them were last heard, or more since.
     std::map<std::string, std::size_t> m_probeOffsets; // By data centre; see probeAggregators().
     time_point m_urgentDueAt;
 };
--- a/burdockhold/event_router.cc
+++ b/burdockhold/event_router.cc
@@ -35,10 +35,6 @@
 // Tenths of the revocation bound after which a VM that cannot read the log reports itself as not
 // ready.
 constexpr int MaxReadyAgeTenths = 6;
-// How long after a start calls may begin on weights that are older than a version with a guessed
-// announcement time, less the margin of the weights bound. Long enough for the first digests to
-// arrive, and shorter than the platform permits for a started VM.
-constexpr duration GuessedVersionGrace = std::chrono::milliseconds(4000);
 constexpr std::size_t MaxProbeBytes = 4096;
 constexpr int StatusOk = 200;
 
@@ -318,12 +314,7 @@
     }
     const platform::target_weights &target = valueOf(decoded);
 
-    // A version that a starting VM finds may have been announced at any earlier time. Unless
-    // digests of other VMs report the time, calls on older weights end soon after the start.
-    const bool atStart = m_board.deploymentConfirmedAt < duration::zero();
-    const duration age = atStart ? m_board.settings.weightsBound - GuessedVersionGrace
-                                 : duration::zero();
-    if (!m_board.recordAnnouncedVersion(target.model, target.version, age, atStart))
+    if (!m_board.recordReadVersion(target.model, target.version))
         return;
     if (m_board.log.accepts(log_priority::StateChange, now))
         m_board.log.write(log_event::WeightsWanted,
--- a/burdockhold/placement_inputs.cc
+++ b/burdockhold/placement_inputs.cc
@@ -46,10 +46,15 @@
     auto candidates = board.endpoints.candidates(
             query.poolName, isEngineCall(query) ? request.model : "", targetVersion,
             deepestSegmentName(request, query.domain, targetVersion), query.triedEndpoints, now);
+    const bool allExpired = targetVersion > 0 && isEngineCall(query)
+                            && board.mayHaveMissedVersion();
     for (endpoint_candidate &candidate : candidates) {
-        if (candidate.staleWeights && !isOwnStatement(candidate.excluded)
-            && board.weightsExpired(request.model,
-                                    board.endpoints.weightsOf(candidate.id, request.model)))
+        const bool expired = allExpired
+                             || (candidate.staleWeights
+                                 && board.weightsExpired(
+                                         request.model,
+                                         board.endpoints.weightsOf(candidate.id, request.model)));
+        if (expired && !isOwnStatement(candidate.excluded))
             candidate.excluded = exclusion::ExpiredWeights;
     }
     if (!query.calledAddresses.empty() && !query.mayCallAgain)
--- a/burdockhold/router_board.cc
+++ b/burdockhold/router_board.cc
@@ -15,6 +15,13 @@
 constexpr std::size_t MaxVersionsKept = 16;
 /// Allows for the time between the placement of a call and its beginning at the endpoint.
 constexpr duration StaleWeightsMargin = std::chrono::milliseconds(1500);
+/// How long after a start calls may begin on weights that are older than a version with a guessed
+/// announcement time, less the margin of the weights bound. Long enough for the first digests to
+/// arrive, and shorter than the platform permits for a started VM.
+constexpr duration GuessedVersionGrace = std::chrono::milliseconds(4000);
+/// A view that was confirmed within this time has received each change at once: readers wait for
+/// changes for at most a fifth of the revocation bound, and other VMs for less than that.
+constexpr duration UsualViewAge = std::chrono::seconds(2);
 /// How long a store is treated as unavailable after the last report of a failed check. Covers two
 /// missed checks.
 constexpr duration StoreUnavailableTime = std::chrono::milliseconds(1200);
@@ -95,15 +102,45 @@
     return newest;
 }
 
+bool router_board::recordReadVersion(const std::string &model, std::int64_t version)
+{
+    const bool atStart = deploymentConfirmedAt < duration::zero();
+    if (atStart)
+        return recordAnnouncedVersion(model, version, settings.weightsBound - GuessedVersionGrace,
+                                      true);
+    const bool isLate = deploymentAge() > UsualViewAge;
+    return recordAnnouncedVersion(model, version, isLate ? deploymentAge() : duration::zero(),
+                                  isLate);
+}
+
+/// Returns for how long calls on older weights may be placed after an announcement.
+duration router_board::olderWeightsTime() const
+{
+    return settings.weightsBound - StaleWeightsMargin;
+}
+
+/// Returns true if most of the other VMs were heard so recently that what they know is known here.
+bool router_board::knowsFleet() const
+{
+    return fleetHeardAt > bootTimeNow() - olderWeightsTime();
+}
+
+bool router_board::mayHaveMissedVersion() const
+{
+    return deploymentAge() > olderWeightsTime() && !knowsFleet();
+}
+
 duration router_board::weightsUsableFor(const std::string &model, std::int64_t version) const
 {
     const auto found = announcedVersions.find(model);
     if (found == announcedVersions.end())
         return duration::max();
     for (const announced_version &announced : found->second) {
-        if (announced.version > version)
-            return settings.weightsBound - StaleWeightsMargin
-                   - (bootTimeNow() - announced.announcedAt);
+        if (announced.version <= version)
+            continue;
+        if (announced.guessed && !knowsFleet())
+            return duration::zero(); // Other VMs may know an earlier time.
+        return olderWeightsTime() - (bootTimeNow() - announced.announcedAt);
     }
     return duration::max();
 }
--- a/burdockhold/router_board.h
+++ b/burdockhold/router_board.h
@@ -79,6 +79,17 @@
     bool recordAnnouncedVersion(const std::string &model, std::int64_t version, duration age,
                                 bool guessed);
 
+    /// Records a version that this VM has read in the log. It may have been announced at any time
+    /// since the view was last confirmed; for a VM that starts, at any earlier time. Unless other
+    /// VMs report the time, it is assumed to be the earliest one possible. Returns true if the
+    /// version was not known before and is the newest.
+    bool recordReadVersion(const std::string &model, std::int64_t version);
+
+    /// Returns true if a version may have been announced so long ago that no call may begin on any
+    /// earlier one, without this VM's knowledge: its view is as old, and so are the last digests of
+    /// most of the other VMs, which would have told it.
+    bool mayHaveMissedVersion() const;
+
     /// Returns how much longer calls may begin on this version. Zero or less means that no call
     /// may begin, since a newer version was announced too long ago; duration::max() means that no
     /// newer version is known.
@@ -161,6 +172,8 @@
     const decision_options options;
 
 private:
+    duration olderWeightsTime() const;
+    bool knowsFleet() const;
     retry_limit &retryLimit(const std::string &pool, time_point now);
     quota_ledger_options sharedLimitOptions(std::string_view limit) const;
     std::uint64_t phaseSeedOf(std::string_view limit) const;
@@ -214,7 +227,10 @@
     // Written by the digest exchange.
     std::size_t knownPeers = 0;
     std::vector<std::uint32_t> liveVms; ///< shortHashes of the other VMs with recent digests.
-    std::vector<group_vm> groupVms;     ///< VMs of the own group that are not shutting down.
+    /// When most of the other VMs were last heard, on the boot-time clock, or that there are none.
+    /// In the future without a digest exchange.
+    duration fleetHeardAt = duration::max() / 2;
+    std::vector<group_vm> groupVms; ///< VMs of the own group that are not shutting down.
     /// Longest time between two digests of a VM, or two summaries of a data centre, if none is
     /// lost.
     duration digestInterval = std::chrono::milliseconds(200);
--- a/testing/peer_groups_looptest.cc
+++ b/testing/peer_groups_looptest.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -114,6 +115,22 @@
 
 } // namespace
 
+// Guards against a VM that is cut off from the others and takes itself for informed of what they
+// know, since it has only read their names in the log; and against one that hears them and does
+// not.
+BOOST_AUTO_TEST_CASE(vmIsInformedOnceItHearsMostOfTheOthers)
+{
+    test_fleet fleet;
+    for (int step = 0; step < 5; ++step)
+        fleet.vms[0]->exchange.step(steadyNow());
+    BOOST_TEST((fleet.vms[0]->board.fleetHeardAt < duration::zero()));
+    BOOST_TEST(fleet.reaches([&] {
+        return std::all_of(fleet.vms.begin(), fleet.vms.end(), [](const auto &vm) {
+            return vm->board.fleetHeardAt > duration::zero();
+        });
+    }));
+}
+
 // Guards against requests of VMs in other data centres that are not counted or counted twice, and
 // against a data centre that becomes silent when its aggregator stops.
 BOOST_AUTO_TEST_CASE(loadsOfAllDataCentresAreSeenAfterAnAggregatorStops)
--- a/testing/router_board_looptest.cc
+++ b/testing/router_board_looptest.cc
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE router_board
+#include "burdockhold/placement_inputs.h"
 #include "burdockhold/router_board.h"
 
 #include <boost/test/unit_test.hpp>
@@ -6,6 +7,7 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -66,6 +68,72 @@
     BOOST_TEST(!board.weightsExpired("m", 3));
 }
 
+// Guards against a VM that learns of a version late, after a suspension or from a reader with an
+// old view, and takes it for just announced: it would begin calls on older weights for another
+// bound, and its digest would tell VMs that have started since the same.
+BOOST_AUTO_TEST_CASE(versionThatIsReadLateMayHaveBeenAnnouncedLongAgo)
+{
+    router_board late(settings());
+    late.recordAnnouncedVersion("m", 4, seconds(100), false);
+    late.deploymentConfirmedAt = bootTimeNow() - seconds(20);
+    BOOST_TEST(late.recordReadVersion("m", 5));
+    BOOST_TEST(late.weightsExpired("m", 4));
+    BOOST_TEST(late.announcedVersions.at("m").back().guessed);
+    late.recordAnnouncedVersion("m", 5, seconds(1), false);
+    BOOST_TEST(!late.weightsExpired("m", 4));
+
+    router_board inTime(settings());
+    inTime.deploymentConfirmedAt = bootTimeNow() - seconds(1);
+    inTime.recordReadVersion("m", 5);
+    BOOST_TEST(!inTime.weightsExpired("m", 4));
+    BOOST_TEST(!inTime.announcedVersions.at("m").back().guessed);
+}
+
+// Guards against a VM that starts long after an announcement and begins calls on older weights
+// before the digests of the others tell it the time. In two plays a VM that had been added began
+// such a call 20 s and 28 s after the announcement.
+BOOST_AUTO_TEST_CASE(startedVmBeginsNoCallsOnOlderWeightsBeforeItHasHeardTheOthers)
+{
+    router_board board(settings());
+    board.fleetHeardAt = duration::min() / 2;
+    board.recordReadVersion("m", 5);
+    BOOST_TEST(board.weightsExpired("m", 4));
+    BOOST_TEST(!board.weightsExpired("m", 5));
+    board.fleetHeardAt = bootTimeNow(); // The others have started just as late.
+    BOOST_TEST(!board.weightsExpired("m", 4));
+}
+
+// Guards against a VM that is cut off from the log and the other VMs and places calls, or continues
+// streams, on a version whose successor it cannot know. Routes without keys have no bound on the
+// age of the view.
+BOOST_AUTO_TEST_CASE(noCallBeginsWhereANewerVersionMayHaveBeenMissed)
+{
+    router_board board(settings());
+    board.recordAnnouncedVersion("m", 4, seconds(100), false);
+    endpoint_report report;
+    report.id = "e1";
+    report.pool = "engines";
+    report.slots = 8;
+    report.weights = { { "m", 4 } };
+    const time_point now = steadyNow();
+    board.endpoints.update(report, now);
+    deployment_pool engines;
+    engines.name = report.pool;
+    engines.engine = engine_traits{ 32, 75612, 262144, { "m" } };
+    caller_request request;
+    request.model = "m";
+    const std::set<std::string> none;
+    const auto excludedAt = [&](duration viewAge, duration fleetAge) {
+        board.deploymentConfirmedAt = bootTimeNow() - viewAge;
+        board.fleetHeardAt = bootTimeNow() - fleetAge;
+        const placement_query query{ request, {}, &engines, engines.name, none, none, true, false };
+        return placementCandidates(board, query, now).front().excluded;
+    };
+    BOOST_TEST((excludedAt(seconds(20), seconds(20)) == exclusion::ExpiredWeights));
+    BOOST_TEST((excludedAt(seconds(1), seconds(20)) == exclusion::None));
+    BOOST_TEST((excludedAt(seconds(20), seconds(1)) == exclusion::None)); // The log is down.
+}
+
 // Guards against the choice of an unavailable store, and against one store that receives all
 // segments.
 BOOST_AUTO_TEST_CASE(segmentsAreSpreadOverTheAvailableStores)
