--- a/burdockhold/placement_inputs.cc
+++ b/burdockhold/placement_inputs.cc
@@ -18,9 +18,14 @@
 void excludeExpiredWeights(std::vector<endpoint_candidate> &candidates, const router_board &board,
                            const std::string &model)
 {
+    const bool allExpired = !model.empty() && board.targetVersion(model) > 0
+                            && board.mayHaveMissedVersion();
     for (endpoint_candidate &candidate : candidates) {
-        if (candidate.staleWeights && !isOwnStatement(candidate.excluded)
-            && board.weightsExpired(model, board.endpoints.weightsOf(candidate.id, model)))
+        const bool expired = allExpired
+                             || (candidate.staleWeights
+                                 && board.weightsExpired(
+                                         model, board.endpoints.weightsOf(candidate.id, model)));
+        if (expired && !isOwnStatement(candidate.excluded))
             candidate.excluded = exclusion::ExpiredWeights;
     }
 }
@@ -87,7 +92,7 @@
     auto candidates = board.endpoints.candidates(
             query.poolName, isEngineCall(query) ? request.model : "", targetVersion,
             deepestSegmentName(request, query.domain, targetVersion), query.triedEndpoints, now);
-    excludeExpiredWeights(candidates, board, request.model);
+    excludeExpiredWeights(candidates, board, isEngineCall(query) ? request.model : "");
     if (!query.calledAddresses.empty() && !query.mayCallAgain)
         excludeCalled(candidates, board, query.calledAddresses);
     excludeCold(candidates, board, now);
@@ -97,10 +102,11 @@
 std::vector<endpoint_candidate> schedulableCandidates(router_board &board, std::uint32_t pool,
                                                       std::uint32_t model, time_point now)
 {
+    if (!board.deployment)
+        return {};
     const deployment_pool *found = nullptr;
     std::string modelName;
-    for (const deployment_pool &known :
-         board.deployment ? board.deployment->pools() : std::vector<deployment_pool>()) {
+    for (const deployment_pool &known : board.deployment->pools()) {
         if (shortHash(known.name) != pool || !known.engine)
             continue;
         found = &known;
