Evacuate data centres, and keep requests in their allowed regions

An operator could not move the traffic out of a data centre. Records evacuate/ZONE were ignored, and deletions of records too.

Endpoints of an evacuated data centre are excluded from requests, repeats and copies, its stores from copies and saves, and its engines from orders. A list of records that lacks an evacuation ends it only once its view is known to be newer: another reader's view may be older. Resumable streams migrate at the pace of the retry budget once two fifths of the bound have passed. After the end, engines count as cold until they have written a later entry. A request that finds everything evacuated is refused at once (all_evacuated).

allowed_regions of routes and accounts remove engines and stores outside of them, by the same places in the code.

--- a/burdockhold/decision_log.h
+++ b/burdockhold/decision_log.h
@@ -43,6 +43,9 @@
     EndpointLeaving,
     EndpointPaused,
     EndpointNoticeEnded,
+    EvacuationStarted,
+    EvacuationEnded,
+    EvacuationIgnored,
     DutyChanged,
     RolloutStarted,
     RolloutRefused,
@@ -71,7 +74,7 @@
 template <>
 struct enum_names<log_event>
 {
-    static constexpr std::array<enum_name<log_event>, 40> Table{ {
+    static constexpr std::array<enum_name<log_event>, 43> Table{ {
             { log_event::Started, "started" },
             { log_event::Stopping, "stopping" },
             { log_event::Stopped, "stopped" },
@@ -89,6 +92,9 @@
             { log_event::EndpointLeaving, "endpoint_leaving" },
             { log_event::EndpointPaused, "endpoint_paused" },
             { log_event::EndpointNoticeEnded, "endpoint_notice_ended" },
+            { log_event::EvacuationStarted, "evacuation_started" },
+            { log_event::EvacuationEnded, "evacuation_ended" },
+            { log_event::EvacuationIgnored, "evacuation_ignored" },
             { log_event::DutyChanged, "duty_changed" },
             { log_event::RolloutStarted, "rollout_started" },
             { log_event::RolloutRefused, "rollout_refused" },
--- a/burdockhold/deployment.h
+++ b/burdockhold/deployment.h
@@ -45,6 +45,7 @@
     bool publicAccess = false;
     bool resumable = false;
     std::vector<weighted_pool> pools;
+    std::vector<std::string> allowedRegions; ///< Of engines; empty if all are allowed.
 };
 
 /// Properties of a pool's model engines.
@@ -84,12 +85,13 @@
 {
     std::string name;
     std::vector<std::string> keys;
-    std::optional<int> priority; ///< Overrides the route's priority.
-    bool isolated = false;       ///< Shares no cached segment with another account.
-    double ratePerSecond = 0.0;  ///< Tokens or requests; 0 means no limit.
-    double burst = 0.0;          ///< In the unit of the rate.
-    bool countsTokens = false;   ///< If false, each request costs 1.
-    double defaultCost = 1.0;    ///< For requests without a token count.
+    std::optional<int> priority;             ///< Overrides the route's priority.
+    bool isolated = false;                   ///< Shares no cached segment with another account.
+    double ratePerSecond = 0.0;              ///< Tokens or requests; 0 means no limit.
+    double burst = 0.0;                      ///< In the unit of the rate.
+    bool countsTokens = false;               ///< If false, each request costs 1.
+    double defaultCost = 1.0;                ///< For requests without a token count.
+    std::vector<std::string> allowedRegions; ///< Of engines; empty if all are allowed.
 };
 
 /// The requests that may use each other's cached segments.
--- a/burdockhold/deployment_part.cc
+++ b/burdockhold/deployment_part.cc
@@ -37,8 +37,9 @@
     bool publicAccess = false;
     bool resumable = false;
     std::vector<share_row> pools;
+    std::vector<std::string> allowedRegions; ///< Missing in parts of an older build.
     MSGPACK_DEFINE_ARRAY(name, kind, timeoutMs, latencyTargetMs, eventGapTargetMs, maxEndpoints,
-                         priority, publicAccess, resumable, pools)
+                         priority, publicAccess, resumable, pools, allowedRegions)
 };
 
 struct account_row
@@ -51,8 +52,9 @@
     double burst = 0.0;
     bool countsTokens = false;
     double defaultCost = 1.0;
+    std::vector<std::string> allowedRegions; ///< Missing in parts of an older build.
     MSGPACK_DEFINE_ARRAY(name, keys, priority, isolated, ratePerSecond, burst, countsTokens,
-                         defaultCost)
+                         defaultCost, allowedRegions)
 };
 
 struct engine_row
@@ -136,6 +138,7 @@
     row.priority = route.priority;
     row.publicAccess = route.publicAccess;
     row.resumable = route.resumable;
+    row.allowedRegions = route.allowedRegions;
     for (const weighted_pool &share : route.pools)
         row.pools.push_back({ share.pool, share.weight });
     return packed(row);
@@ -166,6 +169,7 @@
     route.priority = row.priority;
     route.publicAccess = row.publicAccess;
     route.resumable = row.resumable;
+    route.allowedRegions = std::move(row.allowedRegions);
     for (share_row &share : row.pools)
         route.pools.push_back({ std::move(share.pool), share.weight });
     return route;
@@ -183,6 +187,7 @@
     row.burst = account.burst;
     row.countsTokens = account.countsTokens;
     row.defaultCost = account.defaultCost;
+    row.allowedRegions = account.allowedRegions;
     return packed(row);
 }
 
@@ -199,6 +204,7 @@
     account.burst = row.burst;
     account.countsTokens = row.countsTokens;
     account.defaultCost = row.defaultCost;
+    account.allowedRegions = std::move(row.allowedRegions);
     return account;
 }
 
--- a/burdockhold/duty_controller.cc
+++ b/burdockhold/duty_controller.cc
@@ -179,7 +179,8 @@
         return;
     m_storesCheckedAt = now;
     for (const deployment_pool &pool : m_board.deployment->pools()) {
-        if (pool.store && dutyOf(pool.name, now).lease.holds(bootTimeNow()))
+        if (pool.store && !m_board.evacuated.isEvacuated(pool.store->dataCentre)
+            && dutyOf(pool.name, now).lease.holds(bootTimeNow()))
             checkStore(pool.store->address);
     }
 }
@@ -224,6 +225,11 @@
                                                             time_point now) const
 {
     auto engines = m_board.endpoints.rolloutEngines(pool, model, now);
+    engines.erase(std::remove_if(engines.begin(), engines.end(),
+                                 [this](const rollout_engine &engine) {
+                                     return m_board.isEvacuated(engine.id);
+                                 }),
+                  engines.end());
     for (rollout_engine &engine : engines)
         engine.usableFor = m_board.weightsUsableFor(model, engine.version);
     return engines;
@@ -252,11 +258,16 @@
                    action);
 }
 
+bool duty_controller::mayNotCall(const std::string &endpointId, time_point now) const
+{
+    return m_board.endpoints.isPausing(endpointId, now) || m_board.isEvacuated(endpointId);
+}
+
 void duty_controller::execute(const std::string &pool, const std::string &model,
                               const query_engine_state &action)
 {
     const time_point now = steadyNow();
-    if (m_board.endpoints.isPausing(action.endpointId, now)) {
+    if (mayNotCall(action.endpointId, now)) {
         plannerOf(dutyOf(pool, now), model).stateFailed(action.endpointId, now);
         return;
     }
@@ -270,8 +281,8 @@
                               const weights_order &action)
 {
     const time_point now = steadyNow();
-    if (m_board.endpoints.isPausing(action.endpointId, now)) {
-        // It is ordered after its pause.
+    if (mayNotCall(action.endpointId, now)) {
+        // It is ordered after its pause, or when the evacuation has ended.
         plannerOf(dutyOf(pool, now), model)
                 .orderCompleted(action.endpointId, order_result::Refused, now);
         return;
--- a/burdockhold/duty_controller.h
+++ b/burdockhold/duty_controller.h
@@ -67,6 +67,8 @@
                                                time_point now) const;
     void stepModel(const deployment_pool &pool, held_duty &duty, const std::string &model,
                    time_point now);
+    /// Returns whether the engine wants no calls now or is in an evacuated data centre.
+    bool mayNotCall(const std::string &endpointId, time_point now) const;
     void execute(const std::string &pool, const std::string &model,
                  const query_engine_state &action);
     void execute(const std::string &pool, const std::string &model, const weights_order &action);
--- a/burdockhold/endpoint_choice.cc
+++ b/burdockhold/endpoint_choice.cc
@@ -128,7 +128,8 @@
     std::uint64_t bestScore = 0;
     const std::uint64_t keyHash = XXH64(key.data(), key.size(), 0);
     for (std::size_t index = 0; index < candidates.size(); ++index) {
-        if (candidates[index].excluded == exclusion::Leaving)
+        if (candidates[index].excluded == exclusion::Leaving
+            || candidates[index].excluded == exclusion::Evacuated)
             continue;
         const std::string_view id = candidates[index].id;
         const std::uint64_t score = XXH64(id.data(), id.size(), keyHash);
--- a/burdockhold/endpoint_table.cc
+++ b/burdockhold/endpoint_table.cc
@@ -151,6 +151,16 @@
     return entry == nullptr ? nullptr : &entry->report;
 }
 
+std::vector<const endpoint_report *> endpoint_table::reportsIn(std::string_view dataCentre) const
+{
+    std::vector<const endpoint_report *> found;
+    for (const auto &[id, entry] : m_entries) {
+        if (!entry.removed && entry.report.dataCentre == dataCentre)
+            found.push_back(&entry.report);
+    }
+    return found;
+}
+
 bool endpoint_table::isUsable(const table_entry &entry, bool poolIsEmpty, time_point now) const
 {
     if (entry.report.leaving || entry.peerReportedLeavingAt)
--- a/burdockhold/endpoint_table.h
+++ b/burdockhold/endpoint_table.h
@@ -149,6 +149,9 @@
     void keepOnly(const std::set<std::string> &ids, time_point now);
 
     const endpoint_report *find(std::string_view id) const;
+    /// Returns the entries of the data centre's endpoints that are not removed. The pointers are
+    /// valid until the table changes.
+    std::vector<const endpoint_report *> reportsIn(std::string_view dataCentre) const;
 
     /// Returns the candidates for a request. Endpoints in tried are marked as excluded. The ids
     /// point into the table.
--- a/burdockhold/event_router.cc
+++ b/burdockhold/event_router.cc
@@ -198,6 +198,8 @@
 {
     view_handlers handlers;
     handlers.operatorRecord = [this](const auto &record) { operatorRecord(record); };
+    handlers.operatorListed = [this](const auto &keys) { operatorListed(keys); };
+    handlers.operatorConfirmed = [this](duration at) { operatorConfirmed(at); };
     handlers.deploymentChanged = [this](const auto &index) { applyDeployment(index); };
     handlers.deploymentRefused = [this](const auto &reason) { deploymentRefused(reason); };
     handlers.endpointReported = [this](const auto &report) { endpointReported(report); };
@@ -267,21 +269,91 @@
 
 void event_router::operatorRecord(const platform::keyed_record &record)
 {
+    const auto subject = platform::subjectOf(record.key);
+    if (subject == platform::operator_subject::Evacuation)
+        applyEvacuation(record);
     if (!record.value)
         return;
-    switch (platform::subjectOf(record.key)) {
+    switch (subject) {
     case platform::operator_subject::TargetWeights:
         applyTargetWeights(*record.value);
         break;
     case platform::operator_subject::SoftwareRollout:
         m_rollouts->orderReceived(*record.value, steadyNow());
         break;
+    case platform::operator_subject::Evacuation: // Applied above.
     case platform::operator_subject::Deployment: // See deploymentChanged.
     case platform::operator_subject::Other:
         break;
     }
 }
 
+bool event_router::usesEvacuations() const
+{
+    return m_board.settings.evacuationBound
+           && m_board.settings.mechanisms.uses(mechanism::Evacuation);
+}
+
+void event_router::applyEvacuation(const platform::keyed_record &record)
+{
+    if (!usesEvacuations())
+        return;
+    const std::string dataCentre = platform::evacuatedDataCentre(record.key);
+    const evacuation_outcome outcome = record.value ? m_board.evacuated.recordRead(dataCentre,
+                                                                                   bootTimeNow())
+                                                    : m_board.evacuated.deletionRead(dataCentre);
+    switch (outcome) {
+    case evacuation_outcome::Unchanged:
+        break;
+    case evacuation_outcome::Started:
+        logEvacuation(log_event::EvacuationStarted, dataCentre, "");
+        break;
+    case evacuation_outcome::Ended:
+        evacuationEnded(dataCentre);
+        break;
+    default:
+        logEvacuation(log_event::EvacuationIgnored, dataCentre, nameOf(outcome));
+    }
+}
+
+void event_router::operatorListed(const std::set<std::string> &keys)
+{
+    std::set<std::string> dataCentres;
+    for (const std::string &key : keys) {
+        if (platform::subjectOf(key) == platform::operator_subject::Evacuation)
+            dataCentres.insert(platform::evacuatedDataCentre(key));
+    }
+    m_board.evacuated.listed(dataCentres);
+}
+
+void event_router::operatorConfirmed(duration at)
+{
+    for (const std::string &dataCentre : m_board.evacuated.confirmView(at))
+        evacuationEnded(dataCentre);
+}
+
+/// The engines there may have become cold, without a request that would have shown it.
+void event_router::evacuationEnded(const std::string &dataCentre)
+{
+    const time_point now = steadyNow();
+    for (const endpoint_report *report : m_board.endpoints.reportsIn(dataCentre))
+        m_board.coldEngines.maybeCold(*report, now);
+    logEvacuation(log_event::EvacuationEnded, dataCentre, "");
+}
+
+/// The line states how many endpoints the data centre has: none if its name is unknown.
+void event_router::logEvacuation(log_event event, const std::string &dataCentre,
+                                 std::string_view reason)
+{
+    const time_point now = steadyNow();
+    if (m_board.log.accepts(log_priority::StateChange, now))
+        m_board.log.write(event,
+                          { { "data_centre", dataCentre },
+                            { "endpoints", m_board.endpoints.reportsIn(dataCentre).size() },
+                            { "reason", reason } },
+                          now);
+}
+
 void event_router::applyDeployment(std::shared_ptr<const deployment_index> next)
 {
     const time_point now = steadyNow();
--- a/burdockhold/event_router.h
+++ b/burdockhold/event_router.h
@@ -50,6 +50,12 @@
     void scheduleAnnounceRetry();
     void listVms(const std::string &after);
     void vmPageReceived(const log_response &response);
+    bool usesEvacuations() const;
+    void applyEvacuation(const platform::keyed_record &record);
+    void operatorListed(const std::set<std::string> &keys);
+    void operatorConfirmed(duration at);
+    void evacuationEnded(const std::string &dataCentre);
+    void logEvacuation(log_event event, const std::string &dataCentre, std::string_view reason);
     void operatorRecord(const platform::keyed_record &record);
     void applyDeployment(std::shared_ptr<const deployment_index> next);
     void deploymentRefused(const std::string &reason);
--- a/burdockhold/left_out.cc
+++ b/burdockhold/left_out.cc
@@ -27,7 +27,11 @@
             if (!candidate.tried)
                 endpoints.firstReturn = earlier(endpoints.firstReturn, candidate.pausedUntil);
             break;
+        case exclusion::Evacuated:
+            ++endpoints.evacuated;
+            break;
         case exclusion::Tried:
+            ++endpoints.tried;
             break; // An endpoint is not tried twice for one request.
         default:
             endpoints.othersMayServe = true;
@@ -38,9 +42,17 @@
 
 bool mustRefuseAtOnce(const left_out &endpoints, time_point waitEnd)
 {
-    if (endpoints.total() == 0 || endpoints.othersMayServe)
+    const bool allEvacuated = endpoints.evacuated > 0 && endpoints.tried == 0;
+    if ((endpoints.total() == 0 && !allEvacuated) || endpoints.othersMayServe)
         return false;
     return !endpoints.firstReturn || *endpoints.firstReturn >= waitEnd;
 }
 
+std::string_view reasonOf(const left_out &endpoints)
+{
+    if (endpoints.firstEnd)
+        return "all_paused";
+    return endpoints.leaving > 0 ? "all_leaving" : "all_evacuated";
+}
+
 } // namespace burdockhold
--- a/burdockhold/migration_rules.h
+++ b/burdockhold/migration_rules.h
@@ -5,7 +5,8 @@
 // the caller checks that another endpoint can take the call and that the retry budget allows it.
 //
 // Load patterns: an engine that has been ordered to load weights waits for its streams to end, and
-// the pool waits for the engine; an endpoint stops responding without closing its connections.
+// the pool waits for the engine; an endpoint stops responding without closing its connections; an
+// operator evacuates a data centre, and all its streams have to move within a bound.
 
 #include "burdockhold/clock.h"
 #include "burdockhold/deployment.h"
@@ -28,6 +29,9 @@
 inline constexpr duration MinServiceSilence = std::chrono::milliseconds(250);
 inline constexpr int ServiceSilenceLatencyTargets = 2;
 
+/// Part of the bound on an evacuation after which streams migrate.
+inline constexpr double EvacuationProgressToMigrate = 0.4;
+
 /// State of a call that may be repeated, and of its endpoint.
 struct migration_facts
 {
@@ -57,6 +61,16 @@
            && canMigrate(facts);
 }
 
+/// Returns whether a resumable stream leaves a data centre that is evacuated. The progress is the
+/// part of the bound on the evacuation that has passed, 0 if there is none. Short streams end by
+/// themselves in the first part of the bound; the rest suffices to move the others at the pace of
+/// the retry budget.
+inline bool shouldLeaveEvacuated(const migration_facts &facts, call_kind kind, double progress)
+{
+    return kind == call_kind::Stream && progress >= EvacuationProgressToMigrate
+           && canMigrate(facts);
+}
+
 inline bool shouldLeaveSilent(const migration_facts &facts, duration limit,
                               const mechanism_set &mechanisms)
 {
--- a/burdockhold/placement_inputs.cc
+++ b/burdockhold/placement_inputs.cc
@@ -3,6 +3,8 @@
 #include "burdockhold/left_out.h"
 #include "burdockhold/prompt_segments.h"
 
+#include <algorithm>
+
 namespace burdockhold {
 
 namespace {
@@ -23,6 +25,29 @@
     }
 }
 
+/// Removes the engines outside of the regions in which the request may be served, also as sources
+/// of copies.
+void removeForbiddenRegions(std::vector<endpoint_candidate> &candidates, const router_board &board,
+                            const region_rules &rules)
+{
+    const auto isForbidden = [&](const endpoint_candidate &candidate) {
+        const endpoint_report *report = board.endpoints.find(candidate.id);
+        return report == nullptr || !rules.allows(report->dataCentre, board.settings.regions);
+    };
+    candidates.erase(std::remove_if(candidates.begin(), candidates.end(), isForbidden),
+                     candidates.end());
+}
+
+void excludeEvacuated(std::vector<endpoint_candidate> &candidates, const router_board &board)
+{
+    if (board.evacuated.empty())
+        return;
+    for (endpoint_candidate &candidate : candidates) {
+        if (board.isEvacuated(candidate.id))
+            candidate.excluded = exclusion::Evacuated;
+    }
+}
+
 /// Excludes the engines whose cold rate leaves this VM no request now.
 void excludeCold(std::vector<endpoint_candidate> &candidates, router_board &board, time_point now)
 {
@@ -35,15 +60,15 @@
 
 /// Returns the store for the request's shared segments, chosen by the data centre of the preferred
 /// endpoint.
-const cache_store *segmentStore(const router_board &board, const caller_request &request,
+const cache_store *segmentStore(const router_board &board, const placement_query &query,
                                 const placement_inputs &inputs, time_point now)
 {
     const auto preferred = preferredEndpoint(inputs.candidates, inputs.need.affinityKey);
     const endpoint_report *report = nullptr;
     if (preferred)
         report = board.endpoints.find(inputs.candidates[*preferred].id);
-    return board.storeFor(deepestSegmentId(request), report == nullptr ? "" : report->dataCentre,
-                          now);
+    return board.storeFor(deepestSegmentId(query.request),
+                          report == nullptr ? "" : report->dataCentre, now, query.regions);
 }
 
 } // namespace
@@ -64,6 +89,9 @@
     }
     if (!query.calledAddresses.empty() && !query.mayCallAgain)
         excludeCalled(candidates, board, query.calledAddresses);
+    if (isEngineCall(query) && query.regions.restricts())
+        removeForbiddenRegions(candidates, board, query.regions);
+    excludeEvacuated(candidates, board);
     excludeCold(candidates, board, now);
     return candidates;
 }
@@ -83,7 +111,7 @@
     inputs.need = placementNeedFor(query.request, query.domain);
     if (inputs.need.segmentTokens == 0)
         return inputs;
-    inputs.store = segmentStore(board, query.request, inputs, now);
+    inputs.store = segmentStore(board, query, inputs, now);
     if (inputs.store == nullptr)
         return inputs;
     const auto segments = sharedSegmentNames(query.request, query.domain,
--- a/burdockhold/placement_inputs.h
+++ b/burdockhold/placement_inputs.h
@@ -24,6 +24,7 @@
     const std::set<std::string> &calledAddresses; ///< A call of the attempt may have arrived there.
     bool mayCallAgain = false;                    ///< At an address that was called before.
     bool mayUseCanary = false;                    ///< The call may go to a version under test.
+    region_rules regions;                         ///< Of the engines that may serve the request.
 };
 
 /// Inputs of one placement decision. The store belongs to the deployment in force.
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -244,7 +244,7 @@
 {
     const time_point now = steadyNow();
     if (now >= m_deadline) {
-        deadlineReached();
+        endUnserved(TimeLimitReasons);
         return;
     }
     if (!m_connection || m_paused || now - m_lastProgress < maxEventGap(*m_route)) {
@@ -257,11 +257,6 @@
     callEnded(call_end::Broken);
 }
 
-void routed_request::deadlineReached()
-{
-    endUnserved(TimeLimitReasons);
-}
-
 /// Ends the current call, if there is one, and the request.
 void routed_request::endUnserved(const unserved_reasons &reasons)
 {
@@ -330,7 +325,8 @@
              m_triedEndpoints,
              m_calledAddresses,
              mayCallAgain(m_route->kind, m_route->resumable),
-             m_callsMade == 0 && !m_trialOf };
+             m_callsMade == 0 && !m_trialOf,
+             regionRulesOf(*m_route, m_account) };
 }
 
 /// Tells the engine where to copy the shared segments from that it lacks, and where to save them.
@@ -436,8 +432,8 @@
     return true;
 }
 
-/// Refuses a request that has not run if all endpoints leave, have been tried, or pause until after
-/// its longest wait.
+/// Refuses a request that has not run if all endpoints leave, are evacuated, have been tried, or
+/// pause until after its longest wait.
 bool routed_request::refuseIfNoneReturns(const std::vector<endpoint_candidate> &candidates,
                                          time_point now)
 {
@@ -447,13 +443,12 @@
     const time_point waitEnd = m_waiting ? m_timer.expiry() : queueWaitEnd(now);
     if (!mustRefuseAtOnce(endpoints, waitEnd))
         return false;
-    m_context.board.metrics.count(router_counter::RefusedAllPaused);
+    m_context.board.metrics.count(endpoints.total() > 0 ? router_counter::RefusedAllPaused
+                                                        : router_counter::RefusedAllEvacuated);
     if (m_context.board.log.accepts(log_priority::Failure, now))
         logPoolFull(now);
-    if (endpoints.firstEnd)
-        refuse(503, "all_paused", *endpoints.firstEnd - now);
-    else
-        refuse(503, "all_leaving", m_route->latencyTarget);
+    refuse(503, reasonOf(endpoints),
+           endpoints.firstEnd ? *endpoints.firstEnd - now : m_route->latencyTarget);
     return true;
 }
 
@@ -863,21 +858,24 @@
 void routed_request::migrateIfNeeded()
 {
     guard([this] {
-        migrateFromLoadingEndpoint();
+        migrateFromUnwantedEndpoint();
         migrateFromSilentEndpoint();
     });
 }
 
-/// Migrates if the endpoint is about to load weights: the endpoint would otherwise wait for the
-/// stream to end, and the pool would wait for the endpoint.
-void routed_request::migrateFromLoadingEndpoint()
+/// Migrates if the endpoint is about to load weights, for which it waits until the stream ends, or
+/// if its data centre is evacuated.
+void routed_request::migrateFromUnwantedEndpoint()
 {
     router_board &board = m_context.board;
     const time_point now = steadyNow();
     const auto facts = migrationFacts(now);
-    if (!facts || !shouldLeaveLoading(*facts, board.settings.mechanisms)
+    const double evacuation = board.evacuationProgress(m_endpointId);
+    const bool evacuated = facts && shouldLeaveEvacuated(*facts, m_route->kind, evacuation);
+    if (!facts || (!evacuated && !shouldLeaveLoading(*facts, board.settings.mechanisms))
         || !hasAlternative(MaxMigrationMs) || !board.tryOptionalRetry(m_poolName, now))
         return;
+    board.metrics.count(router_counter::EvacuationMigrations, evacuated ? 1 : 0);
     migrate();
 }
 
--- a/burdockhold/routed_request.h
+++ b/burdockhold/routed_request.h
@@ -116,7 +116,6 @@
     void returnTokens();
     void startTimer();
     void onTimer();
-    void deadlineReached();
     void endUnserved(const unserved_reasons &reasons);
     void enterWaitQueue();
     void queueWaitEnded();
@@ -135,7 +134,7 @@
                             const std::string &holder);
     std::optional<migration_facts> migrationFacts(time_point now) const;
     bool hasAlternative(double withinMs) const;
-    void migrateFromLoadingEndpoint();
+    void migrateFromUnwantedEndpoint();
     void migrateFromSilentEndpoint();
     void migrate();
     http_handlers callHandlers();
--- a/burdockhold/router_board.cc
+++ b/burdockhold/router_board.cc
@@ -127,8 +127,8 @@
 }
 
 const cache_store *router_board::storeFor(std::string_view segment,
-                                          std::string_view preferredDataCentre,
-                                          time_point now) const
+                                          std::string_view preferredDataCentre, time_point now,
+                                          const region_rules &rules) const
 {
     const cache_store *best = nullptr;
     std::pair<bool, std::uint64_t> bestScore;
@@ -136,7 +136,8 @@
         return best;
     const std::uint64_t seed = XXH64(segment.data(), segment.size(), 0);
     for (const deployment_pool &pool : deployment->pools()) {
-        if (!pool.store)
+        if (!pool.store || evacuated.isEvacuated(pool.store->dataCentre)
+            || !rules.allows(pool.store->dataCentre, settings.regions))
             continue;
         const std::string &address = pool.store->address;
         const auto unavailable = storeUnavailableUntil.find(address);
@@ -152,6 +153,23 @@
     return best;
 }
 
+bool router_board::isEvacuated(std::string_view endpointId) const
+{
+    if (evacuated.empty())
+        return false;
+    const endpoint_report *report = endpoints.find(endpointId);
+    return report != nullptr && evacuated.isEvacuated(report->dataCentre);
+}
+
+double router_board::evacuationProgress(std::string_view endpointId) const
+{
+    const endpoint_report *report = isEvacuated(endpointId) ? endpoints.find(endpointId) : nullptr;
+    if (report == nullptr || !settings.evacuationBound)
+        return 0.0;
+    return toSeconds(evacuated.inForceFor(report->dataCentre, bootTimeNow()))
+           / toSeconds(*settings.evacuationBound);
+}
+
 quota_ledger &router_board::storeLinkQuota(const cache_store &store, time_point now)
 {
     // The prefix keeps links apart from accounts in digests, which identify both by name.
--- a/burdockhold/router_board.h
+++ b/burdockhold/router_board.h
@@ -16,8 +16,10 @@
 #include "burdockhold/deployment.h"
 #include "burdockhold/endpoint_health.h"
 #include "burdockhold/endpoint_table.h"
+#include "burdockhold/evacuations.h"
 #include "burdockhold/known_vms.h"
 #include "burdockhold/quota_ledger.h"
+#include "burdockhold/region_rules.h"
 #include "burdockhold/router_metrics.h"
 #include "burdockhold/router_settings.h"
 #include "burdockhold/software_rollout.h"
@@ -95,9 +97,16 @@
     /// Returns the store for a prefix segment, chosen by rendezvous hashing among the available
     /// stores of the deployment, or nullptr if there is none. All VMs choose the same store. Stores
     /// in the data centre of the segment's preferred endpoint come first, since transfers between
-    /// data centres take twice as long.
+    /// data centres take twice as long. Stores in evacuated data centres and outside of the allowed
+    /// regions are not used.
     const cache_store *storeFor(std::string_view segment, std::string_view preferredDataCentre,
-                                time_point now) const;
+                                time_point now, const region_rules &rules = {}) const;
+
+    /// Returns whether the endpoint is in an evacuated data centre.
+    bool isEvacuated(std::string_view endpointId) const;
+    /// Returns which part of the bound on the evacuation of its data centre has passed; 0 if it is
+    /// not evacuated.
+    double evacuationProgress(std::string_view endpointId) const;
 
     /// Returns the quota of transfers over the store's link by all VMs, created on first use. The
     /// unit is one token transferred within a data centre.
@@ -186,6 +195,9 @@
     // controller (changes of the reader), each through its own methods.
     cold_engines coldEngines;
 
+    // Written by the event router.
+    evacuations evacuated;
+
     // Written by the rollout controller (orders, versions), the routed requests (calls) and the
     // digest exchange (other VMs' evidence), each through its own methods. By pool.
     std::map<std::string, software_rollout> rollouts;
--- a/burdockhold/router_metrics.h
+++ b/burdockhold/router_metrics.h
@@ -49,12 +49,14 @@
     EngineNoticesIgnored,
     RefusedAllPaused,
     ChoicesWithoutPaused,
+    RefusedAllEvacuated,
+    EvacuationMigrations,
 };
 
 template <>
 struct enum_names<router_counter>
 {
-    static constexpr std::array<enum_name<router_counter>, 32> Table{ {
+    static constexpr std::array<enum_name<router_counter>, 34> Table{ {
             { router_counter::Requests, "requests" },
             { router_counter::Served, "served" },
             { router_counter::RefusedNotRun, "refused_not_run" },
@@ -87,6 +89,8 @@
             { router_counter::EngineNoticesIgnored, "engine_notices_ignored" },
             { router_counter::RefusedAllPaused, "refused_all_paused" },
             { router_counter::ChoicesWithoutPaused, "choices_with_paused_left_out" },
+            { router_counter::RefusedAllEvacuated, "refused_all_evacuated" },
+            { router_counter::EvacuationMigrations, "evacuation_migrations" },
     } };
 };
 
--- a/burdockhold/router_settings.cc
+++ b/burdockhold/router_settings.cc
@@ -78,7 +78,8 @@
     }
 
     /// Reads all keys of a section as texts.
-    void readTexts(const char *section, std::map<std::string, std::string> &values) const
+    void readTexts(const char *section,
+                   std::map<std::string, std::string, std::less<>> &values) const
     {
         const auto found = tree.get_child_optional(section);
         if (!found)
--- a/burdockhold/router_settings.h
+++ b/burdockhold/router_settings.h
@@ -10,6 +10,7 @@
 #include "burdockhold/result.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -57,7 +58,7 @@
     /// Longest time from the order to evacuate a data centre until its endpoints get no more calls.
     /// Orders to evacuate have no effect unless the platform states it.
     std::optional<duration> evacuationBound;
-    std::map<std::string, std::string> regions; ///< Regions of data centres.
+    std::map<std::string, std::string, std::less<>> regions; ///< Regions of data centres.
     std::size_t memoryBytes = std::size_t(128) * 1024 * 1024;
     int descriptors = 1024;
     double processorShare = 1.0; ///< Fraction of one core.
--- a/burdockhold/view_controller.cc
+++ b/burdockhold/view_controller.cc
@@ -347,12 +347,14 @@
             keys.insert(record.key);
             operatorChanged(record);
         }
+        m_handlers.operatorListed(keys);
         m_operator.changelog.keepOnly(keys);
         m_operator.loaded = true;
     };
     handlers.changed = [this](const auto &record) { operatorChanged(record); };
     handlers.confirmed = [this](duration at) {
         m_board.deploymentConfirmedAt = std::max(m_board.deploymentConfirmedAt, at);
+        m_handlers.operatorConfirmed(at);
         recordConfirmation(m_operator, at, platform::OperatorTopic);
     };
     handlers.failed = [this](int status) {
@@ -503,6 +505,7 @@
     const bool hasNewest = applyDeploymentUpdate(view.deploymentUpdate, from);
     if (view.operatorTopic.loaded) {
         applyOperator(view.operatorTopic);
+        m_handlers.operatorConfirmed(confirmedAt(view.operatorTopic));
         if (hasNewest)
             m_board.deploymentConfirmedAt = std::max(m_board.deploymentConfirmedAt,
                                                      confirmedAt(view.operatorTopic));
@@ -556,12 +559,17 @@
 
 void view_controller::applyOperator(const topic_view &view)
 {
+    std::set<std::string> keys;
     for (const topic_record &record : view.records) {
         platform::keyed_record keyed{ record.key, {} };
-        if (!record.removed)
+        if (!record.removed) {
             keyed.value = record.value;
+            keys.insert(record.key);
+        }
         m_handlers.operatorRecord(keyed);
     }
+    if (view.isSnapshot)
+        m_handlers.operatorListed(keys);
     m_nextRequest.operatorSequenceNumber = view.sequenceNumber;
 }
 
--- a/burdockhold/view_controller.h
+++ b/burdockhold/view_controller.h
@@ -45,6 +45,12 @@
 {
     /// Called with the operator's records other than the deployment.
     std::function<void(const platform::keyed_record &)> operatorRecord;
+    /// Called with the keys of all the operator's records that exist.
+    std::function<void(const std::set<std::string> &keys)> operatorListed =
+            [](const std::set<std::string> &) {};
+    /// Called when the view of the operator's records is known to be that of the log at this time
+    /// of the boot-time clock.
+    std::function<void(duration at)> operatorConfirmed = [](duration) {};
     /// Called with a deployment of a higher version than the one before.
     std::function<void(const std::shared_ptr<const deployment_index> &)> deploymentChanged;
     /// Called with the reason if a deployment in the log cannot be decoded; the one before holds.
--- a/cmake/router.cmake
+++ b/cmake/router.cmake
@@ -4,9 +4,9 @@
     attempt_rules.cc cold_engines.cc crash_fingerprints.cc decision_log.cc
     decision_options.cc deployment.cc deployment_history.cc deployment_part.cc
     digest_summary.cc duty_lease.cc endpoint_choice.cc endpoint_health.cc endpoint_pause.cc
-    endpoint_table.cc entry_silence.cc event_splitter.cc json_depth.cc known_vms.cc
+    endpoint_table.cc entry_silence.cc evacuations.cc event_splitter.cc json_depth.cc known_vms.cc
     left_out.cc mechanisms.cc message_framing.cc move_evidence.cc placement_log.cc
-    prompt_segments.cc quota_ledger.cc request_admission.cc request_log.cc
+    prompt_segments.cc quota_ledger.cc region_rules.cc request_admission.cc request_log.cc
     rollout_sampler.cc router_metrics.cc router_settings.cc
     segment_transfer.cc software_rollout.cc stored_segments.cc
     topic_changelog.cc view_message.cc view_source.cc vm_digest.cc weights_load_estimator.cc
--- a/testing/support_platform.cc
+++ b/testing/support_platform.cc
@@ -540,7 +540,9 @@
             << "\npartitions = 12\n[bounds]\nleaving_ms = 2000\nconfig_ms = 2000\n"
                "revocation_ms = 5000\nweights_ms = 8000\nengines_check_fences = "
             << (place.enginesCheckFences ? "true" : "false")
-            << "\nlease_ms = 3000\nshutdown_grace_s = 8\n[repeats]\nratio = 0.2\nslack = "
+            << "\nlease_ms = 3000\nshutdown_grace_s = 8\nevacuate_ms = 5000\n"
+               "cold_overshoot = 1.5\ncold_slack = 5\n[zones]\ndc1 = eu\ndc2 = "
+               "us\n[repeats]\nratio = 0.2\nslack = "
             << place.repeatSlack
             << "\n[accounts]\ntolerance = 0.1\ntolerance_tokens = " << place.toleranceTokens
             << "\n[limits]\nmemory_mb = 110\ndescriptors = 1024\n";
