--- a/burdockhold/deployment.h
+++ b/burdockhold/deployment.h
@@ -187,6 +187,10 @@
 
     const deployment_pool *findPool(std::string_view name) const;
 
+    /// Returns the shortest latency target among the routes whose streams the pool serves, or
+    /// nothing if there is none.
+    std::optional<duration> shortestStreamTarget(std::string_view pool) const;
+
     /// Returns the domain of the account's requests, or of requests without an account for nullptr.
     /// The account may come from another version of the deployment; what this one says of it holds.
     cache_domain cacheDomainOf(const deployment_account *account) const;
@@ -209,6 +213,7 @@
     void removeRoute(const std::string &key);
     void indexAccounts();
     void indexPools();
+    void indexStreamTargets();
 
     std::uint64_t m_version = 0;
     std::map<std::string, deployment_account> m_accounts;
@@ -220,7 +225,8 @@
     std::unordered_map<std::string, const deployment_account *> m_accountsByKey;
     std::unordered_map<std::string, const deployment_account *> m_accountsByName;
     std::unordered_map<std::string, const deployment_pool *> m_poolsByName;
-    std::uint64_t m_isolatedSet = 0; ///< See cache_domain.
+    std::map<std::string, duration, std::less<>> m_shortestStreamTargets; ///< By pool.
+    std::uint64_t m_isolatedSet = 0;                                      ///< See cache_domain.
 };
 
 /// Bounds of what an endpoint may report. A report beyond them is not an endpoint's.
--- a/burdockhold/digest_exchange.h
+++ b/burdockhold/digest_exchange.h
@@ -102,6 +102,7 @@
     bool isLive(const peer &other, time_point now) const;
     void expirePeers(time_point now);
     void publishPeers(time_point now);
+    void publishSchedulers(time_point now);
     void publishKnownVms();
     std::vector<aggregator_candidate> liveLocalVms(time_point now) const;
     bool actsAsAggregator(time_point now) const;
@@ -126,6 +127,8 @@
     void recordUnavailableStores(const vm_digest &digest, time_point now);
     void recordCrashes(const vm_digest &digest, time_point now);
     void addAnnouncedVersions(vm_digest &digest) const;
+    void addLaneWork(vm_digest &digest, time_point now) const;
+    void recordLaneWork(const vm_digest &digest, time_point now);
     void applyTotals(const vm_digest &digest, bool restarted, bool isLocalVm, time_point now);
 
     boost::asio::ip::udp::socket m_socket;
--- a/burdockhold/mechanisms.h
+++ b/burdockhold/mechanisms.h
@@ -39,14 +39,18 @@
     StartGuard,
     SharedRetrySlack,
     ReturnedTokens,
+    EngineLanes,
+    Schedulers,
+    ClientMemory,
     ColdRate,
     Evacuation,
+    FairWaiting,
 };
 
 template <>
 struct enum_names<mechanism>
 {
-    static constexpr std::array<enum_name<mechanism>, 21> Table{ {
+    static constexpr std::array<enum_name<mechanism>, 25> Table{ {
             { mechanism::PreferredEndpoint, "preferred_endpoint" },
             { mechanism::PoolSampling, "pool_sampling" },
             { mechanism::SegmentCopies, "segment_copies" },
@@ -66,8 +70,12 @@
             { mechanism::StartGuard, "start_guard" },
             { mechanism::SharedRetrySlack, "shared_retry_slack" },
             { mechanism::ReturnedTokens, "returned_tokens" },
+            { mechanism::EngineLanes, "engine_lanes" },
+            { mechanism::Schedulers, "schedulers" },
+            { mechanism::ClientMemory, "client_memory" },
             { mechanism::ColdRate, "cold_rate" },
             { mechanism::Evacuation, "evacuation" },
+            { mechanism::FairWaiting, "fair_waiting" },
     } };
 };
 
--- a/burdockhold/routed_request.h
+++ b/burdockhold/routed_request.h
@@ -12,17 +12,20 @@
 // - While the process stops, no first call is made that is not expected to be answered in time.
 // - A stream is ended if it delivers no complete event for longer than its caller waits, even if
 //   other bytes arrive; a slow stream that keeps within that time is not ended.
-// - Responses that are buffered until they are complete use at most a quarter of the memory limit.
+// - Responses that are buffered until they are complete are bounded by a part of the memory budget.
 // - An unforeseen exception ends the request that it belongs to at once, and no other.
 
 #include "burdockhold/attempt_rules.h"
 #include "burdockhold/caller_request.h"
 #include "burdockhold/connection_pool.h"
+#include "burdockhold/event_gaps.h"
 #include "burdockhold/event_splitter.h"
 #include "burdockhold/migration_rules.h"
+#include "burdockhold/placement_client.h"
 #include "burdockhold/placement_inputs.h"
 #include "burdockhold/request_admission.h"
 #include "burdockhold/request_log.h"
+#include "burdockhold/request_waiting.h"
 #include "burdockhold/router_board.h"
 #include "burdockhold/wait_queue.h"
 
@@ -72,6 +75,7 @@
     connection_pool &connections;
     wait_queue &waiting;
     migratable_requests &migratable;
+    placement_client *placements = nullptr; ///< Null: requests are placed by this VM alone.
 };
 
 class routed_request : public std::enable_shared_from_this<routed_request>
@@ -100,6 +104,9 @@
     /// Migrates to another endpoint if the current one is about to load weights or is silent.
     void migrateIfNeeded();
 
+    /// The request has left the wait queue without being placed.
+    void waitEnded();
+
     int priority() const { return m_priority; }
     time_point arrival() const { return m_arrival; }
 
@@ -117,12 +124,18 @@
     void startTimer();
     void onTimer();
     void endUnserved(const unserved_reasons &reasons);
-    void enterWaitQueue();
-    void queueWaitEnded();
+    bool isScheduled() const;
+    void placeOrWait();
+    void enterWaitQueue(wait_cause cause);
+    bool joinWaitQueue(time_point now);
+    void queueWaitEnded(duration retryAfter);
     time_point queueWaitEnd(time_point now) const;
+    waiting_call waitingCall() const;
 
     cache_domain cacheDomain() const;
     placement_query placementQuery() const;
+    placement_step choosePlacement(placement_inputs &inputs, const placement_query &query,
+                                   time_point now);
     bool refuseIfTooLate(const endpoint_choice &choice, time_point now);
     bool refuseIfNoneReturns(const std::vector<endpoint_candidate> &candidates, time_point now);
     void startCall(const placement_inputs &inputs, const endpoint_choice &choice);
@@ -131,7 +144,7 @@
     void countCall(const endpoint_choice &choice);
     endpoint_call_fields callFieldsFor(const std::string &endpointId) const;
     void addSegmentTransfer(endpoint_call_fields &fields, const placement_inputs &inputs,
-                            const std::string &holder);
+                            const std::string &holder, bool holderIsKnown);
     std::optional<migration_facts> migrationFacts(time_point now) const;
     bool hasAlternative(double withinMs) const;
     void migrateFromUnwantedEndpoint();
@@ -162,7 +175,6 @@
     void refuse(int status, std::string_view reason, duration retryAfter);
     void fail(int status, std::string_view reason);
     void finish(router_counter counter, int status, std::string_view reason);
-    void logPoolFull(time_point now);
     void logCall(call_end end);
     request_summary summary(int status, std::string_view reason, time_point now) const;
 
@@ -214,19 +226,38 @@
     std::string m_mediaType; ///< Of the response that has started; may be empty.
     bool m_paused = false;   ///< The caller does not read as fast as the endpoint sends.
     bool m_waiting = false;
+    wait_record m_wait;
     bool m_awaitsRetryBudget = false; ///< The next call must first be admitted by the retry budget.
     bool m_ended = false;
     double m_chargedTokens = 0.0; ///< Charged to the account, and returned if nothing runs.
     duration m_queueTime = duration::zero();
     /// Time from the request's arrival to the first byte of the response.
     duration m_timeToFirstByte = duration::zero();
-    double m_expectedMs = 0.0; ///< Time that the last placement expected the call to take.
+    endpoint_choice m_choice;                    ///< The last placement.
+    duration m_callFirstByte = duration::zero(); ///< From the last call to its first byte.
+    event_gaps m_gaps;
     bool m_copiesSegments = false;
     bool m_savesSegments = false;
     event_splitter m_events;
+    request_placement m_placement;
     std::shared_ptr<rollout_call> m_rolloutCall; ///< Set while the call is sampled.
 };
 
+/// Runs a step of the request. An exception must not reach the event loop: the request would keep
+/// its caller waiting, and the requests after it in a loop would miss their step.
+template <typename Step>
+void routed_request::guard(const Step &step)
+{
+    const auto self = shared_from_this();
+    try {
+        step();
+    } catch (const std::exception &error) {
+        stepFailed(error.what());
+    } catch (...) {
+        stepFailed("an exception of an unknown type");
+    }
+}
+
 } // namespace burdockhold
 
 #endif
--- a/burdockhold/router_board.h
+++ b/burdockhold/router_board.h
@@ -14,19 +14,20 @@
 #include "burdockhold/decision_log.h"
 #include "burdockhold/decision_options.h"
 #include "burdockhold/deployment.h"
-#include "burdockhold/endpoint_health.h"
 #include "burdockhold/endpoint_table.h"
+#include "burdockhold/engine_lanes.h"
 #include "burdockhold/evacuations.h"
 #include "burdockhold/known_vms.h"
+#include "burdockhold/memory_budget.h"
 #include "burdockhold/quota_ledger.h"
 #include "burdockhold/region_rules.h"
+#include "burdockhold/retry_limit.h"
 #include "burdockhold/router_metrics.h"
 #include "burdockhold/router_settings.h"
 #include "burdockhold/software_rollout.h"
 #include "burdockhold/stored_segments.h"
 #include "burdockhold/view_source.h"
 
-#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -131,21 +132,28 @@
     /// Returns the page of metrics, including the gauges of cold engines.
     std::string metricsText(time_point now);
 
-    /// Counts a request towards the pool's retry budget.
-    ///
-    /// Retries of a pool's calls are limited to a fraction of this VM's requests plus a slack that
-    /// all VMs share. The slack is not divided evenly among the VMs, as that leaves too few retries
-    /// where they are needed: of 630 for 295 VMs, each VM would get two.
+    /// Counts a request towards the pool's retry limit (retry_limit.h).
     void countRequest(const std::string &pool, time_point now);
     /// Returns true and charges the budget if a retry is allowed now.
     bool tryRetry(const std::string &pool, time_point now);
     /// Like tryRetry(), for a retry that is useful but not necessary: it leaves at least half of
-    /// the budget and of the slack.
+    /// the limit.
     bool tryOptionalRetry(const std::string &pool, time_point now);
 
     /// Limits that apply to all VMs together, by name. Digests report their use.
     using shared_limits = std::map<std::string, quota_ledger>;
-    std::array<shared_limits *, 3> sharedLimits() { return { &quotas, &storeLinks, &retrySlack }; }
+
+    /// Calls visit(name, ledger) for each limit that applies to all VMs together.
+    template <typename Visit>
+    void forEachSharedLimit(const Visit &visit)
+    {
+        for (shared_limits *limits : { &quotas, &storeLinks }) {
+            for (auto &[name, ledger] : *limits)
+                visit(name, ledger);
+        }
+        for (auto &[name, limit] : retryLimits)
+            visit(name, limit.slack());
+    }
 
     /// Returns the state of the pool's software versions, or nullptr if none is known.
     software_rollout *rolloutOf(const std::string &pool)
@@ -172,8 +180,7 @@
     const decision_options options;
 
 private:
-    retry_budget &retryBudgetOf(const std::string &pool);
-    quota_ledger &retrySlackQuota(const std::string &pool, time_point now);
+    retry_limit &retryLimit(const std::string &pool, time_point now);
     quota_ledger_options sharedLimitOptions(std::string_view limit) const;
     std::uint64_t phaseSeedOf(std::string_view limit) const;
     quota_limit linkLimit(const cache_store &store) const;
@@ -203,10 +210,9 @@
     std::map<std::string, software_rollout> rollouts;
 
     // Written by the routed requests and the digest exchange.
-    shared_limits quotas;     ///< By account.
-    shared_limits storeLinks; ///< By "link/" followed by the store's address.
-    shared_limits retrySlack; ///< By "repeats/" followed by the pool.
-    std::map<std::string, retry_budget> retryBudgets;
+    shared_limits quotas;                           ///< By account.
+    shared_limits storeLinks;                       ///< By "link/" followed by the store's address.
+    std::map<std::string, retry_limit> retryLimits; ///< By "repeats/" followed by the pool.
 
     // Written by the routed requests (saves by this VM) and the digest exchange (saves by others).
     stored_segments storedSegments;
@@ -218,11 +224,17 @@
     // the log is to be written or deleted.
     std::set<fingerprint> crashRecordsDue;
 
-    // Written by the routed requests: bytes of responses that are buffered until complete.
-    std::size_t bufferedBytes = 0;
+    // Written by the routed requests (this VM's demand) and the digest exchange (that of the other
+    // VMs), by pool.
+    std::map<std::string, lane_demand> laneDemand;
+
+    // Written by the callers' connections and, for responses that are buffered until complete, by
+    // the routed requests; the sessions of other VMs take their output from it.
+    memory_budget memory{ { settings.memoryBytes,
+                            !settings.mechanisms.uses(mechanism::ClientMemory) } };
 
     // Written by the callers' connections.
-    body_memory requestBodies{ settings.memoryBytes / RequestBodiesDivisor };
+    body_memory requestBodies{ settings.memoryBytes / RequestBodiesDivisor, &memory };
 
     // Written by the duty controller (own checks) and the digest exchange (checks by other VMs):
     // the time until which a store of prefix segments is treated as unavailable, by its address.
@@ -235,7 +247,16 @@
     std::size_t knownPeers = 0;
     known_vms knownVms;
     std::vector<std::uint32_t> liveVms; ///< shortHashes of the other VMs with recent digests.
-    std::vector<group_vm> groupVms;     ///< VMs of the own group that are not shutting down.
+    /// Addresses for digests of the VMs that schedule placements, by data centre, without this VM.
+    /// Empty unless digests are exchanged in groups.
+    std::map<std::string, std::string> schedulers;
+    bool actsAsScheduler = false; ///< This VM is the scheduler of its data centre.
+    bool usesSchedulers() const
+    {
+        return settings.mechanisms.uses(mechanism::Schedulers)
+               && (actsAsScheduler || !schedulers.empty());
+    }
+    std::vector<group_vm> groupVms; ///< VMs of the own group that are not shutting down.
     /// Longest time between two digests of a VM, or two summaries of a data centre, if none is
     /// lost.
     duration digestInterval = std::chrono::milliseconds(200);
--- a/burdockhold/router_metrics.h
+++ b/burdockhold/router_metrics.h
@@ -35,6 +35,7 @@
     OrdersGiven,
     TransfersWithoutRoom,
     StalledStreams,
+    SchedulerTimeouts,
     HandlerFailures,
     DigestRowsRejected,
     RefusedCrashing,
@@ -49,6 +50,12 @@
     EngineNoticesIgnored,
     RefusedAllPaused,
     ChoicesWithoutPaused,
+    ClosedHalfRead,
+    ClosedIdle,
+    ClosedUnread,
+    ConnectionsRefused,
+    RefusedMemory,
+    AcceptPauses,
     RefusedAllEvacuated,
     EvacuationMigrations,
 };
@@ -56,7 +63,7 @@
 template <>
 struct enum_names<router_counter>
 {
-    static constexpr std::array<enum_name<router_counter>, 34> Table{ {
+    static constexpr std::array<enum_name<router_counter>, 41> Table{ {
             { router_counter::Requests, "requests" },
             { router_counter::Served, "served" },
             { router_counter::RefusedNotRun, "refused_not_run" },
@@ -75,6 +82,7 @@
             { router_counter::OrdersGiven, "orders_given" },
             { router_counter::TransfersWithoutRoom, "transfers_without_room" },
             { router_counter::StalledStreams, "stalled_streams" },
+            { router_counter::SchedulerTimeouts, "scheduler_timeouts" },
             { router_counter::HandlerFailures, "handler_failures" },
             { router_counter::DigestRowsRejected, "digest_rows_rejected" },
             { router_counter::RefusedCrashing, "refused_crashing" },
@@ -89,6 +97,12 @@
             { router_counter::EngineNoticesIgnored, "engine_notices_ignored" },
             { router_counter::RefusedAllPaused, "refused_all_paused" },
             { router_counter::ChoicesWithoutPaused, "choices_with_paused_left_out" },
+            { router_counter::ClosedHalfRead, "connections_closed_half_read" },
+            { router_counter::ClosedIdle, "connections_closed_idle" },
+            { router_counter::ClosedUnread, "connections_closed_unread" },
+            { router_counter::ConnectionsRefused, "connections_refused" },
+            { router_counter::RefusedMemory, "refused_memory" },
+            { router_counter::AcceptPauses, "accept_pauses" },
             { router_counter::RefusedAllEvacuated, "refused_all_evacuated" },
             { router_counter::EvacuationMigrations, "evacuation_migrations" },
     } };
