--- a/burdockhold/endpoint_choice.cc
+++ b/burdockhold/endpoint_choice.cc
@@ -178,7 +178,8 @@
     std::pair<bool, std::uint64_t> bestScore;
     const std::uint64_t keyHash = XXH64(key.data(), key.size(), 0);
     for (std::size_t index = 0; index < candidates.size(); ++index) {
-        if (candidates[index].excluded == exclusion::Leaving)
+        if (candidates[index].excluded == exclusion::Leaving
+            || candidates[index].excluded == exclusion::Evacuated)
             continue;
         const std::string_view id = candidates[index].id;
         const std::pair<bool, std::uint64_t> score{ isOfLane(candidates[index], lane),
--- a/burdockhold/placement_inputs.h
+++ b/burdockhold/placement_inputs.h
@@ -26,6 +26,7 @@
     bool mayCallAgain = false;                    ///< At an address that was called before.
     bool mayUseCanary = false;                    ///< The call may go to a version under test.
     bool isFirstPlacement = false;                ///< The request's first attempt to be placed.
+    region_rules regions;                         ///< Of the engines that may serve the request.
 };
 
 /// Inputs of one placement decision. The store belongs to the deployment in force.
--- a/burdockhold/routed_request.h
+++ b/burdockhold/routed_request.h
@@ -123,7 +123,6 @@
     void returnTokens();
     void startTimer();
     void onTimer();
-    void deadlineReached();
     void endUnserved(const unserved_reasons &reasons);
     bool isScheduled() const;
     void placeOrWait();
@@ -148,7 +147,7 @@
                             const std::string &holder, bool holderIsKnown);
     std::optional<migration_facts> migrationFacts(time_point now) const;
     bool hasAlternative(double withinMs) const;
-    void migrateFromLoadingEndpoint();
+    void migrateFromUnwantedEndpoint();
     void migrateFromSilentEndpoint();
     void migrate();
     http_handlers callHandlers();
--- a/burdockhold/router_metrics.h
+++ b/burdockhold/router_metrics.h
@@ -59,12 +59,14 @@
     FirstEventsJudged,
     FirstEventsLate,
     PaceLimitsStarted,
+    RefusedAllEvacuated,
+    EvacuationMigrations,
 };
 
 template <>
 struct enum_names<router_counter>
 {
-    static constexpr std::array<enum_name<router_counter>, 42> Table{ {
+    static constexpr std::array<enum_name<router_counter>, 44> Table{ {
             { router_counter::Requests, "requests" },
             { router_counter::Served, "served" },
             { router_counter::RefusedNotRun, "refused_not_run" },
@@ -107,6 +109,8 @@
             { router_counter::FirstEventsJudged, "first_events_judged" },
             { router_counter::FirstEventsLate, "first_events_later_than_expected" },
             { router_counter::PaceLimitsStarted, "pace_limits_started" },
+            { router_counter::RefusedAllEvacuated, "refused_all_evacuated" },
+            { router_counter::EvacuationMigrations, "evacuation_migrations" },
     } };
 };
 
