Count small output with its connection, and describe the memory of clients

Cause: each event took and gave back memory of the budget and entered a queue; a running request took 13 KB, not the 8 KB that were counted.

Change: output up to 1 KB counts as a part of the connection (3 KB in all), a request as 12 KB.

--- a/burdockhold/caller_connection.cc
+++ b/burdockhold/caller_connection.cc
@@ -158,6 +158,8 @@
 void caller_connection::chargeOutput()
 {
     const std::size_t held = allocatedBytes(m_sending) + allocatedBytes(m_output);
+    if (held <= UncountedOutputBytes && m_chargedOutput == 0)
+        return;
     caller_registry::queue::leave(m_unreadPlace);
     const bool isCharged = charge(m_chargedOutput, memory_part::Output, held);
     if (m_closed)
--- a/burdockhold/memory_budget.h
+++ b/burdockhold/memory_budget.h
@@ -47,11 +47,13 @@
     } };
 };
 
-/// Bytes that a connection takes of memory_part::Connections.
-inline constexpr std::size_t ConnectionBytes = 2048;
+/// Output up to this is a part of ConnectionBytes: events are counted more cheaply so.
+inline constexpr std::size_t UncountedOutputBytes = 1024;
+/// Bytes that a connection takes of memory_part::Connections. An idle one took 1.5 KB.
+inline constexpr std::size_t ConnectionBytes = 2048 + UncountedOutputBytes;
 /// Bytes that a request takes of memory_part::Requests, besides its head and body: the request
-/// itself and its connection to the endpoint.
-inline constexpr std::size_t RequestBytes = std::size_t(8) * 1024;
+/// itself and its connection to the endpoint. 381 running requests took 13 KB each.
+inline constexpr std::size_t RequestBytes = std::size_t(12) * 1024;
 /// A head or body is held this often while its request is sent to an endpoint.
 inline constexpr std::size_t RequestCopies = 2;
 
