Retry waiting requests when other VMs report room, and keep begun ones

Where many VMs share a plain service, a VM's own calls rarely end, so its waiting requests were tried only on each tick of 50 ms.

A request that may have run is never refused for the expected wait: its caller could not repeat it. A caller that came back keeps its place when it waits again.

--- a/burdockhold/digest_exchange.cc
+++ b/burdockhold/digest_exchange.cc
@@ -535,6 +535,8 @@
         m_board.storedSegments.applyPeerStored(segment, now);
     recordUnavailableStores(digest, now);
     recordCrashes(digest, now);
+    if (m_applied)
+        m_applied();
 }
 
 void digest_exchange::applyTotals(const vm_digest &digest, bool restarted, bool isLocalVm,
--- a/burdockhold/digest_exchange.h
+++ b/burdockhold/digest_exchange.h
@@ -22,10 +22,12 @@
 #include <boost/asio/ip/udp.hpp>
 
 #include <array>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace burdockhold {
 
@@ -67,10 +69,15 @@
     /// Returns the announcement of a VM: its address, data centre and capacity.
     static std::string announcementOf(const router_settings &settings);
 
+    /// Sets what is called after a digest or a summary has changed the view of the endpoints.
+    void setAppliedHandler(std::function<void()> handler) { m_applied = std::move(handler); }
+
     /// Sends digests and summaries that are due. Called on every tick.
     void step(time_point now);
 
 private:
+    std::function<void()> m_applied;
+
     struct peer
     {
         boost::asio::ip::udp::endpoint address;
--- a/burdockhold/event_router.cc
+++ b/burdockhold/event_router.cc
@@ -102,6 +102,7 @@
     m_duties = std::make_unique<duty_controller>(m_io, m_board, *logServer);
     m_crashRecords = std::make_unique<crash_records>(m_io, m_board, *logServer);
     m_rollouts = std::make_unique<rollout_controller>(m_io, m_board, *logServer);
+    m_digests.setAppliedHandler([this] { m_waitQueue.viewChanged(m_io); });
     m_announceConnection = std::make_shared<log_connection>(m_io, *logServer);
     std::string error = listen(m_callerAcceptor, m_board.settings.callerAddress);
     if (error.empty())
--- a/burdockhold/request_waiting.cc
+++ b/burdockhold/request_waiting.cc
@@ -60,7 +60,7 @@
     entry.bytes = bytesOf(request);
     entry.requestHash = call.requestHash;
     entry.callerEnd = call.deadline;
-    entry.mustWait = call.responseStarted;
+    entry.mustWait = call.responseStarted || call.mayHaveRun;
     return entry;
 }
 
--- a/burdockhold/request_waiting.h
+++ b/burdockhold/request_waiting.h
@@ -27,7 +27,7 @@
     std::size_t bytes = 0;         ///< Memory that it holds.
     std::uint64_t requestHash = 0; ///< The same when its caller comes back.
     time_point callerEnd;          ///< When its caller no longer waits.
-    bool mustWait = false;         ///< Refusing it would lose what the caller has got.
+    bool mustWait = false;         ///< It has begun, so that refusing it would lose it.
 };
 
 /// A request whose next call cannot be placed. The references must outlive it.
@@ -44,6 +44,7 @@
     int priority = 0;
     bool isEnginePool = false;
     bool responseStarted = false;
+    bool mayHaveRun = false;
     bool awaitsRetryBudget = false;
 };
 
--- a/burdockhold/routed_request_waiting.cc
+++ b/burdockhold/routed_request_waiting.cc
@@ -128,6 +128,7 @@
              m_priority,
              m_pool != nullptr && m_pool->engine,
              m_responseStarted,
+             m_mayHaveRun,
              m_awaitsRetryBudget };
 }
 
--- a/burdockhold/wait_queue.cc
+++ b/burdockhold/wait_queue.cc
@@ -35,7 +35,7 @@
     waiting_request request = entry.request;
     request.id = ++m_lastId;
     // Two places for each priority, the first one for those that go before the others.
-    record.returned = pool.admission.takeReturning(entry.requestHash, now);
+    record.returned = pool.admission.takeReturning(entry.requestHash, now) || record.returned;
     request.priority = 2 * request.priority + (entry.mustWait || record.returned ? 0 : 1);
     const overload_verdict verdict = pool.admission.decide(pool.room, request, now);
     record.expected = verdict.expectedWait;
@@ -188,13 +188,25 @@
     if (!m_unordered.empty())
         boost::asio::post(io, [this] { retryUnordered(); });
     const auto found = m_pools.find(pool);
-    if (found == m_pools.end() || found->second.room.isEmpty() || found->second.retryPosted)
+    if (found != m_pools.end())
+        postServe(io, found->second);
+}
+
+void wait_queue::viewChanged(boost::asio::io_context &io)
+{
+    for (auto &[name, pool] : m_pools)
+        postServe(io, pool);
+}
+
+/// Pools stay where they are for the queue's lifetime.
+void wait_queue::postServe(boost::asio::io_context &io, pool_queue &pool)
+{
+    if (pool.room.isEmpty() || pool.retryPosted)
         return;
-    pool_queue &freed = found->second;
-    freed.retryPosted = true;
-    boost::asio::post(io, [this, &freed] {
-        freed.retryPosted = false;
-        serve(freed, MaxFailedTries, steadyNow());
+    pool.retryPosted = true;
+    boost::asio::post(io, [this, &pool] {
+        pool.retryPosted = false;
+        serve(pool, MaxFailedTries, steadyNow());
     });
 }
 
--- a/burdockhold/wait_queue.h
+++ b/burdockhold/wait_queue.h
@@ -69,6 +69,9 @@
     /// gets its new endpoint before.
     void roomFreed(boost::asio::io_context &io, const std::string &pool);
 
+    /// The same for all pools, after other VMs have told what they know of the endpoints.
+    void viewChanged(boost::asio::io_context &io);
+
     std::size_t size() const { return m_unordered.size() + m_entries.size(); }
 
 private:
@@ -108,6 +111,7 @@
     static waiting_room_options roomOptions();
     void serve(pool_queue &pool, int maxFailures, time_point now);
     bool tryPlace(const waiting_request &waiting);
+    void postServe(boost::asio::io_context &io, pool_queue &pool);
     void retryUnordered();
     void endExpired(pool_queue &pool, time_point now);
     void forget(std::uint64_t id, wait_record &record);
