--- a/burdockhold/deployment.h
+++ b/burdockhold/deployment.h
@@ -64,12 +64,20 @@
     double linkBytesPerSecond = 0.0; ///< 0 if not configured.
 };
 
+/// How a pool's engines behave after a start.
+struct cold_traits
+{
+    duration coldTime = duration::zero();
+    double perSecond = 0.0; ///< Requests that a cold engine takes.
+};
+
 struct deployment_pool
 {
     std::string name;
     int maxConnections = 0; ///< Per endpoint, over all callers; 0 if not configured.
     std::optional<engine_traits> engine;
     std::optional<cache_store> store;
+    std::optional<cold_traits> cold;
 };
 
 struct deployment_account
@@ -177,6 +185,10 @@
 
     const deployment_pool *findPool(std::string_view name) const;
 
+    /// Returns the shortest latency target among the routes whose streams the pool serves, or
+    /// nothing if there is none.
+    std::optional<duration> shortestStreamTarget(std::string_view pool) const;
+
     /// Returns the domain of the account's requests, or of requests without an account for nullptr.
     /// The account may come from another version of the deployment; what this one says of it holds.
     cache_domain cacheDomainOf(const deployment_account *account) const;
@@ -199,6 +211,7 @@
     void removeRoute(const std::string &key);
     void indexAccounts();
     void indexPools();
+    void indexStreamTargets();
 
     std::uint64_t m_version = 0;
     std::map<std::string, deployment_account> m_accounts;
@@ -210,13 +223,15 @@
     std::unordered_map<std::string, const deployment_account *> m_accountsByKey;
     std::unordered_map<std::string, const deployment_account *> m_accountsByName;
     std::unordered_map<std::string, const deployment_pool *> m_poolsByName;
-    std::uint64_t m_isolatedSet = 0; ///< See cache_domain.
+    std::map<std::string, duration, std::less<>> m_shortestStreamTargets; ///< By pool.
+    std::uint64_t m_isolatedSet = 0;                                      ///< See cache_domain.
 };
 
 /// Bounds of what an endpoint may report. A report beyond them is not an endpoint's.
 inline constexpr std::int64_t MaxEndpointSlots = 65536;             ///< Concurrent requests.
 inline constexpr std::int64_t MaxIncarnationMs = 4102444800000;     ///< Unix time of the year 2100.
 inline constexpr std::int64_t MaxWeightsVersion = 9007199254740991; ///< 2^53 - 1, exact in JSON.
+inline constexpr std::int64_t MaxColdMs = 86400000;                 ///< Remaining cold time.
 
 /// An endpoint's own report. A restarted endpoint has a new incarnation and usually a new id.
 struct endpoint_report
@@ -230,6 +245,9 @@
     bool leaving = false;
     std::int64_t incarnation = 0;                ///< Start time in Unix milliseconds; 0 if unknown.
     std::map<std::string, std::int64_t> weights; ///< Version of each loaded model.
+    std::optional<duration> coldLeft; ///< Remaining cold time, if stated within its bounds.
+    bool coldTimeRefused = false;     ///< The stated cold time was out of bounds.
+    bool isSilent = false;            ///< The entry is not written any more (entry_silence.h).
 };
 
 /// The endpoints of a pool that run one software version.
--- a/burdockhold/endpoint_choice.cc
+++ b/burdockhold/endpoint_choice.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace burdockhold {
 
@@ -37,9 +38,18 @@
     if (need.affinityKey.empty() || candidate.running == 0)
         return true;
     const std::int64_t prefillTokens = holds ? need.unsharedTokens : need.promptTokens;
-    if (candidate.pendingPrefillTokens + prefillTokens > options.maxPendingPrefillTokens
-        && candidate.pendingPrefillTokens > 0)
+    // Each event of a stream there would take as long as the chunks of the long prompt between its
+    // tokens.
+    const bool delaysShort = need.lane == engine_lane::Long && candidate.lane == engine_lane::Short;
+    if (delaysShort && options.maxPendingAheadOfLong)
         return false;
+    if (need.lane == engine_lane::Long && options.maxPendingAheadOfLong) {
+        if (candidate.pendingPrefillTokens > *options.maxPendingAheadOfLong)
+            return false;
+    } else if (candidate.pendingPrefillTokens + prefillTokens > options.maxPendingPrefillTokens
+               && candidate.pendingPrefillTokens > 0) {
+        return false;
+    }
     const auto requiredTokens = static_cast<double>(candidate.activeTokens + need.promptTokens
                                                     + need.outputTokens);
     return candidate.cacheTokens <= 0
@@ -54,6 +64,11 @@
     return callMs * (1.0 + utilization);
 }
 
+bool isOfLane(const endpoint_candidate &candidate, engine_lane lane)
+{
+    return lane == engine_lane::Any || candidate.lane == engine_lane::Any || candidate.lane == lane;
+}
+
 double penaltyMs(const endpoint_candidate &candidate, const endpoint_choice_options &options)
 {
     const double failures = candidate.failureShare * candidate.recentCalls
@@ -68,6 +83,21 @@
     return ms;
 }
 
+/// Sets what the first event of the call depends on, and its expected time.
+void expectFirstEvent(endpoint_choice &choice, const endpoint_candidate &candidate,
+                      const placement_need &need, bool holds, bool canCopy,
+                      const endpoint_choice_options &options)
+{
+    const double segmentShare = holds ? 0.0 : canCopy ? options.copyTimeShare : 1.0;
+    choice.unreadTokens = need.unsharedTokens
+                          + std::llround(segmentShare * static_cast<double>(need.segmentTokens));
+    choice.tokensAhead = candidate.pendingPrefillTokens;
+    choice.running = candidate.running;
+    choice.expectedFirstEventMs = options.firstEventBaseMs
+                                  + static_cast<double>(choice.unreadTokens + choice.tokensAhead)
+                                            / options.prefillTokensPerMs;
+}
+
 /// Returns a usable candidate other than the chosen one that holds the segment. The preferred
 /// endpoint is assumed to hold it: if it has lost the segment, the attempt costs a millisecond.
 std::optional<std::size_t> findCopySource(const std::vector<endpoint_candidate> &candidates,
@@ -96,7 +126,8 @@
 {
     const endpoint_candidate &candidate = candidates[index];
     const bool isPlainService = need.affinityKey.empty();
-    const bool holds = candidate.holdsSegment || index == preferred;
+    const bool holds = candidate.holdsSegment
+                       || (options.assumePreferredHolds && index == preferred);
     if (candidate.excluded != exclusion::None
         || !hasRoom(candidate, need, holds || (need.storeHoldsSegment && options.copySegments),
                     options))
@@ -104,11 +135,17 @@
     endpoint_choice choice;
     choice.index = index;
     if (!isPlainService && !holds && options.copySegments)
-        choice.copyFrom = findCopySource(candidates, index, preferred);
+        choice.copyFrom = findCopySource(candidates, index,
+                                         options.assumePreferredHolds ? preferred : std::nullopt);
     const bool canCopy = choice.copyFrom || (need.storeHoldsSegment && options.copySegments);
+    choice.expectedFirstEventMs = serviceMs(candidate, options);
+    if (!isPlainService)
+        expectFirstEvent(choice, candidate, need, holds, canCopy, options);
     choice.expectedMs = penaltyMs(candidate, options)
                         + (isPlainService ? serviceMs(candidate, options)
                                           : engineMs(candidate, need, holds, canCopy, options));
+    if (!isOfLane(candidate, need.lane))
+        choice.expectedMs += options.laneCrossingMs;
     choice.expectedCachedTokens = holds ? need.promptTokens - need.unsharedTokens : 0;
     return choice;
 }
@@ -122,16 +159,17 @@
 } // namespace
 
 std::optional<std::size_t> preferredEndpoint(const std::vector<endpoint_candidate> &candidates,
-                                             std::string_view key)
+                                             std::string_view key, engine_lane lane)
 {
     std::optional<std::size_t> best;
-    std::uint64_t bestScore = 0;
+    std::pair<bool, std::uint64_t> bestScore;
     const std::uint64_t keyHash = XXH64(key.data(), key.size(), 0);
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         if (candidates[index].excluded == exclusion::Leaving)
             continue;
         const std::string_view id = candidates[index].id;
-        const std::uint64_t score = XXH64(id.data(), id.size(), keyHash);
+        const std::pair<bool, std::uint64_t> score{ isOfLane(candidates[index], lane),
+                                                    XXH64(id.data(), id.size(), keyHash) };
         if (!best || score > bestScore) {
             best = index;
             bestScore = score;
@@ -140,6 +178,29 @@
     return best;
 }
 
+namespace {
+
+/// Compares the candidates of the request's lane, or the others, with the best so far.
+void compareLane(const std::vector<endpoint_candidate> &candidates, bool ownLane,
+                 std::optional<std::size_t> preferred, const placement_need &need,
+                 std::uint64_t seed, const endpoint_choice_options &options,
+                 std::optional<endpoint_choice> &best)
+{
+    const bool sampled = !need.affinityKey.empty() && candidates.size() > options.fullScanLimit;
+    std::size_t compared = 0;
+    for (std::size_t step = 0; step < candidates.size(); ++step) {
+        const std::size_t index = (step + seed) % candidates.size();
+        if (index == preferred || isOfLane(candidates[index], need.lane) != ownLane)
+            continue;
+        if (sampled && compared >= options.sampleSize && best)
+            break;
+        compared += candidates[index].excluded == exclusion::None ? 1 : 0;
+        keepBetter(best, estimateCall(candidates, index, preferred, need, options));
+    }
+}
+
+} // namespace
+
 std::optional<endpoint_choice> chooseEndpoint(const std::vector<endpoint_candidate> &candidates,
                                               const placement_need &need, std::uint64_t seed,
                                               const endpoint_choice_options &options)
@@ -148,22 +209,14 @@
     const std::optional<std::size_t> preferred = isPlainService || !options.usePreferred
                                                          ? std::nullopt
                                                          : preferredEndpoint(candidates,
-                                                                             need.affinityKey);
-    const bool sampled = !isPlainService && candidates.size() > options.fullScanLimit;
+                                                                             need.affinityKey,
+                                                                             need.lane);
     std::optional<endpoint_choice> best;
     if (preferred)
         keepBetter(best, estimateCall(candidates, *preferred, preferred, need, options));
-    std::size_t compared = 0;
-    for (std::size_t step = 0; step < candidates.size(); ++step) {
-        const std::size_t index = (step + seed) % candidates.size();
-        if (index == preferred)
-            continue;
-        if (sampled && compared >= options.sampleSize && best)
-            break;
-        const auto choice = estimateCall(candidates, index, preferred, need, options);
-        compared += candidates[index].excluded == exclusion::None ? 1 : 0;
-        keepBetter(best, choice);
-    }
+    compareLane(candidates, true, preferred, need, seed, options, best);
+    if (need.lane != engine_lane::Any && (!best || best->expectedMs > options.laneCrossingMs))
+        compareLane(candidates, false, preferred, need, seed, options, best);
     return best;
 }
 
--- a/burdockhold/endpoint_choice.h
+++ b/burdockhold/endpoint_choice.h
@@ -10,6 +10,9 @@
 // segment, or than copying it from the preferred endpoint. The function is pure; equal inputs give
 // equal choices. Time is linear in the number of candidates.
 //
+// In a pool that is divided into lanes (engine_lanes.h), the endpoints of the request's lane are
+// compared first.
+//
 // In a pool of more than fullScanLimit endpoints, only the preferred endpoint and a sample that
 // depends on the seed are compared: many VMs with views of the same age would otherwise all choose
 // the same idle endpoint. The other endpoints are evaluated only when none in the sample has
@@ -34,12 +37,26 @@
 /// of the endpoint, and a penalty by hearsay would move load for a statement that was not about
 /// them. A leaving endpoint is nobody's preferred endpoint, since its cached segments go with it; a
 /// paused one keeps its place, since it comes back with them.
-enum class exclusion { None, Tried, Loading, BackOff, ExpiredWeights, Leaving, Paused };
+///
+/// Evacuated is the operator's order for a data centre and weighs more than all other reasons; like
+/// a leaving endpoint, an evacuated one is nobody's preferred endpoint. Cold means that this VM's
+/// share of a cold engine's rate is used up.
+enum class exclusion {
+    None,
+    Tried,
+    Loading,
+    BackOff,
+    ExpiredWeights,
+    Leaving,
+    Paused,
+    Evacuated,
+    Cold,
+};
 
 template <>
 struct enum_names<exclusion>
 {
-    static constexpr std::array<enum_name<exclusion>, 7> Table{ {
+    static constexpr std::array<enum_name<exclusion>, 9> Table{ {
             { exclusion::None, "none" },
             { exclusion::Tried, "tried" },
             { exclusion::Loading, "loading" },
@@ -47,6 +64,8 @@
             { exclusion::ExpiredWeights, "expired_weights" },
             { exclusion::Leaving, "leaving" },
             { exclusion::Paused, "paused" },
+            { exclusion::Evacuated, "evacuated" },
+            { exclusion::Cold, "cold" },
     } };
 };
 
@@ -56,6 +75,9 @@
     return reason == exclusion::Leaving || reason == exclusion::Paused;
 }
 
+/// Which prompts an engine is set aside for, and which kind a prompt is; see engine_lanes.h.
+enum class engine_lane { Any, Short, Long };
+
 /// State of an endpoint at the time of the choice.
 struct endpoint_candidate
 {
@@ -75,7 +97,9 @@
     double recentCalls = 0.0;              ///< Number of calls behind failureShare, decayed.
     double latencyMs = 0.0;                ///< Moving average; plain services only.
     bool staleWeights = false;             ///< The weights are older than the target version.
+    std::int64_t weights = 0;              ///< Version of the model's weights; 0 if unknown.
     bool holdsSegment = false; ///< Caches the deepest shared segment for its current weights.
+    engine_lane lane = engine_lane::Any;
 };
 
 /// Excludes an endpoint that the request must not be sent to again.
@@ -95,11 +119,17 @@
     std::int64_t outputTokens = 0;
     std::int64_t promptTokens = 0;
     bool storeHoldsSegment = false; ///< The segment can be copied from the segment store.
+    engine_lane lane = engine_lane::Any;
 };
 
 struct endpoint_choice_options
 {
     double prefillTokensPerMs = 50.0; ///< Prefill rate of an engine; engines do not report it.
+    /// Time from a call to its first event beyond the prefill. Only expectedFirstEventMs includes
+    /// it, since it is the same for all endpoints.
+    double firstEventBaseMs = 27.0;
+    /// Copying a segment takes this share of the time that recomputing it takes.
+    double copyTimeShare = 1.0 / 7.0;
     /// Cost of copying a segment to an engine that lacks it. The copy itself takes a seventh of the
     /// prefill time; the rest accounts for the transfers queued behind it on the link, and for the
     /// segment that it evicts. If only the copy time were charged, prompts would leave their
@@ -116,6 +146,11 @@
     /// at the router, where the most urgent one goes first and a caller that disconnects costs
     /// nothing. An engine that prefills without pause slows its streams to a tenth.
     std::int64_t maxPendingPrefillTokens = 12000;
+    /// Limit on the pending prefill ahead of a long prompt, in the same way. It takes the place of
+    /// the limit above where the pending prefill is known exactly (placement_scheduler.h): then a
+    /// long prompt waits at the router until its engine has nearly finished the one before, and a
+    /// short one is behind one long prompt at most.
+    std::optional<std::int64_t> maxPendingAheadOfLong;
     /// Share of an engine's KV cache for running requests. The rest keeps shared segments: without
     /// them every prompt is computed in full, and the pool does not recover from an overload.
     double maxActiveShare = 0.75;
@@ -124,19 +159,33 @@
     double failureMs = 800.0;      ///< A failed call costs about a latency target and a retry.
     double priorCalls = 3.0;       ///< Successful calls assumed for each endpoint in advance.
     double crossDataCentreMs = 1.0;
+    /// Engines of the other lane are considered only if those of the own lane are expected to take
+    /// longer than this, and are charged it: what they are doing is seen too late.
+    double laneCrossingMs = 150.0;
     double serviceMs = 20.0; ///< Latency assumed for plain services before their first response.
     std::size_t fullScanLimit = 16;
     std::size_t sampleSize = 6; ///< In addition to the preferred endpoint.
     bool usePreferred = true;   ///< False: no endpoint is preferred for a prompt.
     bool copySegments = true;   ///< False: missing segments are always recomputed.
+    /// Without knowledge of the caches, the preferred endpoint is assumed to hold the segment.
+    /// False where the caches are known: then only holdsSegment counts.
+    bool assumePreferredHolds = true;
 };
 
 struct endpoint_choice
 {
-    std::size_t index = 0; ///< Into the candidates.
-    double expectedMs = 0.0;
+    std::size_t index = 0;   ///< Into the candidates.
+    double expectedMs = 0.0; ///< Cost that was compared: includes weights and penalties.
     std::int64_t expectedCachedTokens = 0;
+    /// Tokens that the engine has to read for the request, and before it; 0 for plain services. A
+    /// copied segment counts as the tokens that the engine reads in the time of the copy.
+    std::int64_t unreadTokens = 0;
+    std::int64_t tokensAhead = 0;
+    int running = 0; ///< Requests that run at the endpoint without this one.
+    /// Expected time from the call to its first event, without weights and penalties.
+    double expectedFirstEventMs = 0.0;
     std::optional<std::size_t> copyFrom; ///< Candidate to copy the missing segment from.
+    bool copySourceIsKnown = false;      ///< It is known to hold the segment.
 };
 
 /// Returns the choice, or nothing when every candidate is excluded or full. A candidate is full
@@ -146,9 +195,11 @@
                                               const placement_need &need, std::uint64_t seed,
                                               const endpoint_choice_options &options = {});
 
-/// Returns the preferred endpoint for the key: the candidate with the highest rendezvous score.
+/// Returns the preferred endpoint for the key: the candidate with the highest rendezvous score
+/// among those of the lane, if there is any.
 std::optional<std::size_t> preferredEndpoint(const std::vector<endpoint_candidate> &candidates,
-                                             std::string_view key);
+                                             std::string_view key,
+                                             engine_lane lane = engine_lane::Any);
 
 } // namespace burdockhold
 
--- a/burdockhold/mechanisms.h
+++ b/burdockhold/mechanisms.h
@@ -39,13 +39,18 @@
     StartGuard,
     SharedRetrySlack,
     ReturnedTokens,
+    EngineLanes,
+    Schedulers,
+    ClientMemory,
+    ColdRate,
+    Evacuation,
     FairWaiting,
 };
 
 template <>
 struct enum_names<mechanism>
 {
-    static constexpr std::array<enum_name<mechanism>, 20> Table{ {
+    static constexpr std::array<enum_name<mechanism>, 25> Table{ {
             { mechanism::PreferredEndpoint, "preferred_endpoint" },
             { mechanism::PoolSampling, "pool_sampling" },
             { mechanism::SegmentCopies, "segment_copies" },
@@ -65,6 +70,11 @@
             { mechanism::StartGuard, "start_guard" },
             { mechanism::SharedRetrySlack, "shared_retry_slack" },
             { mechanism::ReturnedTokens, "returned_tokens" },
+            { mechanism::EngineLanes, "engine_lanes" },
+            { mechanism::Schedulers, "schedulers" },
+            { mechanism::ClientMemory, "client_memory" },
+            { mechanism::ColdRate, "cold_rate" },
+            { mechanism::Evacuation, "evacuation" },
             { mechanism::FairWaiting, "fair_waiting" },
     } };
 };
--- a/burdockhold/placement_inputs.cc
+++ b/burdockhold/placement_inputs.cc
@@ -3,6 +3,8 @@
 #include "burdockhold/left_out.h"
 #include "burdockhold/prompt_segments.h"
 
+#include <algorithm>
+
 namespace burdockhold {
 
 namespace {
@@ -12,6 +14,17 @@
     return query.pool != nullptr && query.pool->engine && !query.request.model.empty();
 }
 
+/// Excludes the endpoints on whose weights no call may begin.
+void excludeExpiredWeights(std::vector<endpoint_candidate> &candidates, const router_board &board,
+                           const std::string &model)
+{
+    for (endpoint_candidate &candidate : candidates) {
+        if (candidate.staleWeights && !isOwnStatement(candidate.excluded)
+            && board.weightsExpired(model, board.endpoints.weightsOf(candidate.id, model)))
+            candidate.excluded = exclusion::ExpiredWeights;
+    }
+}
+
 /// Excludes the endpoints at addresses that a call of the attempt may have reached.
 void excludeCalled(std::vector<endpoint_candidate> &candidates, const router_board &board,
                    const std::set<std::string> &calledAddresses)
@@ -23,12 +36,23 @@
     }
 }
 
+/// Excludes the engines whose cold rate leaves this VM no request now.
+void excludeCold(std::vector<endpoint_candidate> &candidates, router_board &board, time_point now)
+{
+    for (endpoint_candidate &candidate : candidates) {
+        if (candidate.excluded == exclusion::None
+            && board.coldEngines.isExcluded(candidate.id, board.knownVms, now))
+            candidate.excluded = exclusion::Cold;
+    }
+}
+
 /// Returns the store for the request's shared segments, chosen by the data centre of the preferred
 /// endpoint.
 const cache_store *segmentStore(const router_board &board, const caller_request &request,
                                 const placement_inputs &inputs, time_point now)
 {
-    const auto preferred = preferredEndpoint(inputs.candidates, inputs.need.affinityKey);
+    const auto preferred = preferredEndpoint(inputs.candidates, inputs.need.affinityKey,
+                                             inputs.need.lane);
     const endpoint_report *report = nullptr;
     if (preferred)
         report = board.endpoints.find(inputs.candidates[*preferred].id);
@@ -36,9 +60,26 @@
                           now);
 }
 
+/// Sets the lanes of the candidates and of the request.
+void divideIntoLanes(router_board &board, const placement_query &query, placement_inputs &inputs,
+                     time_point now)
+{
+    const engine_lane_options &options = board.options.lanes;
+    const auto target = board.deployment ? board.deployment->shortestStreamTarget(query.poolName)
+                                         : std::nullopt;
+    if (!target || inputs.candidates.size() < options.minEngines)
+        return;
+    inputs.need.lane = laneOf(query.request.promptTokens, *target, options);
+    lane_demand &demand = board.laneDemand.try_emplace(query.poolName, options).first->second;
+    if (query.isFirstPlacement)
+        demand.record(inputs.need.lane, inputs.need, now);
+    assignLanes(inputs.candidates,
+                shortLaneShare(demand.totalWork(now), inputs.candidates.size(), options));
+}
+
 } // namespace
 
-std::vector<endpoint_candidate> placementCandidates(const router_board &board,
+std::vector<endpoint_candidate> placementCandidates(router_board &board,
                                                     const placement_query &query, time_point now)
 {
     const caller_request &request = query.request;
@@ -46,14 +87,42 @@
     auto candidates = board.endpoints.candidates(
             query.poolName, isEngineCall(query) ? request.model : "", targetVersion,
             deepestSegmentName(request, query.domain, targetVersion), query.triedEndpoints, now);
-    for (endpoint_candidate &candidate : candidates) {
-        if (candidate.staleWeights && !isOwnStatement(candidate.excluded)
-            && board.weightsExpired(request.model,
-                                    board.endpoints.weightsOf(candidate.id, request.model)))
-            candidate.excluded = exclusion::ExpiredWeights;
-    }
+    excludeExpiredWeights(candidates, board, request.model);
     if (!query.calledAddresses.empty() && !query.mayCallAgain)
         excludeCalled(candidates, board, query.calledAddresses);
+    excludeCold(candidates, board, now);
+    return candidates;
+}
+
+std::vector<endpoint_candidate> schedulableCandidates(router_board &board, std::uint32_t pool,
+                                                      std::uint32_t model, time_point now)
+{
+    const deployment_pool *found = nullptr;
+    std::string modelName;
+    for (const deployment_pool &known :
+         board.deployment ? board.deployment->pools() : std::vector<deployment_pool>()) {
+        if (shortHash(known.name) != pool || !known.engine)
+            continue;
+        found = &known;
+        for (const std::string &name : known.engine->models)
+            modelName = shortHash(name) == model ? name : modelName;
+    }
+    if (found == nullptr || modelName.empty())
+        return {};
+    auto candidates = board.endpoints.candidates(found->name, modelName,
+                                                 board.targetVersion(modelName), {}, {}, now);
+    excludeExpiredWeights(candidates, board, modelName);
+    if (const software_rollout *rollout = board.rolloutOf(found->name))
+        rollout->removeNewVersion(candidates, now);
+    const std::size_t poolSize = candidates.size();
+    candidates.erase(
+            std::remove_if(candidates.begin(), candidates.end(),
+                           [](const auto &candidate) { return !candidate.sameDataCentre; }),
+            candidates.end());
+    const auto demand = board.laneDemand.find(found->name);
+    if (demand != board.laneDemand.end())
+        assignLanes(candidates,
+                    shortLaneShare(demand->second.totalWork(now), poolSize, board.options.lanes));
     return candidates;
 }
 
@@ -70,6 +139,7 @@
     if (!isEngineCall(query))
         return inputs;
     inputs.need = placementNeedFor(query.request, query.domain);
+    divideIntoLanes(board, query, inputs, now);
     if (inputs.need.segmentTokens == 0)
         return inputs;
     inputs.store = segmentStore(board, query.request, inputs, now);
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -31,8 +31,6 @@
 // caller has received, and overloaded engines refuse several times in a row.
 constexpr int MaxCallsOfStartedStream = 8;
 constexpr std::size_t MaxBufferedResponseBytes = std::size_t(8) * 1024 * 1024;
-// Responses that are buffered until they are complete may use the memory limit divided by this.
-constexpr std::size_t BufferMemoryDivisor = 4;
 // A stale view is renewed within about this time, or the caller's next attempt reaches another VM.
 constexpr duration StaleViewRetryAfter = std::chrono::milliseconds(300);
 // Requests that arrive later than this after the stop notice are refused, since they could outlast
@@ -70,6 +68,7 @@
     , m_arrival(arrival)
     , m_timer(context.io)
     , m_events(m_request.resumeAfter)
+    , m_placement(context.placements)
 {
 }
 
@@ -260,12 +259,14 @@
              m_triedEndpoints,
              m_calledAddresses,
              mayCallAgain(m_route->kind, m_route->resumable),
-             m_callsMade == 0 && !m_trialOf };
+             m_callsMade == 0 && !m_trialOf,
+             m_callsMade == 0 && !m_waiting };
 }
 
 /// Tells the engine where to copy the shared segments from that it lacks, and where to save them.
 void routed_request::addSegmentTransfer(endpoint_call_fields &fields,
-                                        const placement_inputs &inputs, const std::string &holder)
+                                        const placement_inputs &inputs, const std::string &holder,
+                                        bool holderIsKnown)
 {
     segment_call call;
     call.endpointId = m_endpointId;
@@ -274,6 +275,7 @@
     call.promptTokens = inputs.need.promptTokens;
     call.expectedCached = m_load.pendingPrefillTokens < inputs.need.promptTokens;
     call.holder = holder;
+    call.holderIsKnown = holderIsKnown;
     call.store = m_expectedWeights > 0 ? inputs.store : nullptr;
     const segment_transfer transfer = planSegments(m_context.board, call, steadyNow());
     fields.copySegmentsFrom = transfer.copyFrom;
@@ -304,11 +306,13 @@
     const time_point now = steadyNow();
     if (refuseIfBlocked(now))
         return true;
-    placement_inputs inputs = collectPlacementInputs(m_context.board, placementQuery(), now);
-    const auto choice = chooseWithCanary(inputs.candidates, inputs.canary, inputs.need,
-                                         hashOf(m_request.attemptId),
-                                         m_context.board.options.choice);
-    if (!choice)
+    const placement_query query = placementQuery();
+    placement_inputs inputs = collectPlacementInputs(m_context.board, query, now);
+    const placement_step step = choosePlacement(inputs, query, now);
+    if (std::holds_alternative<await_placement>(step))
+        return false;
+    const auto *choice = std::get_if<endpoint_choice>(&step);
+    if (choice == nullptr)
         return refuseIfNoneReturns(inputs.candidates, now);
     if (refuseIfTooLate(*choice, now))
         return true;
@@ -332,6 +336,31 @@
     return true;
 }
 
+/// Chooses the endpoint of the next call, by the schedulers if they can be asked.
+placement_step routed_request::choosePlacement(placement_inputs &inputs,
+                                               const placement_query &query, time_point now)
+{
+    const placement_facts facts{ query,
+                                 inputs,
+                                 m_account == nullptr ? "" : m_account->name,
+                                 m_priority,
+                                 m_arrival + m_route->latencyTarget - now,
+                                 m_deadline - now,
+                                 queueWaitEnd(now) - now };
+    const placement_step step = m_placement.choose(facts, [self = weak_from_this()] {
+        if (const auto request = self.lock())
+            request->place();
+    });
+    if (!std::holds_alternative<place_locally>(step))
+        return step;
+    const auto choice = chooseWithCanary(inputs.candidates, inputs.canary, inputs.need,
+                                         hashOf(m_request.attemptId),
+                                         m_context.board.options.choice);
+    if (!choice)
+        return no_room{};
+    return *choice;
+}
+
 /// Ends the request if what it contains has crashed endpoints. A stream that has started continues,
 /// since an endpoint has answered it.
 bool routed_request::refuseIfBlocked(time_point now)
@@ -381,8 +410,7 @@
     if (!mustRefuseAtOnce(endpoints, waitEnd))
         return false;
     m_context.board.metrics.count(router_counter::RefusedAllPaused);
-    if (m_context.board.log.accepts(log_priority::Failure, now))
-        logPoolFull(now);
+    logPoolFull(m_context.board, m_request.attemptId, placementQuery(), now);
     if (endpoints.firstEnd)
         refuse(503, "all_paused", *endpoints.firstEnd - now);
     else
@@ -430,7 +458,7 @@
                                                                m_request.model, m_expectedWeights)
                                                : std::string();
     if (!m_segmentKey.empty() && m_pool != nullptr && m_pool->engine)
-        addSegmentTransfer(fields, inputs, holder);
+        addSegmentTransfer(fields, inputs, holder, choice.copySourceIsKnown);
     m_connection->call(platform::encodeCall(m_request, fields), callHandlers());
     if (m_paused)
         m_connection->pauseReading();
@@ -449,7 +477,8 @@
     m_answered = false;
     m_triedEndpoints.insert(m_endpointId);
     ++m_callsMade;
-    m_expectedMs = choice.expectedMs;
+    m_choice = choice;
+    m_callFirstByte = duration::zero();
     m_prefillDone = false;
     m_headReceived = false;
     m_copiesSegments = false;
@@ -467,7 +496,8 @@
         m_expectedWeights = board.targetVersion(m_request.model);
     m_cacheDomain = cacheDomain();
     m_segmentKey = deepestSegmentName(m_request, m_cacheDomain, m_expectedWeights);
-    m_ticket = board.endpoints.callStarted(m_endpointId, m_load, m_callStarted);
+    m_ticket = board.callStarted(m_endpointId, m_load, m_callStarted);
+    m_placement.callStarted(*report, m_load);
     if (m_load.pendingPrefillTokens >= ImmediateDigestTokens)
         board.digestRequested = true;
     countCall(choice);
@@ -563,34 +593,36 @@
         relayEvents(bytes);
         return;
     }
-    m_body.append(bytes);
-    router_board &board = m_context.board;
-    board.bufferedBytes += bytes.size();
-    if (m_body.size() > MaxBufferedResponseBytes
-        || board.bufferedBytes > board.settings.memoryBytes / BufferMemoryDivisor) {
+    if (m_body.size() + bytes.size() > MaxBufferedResponseBytes
+        || !m_context.board.memory.tryTake(memory_part::Responses, bytes.size())) {
         m_connection->close();
         callEnded(call_end::WrongAnswer);
+        return;
     }
+    m_body.append(bytes);
 }
 
 void routed_request::discardBody()
 {
-    m_context.board.bufferedBytes -= m_body.size();
+    m_context.board.memory.give(memory_part::Responses, m_body.size());
     freeText(m_body);
 }
 
 void routed_request::firstByteReceived()
 {
     m_prefillDone = true;
+    const time_point now = steadyNow();
+    m_callFirstByte = now - m_callStarted;
     if (m_rolloutCall)
-        m_rolloutCall->firstByteReceived(steadyNow());
+        m_rolloutCall->firstByteReceived(now);
     router_board &board = m_context.board;
     board.endpoints.prefillFinished(m_endpointId, m_load);
+    m_placement.prefillFinished();
     m_context.waiting.roomFreed(m_context.io, m_poolName);
     if (!m_segmentKey.empty() && m_head.status == StatusOk)
         board.endpoints.recordCachedSegment(m_endpointId, m_segmentKey);
     if (!m_responseStarted) {
-        m_timeToFirstByte = steadyNow() - m_arrival;
+        m_timeToFirstByte = now - m_arrival;
         board.metrics.recordFirstByte(m_timeToFirstByte);
     }
 }
@@ -609,6 +641,7 @@
     if (text.empty())
         return;
     m_lastProgress = steadyNow();
+    m_gaps.eventArrived(m_lastProgress);
     recordAnswer();
     if (m_rolloutCall)
         m_rolloutCall->eventsReceived(m_events.events() - m_eventsBeforeCall, m_lastProgress);
@@ -700,8 +733,8 @@
         board.endpoints.recordCallResult(m_endpointId, succeeded,
                                          1000.0 * toSeconds(now - m_callStarted), now);
     }
-    if (end == call_end::NotSent)
-        board.endpoints.connectFailed(m_endpointId, now);
+    if (mayHaveRestarted(end, m_headReceived))
+        recordUnanswered(board, m_endpointId, end, now);
     else if (isRefusal(end))
         callRefused(now);
     if (end != call_end::NotSent && end != call_end::SaidNotRun) {
@@ -869,6 +902,7 @@
 void routed_request::releaseCall()
 {
     m_context.migratable.erase(shared_from_this());
+    m_placement.callEnded();
     if (m_endpointId.empty())
         return;
     if (m_rolloutCall)
@@ -945,6 +979,7 @@
 {
     m_paused = false;
     m_lastProgress = steadyNow(); // The endpoint could send nothing meanwhile.
+    m_gaps.resumed(m_lastProgress);
     if (!m_ended && m_connection)
         startTimer();
     if (m_connection)
@@ -957,6 +992,7 @@
         return;
     m_ended = true;
     m_timer.cancel();
+    m_placement.callEnded();
     discardBody();
     if (m_waiting) {
         m_waiting = false;
@@ -972,21 +1008,11 @@
         board.log.write(log_event::RequestEnded, requestEndedFields(summary(status, reason, now)),
                         now);
     }
-    if (reason == "no_endpoint" && board.log.accepts(log_priority::Failure, now))
-        logPoolFull(now);
+    if (reason == "no_endpoint")
+        logPoolFull(board, m_request.attemptId, placementQuery(), now);
     m_writer = {};
 }
 
-/// Logs why no endpoint could take the request.
-void routed_request::logPoolFull(time_point now)
-{
-    m_context.board.log.write(
-            log_event::PoolFull,
-            poolFullFields(m_request.attemptId, m_poolName,
-                           placementCandidates(m_context.board, placementQuery(), now)),
-            now);
-}
-
 request_summary routed_request::summary(int status, std::string_view reason, time_point now) const
 {
     request_summary result;
@@ -1006,7 +1032,7 @@
     result.wait = m_wait;
     result.total = now - m_arrival;
     result.firstByte = m_timeToFirstByte;
-    result.expectedMs = m_expectedMs;
+    addFirstEvent(result, m_choice, m_callFirstByte, m_gaps.longest());
     result.promptTokens = m_request.promptTokens;
     result.maxOutputTokens = m_request.maxOutputTokens;
     result.pendingPrefillTokens = m_load.pendingPrefillTokens;
--- a/burdockhold/routed_request_waiting.cc
+++ b/burdockhold/routed_request_waiting.cc
@@ -35,10 +35,19 @@
     }
 }
 
+/// Returns whether the schedulers place the request. Then it waits in their queues, in the order of
+/// all VMs, and in the wait queue only for their answers.
+bool routed_request::isScheduled() const
+{
+    return m_context.placements != nullptr && m_context.board.usesSchedulers() && m_pool != nullptr
+           && m_pool->engine;
+}
+
 /// Places the request, or lets it wait. An arrival does not overtake those that wait.
 void routed_request::placeOrWait()
 {
-    const bool mustQueue = m_callsMade == 0 && usesFairWaiting(m_context.board.settings.mechanisms)
+    const bool mustQueue = m_callsMade == 0 && !isScheduled()
+                           && usesFairWaiting(m_context.board.settings.mechanisms)
                            && m_context.waiting.hasWaiting(m_poolName);
     if (!mustQueue) {
         if (!place())
@@ -55,9 +64,9 @@
 void routed_request::enterWaitQueue(wait_cause cause)
 {
     m_waiting = true;
-    m_wait.cause = cause;
+    m_wait.cause = isScheduled() ? wait_cause::None : cause;
     const time_point now = steadyNow();
-    if (!usesFairWaiting(m_context.board.settings.mechanisms))
+    if (isScheduled() || !usesFairWaiting(m_context.board.settings.mechanisms))
         m_context.waiting.add(shared_from_this());
     else if (!joinWaitQueue(now))
         return;
--- a/burdockhold/router_board.cc
+++ b/burdockhold/router_board.cc
@@ -5,6 +5,7 @@
 #include <ctime>
 
 #include <algorithm>
+#include <sstream>
 #include <utility>
 
 namespace burdockhold {
@@ -15,11 +16,6 @@
 constexpr std::size_t MaxVersionsKept = 16;
 /// Allows for the time between the placement of a call and its beginning at the endpoint.
 constexpr duration StaleWeightsMargin = std::chrono::milliseconds(1500);
-/// Period over which retries are limited to a fraction of the requests.
-constexpr duration RetryBudgetWindow = std::chrono::seconds(10);
-/// Fraction of the retry budget and its slack that is used. The rest covers windows of different
-/// VMs that are not aligned.
-constexpr double RetryBudgetShare = 0.9;
 /// How long a store is treated as unavailable after the last report of a failed check. Covers two
 /// missed checks.
 constexpr duration StoreUnavailableTime = std::chrono::milliseconds(1200);
@@ -46,12 +42,24 @@
     return options;
 }
 
+cold_engine_options coldOptions(const router_settings &settings)
+{
+    cold_engine_options options;
+    if (!settings.mechanisms.uses(mechanism::ColdRate))
+        return options;
+    options.overshoot = settings.coldOvershoot;
+    options.slack = settings.coldSlack;
+    return options;
+}
+
 } // namespace
 
 router_board::router_board(router_settings source)
     : settings(std::move(source))
     , options(optionsFor(settings.mechanisms))
     , endpoints(settings.dataCentre, tableOptions(settings, options.endpoints))
+    , coldEngines(coldOptions(settings))
+    , knownVms(shortHash(settings.vmName))
     , log(settings.vmName)
 {
 }
@@ -177,7 +185,7 @@
         if (pool.store)
             storeLinkQuota(*pool.store, now).setLimit(linkLimit(*pool.store), now);
         else
-            retrySlackQuota(pool.name, now);
+            retryLimit(pool.name, now);
     }
 }
 
@@ -197,9 +205,12 @@
 {
     endpointsConfirmedAt = std::max(endpointsConfirmedAt, at);
     const time_point now = steadyNow();
-    for (const endpoint_report &report :
-         endpoints.confirmView(now - (bootTimeNow() - endpointsConfirmedAt)))
+    const time_point confirmedAt = now - (bootTimeNow() - endpointsConfirmedAt);
+    for (const endpoint_report &report : endpoints.confirmView(confirmedAt)) {
+        coldEngines.reported(report, true, now);
         logEndpointChanged(report, now);
+    }
+    coldEngines.confirmView(confirmedAt);
 }
 
 void router_board::logEndpointChanged(const endpoint_report &report, time_point now)
@@ -214,49 +225,54 @@
               now);
 }
 
-retry_budget &router_board::retryBudgetOf(const std::string &pool)
+call_ticket router_board::callStarted(std::string_view endpointId, const call_load &load,
+                                      time_point now)
 {
-    const auto found = retryBudgets.find(pool);
-    if (found != retryBudgets.end())
-        return found->second;
-    const retry_budget_options budgetOptions{ RetryBudgetShare * settings.retryRatio, 0, 0 };
-    return retryBudgets.emplace(pool, retry_budget(budgetOptions)).first->second;
+    coldEngines.requestSent(endpointId, now);
+    return endpoints.callStarted(endpointId, load, now);
 }
 
-/// In any window of the budget, half of the slack may be used as a burst and half at a steady rate.
-quota_ledger &router_board::retrySlackQuota(const std::string &pool, time_point now)
+std::string router_board::metricsText(time_point now)
+{
+    std::ostringstream gauges;
+    gauges << "# TYPE burdockhold_cold_engines gauge\nburdockhold_cold_engines "
+           << coldEngines.coldCount(now)
+           << "\n# TYPE burdockhold_cold_rate gauge\nburdockhold_cold_rate "
+           << coldEngines.rate(knownVms, now) << "\n";
+    return metrics.text() + gauges.str();
+}
+
+retry_limit &router_board::retryLimit(const std::string &pool, time_point now)
 {
     const std::string name = "repeats/" + pool;
-    const auto found = retrySlack.find(name);
-    if (found != retrySlack.end())
+    const auto found = retryLimits.find(name);
+    if (found != retryLimits.end())
         return found->second;
-    const double half = RetryBudgetShare * settings.retrySlack / 2.0;
-    const quota_limit limit{ half / toSeconds(RetryBudgetWindow), half };
-    return retrySlack.emplace(name, quota_ledger(sharedLimitOptions(name), limit, now))
-            .first->second;
+    retry_limit_options limitOptions;
+    limitOptions.ratio = settings.retryRatio;
+    limitOptions.slack = settings.retrySlack;
+    limitOptions.sharesSlack = settings.mechanisms.uses(mechanism::SharedRetrySlack);
+    retry_slack_options slackOptions;
+    slackOptions.minVms = std::max(slackOptions.minVms, knownPeers + 1);
+    slackOptions.phaseSeed = phaseSeedOf(name);
+    if (!settings.mechanisms.uses(mechanism::StartGuard))
+        slackOptions.startGuard = duration::zero();
+    return retryLimits.emplace(name, retry_limit(limitOptions, slackOptions, now)).first->second;
 }
 
 void router_board::countRequest(const std::string &pool, time_point now)
 {
-    retryBudgetOf(pool).countRequest(now);
+    retryLimit(pool, now).countRequest(now);
 }
 
 bool router_board::tryRetry(const std::string &pool, time_point now)
 {
-    return retryBudgetOf(pool).tryRetry(now)
-           || (settings.mechanisms.uses(mechanism::SharedRetrySlack)
-               && retrySlackQuota(pool, now).tryAdmit(1.0, now));
+    return retryLimit(pool, now).tryRetry(now);
 }
 
 bool router_board::tryOptionalRetry(const std::string &pool, time_point now)
 {
-    constexpr double MinHeadroom = 0.5;
-    if (retryBudgetOf(pool).tryOptionalRetry(now))
-        return true;
-    if (!settings.mechanisms.uses(mechanism::SharedRetrySlack))
-        return false;
-    quota_ledger &slack = retrySlackQuota(pool, now);
-    return slack.headroom() >= MinHeadroom && slack.tryAdmit(1.0, now);
+    return retryLimit(pool, now).tryOptionalRetry(now);
 }
 
 quota_ledger &router_board::accountQuota(const deployment_account &account, time_point now)
--- a/burdockhold/view_controller.h
+++ b/burdockhold/view_controller.h
@@ -18,7 +18,10 @@
 // with many routes does not fit into one, and nng request sockets because they resend a request
 // without a response and need their own threads.
 
+#include "burdockhold/client_queue.h"
+#include "burdockhold/connection_acceptor.h"
 #include "burdockhold/deployment_history.h"
+#include "burdockhold/entry_silence.h"
 #include "burdockhold/router_board.h"
 #include "burdockhold/topic_follower.h"
 #include "burdockhold/view_message.h"
@@ -99,6 +102,7 @@
     void operatorChanged(const platform::keyed_record &record);
     void deploymentRead(std::string_view body);
     void endpointChanged(const platform::keyed_record &record);
+    void markSilentEntries(duration at);
     void recordConfirmation(read_topic &topic, duration at, std::string_view name);
     duration retryPause() const;
     std::size_t operatorResponseBytes() const;
@@ -114,6 +118,8 @@
     bool isFresh(duration transferTime) const;
 
     void acceptConnections();
+    void startSession(boost::asio::ip::tcp::socket socket);
+    bool closeSilentSession();
     /// Responds to the waiting requests for which there are changes.
     void notifySessions();
     bool hasChangesFor(const view_request &request) const;
@@ -130,6 +136,7 @@
     bool m_reading = false;
     read_topic m_operator;
     read_topic m_endpoints;
+    entry_silence m_silence; // Of the entries that this VM has read itself.
     deployment_history m_deployments;
     /// Encoded updates to m_deployments.version(), by the version since which they are.
     std::map<std::optional<std::uint64_t>, std::shared_ptr<const std::string>> m_encodedUpdates;
@@ -141,7 +148,9 @@
     bool m_requestInFlight = false;
     time_point m_nextRequestAt;
 
-    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::size_t m_maxSessions;
+    client_queue<view_session> m_silentSessions; ///< They have sent no request yet.
+    connection_acceptor m_acceptor;
     std::set<std::shared_ptr<view_session>> m_sessions;
 };
 
