Lengthen the pause of callers that are refused without a known rate

While nothing had been placed from the queue, or requests waited outside its rooms for a scheduler's answer, the pause was 50 ms, so that refused callers came back into the same overload.

--- a/burdockhold/overload_admission.cc
+++ b/burdockhold/overload_admission.cc
@@ -8,6 +8,8 @@
 
 // withJitter() adds up to half to a pause, and a caller's pause is at most a third of its time.
 constexpr double LongestPauseShare = 1.0 / 3.0 / 1.5;
+// A shorter pause than the latency target divided by this finds the same queue again.
+constexpr int LeastPauseDivisor = 4;
 
 } // namespace
 
@@ -48,7 +50,9 @@
     const duration wait = std::min<duration>(room.expectedWait(request, now), m_options.maxPromise);
     const time_point turn = std::max(m_promisedUntil, now + wait - mayWait) + own;
     m_promisedUntil = std::clamp(turn, now, now + m_options.maxPromise);
-    const duration pause = std::max<duration>(m_promisedUntil - now, MinPause);
+    // A refusal shows that the queue is slower than the rate says, or that nothing is known.
+    const duration least = rate > 0.0 ? mayWait / LeastPauseDivisor : mayWait;
+    const duration pause = std::max<duration>(m_promisedUntil - now, least);
     return std::max<duration>(MinPause, std::min(pause, longestPause(callerEnd - now)));
 }
 
--- a/burdockhold/overload_admission.h
+++ b/burdockhold/overload_admission.h
@@ -9,7 +9,8 @@
 //   what waits ahead of it and the rate at which requests of its priority are placed.
 // - The stated pause is the time after which the request could be placed in time, one refused
 //   caller after another at the rate of placement. It is at most a third of the time that the
-//   caller has left, jitter included, but not below MinPause.
+//   caller has left, jitter included, but not below MinPause. Without a known rate it is the
+//   latency target.
 // - A caller that comes back is recognised once, within returnTime.
 //
 // Failure behaviour: while no rate is known, requests wait. A rate that was too high lets requests
--- a/testing/overload_admission_test.cc
+++ b/testing/overload_admission_test.cc
@@ -94,7 +94,8 @@
     overload_admission admission(options);
     const waiting_room room;
     for (std::uint64_t caller = 1; caller <= 3; ++caller)
-        admission.refuse(room, requestOf(caller, 0, 100), at(1000), caller, at(0));
+        BOOST_TEST((admission.refuse(room, requestOf(caller, 0, 100), at(1000), caller, at(0))
+                    == milliseconds(200))); // Of an unknown rate: the target.
     BOOST_TEST(admission.takeReturning(1, at(100)));
     BOOST_TEST(!admission.takeReturning(1, at(100)));
     BOOST_TEST(!admission.takeReturning(3, at(100)));
