--- a/burdockhold/digest_exchange.cc
+++ b/burdockhold/digest_exchange.cc
@@ -627,6 +627,8 @@
     recordUnavailableStores(digest, now);
     recordCrashes(digest, now);
     recordLaneWork(digest, now);
+    if (m_applied)
+        m_applied();
 }
 
 void digest_exchange::applyTotals(const vm_digest &digest, bool restarted, bool isLocalVm,
