Read the pool's pace by pointer in candidates, and bound the weight of its error

Each candidate carried a copy of the pace, scaled to the engine, though a choice compares seven of them. Under overload, errors are several times the expected time and would have outweighed cached segments. A loop test checks the times that request_ended states.

--- a/burdockhold/endpoint_choice.cc
+++ b/burdockhold/endpoint_choice.cc
@@ -9,14 +9,22 @@
 
 namespace {
 
+/// Returns the engine's pace, or the assumed one with this base while none is known.
+pace_line paceOf(const endpoint_candidate &candidate, const endpoint_choice_options &options,
+                 double assumedBaseMs)
+{
+    if (candidate.poolPace != nullptr)
+        return candidate.poolPace->slowedBy(candidate.slowness);
+    return { assumedBaseMs, 1.0 / options.prefillTokensPerMs, 0.0, 1.0, 0.0 };
+}
+
 double engineMs(const endpoint_candidate &candidate, const placement_need &need, bool holds,
                 bool canCopy, const endpoint_choice_options &options)
 {
-    const pace_line line = candidate.pace.value_or(
-            pace_line{ 0.0, 1.0 / options.prefillTokensPerMs, 0.0, 1.0, 0.0 });
+    const pace_line line = paceOf(candidate, options, 0.0);
     // Running requests are charged below, and what views miss is the same for all engines.
     double ms = line.lineMs(need.unsharedTokens, candidate.pendingPrefillTokens, 0);
-    ms += options.paceErrorWeight * line.errorShare * ms;
+    ms += options.paceErrorWeight * std::min(line.errorShare, options.maxErrorShare) * ms;
     if (!holds) {
         const auto tokens = static_cast<double>(need.segmentTokens);
         ms += canCopy ? tokens / options.copyTokensPerMs
@@ -88,8 +96,7 @@
                           + std::llround(segmentShare * static_cast<double>(need.segmentTokens));
     choice.tokensAhead = candidate.pendingPrefillTokens;
     choice.running = candidate.running;
-    const pace_line line = candidate.pace.value_or(
-            pace_line{ options.firstEventBaseMs, 1.0 / options.prefillTokensPerMs, 0.0, 1.0, 0.0 });
+    const pace_line line = paceOf(candidate, options, options.firstEventBaseMs);
     const pace_estimate estimate = line.estimate(choice.unreadTokens, choice.tokensAhead,
                                                  choice.running);
     choice.expectedFirstEventMs = estimate.expectedMs;
--- a/burdockhold/endpoint_choice.h
+++ b/burdockhold/endpoint_choice.h
@@ -78,9 +78,10 @@
     double latencyMs = 0.0;                ///< Moving average; plain services only.
     bool staleWeights = false;             ///< The weights are older than the target version.
     bool holdsSegment = false; ///< Caches the deepest shared segment for its current weights.
-    /// The engine's pace; nothing for plain services and while too little is known.
-    std::optional<pace_line> pace;
-    double slowness = 1.0; ///< Relative to the pool's engines, with pace.
+    /// The pace of the pool's engines, which the table owns; null for plain services and while too
+    /// little is known.
+    const pace_line *poolPace = nullptr;
+    double slowness = 1.0; ///< Of the engine relative to its pool, with poolPace.
     /// Unread prompt tokens that this VM may still place there (pace_limit.h).
     double tokensLeft = std::numeric_limits<double>::infinity();
 };
@@ -111,6 +112,9 @@
     /// expectedFirstEventMs includes it, since it is the same for all endpoints.
     double firstEventBaseMs = 27.0;
     double paceErrorWeight = 0.25; ///< Weight of the expected time's error.
+    /// Errors above this share of the expected time count as this. Under overload they are several
+    /// times the expected time; charged in full, they would outweigh the cached segments.
+    double maxErrorShare = 0.5;
     /// Copying a segment takes this share of the time that recomputing it takes.
     double copyTimeShare = 1.0 / 7.0;
     /// Cost of copying a segment to an engine that lacks it. The copy itself takes a seventh of the
--- a/burdockhold/endpoint_table.cc
+++ b/burdockhold/endpoint_table.cc
@@ -174,19 +174,19 @@
         return row.second.report.pool == pool && !row.second.removed;
     });
     const auto poolPace = m_poolPaces.find(pool);
-    std::optional<pace_line> poolLine;
-    if (m_options.usePace && poolPace != m_poolPaces.end() && poolPace->second.isKnown())
-        poolLine = poolPace->second.lineAt(now);
+    const bool usesPace = m_options.usePace && !model.empty() && poolPace != m_poolPaces.end()
+                          && poolPace->second.pace.isKnown();
     std::vector<endpoint_candidate> found;
+    found.reserve(m_entries.size());
     for (const auto &[id, entry] : m_entries) {
         if (entry.report.pool != pool || !isUsable(entry, poolIsEmpty, now))
             continue;
         endpoint_candidate candidate = makeCandidate(entry, model, targetVersion, segmentKey, now);
         candidate.id = id;
         candidate.softwareVersion = entry.report.softwareVersion;
-        if (poolLine && !model.empty()) {
+        if (usesPace) {
             candidate.slowness = entry.pace.slowness(now);
-            candidate.pace = poolLine->slowedBy(candidate.slowness);
+            candidate.poolPace = &poolPace->second.line;
         }
         if (m_options.limitPace && !model.empty())
             candidate.tokensLeft = tokensLeft(entry, candidate, now);
@@ -697,9 +697,13 @@
     table_entry *entry = findEntry(event.endpointId);
     if (entry == nullptr || entry->report.incarnation != event.incarnation)
         return;
-    engine_pace &pool = m_poolPaces.try_emplace(entry->report.pool, m_options.pace).first->second;
-    pool.record(event.sample, now);
-    entry->pace.follow(pool);
+    pool_pace &pool = m_poolPaces
+                              .try_emplace(entry->report.pool,
+                                           pool_pace{ engine_pace(m_options.pace), {} })
+                              .first->second;
+    pool.pace.record(event.sample, now);
+    pool.line = pool.pace.lineAt(now);
+    entry->pace.follow(pool.pace);
     entry->pace.record(event.sample, now);
     entry->limit.firstEvent(event.expectedMs, event.sample.firstEventMs, event.sample.unreadTokens,
                             now);
--- a/burdockhold/endpoint_table.h
+++ b/burdockhold/endpoint_table.h
@@ -301,6 +301,11 @@
         pace_limit limit = pace_limit();
         bool loadEnds = false; ///< The end of the load has not been noted yet.
     };
+    struct pool_pace
+    {
+        engine_pace pace;
+        pace_line line; // Of pace; changes with each first event.
+    };
     struct peer_totals
     {
         std::int64_t running = 0;
@@ -346,7 +351,7 @@
     std::unordered_map<std::uint32_t, std::string> m_idsByHash;
     std::unordered_map<std::uint32_t, peer_totals> m_peerTotals;
     std::map<std::string, peer_view, std::less<>> m_peers;
-    std::map<std::string, engine_pace, std::less<>> m_poolPaces;
+    std::map<std::string, pool_pace, std::less<>> m_poolPaces; // Rows are never removed.
     std::size_t m_vms = 1;
     std::uint64_t m_startedLimits = 0;
     std::vector<ended_notice> m_endedNotices;
--- a/burdockhold/engine_pace.cc
+++ b/burdockhold/engine_pace.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace burdockhold {
 
@@ -114,15 +115,17 @@
 {
     if (m_samples < m_options.momentSamples)
         return 0.0;
-    double least = std::log(m_options.maxSlowness);
+    double least = std::numeric_limits<double>::infinity();
     for (int index = 0; index < m_options.momentSamples; ++index) {
         const past_sample &sample = m_recent[static_cast<std::size_t>(index)];
         if (sample.at < now - m_options.momentExpiry)
             return 0.0;
         least = std::min(least, sample.excess);
     }
-    const double beyond = least - m_slowness;
-    return beyond < std::log(m_options.momentFactor) ? 0.0 : beyond;
+    // Every choice asks for every engine, so the logarithms are left to those that are slow.
+    if (least <= m_slowness || least - m_slowness < std::log(m_options.momentFactor))
+        return 0.0;
+    return std::min(least, std::log(m_options.maxSlowness)) - m_slowness;
 }
 
 double engine_pace::slowness(time_point now) const
--- a/testing/endpoint_choice_test.cc
+++ b/testing/endpoint_choice_test.cc
@@ -269,14 +269,13 @@
     std::vector<endpoint_candidate> engines = idleEngines(2);
     const pace_line line{ 27.0, 1.0 / 40.0, 0.2, 1.0, 0.4 };
     for (endpoint_candidate &engine : engines) {
-        engine.pace = line;
+        engine.poolPace = &line;
         engine.holdsSegment = true;
         engine.running = 1;
         engine.pendingPrefillTokens = 2000;
     }
     placement_need need = longPrompt("s");
     engines[0].slowness = 2.5;
-    engines[0].pace = line.slowedBy(2.5);
     engines[1].pendingPrefillTokens = 4500;
     const auto choice = chooseEndpoint(engines, need, 0);
     BOOST_REQUIRE(choice);
--- a/testing/endpoint_table_test.cc
+++ b/testing/endpoint_table_test.cc
@@ -299,7 +299,7 @@
     endpoint_table table("dc1");
     for (const char *id : { "e1", "e2" })
         table.update(report(id), at(0));
-    BOOST_TEST(!candidate(table, "e1", at(0)).pace.has_value());
+    BOOST_TEST(candidate(table, "e1", at(0)).poolPace == nullptr);
     for (int index = 0; index < 60; ++index) {
         const time_point now = at(0.1 * index);
         table.recordFirstEvent({ "e1", 1, { 800, 0, 0, 43.0 }, 43.0 }, now);
@@ -307,11 +307,11 @@
     }
     const endpoint_candidate fast = candidate(table, "e1", at(6));
     const endpoint_candidate slow = candidate(table, "e2", at(6));
-    BOOST_TEST(slow.pace->msPerToken > 1.4 * fast.pace->msPerToken);
+    BOOST_TEST(slow.slowness > 1.4 * fast.slowness);
     table.update(report("e2", 2), at(6));
     table.recordFirstEvent({ "e2", 1, { 800, 0, 0, 860.0 }, 43.0 }, at(6));
     BOOST_TEST(candidate(table, "e2", at(6)).slowness == 1.0);
-    BOOST_TEST(candidate(table, "e2", at(6)).pace.has_value());
+    BOOST_TEST(candidate(table, "e2", at(6)).poolPace != nullptr);
 
     endpoint_table_options options;
     options.usePace = false;
@@ -319,7 +319,7 @@
     without.update(report("e1"), at(0));
     for (int index = 0; index < 60; ++index)
         without.recordFirstEvent({ "e1", 1, { 800, 0, 0, 43.0 }, 43.0 }, at(0.1 * index));
-    BOOST_TEST(!candidate(without, "e1", at(6)).pace.has_value());
+    BOOST_TEST(candidate(without, "e1", at(6)).poolPace == nullptr);
 }
 
 // Guards against all VMs sending what they have to an engine that has just started, and against
--- a/testing/router_looptest.cc
+++ b/testing/router_looptest.cc
@@ -208,6 +208,33 @@
     BOOST_TEST(calls[1].field("Last-Event-Id") == "3");
 }
 
+// Guards against a line on a stream without what its placement expected and its longest pause. The
+// pool is a plain service without earlier calls.
+BOOST_FIXTURE_TEST_CASE(linesOfStreamsStateExpectedAndActualTimes, fixture)
+{
+    setEngineBehaviour([](const std::string &, const recorded_request &request,
+                          response_socket &socket) {
+        socket.write(responseHead(request,
+                                  "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked"));
+        socket.write(chunk(events(1, 3)));
+        std::this_thread::sleep_for(std::chrono::milliseconds(60));
+        return socket.write(chunk(events(4, 6)) + "0\r\n\r\n");
+    });
+    test_caller caller(router->callerAddress());
+    caller.send(request("/resume/"));
+    caller.readUntil("0\r\n\r\n", WaitLimitMs);
+    BOOST_REQUIRE(waitForLog(R"("expected_first_ms":20)"));
+    const std::string lines = router->logText();
+    const auto valueOf = [&lines](const std::string &field) {
+        const std::size_t found = lines.find("\"" + field + "\":");
+        return found == std::string::npos ? -1.0
+                                          : std::stod(lines.substr(found + field.size() + 3));
+    };
+    BOOST_TEST(valueOf("longest_gap_ms") >= 50.0);
+    BOOST_TEST(valueOf("call_first_ms") > 0.0);
+    BOOST_TEST(valueOf("call_first_ms") <= valueOf("first_ms"));
+}
+
 // Guards against a stream that looks complete to its caller although its engine failed and its
 // route cannot resume.
 BOOST_FIXTURE_TEST_CASE(streamThatCannotResumeIsVisiblyIncomplete, fixture)
