--- a/burdockhold/digest_exchange.cc
+++ b/burdockhold/digest_exchange.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/buffer.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <random>
 #include <set>
 #include <sstream>
@@ -30,6 +31,11 @@
 /// Pools and models whose load times are kept; any sender in the network can state some.
 constexpr std::size_t MaxPeerLoadTimes = 256;
 
+std::string addressText(const udp::endpoint &address)
+{
+    return address.address().to_string() + ":" + std::to_string(address.port());
+}
+
 } // namespace
 
 digest_exchange::digest_exchange(boost::asio::io_context &context, router_board &board,
@@ -153,10 +159,7 @@
     std::vector<group_vm> live;
     for (const auto &[vm, other] : m_peers) {
         if (receivesDigests(other) && isLive(other, now) && !other.leaving)
-            live.push_back({ vm,
-                             other.address.address().to_string() + ":"
-                                     + std::to_string(other.address.port()),
-                             other.capacity });
+            live.push_back({ vm, addressText(other.address), other.capacity });
     }
     return live;
 }
@@ -173,6 +176,7 @@
     for (const aggregator_candidate &local : liveLocalVms(now))
         m_board.liveVms.push_back(local.vm);
     m_board.groupVms = liveGroup(now);
+    publishKnownVms();
     duration summaryInterval = isGrouped() ? m_options.interval : duration::zero();
     for (const auto &[dataCentre, group] : m_groups) {
         summaryInterval = std::max(summaryInterval, group.interval);
@@ -180,11 +184,47 @@
         if (hasLiveAggregator(group, now))
             m_board.liveVms.insert(m_board.liveVms.end(), group.vms.begin(), group.vms.end());
     }
+    publishSchedulers(now);
     // A summary contains digests that are up to one interval old, and is forwarded at the same
     // pace.
     m_board.digestInterval = m_interval + 2 * summaryInterval;
 }
 
+/// The aggregator of a data centre is also its scheduler.
+void digest_exchange::publishSchedulers(time_point now)
+{
+    m_board.schedulers.clear();
+    m_board.actsAsScheduler = isGrouped() && !m_board.leaving && actsAsAggregator(now);
+    if (!isGrouped())
+        return;
+    for (const auto &[dataCentre, group] : m_groups) {
+        if (hasLiveAggregator(group, now))
+            m_board.schedulers[dataCentre] = addressText(group.aggregator);
+    }
+    if (m_board.actsAsScheduler)
+        return;
+    std::optional<aggregator_candidate> best;
+    for (const auto &[vm, other] : m_peers) {
+        const aggregator_candidate candidate{ shortHash(vm), other.capacity };
+        if (!isLocal(other) || !isLive(other, now) || other.leaving
+            || (best && !outranks(candidate, *best)))
+            continue;
+        best = candidate;
+        m_board.schedulers[m_board.settings.dataCentre] = addressText(other.address);
+    }
+}
+
+/// Publishes all VMs that were heard or announced within peerExpiry.
+void digest_exchange::publishKnownVms()
+{
+    std::vector<std::uint32_t> known;
+    for (const auto &[vm, other] : m_peers)
+        known.push_back(shortHash(vm));
+    for (const auto &[dataCentre, group] : m_groups)
+        known.insert(known.end(), group.vms.begin(), group.vms.end());
+    m_board.knownVms.update(std::move(known));
+}
+
 void digest_exchange::sendTo(const udp::endpoint &address, std::string_view bytes)
 {
     error_code ignored; // The next digest makes up for a lost one.
@@ -305,13 +345,12 @@
     const auto interval = std::chrono::duration_cast<std::chrono::milliseconds>(m_summaryInterval);
     summary.intervalMs = static_cast<std::uint32_t>(interval.count());
     summary.aggregator = m_board.settings.ip + ":" + std::to_string(m_board.settings.firstPeerPort);
-    for (const auto *ledgers : m_board.sharedLimits()) {
-        for (const auto &[name, ledger] : *ledgers)
-            summary.accounts.push_back({ shortHash(name),
-                                         static_cast<std::uint64_t>(ledger.groupAdmittedTotal()),
-                                         static_cast<std::uint64_t>(ledger.groupRequestedTotal()),
-                                         static_cast<std::uint64_t>(ledger.groupReturnedTotal()) });
-    }
+    m_board.forEachSharedLimit([&](const std::string &name, const auto &ledger) {
+        summary.accounts.push_back({ shortHash(name),
+                                     static_cast<std::uint64_t>(ledger.groupAdmittedTotal()),
+                                     static_cast<std::uint64_t>(ledger.groupRequestedTotal()),
+                                     static_cast<std::uint64_t>(ledger.groupReturnedTotal()) });
+    });
     return summary;
 }
 
@@ -324,14 +363,12 @@
     digest.leaving = m_board.leaving;
     digest.dataCentre = m_board.settings.dataCentre;
     digest.capacity = m_board.settings.capacity();
-    for (const auto *ledgers : m_board.sharedLimits()) {
-        for (const auto &[name, ledger] : *ledgers) {
-            const auto admitted = static_cast<std::uint64_t>(ledger.admittedTotal());
-            const auto requested = static_cast<std::uint64_t>(ledger.requestedTotal());
-            const auto returned = static_cast<std::uint64_t>(ledger.returnedTotal());
-            digest.accounts.push_back({ shortHash(name), admitted, requested, returned });
-        }
-    }
+    m_board.forEachSharedLimit([&](const std::string &name, const auto &ledger) {
+        const auto admitted = static_cast<std::uint64_t>(ledger.admittedTotal());
+        const auto requested = static_cast<std::uint64_t>(ledger.requestedTotal());
+        const auto returned = static_cast<std::uint64_t>(ledger.returnedTotal());
+        digest.accounts.push_back({ shortHash(name), admitted, requested, returned });
+    });
     m_board.endpoints.fillDigest(digest, now);
     digest.duties = m_board.ownDuties;
     digest.loadTimes = m_board.ownLoadTimes;
@@ -339,6 +376,7 @@
     addAnnouncedVersions(digest);
     for (const auto &[pool, rollout] : m_board.rollouts)
         rollout.fillDigest(digest, now);
+    addLaneWork(digest, now);
     digest.storedSegments = m_board.storedSegments.nextAnnouncement();
     for (const auto &[address, until] : m_board.storeUnavailableUntil) {
         if (now < until && m_board.storesFoundUnavailable.count(address) != 0)
@@ -406,6 +444,33 @@
     }
 }
 
+void digest_exchange::addLaneWork(vm_digest &digest, time_point now) const
+{
+    for (const auto &[pool, demand] : m_board.laneDemand) {
+        const lane_work work = demand.ownWork(now);
+        const auto scaled = [](double tokens) {
+            return static_cast<std::uint32_t>(
+                    std::clamp(std::round(tokens / lane_row::WorkScale), 0.0, 4e9));
+        };
+        digest.lanes.push_back(
+                { shortHash(pool), scaled(work.shortTokens), scaled(work.longTokens) });
+    }
+}
+
+void digest_exchange::recordLaneWork(const vm_digest &digest, time_point now)
+{
+    for (auto &[pool, demand] : m_board.laneDemand) {
+        const std::uint32_t hash = shortHash(pool);
+        for (const lane_row &row : digest.lanes) {
+            if (row.pool == hash)
+                demand.applyPeerWork(
+                        digest.vm,
+                        { row.shortWork * lane_row::WorkScale, row.longWork * lane_row::WorkScale },
+                        now);
+        }
+    }
+}
+
 void digest_exchange::receive()
 {
     m_socket.async_receive_from(boost::asio::buffer(m_buffer), m_sender,
@@ -535,34 +600,31 @@
         m_board.storedSegments.applyPeerStored(segment, now);
     recordUnavailableStores(digest, now);
     recordCrashes(digest, now);
+    recordLaneWork(digest, now);
 }
 
 void digest_exchange::applyTotals(const vm_digest &digest, bool restarted, bool isLocalVm,
                                   time_point now)
 {
     quota_peer quotaPeer{ std::max<std::size_t>(1, digest.vms.size()), isLocalVm };
-    for (auto *ledgers : m_board.sharedLimits()) {
-        for (auto &[name, ledger] : *ledgers) {
-            const std::uint32_t hash = shortHash(name);
-            const auto row = std::find_if(digest.accounts.begin(), digest.accounts.end(),
-                                          [hash](const auto &r) { return r.account == hash; });
-            // The digest of a VM that has admitted nothing yet has no row.
-            const double total = row == digest.accounts.end() ? 0.0
-                                                              : static_cast<double>(row->admitted);
-            quotaPeer.requested = row == digest.accounts.end()
-                                          ? 0.0
-                                          : static_cast<double>(row->requested);
-            quotaPeer.returned = row == digest.accounts.end() ? 0.0
-                                                              : static_cast<double>(row->returned);
-            if (quotaPeer.returned > total)
-                m_board.metrics.count(router_counter::DigestRowsRejected);
-            if (restarted && digest.isSummary())
-                ledger.rebasePeerTotal(digest.vm, total, now, quotaPeer);
-            else if (restarted)
-                ledger.resetPeerTotal(digest.vm);
-            ledger.applyPeerTotal(digest.vm, total, now, quotaPeer);
-        }
-    }
+    quotaPeer.leaving = digest.leaving;
+    m_board.forEachSharedLimit([&](const std::string &name, auto &ledger) {
+        const std::uint32_t hash = shortHash(name);
+        const auto row = std::find_if(digest.accounts.begin(), digest.accounts.end(),
+                                      [hash](const auto &r) { return r.account == hash; });
+        // The digest of a VM that has admitted nothing yet has no row.
+        const account_row reported = row == digest.accounts.end() ? account_row{} : *row;
+        const auto total = static_cast<double>(reported.admitted);
+        quotaPeer.requested = static_cast<double>(reported.requested);
+        quotaPeer.returned = static_cast<double>(reported.returned);
+        if (quotaPeer.returned > total)
+            m_board.metrics.count(router_counter::DigestRowsRejected);
+        if (restarted && digest.isSummary())
+            ledger.rebasePeerTotal(digest.vm, total, now, quotaPeer);
+        else if (restarted)
+            ledger.resetPeerTotal(digest.vm);
+        ledger.applyPeerTotal(digest.vm, total, now, quotaPeer);
+    });
 }
 
 } // namespace burdockhold
--- a/burdockhold/endpoint_refusals.h
+++ b/burdockhold/endpoint_refusals.h
@@ -4,6 +4,7 @@
 // Records what an endpoint's refusal of a call shows about the endpoint, and logs why no endpoint
 // could take a request.
 
+#include "burdockhold/attempt_rules.h"
 #include "burdockhold/placement_inputs.h"
 #include "burdockhold/router_board.h"
 
@@ -29,6 +30,10 @@
 void logPoolFull(router_board &board, const std::string &requestId, const placement_query &query,
                  time_point now);
 
+/// Records that the endpoint refused the connection or did not answer the call.
+void recordUnanswered(router_board &board, const std::string &endpointId, call_end end,
+                      time_point now);
+
 } // namespace burdockhold
 
 #endif
--- a/burdockhold/event_router.cc
+++ b/burdockhold/event_router.cc
@@ -4,10 +4,6 @@
 #include "burdockhold/guarded_loop.h"
 #include "platform/deployment_codec.h"
 
-#include <boost/asio/buffer.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
-
 #include <csignal>
 
 #include <algorithm>
@@ -39,7 +35,6 @@
 // announcement time, less the margin of the weights bound. Long enough for the first digests to
 // arrive, and shorter than the platform permits for a started VM.
 constexpr duration GuessedVersionGrace = std::chrono::milliseconds(4000);
-constexpr std::size_t MaxProbeBytes = 4096;
 constexpr int StatusOk = 200;
 
 std::int64_t unixMilliseconds()
@@ -54,7 +49,11 @@
 event_router::event_router(router_settings settings)
     : m_io(1)
     , m_board(std::move(settings))
+    , m_placements(m_io, m_board)
     , m_connections(m_io)
+    , m_callers(m_board)
+    , m_readiness(m_io, descriptor_shares(m_board.settings.descriptors).readiness,
+                  [this](std::string_view request) { return probeResponse(request); })
     , m_digests(m_io, m_board)
     , m_views(m_io, m_board, viewHandlers())
     , m_callerAcceptor(m_io)
@@ -77,8 +76,7 @@
                             { "disabled", m_board.settings.mechanisms.disabledNames() } },
                           now);
     waitForSignal();
-    acceptCallers();
-    acceptReadiness();
+    acceptConnections();
     announce();
     m_crashRecords->load();
     scheduleTick();
@@ -108,6 +106,8 @@
         error = listen(m_readyAcceptor, m_board.settings.readyAddress);
     if (error.empty()) {
         error = m_digests.open();
+        if (error.empty())
+            error = m_placements.open();
         if (error.empty())
             error = m_views.open();
         if (!error.empty())
@@ -116,72 +116,41 @@
     return error;
 }
 
-std::string event_router::listen(tcp::acceptor &acceptor, const std::string &address)
+std::string event_router::listen(connection_acceptor &acceptor, const std::string &address)
 {
     const auto endpoint = parseAddress(address);
     if (!endpoint)
         return "not an IP:PORT address: " + address;
-    error_code error;
-    acceptor.open(tcp::v4(), error);
-    if (!error)
-        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    if (!error)
-        acceptor.bind(*endpoint, error);
-    if (!error)
-        acceptor.listen(tcp::acceptor::max_listen_connections, error);
-    return error ? address + ": " + error.message() : std::string();
+    const std::string error = acceptor.listen(*endpoint);
+    return error.empty() ? error : address + ": " + error;
 }
 
-void event_router::acceptCallers()
+void event_router::acceptConnections()
 {
-    m_callerAcceptor.async_accept([this](error_code error, tcp::socket socket) {
-        if (error == boost::asio::error::operation_aborted)
-            return;
-        // Any other error concerns a single connection or a temporary lack of descriptors.
-        if (!error)
-            startCaller(std::move(socket));
-        acceptCallers();
-    });
+    const auto exhausted = [this] { descriptorsExhausted(); };
+    m_callerAcceptor.start(
+            { [this](tcp::socket socket) { startCaller(std::move(socket)); }, exhausted });
+    m_readyAcceptor.start(
+            { [this](tcp::socket socket) { m_readiness.accepted(std::move(socket)); }, exhausted });
 }
 
 void event_router::startCaller(tcp::socket socket)
 {
-    const request_context context{ m_io, m_board, m_connections, m_waitQueue, m_migratable };
+    const request_context context{ m_io,        m_board,      m_connections,
+                                   m_waitQueue, m_migratable, &m_placements };
     std::make_shared<caller_connection>(std::move(socket), context, m_callers)->start();
 }
 
-void event_router::acceptReadiness()
-{
-    m_readyAcceptor.async_accept([this](error_code error, tcp::socket socket) {
-        if (error == boost::asio::error::operation_aborted)
-            return;
-        if (!error)
-            serveReadiness(std::make_shared<tcp::socket>(std::move(socket)));
-        acceptReadiness();
-    });
-}
-
-void event_router::serveReadiness(std::shared_ptr<tcp::socket> socket)
+void event_router::descriptorsExhausted()
 {
-    const auto request = std::make_shared<std::string>();
-    boost::asio::async_read_until(
-            *socket, boost::asio::dynamic_buffer(*request, MaxProbeBytes), "\r\n\r\n",
-            [this, socket, request](error_code error, std::size_t) {
-                if (error)
-                    return;
-                const auto response = std::make_shared<std::string>(probeResponse(*request));
-                boost::asio::async_write(*socket, boost::asio::buffer(*response),
-                                         [this, socket, response](error_code failed, std::size_t) {
-                                             if (!failed)
-                                                 serveReadiness(socket);
-                                         });
-            });
+    m_board.metrics.count(router_counter::AcceptPauses);
+    m_callers.freeDescriptor();
 }
 
-std::string event_router::probeResponse(std::string_view request) const
+std::string event_router::probeResponse(std::string_view request)
 {
     const bool metrics = request.substr(0, 13) == "GET /metrics ";
-    const std::string body = metrics ? m_board.metrics.text() : std::string();
+    const std::string body = metrics ? m_board.metricsText(steadyNow()) : std::string();
     const std::string status = metrics || isReady() ? "200 OK" : "503 Service Unavailable";
     return "HTTP/1.1 " + status + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
            + body;
@@ -259,7 +228,9 @@
         listVms(valueOf(page).records.back().key);
         return;
     }
-    m_digests.step(steadyNow());
+    const time_point now = steadyNow();
+    m_digests.step(now);
+    m_board.coldEngines.vmsListed(now);
     m_views.begin();
 }
 
@@ -284,12 +255,16 @@
 {
     const time_point now = steadyNow();
     std::set<std::string> pools;
+    std::map<std::string, cold_traits> coldPools;
     for (const deployment_pool &pool : next->pools()) {
         pools.insert(pool.name);
+        if (pool.cold)
+            coldPools[pool.name] = *pool.cold;
         if (pool.engine)
             m_board.endpoints.setCacheTokens(pool.name, pool.engine->cacheTokens);
     }
     m_board.endpoints.namePools(std::move(pools), now);
+    m_board.coldEngines.setPools(std::move(coldPools));
     m_board.deployment = std::move(next);
     m_board.applyLimits(now);
     if (m_board.log.accepts(log_priority::StateChange, now))
@@ -334,14 +309,36 @@
 {
     const time_point now = steadyNow();
     m_refusedRecords.erase(report.id);
+    const endpoint_report *known = m_board.endpoints.find(report.id);
+    const bool isNewIncarnation = known == nullptr || known->incarnation < report.incarnation;
+    const bool isOlder = known != nullptr && known->incarnation > report.incarnation;
     if (m_board.endpoints.update(report, now))
         m_board.logEndpointChanged(report, now);
+    if (!isOlder)
+        m_board.coldEngines.reported(report, isNewIncarnation, now);
+    logRefusedColdTime(report, now);
+}
+
+/// Logs a cold time out of bounds once, until the endpoint states one within its bounds.
+void event_router::logRefusedColdTime(const endpoint_report &report, time_point now)
+{
+    if (!report.coldTimeRefused) {
+        m_refusedColdTimes.erase(report.id);
+        return;
+    }
+    if (m_refusedColdTimes.insert(report.id).second
+        && m_board.log.accepts(log_priority::StateChange, now))
+        m_board.log.write(log_event::EndpointRefused,
+                          { { "endpoint", report.id },
+                            { "reason", "the cold time is out of bounds and is ignored" } },
+                          now);
 }
 
 void event_router::endpointRemoved(const std::string &id)
 {
     const time_point now = steadyNow();
     m_refusedRecords.erase(id);
+    m_refusedColdTimes.erase(id);
     m_board.endpoints.remove(id, now);
     if (m_board.log.accepts(log_priority::StateChange, now))
         m_board.log.write(log_event::EndpointChanged, { { "endpoint", id }, { "state", "gone" } },
@@ -398,19 +395,20 @@
     m_board.endpoints.setUnixTime(unixMilliseconds(), now);
     m_board.endpoints.setVms(m_board.knownPeers + 1);
     m_board.endpoints.step(m_board.digestInterval, now);
+    m_board.coldEngines.step(now);
     m_board.metrics.count(router_counter::PaceLimitsStarted, m_board.endpoints.takeStartedLimits());
     m_board.crashes.step(now);
     logEndedNotices(m_board, now);
-    for (auto *ledgers : m_board.sharedLimits()) {
-        for (auto &[name, ledger] : *ledgers) {
-            ledger.setReportInterval(m_board.digestInterval);
-            ledger.step(m_board.knownPeers, now);
-        }
-    }
+    m_board.forEachSharedLimit([&](const std::string &, auto &ledger) {
+        ledger.setReportInterval(m_board.digestInterval);
+        ledger.step(m_board.knownPeers, now);
+    });
     m_duties->step(now);
     m_crashRecords->step(now);
     m_rollouts->step([this](const std::string &pool) { return m_duties->holds(pool); }, now);
+    m_board.requestBodies.grant(); // Other parts of the memory may have become free.
     m_digests.step(now);
+    m_placements.step(now);
     m_views.step(now);
     const migratable_requests migratable = m_migratable;
     for (const auto &stream : migratable)
@@ -452,30 +450,18 @@
     m_duties->leave();
     m_board.digestRequested = true;
     if (m_board.log.accepts(log_priority::StateChange, m_board.leavingSince))
-        m_board.log.write(log_event::Stopping, { { "callers", m_callers.size() } },
+        m_board.log.write(log_event::Stopping, { { "callers", m_callers.open().size() } },
                           m_board.leavingSince);
 }
 
-/// Accepts the connections in the kernel's listen backlog, which would be reset otherwise.
-void event_router::acceptPendingCallers()
-{
-    error_code error;
-    m_callerAcceptor.non_blocking(true, error);
-    while (!error) {
-        tcp::socket socket(m_io);
-        m_callerAcceptor.accept(socket, error);
-        if (!error)
-            startCaller(std::move(socket));
-    }
-}
-
 void event_router::stepShutdown(time_point now)
 {
     const duration elapsed = now - m_board.leavingSince;
     if (elapsed < LoadBalancerDelay)
         return;
-    acceptPendingCallers();
-    const caller_connections callers = m_callers;
+    // They would be reset otherwise.
+    m_callerAcceptor.acceptPending();
+    const caller_registry::connection_set callers = m_callers.open();
     for (const auto &caller : callers)
         caller->closeIfIdle();
     if (now >= m_board.endsCallsAt) {
@@ -483,12 +469,12 @@
             caller->endRequest();
     }
     const bool mustEnd = elapsed >= m_board.settings.shutdownGrace - ShutdownMargin;
-    if (!m_callers.empty() && !mustEnd)
+    if (!m_callers.open().empty() && !mustEnd)
         return;
     for (const auto &caller : callers)
         caller->abortIfUnfinished();
     if (m_board.log.accepts(log_priority::StateChange, now))
-        m_board.log.write(log_event::Stopped, { { "cut_off", m_callers.size() } }, now);
+        m_board.log.write(log_event::Stopped, { { "cut_off", m_callers.open().size() } }, now);
     m_board.log.flush();
     m_io.stop();
 }
--- a/burdockhold/event_router.h
+++ b/burdockhold/event_router.h
@@ -6,9 +6,11 @@
 // the load balancer's readiness probes and shuts down.
 
 #include "burdockhold/caller_connection.h"
+#include "burdockhold/connection_acceptor.h"
 #include "burdockhold/crash_records.h"
 #include "burdockhold/digest_exchange.h"
 #include "burdockhold/duty_controller.h"
+#include "burdockhold/readiness_server.h"
 #include "burdockhold/rollout_controller.h"
 #include "burdockhold/router_board.h"
 #include "burdockhold/topic_follower.h"
@@ -35,14 +37,12 @@
 
 private:
     std::string open();
-    std::string listen(boost::asio::ip::tcp::acceptor &acceptor, const std::string &address);
+    static std::string listen(connection_acceptor &acceptor, const std::string &address);
     void handlerFailed(const std::string &text);
-    void acceptCallers();
-    void acceptPendingCallers();
+    void acceptConnections();
     void startCaller(boost::asio::ip::tcp::socket socket);
-    void acceptReadiness();
-    void serveReadiness(std::shared_ptr<boost::asio::ip::tcp::socket> socket);
-    std::string probeResponse(std::string_view request) const;
+    void descriptorsExhausted();
+    std::string probeResponse(std::string_view request);
     bool isReady() const;
 
     view_handlers viewHandlers();
@@ -55,6 +55,7 @@
     void deploymentRefused(const std::string &reason);
     void applyTargetWeights(std::string_view body);
     void endpointReported(const endpoint_report &report);
+    void logRefusedColdTime(const endpoint_report &report, time_point now);
     void endpointRemoved(const std::string &id);
     void endpointRecordRejected(const std::string &id, const std::string &reason);
     void endpointsListed(const std::set<std::string> &ids);
@@ -68,23 +69,26 @@
 
     boost::asio::io_context m_io;
     router_board m_board;
+    placement_client m_placements; // Outlives the requests.
     connection_pool m_connections;
     wait_queue m_waitQueue;
     migratable_requests m_migratable;
-    caller_connections m_callers;
+    caller_registry m_callers;
+    readiness_server m_readiness;
     digest_exchange m_digests;
     view_controller m_views;
     std::unique_ptr<duty_controller> m_duties;
     std::unique_ptr<crash_records> m_crashRecords;
     std::unique_ptr<rollout_controller> m_rollouts;
-    boost::asio::ip::tcp::acceptor m_callerAcceptor;
-    boost::asio::ip::tcp::acceptor m_readyAcceptor;
+    connection_acceptor m_callerAcceptor;
+    connection_acceptor m_readyAcceptor;
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_tickTimer;
     boost::asio::steady_timer m_announceTimer;
     std::shared_ptr<log_connection> m_announceConnection;
     std::map<std::string, bool, std::less<>> m_topicUnavailable; // By topic of the log.
     std::map<std::string, std::string> m_refusedRecords;         // Reasons, by endpoint id.
+    std::set<std::string> m_refusedColdTimes;                    // By endpoint id.
     time_point m_sweptAt;
 };
 
--- a/burdockhold/mechanisms.h
+++ b/burdockhold/mechanisms.h
@@ -39,6 +39,12 @@
     StartGuard,
     SharedRetrySlack,
     ReturnedTokens,
+    EngineLanes,
+    Schedulers,
+    ClientMemory,
+    ColdRate,
+    Evacuation,
+    FairWaiting,
     EnginePace,
     PaceLimit,
 };
@@ -46,7 +52,7 @@
 template <>
 struct enum_names<mechanism>
 {
-    static constexpr std::array<enum_name<mechanism>, 21> Table{ {
+    static constexpr std::array<enum_name<mechanism>, 27> Table{ {
             { mechanism::PreferredEndpoint, "preferred_endpoint" },
             { mechanism::PoolSampling, "pool_sampling" },
             { mechanism::SegmentCopies, "segment_copies" },
@@ -66,6 +72,12 @@
             { mechanism::StartGuard, "start_guard" },
             { mechanism::SharedRetrySlack, "shared_retry_slack" },
             { mechanism::ReturnedTokens, "returned_tokens" },
+            { mechanism::EngineLanes, "engine_lanes" },
+            { mechanism::Schedulers, "schedulers" },
+            { mechanism::ClientMemory, "client_memory" },
+            { mechanism::ColdRate, "cold_rate" },
+            { mechanism::Evacuation, "evacuation" },
+            { mechanism::FairWaiting, "fair_waiting" },
             { mechanism::EnginePace, "engine_pace" },
             { mechanism::PaceLimit, "pace_limit" },
     } };
--- a/burdockhold/request_log.h
+++ b/burdockhold/request_log.h
@@ -7,6 +7,7 @@
 #include "burdockhold/attempt_rules.h"
 #include "burdockhold/clock.h"
 #include "burdockhold/endpoint_choice.h"
+#include "burdockhold/wait_record.h"
 
 #include <nlohmann/json.hpp>
 
@@ -29,6 +30,7 @@
     int calls = 0;
     int runs = 0;                          ///< Endpoints that may have run the request.
     duration queued = duration::zero();    ///< From the arrival to the first call.
+    wait_record wait;                      ///< How it waited in the wait queue, if it did.
     duration total = duration::zero();     ///< From the arrival to the end.
     duration firstByte = duration::zero(); ///< From the arrival to the response's first byte.
     double expectedMs = 0.0;           ///< Cost of the last placement, with weights and penalties.
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -14,7 +14,6 @@
 #include "burdockhold/wait_rules.h"
 #include "platform/request_codec.h"
 
-#include <boost/asio/post.hpp>
 #include <xxhash.h>
 
 #include <algorithm>
@@ -33,9 +32,6 @@
 // caller has received, and overloaded engines refuse several times in a row.
 constexpr int MaxCallsOfStartedStream = 8;
 constexpr std::size_t MaxBufferedResponseBytes = std::size_t(8) * 1024 * 1024;
-// Responses that are buffered until they are complete may use the memory limit divided by this.
-constexpr std::size_t BufferMemoryDivisor = 4;
-constexpr duration MaxWaitForDeployment = std::chrono::milliseconds(600);
 // A stale view is renewed within about this time, or the caller's next attempt reaches another VM.
 constexpr duration StaleViewRetryAfter = std::chrono::milliseconds(300);
 // Requests that arrive later than this after the stop notice are refused, since they could outlast
@@ -73,24 +69,10 @@
     , m_arrival(arrival)
     , m_timer(context.io)
     , m_events(m_request.resumeAfter)
+    , m_placement(context.placements)
 {
 }
 
-/// Runs a step of the request. An exception must not reach the event loop: the request would keep
-/// its caller waiting, and the requests after it in a loop would miss their step.
-template <typename Step>
-void routed_request::guard(const Step &step)
-{
-    const auto self = shared_from_this();
-    try {
-        step();
-    } catch (const std::exception &error) {
-        stepFailed(error.what());
-    } catch (...) {
-        stepFailed("an exception of an unknown type");
-    }
-}
-
 void routed_request::stepFailed(const std::string &what)
 {
     router_board &board = m_context.board;
@@ -143,28 +125,7 @@
     m_context.board.countRequest(m_poolName, steadyNow());
     m_fingerprints = fingerprintsOf(m_request, m_account == nullptr ? "" : m_account->name);
     startTimer();
-    if (!place())
-        enterWaitQueue();
-}
-
-/// Waits for the first deployment, which a VM usually has about ten milliseconds after its start.
-void routed_request::waitForDeployment()
-{
-    if (!m_waiting) {
-        m_context.board.metrics.count(router_counter::Requests);
-        m_waiting = true;
-        m_context.waiting.add(shared_from_this());
-        m_timer.expires_after(MaxWaitForDeployment);
-        m_timer.async_wait([self = shared_from_this()](error_code error) {
-            if (error || self->m_ended || self->m_deployment)
-                return;
-            self->m_context.waiting.remove(self.get());
-            self->m_waiting = false;
-            self->guard([&self] {
-                self->refuse(503, "no_deployment", std::chrono::milliseconds(300));
-            });
-        });
-    }
+    placeOrWait();
 }
 
 /// Finds the route and the account. Returns false if the request has been refused.
@@ -282,38 +243,6 @@
     }
 }
 
-void routed_request::enterWaitQueue()
-{
-    m_waiting = true;
-    m_context.waiting.add(shared_from_this());
-    m_timer.expires_at(queueWaitEnd(steadyNow()));
-    m_timer.async_wait([self = shared_from_this()](error_code error) {
-        if (error || self->m_ended || !self->m_waiting)
-            return;
-        self->m_context.waiting.remove(self.get());
-        self->m_waiting = false;
-        self->guard([&self] { self->queueWaitEnded(); });
-    });
-}
-
-void routed_request::queueWaitEnded()
-{
-    if (m_responseStarted)
-        takeStep(abort_response{});
-    else if (m_mayHaveRun)
-        fail(502, "no_endpoint_for_repeat");
-    else
-        refuse(503, "no_endpoint", m_route->latencyTarget);
-}
-
-/// Returns when a request that enters the wait queue now has to leave it.
-time_point routed_request::queueWaitEnd(time_point now) const
-{
-    return std::min(m_deadline, now
-                                        + maxQueueWait(m_responseStarted, m_route->latencyTarget,
-                                                       m_context.board.settings.mechanisms));
-}
-
 /// Returns the domain in the deployment in force, since segments must not be shared with an account
 /// that has become isolated after this request was admitted.
 cache_domain routed_request::cacheDomain() const
@@ -331,12 +260,14 @@
              m_triedEndpoints,
              m_calledAddresses,
              mayCallAgain(m_route->kind, m_route->resumable),
-             m_callsMade == 0 && !m_trialOf };
+             m_callsMade == 0 && !m_trialOf,
+             m_callsMade == 0 && !m_waiting };
 }
 
 /// Tells the engine where to copy the shared segments from that it lacks, and where to save them.
 void routed_request::addSegmentTransfer(endpoint_call_fields &fields,
-                                        const placement_inputs &inputs, const std::string &holder)
+                                        const placement_inputs &inputs, const std::string &holder,
+                                        bool holderIsKnown)
 {
     segment_call call;
     call.endpointId = m_endpointId;
@@ -345,6 +276,7 @@
     call.promptTokens = inputs.need.promptTokens;
     call.expectedCached = m_load.pendingPrefillTokens < inputs.need.promptTokens;
     call.holder = holder;
+    call.holderIsKnown = holderIsKnown;
     call.store = m_expectedWeights > 0 ? inputs.store : nullptr;
     const segment_transfer transfer = planSegments(m_context.board, call, steadyNow());
     fields.copySegmentsFrom = transfer.copyFrom;
@@ -375,11 +307,13 @@
     const time_point now = steadyNow();
     if (refuseIfBlocked(now))
         return true;
-    placement_inputs inputs = collectPlacementInputs(m_context.board, placementQuery(), now);
-    const auto choice = chooseWithCanary(inputs.candidates, inputs.canary, inputs.need,
-                                         hashOf(m_request.attemptId),
-                                         m_context.board.options.choice);
-    if (!choice)
+    const placement_query query = placementQuery();
+    placement_inputs inputs = collectPlacementInputs(m_context.board, query, now);
+    const placement_step step = choosePlacement(inputs, query, now);
+    if (std::holds_alternative<await_placement>(step))
+        return false;
+    const auto *choice = std::get_if<endpoint_choice>(&step);
+    if (choice == nullptr)
         return refuseIfNoneReturns(inputs.candidates, now);
     if (refuseIfTooLate(*choice, now))
         return true;
@@ -388,7 +322,7 @@
     m_awaitsRetryBudget = false;
     if (m_waiting) {
         m_waiting = false;
-        m_context.waiting.remove(this);
+        m_context.waiting.placed(this, m_wait);
     }
     if (m_callsMade == 0) {
         m_queueTime = now - m_arrival;
@@ -403,6 +337,31 @@
     return true;
 }
 
+/// Chooses the endpoint of the next call, by the schedulers if they can be asked.
+placement_step routed_request::choosePlacement(placement_inputs &inputs,
+                                               const placement_query &query, time_point now)
+{
+    const placement_facts facts{ query,
+                                 inputs,
+                                 m_account == nullptr ? "" : m_account->name,
+                                 m_priority,
+                                 m_arrival + m_route->latencyTarget - now,
+                                 m_deadline - now,
+                                 queueWaitEnd(now) - now };
+    const placement_step step = m_placement.choose(facts, [self = weak_from_this()] {
+        if (const auto request = self.lock())
+            request->place();
+    });
+    if (!std::holds_alternative<place_locally>(step))
+        return step;
+    const auto choice = chooseWithCanary(inputs.candidates, inputs.canary, inputs.need,
+                                         hashOf(m_request.attemptId),
+                                         m_context.board.options.choice);
+    if (!choice)
+        return no_room{};
+    return *choice;
+}
+
 /// Ends the request if what it contains has crashed endpoints. A stream that has started continues,
 /// since an endpoint has answered it.
 bool routed_request::refuseIfBlocked(time_point now)
@@ -445,7 +404,10 @@
     if (m_mayHaveRun || m_responseStarted)
         return false;
     const left_out endpoints = countLeftOut(candidates);
-    const time_point waitEnd = m_waiting ? m_timer.expiry() : queueWaitEnd(now);
+    // A caller that is told the end of a long pause does better than one that waits for it.
+    const time_point waitEnd = std::min(
+            m_waiting ? m_timer.expiry() : queueWaitEnd(now),
+            now + maxQueueWait(false, m_route->latencyTarget, m_context.board.settings.mechanisms));
     if (!mustRefuseAtOnce(endpoints, waitEnd))
         return false;
     m_context.board.metrics.count(router_counter::RefusedAllPaused);
@@ -497,7 +459,7 @@
                                                                m_request.model, m_expectedWeights)
                                                : std::string();
     if (!m_segmentKey.empty() && m_pool != nullptr && m_pool->engine)
-        addSegmentTransfer(fields, inputs, holder);
+        addSegmentTransfer(fields, inputs, holder, choice.copySourceIsKnown);
     m_connection->call(platform::encodeCall(m_request, fields), callHandlers());
     if (m_paused)
         m_connection->pauseReading();
@@ -535,7 +497,8 @@
         m_expectedWeights = board.targetVersion(m_request.model);
     m_cacheDomain = cacheDomain();
     m_segmentKey = deepestSegmentName(m_request, m_cacheDomain, m_expectedWeights);
-    m_ticket = board.endpoints.callStarted(m_endpointId, m_load, m_callStarted);
+    m_ticket = board.callStarted(m_endpointId, m_load, m_callStarted);
+    m_placement.callStarted(*report, m_load);
     if (m_load.pendingPrefillTokens >= ImmediateDigestTokens)
         board.digestRequested = true;
     countCall(choice);
@@ -631,19 +594,18 @@
         relayEvents(bytes);
         return;
     }
-    m_body.append(bytes);
-    router_board &board = m_context.board;
-    board.bufferedBytes += bytes.size();
-    if (m_body.size() > MaxBufferedResponseBytes
-        || board.bufferedBytes > board.settings.memoryBytes / BufferMemoryDivisor) {
+    if (m_body.size() + bytes.size() > MaxBufferedResponseBytes
+        || !m_context.board.memory.tryTake(memory_part::Responses, bytes.size())) {
         m_connection->close();
         callEnded(call_end::WrongAnswer);
+        return;
     }
+    m_body.append(bytes);
 }
 
 void routed_request::discardBody()
 {
-    m_context.board.bufferedBytes -= m_body.size();
+    m_context.board.memory.give(memory_part::Responses, m_body.size());
     freeText(m_body);
 }
 
@@ -660,8 +622,8 @@
         m_rolloutCall->firstByteReceived(now);
     router_board &board = m_context.board;
     board.endpoints.prefillFinished(m_endpointId, m_load);
-    if (m_context.waiting.size() > 0)
-        boost::asio::post(m_context.io, [&waiting = m_context.waiting] { waiting.retry(); });
+    m_placement.prefillFinished();
+    m_context.waiting.roomFreed(m_context.io, m_poolName);
     if (!m_segmentKey.empty() && m_head.status == StatusOk)
         board.endpoints.recordCachedSegment(m_endpointId, m_segmentKey);
     if (!m_responseStarted) {
@@ -776,8 +738,8 @@
         board.endpoints.recordCallResult(m_endpointId, succeeded,
                                          1000.0 * toSeconds(now - m_callStarted), now);
     }
-    if (end == call_end::NotSent)
-        board.endpoints.connectFailed(m_endpointId, now);
+    if (mayHaveRestarted(end, m_headReceived))
+        recordUnanswered(board, m_endpointId, end, now);
     else if (isRefusal(end))
         callRefused(now);
     if (end != call_end::NotSent && end != call_end::SaidNotRun) {
@@ -845,8 +807,7 @@
     std::visit(
             overloaded{ [this](const try_another &) {
                            m_events.continueElsewhere();
-                           if (!place())
-                               enterWaitQueue();
+                           placeOrWait();
                        },
                         [this](const deliver_response &) { deliver(); },
                         [this](const end_stream &) {
@@ -859,7 +820,7 @@
                         [this](const respond_outcome_unknown &) { fail(502, "outcome_unknown"); },
                         [this](const await_retry_budget &) {
                             m_awaitsRetryBudget = true;
-                            enterWaitQueue();
+                            enterWaitQueue(wait_cause::RetryBudget);
                         },
                         [this](const abort_response &) {
                             m_writer.abortResponse();
@@ -946,6 +907,7 @@
 void routed_request::releaseCall()
 {
     m_context.migratable.erase(shared_from_this());
+    m_placement.callEnded();
     if (m_endpointId.empty())
         return;
     if (m_rolloutCall)
@@ -957,9 +919,7 @@
         return;
     const auto connection = std::exchange(m_connection, nullptr);
     m_context.connections.release(m_address, connection);
-    // Posted, so that a migrating stream gets its new endpoint before the waiting requests retry.
-    if (m_context.waiting.size() > 0)
-        boost::asio::post(m_context.io, [&waiting = m_context.waiting] { waiting.retry(); });
+    m_context.waiting.roomFreed(m_context.io, m_poolName);
 }
 
 void routed_request::deliver()
@@ -1037,10 +997,11 @@
         return;
     m_ended = true;
     m_timer.cancel();
+    m_placement.callEnded();
     discardBody();
     if (m_waiting) {
         m_waiting = false;
-        m_context.waiting.remove(this);
+        m_context.waiting.remove(this, m_wait);
     }
     router_board &board = m_context.board;
     board.metrics.count(counter);
@@ -1073,6 +1034,7 @@
     result.calls = m_callsMade;
     result.runs = m_runs;
     result.queued = m_queueTime;
+    result.wait = m_wait;
     result.total = now - m_arrival;
     result.firstByte = m_timeToFirstByte;
     addFirstEvent(result, m_choice, m_callFirstByte, m_gaps.longest());
