--- a/burdockhold/engine_pace.cc
+++ b/burdockhold/engine_pace.cc
@@ -13,6 +13,9 @@
 // Limits of the logarithms of residual factors. Beyond them, samples are faults and not queueing.
 constexpr double MinUnseen = -0.5;
 constexpr double MaxUnseen = 1.6;
+// Expected times include no more of it: a scheduler turns calls away by their expected time, and
+// would still do so for a while after an overload has ended.
+constexpr double MaxExpectedUnseen = 0.7;
 constexpr double MaxNoise = 0.1; // Logarithm of the usual variation of a time.
 constexpr double MinError = 0.05;
 constexpr double MaxError = 1.5;
@@ -136,7 +139,8 @@
 
 pace_line engine_pace::lineAt(time_point now) const
 {
-    const pace_line line{ m_baseMs, m_msPerToken, m_options.runningMs, std::exp(m_unseen),
+    const pace_line line{ m_baseMs, m_msPerToken, m_options.runningMs,
+                          std::exp(std::min(m_unseen, MaxExpectedUnseen)),
                           std::exp(m_error) - 1.0 };
     return line.slowedBy(slowness(now));
 }
