--- a/burdockhold/engine_pace.cc
+++ b/burdockhold/engine_pace.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace burdockhold {
 
@@ -12,6 +13,9 @@
 // Limits of the logarithms of residual factors. Beyond them, samples are faults and not queueing.
 constexpr double MinUnseen = -0.5;
 constexpr double MaxUnseen = 1.6;
+// Expected times include no more of it: a scheduler turns calls away by their expected time, and
+// would still do so for a while after an overload has ended.
+constexpr double MaxExpectedUnseen = 0.7;
 constexpr double MaxNoise = 0.1; // Logarithm of the usual variation of a time.
 constexpr double MinError = 0.05;
 constexpr double MaxError = 1.5;
@@ -114,15 +118,17 @@
 {
     if (m_samples < m_options.momentSamples)
         return 0.0;
-    double least = std::log(m_options.maxSlowness);
+    double least = std::numeric_limits<double>::infinity();
     for (int index = 0; index < m_options.momentSamples; ++index) {
         const past_sample &sample = m_recent[static_cast<std::size_t>(index)];
         if (sample.at < now - m_options.momentExpiry)
             return 0.0;
         least = std::min(least, sample.excess);
     }
-    const double beyond = least - m_slowness;
-    return beyond < std::log(m_options.momentFactor) ? 0.0 : beyond;
+    // Every choice asks for every engine, so the logarithms are left to those that are slow.
+    if (least <= m_slowness || least - m_slowness < std::log(m_options.momentFactor))
+        return 0.0;
+    return std::min(least, std::log(m_options.maxSlowness)) - m_slowness;
 }
 
 double engine_pace::slowness(time_point now) const
@@ -133,7 +139,8 @@
 
 pace_line engine_pace::lineAt(time_point now) const
 {
-    const pace_line line{ m_baseMs, m_msPerToken, m_options.runningMs, std::exp(m_unseen),
+    const pace_line line{ m_baseMs, m_msPerToken, m_options.runningMs,
+                          std::exp(std::min(m_unseen, MaxExpectedUnseen)),
                           std::exp(m_error) - 1.0 };
     return line.slowedBy(slowness(now));
 }
