Let no scheduler name evacuated or cold engines

A scheduler chose among its own candidates, which excluded neither. The VM that asks has a share of its own of a cold engine's rate, so it places such requests itself. evacuation_looptest passes; no test covers a scheduler's choice.

--- a/burdockhold/placement_inputs.cc
+++ b/burdockhold/placement_inputs.cc
@@ -138,6 +138,12 @@
     auto candidates = board.endpoints.candidates(found->name, modelName,
                                                  board.targetVersion(modelName), {}, {}, now);
     excludeExpiredWeights(candidates, board, modelName);
+    excludeEvacuated(candidates, board);
+    // The asking VM has a share of its own of a cold engine's rate, which this VM does not know.
+    for (endpoint_candidate &candidate : candidates) {
+        if (board.coldEngines.isCold(candidate.id, now))
+            candidate.excluded = exclusion::Cold;
+    }
     if (const software_rollout *rollout = board.rolloutOf(found->name))
         rollout->removeNewVersion(candidates, now);
     const std::size_t poolSize = candidates.size();
