--- a/testing/router_board_looptest.cc
+++ b/testing/router_board_looptest.cc
@@ -126,7 +126,8 @@
     const auto excludedAt = [&](duration viewAge, duration fleetAge) {
         board.deploymentConfirmedAt = bootTimeNow() - viewAge;
         board.fleetHeardAt = bootTimeNow() - fleetAge;
-        const placement_query query{ request, {}, &engines, engines.name, none, none, true, false };
+        const placement_query query{ request, {},   &engines, engines.name, none,
+                                     none,    true, false,    false,        {} };
         return placementCandidates(board, query, now).front().excluded;
     };
     BOOST_TEST((excludedAt(seconds(20), seconds(20)) == exclusion::ExpiredWeights));
