Exchange the schedulers' messages over the port of the digests

A second port would have to be reserved for each VM, and a VM could not start while another process had it.

--- a/burdockhold/digest_exchange.cc
+++ b/burdockhold/digest_exchange.cc
@@ -2,6 +2,7 @@
 
 #include "burdockhold/digest_summary.h"
 #include "burdockhold/http_client_connection.h"
+#include "burdockhold/scheduler_message.h"
 
 #include <boost/asio/buffer.hpp>
 
@@ -512,6 +513,11 @@
 void digest_exchange::datagramReceived(std::size_t bytes)
 {
     const std::string_view datagram(m_buffer.data(), bytes);
+    if (isSchedulerMessage(datagram)) {
+        if (m_schedulerHandler)
+            m_schedulerHandler(datagram, m_sender);
+        return;
+    }
     const auto decoded = decodeDigest(datagram);
     if (!isOk(decoded))
         return; // Not a digest: any sender in the network can reach the port.
--- a/burdockhold/digest_exchange.h
+++ b/burdockhold/digest_exchange.h
@@ -63,6 +63,15 @@
     /// Binds the socket. Returns an error text, or an empty string.
     std::string open();
 
+    /// Sends a datagram of another kind; see isSchedulerMessage().
+    void sendTo(const boost::asio::ip::udp::endpoint &address, std::string_view bytes);
+
+    /// Called with the datagrams that are no digests but messages of schedulers. At most one
+    /// function is set, before open().
+    using scheduler_handler =
+            std::function<void(std::string_view, const boost::asio::ip::udp::endpoint &)>;
+    void setSchedulerHandler(scheduler_handler handler) { m_schedulerHandler = std::move(handler); }
+
     /// Adds a VM from its announcement in the log (see announcementOf()).
     void addPeer(const std::string &vm, const std::string &announcement);
 
@@ -123,7 +132,6 @@
     void probeAggregators(const std::string &dataCentre, std::string_view bytes);
     std::set<std::string> otherDataCentres() const;
     duration transmitTime(double linkShare, std::size_t bytes) const;
-    void sendTo(const boost::asio::ip::udp::endpoint &address, std::string_view bytes);
     vm_digest ownSummary(time_point now);
 
     void receive();
@@ -141,6 +149,7 @@
     void applyTotals(const vm_digest &digest, bool restarted, bool isLocalVm, time_point now);
 
     boost::asio::ip::udp::socket m_socket;
+    scheduler_handler m_schedulerHandler;
     router_board &m_board;
     digest_exchange_options m_options;
     std::map<std::string, peer> m_peers;
--- a/burdockhold/event_router.cc
+++ b/burdockhold/event_router.cc
@@ -45,7 +45,10 @@
 event_router::event_router(router_settings settings)
     : m_io(1)
     , m_board(std::move(settings))
-    , m_placements(m_io, m_board)
+    , m_placements(m_io, m_board,
+                   [this](const auto &address, std::string_view bytes) {
+                       m_digests.sendTo(address, bytes);
+                   })
     , m_connections(m_io)
     , m_callers(m_board)
     , m_readiness(m_io, descriptor_shares(m_board.settings.descriptors).readiness,
@@ -102,9 +105,10 @@
     if (error.empty())
         error = listen(m_readyAcceptor, m_board.settings.readyAddress);
     if (error.empty()) {
+        m_digests.setSchedulerHandler([this](std::string_view bytes, const auto &sender) {
+            m_placements.datagramReceived(bytes, sender);
+        });
         error = m_digests.open();
-        if (error.empty())
-            error = m_placements.open();
         if (error.empty())
             error = m_views.open();
         if (!error.empty())
--- a/burdockhold/placement_client.cc
+++ b/burdockhold/placement_client.cc
@@ -2,7 +2,6 @@
 
 #include "burdockhold/http_client_connection.h"
 
-#include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 #include <xxhash.h>
 
@@ -18,8 +17,6 @@
 
 namespace {
 
-/// Port of the schedulers' datagrams, after the first peer port.
-constexpr int SchedulerPortOffset = 1;
 /// Addresses that are kept; any sender in the network can state something.
 constexpr std::size_t MaxVmAddresses = 4096;
 
@@ -75,37 +72,20 @@
 }
 
 placement_client::placement_client(boost::asio::io_context &context, router_board &board,
-                                   placement_client_options options)
+                                   datagram_sender send, placement_client_options options)
     : m_context(context)
     , m_board(board)
     , m_options(options)
-    , m_socket(context)
+    , m_send(std::move(send))
     , m_scheduler({}, board.options.choice,
                   [&board](const placement_question &question) {
                       return schedulableCandidates(board, question.pool, question.model,
                                                    steadyNow());
                   })
     , m_vm(newIncarnation(board.settings.vmName))
-    , m_buffer()
 {
 }
 
-std::string placement_client::open()
-{
-    error_code error;
-    m_socket.open(udp::v4(), error);
-    const auto ip = boost::asio::ip::make_address_v4(m_board.settings.ip, error);
-    const int port = m_board.settings.firstPeerPort + SchedulerPortOffset;
-    if (!error)
-        m_socket.bind({ ip, static_cast<unsigned short>(port) }, error);
-    if (!error)
-        m_socket.non_blocking(true, error);
-    if (error)
-        return error.message();
-    receive();
-    return {};
-}
-
 bool placement_client::isOwnScheduler(const std::string &dataCentre) const
 {
     return m_board.actsAsScheduler && dataCentre == m_board.settings.dataCentre;
@@ -118,8 +98,7 @@
                                                            : parseAddress(found->second);
     if (!address)
         return std::nullopt;
-    return udp::endpoint(address->address(),
-                         static_cast<unsigned short>(address->port() + SchedulerPortOffset));
+    return udp::endpoint(address->address(), address->port());
 }
 
 bool placement_client::isSilent(const std::string &dataCentre, time_point now) const
@@ -538,8 +517,7 @@
 
 void placement_client::sendTo(const udp::endpoint &address, const scheduler_message &message)
 {
-    error_code ignored; // A lost question times out; a lost statement is followed by another.
-    m_socket.send_to(boost::asio::buffer(encodeSchedulerMessage(message)), address, 0, ignored);
+    m_send(address, encodeSchedulerMessage(message));
 }
 
 /// Returns the data centre whose scheduler has this address, or an empty string.
@@ -552,37 +530,25 @@
     return {};
 }
 
-void placement_client::receive()
-{
-    m_socket.async_receive_from(boost::asio::buffer(m_buffer), m_sender,
-                                [this](error_code error, std::size_t bytes) {
-                                    if (error == boost::asio::error::operation_aborted)
-                                        return;
-                                    if (!error)
-                                        received(bytes);
-                                    receive();
-                                });
-}
-
-void placement_client::received(std::size_t bytes)
+void placement_client::datagramReceived(std::string_view bytes, const udp::endpoint &sender)
 {
-    const auto message = decodeSchedulerMessage({ m_buffer.data(), bytes });
+    const auto message = decodeSchedulerMessage(bytes);
     if (!isOk(message)) {
         m_board.metrics.count(router_counter::DigestRowsRejected);
         return;
     }
     const time_point now = steadyNow();
-    const auto rememberAddress = [this](std::uint64_t vm) {
+    const auto rememberAddress = [&](std::uint64_t vm) {
         if (m_vmAddresses.size() >= MaxVmAddresses)
             m_vmAddresses.clear();
-        m_vmAddresses[vm] = m_sender;
+        m_vmAddresses[vm] = sender;
     };
     std::visit(overloaded{ [&](const placement_question &question) {
                               rememberAddress(question.vm);
-                              sendTo(m_sender, m_scheduler.ask(question, now));
+                              sendTo(sender, m_scheduler.ask(question, now));
                           },
                            [&](const placement_answer &answer) {
-                               answerReceived(answer, dataCentreOf(m_sender), now);
+                               answerReceived(answer, dataCentreOf(sender), now);
                                if (answer.vm == m_vm)
                                    notify(answer.number);
                            },
--- a/burdockhold/placement_client.h
+++ b/burdockhold/placement_client.h
@@ -33,7 +33,6 @@
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -123,11 +122,13 @@
 class placement_client
 {
 public:
-    placement_client(boost::asio::io_context &context, router_board &board,
+    /// Datagrams are sent with the function, and the received ones passed to datagramReceived().
+    using datagram_sender =
+            std::function<void(const boost::asio::ip::udp::endpoint &, std::string_view)>;
+    placement_client(boost::asio::io_context &context, router_board &board, datagram_sender send,
                      placement_client_options options = {});
 
-    /// Binds the socket. Returns an error text, or an empty string.
-    std::string open();
+    void datagramReceived(std::string_view bytes, const boost::asio::ip::udp::endpoint &sender);
 
     /// States this VM's calls, and answers waiting questions. Called on every tick.
     void step(time_point now);
@@ -191,13 +192,11 @@
     std::optional<boost::asio::ip::udp::endpoint> schedulerOf(const std::string &dataCentre) const;
     bool isOwnScheduler(const std::string &dataCentre) const;
     void sendTo(const boost::asio::ip::udp::endpoint &address, const scheduler_message &message);
-    void receive();
-    void received(std::size_t bytes);
 
     boost::asio::io_context &m_context;
     router_board &m_board;
     placement_client_options m_options;
-    boost::asio::ip::udp::socket m_socket;
+    datagram_sender m_send;
     placement_scheduler m_scheduler;
     std::uint64_t m_vm; // Incarnation of this VM.
     std::uint32_t m_lastNumber = 0;
@@ -208,8 +207,6 @@
     time_point m_statementDueAt;
     /// Addresses of the VMs that have asked or stated something, by incarnation.
     std::map<std::uint64_t, boost::asio::ip::udp::endpoint> m_vmAddresses;
-    boost::asio::ip::udp::endpoint m_sender;
-    std::array<char, 65536> m_buffer;
 };
 
 } // namespace burdockhold
--- a/burdockhold/scheduler_message.cc
+++ b/burdockhold/scheduler_message.cc
@@ -6,7 +6,8 @@
 
 namespace {
 
-/// The first two bytes of a datagram: the format's version and the index of the message's type.
+/// The first two bytes of a datagram: the format's version and the index of the message's type. A
+/// digest, an array of MessagePack, begins with a byte above 0x7f.
 constexpr char FormatVersion = 1;
 constexpr std::size_t HeadBytes = 2;
 
@@ -31,6 +32,11 @@
 
 } // namespace
 
+bool isSchedulerMessage(std::string_view bytes)
+{
+    return !bytes.empty() && bytes[0] == FormatVersion;
+}
+
 std::string encodeSchedulerMessage(const scheduler_message &message)
 {
     msgpack::sbuffer buffer;
--- a/burdockhold/scheduler_message.h
+++ b/burdockhold/scheduler_message.h
@@ -100,6 +100,9 @@
 
 enum class scheduler_message_error { NotReadable, UnsupportedFormat };
 
+/// Returns whether the datagram begins like one of these messages, not like a digest.
+bool isSchedulerMessage(std::string_view bytes);
+
 std::string encodeSchedulerMessage(const scheduler_message &message);
 result<scheduler_message, scheduler_message_error> decodeSchedulerMessage(std::string_view bytes);
 
