--- a/burdockhold/routed_request.h
+++ b/burdockhold/routed_request.h
@@ -125,6 +125,7 @@
     void onTimer();
     void endUnserved(const unserved_reasons &reasons);
     bool isScheduled() const;
+    bool waitsInRoom() const;
     void placeOrWait();
     void enterWaitQueue(wait_cause cause);
     bool joinWaitQueue(time_point now);
--- a/burdockhold/routed_request_waiting.cc
+++ b/burdockhold/routed_request_waiting.cc
@@ -43,11 +43,19 @@
            && m_pool->engine;
 }
 
+/// Returns whether the request waits in the order of waiting_room.h. Requests for model engines do
+/// not: a response that is late from the start takes an engine's memory for seconds, and the share
+/// of all that are in time falls.
+bool routed_request::waitsInRoom() const
+{
+    return usesFairWaiting(m_context.board.settings.mechanisms)
+           && (m_pool == nullptr || !m_pool->engine);
+}
+
 /// Places the request, or lets it wait. An arrival does not overtake those that wait.
 void routed_request::placeOrWait()
 {
-    const bool mustQueue = m_callsMade == 0 && !isScheduled()
-                           && usesFairWaiting(m_context.board.settings.mechanisms)
+    const bool mustQueue = m_callsMade == 0 && waitsInRoom()
                            && m_context.waiting.hasWaiting(m_poolName);
     if (!mustQueue) {
         if (!place())
@@ -66,7 +74,7 @@
     m_waiting = true;
     m_wait.cause = isScheduled() ? wait_cause::None : cause;
     const time_point now = steadyNow();
-    if (isScheduled() || !usesFairWaiting(m_context.board.settings.mechanisms))
+    if (!waitsInRoom())
         m_context.waiting.add(shared_from_this());
     else if (!joinWaitQueue(now))
         return;
@@ -97,10 +105,9 @@
     m_waiting = false;
     guard([this] {
         const time_point now = steadyNow();
-        const bool isFair = usesFairWaiting(m_context.board.settings.mechanisms);
-        queueWaitEnded(
-                isFair ? m_context.waiting.retryAfterWait(waitEntryFor(waitingCall(), now), now)
-                       : m_route->latencyTarget);
+        queueWaitEnded(waitsInRoom() ? m_context.waiting.retryAfterWait(
+                               waitEntryFor(waitingCall(), now), now)
+                                     : m_route->latencyTarget);
     });
 }
 
@@ -118,7 +125,7 @@
 time_point routed_request::queueWaitEnd(time_point now) const
 {
     const mechanism_set &mechanisms = m_context.board.settings.mechanisms;
-    if (usesFairWaiting(mechanisms))
+    if (waitsInRoom() || isScheduled())
         return latestStart(waitEntryFor(waitingCall(), now).request);
     return std::min(m_deadline,
                     now + maxQueueWait(m_responseStarted, m_route->latencyTarget, mechanisms));
