Do not collect the inputs of a placement that waits for a scheduler

Requests that waited were tried again with each tick and each freed place, at the cost of a whole placement.

--- a/burdockhold/placement_client.cc
+++ b/burdockhold/placement_client.cc
@@ -53,6 +53,11 @@
     return step;
 }
 
+bool request_placement::isPending(time_point now) const
+{
+    return m_number != 0 && m_client->isPending(m_number, now);
+}
+
 void request_placement::callStarted(const endpoint_report &endpoint, const call_load &load)
 {
     if (m_client != nullptr)
@@ -365,6 +370,13 @@
     }
 }
 
+bool placement_client::isPending(std::uint32_t number, time_point now) const
+{
+    const open_placement &placement = *m_placements.at(number);
+    return placement.state == ask_state::Asked || placement.state == ask_state::Queued
+           || (placement.state == ask_state::NoRoom && now < placement.retryAt);
+}
+
 placement_step placement_client::stepOf(std::uint32_t number, const placement_facts &facts,
                                         time_point now)
 {
--- a/burdockhold/placement_client.h
+++ b/burdockhold/placement_client.h
@@ -109,6 +109,9 @@
     /// Returns how to place the request now. `answered` is called when it is worth calling again.
     placement_step choose(const placement_facts &facts, const std::function<void()> &answered);
 
+    /// Returns whether choose() would return nothing new, so that it need not be called.
+    bool isPending(time_point now) const;
+
     /// States the call that follows the choice.
     void callStarted(const endpoint_report &endpoint, const call_load &load);
     void prefillFinished();
@@ -168,6 +171,7 @@
                                                time_point now) const;
     std::string homeOf(const placement_facts &facts, time_point now) const;
     std::uint32_t begin(const placement_facts &facts, const std::function<void()> &answered);
+    bool isPending(std::uint32_t number, time_point now) const;
     placement_step stepOf(std::uint32_t number, const placement_facts &facts, time_point now);
     void ask(std::uint32_t number, ask_stage stage, time_point now);
     void send(std::uint32_t number, time_point now);
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -301,6 +301,8 @@
         return true;
     }
     const time_point now = steadyNow();
+    if (m_waiting && m_placement.isPending(now))
+        return false;
     if (refuseIfBlocked(now))
         return true;
     const placement_query query = placementQuery();
