--- a/burdockhold/router_settings.cc
+++ b/burdockhold/router_settings.cc
@@ -2,6 +2,7 @@
 
 #include <boost/property_tree/ini_parser.hpp>
 #include <boost/property_tree/ptree.hpp>
+#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <optional>
@@ -66,26 +67,42 @@
             value = parsed;
     }
 
+    /// Returns the value, or an empty text if there is none. A placeholder that the platform has
+    /// not filled in, since it does not know the field, is none.
+    std::string filledIn(const char *key) const
+    {
+        const std::string text = tree.get<std::string>(key, "");
+        return text.compare(0, 2, "{{") == 0 ? std::string() : text;
+    }
+
     /// Like readOptionalBetween(), for a value without a default.
     void readOptionalBetween(const char *key, double least, double most,
                              std::optional<double> &value)
     {
-        if (tree.get<std::string>(key, "").empty())
+        if (filledIn(key).empty())
             return;
         double parsed = least;
         readOptionalBetween(key, least, most, parsed);
         value = parsed;
     }
 
-    /// Reads all keys of a section as texts.
-    void readTexts(const char *section,
-                   std::map<std::string, std::string, std::less<>> &values) const
+    /// Reads a JSON object of texts; a missing or empty value is an empty one.
+    void readTexts(const char *key, std::map<std::string, std::string, std::less<>> &values)
     {
-        const auto found = tree.get_child_optional(section);
-        if (!found)
+        const std::string text = filledIn(key);
+        if (error || text.empty())
             return;
-        for (const auto &[key, value] : *found)
-            values[key] = value.data();
+        const auto object = nlohmann::json::parse(text, nullptr, false);
+        const bool isOfTexts = object.is_object()
+                               && std::all_of(object.begin(), object.end(),
+                                              [](const auto &value) { return value.is_string(); });
+        if (!isOfTexts) {
+            error = settings_error{ router_settings_error::Invalid, "not a JSON object of texts",
+                                    key };
+            return;
+        }
+        for (const auto &[name, value] : object.items())
+            values[name] = value.get<std::string>();
     }
 
     /// Reads the mechanisms to disable; a missing or empty value disables none.
@@ -158,7 +175,7 @@
     reader.readOptionalBetween("bounds.evacuate_ms", 1.0, 1e9, evacuateMs);
     if (evacuateMs)
         settings.evacuationBound = fromSeconds(*evacuateMs / 1000.0);
-    reader.readTexts("zones", settings.regions);
+    reader.readTexts("regions.data_centres", settings.regions);
     double memoryMb = 0.0;
     reader.read("limits.memory_mb", memoryMb);
     settings.memoryBytes = static_cast<std::size_t>(memoryMb * 1024 * 1024);
--- a/testing/support_platform.cc
+++ b/testing/support_platform.cc
@@ -544,8 +544,8 @@
                "revocation_ms = 5000\nweights_ms = 8000\nengines_check_fences = "
             << (place.enginesCheckFences ? "true" : "false")
             << "\nlease_ms = 3000\nshutdown_grace_s = 8\nevacuate_ms = 5000\n"
-               "cold_overshoot = 1.5\ncold_slack = 5\n[zones]\ndc1 = eu\ndc2 = "
-               "us\n[repeats]\nratio = 0.2\nslack = "
+               "cold_overshoot = 1.5\ncold_slack = 5\n[regions]\n"
+               "data_centres = {\"dc1\":\"eu\",\"dc2\":\"us\"}\n[repeats]\nratio = 0.2\nslack = "
             << place.repeatSlack
             << "\n[accounts]\ntolerance = 0.1\ntolerance_tokens = " << place.toleranceTokens
             << "\n[limits]\nmemory_mb = " << place.memoryMb
