Limit engines that become usable only where many VMs use them

With up to 17 VMs, digests are exchanged directly and each VM knows what the others have placed; the limit refused requests that would have been in time.

--- a/burdockhold/endpoint_table.cc
+++ b/burdockhold/endpoint_table.cc
@@ -198,7 +198,7 @@
             candidate.slowness = entry.pace.slowness(now);
             candidate.poolPace = &poolPace->second.line;
         }
-        if (m_options.limitPace && !model.empty())
+        if (m_options.limitPace && m_vms >= m_options.minVmsForPaceLimit && !model.empty())
             candidate.tokensLeft = tokensLeft(entry, candidate, now);
         if (tried.count(id) != 0)
             excludeTried(candidate);
--- a/burdockhold/endpoint_table.h
+++ b/burdockhold/endpoint_table.h
@@ -75,6 +75,9 @@
     pace_limit_options paceLimit;
     bool usePace = true;   ///< False: candidates have no pace.
     bool limitPace = true; ///< False: candidates have no limit of tokens left.
+    /// With fewer VMs, whose digests are exchanged directly, each knows what the others have placed
+    /// and no limit is needed; it would refuse requests that are served in time.
+    std::size_t minVmsForPaceLimit = 18;
     /// Differs between VMs, so that they come back at different times after an endpoint's pause.
     std::uint64_t returnSeed = 0;
     /// Maximum number of segments tracked per endpoint; more than an engine's KV cache holds.
