Let the only VM of a fleet earn retries from its first request

Callers of a router that had just started got 502 where a stream broke off: requests earned retries only after the first window of 10 s, since they might have moved there from another VM, and the slack was divided by eight VMs.

If the list of VMs has been read and has no other VM, no requests can have moved. Then they earn retries at once, and the slack is that of one VM. Both tests pass; onlyVmEarnsRetriesFromItsFirstRequest fails without the change.

--- a/burdockhold/event_router.cc
+++ b/burdockhold/event_router.cc
@@ -233,6 +233,7 @@
     }
     const time_point now = steadyNow();
     m_digests.step(now);
+    m_board.isVmListRead = true;
     m_board.coldEngines.vmsListed(now);
     m_views.begin();
 }
--- a/burdockhold/retry_slack.cc
+++ b/burdockhold/retry_slack.cc
@@ -24,6 +24,7 @@
     , m_steppedAt(now)
     , m_aloneUntil(now)
     , m_silenceAfter(options.silenceAfter)
+    , m_isOnlyVm(options.isOnlyVm)
 {
     constexpr double Steps = 4096.0;
     const auto bits = XXH64(&options.phaseSeed, sizeof options.phaseSeed, 0);
@@ -45,6 +46,8 @@
 
 double retry_slack::creditedRequests(time_point now) const
 {
+    if (m_isOnlyVm)
+        return m_ownRequests.current(now);
     const double growth = now - m_steppedAt > m_silenceAfter ? 1.0 : m_growth;
     return std::min(m_ownRequests.current(now), m_ownRequests.previous(now) * growth);
 }
@@ -135,7 +138,7 @@
         view.all += static_cast<double>(peer.mostVms);
     }
     view.all = std::max(view.all, static_cast<double>(m_knownPeers) + 1.0);
-    if (now < m_startedAt + m_options.window)
+    if (now < m_startedAt + m_options.window && !m_isOnlyVm)
         view.all = std::max(view.all, static_cast<double>(m_options.minVms));
     const double left = std::max(0.0, m_options.amount - view.taken - m_own.total());
     const double part = m_options.amount / view.all;
@@ -236,6 +239,7 @@
 void retry_slack::step(std::size_t knownPeers, time_point now)
 {
     m_knownPeers = knownPeers;
+    m_isOnlyVm = m_isOnlyVm && knownPeers == 0;
     if (now - m_steppedAt > m_silenceAfter)
         m_aloneUntil = now + heardAfter();
     m_steppedAt = now;
--- a/burdockhold/retry_slack.h
+++ b/burdockhold/retry_slack.h
@@ -58,6 +58,9 @@
     duration forgetAfter = std::chrono::seconds(60);
     /// Number of VMs assumed at least within the first window: the list may not be read yet.
     std::size_t minVms = 8;
+    /// The list of VMs was read and has no other VM. Then minVms does not apply, and requests earn
+    /// retries from the first one on: they cannot have moved here from another VM.
+    bool isOnlyVm = false;
     std::uint64_t phaseSeed = 0; ///< Must differ between VMs.
 };
 
@@ -145,6 +148,7 @@
     duration m_reportInterval = std::chrono::milliseconds(200);
     duration m_silenceAfter;
     double m_phase = 0.0;
+    bool m_isOnlyVm;
     std::map<std::string, peer_state, std::less<>> m_peers;
 };
 
--- a/burdockhold/router_board.cc
+++ b/burdockhold/router_board.cc
@@ -309,6 +309,7 @@
     limitOptions.sharesSlack = settings.mechanisms.uses(mechanism::SharedRetrySlack);
     retry_slack_options slackOptions;
     slackOptions.minVms = std::max(slackOptions.minVms, knownPeers + 1);
+    slackOptions.isOnlyVm = isVmListRead && knownPeers == 0;
     slackOptions.phaseSeed = phaseSeedOf(name);
     if (!settings.mechanisms.uses(mechanism::StartGuard))
         slackOptions.startGuard = duration::zero();
--- a/burdockhold/router_board.h
+++ b/burdockhold/router_board.h
@@ -256,6 +256,8 @@
     // Written by the duty controller: stores that this VM's own checks found unavailable.
     std::set<std::string> storesFoundUnavailable;
 
+    bool isVmListRead = false; ///< Written by the event router.
+
     // Written by the digest exchange.
     std::size_t knownPeers = 0;
     known_vms knownVms;
--- a/testing/retry_fleet_test.cc
+++ b/testing/retry_fleet_test.cc
@@ -386,3 +386,25 @@
     BOOST_TEST(slack.headroom(at(seconds(15))) > 0.9);
     BOOST_TEST(slack.tryTake(at(seconds(15))));
 }
+
+// Guards against a fleet of one VM that refuses nearly all retries in the first 10 s, as if its
+// requests might have moved there from other VMs.
+BOOST_AUTO_TEST_CASE(onlyVmEarnsRetriesFromItsFirstRequest)
+{
+    for (const bool othersJoin : { false, true }) {
+        retry_slack_options options;
+        options.isOnlyVm = true;
+        retry_limit limit({}, options, at(0));
+        int retries = 0;
+        for (int request = 1; request <= 400; ++request) {
+            const time_point now = at(request / 10);
+            limit.slack().step(othersJoin && request >= 200 ? 7 : 0, now);
+            limit.countRequest(now);
+            retries += limit.tryRetry(now) ? 1 : 0;
+        }
+        // 0.18 of the requests, and of the slack of 45 the share of a VM that has just started.
+        const int earned = othersJoin ? 35 : 72;
+        BOOST_TEST(retries >= earned);
+        BOOST_TEST(retries <= earned + 0.34 * 45.0 + 1.0);
+    }
+}
