Compute shares of limits when they are needed

Shares are now computed every 200 ms, and before an admission if they are older than 50 ms; the growth before a retry. Peers are in hash tables, and a digest's rows are looked up by hash.

--- a/burdockhold/digest_exchange.cc
+++ b/burdockhold/digest_exchange.cc
@@ -11,6 +11,7 @@
 #include <random>
 #include <set>
 #include <sstream>
+#include <unordered_map>
 #include <utility>
 
 namespace burdockhold {
@@ -642,12 +643,14 @@
 {
     quota_peer quotaPeer{ std::max<std::size_t>(1, digest.vms.size()), isLocalVm };
     quotaPeer.leaving = digest.leaving;
+    std::unordered_map<std::uint32_t, const account_row *> rows;
+    rows.reserve(digest.accounts.size());
+    for (const account_row &row : digest.accounts)
+        rows.emplace(row.account, &row);
     m_board.forEachSharedLimit([&](const std::string &name, auto &ledger) {
-        const std::uint32_t hash = shortHash(name);
-        const auto row = std::find_if(digest.accounts.begin(), digest.accounts.end(),
-                                      [hash](const auto &r) { return r.account == hash; });
+        const auto row = rows.find(shortHash(name));
         // The digest of a VM that has admitted nothing yet has no row.
-        const account_row reported = row == digest.accounts.end() ? account_row{} : *row;
+        const account_row reported = row == rows.end() ? account_row{} : *row->second;
         const auto total = static_cast<double>(reported.admitted);
         quotaPeer.requested = static_cast<double>(reported.requested);
         quotaPeer.returned = static_cast<double>(reported.returned);
--- a/burdockhold/quota_ledger.cc
+++ b/burdockhold/quota_ledger.cc
@@ -17,6 +17,10 @@
 // Longest wait that is stated; at a very low rate, the computed one exceeds the range of a
 // duration.
 constexpr double MaxStatedSeconds = 3600.0;
+/// Time between two computations that are linear in the peers. An admission brings them up to date
+/// first, so that accounts without requests at this VM cost little.
+constexpr duration StepInterval = std::chrono::milliseconds(200);
+constexpr duration AdmissionInterval = std::chrono::milliseconds(50);
 
 /// Returns a number from 0 to 1 that differs between VMs.
 double initialPhase(std::uint64_t seed)
@@ -66,6 +70,8 @@
 bool quota_ledger::tryAdmit(double cost, time_point now)
 {
     refill(now);
+    if (m_sharedAt && now - *m_sharedAt >= AdmissionInterval)
+        updateShare(now);
     m_requested += cost;
     // Shares already leave to the other VMs what they may have admitted since their last totals.
     const double unreported = m_shareUntil ? 0.0 : estimateUnreported(now);
@@ -208,15 +214,17 @@
 }
 
 /// Computes this VM's share of the rate and decides whether it is limited to the share.
-void quota_ledger::updateShare(std::size_t knownPeers, time_point now)
+void quota_ledger::updateShare(time_point now)
 {
+    m_sharedAt = now;
+    updateOwnRate(now);
     double otherDemand = 0.0;
     std::size_t vmsWithRates = 0;
     for (const auto &row : m_peers) {
         otherDemand += std::max(0.0, row.second.requestedPerSecond);
         vmsWithRates += row.second.hasRates ? row.second.vms : 0;
     }
-    const double known = static_cast<double>(knownPeers);
+    const double known = static_cast<double>(m_knownPeers);
     const bool wasStarting = m_starting;
     m_starting = m_starting && now - m_startedAt < m_options.evenRateDuration
                  && static_cast<double>(vmsWithRates) < KnownRatesShare * known;
@@ -288,7 +296,7 @@
 
 void quota_ledger::resetPeerTotal(std::string_view peer)
 {
-    const auto found = m_peers.find(peer);
+    const auto found = m_peers.find(std::string(peer));
     if (found == m_peers.end())
         return;
     found->second.reported = 0.0;
@@ -300,9 +308,12 @@
 
 void quota_ledger::step(std::size_t knownPeers, time_point now)
 {
+    m_knownPeers = knownPeers;
     refill(now);
-    updateOwnRate(now);
-    updateShare(knownPeers, now);
+    if (now < m_stepDueAt && !m_guardUntil)
+        return;
+    m_stepDueAt = now + StepInterval;
+    updateShare(now);
     const auto isSilent = [&](const auto &row) {
         return now - row.second.reportedAt > m_silenceAfter;
     };
--- a/burdockhold/quota_ledger.h
+++ b/burdockhold/quota_ledger.h
@@ -45,10 +45,10 @@
 #include "burdockhold/clock.h"
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 
 namespace burdockhold {
 
@@ -210,7 +210,7 @@
     void updatePeerRates(peer_state &peerState, double admitted, double requested, time_point now);
     void updateOwnRate(time_point now);
     double reportAgeSeconds() const;
-    void updateShare(std::size_t knownPeers, time_point now);
+    void updateShare(time_point now);
     double pooledAllowance() const;
     double requiredLevel(double cost) const;
     bool tryChargeShare(double cost);
@@ -244,7 +244,10 @@
     duration m_reportInterval = std::chrono::milliseconds(200);
     duration m_silenceAfter;
     time_point m_refilledAt;
-    std::map<std::string, peer_state, std::less<>> m_peers;
+    std::size_t m_knownPeers = 0;
+    std::optional<time_point> m_sharedAt; // The share was computed; unset before the first step.
+    time_point m_stepDueAt;
+    std::unordered_map<std::string, peer_state> m_peers;
 };
 
 } // namespace burdockhold
--- a/burdockhold/retry_slack.cc
+++ b/burdockhold/retry_slack.cc
@@ -15,6 +15,8 @@
 constexpr double MaxRequests = 1e7;
 /// Time between two computations of the growth, which are linear in the VMs and the window's slots.
 constexpr duration GrowthInterval = std::chrono::milliseconds(200);
+/// Time between two checks for VMs that have left.
+constexpr duration CleanupInterval = std::chrono::milliseconds(200);
 
 } // namespace
 
@@ -44,10 +46,14 @@
     m_ownRequests.add(1.0, now);
 }
 
-double retry_slack::creditedRequests(time_point now) const
+double retry_slack::creditedRequests(time_point now)
 {
     if (m_isOnlyVm)
         return m_ownRequests.current(now);
+    if (now >= m_growthDueAt) {
+        m_growthDueAt = now + GrowthInterval;
+        m_growth = fleetGrowth(now);
+    }
     const double growth = now - m_steppedAt > m_silenceAfter ? 1.0 : m_growth;
     return std::min(m_ownRequests.current(now), m_ownRequests.previous(now) * growth);
 }
@@ -229,7 +235,7 @@
 
 void retry_slack::resetPeerTotal(std::string_view peer)
 {
-    const auto found = m_peers.find(peer);
+    const auto found = m_peers.find(std::string(peer));
     if (found == m_peers.end())
         return;
     found->second.reported = 0.0;
@@ -243,11 +249,10 @@
     if (now - m_steppedAt > m_silenceAfter)
         m_aloneUntil = now + heardAfter();
     m_steppedAt = now;
+    if (now < m_cleanupDueAt)
+        return;
+    m_cleanupDueAt = now + CleanupInterval;
     expire(now);
-    if (now >= m_growthDueAt) {
-        m_growthDueAt = now + GrowthInterval;
-        m_growth = fleetGrowth(now);
-    }
     const fleet_view view = viewOf(now);
     const bool hearsMost = 2.0 * view.heard > view.all;
     for (auto row = m_peers.begin(); row != m_peers.end();) {
--- a/burdockhold/retry_slack.h
+++ b/burdockhold/retry_slack.h
@@ -35,9 +35,9 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <map>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 
 namespace burdockhold {
 
@@ -73,7 +73,7 @@
     void countRequest(time_point now);
 
     /// Returns the requests of the last window that earn retries at this VM.
-    double creditedRequests(time_point now) const;
+    double creditedRequests(time_point now);
 
     /// Takes one retry if one is left for this VM.
     bool tryTake(time_point now);
@@ -144,12 +144,13 @@
     time_point m_steppedAt;
     time_point m_aloneUntil; // After a suspension.
     time_point m_growthDueAt;
+    time_point m_cleanupDueAt;
     double m_growth = 1.0;
     duration m_reportInterval = std::chrono::milliseconds(200);
     duration m_silenceAfter;
     double m_phase = 0.0;
     bool m_isOnlyVm;
-    std::map<std::string, peer_state, std::less<>> m_peers;
+    std::unordered_map<std::string, peer_state> m_peers;
 };
 
 } // namespace burdockhold
