Apply digests without copying them or looking up names

A third of the rest of the routers' processor time went to digests: each was copied whole for its endpoint rows, and each weights row looked up its engine three times by name. The table now keeps the rows alone, in memory that it has already, and finds engines by the hash in the row.

--- a/burdockhold/endpoint_table.cc
+++ b/burdockhold/endpoint_table.cc
@@ -70,7 +70,7 @@
             assumeLeaving(entry, now);
         entry.hash = shortHash(report.id);
         entry.lastActivityAt = now;
-        m_idsByHash[entry.hash] = report.id;
+        m_entriesByHash[entry.hash] = &entry;
     }
     if (isNew || restarted)
         removeReplacedEndpoints(report, now);
@@ -310,20 +310,28 @@
 void endpoint_table::recordStatedWeights(std::string_view id, std::string_view model,
                                          std::int64_t version)
 {
-    table_entry *entry = findEntry(id);
-    if (entry == nullptr)
-        return;
-    dropInferredWeights(id, model);
-    std::int64_t &known = entry->weights[std::string(model)];
-    if (version <= known)
+    if (table_entry *entry = findEntry(id))
+        recordStatedWeights(*entry, model, version);
+}
+
+void endpoint_table::recordStatedWeights(table_entry &entry, std::string_view model,
+                                         std::int64_t version)
+{
+    const auto inferred = entry.inferredWeights.find(model);
+    if (inferred != entry.inferredWeights.end())
+        entry.inferredWeights.erase(inferred);
+    auto known = entry.weights.find(model);
+    if (known == entry.weights.end())
+        known = entry.weights.emplace(model, 0).first;
+    if (version <= known->second)
         return;
-    known = version;
-    entry->pace = engine_pace(m_options.pace);
+    known->second = version;
+    entry.pace = engine_pace(m_options.pace);
     // Loading new weights clears the engine's KV cache.
-    entry->segments.clear();
-    entry->segmentOrder.clear();
-    entry->loadingUntil = {};
-    entry->ownLoadingUntil = {};
+    entry.segments.clear();
+    entry.segmentOrder.clear();
+    entry.loadingUntil = {};
+    entry.ownLoadingUntil = {};
 }
 
 void endpoint_table::recordInferredWeights(std::string_view id, std::string_view model,
@@ -609,9 +617,9 @@
     }
 }
 
-void endpoint_table::addDigestRows(const vm_digest &digest, int sign)
+void endpoint_table::addDigestRows(const std::vector<endpoint_row> &rows, int sign)
 {
-    for (const endpoint_row &row : digest.endpoints) {
+    for (const endpoint_row &row : rows) {
         peer_totals &totals = m_peerTotals[row.endpoint];
         totals.running += sign * static_cast<std::int64_t>(row.running);
         totals.pendingPrefillTokens += sign * static_cast<std::int64_t>(row.pendingPrefillTokens);
@@ -624,37 +632,32 @@
 void endpoint_table::applyPeerDigest(const vm_digest &digest, time_point now)
 {
     peer_view &view = m_peers[digest.vm];
-    addDigestRows(view.digest, -1);
-    view = { digest, now };
-    addDigestRows(digest, 1);
+    addDigestRows(view.endpoints, -1);
+    view.endpoints = digest.endpoints; // Keeps the vector's memory.
+    view.at = now;
+    addDigestRows(view.endpoints, 1);
     for (const endpoint_row &row : digest.endpoints) {
-        const auto id = m_idsByHash.find(row.endpoint);
-        if (id == m_idsByHash.end())
-            continue;
-        if (table_entry *entry = findEntry(id->second))
+        if (table_entry *entry = findEntry(row.endpoint))
             entry->lastActivityAt = std::max(entry->lastActivityAt,
                                              now - std::chrono::milliseconds(row.silentMs));
     }
     for (const weights_row &row : digest.weights)
         applyPeerWeights(row, now);
     for (const std::uint32_t departed : digest.departedEndpoints) {
-        if (const auto id = m_idsByHash.find(departed); id != m_idsByHash.end())
-            findEntry(id->second)->peerReportedLeavingAt = now;
+        if (table_entry *entry = findEntry(departed))
+            entry->peerReportedLeavingAt = now;
     }
 }
 
 void endpoint_table::applyPeerWeights(const weights_row &row, time_point now)
 {
-    const auto id = m_idsByHash.find(row.endpoint);
-    if (id == m_idsByHash.end())
-        return;
-    table_entry *entry = findEntry(id->second);
+    table_entry *entry = findEntry(row.endpoint);
     if (entry == nullptr)
         return;
     for (const auto &[model, version] : entry->report.weights) {
         if (shortHash(model) != row.model)
             continue;
-        recordStatedWeights(id->second, model, row.version);
+        recordStatedWeights(*entry, model, row.version);
         // A digest sent before a load ended must not mark the endpoint as loading again.
         if (row.loading && knownVersion(*entry, model) <= row.version)
             markLoading(*entry, std::chrono::milliseconds(row.loadingLeftMs), now);
@@ -671,7 +674,7 @@
             ++peer;
             continue;
         }
-        addDigestRows(peer->second.digest, -1);
+        addDigestRows(peer->second.endpoints, -1);
         peer = m_peers.erase(peer);
     }
     for (auto &[id, entry] : m_entries) {
@@ -697,7 +700,7 @@
                             && now - entry->second.removedAt > RemovedRetention;
         if (forget) {
             noteEndedNotices(entry->second, notice_end::Removed);
-            m_idsByHash.erase(entry->second.hash);
+            m_entriesByHash.erase(entry->second.hash);
         }
         entry = forget ? m_entries.erase(entry) : std::next(entry);
     }
@@ -772,6 +775,12 @@
     return found == m_entries.end() ? nullptr : &found->second;
 }
 
+endpoint_table::table_entry *endpoint_table::findEntry(std::uint32_t hash)
+{
+    const auto found = m_entriesByHash.find(hash);
+    return found == m_entriesByHash.end() ? nullptr : found->second;
+}
+
 const endpoint_table::table_entry *endpoint_table::findEntry(std::string_view id) const
 {
     const auto found = m_entries.find(id);
--- a/burdockhold/endpoint_table.h
+++ b/burdockhold/endpoint_table.h
@@ -322,7 +322,7 @@
     };
     struct peer_view
     {
-        vm_digest digest;
+        std::vector<endpoint_row> endpoints;
         time_point at;
     };
 
@@ -338,8 +338,10 @@
     double returnSpread(std::string_view id, time_point now) const;
     void removeReplacedEndpoints(const endpoint_report &report, time_point now);
     table_entry *findEntry(std::string_view id);
+    table_entry *findEntry(std::uint32_t hash); ///< By shortHash of the id.
     const table_entry *findEntry(std::string_view id) const;
-    void addDigestRows(const vm_digest &digest, int sign);
+    void addDigestRows(const std::vector<endpoint_row> &rows, int sign);
+    void recordStatedWeights(table_entry &entry, std::string_view model, std::int64_t version);
     void markLoading(table_entry &entry, duration timeLeft, time_point now) const;
     void applyPeerWeights(const weights_row &row, time_point now);
     bool isUsable(const table_entry &entry, bool poolIsEmpty, time_point now) const;
@@ -354,7 +356,7 @@
     std::map<std::string, std::int64_t> m_cacheTokens; // By pool.
     endpoint_table_options m_options;
     std::map<std::string, table_entry, std::less<>> m_entries;
-    std::unordered_map<std::uint32_t, std::string> m_idsByHash;
+    std::unordered_map<std::uint32_t, table_entry *> m_entriesByHash; // Into m_entries.
     std::unordered_map<std::uint32_t, peer_totals> m_peerTotals;
     std::map<std::string, peer_view, std::less<>> m_peers;
     std::map<std::string, pool_pace, std::less<>> m_poolPaces; // Rows are never removed.
