Add burdockholdctl check-config

A faulty deployment was noticed only when the routers refused it, and entries without effect or limits that contradict each other not at all.

check-config reads the file with the router's parser and prints errors, entries that can never match, contradicting limits, and differences from the version in force. A directory as input file is now reported as unreadable instead of being taken for an empty file. The limits of calls per request move to attempt_rules.h, so that the check and the router use the same ones.

--- a/burdockhold/attempt_rules.h
+++ b/burdockhold/attempt_rules.h
@@ -29,6 +29,12 @@
 
 namespace burdockhold {
 
+/// Calls per request, including refused ones.
+inline constexpr int MaxCalls = 4;
+/// The same limit for a request whose stream has started: refusing it would lose the events that
+/// its caller has received, and overloaded engines refuse several times in a row.
+inline constexpr int MaxCallsOfStartedStream = 8;
+
 enum class call_end {
     Complete,     ///< The whole response has been delivered or is ready for delivery.
     NotSent,      ///< No byte of the request can have reached the endpoint.
--- a/burdockhold/ctl_context.cc
+++ b/burdockhold/ctl_context.cc
@@ -39,6 +39,8 @@
         return "the VM list cannot be reached; no VM was called";
     case ctl_exit::OutputLost:
         return "the result could not be written to standard output";
+    case ctl_exit::Warnings:
+        return "the file is valid, but has entries that cannot have been meant; they are listed";
     }
     return "";
 }
@@ -105,9 +107,12 @@
 {
     std::ifstream file(fileName, std::ios::binary);
     std::ostringstream text;
+    // A directory can be opened, and only its first read fails.
     if (file)
+        file.peek();
+    if (file.good())
         text << file.rdbuf();
-    if (!file)
+    if (file.fail())
         return ctl_error{ ctl_exit::BadInput, "cannot be read or is empty", fileName };
     return text.str();
 }
--- a/burdockhold/ctl_context.h
+++ b/burdockhold/ctl_context.h
@@ -33,12 +33,13 @@
     BadAnswer = 9,
     VmListUnreachable = 10,
     OutputLost = 11,
+    Warnings = 12,
 };
 
 template <>
 struct enum_names<ctl_exit>
 {
-    static constexpr std::array<enum_name<ctl_exit>, 12> Table{ {
+    static constexpr std::array<enum_name<ctl_exit>, 13> Table{ {
             { ctl_exit::Done, "done" },
             { ctl_exit::Refused, "refused" },
             { ctl_exit::Usage, "usage" },
@@ -51,6 +52,7 @@
             { ctl_exit::BadAnswer, "bad_answer" },
             { ctl_exit::VmListUnreachable, "vm_list_unreachable" },
             { ctl_exit::OutputLost, "output_lost" },
+            { ctl_exit::Warnings, "warnings" },
     } };
 };
 
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -27,10 +27,6 @@
 namespace {
 
 constexpr int StatusOk = 200;
-constexpr int MaxCalls = 4; // Calls per request, including refused ones.
-// The same limit for a request whose stream has started: refusing it would lose the events that its
-// caller has received, and overloaded engines refuse several times in a row.
-constexpr int MaxCallsOfStartedStream = 8;
 constexpr std::size_t MaxBufferedResponseBytes = std::size_t(8) * 1024 * 1024;
 // A stale view is renewed within about this time, or the caller's next attempt reaches another VM.
 constexpr duration StaleViewRetryAfter = std::chrono::milliseconds(300);
--- a/cmake/net.cmake
+++ b/cmake/net.cmake
@@ -14,6 +14,8 @@
   endif()
 endforeach()
 
+target_link_libraries(burdockholdctl PRIVATE platform_commands)
+
 # Stand-ins for the platform and the endpoints, one program with roles. They and the test support
 # use plain sockets, so that tests control every byte and every close; they do not link the shell.
 file(GLOB STANDIN_SOURCES CONFIGURE_DEPENDS testing/standin*.cc)
--- a/tools/burdockholdctl.cc
+++ b/tools/burdockholdctl.cc
@@ -1,6 +1,7 @@
 // The operators' tool. Every command and exit code is listed by --help; see docs/OPERATIONS.md.
 
 #include "burdockhold/ctl_catalogue.h"
+#include "burdockhold/ctl_config.h"
 #include "burdockhold/ctl_explain.h"
 #include "burdockhold/ctl_http.h"
 #include "burdockhold/ctl_key.h"
@@ -79,6 +80,7 @@
     text("digest-prefix", "D", "start of the key's SHA-256 digest, or all of it");
     description.add_options()("key-stdin", "read the key from the first line of standard input");
     text("base", "N", "version that the order is based on");
+    text("in-force", "FILE", "deployment in force, to compare with");
     text("profile", "FILE", "objectives in INI format; see examples/");
     text("samples", "N", "samples to take (default 2)");
     text("interval", "D", "time between samples, with its unit (default 10s)");
@@ -130,6 +132,13 @@
     return ctl_exit::Done;
 }
 
+ctl_exit runCheckConfig(const invocation &given)
+{
+    if (given.values.count("in-force") > 0 && given.text("in-force").empty())
+        return usageError(given.context, "--in-force needs the name of a file");
+    return checkConfig(given.context, { given.arguments[0], given.text("in-force") });
+}
+
 ctl_exit runReport(const invocation &given)
 {
     report_options options;
@@ -217,6 +226,9 @@
 constexpr char DrainHelp[] = "Drains one VM: its daemon ends when its requests have ended.";
 constexpr char ReportHelp[] = "Samples the measures of all VMs and prints the service-level burn.";
 
+constexpr char CheckConfigHelp[] =
+        "Checks the file of a deployment for the routers: errors, entries that can never match, "
+        "limits that contradict each other and, with --in-force, differences. Writes nothing.";
 constexpr char ExplainHelp[] =
         "Prints the log lines that name a request, an endpoint or a VM in any field, oldest first "
         "over all files; without files it reads standard input.";
@@ -241,6 +253,7 @@
         { "drain", "VM", 1, 1, {}, DrainHelp, runDrain },
         { "settings check", "FILE", 1, 1, {}, "Checks a daemon's settings file.",
           runSettingsCheck },
+        { "check-config", "FILE", 1, 1, { "in-force" }, CheckConfigHelp, runCheckConfig },
         { "explain", "ID [FILE...]", 1, MaxLogFiles, {}, ExplainHelp, runExplain },
         { "report", "", 0, 0, { "profile", "samples", "interval" }, ReportHelp, runReport },
     };
