--- a/burdockhold/config_check.cc
+++ b/burdockhold/config_check.cc
@@ -365,6 +365,7 @@
 std::string keysText(const std::vector<std::string> &keys)
 {
     std::vector<std::string> digests;
+    digests.reserve(keys.size());
     for (const std::string &key : keys)
         digests.push_back(sha256Hex(key).substr(0, ShownDigits));
     return listText(digests);
--- a/burdockhold/ctl_config.cc
+++ b/burdockhold/ctl_config.cc
@@ -48,6 +48,7 @@
 std::vector<printed_finding> printedFaults(const std::vector<platform::deployment_fault> &faults)
 {
     std::vector<printed_finding> printed;
+    printed.reserve(faults.size());
     for (const platform::deployment_fault &fault : faults)
         printed.push_back(
                 { config_severity::Error, fault.place, nameOfFault(fault.code), fault.text });
