Grant calls at cold engines within the share of the scheduler's VM

Schedulers excluded cold engines. So for the first seconds after a data centre returns, its engines got only what single VMs placed by themselves.

A scheduler that is among a cold engine's sharers now grants calls there and charges its VM's share when it gives the grant. The asking VM sends on that share. It drops a grant more than 50 ms after the latest repetition of its question, or to an earlier repetition, and asks again. Older builds get no such grant. The mechanism cold_grants switches it off.

--- a/burdockhold/cold_engines.cc
+++ b/burdockhold/cold_engines.cc
@@ -35,7 +35,7 @@
     std::size_t sharers = std::max<std::size_t>(1, std::min(options.maxSharers, knownVms));
     while (sharers > 1 && DisagreementFactor * static_cast<double>(sharers) > bound)
         --sharers;
-    const duration window = std::chrono::seconds(1) + options.arrivalSpread;
+    const duration window = std::chrono::seconds(1) + options.arrivalSpread + options.grantDelay;
     const double byBound = toSeconds(window) / requestsPerSharer(bound, sharers);
     const double byRate = static_cast<double>(sharers) / perSecond;
     // Rounded up, so that a window never contains one request more.
@@ -194,6 +194,14 @@
         found->second.nextRequestAt = now + found->second.share.interval;
 }
 
+bool cold_engines::tryCharge(std::string_view engine, const known_vms &vms, time_point now)
+{
+    if (isExcluded(engine, vms, now))
+        return false;
+    requestSent(engine, now);
+    return true;
+}
+
 void cold_engines::step(time_point now)
 {
     for (auto row = m_states.begin(); row != m_states.end();) {
--- a/burdockhold/cold_engines.h
+++ b/burdockhold/cold_engines.h
@@ -36,6 +36,10 @@
 
 namespace burdockhold {
 
+/// A VM uses a scheduler's grant of a call at a cold engine at most this long after it has asked
+/// for it (cold_grants.h).
+constexpr duration MaxColdGrantAge = std::chrono::milliseconds(50);
+
 struct cold_engine_options
 {
     /// Factor and requests by which the rate of cold engines may be exceeded in a second. Nothing
@@ -46,6 +50,9 @@
     std::size_t maxSharers = 3;
     /// Requests arrive at an engine closer together than they were sent by up to this time.
     duration arrivalSpread = std::chrono::milliseconds(100);
+    /// Calls on a share are sent up to this long after the share was charged. Zero where schedulers
+    /// grant no calls at cold engines.
+    duration grantDelay = MaxColdGrantAge;
     /// A view that is confirmed this long after an engine may have become cold contains an entry
     /// that the engine has written since, unless its entry is silent (entry_silence.h). Longer than
     /// entry_silence_options::silentAfter and two reads of the log.
@@ -107,6 +114,10 @@
     /// Charges a request that is sent now. Does nothing for an engine that is not cold.
     void requestSent(std::string_view engine, time_point now);
 
+    /// Charges a request that another VM is to send now on this VM's share. Returns false if the
+    /// share allows none. An engine that is not cold needs no share.
+    bool tryCharge(std::string_view engine, const known_vms &vms, time_point now);
+
     /// Forgets engines that are not cold any more.
     void step(time_point now);
 
--- a/burdockhold/endpoint_choice.h
+++ b/burdockhold/endpoint_choice.h
@@ -108,6 +108,8 @@
     /// Unread prompt tokens that this VM may still place there (pace_limit.h).
     double tokensLeft = std::numeric_limits<double>::infinity();
     engine_lane lane = engine_lane::Any;
+    /// The engine is cold: a scheduler charges its VM's share with a call there (cold_grants.h).
+    bool needsColdShare = false;
 };
 
 /// Excludes an endpoint that the request must not be sent to again.
@@ -200,6 +202,7 @@
     double expectedErrorMs = 0.0;        ///< How much longer it may well take; 0 if not known.
     std::optional<std::size_t> copyFrom; ///< Candidate to copy the missing segment from.
     bool copySourceIsKnown = false;      ///< It is known to hold the segment.
+    bool onSchedulersShare = false;      ///< A scheduler has charged the cold engine's rate.
 };
 
 /// Returns the choice, or nothing when every candidate is excluded or full. A candidate is full
--- a/burdockhold/placement_client.cc
+++ b/burdockhold/placement_client.cc
@@ -30,6 +30,22 @@
     return static_cast<std::uint32_t>(std::clamp<std::int64_t>(count, 0, INT32_MAX));
 }
 
+/// Adds the endpoints that this VM excludes, the cold ones last.
+void addExclusions(placement_question &question, const std::vector<endpoint_candidate> &candidates)
+{
+    const auto add = [&](bool areCold) {
+        for (const endpoint_candidate &candidate : candidates) {
+            // The scheduler knows of loads of weights as soon as this VM.
+            const bool isNamed = candidate.excluded != exclusion::None
+                                 && candidate.excluded != exclusion::Loading;
+            if (isNamed && (candidate.excluded == exclusion::Cold) == areCold)
+                addExcluded(question, shortHash(candidate.id), candidate.excluded);
+        }
+    };
+    add(false);
+    add(true);
+}
+
 std::uint64_t newIncarnation(const std::string &vmName)
 {
     std::random_device source;
@@ -82,15 +98,25 @@
     , m_board(board)
     , m_options(options)
     , m_send(std::move(send))
-    , m_scheduler({}, board.options.choice,
-                  [&board](const placement_question &question) {
-                      return schedulableCandidates(board, question.pool, question.model,
-                                                   steadyNow());
-                  })
+    , m_scheduler(
+              {}, board.options.choice,
+              [&board](const placement_question &question) {
+                  return schedulableCandidates(board, question.pool, question.model, steadyNow());
+              },
+              [this](std::string_view engine, time_point now) { return chargeCold(engine, now); })
     , m_vm(newIncarnation(board.settings.vmName))
 {
 }
 
+/// Charges this VM's share of a cold engine's rate with a call that its scheduler grants.
+bool placement_client::chargeCold(std::string_view engine, time_point now)
+{
+    if (!m_board.coldEngines.tryCharge(engine, m_board.knownVms, now))
+        return false;
+    m_board.metrics.count(router_counter::ColdGrants);
+    return true;
+}
+
 bool placement_client::isOwnScheduler(const std::string &dataCentre) const
 {
     return m_board.actsAsScheduler && dataCentre == m_board.settings.dataCentre;
@@ -186,11 +212,7 @@
     question.account = shortHash(facts.account);
     question.targetMs = milliseconds(facts.target);
     question.deadlineMs = milliseconds(facts.deadline);
-    for (const endpoint_candidate &candidate : facts.inputs.candidates) {
-        // The scheduler knows of loads of weights as soon as this VM.
-        if (candidate.excluded != exclusion::None && candidate.excluded != exclusion::Loading)
-            question.tried.push_back(shortHash(candidate.id));
-    }
+    addExclusions(question, facts.inputs.candidates);
     placement->answered = answered;
     placement->home = homeOf(facts, steadyNow());
     placement->target = facts.target;
@@ -218,9 +240,19 @@
     const bool queues = stage == ask_stage::HomeQueue;
     placement.question.maxExpectedMs = queues ? 0 : fastMs(placement);
     placement.question.maxWaitMs = queues ? milliseconds(placement.maxWait) : 0;
+    countRepetition(placement, now);
     send(number, now);
 }
 
+/// Numbers the next sending of the question. Without cold grants, the number stays that of an older
+/// build, to which schedulers give none.
+void placement_client::countRepetition(open_placement &placement, time_point now) const
+{
+    if (m_board.settings.mechanisms.uses(mechanism::ColdGrants))
+        ++placement.question.repetition;
+    placement.askedAt = now;
+}
+
 void placement_client::send(std::uint32_t number, time_point now)
 {
     open_placement &placement = *m_placements.at(number);
@@ -256,6 +288,7 @@
     const time_point now = steadyNow();
     if (placement.state == ask_state::Queued && placement.repeats < m_options.maxRepeats) {
         ++placement.repeats;
+        countRepetition(placement, now);
         askElsewhere(number, now);
         send(number, now);
         return;
@@ -377,12 +410,24 @@
            || (placement.state == ask_state::NoRoom && now < placement.retryAt);
 }
 
+/// Asks again after a grant for a cold engine that came too late to be used.
+void placement_client::dropLateGrant(std::uint32_t number, time_point now)
+{
+    m_board.metrics.count(router_counter::ColdGrantsDropped);
+    stateChange(m_placements.at(number)->dataCentre,
+                { number, 0, 0, 0, std::uint8_t(call_stage::Ended) });
+    ask(number, ask_stage::HomeFast, now);
+}
+
 placement_step placement_client::stepOf(std::uint32_t number, const placement_facts &facts,
                                         time_point now)
 {
     open_placement &placement = *m_placements.at(number);
     if (placement.state == ask_state::NoRoom && now >= placement.retryAt)
         ask(number, ask_stage::HomeFast, now);
+    if (placement.state == ask_state::Granted
+        && !isUsableGrant(placement.answer, placement.question, placement.askedAt, now))
+        dropLateGrant(number, now);
     switch (placement.state) {
     case ask_state::Asked:
     case ask_state::Queued:
@@ -400,7 +445,8 @@
     bool isKnown = false;
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         const std::uint32_t hash = shortHash(candidates[index].id);
-        if (hash == placement.answer.endpoint && candidates[index].excluded == exclusion::None) {
+        if (hash == placement.answer.endpoint
+            && allowsCall(placement.answer, candidates[index].excluded)) {
             choice.index = index;
             isKnown = true;
         }
@@ -412,6 +458,7 @@
         return place_locally{};
     choice.expectedCachedTokens = std::min<std::int64_t>(placement.answer.cachedTokens,
                                                          facts.inputs.need.promptTokens);
+    choice.onSchedulersShare = placement.answer.onColdShare;
     choice.expectedMs = placement.answer.expectedMs;
     choice.expectedFirstEventMs = placement.answer.expectedMs;
     choice.unreadTokens = facts.inputs.need.promptTokens - choice.expectedCachedTokens;
--- a/burdockhold/placement_client.h
+++ b/burdockhold/placement_client.h
@@ -20,6 +20,8 @@
 //   and the scheduler is not asked for silencePause.
 // - A datagram that is lost, repeated, absurd or of another format: dropped; see
 //   scheduler_message.h.
+// - A grant for a cold engine that arrives late: dropped, and the scheduler is asked again; see
+//   cold_grants.h.
 // - A scheduler that answers a queued question no more: the question is repeated, then the request
 // is
 //   placed by this VM alone.
@@ -152,6 +154,7 @@
         ask_state state = ask_state::Asked;
         ask_stage stage = ask_stage::HomeFast;
         placement_question question;
+        time_point askedAt; // The question's latest repetition was sent then.
         std::function<void()> answered;
         std::string home;       // Data centre that is asked first.
         std::string dataCentre; // Of the scheduler that was asked, or of the call's endpoint.
@@ -174,7 +177,10 @@
     bool isPending(std::uint32_t number, time_point now) const;
     placement_step stepOf(std::uint32_t number, const placement_facts &facts, time_point now);
     void ask(std::uint32_t number, ask_stage stage, time_point now);
+    void countRepetition(open_placement &placement, time_point now) const;
     void send(std::uint32_t number, time_point now);
+    bool chargeCold(std::string_view engine, time_point now);
+    void dropLateGrant(std::uint32_t number, time_point now);
     void armTimer(std::uint32_t number);
     void timedOut(std::uint32_t number);
     void notify(std::uint32_t number);
--- a/burdockhold/placement_inputs.cc
+++ b/burdockhold/placement_inputs.cc
@@ -74,6 +74,18 @@
     }
 }
 
+/// Marks the cold engines, at which a scheduler grants calls within this VM's share only.
+void markCold(std::vector<endpoint_candidate> &candidates, router_board &board, time_point now)
+{
+    excludeCold(candidates, board, now);
+    const bool mayGrant = board.settings.mechanisms.uses(mechanism::ColdGrants);
+    for (endpoint_candidate &candidate : candidates) {
+        candidate.needsColdShare = board.coldEngines.isCold(candidate.id, now);
+        if (candidate.needsColdShare && !mayGrant)
+            candidate.excluded = exclusion::Cold;
+    }
+}
+
 /// Returns the store for the request's shared segments, chosen by the data centre of the preferred
 /// endpoint.
 const cache_store *segmentStore(const router_board &board, const placement_query &query,
@@ -145,11 +157,7 @@
                                                  board.targetVersion(modelName), {}, {}, now);
     excludeExpiredWeights(candidates, board, modelName);
     excludeEvacuated(candidates, board);
-    // The asking VM has a share of its own of a cold engine's rate, which this VM does not know.
-    for (endpoint_candidate &candidate : candidates) {
-        if (board.coldEngines.isCold(candidate.id, now))
-            candidate.excluded = exclusion::Cold;
-    }
+    markCold(candidates, board, now);
     if (const software_rollout *rollout = board.rolloutOf(found->name))
         rollout->removeNewVersion(candidates, now);
     const std::size_t poolSize = candidates.size();
--- a/burdockhold/placement_scheduler.cc
+++ b/burdockhold/placement_scheduler.cc
@@ -14,6 +14,7 @@
     placement_answer answer;
     answer.vm = question.vm;
     answer.number = question.number;
+    answer.repetition = question.repetition;
     answer.verdict = static_cast<std::uint8_t>(verdict);
     return answer;
 }
@@ -39,10 +40,11 @@
 } // namespace
 
 placement_scheduler::placement_scheduler(scheduler_options options, endpoint_choice_options choice,
-                                         candidate_source candidates)
+                                         candidate_source candidates, cold_charge chargeCold)
     : m_options(options)
     , m_choice(choice)
     , m_candidates(std::move(candidates))
+    , m_chargeCold(std::move(chargeCold))
 {
     // The loads are known, so there is no reason to compare a sample only.
     m_choice.fullScanLimit = std::numeric_limits<std::size_t>::max();
@@ -54,13 +56,19 @@
 {
     const call_id id{ question.vm, question.number };
     const auto known = m_calls.find(id);
-    if (known != m_calls.end())
-        return known->second.answer;
-    const bool waits = std::any_of(m_waiting.begin(), m_waiting.end(), [&](const auto &other) {
+    if (known != m_calls.end()) {
+        if (known->second.isStated || !isSuperseded(known->second.answer, question))
+            return known->second.answer;
+        erase(id, now);
+    }
+    const auto waiting = std::find_if(m_waiting.begin(), m_waiting.end(), [&](const auto &other) {
         return call_id{ other.question.vm, other.question.number } == id;
     });
-    if (waits)
+    if (waiting != m_waiting.end()) {
+        auto &repetition = waiting->question.repetition;
+        repetition = std::max(repetition, question.repetition);
         return answerTo(question, placement_verdict::Queued);
+    }
     if (const auto granted = tryPlace(question, now))
         return *granted;
     if (question.maxWaitMs == 0 || m_waiting.size() >= m_options.maxWaiting)
@@ -100,8 +108,7 @@
         candidate.holdsSegment = question.segment != 0 && cached != m_cached.end()
                                  && cached->second.weights == candidate.weights
                                  && cached->second.tokens.count(question.segment) != 0;
-        if (std::find(question.tried.begin(), question.tried.end(), hash) != question.tried.end())
-            excludeTried(candidate);
+        excludeForQuestion(candidate, question, hash);
     }
     return candidates;
 }
@@ -117,8 +124,11 @@
     if (question.maxExpectedMs != 0 && choice->expectedFirstEventMs > question.maxExpectedMs)
         return std::nullopt;
     const endpoint_candidate &engine = candidates[choice->index];
+    if (engine.needsColdShare && (!m_chargeCold || !m_chargeCold(engine.id, now)))
+        return std::nullopt;
     placement_answer answer = answerTo(question, placement_verdict::Granted);
     answer.endpoint = shortHash(engine.id);
+    answer.onColdShare = engine.needsColdShare;
     answer.expectedMs = static_cast<std::uint32_t>(choice->expectedFirstEventMs);
     answer.cachedTokens = static_cast<std::uint32_t>(choice->expectedCachedTokens);
     answer.tokensAhead = static_cast<std::uint32_t>(engine.pendingPrefillTokens);
--- a/burdockhold/placement_scheduler.h
+++ b/burdockhold/placement_scheduler.h
@@ -11,7 +11,8 @@
 // The scheduler knows the pending tokens of its engines to within one message.
 //
 // Promises:
-// - A question that is repeated gets the same answer, until its call has ended.
+// - A question that is repeated gets the same answer, until its call has ended. Only a grant for a
+//   cold engine is not repeated (cold_grants.h).
 // - Waiting questions are answered in order of priority, then of latency target; those whose target
 //   has passed come last. A question is dropped when its time is over: the VM that asked decides
 //   then.
@@ -23,6 +24,7 @@
 // Time of a placement is linear in the data centre's engines.
 
 #include "burdockhold/clock.h"
+#include "burdockhold/cold_grants.h"
 #include "burdockhold/endpoint_choice.h"
 #include "burdockhold/scheduler_message.h"
 
@@ -57,7 +59,7 @@
 {
 public:
     placement_scheduler(scheduler_options options, endpoint_choice_options choice,
-                        candidate_source candidates);
+                        candidate_source candidates, cold_charge chargeCold = {});
 
     placement_answer ask(const placement_question &question, time_point now);
 
@@ -125,6 +127,7 @@
     scheduler_options m_options;
     endpoint_choice_options m_choice;
     candidate_source m_candidates;
+    cold_charge m_chargeCold;
     std::map<call_id, known_call> m_calls;
     std::unordered_map<std::uint32_t, engine_load> m_loads;      // By shortHash.
     std::unordered_map<std::uint32_t, cached_segments> m_cached; // By shortHash.
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -494,7 +494,7 @@
         m_expectedWeights = board.targetVersion(m_request.model);
     m_cacheDomain = cacheDomain();
     m_segmentKey = deepestSegmentName(m_request, m_cacheDomain, m_expectedWeights);
-    m_ticket = board.callStarted(m_endpointId, m_load, m_callStarted);
+    m_ticket = board.callStarted(m_endpointId, m_load, m_callStarted, choice.onSchedulersShare);
     m_placement.callStarted(*report, m_load);
     if (m_load.pendingPrefillTokens >= ImmediateDigestTokens)
         board.digestRequested = true;
--- a/burdockhold/router_board.cc
+++ b/burdockhold/router_board.cc
@@ -56,6 +56,10 @@
         return options;
     options.overshoot = settings.coldOvershoot;
     options.slack = settings.coldSlack;
+    const bool schedulersGrant = settings.mechanisms.uses(mechanism::Schedulers)
+                                 && settings.mechanisms.uses(mechanism::ColdGrants);
+    if (!schedulersGrant)
+        options.grantDelay = duration::zero();
     return options;
 }
 
@@ -281,9 +285,10 @@
 }
 
 call_ticket router_board::callStarted(std::string_view endpointId, const call_load &load,
-                                      time_point now)
+                                      time_point now, bool onSchedulersShare)
 {
-    coldEngines.requestSent(endpointId, now);
+    if (!onSchedulersShare)
+        coldEngines.requestSent(endpointId, now);
     return endpoints.callStarted(endpointId, load, now);
 }
 
--- a/burdockhold/router_board.h
+++ b/burdockhold/router_board.h
@@ -137,8 +137,10 @@
     void confirmEndpoints(duration at);
     void logEndpointChanged(const endpoint_report &report, time_point now);
 
-    /// Adds a call that is sent now to the endpoint's load and to its cold rate.
-    call_ticket callStarted(std::string_view endpointId, const call_load &load, time_point now);
+    /// Adds a call that is sent now to the endpoint's load and, unless a scheduler has charged its
+    /// own share, to this VM's share of its cold rate.
+    call_ticket callStarted(std::string_view endpointId, const call_load &load, time_point now,
+                            bool onSchedulersShare = false);
 
     /// Returns the page of metrics, including the gauges of cold engines.
     std::string metricsText(time_point now);
--- a/burdockhold/router_metrics.h
+++ b/burdockhold/router_metrics.h
@@ -36,6 +36,8 @@
     TransfersWithoutRoom,
     StalledStreams,
     SchedulerTimeouts,
+    ColdGrants,        ///< Calls at cold engines that this VM granted as a scheduler.
+    ColdGrantsDropped, ///< Grants that this VM received too late.
     HandlerFailures,
     DigestRowsRejected,
     RefusedCrashing,
@@ -66,7 +68,7 @@
 template <>
 struct enum_names<router_counter>
 {
-    static constexpr std::array<enum_name<router_counter>, 44> Table{ {
+    static constexpr std::array<enum_name<router_counter>, 46> Table{ {
             { router_counter::Requests, "requests" },
             { router_counter::Served, "served" },
             { router_counter::RefusedNotRun, "refused_not_run" },
@@ -86,6 +88,8 @@
             { router_counter::TransfersWithoutRoom, "transfers_without_room" },
             { router_counter::StalledStreams, "stalled_streams" },
             { router_counter::SchedulerTimeouts, "scheduler_timeouts" },
+            { router_counter::ColdGrants, "cold_grants" },
+            { router_counter::ColdGrantsDropped, "cold_grants_dropped" },
             { router_counter::HandlerFailures, "handler_failures" },
             { router_counter::DigestRowsRejected, "digest_rows_rejected" },
             { router_counter::RefusedCrashing, "refused_crashing" },
--- a/burdockhold/scheduler_message.h
+++ b/burdockhold/scheduler_message.h
@@ -45,9 +45,15 @@
     std::uint32_t maxExpectedMs = 0;
     std::uint32_t maxWaitMs = 0;      ///< In the scheduler's queue; 0: not at all.
     std::vector<std::uint32_t> tried; ///< shortHashes of endpoints that are excluded.
+    /// The last ones of these are excluded only since they are cold. A scheduler may grant a call
+    /// there on its own share (cold_grants.h).
+    std::uint32_t coldTried = 0;
+    /// Grows with each sending of the question; 0 from an older build.
+    std::uint32_t repetition = 0;
     MSGPACK_DEFINE_ARRAY(vm, number, pool, model, affinityKey, segment, segmentTokens,
                          unsharedTokens, outputTokens, promptTokens, storeHoldsSegment, lane,
-                         priority, account, targetMs, deadlineMs, maxExpectedMs, maxWaitMs, tried)
+                         priority, account, targetMs, deadlineMs, maxExpectedMs, maxWaitMs, tried,
+                         coldTried, repetition)
 };
 
 enum class placement_verdict : std::uint8_t {
@@ -67,8 +73,10 @@
     std::uint32_t copyFrom = 0;    ///< shortHash of an endpoint to copy the segment from, or 0.
     std::uint32_t tokensAhead = 0; ///< Prompt tokens that the endpoint has to read before.
     std::uint32_t running = 0;     ///< Other requests that run at the endpoint.
+    bool onColdShare = false;      ///< The endpoint is cold, and the scheduler's share is charged.
+    std::uint32_t repetition = 0;  ///< Of the question that is answered.
     MSGPACK_DEFINE_ARRAY(vm, number, verdict, endpoint, expectedMs, cachedTokens, copyFrom,
-                         tokensAhead, running)
+                         tokensAhead, running, onColdShare, repetition)
 };
 
 enum class call_stage : std::uint8_t {
--- a/testing/cold_engines_test.cc
+++ b/testing/cold_engines_test.cc
@@ -1,12 +1,16 @@
 #define BOOST_TEST_MODULE cold_engines
 #include "burdockhold/cold_engines.h"
+#include "burdockhold/cold_grants.h"
 #include "burdockhold/entry_silence.h"
+#include "burdockhold/placement_scheduler.h"
 #include "burdockhold/vm_digest.h"
 
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
 #include <cmath>
+#include <map>
+#include <memory>
 #include <optional>
 #include <random>
 #include <string>
@@ -254,3 +258,219 @@
     silence.entryRead(engine(1, 1, 0.0), second(6));
     BOOST_TEST(silence.takeSilent(second(8)).size() == 1U); // Only the other one.
 }
+
+namespace {
+
+/// All engines return at the end of an evacuation, which the VMs learn at different times. The VMs
+/// send on their own shares and on grants of the schedulers of two data centres, whose answers are
+/// delayed or lost.
+class granting_fleet
+{
+public:
+    granting_fleet(int vmCount, unsigned seed)
+        : m_random(seed)
+    {
+        for (int number = 0; number < Engines; ++number)
+            m_ids.push_back("e" + std::to_string(number));
+        const auto all = hashes(vmCount);
+        auto older = all; // Without the VMs that have joined last.
+        older.resize(std::max<std::size_t>(1, all.size() - all.size() / 8));
+        for (const std::uint32_t hash : all) {
+            m_vms.push_back(std::make_unique<granting_vm>(hash));
+            m_vms.back()->vms.update(m_random() % 2 == 0 ? all : older);
+            m_vms.back()->returnSeenAt = at(0.001 * static_cast<double>(m_random() % 1200));
+        }
+        for (std::size_t group = 0; group < Groups; ++group)
+            m_schedulers.push_back(makeScheduler(*vmWithMostShares(group), group));
+    }
+
+    void run()
+    {
+        for (int step = 0; step < Steps; ++step) {
+            for (std::size_t vm = 0; vm < m_vms.size(); ++vm) {
+                // VMs act one after another, in the same order in each step.
+                const time_point now = at(0.01 * step)
+                                       + std::chrono::microseconds(10000 * vm / m_vms.size());
+                act(vm, now);
+            }
+        }
+    }
+
+    std::size_t mostInASecond() const
+    {
+        std::size_t most = 0;
+        for (const auto &[engine, times] : m_arrivals)
+            most = std::max(most, mostInOneSecond(times));
+        return most;
+    }
+
+    int granted = 0; ///< Calls that were sent on grants.
+    int dropped = 0; ///< Grants that came too late.
+
+private:
+    static constexpr int Engines = 12;
+    static constexpr int Steps = 400; // Of 10 ms.
+    static constexpr std::size_t Groups = 2;
+
+    struct open_question
+    {
+        placement_question question;
+        time_point askedAt;
+        std::size_t group = 0;
+    };
+    struct granting_vm : simulated_vm
+    {
+        using simulated_vm::simulated_vm;
+        time_point returnSeenAt; // Until then, the engines count as evacuated.
+        bool seesReturn = false;
+        std::uint32_t lastNumber = 0;
+        std::uint64_t lastSequence = 0;
+        std::map<std::uint32_t, open_question> open;
+        std::multimap<time_point, placement_answer> answers; // By time of arrival.
+    };
+
+    /// Returns the VM that has a share of the most engines of the group. Of 58 VMs, most have none
+    /// and would grant nothing.
+    granting_vm *vmWithMostShares(std::size_t group) const
+    {
+        const auto shares = [&](const granting_vm &vm) {
+            int count = 0;
+            for (std::size_t number = group; number < m_ids.size(); number += Groups)
+                count += sharerRank(m_ids[number], 1, vm.vms) < options().maxSharers ? 1 : 0;
+            return count;
+        };
+        const auto most = std::max_element(
+                m_vms.begin(), m_vms.end(),
+                [&](const auto &a, const auto &b) { return shares(*a) < shares(*b); });
+        return most->get();
+    }
+
+    std::unique_ptr<placement_scheduler> makeScheduler(granting_vm &vm, std::size_t group)
+    {
+        const auto source = [this, &vm, group](const placement_question &) {
+            std::vector<endpoint_candidate> candidates;
+            for (std::size_t number = group; number < m_ids.size(); number += Groups) {
+                endpoint_candidate engine;
+                engine.id = m_ids[number];
+                engine.slots = 24;
+                engine.cacheTokens = 96000;
+                engine.needsColdShare = true;
+                const bool isExcluded = !vm.seesReturn
+                                        || vm.cold.isExcluded(engine.id, vm.vms, m_now);
+                engine.excluded = isExcluded ? exclusion::Cold : exclusion::None;
+                candidates.push_back(engine);
+            }
+            return candidates;
+        };
+        const auto charge = [&vm](std::string_view engine, time_point now) {
+            return vm.cold.tryCharge(engine, vm.vms, now);
+        };
+        return std::make_unique<placement_scheduler>(scheduler_options{}, endpoint_choice_options{},
+                                                     source, charge);
+    }
+
+    void act(std::size_t index, time_point now)
+    {
+        granting_vm &vm = *m_vms[index];
+        m_now = now;
+        if (now < vm.returnSeenAt)
+            return;
+        for (std::size_t number = 0; !vm.seesReturn && number < m_ids.size(); ++number)
+            vm.cold.maybeCold(engine(static_cast<int>(number), 1, std::nullopt), now);
+        vm.seesReturn = true;
+        while (!vm.answers.empty() && vm.answers.begin()->first <= now) {
+            const placement_answer answer = vm.answers.begin()->second;
+            vm.answers.erase(vm.answers.begin());
+            take(vm, answer, now);
+        }
+        if (m_random() % 50 == 0) // Leaves a part of its share to the grants.
+            sendOnOwnShares(vm, now);
+        open_question asked;
+        asked.question.vm = index + 1;
+        asked.question.number = ++vm.lastNumber;
+        asked.question.promptTokens = 700;
+        asked.question.affinityKey = "m/" + std::to_string(m_random() % 100);
+        asked.group = m_random() % Groups;
+        ask(vm, asked, now);
+    }
+
+    void sendOnOwnShares(granting_vm &vm, time_point now)
+    {
+        for (const std::string &id : m_ids) {
+            if (vm.cold.tryCharge(id, vm.vms, now))
+                recordArrival(id, now);
+        }
+    }
+
+    void ask(granting_vm &vm, open_question asked, time_point now)
+    {
+        ++asked.question.repetition;
+        asked.askedAt = now;
+        const placement_answer answer = m_schedulers[asked.group]->ask(asked.question, now);
+        vm.open[asked.question.number] = asked;
+        const unsigned luck = m_random() % 100;
+        const int delayMs = static_cast<int>(luck < 80 ? m_random() % 20 : m_random() % 1000);
+        if (luck >= 5)
+            vm.answers.emplace(now + std::chrono::milliseconds(delayMs), answer);
+    }
+
+    void take(granting_vm &vm, const placement_answer &answer, time_point now)
+    {
+        const auto open = vm.open.find(answer.number);
+        if (open == vm.open.end())
+            return;
+        const open_question asked = open->second;
+        vm.open.erase(open);
+        const bool isGrant = answer.verdict == std::uint8_t(placement_verdict::Granted);
+        if (isGrant && !isUsableGrant(answer, asked.question, asked.askedAt, now)) {
+            ++dropped;
+            ask(vm, asked, now);
+            return;
+        }
+        const call_row ended{ answer.number, 0, 0, 0, std::uint8_t(call_stage::Ended) };
+        m_schedulers[asked.group]->apply({ answer.vm, ++vm.lastSequence, false, { ended } }, now);
+        if (!isGrant)
+            return;
+        ++granted;
+        for (const std::string &id : m_ids) {
+            if (shortHash(id) == answer.endpoint)
+                recordArrival(id, now);
+        }
+    }
+
+    void recordArrival(const std::string &engine, time_point sentAt)
+    {
+        m_arrivals[engine].push_back(sentAt + std::chrono::milliseconds(m_random() % 100));
+    }
+
+    std::mt19937 m_random;
+    std::vector<std::string> m_ids;
+    std::vector<std::unique_ptr<granting_vm>> m_vms;
+    std::vector<std::unique_ptr<placement_scheduler>> m_schedulers;
+    std::map<std::string, std::vector<time_point>> m_arrivals;
+    time_point m_now;
+};
+
+} // namespace
+
+// Guards against grants that exceed the bound on a cold engine: beside the VMs' own shares, by
+// VMs with views of different ages, or because they are used long after they were charged.
+BOOST_AUTO_TEST_CASE(granted_calls_stay_within_the_bound)
+{
+    for (const int vmCount : { 1, 8, 58 }) {
+        int granted = 0;
+        int dropped = 0;
+        for (unsigned seed = 1; seed <= 10; ++seed) {
+            granting_fleet fleet(vmCount, seed);
+            fleet.run();
+            BOOST_TEST_MESSAGE(vmCount << " VMs, seed " << seed << ": at most "
+                                       << fleet.mostInASecond() << " in a second, " << fleet.granted
+                                       << " on grants, " << fleet.dropped << " dropped");
+            BOOST_TEST(static_cast<double>(fleet.mostInASecond()) <= Bound);
+            granted += fleet.granted;
+            dropped += fleet.dropped;
+        }
+        BOOST_TEST(granted > 0);
+        BOOST_TEST(dropped > 0);
+    }
+}
--- a/testing/placement_client_looptest.cc
+++ b/testing/placement_client_looptest.cc
@@ -9,6 +9,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <thread>
 #include <variant>
 
 using namespace burdockhold;
@@ -64,6 +65,8 @@
         settings.dataCentre = dataCentre;
         settings.ip = "127.0.0.1";
         settings.firstPeerPort = FirstPort + number;
+        settings.coldOvershoot = 1.5;
+        settings.coldSlack = 5.0;
         return settings;
     }
 
@@ -186,3 +189,67 @@
     const bool isRemote = request.chosen == "e2" || request.chosen == "e3";
     BOOST_TEST(isRemote);
 }
+
+namespace {
+
+/// Makes the engines of dc1 cold at the VM, which has a share of their rate.
+void makeCold(test_vm &vm)
+{
+    const time_point now = steadyNow();
+    vm.board.coldEngines.setPools({ { "engines", { std::chrono::seconds(30), 8.7 } } });
+    vm.board.coldEngines.vmsListed(now - std::chrono::seconds(2));
+    for (const char *id : { "e0", "e1" })
+        vm.board.coldEngines.maybeCold(*vm.board.endpoints.find(id), now);
+}
+
+/// Runs until the VM's question is answered; returns the next step.
+placement_step answeredStep(boost::asio::io_context &io, test_request &request)
+{
+    request.choose();
+    runUntil(io, [&] { return request.isAnswered; });
+    request.isAnswered = false;
+    return request.choose();
+}
+
+} // namespace
+
+// Guards against cold engines that get nothing although the scheduler has a share of their rate,
+// and against a call that is charged to the asking VM's share.
+BOOST_AUTO_TEST_CASE(schedulerGrantsCallsAtColdEngines)
+{
+    boost::asio::io_context io;
+    test_vm scheduler(io, 6, "dc1");
+    test_vm other(io, 7, "dc1");
+    scheduler.board.actsAsScheduler = true;
+    other.board.schedulers["dc1"] = scheduler.address();
+    makeCold(scheduler);
+    makeCold(other);
+    other.board.coldEngines.requestSent("e0", steadyNow());
+    test_request request(other);
+    const placement_step step = answeredStep(io, request);
+    const auto *choice = std::get_if<endpoint_choice>(&step);
+    BOOST_REQUIRE(choice != nullptr);
+    BOOST_TEST(choice->onSchedulersShare);
+    BOOST_TEST(scheduler.board.metrics.valueOf(router_counter::ColdGrants) == 1U);
+}
+
+// Guards against a call on a grant that was charged long before.
+BOOST_AUTO_TEST_CASE(lateColdGrantIsDroppedAndAskedForAgain)
+{
+    boost::asio::io_context io;
+    test_vm scheduler(io, 8, "dc1");
+    test_vm other(io, 9, "dc1");
+    scheduler.board.actsAsScheduler = true;
+    other.board.schedulers["dc1"] = scheduler.address();
+    makeCold(scheduler);
+    test_request request(other);
+    request.choose();
+    runUntil(io, [&] { return request.isAnswered; });
+    std::this_thread::sleep_for(MaxColdGrantAge + std::chrono::milliseconds(5));
+    request.isAnswered = false;
+    BOOST_TEST(std::holds_alternative<await_placement>(request.choose()));
+    BOOST_TEST(other.board.metrics.valueOf(router_counter::ColdGrantsDropped) == 1U);
+    runUntil(io, [&] { return request.isAnswered; });
+    BOOST_TEST(std::holds_alternative<endpoint_choice>(request.choose()));
+    BOOST_TEST(scheduler.board.metrics.valueOf(router_counter::ColdGrants) == 2U);
+}
--- a/testing/placement_scheduler_test.cc
+++ b/testing/placement_scheduler_test.cc
@@ -335,3 +335,80 @@
         BOOST_TEST(answer.running == expected.running);
     }
 }
+
+namespace {
+
+/// A scheduler of one cold engine that allows the given number of calls.
+placement_scheduler coldScheduler(int &left)
+{
+    const auto source = [](const placement_question &) {
+        std::vector<endpoint_candidate> candidates{ engines().front() };
+        candidates.front().needsColdShare = true;
+        return candidates;
+    };
+    return { {}, {}, source, [&left](std::string_view, time_point) { return left-- > 0; } };
+}
+
+placement_question numberedQuestion(std::uint32_t repetition)
+{
+    placement_question question = shortQuestion(1, 1);
+    question.repetition = repetition;
+    return question;
+}
+
+} // namespace
+
+// Guards against a grant for a cold engine that is repeated when its time in the engine's rate has
+// passed, and against one that is charged twice for a datagram that arrived twice.
+BOOST_AUTO_TEST_CASE(coldGrantIsChargedAndNotRepeated)
+{
+    int left = 2;
+    auto scheduler = coldScheduler(left);
+    const placement_answer first = scheduler.ask(numberedQuestion(1), at(0));
+    BOOST_TEST(isVerdict(first, placement_verdict::Granted));
+    BOOST_TEST(first.onColdShare);
+    BOOST_TEST(first.repetition == 1U);
+    BOOST_TEST(left == 1);
+    scheduler.ask(numberedQuestion(1), at(5));
+    BOOST_TEST(left == 1);
+    BOOST_TEST(scheduler.ask(numberedQuestion(2), at(60)).repetition == 2U);
+    BOOST_TEST(left == 0);
+    const placement_answer third = scheduler.ask(numberedQuestion(3), at(120));
+    BOOST_TEST(isVerdict(third, placement_verdict::Declined));
+    BOOST_TEST(scheduler.calls() == 0U);
+}
+
+// Guards against a grant from the queue that looks older or newer than it is: it answers the
+// repetition that arrived last.
+BOOST_AUTO_TEST_CASE(queuedColdGrantNamesTheLatestRepetition)
+{
+    int left = 0;
+    auto scheduler = coldScheduler(left);
+    for (const std::uint32_t repetition : { 1U, 3U, 2U }) {
+        placement_question question = numberedQuestion(repetition);
+        question.maxWaitMs = 1000;
+        BOOST_TEST(isVerdict(scheduler.ask(question, at(0)), placement_verdict::Queued));
+    }
+    left = 1;
+    scheduler.step(at(100));
+    const auto grants = scheduler.takeGrants(at(100));
+    BOOST_REQUIRE(grants.size() == 1U);
+    BOOST_TEST(grants.front().repetition == 3U);
+}
+
+// Guards against grants at cold engines for VMs that would send them at any age, and for endpoints
+// that the asking VM excludes for another reason.
+BOOST_AUTO_TEST_CASE(coldGrantsRespectTheAskingVm)
+{
+    int left = 10;
+    auto scheduler = coldScheduler(left);
+    BOOST_TEST(isVerdict(scheduler.ask(numberedQuestion(0), at(0)), placement_verdict::Declined));
+    placement_question question = numberedQuestion(1);
+    question.tried = { shortHash(engineIds[0]) };
+    BOOST_TEST(isVerdict(scheduler.ask(question, at(0)), placement_verdict::Declined));
+    question.coldTried = 1;
+    BOOST_TEST(isVerdict(scheduler.ask(question, at(0)), placement_verdict::Granted));
+    question.number = 2;
+    question.coldTried = 2; // Absurd: there is one endpoint.
+    BOOST_TEST(isVerdict(scheduler.ask(question, at(0)), placement_verdict::Declined));
+}
--- a/testing/scheduler_message_test.cc
+++ b/testing/scheduler_message_test.cc
@@ -21,6 +21,18 @@
     return question;
 }
 
+/// The answer of a build without cold grants.
+struct old_answer
+{
+    std::uint64_t vm = 0;
+    std::uint32_t number = 0;
+    std::uint8_t verdict = 0;
+    std::uint32_t endpoint = 0, expectedMs = 0, cachedTokens = 0, copyFrom = 0, tokensAhead = 0;
+    std::uint32_t running = 0;
+    MSGPACK_DEFINE_ARRAY(vm, number, verdict, endpoint, expectedMs, cachedTokens, copyFrom,
+                         tokensAhead, running)
+};
+
 } // namespace
 
 // Guards against fields that are lost on the way.
@@ -45,6 +57,27 @@
     BOOST_TEST(std::get<placement_answer>(valueOf(answered)).copyFrom == 99U);
 }
 
+// Guards against fields of cold grants that an older build cannot skip, or that are read where it
+// sends none.
+BOOST_AUTO_TEST_CASE(olderBuildsExchangeMessagesWithoutColdGrants)
+{
+    placement_answer answer;
+    answer.running = 7;
+    answer.onColdShare = true;
+    answer.repetition = 3;
+    const std::string bytes = encodeSchedulerMessage(answer);
+    const auto read = msgpack::unpack(bytes.data() + 2, bytes.size() - 2);
+    BOOST_TEST(read.get().as<old_answer>().running == 7U);
+
+    msgpack::sbuffer buffer;
+    msgpack::pack(buffer, old_answer{});
+    const std::string old = bytes.substr(0, 2) + std::string(buffer.data(), buffer.size());
+    const auto decoded = decodeSchedulerMessage(old);
+    BOOST_REQUIRE(isOk(decoded));
+    BOOST_TEST(!std::get<placement_answer>(valueOf(decoded)).onColdShare);
+    BOOST_TEST(std::get<placement_answer>(valueOf(decoded)).repetition == 0U);
+}
+
 // Guards against a datagram that ends the process: any sender in the network can reach the port.
 BOOST_AUTO_TEST_CASE(damagedMessagesAreRefused)
 {
