--- a/burdockhold/placement_client.h
+++ b/burdockhold/placement_client.h
@@ -13,13 +13,15 @@
 // the other data centres in turn. Home is the own data centre for short prompts. For long ones it
 // is chosen by rendezvous hashing of their shared segments: an exchange between data centres takes
 // milliseconds, the prefill of a segment 100, and the caches of one data centre do not hold what
-// those of all hold.
+// those of all hold. An evacuated data centre is no home and is not asked while there is another.
 //
 // Failures:
 // - A scheduler that does not answer within answerTimeout: the request is placed by this VM alone,
 //   and the scheduler is not asked for silencePause.
 // - A datagram that is lost, repeated, absurd or of another format: dropped; see
 //   scheduler_message.h.
+// - A grant for a cold engine that arrives late: dropped, and the scheduler is asked again; see
+//   cold_grants.h.
 // - A scheduler that answers a queued question no more: the question is repeated, then the request
 // is
 //   placed by this VM alone.
@@ -152,6 +154,7 @@
         ask_state state = ask_state::Asked;
         ask_stage stage = ask_stage::HomeFast;
         placement_question question;
+        time_point askedAt; // The question's latest repetition was sent then.
         std::function<void()> answered;
         std::string home;       // Data centre that is asked first.
         std::string dataCentre; // Of the scheduler that was asked, or of the call's endpoint.
@@ -169,12 +172,15 @@
     std::vector<std::string> otherDataCentres(const std::string &home, time_point now) const;
     std::optional<std::string> otherDataCentre(const std::string &home, std::uint32_t number,
                                                time_point now) const;
-    std::string homeOf(const placement_facts &facts, time_point now) const;
+    std::string homeOf(const placement_facts &facts, std::uint32_t number, time_point now) const;
     std::uint32_t begin(const placement_facts &facts, const std::function<void()> &answered);
     bool isPending(std::uint32_t number, time_point now) const;
     placement_step stepOf(std::uint32_t number, const placement_facts &facts, time_point now);
     void ask(std::uint32_t number, ask_stage stage, time_point now);
+    void countRepetition(open_placement &placement, time_point now) const;
     void send(std::uint32_t number, time_point now);
+    bool chargeCold(std::string_view engine, time_point now);
+    void dropLateGrant(std::uint32_t number, time_point now);
     void armTimer(std::uint32_t number);
     void timedOut(std::uint32_t number);
     void notify(std::uint32_t number);
--- a/testing/placement_client_looptest.cc
+++ b/testing/placement_client_looptest.cc
@@ -9,6 +9,8 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
+#include <thread>
 #include <variant>
 
 using namespace burdockhold;
@@ -31,8 +33,9 @@
 /// A VM that exchanges messages with schedulers over its own loopback port.
 struct test_vm
 {
-    test_vm(boost::asio::io_context &io, int number, const std::string &dataCentre)
-        : board(settingsOf(number, dataCentre))
+    test_vm(boost::asio::io_context &io, int number, const std::string &dataCentre,
+            std::string_view disabledMechanisms = "")
+        : board(settingsOf(number, dataCentre, disabledMechanisms))
         , exchange(io, board)
         , client(io, board, [this](const auto &address, std::string_view bytes) {
             exchange.sendTo(address, bytes);
@@ -57,13 +60,17 @@
         BOOST_REQUIRE(exchange.open().empty());
     }
 
-    static router_settings settingsOf(int number, const std::string &dataCentre)
+    static router_settings settingsOf(int number, const std::string &dataCentre,
+                                      std::string_view disabledMechanisms)
     {
         router_settings settings;
+        settings.mechanisms = valueOf(parseDisabledMechanisms(disabledMechanisms));
         settings.vmName = "vm-" + std::to_string(number);
         settings.dataCentre = dataCentre;
         settings.ip = "127.0.0.1";
         settings.firstPeerPort = FirstPort + number;
+        settings.coldOvershoot = 1.5;
+        settings.coldSlack = 5.0;
         return settings;
     }
 
@@ -186,3 +193,103 @@
     const bool isRemote = request.chosen == "e2" || request.chosen == "e3";
     BOOST_TEST(isRemote);
 }
+
+namespace {
+
+/// Makes the engines of dc1 cold at the VM, which has a share of their rate.
+void makeCold(test_vm &vm)
+{
+    const time_point now = steadyNow();
+    vm.board.coldEngines.setPools({ { "engines", { std::chrono::seconds(30), 8.7 } } });
+    vm.board.coldEngines.vmsListed(now - std::chrono::seconds(2));
+    for (const char *id : { "e0", "e1" })
+        vm.board.coldEngines.maybeCold(*vm.board.endpoints.find(id), now);
+}
+
+/// Runs until the request is placed. Under load, a grant may come too late and be asked for again.
+placement_step settledStep(boost::asio::io_context &io, test_request &request)
+{
+    placement_step step = request.choose();
+    while (std::holds_alternative<await_placement>(step)) {
+        runUntil(io, [&] { return request.isAnswered; });
+        request.isAnswered = false;
+        step = request.choose();
+    }
+    return step;
+}
+
+} // namespace
+
+// Guards against cold engines that get nothing although the scheduler has a share of their rate,
+// and against a call that is charged to the asking VM's share.
+BOOST_AUTO_TEST_CASE(schedulerGrantsCallsAtColdEngines)
+{
+    boost::asio::io_context io;
+    test_vm scheduler(io, 6, "dc1");
+    test_vm other(io, 7, "dc1");
+    scheduler.board.actsAsScheduler = true;
+    other.board.schedulers["dc1"] = scheduler.address();
+    makeCold(scheduler);
+    makeCold(other);
+    other.board.coldEngines.requestSent("e0", steadyNow());
+    test_request request(other);
+    const placement_step step = settledStep(io, request);
+    const auto *choice = std::get_if<endpoint_choice>(&step);
+    BOOST_REQUIRE(choice != nullptr);
+    BOOST_TEST(choice->onSchedulersShare);
+    BOOST_TEST(scheduler.board.metrics.valueOf(router_counter::ColdGrants) >= 1U);
+}
+
+// Guards against a call on a grant that was charged long before.
+BOOST_AUTO_TEST_CASE(lateColdGrantIsDroppedAndAskedForAgain)
+{
+    boost::asio::io_context io;
+    test_vm scheduler(io, 8, "dc1");
+    test_vm other(io, 9, "dc1");
+    scheduler.board.actsAsScheduler = true;
+    other.board.schedulers["dc1"] = scheduler.address();
+    makeCold(scheduler);
+    test_request request(other);
+    request.choose();
+    runUntil(io, [&] { return request.isAnswered; });
+    std::this_thread::sleep_for(MaxColdGrantAge + std::chrono::milliseconds(5));
+    request.isAnswered = false;
+    BOOST_TEST(std::holds_alternative<await_placement>(request.choose()));
+    BOOST_TEST(other.board.metrics.valueOf(router_counter::ColdGrantsDropped) == 1U);
+    BOOST_TEST(std::holds_alternative<endpoint_choice>(settledStep(io, request)));
+    BOOST_TEST(scheduler.board.metrics.valueOf(router_counter::ColdGrants) >= 2U);
+}
+
+// Guards against a mechanism that stays on at one of the two VMs after it was switched off.
+BOOST_AUTO_TEST_CASE(withoutColdGrantsSchedulersGrantNone)
+{
+    for (const bool isOffAtScheduler : { false, true }) {
+        boost::asio::io_context io;
+        test_vm scheduler(io, 10, "dc1", isOffAtScheduler ? "cold_grants" : "");
+        test_vm other(io, 11, "dc1", isOffAtScheduler ? "" : "cold_grants");
+        scheduler.board.actsAsScheduler = true;
+        other.board.schedulers["dc1"] = scheduler.address();
+        makeCold(scheduler);
+        test_request request(other);
+        BOOST_TEST(std::holds_alternative<await_placement>(request.choose(duration::zero())));
+        runUntil(io, [&] { return request.isAnswered; });
+        BOOST_TEST(!std::holds_alternative<endpoint_choice>(request.choose(duration::zero())));
+        BOOST_TEST(scheduler.board.metrics.valueOf(router_counter::ColdGrants) == 0U);
+    }
+}
+
+// Guards against requests that wait in the queue of an evacuated data centre.
+BOOST_AUTO_TEST_CASE(evacuatedDataCentreIsNotAsked)
+{
+    boost::asio::io_context io;
+    test_vm own(io, 12, "dc1");
+    test_vm remote(io, 13, "dc2");
+    remote.board.actsAsScheduler = true;
+    own.board.schedulers["dc1"] = "127.0.0.1:" + std::to_string(FirstPort + 99); // Answers nothing.
+    own.board.schedulers["dc2"] = remote.address();
+    own.board.evacuated.recordRead("dc1", bootTimeNow());
+    test_request request(own);
+    const placement_step step = settledStep(io, request);
+    BOOST_TEST(std::holds_alternative<endpoint_choice>(step));
+    BOOST_TEST(own.board.metrics.valueOf(router_counter::SchedulerTimeouts) == 0U);
+}
