Repeat questions in the seeded test of cold grants

Without repetitions, the test passed also without the check that a grant answers the latest repetition. Now questions are repeated after 60 ms and half of the answers take up to 300 ms.

--- a/testing/cold_engines_test.cc
+++ b/testing/cold_engines_test.cc
@@ -400,6 +400,7 @@
             vm.answers.erase(vm.answers.begin());
             take(vm, answer, now);
         }
+        repeatQuestions(vm, now);
         if (m_random() % 50 == 0) // Leaves a part of its share to the grants.
             sendOnOwnShares(vm, now);
         open_question asked;
@@ -411,6 +412,21 @@
         ask(vm, asked, now);
     }
 
+    /// Repeats the questions that have no answer for some time, so that a late answer arrives soon
+    /// after a later repetition was sent.
+    void repeatQuestions(granting_vm &vm, time_point now)
+    {
+        const auto open = vm.open;
+        for (const auto &[number, asked] : open) {
+            if (now - asked.askedAt < std::chrono::milliseconds(60))
+                continue;
+            if (asked.question.repetition < 4)
+                ask(vm, asked, now);
+            else
+                vm.open.erase(number);
+        }
+    }
+
     void sendOnOwnShares(granting_vm &vm, time_point now)
     {
         for (const std::string &id : m_ids) {
@@ -426,7 +442,7 @@
         const placement_answer answer = m_schedulers[asked.group]->ask(asked.question, now);
         vm.open[asked.question.number] = asked;
         const unsigned luck = m_random() % 100;
-        const int delayMs = static_cast<int>(luck < 80 ? m_random() % 20 : m_random() % 1000);
+        const int delayMs = static_cast<int>(luck < 50 ? m_random() % 20 : m_random() % 300);
         if (luck >= 5)
             vm.answers.emplace(now + std::chrono::milliseconds(delayMs), answer);
     }
@@ -434,7 +450,7 @@
     void take(granting_vm &vm, const placement_answer &answer, time_point now)
     {
         const auto open = vm.open.find(answer.number);
-        if (open == vm.open.end())
+        if (open == vm.open.end()) // Answered before.
             return;
         const open_question asked = open->second;
         vm.open.erase(open);
@@ -496,3 +512,23 @@
         BOOST_TEST(dropped > 0);
     }
 }
+
+// Guards against a grant that is used after its time, and against a limit on other grants.
+BOOST_AUTO_TEST_CASE(late_or_repeated_cold_grants_are_not_used)
+{
+    placement_question question;
+    question.repetition = 2;
+    placement_answer grant;
+    grant.repetition = 2;
+    grant.onColdShare = true;
+    BOOST_TEST(isUsableGrant(grant, question, at(0), at(0.050)));
+    BOOST_TEST(!isUsableGrant(grant, question, at(0), at(0.051)));
+    grant.repetition = 1;
+    BOOST_TEST(!isUsableGrant(grant, question, at(0), at(0)));
+    grant.onColdShare = false;
+    BOOST_TEST(isUsableGrant(grant, question, at(0), at(5)));
+    BOOST_TEST(!allowsCall(grant, exclusion::Cold));
+    grant.onColdShare = true;
+    BOOST_TEST(allowsCall(grant, exclusion::Cold));
+    BOOST_TEST(!allowsCall(grant, exclusion::Evacuated));
+}
