--- a/burdockhold/mechanisms.h
+++ b/burdockhold/mechanisms.h
@@ -49,6 +49,7 @@
     PaceLimit,
     ColdGrants,
     SchedulerPace,
+    SchedulerFairness,
 };
 
 template <>
@@ -84,6 +85,7 @@
             { mechanism::PaceLimit, "pace_limit" },
             { mechanism::ColdGrants, "cold_grants" },
             { mechanism::SchedulerPace, "scheduler_pace" },
+            { mechanism::SchedulerFairness, "scheduler_fairness" },
     } };
 };
 
