--- a/burdockhold/mechanisms.h
+++ b/burdockhold/mechanisms.h
@@ -55,7 +55,7 @@
 template <>
 struct enum_names<mechanism>
 {
-    static constexpr std::array<enum_name<mechanism>, 29> Table{ {
+    static constexpr std::array<enum_name<mechanism>, 30> Table{ {
             { mechanism::PreferredEndpoint, "preferred_endpoint" },
             { mechanism::PoolSampling, "pool_sampling" },
             { mechanism::SegmentCopies, "segment_copies" },
