Show that crowds of clients exhaust the daemon's memory

Cause: the daemon's listener bounds neither heads, nor bodies in sum, nor events that callers do not read, nor connections.

The fake server of the router's tests reads header fields without a space behind the colon, as cpprest writes them.

--- a/cmake/net.cmake
+++ b/cmake/net.cmake
@@ -57,3 +57,9 @@
 # The platform's router against the engine program.
 add_dependencies(engine_notices_nettest burdockhold-router)
 target_link_libraries(engine_notices_nettest PRIVATE router_test_support)
+
+# The daemon under crowds of clients, with a fake engine of the router's test support.
+add_dependencies(daemon_crowds_looptest standin burdockholdd)
+target_compile_definitions(daemon_crowds_looptest PRIVATE
+                           BURDOCKHOLD_BINARY_DIR="${CMAKE_BINARY_DIR}")
+target_link_libraries(daemon_crowds_looptest PRIVATE test_support)
--- a/testing/support_platform.cc
+++ b/testing/support_platform.cc
@@ -72,8 +72,10 @@
     for (at += 2; at < head.size();) {
         const std::size_t end = head.find("\r\n", at);
         const std::string field = head.substr(at, end - at);
-        const std::size_t colon = field.find(": ");
-        request.fields[toLower(field.substr(0, colon))] = field.substr(colon + 2);
+        const std::size_t colon = field.find(':');
+        // cpprest writes no space behind the colon.
+        const std::size_t value = std::min(field.find_first_not_of(' ', colon + 1), field.size());
+        request.fields[toLower(field.substr(0, colon))] = field.substr(value);
         at = end + 2;
     }
     const std::string length = request.field("content-length");
