Give the daemon its own HTTP listener with bounds on what clients hold

Cause: cpprest's listener reads heads of up to 1 MB, bounds neither the bodies of all requests nor events that callers do not read, notices a caller that has left only by a failed write, keeps the last of two lengths, and refuses a long body only at its end.

Change: http_listener.h, on Boost.Asio and Beast, serves callers and operators. A memory budget and a number of descriptors bound what the clients of each hold; half-read heads are closed first, the oldest first. New settings: head, head_time, idle_time, connections and memory. The counter listener_limits and a log line give the reason. exchange.cc keeps its statuses and fields; a request that is refused before its body has arrived now gets its answer at once, and its connection closes unless the body is short.

--- a/burdockhold/admin_server.cc
+++ b/burdockhold/admin_server.cc
@@ -1,9 +1,8 @@
 #include "burdockhold/admin_server.h"
 
+#include "burdockhold/http_listener.h"
 #include "burdockhold/task_guard.h"
 
-#include <cpprest/http_listener.h>
-
 #include <map>
 #include <utility>
 
@@ -11,20 +10,27 @@
 
 namespace {
 
-using web::http::http_request;
-using web::http::experimental::listener::http_listener;
+constexpr std::string_view Component = "admin_server";
+// Pages take the digest of a key at most.
+constexpr std::size_t MaxBodyBytes = std::size_t(64) * 1024;
+
+using call_pointer = std::shared_ptr<http_call>;
 
-void send(const http_request &message, const admin_reply &reply)
+void send(const call_pointer &call, const admin_reply &reply)
 {
-    web::http::http_response response(static_cast<web::http::status_code>(reply.status));
-    response.set_body(reply.body, reply.contentType);
-    message.reply(response).then([](const pplx::task<void> &done) {
-        try {
-            done.get();
-        } catch (...) {
-            // The client left before the reply was written; nothing depends on it.
-        }
-    });
+    call->respond(reply.status, { { "Content-Type", reply.contentType } }, reply.body, false);
+}
+
+void refuseBody(const call_pointer &call, body_end end)
+{
+    if (end == body_end::TooLarge)
+        send(call, { 413, "text/plain", "the body is too long\n" });
+    else if (end == body_end::TooSlow)
+        send(call, { 408, "text/plain", "the body did not arrive in time\n" });
+    else if (end == body_end::NoMemory || end == body_end::Stopped)
+        send(call, { 503, "text/plain", "no room for the request\n" });
+    else
+        send(call, { 400, "text/plain", "the body ended early\n" });
 }
 
 } // namespace
@@ -32,8 +38,11 @@
 class admin_server::impl
 {
 public:
-    impl(std::string address, const std::vector<admin_page> &pages)
-        : m_address(std::move(address))
+    impl(const std::string &address, const std::vector<admin_page> &pages,
+         const listener_clients::limit_callback &onLimit)
+        : m_address(address)
+        , m_listener(listenerOptions(address, onLimit),
+                     [this](const call_pointer &call) { handle(call); })
     {
         for (const admin_page &page : pages)
             m_pages[page.path][page.method] = page;
@@ -41,71 +50,73 @@
 
     result<success, admin_error> start()
     {
-        try {
-            m_listener = http_listener(web::uri(m_address));
-            m_listener.support([this](const http_request &message) { handle(message); });
-            m_listener.open().wait();
-        } catch (const std::exception &error) {
-            return basic_error<admin_error>{ admin_error::CannotListen, error.what(), m_address };
-        }
-        m_listening = true;
+        const auto started = m_listener.start();
+        if (!isOk(started))
+            return basic_error<admin_error>{ admin_error::CannotListen, errorOf(started).text,
+                                             m_address };
         return success{};
     }
 
-    void stop()
+    void stop() { m_listener.stop(); }
+
+private:
+    static listener_options listenerOptions(const std::string &address,
+                                            const listener_clients::limit_callback &onLimit)
     {
-        if (!m_listening)
-            return;
-        m_listening = false;
-        m_listener.close().wait();
+        listener_options options;
+        options.name = std::string(Component);
+        options.address = address;
+        options.descriptors = AdminDescriptors;
+        options.memoryBytes = AdminMemoryBytes;
+        options.onLimit = onLimit;
+        return options;
     }
 
-private:
-    void handle(const http_request &message)
+    void handle(const call_pointer &call)
     {
-        const auto path = m_pages.find(message.relative_uri().path());
+        const request_head &head = call->head();
+        if (head.refusalStatus != 0) {
+            send(call, { head.refusalStatus, "text/plain", "the request is malformed\n" });
+            return;
+        }
+        const auto path = m_pages.find(head.path);
         if (path == m_pages.end()) {
-            send(message, { 404, "text/plain", "no such page\n" });
+            send(call, { 404, "text/plain", "no such page\n" });
             return;
         }
-        const auto page = path->second.find(message.method());
+        const auto page = path->second.find(head.method);
         if (page == path->second.end()) {
-            send(message, { 405, "text/plain", "method not allowed\n" });
+            send(call, { 405, "text/plain", "method not allowed\n" });
             return;
         }
-        answer(message, page->second);
-    }
-
-    static void answer(const http_request &message, const admin_page &page)
-    {
-        http_request request = message; // Shares the request; reading its body needs a mutable one.
-        request.extract_utf8string(true).then([message, page](const pplx::task<std::string> &body) {
-            runStep("admin_server", "", [&] { answerRead(message, page, body); });
+        call->readBody(MaxBodyBytes, [call, page = page->second](const received_body &body) {
+            if (body.end == body_end::Complete)
+                answer(call, page, body.text);
+            else
+                refuseBody(call, body.end);
         });
     }
 
-    static void answerRead(const http_request &message, const admin_page &page,
-                           const pplx::task<std::string> &body)
+    static void answer(const call_pointer &call, const admin_page &page, const std::string &body)
     {
-        try {
+        const bool answered = runStep(Component, "", [&] {
             if (page.handler)
-                send(message, page.handler(body.get()));
+                send(call, page.handler(body));
             else
-                page.slowHandler(body.get(),
-                                 [message](const admin_reply &reply) { send(message, reply); });
-        } catch (const std::exception &error) {
-            send(message, { 400, "text/plain", std::string(error.what()) + "\n" });
-        }
+                page.slowHandler(body, [call](const admin_reply &reply) { send(call, reply); });
+        });
+        if (!answered)
+            send(call, { 400, "text/plain", "the page failed; the log says why\n" });
     }
 
     std::string m_address;
     std::map<std::string, std::map<std::string, admin_page>> m_pages;
-    bool m_listening = false;
     http_listener m_listener;
 };
 
-admin_server::admin_server(std::string address, const std::vector<admin_page> &pages)
-    : m_impl(std::make_unique<impl>(std::move(address), pages))
+admin_server::admin_server(const std::string &address, const std::vector<admin_page> &pages,
+                           const listener_clients::limit_callback &onLimit)
+    : m_impl(std::make_unique<impl>(address, pages, onLimit))
 {
 }
 
--- a/burdockhold/admin_server.h
+++ b/burdockhold/admin_server.h
@@ -2,9 +2,12 @@
 #define BURDOCKHOLD_ADMIN_SERVER_H
 
 // The HTTP listener for operators and for the load balancer's health check. It knows no other
-// module: each page is a function that returns the reply. Pages run on the HTTP library's threads
-// and must not block. Unknown paths get 404, known paths with another method 405.
+// module but the listener: each page is a function that returns the reply. Pages run on the
+// listener's threads and must not block. Unknown paths get 404, known paths with another method
+// 405. Its connections and memory are bounded apart from those of callers (http_listener.h), so
+// that crowds of callers do not keep operators out.
 
+#include "burdockhold/listener_clients.h"
 #include "burdockhold/result.h"
 
 #include <functional>
@@ -33,13 +36,20 @@
     std::function<void(const std::string &body, admin_reply_function reply)> slowHandler = {};
 };
 
+/// Most connections and running requests: balancers, scrapers and a few operators.
+inline constexpr std::size_t AdminDescriptors = 32;
+/// Memory of which the clients of this listener get their share. Most pages are small, and clients
+/// that read none of a page are closed within it.
+inline constexpr std::size_t AdminMemoryBytes = std::size_t(16) * 1024 * 1024;
+
 enum class admin_error { CannotListen };
 
 class admin_server
 {
 public:
     /// address is "http://IP:PORT" with a port other than 0.
-    admin_server(std::string address, const std::vector<admin_page> &pages);
+    admin_server(const std::string &address, const std::vector<admin_page> &pages,
+                 const listener_clients::limit_callback &onLimit = {});
     ~admin_server();
     admin_server(const admin_server &) = delete;
     admin_server &operator=(const admin_server &) = delete;
--- a/burdockhold/caller_reply.h
+++ b/burdockhold/caller_reply.h
@@ -1,24 +1,20 @@
 #ifndef BURDOCKHOLD_CALLER_REPLY_H
 #define BURDOCKHOLD_CALLER_REPLY_H
 
-// The response to one caller: an error, a complete body, or a stream of events, each flushed when
-// it is sent. Every response carries X-Request-Id. A response has one head: what follows the head
-// of a stream is an event of it or is not sent at all, because cpprest throws at a second head.
+// The response to one caller: an error, a complete body, or a stream of events, each sent at once.
+// Every response carries X-Request-Id. A response has one head: what follows the head of a stream
+// is an event of it or is not sent at all.
 //
-// Limitations of cpprest: a caller that disconnects is noticed only when a write fails, one or two
-// writes later. While nothing is written, for instance before the first token, the disconnect goes
-// unnoticed. There is no backpressure: events are buffered without a bound if the caller reads
-// slowly.
+// A caller that disconnects is noticed while nothing is written, too, and one that leaves too much
+// unread is cut off; see http_listener.h.
 
 #include "burdockhold/completion.h"
-
-#include <cpprest/http_msg.h>
-#include <cpprest/producerconsumerstream.h>
+#include "burdockhold/http_listener.h"
 
 #include <atomic>
 #include <functional>
+#include <memory>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace burdockhold {
@@ -26,14 +22,14 @@
 class caller_reply
 {
 public:
-    /// Called once, when the response has been written (true), or the caller disconnected or the
-    /// response could not be written (false).
+    /// Called once, when the response has been written (true), or the caller disconnected or was
+    /// cut off before (false).
     using closed_callback = std::function<void(bool)>;
 
-    caller_reply(const web::http::http_request &message, std::string requestId);
+    caller_reply(std::shared_ptr<http_call> call, std::string requestId);
 
     /// Sets the callback. Must be called before anything is sent.
-    void setClosed(closed_callback onClosed) { m_onClosed = std::move(onClosed); }
+    void setClosed(closed_callback onClosed);
 
     /// Ends the response with an error: with its status and the refusal headers of section 5 of the
     /// design page if nothing was sent, as the last event if a stream has begun. Does nothing once
@@ -57,13 +53,11 @@
     enum class reply_state { Unsent, Streaming, Ended };
 
     bool takeHead(reply_state next);
-    void send(web::http::http_response response);
+    std::vector<header> withRequestId(std::vector<header> fields) const;
 
-    web::http::http_request m_message;
+    std::shared_ptr<http_call> m_call;
     std::string m_requestId;
-    closed_callback m_onClosed;
     std::atomic<reply_state> m_state{ reply_state::Unsent };
-    concurrency::streams::producer_consumer_buffer<std::uint8_t> m_buffer;
 };
 
 } // namespace burdockhold
--- a/burdockhold/daemon.cc
+++ b/burdockhold/daemon.cc
@@ -104,7 +104,9 @@
         const result<success, front_error> front = m_front->start();
         if (!isOk(front))
             return cannotListen(errorOf(front).text, m_url);
-        m_admin = std::make_unique<admin_server>(m_adminUrl, pages());
+        m_admin = std::make_unique<admin_server>(m_adminUrl, pages(), [this](listener_limit limit) {
+            m_metrics.addListenerLimit(limit);
+        });
         const result<success, admin_error> admin = m_admin->start();
         if (!isOk(admin))
             return cannotListen(errorOf(admin).text, m_adminUrl);
--- a/burdockhold/daemon_options.cc
+++ b/burdockhold/daemon_options.cc
@@ -1,5 +1,9 @@
 #include "burdockhold/daemon_options.h"
 
+#include "burdockhold/admin_server.h"
+
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <random>
 
@@ -19,6 +23,39 @@
     return options;
 }
 
+/// Descriptors that the daemon needs besides those of its callers and operators: the log, the VM
+/// list, other VMs, endpoints' load reports and files. A daemon with one endpoint had 33 open.
+constexpr std::size_t OwnDescriptors = 64;
+/// Connections that callers get even if the limit leaves fewer.
+constexpr std::size_t MinDescriptors = 16;
+/// Whole responses that are being received get this part of the memory.
+constexpr std::size_t ResponsesDivisor = 8;
+
+/// Returns how many connections and running requests of callers the process has descriptors for.
+std::size_t descriptorsForCallers()
+{
+    rlimit limit{};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) != 0)
+        return MinDescriptors;
+    const auto all = static_cast<std::size_t>(limit.rlim_cur);
+    const std::size_t own = OwnDescriptors + AdminDescriptors;
+    return all > own + MinDescriptors ? all - own : MinDescriptors;
+}
+
+listener_options listenerOptions(const daemon_settings &settings)
+{
+    listener_options options;
+    options.headBytes = static_cast<std::size_t>(settings.headLimitBytes);
+    options.headTime = settings.headTime;
+    options.idleTime = settings.idleTime;
+    options.descriptors = descriptorsForCallers();
+    if (settings.maxConnections > 0)
+        options.descriptors = std::min(options.descriptors,
+                                       static_cast<std::size_t>(settings.maxConnections));
+    options.memoryBytes = static_cast<std::size_t>(settings.memoryBytes) - AdminMemoryBytes;
+    return options;
+}
+
 /// Returns d in milliseconds of log time.
 log_time_ms toMilliseconds(duration d)
 {
@@ -84,6 +121,9 @@
     front_options options;
     options.address = address;
     options.bodyLimitBytes = static_cast<std::size_t>(settings.bodyLimitBytes);
+    options.listener = listenerOptions(settings);
+    options.allResponsesLimitBytes = std::min(options.allResponsesLimitBytes,
+                                              options.listener.memoryBytes / ResponsesDivisor);
     options.maxViewAge = settings.maxViewAge;
     options.resume.maxAttempts = static_cast<int>(settings.maxAttempts);
     options.upstream.firstToken = settings.firstTokenTimeout;
--- a/burdockhold/exchange.cc
+++ b/burdockhold/exchange.cc
@@ -2,8 +2,6 @@
 
 #include "burdockhold/forwarding.h"
 #include "burdockhold/hash.h"
-#include "burdockhold/message_framing.h"
-#include "burdockhold/stream_reader.h"
 #include "burdockhold/task_guard.h"
 
 #include <algorithm>
@@ -28,12 +26,6 @@
             .count();
 }
 
-std::string headerOf(const web::http::http_request &message, const std::string &name)
-{
-    const auto found = message.headers().find(name);
-    return found == message.headers().end() ? "" : found->second;
-}
-
 error_reply invalid(int status, const std::string &code, const std::string &message,
                     const std::string &param = "")
 {
@@ -57,10 +49,9 @@
 
 } // namespace
 
-exchange::exchange(exchange_context context, const web::http::http_request &message,
-                   std::string requestId)
+exchange::exchange(exchange_context context, std::shared_ptr<http_call> call, std::string requestId)
     : m_context(context)
-    , m_message(message)
+    , m_message(std::move(call))
     , m_requestId(std::move(requestId))
     , m_reply(m_message, m_requestId)
     , m_started(steadyNow())
@@ -160,19 +151,10 @@
     return !keyDigest().empty() && m_kind.has_value();
 }
 
-/// Refuses a request whose body cpprest may have read with another length than an endpoint or an
-/// intermediary would. Of repeated fields of one name, cpprest may show only one.
+/// Refuses a request whose body an endpoint or an intermediary might read with another length.
 bool exchange::checkFraming()
 {
-    const auto &headers = m_message.headers();
-    const web::http::http_version version = m_message.http_version();
-    framing_fields fields;
-    fields.allowsCodings = !(version < web::http::http_versions::HTTP_1_1);
-    if (const auto found = headers.find("Transfer-Encoding"); found != headers.end())
-        fields.codings.emplace_back(found->second);
-    if (const auto found = headers.find("Content-Length"); found != headers.end())
-        fields.lengths.emplace_back(found->second);
-    const int status = statusForFraming(fields);
+    const int status = m_message->head().refusalStatus;
     if (status == 0)
         return true;
     error_reply error = invalid(status, "ambiguous_framing",
@@ -184,8 +166,8 @@
 
 bool exchange::identifyRoute()
 {
-    const std::string method = m_message.method();
-    const std::string path = m_message.relative_uri().path();
+    const std::string method = m_message->head().method;
+    const std::string path = m_message->head().path;
     m_record.route = method + " " + path;
     if (method == "POST" && path == "/v1/completions")
         m_kind = completion_kind::Text;
@@ -204,7 +186,7 @@
     }
     m_route = *route;
     m_measures.setRoute(m_route.method + " " + m_route.path);
-    if (!m_route.repeatable && headerOf(m_message, "Idempotency-Key").empty()) {
+    if (!m_route.repeatable && m_message->head().find("Idempotency-Key").empty()) {
         refuse(invalid(400, "idempotency_key_required",
                        "calls on this route need the header Idempotency-Key", "Idempotency-Key"));
         return false;
@@ -216,12 +198,11 @@
 {
     if (m_route.open)
         return true;
-    const std::string authorization = headerOf(m_message, "Authorization");
+    const std::string authorization = m_message->head().find("Authorization");
     if (authorization.compare(0, BearerPrefix.size(), BearerPrefix) == 0) {
         const std::lock_guard<std::mutex> lock(m_mutex);
         m_keyDigest = sha256Hex(std::string_view(authorization).substr(BearerPrefix.size()));
     }
-    m_message.headers().remove("Authorization");
     // A withdrawal is published before running requests are searched for its key. So the key is
     // looked up after its digest can be found.
     m_config = m_context.board.config.read();
@@ -268,27 +249,12 @@
 void exchange::readBody()
 {
     const auto limit = static_cast<std::size_t>(m_route.bodyLimitBytes);
-    m_bodyTooLarge = m_message.headers().content_length() > limit;
-    const auto self = shared_from_this();
-    const auto store = [self, limit](std::string_view bytes) {
-        self->guard([&] { self->storeBody(bytes, limit); });
-        return true;
-    };
-    const auto end = [self] { self->guard([&self] { self->onBodyRead(); }); };
-    readStream(m_message.body().streambuf(), { store, end });
-}
-
-/// What exceeds the limit is read and dropped, because cpprest sends no reply before it has read
-/// the whole body.
-void exchange::storeBody(std::string_view bytes, std::size_t limit)
-{
-    if (m_bodyTooLarge)
-        return;
-    m_body += bytes;
-    m_bodyTooLarge = m_body.size() > limit;
+    m_message->readBody(limit, [self = shared_from_this()](received_body body) {
+        self->guard([&] { self->onBodyRead(std::move(body)); });
+    });
 }
 
-void exchange::onBodyRead()
+void exchange::onBodyRead(received_body body)
 {
     if (hasEnded())
         return;
@@ -297,20 +263,40 @@
         refuse(unavailable("stopping", "the router is stopping; the request was not run"));
         return;
     }
-    if (m_bodyTooLarge) {
-        refuse(invalid(413, "body_too_large",
-                       "the body exceeds " + std::to_string(m_route.bodyLimitBytes) + " bytes"));
-        return;
-    }
-    if (m_body.size() < m_message.headers().content_length()) {
-        refuse(invalid(400, "incomplete_body", "the body ended early"));
+    if (!checkBody(body.end))
         return;
-    }
+    m_body = std::move(body.text);
     m_digest = requestDigest(m_record.account, m_body);
     if (parseBody())
         admit();
 }
 
+/// Refuses a request whose body was not read to its end.
+bool exchange::checkBody(body_end end)
+{
+    switch (end) {
+    case body_end::Complete:
+        return true;
+    case body_end::TooLarge:
+        refuse(invalid(413, "body_too_large",
+                       "the body exceeds " + std::to_string(m_route.bodyLimitBytes) + " bytes"));
+        return false;
+    case body_end::NoMemory:
+        refuse(unavailable("no_memory", "the router has no memory for the body"));
+        return false;
+    case body_end::TooSlow:
+        refuse(invalid(408, "body_timeout", "the body did not arrive in time"));
+        return false;
+    case body_end::Stopped:
+        refuse(unavailable("stopping", "the router is stopping; the request was not run"));
+        return false;
+    case body_end::Incomplete:
+        break;
+    }
+    refuse(invalid(400, "incomplete_body", "the body ended early or is malformed"));
+    return false;
+}
+
 bool exchange::parseBody()
 {
     if (!m_kind) {
@@ -370,8 +356,8 @@
         return;
     }
     const claim_subject subject = subjectOf(
-            m_record.account, headerOf(m_message, "Idempotency-Key"), m_message.method(),
-            m_message.relative_uri().to_string(), m_body);
+            m_record.account, m_message->head().find("Idempotency-Key"), m_message->head().method,
+            m_message->head().target, m_body);
     m_claim.start(subject, [self = shared_from_this()](const claim_verdict &verdict) {
         self->guard([&] { self->onClaimDecided(verdict); });
     });
@@ -501,8 +487,8 @@
 {
     upstream_request request;
     request.url = choice.url;
-    request.method = m_message.method();
-    request.path = m_message.relative_uri().to_string();
+    request.method = m_message->head().method;
+    request.path = m_message->head().target;
     // cpprest sends a request again by itself when a reused connection breaks, and reports only how
     // the copy failed. On a reused connection an endpoint that died of the request looks like one
     // that could not be reached, and "not run" would be a guess.
@@ -515,9 +501,10 @@
             request.silence = m_context.options.wholeTimeout;
         return request;
     }
-    for (const auto &field : m_message.headers()) {
-        if (isForwardedHeader(field.first))
-            request.headers.push_back({ field.first, field.second });
+    for (const auto &field : m_message->head().fields) {
+        const std::string name(field.name_string());
+        if (isForwardedHeader(name))
+            request.headers.push_back({ name, std::string(field.value()) });
     }
     request.headers.push_back({ "X-Request-Id", m_requestId });
     request.body = m_body;
--- a/burdockhold/exchange.h
+++ b/burdockhold/exchange.h
@@ -17,8 +17,6 @@
 #include "burdockhold/placement_router.h"
 #include "burdockhold/sse.h"
 
-#include <cpprest/http_msg.h>
-
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -41,8 +39,7 @@
 class exchange : public upstream_observer, public std::enable_shared_from_this<exchange>
 {
 public:
-    exchange(exchange_context context, const web::http::http_request &message,
-             std::string requestId);
+    exchange(exchange_context context, std::shared_ptr<http_call> call, std::string requestId);
 
     /// Runs the request. closed is called once, after the reply was written or the caller left
     /// and no call to an endpoint runs.
@@ -94,9 +91,9 @@
     bool identifyRoute();
     bool authenticate();
     void readBody();
-    void storeBody(std::string_view bytes, std::size_t limit);
     bool hasEnded() const;
-    void onBodyRead();
+    void onBodyRead(received_body body);
+    bool checkBody(body_end end);
     bool parseBody();
     void admit();
     void claim();
@@ -133,7 +130,7 @@
     void finishIfIdle();
 
     exchange_context m_context;
-    web::http::http_request m_message;
+    std::shared_ptr<http_call> m_message;
     std::string m_requestId;
     caller_reply m_reply;
     std::function<void()> m_closed;
@@ -152,7 +149,6 @@
     std::int64_t m_maxTokens = 0;
     std::string m_body;
     std::string m_digest; ///< By which crash suspects are known.
-    bool m_bodyTooLarge = false;
     delivery m_delivery = delivery::Whole;
     routing_request m_routing;
     limit_stage m_limits;
--- a/burdockhold/front_server.cc
+++ b/burdockhold/front_server.cc
@@ -3,7 +3,6 @@
 #include "burdockhold/exchange.h"
 #include "burdockhold/task_guard.h"
 
-#include <cpprest/http_listener.h>
 #include <openssl/rand.h>
 
 #include <array>
@@ -17,9 +16,6 @@
 
 namespace {
 
-using web::http::http_request;
-using web::http::experimental::listener::http_listener;
-
 /// Returns 128 random bits as hexadecimal digits. Ids are never taken from callers, because a
 /// response is matched to its request by the id.
 std::string newRequestId()
@@ -89,14 +85,10 @@
 
     result<success, front_error> start()
     {
-        try {
-            m_listener = http_listener(web::uri(m_options.address));
-            m_listener.support([this](const http_request &message) { handle(message); });
-            m_listener.open().wait();
-        } catch (const std::exception &error) {
-            return basic_error<front_error>{ front_error::CannotListen, error.what(),
+        const auto started = m_listener.start();
+        if (!isOk(started))
+            return basic_error<front_error>{ front_error::CannotListen, errorOf(started).text,
                                              m_options.address };
-        }
         m_listening = true;
         return success{};
     }
@@ -127,30 +119,30 @@
         if (!m_listening)
             return;
         m_listening = false;
-        // Closing the listener waits for its open connections, so running calls end first.
+        // Their replies are written before the listener closes their connections.
         while (m_open->count() > 0) {
+            m_listener.stopReading();
             for (const auto &request : m_open->list())
                 request->cancel();
             std::this_thread::sleep_for(StopPollInterval);
         }
-        m_listener.close().wait();
+        m_listener.stop();
     }
 
 private:
-    void handle(const http_request &message)
+    void handle(const std::shared_ptr<http_call> &call)
     {
         const std::string id = newRequestId();
-        if (runStep("front_server", id, [&] { accept(message, id); }))
+        if (runStep("front_server", id, [&] { accept(call, id); }))
             return;
         m_open->remove(id);
-        caller_reply reply(message, id);
-        reply.setClosed([](bool) {});
+        caller_reply reply(call, id);
         reply.sendError({ 503, error_type::NotRun, "exception", "the request was not run", "" });
     }
 
-    void accept(const http_request &message, const std::string &requestId)
+    void accept(const std::shared_ptr<http_call> &call, const std::string &requestId)
     {
-        auto request = std::make_shared<exchange>(m_context, message, requestId);
+        auto request = std::make_shared<exchange>(m_context, call, requestId);
         m_open->add(request);
         auto closed = [open = m_open, id = request->requestId()] { open->remove(id); };
         if (m_accepting)
@@ -159,6 +151,19 @@
             request->refuseStopping(closed);
     }
 
+    static listener_options listenerOptions(const front_options &options,
+                                            const front_services &services)
+    {
+        listener_options chosen = options.listener;
+        chosen.name = "front_server";
+        chosen.address = options.address;
+        if (services.measures != nullptr)
+            chosen.onLimit = [measures = services.measures](listener_limit limit) {
+                measures->addListenerLimit(limit);
+            };
+        return chosen;
+    }
+
     front_options m_options;
     front_services m_services;
     upstream_clients m_clients;
@@ -167,7 +172,8 @@
     exchange_context m_context;
     std::shared_ptr<open_requests> m_open = std::make_shared<open_requests>();
     bool m_listening = false;
-    http_listener m_listener;
+    http_listener m_listener{ listenerOptions(m_options, m_services),
+                              [this](const std::shared_ptr<http_call> &call) { handle(call); } };
 };
 
 front_server::front_server(front_options options, const blackboard &board, front_services services)
--- a/burdockhold/front_server.h
+++ b/burdockhold/front_server.h
@@ -3,13 +3,10 @@
 
 // The HTTP listener for callers. It authenticates each request, forwards it to an endpoint and
 // returns the endpoint's response; see exchange.h for the stages.
-//
-// What cpprest does not promise: it sends no reply before it has read the request's whole body. A
-// body over the limit is dropped as it arrives, which bounds memory, but the 413 follows only at
-// the body's end. Completing the request early through cpprest's internals crashed the process.
-// Of several Content-Length fields it keeps the last one, and does not show that there were more.
+// The listener and its limits are those of http_listener.h.
 
 #include "burdockhold/blackboard.h"
+#include "burdockhold/http_listener.h"
 #include "burdockhold/limit_stage.h"
 #include "burdockhold/metrics.h"
 #include "burdockhold/placement_router.h"
@@ -37,6 +34,7 @@
     duration serviceTimeout = std::chrono::seconds(30); ///< Answer of a plain service.
     resume_options resume;
     upstream_options upstream;
+    listener_options listener; ///< Its name, address and callback are set by the server.
 };
 
 /// What the request path uses besides the blackboard.
--- a/burdockhold/metrics.cc
+++ b/burdockhold/metrics.cc
@@ -79,6 +79,7 @@
     case counter::Moves:
         return "outcome";
     case counter::Refusals:
+    case counter::ListenerLimits:
         return "reason";
     default:
         return {};
@@ -114,6 +115,8 @@
         return "Version moves by outcome.";
     case counter::CaughtExceptions:
         return "Steps that ended with an unexpected exception.";
+    case counter::ListenerLimits:
+        return "Limits that clients of the listeners reached, by reason.";
     }
     return {};
 }
@@ -666,6 +669,12 @@
             .fetch_add(1, std::memory_order_relaxed);
 }
 
+void metrics::addListenerLimit(listener_limit limit)
+{
+    m_state->find(m_state->counters, counter::ListenerLimits, {}, {}, nameOf(limit))
+            .fetch_add(1, std::memory_order_relaxed);
+}
+
 void metrics::observe(timing which, std::string_view account, std::string_view route, duration time)
 {
     const duration counted = std::max(time, duration::zero());
--- a/burdockhold/metrics.h
+++ b/burdockhold/metrics.h
@@ -9,6 +9,7 @@
 
 #include "burdockhold/clock.h"
 #include "burdockhold/enum_names.h"
+#include "burdockhold/listener_clients.h"
 #include "burdockhold/result.h"
 
 #include <array>
@@ -37,12 +38,13 @@
     Claims, ///< Detail: claim_result.
     Moves,  ///< Detail: move_result. Counted only by the VM that proposed the final record.
     CaughtExceptions, ///< See task_guard.h.
+    ListenerLimits,   ///< Detail: listener_limit.
 };
 
 template <>
 struct enum_names<counter>
 {
-    static constexpr std::array<enum_name<counter>, 13> Table{ {
+    static constexpr std::array<enum_name<counter>, 14> Table{ {
             { counter::PromptTokens, "prompt_tokens" },
             { counter::CachedTokens, "cached_tokens" },
             { counter::RecomputedTokens, "recomputed_tokens" },
@@ -56,6 +58,7 @@
             { counter::Claims, "claims" },
             { counter::Moves, "version_moves" },
             { counter::CaughtExceptions, "caught_exceptions" },
+            { counter::ListenerLimits, "listener_limits" },
     } };
 };
 
@@ -233,6 +236,8 @@
     void addClaim(claim_result outcome, std::string_view account, std::string_view route);
     void addMove(move_result outcome);
 
+    void addListenerLimit(listener_limit limit);
+
     /// Records one time. Negative times count as zero.
     void observe(timing which, std::string_view account, std::string_view route, duration time);
 
--- a/burdockhold/request_parser.h
+++ b/burdockhold/request_parser.h
@@ -44,6 +44,9 @@
     /// Returns the bytes of the body that have been read.
     std::size_t bodyBytes() const { return m_parser.get().body().size(); }
 
+    /// Returns the message as far as it has been read. Only after the head.
+    const platform::http_request &message() const { return m_parser.get(); }
+
     /// Returns whether the caller waits for status 100 before it sends the body. Only after the
     /// head.
     bool awaitsContinue() const;
--- a/burdockhold/settings.h
+++ b/burdockhold/settings.h
@@ -58,6 +58,11 @@
 
     std::int64_t bodyLimitBytes = 0;
     std::int64_t maxOpenRequests = 0;
+    std::int64_t headLimitBytes = 0;
+    duration headTime{};             ///< From the first byte of a head to its end.
+    duration idleTime{};             ///< Of a connection without any progress.
+    std::int64_t maxConnections = 0; ///< With running requests; 0: what the descriptors allow.
+    std::int64_t memoryBytes = 0;    ///< Of the process.
     duration grantLifetime{};
     duration maxLimitWait{}; ///< Longest wait for granted tokens before a refusal.
 
--- a/cmake/net.cmake
+++ b/cmake/net.cmake
@@ -1,10 +1,10 @@
 # The network shell: everything that includes cpprest, nng or log4cxx headers.
 if(NET_LIST)
   add_library(burdockhold_net STATIC ${NET_LIST})
-  target_link_libraries(burdockhold_net PUBLIC burdockhold_core cpprest Boost::system
+  target_link_libraries(burdockhold_net PUBLIC burdockhold_core burdockhold_router cpprest Boost::system
                         OpenSSL::SSL nng log4cxx)
   target_precompile_headers(burdockhold_net PRIVATE <cpprest/http_client.h>
-                            <cpprest/http_listener.h> <cpprest/producerconsumerstream.h>)
+                            <cpprest/producerconsumerstream.h>)
 endif()
 
 foreach(program burdockholdd burdockholdctl)
--- a/testing/daemon_crowds_looptest.cc
+++ b/testing/daemon_crowds_looptest.cc
@@ -115,6 +115,7 @@
         fleet_options options;
         options.programFolder = BURDOCKHOLD_BINARY_DIR;
         options.services = { {} };
+        options.extraSettings = "memory = " + std::to_string(MemoryBytes / 1024 / 1024) + "MiB\n";
         return options;
     }
 
