Restore the operators' error text and simplify a queue change

A page that throws answers 400 with the exception's text again, as before the own listener. Two branches that did the same in updateQueue() are one.

--- a/burdockhold/admin_server.cc
+++ b/burdockhold/admin_server.cc
@@ -99,14 +99,20 @@
 
     static void answer(const call_pointer &call, const admin_page &page, const std::string &body)
     {
-        const bool answered = runStep(Component, "", [&] {
+        runStep(Component, "", [&] { answerRead(call, page, body); });
+    }
+
+    static void answerRead(const call_pointer &call, const admin_page &page,
+                           const std::string &body)
+    {
+        try {
             if (page.handler)
                 send(call, page.handler(body));
             else
                 page.slowHandler(body, [call](const admin_reply &reply) { send(call, reply); });
-        });
-        if (!answered)
-            send(call, { 400, "text/plain", "the page failed; the log says why\n" });
+        } catch (const std::exception &error) {
+            send(call, { 400, "text/plain", std::string(error.what()) + "\n" });
+        }
     }
 
     std::string m_address;
--- a/burdockhold/listener_connection.cc
+++ b/burdockhold/listener_connection.cc
@@ -262,16 +262,15 @@
 {
     listener_clients &clients = m_core->clients;
     const time_point now = steadyNow();
-    if (m_closed || m_state == state::Lingering)
+    const bool isRunning = m_state == state::Call && !m_onBody;
+    if (m_closed || m_state == state::Lingering || isRunning)
         listener_clients::queue::leave(m_place);
+    else if (m_state == state::Call)
+        clients.readingBody.enter(*this, m_place, now);
     else if (m_state == state::Idle && !clients.idle.contains(m_place))
         clients.idle.enter(*this, m_place, now);
     else if (m_state == state::Head && !clients.readingHead.contains(m_place))
         clients.readingHead.enter(*this, m_place, now);
-    else if (m_state == state::Call && m_onBody)
-        clients.readingBody.enter(*this, m_place, now);
-    else if (m_state == state::Call)
-        listener_clients::queue::leave(m_place);
 }
 
 void listener_connection::armTimer(duration time)
