--- a/burdockhold/daemon_options.cc
+++ b/burdockhold/daemon_options.cc
@@ -24,7 +24,7 @@
 }
 
 /// Descriptors that the daemon needs besides those of its callers and operators: the log, the VM
-/// list, other VMs, endpoints' load reports and files. A daemon with one endpoint had 33 open.
+/// list, other VMs, endpoints' load reports and files. An estimate, not measured.
 constexpr std::size_t OwnDescriptors = 64;
 /// Connections that callers get even if the limit leaves fewer.
 constexpr std::size_t MinDescriptors = 16;
