--- a/cmake/net.cmake
+++ b/cmake/net.cmake
@@ -1,10 +1,10 @@
 # The network shell: everything that includes cpprest, nng or log4cxx headers.
 if(NET_LIST)
   add_library(burdockhold_net STATIC ${NET_LIST})
-  target_link_libraries(burdockhold_net PUBLIC burdockhold_core cpprest Boost::system
+  target_link_libraries(burdockhold_net PUBLIC burdockhold_core burdockhold_router cpprest Boost::system
                         OpenSSL::SSL nng log4cxx)
   target_precompile_headers(burdockhold_net PRIVATE <cpprest/http_client.h>
-                            <cpprest/http_listener.h> <cpprest/producerconsumerstream.h>)
+                            <cpprest/producerconsumerstream.h>)
 endif()
 
 foreach(program burdockholdd burdockholdctl)
@@ -59,3 +59,9 @@
 # The platform's router against the engine program.
 add_dependencies(engine_notices_nettest burdockhold-router)
 target_link_libraries(engine_notices_nettest PRIVATE router_test_support)
+
+# The daemon under crowds of clients, with a fake engine of the router's test support.
+add_dependencies(daemon_crowds_looptest standin burdockholdd)
+target_compile_definitions(daemon_crowds_looptest PRIVATE
+                           BURDOCKHOLD_BINARY_DIR="${CMAKE_BINARY_DIR}")
+target_link_libraries(daemon_crowds_looptest PRIVATE test_support)
