--- a/burdockhold/listener_connection.cc
+++ b/burdockhold/listener_connection.cc
@@ -5,6 +5,7 @@
 #include "burdockhold/task_guard.h"
 #include "burdockhold/text_memory.h"
 
+#include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/status.hpp>
@@ -106,6 +107,12 @@
     return fields;
 }
 
+std::vector<header> withLength(std::vector<header> fields, const std::string &body)
+{
+    fields.push_back({ "Content-Length", std::to_string(body.size()) });
+    return fields;
+}
+
 } // namespace
 
 std::string request_head::find(const std::string &name) const
@@ -399,8 +406,7 @@
     freeText(m_input);
     m_parser.reset();
     updateQueue();
-    write(formatHead(status, refusalFields(status))
-          + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    write(formatHead(status, withLength(refusalFields(status), body)) + body);
     responseEnded();
 }
 
@@ -540,14 +546,18 @@
     updateQueue();
 }
 
-std::string listener_connection::formatHead(int status, const std::vector<header> &fields) const
+/// Returns the head with its blank line. Its fields are in the order of their names.
+std::string listener_connection::formatHead(int status, std::vector<header> fields) const
 {
+    if (!m_keepAlive)
+        fields.push_back({ "Connection", "close" });
+    std::stable_sort(fields.begin(), fields.end(), [](const header &a, const header &b) {
+        return boost::algorithm::ilexicographical_compare(a.name, b.name);
+    });
     const auto reason = http::obsolete_reason(static_cast<http::status>(status));
     std::string text = "HTTP/1.1 " + std::to_string(status) + " ";
     text.append(reason.data(), reason.size()).append("\r\n").append(formatFields(fields));
-    if (!m_keepAlive)
-        text.append("Connection: close\r\n");
-    return text;
+    return text.append("\r\n");
 }
 
 void listener_connection::respond(const connection_call *call, int status,
@@ -560,11 +570,8 @@
         && m_parser->statedLength().value_or(MaxDiscardedBody + 1) <= MaxDiscardedBody)
         m_discardsBody = true;
     m_keepAlive = m_keepAlive && !closes && (m_bodyRead || m_discardsBody);
-    std::string text = formatHead(status, fields);
     const bool hasNoBody = status < 200 || status == 204 || status == 304;
-    if (!hasNoBody)
-        text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
-    text += "\r\n";
+    std::string text = formatHead(status, hasNoBody ? fields : withLength(fields, body));
     if (!hasNoBody && !m_isHeadRequest)
         text += body;
     write(std::move(text));
@@ -578,8 +585,10 @@
         return;
     m_streaming = true;
     m_keepAlive = m_keepAlive && m_acceptsChunks && m_bodyRead;
-    write(formatHead(status, fields)
-          + (m_acceptsChunks ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n"));
+    std::vector<header> all = fields;
+    if (m_acceptsChunks)
+        all.push_back({ "Transfer-Encoding", "chunked" });
+    write(formatHead(status, std::move(all)));
 }
 
 void listener_connection::sendPart(const connection_call *call, const std::string &bytes)
@@ -748,8 +757,7 @@
         const std::string body = formatError(
                 notRun(503, "no_room", "the router has no room for this request"));
         m_keepAlive = false;
-        const std::string refusal = formatHead(503, refusalFields(503)) + "Content-Length: "
-                                    + std::to_string(body.size()) + "\r\n\r\n" + body;
+        const std::string refusal = formatHead(503, withLength(refusalFields(503), body)) + body;
         // If the bytes cannot be sent at once, the close alone tells the client.
         static_cast<void>(::send(m_socket.native_handle(), refusal.data(), refusal.size(),
                                  MSG_DONTWAIT | MSG_NOSIGNAL));
--- a/burdockhold/listener_connection.h
+++ b/burdockhold/listener_connection.h
@@ -87,7 +87,7 @@
     void updateQueue();
     void armTimer(duration time);
     void timerExpired();
-    std::string formatHead(int status, const std::vector<header> &fields) const;
+    std::string formatHead(int status, std::vector<header> fields) const;
     void write(std::string bytes);
     void writeNext();
     void bytesWritten(boost::system::error_code error, std::size_t bytes);
