Restore a bound that was raised to what was measured

lastingDifferencesAreExpected first required that engines which are 1.3 times slower read as less than 1.4 times slower.

--- a/testing/scheduler_pace_test.cc
+++ b/testing/scheduler_pace_test.cc
@@ -219,6 +219,22 @@
     }
 }
 
+// Guards against queueing that is taken for slowness: engines that are 1.3 times slower would get
+// too few calls.
+BOOST_AUTO_TEST_CASE(queueingIsNotTakenForSlowness)
+{
+    const auto slownessOf = [](std::size_t engine, double) { return engine < 5 ? 1.0 : 1.3; };
+    test_pool pool;
+    runCalls(pool, 7, 30.0, slownessOf);
+    const pool_paces *paces = pool.scheduler.pacesOf(Pool);
+    BOOST_REQUIRE(paces != nullptr);
+    double fast = 0.0;
+    double slow = 0.0;
+    for (std::size_t engine = 0; engine < EngineCount; ++engine)
+        (engine < 5 ? fast : slow) += paces->slowness(shortHash(pool.ids[engine]), at(30000.0));
+    BOOST_TEST(slow / fast < 1.4);
+}
+
 // Guards against an engine that stays without its share of calls after a slow moment, where load is
 // so light that it is rarely needed.
 BOOST_AUTO_TEST_CASE(engineRegainsItsShareUnderLightLoad)
@@ -255,9 +271,8 @@
         BOOST_TEST(withPace < 0.15);
         BOOST_TEST(withPace < withoutPace);
         BOOST_TEST(slow / fast > 1.15);
-        // Within a quarter of the actual 1.3, as the expected times should be. Calls that queue
-        // where the view is a moment old read as slowness.
-        BOOST_TEST(slow / fast < 1.3 * 1.25);
+        // Calls that queue where the view is a moment old read as slowness.
+        BOOST_TEST(slow / fast < 1.5);
     }
 }
 
