--- a/review/standins-2/platform.h
+++ b/review/standins-2/platform.h
@@ -109,13 +109,18 @@
     return ntohs(address.sin_port);
 }
 
-/// Returns a port that was free a moment ago.
+/// Returns a port that was free a moment ago, below those that the system gives to connections.
 inline int freePort()
 {
-    const int descriptor = listenOn(0);
-    const int port = portOf(descriptor);
-    ::close(descriptor);
-    return port;
+    static std::atomic<int> next{ 10000 + ::getpid() % 400 * 50 };
+    while (true) {
+        const int port = next++;
+        const int descriptor = listenOn(port);
+        if (descriptor < 0)
+            continue;
+        ::close(descriptor);
+        return port;
+    }
 }
 
 inline int connectTo(int port)
@@ -351,6 +356,16 @@
     }
     void remove(const std::string &topic, const std::string &key) { put(topic, key, ""); }
 
+    /// Returns the newest value of the key, or an empty text.
+    std::string get(const std::string &topic, const std::string &key)
+    {
+        const std::lock_guard lock(m_mutex);
+        const std::vector<record> &records = m_topics[topic];
+        const auto found = std::find_if(records.rbegin(), records.rend(),
+                                        [&](const record &one) { return one.key == key; });
+        return found == records.rend() ? std::string() : found->value;
+    }
+
 private:
     struct record
     {
@@ -633,9 +648,12 @@
         ::close(descriptor);
         return isOk;
     }
+    /// Returns false if the process has ended or is not ready in time.
     bool waitReady(double seconds) const
     {
         for (const double until = secondsNow() + seconds; secondsNow() < until; sleepMs(50)) {
+            if (::waitpid(m_process, nullptr, WNOHANG) != 0)
+                return false;
             if (isReady())
                 return true;
         }
--- a/review/standins-2/poison.cc
+++ b/review/standins-2/poison.cc
@@ -101,8 +101,7 @@
             place = m_fleet.runs.size();
             m_fleet.runs.push_back({ attempt, isPoison, secondsNow(), false });
         }
-        if (isPoison)
-            m_fleet.record->line("arrives at " + id() + ": " + attempt);
+        m_fleet.record->line("runs at " + id() + ": " + attempt);
         if (isPoison && m_fleet.mode == crash_mode::Early)
             return crash(place);
         const std::string last = request.field("Last-Event-Id");
@@ -222,15 +221,15 @@
         clients.emplace_back([&, client] {
             for (int number = 0; !stopping; ++number) {
                 const std::string id = "ok" + std::to_string(client) + "x" + std::to_string(number);
+                record.line("sent: " + id);
                 const auto answer = exchange(
                         routers[static_cast<std::size_t>(client + number) % 3]->callerPort(),
                         requestText("/reply/c" + std::to_string(client), id,
                                     "aa:198,c" + std::to_string(client) + ":628"),
                         15);
                 ++(answer.status == 200 && answer.complete ? sound : cut);
-                if (answer.status != 200 || !answer.complete)
-                    record.line("other request " + id + ": status " + std::to_string(answer.status)
-                                + (answer.complete ? "" : ", cut off"));
+                record.line("answer to " + id + ": status " + std::to_string(answer.status)
+                            + (answer.complete ? ", whole" : ", cut off"));
                 sleepMs(300);
             }
         });
