--- a/review/standins-2/moves.cc
+++ b/review/standins-2/moves.cc
@@ -1,5 +1,6 @@
-// Case: new weights are named while streams run, and one engine of nine does not drop a request when
-// its connection closes. Arguments: path of record.txt, temporary folder. TROUBLE=0: no new weights.
+// Case: new weights are named while streams run, and one engine of nine does not drop a request
+// when its connection closes. Arguments: path of record.txt, temporary folder. TROUBLE=0: no new
+// weights.
 
 #include "platform.h"
 
@@ -7,9 +8,9 @@
 
 namespace {
 
-constexpr int Engines = 9;          // As crisp-llm of mayaro-crisp.
-constexpr int KeepsWorking = 4;     // "Most engines drop a request when its connection closes."
-constexpr int LoadMs = 420;         // "new weights take an engine 0.42 s"
+constexpr int Engines = 9;      // As crisp-llm of mayaro-crisp.
+constexpr int KeepsWorking = 4; // "Most engines drop a request when its connection closes."
+constexpr int LoadMs = 420;     // "new weights take an engine 0.42 s"
 constexpr int EventMs = 30;
 constexpr double TwiceSeconds = 0.4;
 
@@ -32,7 +33,9 @@
 std::string number(const std::string &body, const std::string &name)
 {
     const std::size_t at = body.find("\"" + name + "\":");
-    return at == std::string::npos ? "" : std::to_string(std::atoll(body.c_str() + at + name.size() + 3));
+    return at == std::string::npos
+                   ? ""
+                   : std::to_string(std::atoll(body.c_str() + at + name.size() + 3));
 }
 
 class engine
@@ -69,18 +72,18 @@
     {
         const std::string wanted = request.field("X-Burdockhold-Target-Instance");
         if (!wanted.empty() && wanted != id())
-            return sendAll(descriptor, response(421, "", "X-Burdockhold-Instance-Id: " + id()
-                                                                 + "\r\n"));
+            return sendAll(descriptor,
+                           response(421, "", "X-Burdockhold-Instance-Id: " + id() + "\r\n"));
         if (request.target == "/report") {
             const std::lock_guard lock(m_mutex);
-            return sendAll(descriptor,
-                           response(200, "{\"stage\":\"colocated\"," + models() + ",\"busy\":"
-                                                 + (m_busy ? "true" : "false")
-                                                 + ",\"seq\":" + std::to_string(m_seq)
-                                                 + ",\"queued\":0,\"active\":"
-                                                 + std::to_string(m_active)
-                                                 + ",\"kv_used\":0,\"kv_total\":95573,"
-                                                   "\"handles\":0}"));
+            return sendAll(
+                    descriptor,
+                    response(200, "{\"stage\":\"colocated\"," + models()
+                                          + ",\"busy\":" + (m_busy ? "true" : "false")
+                                          + ",\"seq\":" + std::to_string(m_seq)
+                                          + ",\"queued\":0,\"active\":" + std::to_string(m_active)
+                                          + ",\"kv_used\":0,\"kv_total\":95573,"
+                                            "\"handles\":0}"));
         }
         if (request.target == "/order")
             return order(request, descriptor);
@@ -138,14 +141,15 @@
             const std::lock_guard lock(m_mutex);
             version = m_version;
             if (!expected.empty() && std::atoi(expected.c_str()) != m_version)
-                return sendAll(descriptor,
-                               response(421, "", identity + "X-Burdockhold-Instance-Id: " + id()
-                                                         + "\r\nX-Burdockhold-Weight-Versions: "
-                                                         + std::to_string(m_version) + "\r\n"));
+                return sendAll(descriptor, response(421, "",
+                                                    identity + "X-Burdockhold-Instance-Id: " + id()
+                                                            + "\r\nX-Burdockhold-Weight-Versions: "
+                                                            + std::to_string(m_version) + "\r\n"));
             if (m_busy)
-                return sendAll(descriptor, response(503, "", identity
-                                                                     + "X-Burdockhold-Not-Executed: "
-                                                                       "1\r\n"));
+                return sendAll(descriptor, response(503, "",
+                                                    identity
+                                                            + "X-Burdockhold-Not-Executed: "
+                                                              "1\r\n"));
             ++m_active;
         }
         const std::string last = request.field("Last-Event-Id");
@@ -197,6 +201,66 @@
     server m_server;
 };
 
+struct counts
+{
+    std::atomic<int> whole{ 0 };
+    std::atomic<int> others{ 0 };
+};
+
+void runClient(int client, const router_list &routers, record_file &record,
+               std::atomic<unsigned> &sent, const std::atomic<bool> &stopping, counts &answers)
+{
+    sleepMs(100 * client);
+    while (!stopping) {
+        const unsigned number = ++sent;
+        const std::string id = "r" + std::to_string(number);
+        const std::string body = std::to_string(40 + number * 37 % 180);
+        record.line("sent: " + id);
+        const auto answer = exchange(
+                routers[number % 3]->callerPort(),
+                "POST /reply/x HTTP/1.1\r\nHost: h.example\r\nX-Burdockhold-Attempt-Id: " + id
+                        + "\r\nX-Burdockhold-Model: m0\r\nX-Burdockhold-Token-Count: 826," + body
+                        + "\r\nX-Burdockhold-Prompt-Prefix: " + std::to_string(number % 97)
+                        + "a:198," + id
+                        + ":628\r\nX-Burdockhold-Deadline-Ms: 15000\r\n"
+                          "X-Burdockhold-Credential: key-1\r\nContent-Length: "
+                        + std::to_string(body.size()) + "\r\n\r\n" + body,
+                15);
+        record.line("answer to " + id + ": status " + std::to_string(answer.status)
+                    + (answer.complete ? ", whole" : ", cut off"));
+        ++(answer.status == 200 && answer.complete ? answers.whole : answers.others);
+        sleepMs(50);
+    }
+}
+
+struct moves
+{
+    int all = 0;
+    int twice = 0;
+};
+
+/// Finds the runs that went on at another engine while an engine still worked on them.
+moves findMoves(fleet &all)
+{
+    moves found;
+    const std::lock_guard lock(all.mutex);
+    for (const run_record &first : all.runs) {
+        for (const run_record &next : all.runs) {
+            if (next.id != first.id || next.begin <= first.begin || next.engine == first.engine)
+                continue;
+            ++found.all;
+            const double end = first.end > 0 ? first.end : secondsNow();
+            if (end <= next.begin + TwiceSeconds)
+                continue;
+            ++found.twice;
+            all.record->line(first.id + " goes on at i-" + std::to_string(next.engine) + " at "
+                             + std::to_string(next.begin) + " s; i-" + std::to_string(first.engine)
+                             + " still works on it until " + std::to_string(end) + " s");
+        }
+    }
+    return found;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -205,71 +269,24 @@
         return 2;
     std::signal(SIGPIPE, SIG_IGN);
     record_file record(argv[1]);
-    const std::string folder = argv[2];
-    const char *trouble = std::getenv("TROUBLE");
-    const bool isCalm = trouble != nullptr && std::string(trouble) == "0";
     static fleet all;
     all.record = &record;
-    all.log.put("keyed.op", "config",
-                "{\"version\":1,\"routes\":[{\"name\":\"r1\",\"host\":\"h.example\","
-                "\"path_prefix\":\"/reply/\",\"kind\":\"stream\",\"timeout_ms\":15000,"
-                "\"target_latency_ms\":400,\"priority\":0,\"service\":\"llm\",\"max_attempts\":2,"
-                "\"anonymous\":false,\"sticky\":true,\"resumable\":true,\"gap_target_ms\":300}],"
-                "\"services\":[{\"name\":\"llm\",\"health_path\":\"/healthz\","
-                "\"max_connections\":620,\"protocol\":\"h1\",\"tls\":false,\"engine\":{"
-                "\"slots\":128,\"kv_capacity_tokens\":95573,\"kv_token_bytes\":262144,"
-                "\"models\":[{\"name\":\"m0\"}]}}],\"limits\":{\"max_header_bytes\":16384,"
-                "\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
-                "\"tenants\":[{\"name\":\"t1\",\"api_keys\":[\"key-1\"],\"priority\":1,"
-                "\"unit\":\"token_stream\",\"uncached_tokens\":200,\"isolated\":false,"
-                "\"rate_per_s\":1303610,\"burst\":1303610}]}");
-    all.log.put("keyed.op", "version/m0", "{\"model\":\"m0\",\"version\":1}");
-    static std::vector<std::unique_ptr<engine>> engines;
+    putDeployment(all.log, 1303610);
+    std::vector<std::unique_ptr<engine>> engines;
+    engines.reserve(Engines);
     for (int index = 0; index < Engines; ++index)
         engines.push_back(std::make_unique<engine>(all, index));
-    std::vector<std::unique_ptr<router>> routers;
-    for (const char *zone : { "a", "b", "c" })
-        routers.push_back(std::make_unique<router>(std::string("front-") + zone + "-1", zone,
-                                                   folder, all.log.address()));
-    for (const auto &one : routers) {
-        if (!one->waitReady(20)) {
-            record.line("a router is not ready: " + one->logText());
-            return 2;
-        }
-    }
+    router_list routers = startRouters(argv[2], all.log, record);
+    if (routers.empty())
+        ::_exit(2);
     std::atomic<bool> stopping{ false };
     std::atomic<unsigned> sent{ 0 };
-    std::atomic<int> whole{ 0 };
-    std::atomic<int> others{ 0 };
-    std::vector<std::thread> clients;
-    for (int client = 0; client < 24; ++client)
-        clients.emplace_back([&, client] {
-            sleepMs(100 * client);
-            while (!stopping) {
-                const unsigned number = ++sent;
-                const std::string id = "r" + std::to_string(number);
-                const std::string body = std::to_string(40 + number * 37 % 180);
-                record.line("sent: " + id);
-                const auto answer = exchange(
-                        routers[number % 3]->callerPort(),
-                        "POST /reply/x HTTP/1.1\r\nHost: h.example\r\nX-Burdockhold-Attempt-Id: "
-                                + id
-                                + "\r\nX-Burdockhold-Model: m0\r\nX-Burdockhold-Token-Count: 826,"
-                                + body + "\r\nX-Burdockhold-Prompt-Prefix: "
-                                + std::to_string(number % 97) + "a:198," + id
-                                + ":628\r\nX-Burdockhold-Deadline-Ms: 15000\r\n"
-                                  "X-Burdockhold-Credential: key-1\r\nContent-Length: "
-                                + std::to_string(body.size()) + "\r\n\r\n" + body,
-                        15);
-                record.line("answer to " + id + ": status " + std::to_string(answer.status)
-                            + (answer.complete ? ", whole" : ", cut off"));
-                ++(answer.status == 200 && answer.complete ? whole : others);
-                sleepMs(50);
-            }
-        });
+    counts answers;
+    client_threads clients(
+            24, [&](int client) { runClient(client, routers, record, sent, stopping, answers); });
     sleepMs(8000);
     for (int version = 2; version <= 6; ++version) {
-        if (!isCalm) {
+        if (!isCalmRun()) {
             record.line("op/version/m0: version " + std::to_string(version));
             all.log.put("keyed.op", "version/m0",
                         "{\"model\":\"m0\",\"version\":" + std::to_string(version) + "}");
@@ -277,41 +294,15 @@
         sleepMs(8000);
     }
     stopping = true;
-    for (std::thread &client : clients)
-        client.join();
+    clients.join();
     sleepMs(500);
-    int twice = 0;
-    int moved = 0;
-    {
-        const std::lock_guard lock(all.mutex);
-        for (const run_record &first : all.runs) {
-            for (const run_record &next : all.runs) {
-                if (next.id != first.id || next.begin <= first.begin || next.engine == first.engine)
-                    continue;
-                ++moved;
-                const double end = first.end > 0 ? first.end : secondsNow();
-                if (end <= next.begin + TwiceSeconds)
-                    continue;
-                ++twice;
-                char text[200];
-                std::snprintf(text, sizeof text,
-                              "%s goes on at i-%d at %.3f; i-%d still works on it until %.3f, %.0f ms "
-                              "later",
-                              first.id.c_str(), next.engine, next.begin, first.engine, end,
-                              1000 * (end - next.begin));
-                record.line(text);
-            }
-        }
-    }
     routers.clear();
-    char text[200];
-    std::snprintf(text, sizeof text,
-                  "moved %d, of these still worked on 400 ms later %d; answers whole %d, others %d",
-                  moved, twice, whole.load(), others.load());
-    record.line(text);
-    std::printf("%s\n", text);
-    std::fflush(stdout);
-    if (whole < 100)
-        ::_exit(2);
-    ::_exit(twice > 0 ? 1 : 0);
+    const moves found = findMoves(all);
+    endWith(record,
+            "moved " + std::to_string(found.all) + ", of these still worked on 400 ms later "
+                    + std::to_string(found.twice) + "; answers whole "
+                    + std::to_string(answers.whole) + ", others " + std::to_string(answers.others),
+            answers.whole < 100 ? 2
+            : found.twice > 0   ? 1
+                                : 0);
 }
--- a/review/standins-2/platform.h
+++ b/review/standins-2/platform.h
@@ -173,8 +173,8 @@
         std::size_t at = target.find('?');
         while (at != std::string::npos) {
             const std::size_t end = target.find('&', at + 1);
-            const std::string part = target.substr(at + 1, end == std::string::npos ? end
-                                                                                   : end - at - 1);
+            const std::string part = target.substr(at + 1,
+                                                   end == std::string::npos ? end : end - at - 1);
             if (part.compare(0, name.size() + 1, name + "=") == 0)
                 return part.substr(name.size() + 1);
             at = end;
@@ -388,8 +388,8 @@
     }
     static std::string base64(const std::string &bytes)
     {
-        static constexpr char Digits[]
-                = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+        static constexpr char Digits[] =
+                "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
         std::string text;
         for (std::size_t at = 0; at < bytes.size(); at += 3) {
             const auto byte = [&](std::size_t index) {
@@ -535,8 +535,8 @@
                 rows += (rows.empty() ? "" : ",") + std::string("[\"t\",") + std::to_string(part)
                         + ",0]";
         }
-        return response(200, "{\"generation\":" + std::to_string(joined.generation)
-                                     + ",\"parts\":[" + rows + "]}");
+        return response(200, "{\"generation\":" + std::to_string(joined.generation) + ",\"parts\":["
+                                     + rows + "]}");
     }
     std::string leave(const std::string &body)
     {
@@ -745,6 +745,84 @@
     return size + bytes + "\r\n";
 }
 
+/// Returns whether the disruption is left out.
+inline bool isCalmRun()
+{
+    const char *trouble = std::getenv("TROUBLE");
+    return trouble != nullptr && std::string(trouble) == "0";
+}
+
+/// Writes a configuration with one resumable stream route and one tenant, as the platform's pages
+/// show it, and the first weights of its model.
+inline void putDeployment(store &log, int tokensPerSecond)
+{
+    const std::string rate = std::to_string(tokensPerSecond);
+    log.put("keyed.op", "config",
+            "{\"version\":1,\"routes\":[{\"name\":\"r1\",\"host\":\"h.example\","
+            "\"path_prefix\":\"/reply/\",\"kind\":\"stream\",\"timeout_ms\":15000,"
+            "\"target_latency_ms\":400,\"priority\":0,\"service\":\"llm\",\"max_attempts\":2,"
+            "\"anonymous\":false,\"sticky\":true,\"resumable\":true,\"gap_target_ms\":300}],"
+            "\"services\":[{\"name\":\"llm\",\"health_path\":\"/healthz\","
+            "\"max_connections\":620,\"protocol\":\"h1\",\"tls\":false,\"engine\":{"
+            "\"slots\":128,\"kv_capacity_tokens\":95573,\"kv_token_bytes\":262144,"
+            "\"models\":[{\"name\":\"m0\"}]}}],\"limits\":{\"max_header_bytes\":16384,"
+            "\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
+            "\"tenants\":[{\"name\":\"t1\",\"api_keys\":[\"key-1\"],\"priority\":1,"
+            "\"unit\":\"token_stream\",\"uncached_tokens\":200,\"isolated\":false,\"rate_per_s\":"
+                    + rate + ",\"burst\":" + rate + "}]}");
+    log.put("keyed.op", "version/m0", "{\"model\":\"m0\",\"version\":1}");
+}
+
+using router_list = std::vector<std::unique_ptr<router>>;
+
+/// Starts a router in each of three zones. Returns none if one of them is not ready in time.
+inline router_list startRouters(const std::string &folder, const store &log, record_file &record)
+{
+    router_list routers;
+    routers.reserve(3);
+    for (const char *zone : { "a", "b", "c" })
+        routers.push_back(std::make_unique<router>(std::string("front-") + zone + "-1", zone,
+                                                   folder, log.address()));
+    for (const auto &one : routers) {
+        if (!one->waitReady(20)) {
+            record.line("a router is not ready: " + one->logText());
+            return {};
+        }
+    }
+    return routers;
+}
+
+/// Runs the function in this many threads, with the number of each, until join().
+class client_threads
+{
+public:
+    client_threads(int count, const std::function<void(int client)> &function)
+    {
+        m_threads.reserve(static_cast<std::size_t>(count));
+        for (int client = 0; client < count; ++client)
+            m_threads.emplace_back(function, client);
+    }
+    void join()
+    {
+        for (std::thread &thread : m_threads)
+            thread.join();
+        m_threads.clear();
+    }
+
+private:
+    std::vector<std::thread> m_threads;
+};
+
+/// Writes the result to the record and the output, and ends the process: its servers may still have
+/// threads.
+[[noreturn]] inline void endWith(record_file &record, const std::string &text, int result)
+{
+    record.line(text);
+    std::printf("%s\n", text.c_str());
+    std::fflush(stdout);
+    ::_exit(result);
+}
+
 } // namespace review
 
 #endif
--- a/review/standins-2/poison.cc
+++ b/review/standins-2/poison.cc
@@ -8,10 +8,10 @@
 
 namespace {
 
-constexpr int Engines = 9;       // As crisp-llm of mayaro-crisp.
+constexpr int Engines = 9;        // As crisp-llm of mayaro-crisp.
 constexpr double DownSeconds = 3; // "the engine is back after some seconds"
 constexpr double ContactSeconds = 3;
-constexpr int AllowedRetries = 3;
+constexpr std::size_t AllowedRetries = 3;
 constexpr char PoisonPath[] = "/reply/dossier";
 
 enum class crash_mode { None, Early, AfterFirstEvent };
@@ -81,8 +81,8 @@
     {
         const std::string wanted = request.field("X-Burdockhold-Target-Instance");
         if (!wanted.empty() && wanted != id())
-            return sendAll(descriptor, response(421, "", "X-Burdockhold-Instance-Id: " + id()
-                                                                 + "\r\n"));
+            return sendAll(descriptor,
+                           response(421, "", "X-Burdockhold-Instance-Id: " + id() + "\r\n"));
         if (request.target == "/report")
             return sendAll(descriptor,
                            response(200, "{\"stage\":\"colocated\",\"models\":[{\"name\":\"m0\","
@@ -108,8 +108,7 @@
         const int first = last.empty() ? 1 : std::atoi(last.c_str()) + 1;
         if (!sendAll(descriptor, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
                                  "X-Burdockhold-Attempt-Id: "
-                                         + attempt
-                                         + "\r\nX-Burdockhold-Server-Stamp: s."
+                                         + attempt + "\r\nX-Burdockhold-Server-Stamp: s."
                                          + std::to_string(m_index)
                                          + "\r\nX-Burdockhold-Weight-Versions: 1\r\n"
                                            "Transfer-Encoding: chunked\r\n\r\n"))
@@ -158,6 +157,75 @@
            + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+struct counts
+{
+    std::atomic<int> whole{ 0 };
+    std::atomic<int> lost{ 0 };
+};
+
+/// One of the tenant's other clients, with about three requests a second.
+void runOtherClient(int client, const router_list &routers, record_file &record,
+                    const std::atomic<bool> &stopping, counts &others)
+{
+    for (int number = 0; !stopping; ++number) {
+        const std::string id = "ok" + std::to_string(client) + "x" + std::to_string(number);
+        const std::string name = "c" + std::to_string(client);
+        record.line("sent: " + id);
+        const auto answer = exchange(
+                routers[static_cast<std::size_t>(client + number) % 3]->callerPort(),
+                requestText("/reply/" + name, id, "aa:198," + name + ":628"), 15);
+        ++(answer.status == 200 && answer.complete ? others.whole : others.lost);
+        record.line("answer to " + id + ": status " + std::to_string(answer.status)
+                    + (answer.complete ? ", whole" : ", cut off"));
+        sleepMs(300);
+    }
+}
+
+/// Sends the deadly request each two seconds, at any machine. Returns how often it was served.
+int sendPoison(fleet &all, const router_list &routers)
+{
+    const double end = secondsNow() + 60;
+    int served = 0;
+    for (int number = 1; secondsNow() < end; ++number) {
+        const std::string id = "bad" + std::to_string(number);
+        {
+            const std::lock_guard lock(all.mutex);
+            all.sentAt[id] = secondsNow();
+        }
+        all.record->line("sent: " + id);
+        const auto answer = exchange(routers[static_cast<std::size_t>(number) % 3]->callerPort(),
+                                     requestText(PoisonPath, id, "aa:198,dead:628"), 15);
+        served += answer.status == 200 && answer.complete ? 1 : 0;
+        all.record->line("answer to " + id + ": status " + std::to_string(answer.status)
+                         + (answer.complete ? ", whole" : ", cut off") + ", "
+                         + std::to_string(answer.body.size()) + " bytes");
+        sleepMs(2000);
+    }
+    return served;
+}
+
+/// Returns how many retries, sent over ContactSeconds after the third crash, reached engines.
+std::size_t lateRetries(fleet &all)
+{
+    const std::lock_guard lock(all.mutex);
+    std::set<std::string> late;
+    for (const run_record &run : all.runs) {
+        if (run.isPoison && all.crashes.size() >= 3
+            && all.sentAt[run.id] > all.crashes[2] + ContactSeconds)
+            late.insert(run.id);
+    }
+    return late.size();
+}
+
+crash_mode chosenMode()
+{
+    const char *early = std::getenv("CRASH");
+    const bool isEarly = early != nullptr && std::string(early) == "early";
+    return isCalmRun() ? crash_mode::None
+           : isEarly   ? crash_mode::Early
+                       : crash_mode::AfterFirstEvent;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -166,43 +234,17 @@
         return 2;
     std::signal(SIGPIPE, SIG_IGN);
     record_file record(argv[1]);
-    const std::string folder = argv[2];
-    const char *trouble = std::getenv("TROUBLE");
-    const char *early = std::getenv("CRASH");
     static fleet all;
     all.record = &record;
-    all.mode = trouble != nullptr && std::string(trouble) == "0"
-                       ? crash_mode::None
-                       : early != nullptr && std::string(early) == "early"
-                               ? crash_mode::Early
-                               : crash_mode::AfterFirstEvent;
-    all.log.put("keyed.op", "config",
-                "{\"version\":1,\"routes\":[{\"name\":\"r1\",\"host\":\"h.example\","
-                "\"path_prefix\":\"/reply/\",\"kind\":\"stream\",\"timeout_ms\":15000,"
-                "\"target_latency_ms\":400,\"priority\":0,\"service\":\"llm\",\"max_attempts\":2,"
-                "\"anonymous\":false,\"sticky\":true,\"resumable\":true,\"gap_target_ms\":300}],"
-                "\"services\":[{\"name\":\"llm\",\"health_path\":\"/healthz\","
-                "\"max_connections\":620,\"protocol\":\"h1\",\"tls\":false,\"engine\":{"
-                "\"slots\":128,\"kv_capacity_tokens\":95573,\"kv_token_bytes\":262144,"
-                "\"models\":[{\"name\":\"m0\"}]}}],\"limits\":{\"max_header_bytes\":16384,"
-                "\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
-                "\"tenants\":[{\"name\":\"t1\",\"api_keys\":[\"key-1\"],\"priority\":1,"
-                "\"unit\":\"token_stream\",\"uncached_tokens\":200,\"isolated\":false,"
-                "\"rate_per_s\":130361,\"burst\":130361}]}");
-    all.log.put("keyed.op", "version/m0", "{\"model\":\"m0\",\"version\":1}");
-    static std::vector<std::unique_ptr<engine>> engines;
+    all.mode = chosenMode();
+    putDeployment(all.log, 130361);
+    std::vector<std::unique_ptr<engine>> engines;
+    engines.reserve(Engines);
     for (int index = 0; index < Engines; ++index)
         engines.push_back(std::make_unique<engine>(all, index));
-    std::vector<std::unique_ptr<router>> routers;
-    for (const char *zone : { "a", "b", "c" })
-        routers.push_back(std::make_unique<router>(std::string("front-") + zone + "-1", zone,
-                                                   folder, all.log.address()));
-    for (const auto &one : routers) {
-        if (!one->waitReady(20)) {
-            record.line("a router is not ready: " + one->logText());
-            return 2;
-        }
-    }
+    router_list routers = startRouters(argv[2], all.log, record);
+    if (routers.empty())
+        ::_exit(2);
     std::atomic<bool> stopping{ false };
     std::thread keeper([&] {
         while (!stopping) {
@@ -212,75 +254,26 @@
         }
     });
     sleepMs(4000); // All machines are in touch.
-
-    // Other requests of the tenant, as usual: ten a second.
-    std::atomic<int> sound{ 0 };
-    std::atomic<int> cut{ 0 };
-    std::vector<std::thread> clients;
-    for (int client = 0; client < 10; ++client)
-        clients.emplace_back([&, client] {
-            for (int number = 0; !stopping; ++number) {
-                const std::string id = "ok" + std::to_string(client) + "x" + std::to_string(number);
-                record.line("sent: " + id);
-                const auto answer = exchange(
-                        routers[static_cast<std::size_t>(client + number) % 3]->callerPort(),
-                        requestText("/reply/c" + std::to_string(client), id,
-                                    "aa:198,c" + std::to_string(client) + ":628"),
-                        15);
-                ++(answer.status == 200 && answer.complete ? sound : cut);
-                record.line("answer to " + id + ": status " + std::to_string(answer.status)
-                            + (answer.complete ? ", whole" : ", cut off"));
-                sleepMs(300);
-            }
-        });
-
-    // The request comes again each two seconds, at any machine.
-    const double end = secondsNow() + 60;
-    int served = 0;
-    for (int number = 1; secondsNow() < end; ++number) {
-        const std::string id = "bad" + std::to_string(number);
-        {
-            const std::lock_guard lock(all.mutex);
-            all.sentAt[id] = secondsNow();
-        }
-        record.line("sent: " + id);
-        const auto answer = exchange(routers[static_cast<std::size_t>(number) % 3]->callerPort(),
-                                     requestText(PoisonPath, id, "aa:198,dead:628"), 15);
-        served += answer.status == 200 && answer.complete ? 1 : 0;
-        record.line("answer to " + id + ": status " + std::to_string(answer.status)
-                    + (answer.complete ? ", whole" : ", cut off") + ", "
-                    + std::to_string(answer.body.size()) + " bytes");
-        sleepMs(2000);
-    }
+    counts others;
+    client_threads clients(
+            10, [&](int client) { runOtherClient(client, routers, record, stopping, others); });
+    const int served = sendPoison(all, routers);
     stopping = true;
-    for (std::thread &client : clients)
-        client.join();
+    clients.join();
     keeper.join();
-
-    std::set<std::string> late;
-    double third = -1;
-    {
-        const std::lock_guard lock(all.mutex);
-        if (all.crashes.size() >= 3)
-            third = all.crashes[2];
-        for (const run_record &run : all.runs) {
-            if (run.isPoison && third >= 0 && all.sentAt[run.id] > third + ContactSeconds)
-                late.insert(run.id);
-        }
-    }
     routers.clear();
-    record.line("engines crashed: " + std::to_string(all.crashes.size()) + "; third crash at "
-                + std::to_string(third) + " s; retries sent over 3 s later that reached engines: "
-                + std::to_string(late.size()) + " (allowed " + std::to_string(AllowedRetries)
-                + "); other requests served whole " + std::to_string(sound) + ", not "
-                + std::to_string(cut));
-    std::printf("crashes %zu, late retries that reached engines %zu, other requests whole %d, not %d\n",
-                all.crashes.size(), late.size(), sound.load(), cut.load());
-    std::fflush(stdout);
-    int result = late.size() > AllowedRetries ? 1 : 0;
-    if (all.mode == crash_mode::None && (served == 0 || cut > 0))
+    const std::size_t late = lateRetries(all);
+    const std::size_t crashes = all.crashes.size();
+    int result = late > AllowedRetries ? 1 : 0;
+    if (all.mode == crash_mode::None && (served == 0 || others.lost > 0))
         result = 2;
-    if (all.mode != crash_mode::None && all.crashes.size() < 3)
+    if (all.mode != crash_mode::None && crashes < 3)
         result = 2;
-    ::_exit(result);
+    endWith(record,
+            "engines crashed " + std::to_string(crashes)
+                    + "; retries sent over 3 s after the third crash that reached engines "
+                    + std::to_string(late) + " (allowed " + std::to_string(AllowedRetries)
+                    + "); other requests served whole " + std::to_string(others.whole) + ", not "
+                    + std::to_string(others.lost),
+            result);
 }
--- a/review/standins-2/rollout.cc
+++ b/review/standins-2/rollout.cc
@@ -9,8 +9,9 @@
 namespace {
 
 constexpr int OldEngines = 9;
-constexpr int NewEngines = 9; // "engines of that version, which are started alongside the old engines"
-constexpr double DurationSeconds = 12; // As the example of op/rollout.
+constexpr int NewEngines =
+        9; // "engines of that version, which are started alongside the old engines"
+constexpr double DurationSeconds = 12;   // As the example of op/rollout.
 constexpr double RequestsPerSecond = 70; // dossier-grade and grocer-reply of mayaro-crisp.
 constexpr double ExposureShare = 0.1;
 constexpr double ExposureSlack = 50;
@@ -53,8 +54,7 @@
         m_fleet.log.put("keyed.servers", id(),
                         "{\"service\":\"llm\",\"address\":\"" + m_server.address()
                                 + "\",\"zone\":\"" + zones[m_index % 3] + "\",\"version\":\""
-                                + (m_isNew ? "v2" : "v1")
-                                + "\",\"slots\":128,\"state\":\"" + state
+                                + (m_isNew ? "v2" : "v1") + "\",\"slots\":128,\"state\":\"" + state
                                 + "\",\"cold_remaining_ms\":0,\"stage\":\"colocated\",\"models\":[{"
                                   "\"name\":\"m0\",\"version\":1,\"adapters\":[]}],\"seq\":1,"
                                   "\"born\":"
@@ -75,8 +75,8 @@
     {
         const std::string wanted = request.field("X-Burdockhold-Target-Instance");
         if (!wanted.empty() && wanted != id())
-            return sendAll(descriptor, response(421, "", "X-Burdockhold-Instance-Id: " + id()
-                                                                 + "\r\n"));
+            return sendAll(descriptor,
+                           response(421, "", "X-Burdockhold-Instance-Id: " + id() + "\r\n"));
         if (request.target == "/report")
             return sendAll(descriptor,
                            response(200, "{\"stage\":\"colocated\",\"models\":[{\"name\":\"m0\","
@@ -93,8 +93,7 @@
                                    + "\r\nX-Burdockhold-Server-Stamp: s." + id()
                                    + "\r\nX-Burdockhold-Weight-Versions: 1\r\n";
         const bool isBad = m_isNew && secondsNow() >= m_fleet.flawAt
-                           && (++m_fleet.draws * 2654435761U >> 8) % 1000
-                                      < 1000 * FailedShare;
+                           && (++m_fleet.draws * 2654435761U >> 8) % 1000 < 1000 * FailedShare;
         sleepMs(40);
         if (isBad) {
             ++m_fleet.failures;
@@ -128,6 +127,86 @@
              "Content-Length: 2\r\n\r\n{}";
 }
 
+struct counts
+{
+    std::atomic<int> whole{ 0 };
+    std::atomic<int> others{ 0 };
+};
+
+constexpr int Clients = 28;
+
+void runClient(int client, const router_list &routers, record_file &record,
+               std::atomic<unsigned> &sent, const std::atomic<bool> &stopping, counts &answers)
+{
+    double due = secondsNow() + client / RequestsPerSecond;
+    while (!stopping) {
+        due += Clients / RequestsPerSecond;
+        if (due > secondsNow())
+            sleepMs(static_cast<int>(1000 * (due - secondsNow())));
+        const unsigned number = ++sent;
+        const std::string id = "r" + std::to_string(number);
+        record.line("sent: " + id);
+        const auto answer = exchange(routers[number % 3]->callerPort(), requestText(id, number),
+                                     15);
+        record.line("answer to " + id + ": status " + std::to_string(answer.status)
+                    + (answer.complete ? ", whole" : ", cut off"));
+        ++(answer.status == 200 && answer.complete ? answers.whole : answers.others);
+    }
+}
+
+using engine_list = std::vector<std::unique_ptr<engine>>;
+
+/// Does what the platform does at each status of the roll-out. Returns the last one.
+std::string followStatus(fleet &all, const engine_list &oldEngines, const engine_list &newEngines,
+                         double until)
+{
+    std::string state;
+    for (; secondsNow() < until; sleepMs(5)) {
+        const std::string status = all.log.get("keyed.status", "rollout/llm");
+        if (status == state)
+            continue;
+        state = status;
+        all.record->line("status/rollout/llm: " + status);
+        if (status.find("complete") != std::string::npos) {
+            for (const auto &one : oldEngines)
+                one->stop();
+        } else if (status.find("rolled_back") != std::string::npos) {
+            for (const auto &one : newEngines)
+                one->enter("draining");
+        }
+    }
+    return state;
+}
+
+struct exposure
+{
+    std::set<std::string> reached; ///< Requests that reached the service.
+    std::set<std::string> exposed; ///< Of these, the ones that reached the new version.
+};
+
+exposure exposureOf(fleet &all, double ordered)
+{
+    exposure found;
+    const std::lock_guard lock(all.mutex);
+    for (const arrival &one : all.arrivals) {
+        if (one.at < ordered || one.at > ordered + DurationSeconds)
+            continue;
+        found.reached.insert(one.id);
+        if (one.isNew)
+            found.exposed.insert(one.id);
+    }
+    return found;
+}
+
+engine_list startEngines(fleet &all, int count, bool areNew)
+{
+    engine_list engines;
+    engines.reserve(static_cast<std::size_t>(count));
+    for (int index = 0; index < count; ++index)
+        engines.push_back(std::make_unique<engine>(all, index, areNew));
+    return engines;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -136,117 +215,48 @@
         return 2;
     std::signal(SIGPIPE, SIG_IGN);
     record_file record(argv[1]);
-    const std::string folder = argv[2];
-    const char *trouble = std::getenv("TROUBLE");
-    const bool isGood = trouble != nullptr && std::string(trouble) == "0";
+    const bool isGood = isCalmRun();
     const char *flaw = std::getenv("FLAW_S");
     const double flawSeconds = flaw != nullptr ? std::atof(flaw) : 9.0;
     static fleet all;
     all.record = &record;
-    all.log.put("keyed.op", "config",
-                "{\"version\":1,\"routes\":[{\"name\":\"r1\",\"host\":\"h.example\","
-                "\"path_prefix\":\"/reply/\",\"kind\":\"stream\",\"timeout_ms\":15000,"
-                "\"target_latency_ms\":400,\"priority\":0,\"service\":\"llm\",\"max_attempts\":2,"
-                "\"anonymous\":false,\"sticky\":true,\"resumable\":true,\"gap_target_ms\":300}],"
-                "\"services\":[{\"name\":\"llm\",\"health_path\":\"/healthz\","
-                "\"max_connections\":620,\"protocol\":\"h1\",\"tls\":false,\"engine\":{"
-                "\"slots\":128,\"kv_capacity_tokens\":95573,\"kv_token_bytes\":262144,"
-                "\"models\":[{\"name\":\"m0\"}]}}],\"limits\":{\"max_header_bytes\":16384,"
-                "\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
-                "\"tenants\":[{\"name\":\"t1\",\"api_keys\":[\"key-1\"],\"priority\":1,"
-                "\"unit\":\"token_stream\",\"uncached_tokens\":200,\"isolated\":false,"
-                "\"rate_per_s\":1303610,\"burst\":1303610}]}");
-    all.log.put("keyed.op", "version/m0", "{\"model\":\"m0\",\"version\":1}");
-    static std::vector<std::unique_ptr<engine>> oldEngines;
-    static std::vector<std::unique_ptr<engine>> newEngines;
-    for (int index = 0; index < OldEngines; ++index)
-        oldEngines.push_back(std::make_unique<engine>(all, index, false));
-    std::vector<std::unique_ptr<router>> routers;
-    for (const char *zone : { "a", "b", "c" })
-        routers.push_back(std::make_unique<router>(std::string("front-") + zone + "-1", zone,
-                                                   folder, all.log.address()));
-    for (const auto &one : routers) {
-        if (!one->waitReady(20)) {
-            record.line("a router is not ready: " + one->logText());
-            return 2;
-        }
-    }
+    putDeployment(all.log, 1303610);
+    const engine_list oldEngines = startEngines(all, OldEngines, false);
+    router_list routers = startRouters(argv[2], all.log, record);
+    if (routers.empty())
+        ::_exit(2);
     std::atomic<bool> stopping{ false };
     std::atomic<unsigned> sent{ 0 };
-    std::atomic<int> whole{ 0 };
-    std::atomic<int> failed{ 0 };
-    constexpr int Clients = 28;
-    std::vector<std::thread> clients;
-    for (int client = 0; client < Clients; ++client)
-        clients.emplace_back([&, client] {
-            double due = secondsNow() + client / RequestsPerSecond;
-            while (!stopping) {
-                due += Clients / RequestsPerSecond;
-                if (due > secondsNow())
-                    sleepMs(static_cast<int>(1000 * (due - secondsNow())));
-                const unsigned number = ++sent;
-                const std::string id = "r" + std::to_string(number);
-                record.line("sent: " + id);
-                const auto answer = exchange(routers[number % 3]->callerPort(),
-                                             requestText(id, number), 15);
-                record.line("answer to " + id + ": status " + std::to_string(answer.status)
-                            + (answer.complete ? ", whole" : ", cut off"));
-                ++(answer.status == 200 && answer.complete ? whole : failed);
-            }
-        });
+    counts answers;
+    client_threads clients(Clients, [&](int client) {
+        runClient(client, routers, record, sent, stopping, answers);
+    });
     sleepMs(8000);
-    for (int index = 0; index < NewEngines; ++index)
-        newEngines.push_back(std::make_unique<engine>(all, index, true));
+    const engine_list newEngines = startEngines(all, NewEngines, true);
     const double ordered = secondsNow();
     record.line("op/rollout/llm: target v2, duration_s 12");
     all.log.put("keyed.op", "rollout/llm",
                 "{\"service\":\"llm\",\"target\":\"v2\",\"duration_s\":12}");
     if (!isGood)
         all.flawAt = ordered + flawSeconds;
-    std::string state;
-    while (secondsNow() < ordered + DurationSeconds + 2) {
-        const std::string status = all.log.get("keyed.status", "rollout/llm");
-        if (status != state) {
-            state = status;
-            record.line("status/rollout/llm: " + status);
-            if (status.find("complete") != std::string::npos) {
-                for (const auto &one : oldEngines)
-                    one->stop();
-            } else if (status.find("rolled_back") != std::string::npos) {
-                for (const auto &one : newEngines)
-                    one->enter("draining");
-            }
-        }
-        sleepMs(5);
-    }
+    const std::string state = followStatus(all, oldEngines, newEngines,
+                                           ordered + DurationSeconds + 2);
     stopping = true;
-    for (std::thread &client : clients)
-        client.join();
-    std::set<std::string> reached;
-    std::set<std::string> exposed;
-    {
-        const std::lock_guard lock(all.mutex);
-        for (const arrival &one : all.arrivals) {
-            if (one.at < ordered || one.at > ordered + DurationSeconds)
-                continue;
-            reached.insert(one.id);
-            if (one.isNew)
-                exposed.insert(one.id);
-        }
-    }
+    clients.join();
     routers.clear();
-    const double allowed = ExposureShare * static_cast<double>(reached.size()) + ExposureSlack;
-    char text[300];
-    std::snprintf(text, sizeof text,
-                  "requests that reached the service from the order to its deadline %zu, of these "
-                  "the new version %zu, allowed for a bad one %.0f; its failures %d; client answers "
-                  "whole %d, others %d; last status %s",
-                  reached.size(), exposed.size(), allowed, all.failures.load(), whole.load(),
-                  failed.load(), state.c_str());
-    record.line(text);
-    std::printf("%s\n", text);
-    std::fflush(stdout);
-    if (reached.size() < 400)
-        ::_exit(2);
-    ::_exit(!isGood && static_cast<double>(exposed.size()) > allowed ? 1 : 0);
+    const exposure found = exposureOf(all, ordered);
+    const double allowed = ExposureShare * static_cast<double>(found.reached.size())
+                           + ExposureSlack;
+    const bool isBroken = !isGood && static_cast<double>(found.exposed.size()) > allowed;
+    endWith(record,
+            "requests that reached the service from the order to its deadline "
+                    + std::to_string(found.reached.size()) + ", of these the new version "
+                    + std::to_string(found.exposed.size()) + ", allowed for a bad one "
+                    + std::to_string(static_cast<int>(allowed)) + "; its failures "
+                    + std::to_string(all.failures) + "; client answers whole "
+                    + std::to_string(answers.whole) + ", others " + std::to_string(answers.others)
+                    + "; last status " + state,
+            found.reached.size() < 400 ? 2
+            : isBroken                 ? 1
+                                       : 0);
 }
--- a/review/standins-2/torn.cc
+++ b/review/standins-2/torn.cc
@@ -1,6 +1,6 @@
 // Case: an engine stops in the middle of an event and ends its answer as an HTTP library does, with
-// the last chunk, although the chunk that it has begun lacks bytes. The lines of its events end with
-// CR LF. Arguments: path of record.txt, temporary folder. TROUBLE=0: all answers are whole.
+// the last chunk, although the chunk that it has begun lacks bytes. The lines of its events end
+// with CR LF. Arguments: path of record.txt, temporary folder. TROUBLE=0: all answers are whole.
 
 #include "platform.h"
 
@@ -10,8 +10,8 @@
 
 namespace {
 
-constexpr int Engines = 9;         // As crisp-llm of mayaro-crisp.
-constexpr int FaultyEngines = 5;   // `garble`, share 0.6, rounded down.
+constexpr int Engines = 9;           // As crisp-llm of mayaro-crisp.
+constexpr int FaultyEngines = 5;     // `garble`, share 0.6, rounded down.
 constexpr double FaultyShare = 0.05; // Of their answers.
 constexpr int Events = 20;
 
@@ -59,8 +59,8 @@
     {
         const std::string wanted = request.field("X-Burdockhold-Target-Instance");
         if (!wanted.empty() && wanted != id())
-            return sendAll(descriptor, response(421, "", "X-Burdockhold-Instance-Id: " + id()
-                                                                 + "\r\n"));
+            return sendAll(descriptor,
+                           response(421, "", "X-Burdockhold-Instance-Id: " + id() + "\r\n"));
         if (request.target == "/report")
             return sendAll(descriptor,
                            response(200, "{\"stage\":\"colocated\",\"models\":[{\"name\":\"m0\","
@@ -97,7 +97,8 @@
                 continue;
             }
             // At least one byte of the event, and not all of its last line.
-            const std::size_t bytes = 1 + static_cast<std::size_t>(
+            const std::size_t bytes = 1
+                                      + static_cast<std::size_t>(
                                               part * static_cast<double>(text.size() - 5));
             const std::string sent = text.substr(0, bytes);
             const std::string whole = chunkOf(text);
@@ -121,6 +122,61 @@
     server m_server;
 };
 
+struct counts
+{
+    std::atomic<int> whole{ 0 };
+    std::atomic<int> cut{ 0 };
+    std::atomic<int> others{ 0 };
+    std::atomic<int> wrong{ 0 };
+};
+
+/// Records where a stream that ends as complete differs from the text of a run.
+void recordDifference(fleet &all, const std::string &id, const std::string &body,
+                      const std::string &expected)
+{
+    std::size_t at = 0;
+    while (at < body.size() && at < expected.size() && body[at] == expected[at])
+        ++at;
+    std::string text = body.substr(at > 30 ? at - 30 : 0, 60);
+    for (char &c : text)
+        c = c == '\r' || c == '\n' ? '|' : c;
+    const std::lock_guard lock(all.mutex);
+    all.record->line("  broken off: " + all.brokenOff[id] + "; the caller has: ..." + text);
+}
+
+void runClient(fleet &all, const router_list &routers, std::atomic<unsigned> &sent, double end,
+               counts &answers)
+{
+    std::string expected;
+    for (int event = 1; event <= Events; ++event)
+        expected += eventText(event);
+    while (secondsNow() < end) {
+        const unsigned number = ++sent;
+        const std::string id = "r" + std::to_string(number);
+        all.record->line("sent: " + id);
+        const auto answer = exchange(
+                routers[number % 3]->callerPort(),
+                "POST /reply/x HTTP/1.1\r\nHost: h.example\r\nX-Burdockhold-Attempt-Id: " + id
+                        + "\r\nX-Burdockhold-Model: m0\r\nX-Burdockhold-Token-Count: 826,20"
+                          "\r\nX-Burdockhold-Prompt-Prefix: "
+                        + std::to_string(number % 97) + "a:198," + id
+                        + ":628\r\nX-Burdockhold-Deadline-Ms: 15000\r\n"
+                          "X-Burdockhold-Credential: key-1\r\nContent-Length: 2\r\n\r\n{}",
+                15);
+        const bool isWrong = answer.status == 200 && answer.complete && answer.body != expected;
+        ++(answer.status != 200 ? answers.others
+           : !answer.complete   ? answers.cut
+           : isWrong            ? answers.wrong
+                                : answers.whole);
+        all.record->line("answer to " + id + ": status " + std::to_string(answer.status)
+                         + (answer.complete ? ", complete" : ", cut off")
+                         + (isWrong ? ", its text is not that of a run" : ""));
+        if (isWrong)
+            recordDifference(all, id, answer.body, expected);
+        sleepMs(50);
+    }
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -129,100 +185,31 @@
         return 2;
     std::signal(SIGPIPE, SIG_IGN);
     record_file record(argv[1]);
-    const std::string folder = argv[2];
-    const char *trouble = std::getenv("TROUBLE");
     static fleet all;
     all.record = &record;
-    all.isCalm = trouble != nullptr && std::string(trouble) == "0";
+    all.isCalm = isCalmRun();
     all.random.seed(std::random_device{}());
-    all.log.put("keyed.op", "config",
-                "{\"version\":1,\"routes\":[{\"name\":\"r1\",\"host\":\"h.example\","
-                "\"path_prefix\":\"/reply/\",\"kind\":\"stream\",\"timeout_ms\":15000,"
-                "\"target_latency_ms\":400,\"priority\":0,\"service\":\"llm\",\"max_attempts\":2,"
-                "\"anonymous\":false,\"sticky\":true,\"resumable\":true,\"gap_target_ms\":300}],"
-                "\"services\":[{\"name\":\"llm\",\"health_path\":\"/healthz\","
-                "\"max_connections\":620,\"protocol\":\"h1\",\"tls\":false,\"engine\":{"
-                "\"slots\":128,\"kv_capacity_tokens\":95573,\"kv_token_bytes\":262144,"
-                "\"models\":[{\"name\":\"m0\"}]}}],\"limits\":{\"max_header_bytes\":16384,"
-                "\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
-                "\"tenants\":[{\"name\":\"t1\",\"api_keys\":[\"key-1\"],\"priority\":1,"
-                "\"unit\":\"token_stream\",\"uncached_tokens\":200,\"isolated\":false,"
-                "\"rate_per_s\":1303610,\"burst\":1303610}]}");
-    all.log.put("keyed.op", "version/m0", "{\"model\":\"m0\",\"version\":1}");
-    static std::vector<std::unique_ptr<engine>> engines;
+    putDeployment(all.log, 1303610);
+    std::vector<std::unique_ptr<engine>> engines;
+    engines.reserve(Engines);
     for (int index = 0; index < Engines; ++index)
         engines.push_back(std::make_unique<engine>(all, index));
-    std::vector<std::unique_ptr<router>> routers;
-    for (const char *zone : { "a", "b", "c" })
-        routers.push_back(std::make_unique<router>(std::string("front-") + zone + "-1", zone,
-                                                   folder, all.log.address()));
-    for (const auto &one : routers) {
-        if (!one->waitReady(20)) {
-            record.line("a router is not ready: " + one->logText());
-            return 2;
-        }
-    }
+    router_list routers = startRouters(argv[2], all.log, record);
+    if (routers.empty())
+        ::_exit(2);
     sleepMs(4000); // All machines are in touch.
-    std::string expected;
-    for (int event = 1; event <= Events; ++event)
-        expected += eventText(event);
-    std::atomic<int> whole{ 0 };
-    std::atomic<int> cut{ 0 };
-    std::atomic<int> others{ 0 };
-    std::atomic<int> wrong{ 0 };
+    counts answers;
     std::atomic<unsigned> sent{ 0 };
     const double end = secondsNow() + 40;
-    std::vector<std::thread> clients;
-    for (int client = 0; client < 16; ++client)
-        clients.emplace_back([&] {
-            while (secondsNow() < end) {
-                const unsigned number = ++sent;
-                const std::string id = "r" + std::to_string(number);
-                record.line("sent: " + id);
-                const auto answer = exchange(
-                        routers[number % 3]->callerPort(),
-                        "POST /reply/x HTTP/1.1\r\nHost: h.example\r\nX-Burdockhold-Attempt-Id: "
-                                + id
-                                + "\r\nX-Burdockhold-Model: m0\r\nX-Burdockhold-Token-Count: 826,20"
-                                  "\r\nX-Burdockhold-Prompt-Prefix: "
-                                + std::to_string(number % 97) + "a:198," + id
-                                + ":628\r\nX-Burdockhold-Deadline-Ms: 15000\r\n"
-                                  "X-Burdockhold-Credential: key-1\r\nContent-Length: 2\r\n\r\n{}",
-                        15);
-                const bool isWrong = answer.status == 200 && answer.complete
-                                     && answer.body != expected;
-                ++(answer.status != 200 ? others
-                   : !answer.complete   ? cut
-                   : isWrong            ? wrong
-                                        : whole);
-                record.line("answer to " + id + ": status " + std::to_string(answer.status)
-                            + (answer.complete ? ", complete" : ", cut off")
-                            + (isWrong ? ", its text is not that of a run" : ""));
-                if (isWrong) {
-                    std::size_t at = 0;
-                    while (at < answer.body.size() && answer.body[at] == expected[at])
-                        ++at;
-                    std::string near = answer.body.substr(at > 30 ? at - 30 : 0, 60);
-                    for (char &c : near)
-                        c = c == '\r' || c == '\n' ? '|' : c;
-                    const std::lock_guard lock(all.mutex);
-                    record.line("  broken off: " + all.brokenOff[id] + "; the caller has: ..." + near);
-                }
-                sleepMs(50);
-            }
-        });
-    for (std::thread &client : clients)
-        client.join();
+    client_threads clients(16, [&](int) { runClient(all, routers, sent, end, answers); });
+    clients.join();
     routers.clear();
-    char text[200];
-    std::snprintf(text, sizeof text,
-                  "streams broken off %zu; answers whole %d, cut off %d, others %d, complete with "
-                  "another text %d",
-                  all.brokenOff.size(), whole.load(), cut.load(), others.load(), wrong.load());
-    record.line(text);
-    std::printf("%s\n", text);
-    std::fflush(stdout);
-    if (whole < 500)
-        ::_exit(2);
-    ::_exit(wrong > 0 ? 1 : 0);
+    endWith(record,
+            "streams broken off " + std::to_string(all.brokenOff.size()) + "; answers whole "
+                    + std::to_string(answers.whole) + ", cut off " + std::to_string(answers.cut)
+                    + ", others " + std::to_string(answers.others) + ", complete with another text "
+                    + std::to_string(answers.wrong),
+            answers.whole < 500 ? 2
+            : answers.wrong > 0 ? 1
+                                : 0);
 }
