Hold back the bytes of a chunk until it is complete

Cause: http_client_connection passed on the bytes of a chunk as they came. An engine that ends its response inside a chunk writes the last chunk behind the part of an event; with CR LF this reads as the rest of the event and a blank line. The size of the chunk, which tells, was not used.

Change: chunk_holdback passes on a chunk once it has all its bytes and the CR LF behind them, and of a large one all but the last 16 KiB. What is held back at the end of a response still tells the splitter that an event had begun.

--- a/burdockhold/event_splitter.cc
+++ b/burdockhold/event_splitter.cc
@@ -203,7 +203,7 @@
 
 void event_splitter::continueElsewhere()
 {
-    if (!m_failed && !isComment(m_partial)) {
+    if (!m_failed && !isComment(m_partial + m_incomplete)) {
         const auto id = parseNumber(eventId(m_partial));
         const auto last = parseNumber(m_lastId);
         const bool mayBeRepeated = m_awaitsFollowing && !m_lastId.empty()
@@ -215,6 +215,7 @@
         }
     }
     m_partial.clear();
+    m_incomplete.clear();
     m_lineEnd = line_end::Unknown;
     m_failed = false;
     m_awaitsFollowing = m_events > 0 || !m_lastId.empty() || m_begunId;
--- a/burdockhold/event_splitter.h
+++ b/burdockhold/event_splitter.h
@@ -19,7 +19,8 @@
 //   the engine's text, such as the framing after a chunk that was cut off, and makes the stream
 //   fail. So does a line that is neither a comment nor has a colon or the name of a field.
 // - What cannot be told from a sound event by its text is returned: the beginning of an event with
-//   data that is followed by a blank line with the stream's line ends.
+//   data that is followed by a blank line with the stream's line ends. In a chunked response,
+//   chunk_holdback.h keeps such bytes from the splitter.
 // - Comments and blank lines are not events. They are returned, but not at the start of a
 //   continuation.
 // - Memory is bounded by the largest event; an event above 128 KiB makes the stream fail.
@@ -47,6 +48,10 @@
     /// complete by its framing, which shows that they are whole.
     std::string takeBlocksAtEnd();
 
+    /// Appends bytes that belong to an incomplete chunk of a response that has ended. They are not
+    /// returned, and an id among them is not relied on, but they show that an event had begun.
+    void addIncomplete(std::string_view bytes) { m_incomplete.append(bytes); }
+
     /// The next bytes come from another endpoint, which continues the stream. Drops the bytes of an
     /// incomplete event and a failure of the previous endpoint.
     void continueElsewhere();
@@ -80,6 +85,7 @@
     void recordNumber(std::uint64_t number, std::optional<std::uint64_t> last);
 
     std::string m_partial;
+    std::string m_incomplete; ///< Follows m_partial in the stream; see addIncomplete().
     line_end m_lineEnd = line_end::Unknown; ///< Of the current response.
     std::string m_lastId;
     std::uint64_t m_events = 0;
--- a/burdockhold/http_client_connection.cc
+++ b/burdockhold/http_client_connection.cc
@@ -89,6 +89,9 @@
     , m_connectTimer(context)
     , m_server(std::move(server))
     , m_options(options)
+    , m_chunkBegun([this](std::uint64_t size, boost::beast::string_view, error_code &) {
+        m_holdback.chunkBegun(size);
+    })
     , m_readBuffer()
 {
 }
@@ -113,6 +116,8 @@
 void http_client_connection::resetParser()
 {
     m_parser.emplace();
+    m_holdback = {};
+    m_parser->on_chunk_header(m_chunkBegun);
     m_parser->eager(false); // Until the head is complete.
     m_parser->header_limit(MaxResponseHeadBytes);
     // Without a limit, this version of Beast rejects a length as soon as the head is complete.
@@ -294,12 +299,15 @@
 
 void http_client_connection::deliverBody()
 {
-    std::string &body = m_parser->get().body();
-    if (!m_headDelivered || body.empty())
+    if (!m_headDelivered)
         return;
-    std::string bytes;
-    bytes.swap(body);
-    m_handlers.onBody(bytes);
+    std::string bytes = std::exchange(m_parser->get().body(), {});
+    if (m_parser->chunked()) {
+        m_holdback.add(bytes);
+        bytes = m_holdback.take(m_input);
+    }
+    if (!bytes.empty())
+        m_handlers.onBody(bytes);
 }
 
 void http_client_connection::serverClosed()
--- a/burdockhold/http_client_connection.h
+++ b/burdockhold/http_client_connection.h
@@ -9,6 +9,7 @@
 // - A response counts as complete only if its framing says so: its length, its last chunk, or an
 //   orderly close if it has neither. One with a transfer coding other than "chunked" is malformed.
 //   Unless the request is fully written, no close counts as orderly.
+// - Bytes of a chunk are passed on once the chunk is complete; see chunk_holdback.h for large ones.
 // - A connection is reused only after a complete response, with the request fully written, no byte
 //   beyond the response, and the server's consent.
 // - Bytes that do not form a response end the call once they exceed a bound. So do responses that
@@ -17,6 +18,7 @@
 //   request.
 // Not thread-safe: all functions run on the event loop's thread.
 
+#include "burdockhold/chunk_holdback.h"
 #include "burdockhold/clock.h"
 #include "burdockhold/enum_names.h"
 
@@ -106,6 +108,9 @@
     /// Returns the response of the last call as far as it has arrived; at the end of the call, with
     /// the fields of its trailer. Only after onHead.
     const response_message &response() const { return m_parser->get(); }
+    /// Returns the bytes of the last response's body that belong to an incomplete chunk and have
+    /// not been passed on. They need not be the server's: its framing may stand among them.
+    const std::string &heldBody() const { return m_holdback.held(); }
 
     /// Pauses and resumes reading: backpressure while the owner has too many bytes to deliver.
     void pauseReading();
@@ -136,6 +141,10 @@
     http_handlers m_handlers;
     std::string m_request;
     std::optional<parser> m_parser;
+    chunk_holdback m_holdback;
+    /// The parser keeps a reference to it.
+    std::function<void(std::uint64_t, boost::beast::string_view, boost::system::error_code &)>
+            m_chunkBegun;
     std::array<char, 4096> m_readBuffer;
     std::string m_input;
     bool m_connected = false;
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -912,6 +912,7 @@
     m_endpointId.clear();
     if (!m_connection)
         return;
+    m_events.addIncomplete(m_connection->heldBody());
     const auto connection = std::exchange(m_connection, nullptr);
     m_context.connections.release(m_address, connection);
     m_context.waiting.roomFreed(m_context.io, m_poolName);
--- a/testing/resumed_streams_looptest.cc
+++ b/testing/resumed_streams_looptest.cc
@@ -76,6 +76,14 @@
     std::unique_ptr<resumed_fixture> m_fixture;
 };
 
+std::string withCrLf(const std::string &text)
+{
+    std::string out;
+    for (const char byte : text)
+        out += byte == '\n' ? std::string("\r\n") : std::string(1, byte);
+    return out;
+}
+
 /// Checks that the caller gets the events 1 to 3, nothing else, and no last chunk.
 void checkIncomplete(resumed_fixture &fixture, const engine_response &first,
                      const engine_response &next)
@@ -210,3 +218,35 @@
         BOOST_TEST(stream.complete);
     }
 }
+
+// Guards against the beginning of an event that is relayed as an event, since the engine ended its
+// response inside a chunk and the framing reads as the rest of the event.
+BOOST_AUTO_TEST_CASE(eventCutInsideItsChunkIsNotRelayed)
+{
+    const std::vector<std::string> framings{ LastChunk, "0\r\nX-A: b\r\n\r\n" };
+    const std::string three = withCrLf(events(1, 3));
+    const engine_response rest{
+        "rest", eventStream + chunked, chunk(withCrLf(events(4, 6))) + LastChunk, {}
+    };
+    for (const std::string cut : { "id: 4\r\ndata: 4", "id: 4\r\ndata:", "id: 4\r\nda", "i" }) {
+        for (const std::string &framing : framings) {
+            resumed_fixture fixture;
+            const engine_response first{ "cut", eventStream + chunked, chunk(three),
+                                         "40\r\n" + cut + framing };
+            const received_stream stream = fixture.call("/resume/", { first, rest });
+            BOOST_TEST(stream.body == withCrLf(events(1, 6)), cut << ": " << stream.body);
+            BOOST_TEST(stream.complete, cut);
+            const std::vector<std::string> expected{ "", "3" };
+            BOOST_TEST(fixture.resumedAfter == expected, boost::test_tools::per_element());
+        }
+    }
+}
+
+// Guards against an empty continuation that completes a stream whose first event had begun.
+BOOST_FIXTURE_TEST_CASE(emptyContinuationDoesNotCompleteABegunEvent, resumed_fixture)
+{
+    const engine_response cut{ "cut", eventStream + chunked, "40\r\nid: 1\r\nda", LastChunk };
+    const engine_response empty{ "empty", eventStream + chunked, LastChunk, {} };
+    const received_stream stream = call("/resume/", { cut, empty });
+    BOOST_TEST(!stream.complete);
+}
--- a/testing/resumed_streams_nettest.cc
+++ b/testing/resumed_streams_nettest.cc
@@ -155,6 +155,44 @@
                    == (expected == stream_end::Done ? "complete" : "failed"));
 }
 
+/// Runs streams whose first engine ends its response after each byte from the given one on, and
+/// checks that they are resumed. Each way of ending the response is a set of faults of the engines.
+void checkCutsAtAnyByte(std::size_t firstCut, const std::vector<json> &endings)
+{
+    constexpr int Tokens = 2;
+    // Each cut takes a retry, of which a daemon has 1000 in ten seconds.
+    constexpr std::size_t CutsPerDaemon = 400;
+    std::unique_ptr<site> place = std::make_unique<site>(2);
+    open_stream whole = place->open("length", Tokens);
+    place->checkWhole(whole);
+    // The head and the sizes of the chunks have less than 600 bytes.
+    const std::size_t end = whole.body.size() + 600;
+    for (std::size_t cut = firstCut; cut < end; ++cut) {
+        if (cut > firstCut && cut % CutsPerDaemon == 0)
+            place = std::make_unique<site>(2);
+        for (std::size_t index = 0; index < endings.size(); ++index) {
+            json ending = endings[index];
+            ending["cut_first_at_byte"] = cut;
+            for (const standin_process &engine : place->engines())
+                setFaults(engine, ending);
+            const std::string name = std::to_string(cut) + " ending " + std::to_string(index);
+            const stream_end how = runStream(*place, name, Tokens);
+            BOOST_TEST((how == stream_end::Done), ending << " ended " << nameOf(how));
+        }
+    }
+    // The last cuts lie behind the response: the last stream took one call.
+    const json first = received(place->engines()[0]);
+    const json second = received(place->engines()[1]);
+    const std::string last = std::to_string(end - 1) + " ending "
+                             + std::to_string(endings.size() - 1);
+    const auto calls = [&last](const json &requests) {
+        return std::count_if(requests.begin(), requests.end(), [&last](const json &request) {
+            return request.dump().find(last) != std::string::npos;
+        });
+    };
+    BOOST_TEST(calls(first) + calls(second) == 1);
+}
+
 } // namespace
 
 // Guards against an error of the next engine that is taken for the response of a stream that has
@@ -214,33 +252,14 @@
 // stream, when an engine closes or resets the connection after any byte of its response.
 BOOST_AUTO_TEST_CASE(streamThatBreaksAtAnyByteIsResumed)
 {
-    constexpr int Tokens = 2;
-    // Each cut takes a retry, of which a daemon has 1000 in ten seconds.
-    constexpr std::size_t CutsPerDaemon = 400;
-    std::unique_ptr<site> place = std::make_unique<site>(2);
-    open_stream whole = place->open("length", Tokens);
-    place->checkWhole(whole);
-    // The head and the sizes of the chunks have less than 600 bytes.
-    const std::size_t end = whole.body.size() + 600;
-    for (std::size_t cut = 0; cut < end; ++cut) {
-        if (cut > 0 && cut % CutsPerDaemon == 0)
-            place = std::make_unique<site>(2);
-        for (const bool reset : { false, true }) {
-            for (const standin_process &engine : place->engines())
-                setFaults(engine, { { "cut_first_at_byte", cut }, { "cut_with_reset", reset } });
-            const std::string name = std::to_string(cut) + (reset ? " reset" : " close");
-            const stream_end how = runStream(*place, name, Tokens);
-            BOOST_TEST((how == stream_end::Done), "cut at " << name << " ended " << nameOf(how));
-        }
-    }
-    // The last cuts lie behind the response: the last stream took one call.
-    const json first = received(place->engines()[0]);
-    const json second = received(place->engines()[1]);
-    const std::string last = std::to_string(end - 1) + " reset";
-    const auto calls = [&last](const json &requests) {
-        return std::count_if(requests.begin(), requests.end(), [&last](const json &request) {
-            return request.dump().find(last) != std::string::npos;
-        });
-    };
-    BOOST_TEST(calls(first) + calls(second) == 1);
+    checkCutsAtAnyByte(0, { { { "cut_with_reset", false } }, { { "cut_with_reset", true } } });
+}
+
+// Guards against the beginning of an event that counts as one, since the engine ended its response
+// inside a chunk and the last chunk reads as the rest of the event.
+BOOST_AUTO_TEST_CASE(streamThatEndsInsideAChunkIsResumed)
+{
+    // After a few heads that are cut, the engines count as failing and get no call.
+    constexpr std::size_t HeadBytes = 178;
+    checkCutsAtAnyByte(HeadBytes, { { { "cut_tail", "0\r\n\r\n" } } });
 }
--- a/testing/standin_engine.cc
+++ b/testing/standin_engine.cc
@@ -204,6 +204,7 @@
     continuation_answer continuation;    // Answer to a call that resumes a stream.
     std::int64_t cutFirstAtByte = -1;    // Ends the next call from token 0 after n response bytes.
     bool cutWithReset = false;           // The cut is a reset.
+    std::string cutTail;                 // Sent at the cut.
     std::int64_t omitEndMarkers = 0;     // Number of coming streams without [DONE].
     std::string wholeUsage;              // When set, the usage of whole answers, as JSON.
     engine_statements statements;        // What all answers state about new calls.
@@ -231,6 +232,7 @@
     bool omitEndMarker = false;
     std::int64_t cutAtByte = -1;
     bool cutWithReset = false;
+    std::string cutTail;
     std::optional<continuation_answer> continuation;
     std::size_t receivedIndex = 0;
     engine_statements statements;
@@ -312,6 +314,7 @@
         reader.read("continuation", m_faults.continuation);
         reader.read("cut_first_at_byte", m_faults.cutFirstAtByte);
         reader.read("cut_with_reset", m_faults.cutWithReset);
+        reader.read("cut_tail", m_faults.cutTail);
         reader.read("omit_end_markers", m_faults.omitEndMarkers);
         reader.read("whole_usage", m_faults.wholeUsage);
         reader.read("lose_cache_events", m_cache.loseEvents);
@@ -404,6 +407,7 @@
         if (call.resumeFrom == 0) {
             call.cutAtByte = std::exchange(m_faults.cutFirstAtByte, -1);
             call.cutWithReset = m_faults.cutWithReset;
+            call.cutTail = m_faults.cutTail;
         }
         if (call.resumeFrom > 0 && m_faults.continuation.count > 0) {
             --m_faults.continuation.count;
@@ -440,7 +444,8 @@
             return answerContinuation(call, peer);
         }
         if (call.cutAtByte >= 0)
-            peer.endAfter(static_cast<std::size_t>(call.cutAtByte), call.cutWithReset);
+            peer.endAfter(static_cast<std::size_t>(call.cutAtByte), call.cutWithReset,
+                          call.cutTail);
         const double prefillMs = m_options.prefillUsPerToken / 1000.0
                                  * static_cast<double>(call.promptTokens - call.cachedTokens);
         if (!pause(peer, prefillMs + slowness(call, faults().delayFirstMs))) {
--- a/testing/standin_http.cc
+++ b/testing/standin_http.cc
@@ -287,6 +287,8 @@
         else
             data.remove_prefix(static_cast<std::size_t>(count));
     }
+    if (endsHere && m_open && !m_endTail.empty())
+        send(m_descriptor, m_endTail.data(), m_endTail.size(), MSG_NOSIGNAL);
     if (endsHere && m_endWithReset)
         reset();
     else if (endsHere)
@@ -308,10 +310,11 @@
     setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &resetOnClose, sizeof(resetOnClose));
 }
 
-void connection::endAfter(std::size_t bytes, bool withReset)
+void connection::endAfter(std::size_t bytes, bool withReset, std::string tail)
 {
     m_bytesLeft = bytes;
     m_endWithReset = withReset;
+    m_endTail = std::move(tail);
 }
 
 bool connection::waitForClose(std::chrono::nanoseconds time)
--- a/testing/standin_http.h
+++ b/testing/standin_http.h
@@ -82,8 +82,9 @@
     /// Closes the connection with a TCP reset.
     void reset();
 
-    /// Closes the connection, in order or with a reset, once this many further bytes are sent.
-    void endAfter(std::size_t bytes, bool withReset);
+    /// Closes the connection, in order or with a reset, once this many further bytes and the tail
+    /// are sent.
+    void endAfter(std::size_t bytes, bool withReset, std::string tail = {});
 
     /// Waits until the peer closes or the time is over. Returns true when the peer has closed.
     bool waitForClose(std::chrono::nanoseconds time);
@@ -106,6 +107,7 @@
     std::string m_buffer;
     std::optional<std::size_t> m_bytesLeft; ///< Set by endAfter().
     bool m_endWithReset = false;
+    std::string m_endTail;
 };
 
 using http_handler = std::function<void(const http_request &, connection &)>;
