Count crashes after the first event of a stream

Cause: routed_request took the first event for an answer. It cleared the strikes of the request, and a crash after it gave none. A started stream was not checked against the blocks.

Ruled out: the exchange of strikes, as engines that crash before the first event are protected; the detection, as each crash stands in call_ended.

Change: only a complete response is an answer. Each call that breaks off is followed by the connection attempt that tells a crash from a reset. A started stream whose request is blocked is cut off. Segments that some complete response has shown to be sound get no strike from a stream that had begun.

--- a/burdockhold/crash_fingerprints.cc
+++ b/burdockhold/crash_fingerprints.cc
@@ -63,8 +63,32 @@
 {
 }
 
+bool crash_fingerprints::wasAnswered(fingerprint suspect) const
+{
+    const suspect_entry *entry = findEntry(suspect);
+    return lastAnswer(suspect) != Never || (entry != nullptr && entry->answeredAt != Never);
+}
+
+/// Returns the fingerprints of a lost request that may have crashed its endpoint, if none is known
+/// to do so.
+std::vector<fingerprint> crash_fingerprints::suspectsOf(const std::vector<fingerprint> &request,
+                                                        call_progress progress,
+                                                        time_point now) const
+{
+    if (progress == call_progress::Unanswered)
+        return request;
+    std::vector<fingerprint> suspects;
+    std::copy_if(request.begin(), request.end(), std::back_inserter(suspects),
+                 [&](fingerprint suspect) {
+                     return suspect == request.back() || isBlocked(suspect, now)
+                            || !wasAnswered(suspect);
+                 });
+    return suspects;
+}
+
 std::vector<fingerprint> crash_fingerprints::recordCrash(const std::vector<fingerprint> &request,
-                                                         std::uint32_t crash, time_point now)
+                                                         std::uint32_t crash, time_point now,
+                                                         call_progress progress)
 {
     std::vector<fingerprint> suspects;
     std::copy_if(request.begin(), request.end(), std::back_inserter(suspects),
@@ -72,7 +96,7 @@
     const bool isTrialLost = std::any_of(suspects.begin(), suspects.end(),
                                          [&](fingerprint suspect) { return isOnTrial(suspect); });
     if (suspects.empty() || isTrialLost)
-        suspects = request;
+        suspects = suspectsOf(request, progress, now);
     if (isTrialLost && isKnownCrash(suspects, crash))
         crash = laterCrashId(crash, now);
     std::vector<fingerprint> newlyBlocked;
--- a/burdockhold/crash_fingerprints.h
+++ b/burdockhold/crash_fingerprints.h
@@ -4,11 +4,12 @@
 // Recognises what makes requests crash endpoints, over all VMs, and blocks it.
 //
 // A request has a fingerprint for each of its shared prompt segments and one for itself. When an
-// endpoint crashes, each request that it had accepted and not begun to answer is a suspect: its
+// endpoint crashes, each request that it had accepted and not answered to the end is a suspect: its
 // fingerprints get a strike for that crash. An answer to any request with a fingerprint, at any VM,
 // clears its earlier strikes. So a segment that many requests share keeps no strikes while some of
 // them are answered, and what crashes endpoints collects one strike with each crash, whatever else
-// its requests contain.
+// its requests contain. Only a complete response is an answer: a request may crash endpoints after
+// its first event.
 //
 // Promises:
 // - A fingerprint with strikesToBlock strikes is blocked at every VM that has heard of them, until
@@ -22,15 +23,18 @@
 //   time between trials doubles with each that ends in a crash, and no VM starts a trial while it
 //   has heard of one within that time. After maxFailedTrials, or one with strikesToEndTrials
 //   strikes, there are none. Crashes within commonCauseTime count as one of them.
+// - Segments of a request that an endpoint had begun to answer get no strike once any answer has
+//   shown them to be sound: many such requests run at an endpoint, and most have nothing to do with
+//   its crash.
 // - Once one fingerprint of a request is blocked, the others get no strikes from its crashes,
 //   unless it was a trial: then another one may be the cause.
 // - Memory is bounded by maxSuspects and recentAnswers. Beyond maxSuspects, the fingerprint with
 //   the fewest strikes is dropped first, and of these the one not reported for longest.
 //
-// Limits: what shares every request with the culprit is blocked with it until a trial succeeds. A
-// request that is lost in strikesToBlock unrelated crashes before any answer is blocked wrongly.
-// Messages may delay a strike or an answer; an answer that arrives late can clear strikes that are
-// younger than it by the delay.
+// Limits: a crash after the end of an answer is not counted. What shares every request with the
+// culprit is blocked with it until a trial succeeds. A request that is lost in strikesToBlock
+// unrelated crashes before any answer is blocked wrongly. Messages may delay a strike or an answer;
+// an answer that arrives late can clear strikes that are younger than it by the delay.
 
 #include "burdockhold/caller_request.h"
 #include "burdockhold/clock.h"
@@ -92,6 +96,9 @@
     duration clearanceGossipTime = std::chrono::seconds(10);
 };
 
+/// How far an endpoint had come with a request when it crashed.
+enum class call_progress { Unanswered, Begun };
+
 /// The VMs among which one is chosen for a trial, by shortHashes of their names.
 struct trial_group
 {
@@ -123,13 +130,14 @@
 public:
     explicit crash_fingerprints(crash_fingerprint_options options = {});
 
-    /// Records that an endpoint crashed with an unanswered request. Returns the fingerprints that
-    /// this strike has blocked.
+    /// Records that an endpoint crashed with a request, before or after it had begun to answer.
+    /// Returns the fingerprints that this strike has blocked.
     std::vector<fingerprint> recordCrash(const std::vector<fingerprint> &request,
-                                         std::uint32_t crash, time_point now);
+                                         std::uint32_t crash, time_point now,
+                                         call_progress progress = call_progress::Unanswered);
 
-    /// Records that an endpoint began to answer a request; an error is not an answer. Returns the
-    /// fingerprints that had strikes, of which the other VMs should hear soon.
+    /// Records that an endpoint answered a request to the end; an error is not an answer. Returns
+    /// the fingerprints that had strikes, of which the other VMs should hear soon.
     std::vector<fingerprint> recordAnswer(const std::vector<fingerprint> &request, time_point now);
 
     /// Decides whether a request may be sent to an endpoint. Changes nothing.
@@ -185,6 +193,9 @@
     std::size_t separateStrikes(const suspect_entry &entry) const;
     time_point newestCrash(const suspect_entry &entry) const;
     bool isOnTrial(fingerprint suspect) const;
+    bool wasAnswered(fingerprint suspect) const;
+    std::vector<fingerprint> suspectsOf(const std::vector<fingerprint> &request,
+                                        call_progress progress, time_point now) const;
     bool isKnownCrash(const std::vector<fingerprint> &suspects, std::uint32_t crash) const;
     void addCrash(suspect_entry &entry, std::uint32_t crash, time_point at, time_point now);
     static void dropStrike(suspect_entry &entry);
--- a/burdockhold/crash_reports.cc
+++ b/burdockhold/crash_reports.cc
@@ -33,6 +33,7 @@
     board.log.write(log_event::EndpointCrashed,
                     { { "id", lost.request.attemptId },
                       { "endpoint", lost.endpoint },
+                      { "begun", lost.progress == call_progress::Begun },
                       { "suspects", std::move(suspects) } },
                     now);
 }
@@ -88,7 +89,7 @@
 void reportCrash(router_board &board, const lost_request &lost, time_point now)
 {
     const auto newlyBlocked = board.crashes.recordCrash(
-            lost.fingerprints, crashId(lost.endpoint, lost.incarnation), now);
+            lost.fingerprints, crashId(lost.endpoint, lost.incarnation), now, lost.progress);
     board.metrics.count(router_counter::RequestsLostInCrashes);
     board.digestRequested = true;
     logCrash(board, lost, now);
--- a/burdockhold/crash_reports.h
+++ b/burdockhold/crash_reports.h
@@ -12,13 +12,14 @@
 
 namespace burdockhold {
 
-/// An unanswered request whose endpoint has crashed.
+/// A request whose endpoint has crashed before the end of its answer.
 struct lost_request
 {
     const caller_request &request;
     const std::vector<fingerprint> &fingerprints;
     const std::string &endpoint;
     std::int64_t incarnation = 0;
+    call_progress progress = call_progress::Unanswered;
 };
 
 /// Decides whether the request may be sent to an endpoint. Logs and counts it if not.
@@ -29,7 +30,7 @@
 void reportTrial(router_board &board, const std::string &attemptId, fingerprint suspect,
                  time_point now);
 
-/// Reports that an endpoint has begun to answer a request; an error is not an answer.
+/// Reports that an endpoint has answered a request to the end; an error is not an answer.
 void reportAnswer(router_board &board, const std::string &attemptId,
                   const std::vector<fingerprint> &fingerprints, time_point now);
 
--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -47,6 +47,8 @@
                                              "time_limit_waiting" };
 constexpr unserved_reasons ExceptionReasons{ 502, "exception_in_stream", "exception",
                                              "exception_not_run" };
+constexpr unserved_reasons CrashReasons{ 502, "crashes_endpoints_in_stream", "crashes_endpoints",
+                                         "crashes_endpoints" };
 constexpr unserved_reasons ProcessEndReasons{ 502, "process_end_in_stream", "process_end",
                                               "leaving" };
 
@@ -356,12 +358,12 @@
     return *choice;
 }
 
-/// Ends the request if what it contains has crashed endpoints. A stream that has started continues,
-/// since an endpoint has answered it.
+/// Ends the request if what it contains has crashed endpoints, also one whose stream has started:
+/// it may crash each endpoint after some events.
 bool routed_request::refuseIfBlocked(time_point now)
 {
     m_trialOf.reset();
-    if (m_responseStarted || (m_isTrial && !m_mayHaveRun))
+    if (m_isTrial && !m_mayHaveRun)
         return false;
     const crash_verdict verdict = judgeRequest(m_context.board, m_request.attemptId, m_fingerprints,
                                                now);
@@ -372,7 +374,7 @@
     if (blocked == nullptr)
         return false;
     if (m_mayHaveRun)
-        fail(502, "crashes_endpoints");
+        endUnserved(CrashReasons);
     else
         refuse(503, "crashes_endpoints", std::min(blocked->nextTrial, MaxBlockedRetryAfter));
     return true;
@@ -468,7 +470,7 @@
     const endpoint_report *report = board.endpoints.find(m_endpointId);
     m_address = report->address;
     m_endpointIncarnation = report->incarnation;
-    m_answered = false;
+    m_progress = call_progress::Unanswered;
     m_triedEndpoints.insert(m_endpointId);
     ++m_callsMade;
     m_choice = choice;
@@ -639,7 +641,7 @@
         return;
     m_lastProgress = steadyNow();
     m_gaps.eventArrived(m_lastProgress);
-    recordAnswer();
+    m_progress = call_progress::Begun;
     if (m_rolloutCall)
         m_rolloutCall->eventsReceived(m_events.events() - m_eventsBeforeCall, m_lastProgress);
     if (!m_responseStarted) {
@@ -650,13 +652,6 @@
     m_writer.sendStreamBytes(text);
 }
 
-void routed_request::recordAnswer()
-{
-    if (!m_answered)
-        reportAnswer(m_context.board, m_request.attemptId, m_fingerprints, steadyNow());
-    m_answered = true;
-}
-
 void routed_request::connectionEnded(http_outcome end)
 {
     if (end == http_outcome::Complete && m_headReceived)
@@ -740,8 +735,8 @@
     }
     if (end != call_end::NotSent)
         m_calledAddresses.insert(m_address);
-    if (end == call_end::Complete)
-        recordAnswer(); // An error may precede the work that crashes endpoints.
+    if (end == call_end::Complete) // An error may precede the work that crashes endpoints.
+        reportAnswer(board, m_request.attemptId, m_fingerprints, now);
     endRolloutCall(board, m_poolName, m_endpointId, m_rolloutCall, end);
     logCall(end);
     releaseCall();
@@ -758,32 +753,31 @@
     facts.attemptsLeft = (m_responseStarted ? MaxCallsOfStartedStream : MaxCalls) - m_callsMade;
     facts.timeLeft = m_deadline - now;
     facts.retriesLeft = needsRetry(facts) && board.tryRetry(m_poolName, now);
-    const bool lostUnanswered = end == call_end::Broken && !m_answered;
-    if (lostUnanswered || needsTerminationCheck(facts))
-        checkTermination(facts, lostUnanswered);
+    if (end == call_end::Broken)
+        checkTermination(facts);
     else
         takeStep(decideNextStep(facts));
 }
 
 /// Probes whether the endpoint has terminated, as far as one connection attempt can tell, and then
-/// takes the next step. If the endpoint had not begun to answer, its termination is a crash that
-/// this request may have caused.
-void routed_request::checkTermination(const attempt_facts &facts, bool lostUnanswered)
+/// takes the next step. The termination of an endpoint that had not answered to the end is a crash
+/// that this request may have caused.
+void routed_request::checkTermination(const attempt_facts &facts)
 {
     checkConnect(m_context.io, m_address, TerminationCheckTimeout,
-                 [self = shared_from_this(), facts, lostUnanswered](connect_outcome outcome) {
-                     self->guard([&] { self->terminationChecked(facts, lostUnanswered, outcome); });
+                 [self = shared_from_this(), facts](connect_outcome outcome) {
+                     self->guard([&] { self->terminationChecked(facts, outcome); });
                  });
 }
 
-void routed_request::terminationChecked(const attempt_facts &facts, bool lostUnanswered,
-                                        connect_outcome outcome)
+void routed_request::terminationChecked(const attempt_facts &facts, connect_outcome outcome)
 {
     const bool terminated = outcome == connect_outcome::Refused;
-    if (terminated && lostUnanswered)
-        reportCrash(m_context.board,
-                    { m_request, m_fingerprints, m_lastEndpointId, m_endpointIncarnation },
-                    steadyNow());
+    if (terminated)
+        reportCrash(
+                m_context.board,
+                { m_request, m_fingerprints, m_lastEndpointId, m_endpointIncarnation, m_progress },
+                steadyNow());
     if (m_ended)
         return;
     if (!terminated || !needsTerminationCheck(facts)) {
@@ -870,7 +864,7 @@
     if (m_paused || !m_events.canContinue())
         return std::nullopt;
     // Elsewhere it would be refused.
-    if (!m_responseStarted && m_context.board.crashes.isAnyBlocked(m_fingerprints, now))
+    if (m_context.board.crashes.isAnyBlocked(m_fingerprints, now))
         return std::nullopt;
     const endpoint_table &endpoints = m_context.board.endpoints;
     return migration_facts{ endpoints.loadingFor(m_endpointId, now),
--- a/burdockhold/routed_request.h
+++ b/burdockhold/routed_request.h
@@ -163,11 +163,9 @@
     call_end classifyEnd(http_outcome end) const;
     void callRefused(time_point now);
     void callEnded(call_end end);
-    void checkTermination(const attempt_facts &facts, bool lostUnanswered);
-    void terminationChecked(const attempt_facts &facts, bool lostUnanswered,
-                            connect_outcome outcome);
+    void checkTermination(const attempt_facts &facts);
+    void terminationChecked(const attempt_facts &facts, connect_outcome outcome);
     bool refuseIfBlocked(time_point now);
-    void recordAnswer();
     void takeStep(const next_step &step);
     void releaseCall();
     void discardBody();
@@ -196,7 +194,7 @@
     std::shared_ptr<http_client_connection> m_connection;
     std::string m_endpointId;
     std::int64_t m_endpointIncarnation = 0;
-    bool m_answered = false; ///< The endpoint has begun to answer.
+    call_progress m_progress = call_progress::Unanswered;
     std::string m_address;
     call_load m_load;
     call_ticket m_ticket; ///< Empty once the endpoint has accepted the call.
--- a/testing/crash_fingerprints_test.cc
+++ b/testing/crash_fingerprints_test.cc
@@ -49,6 +49,7 @@
 constexpr double VmDowntime = 1.0;
 constexpr double ClearanceTime = 3.0; // By then all VMs have heard of an answer.
 constexpr fingerprint DeadlySegment = 666;
+constexpr fingerprint DeadlyRequest = 888;
 constexpr fingerprint CompanionSegment = 777; // In each deadly request and a few sound ones.
 
 struct scenario
@@ -58,6 +59,10 @@
     double deadlyShare = 0.05;
     double companionShare = 0.005; // Of the sound requests.
     bool answersClear = true;
+    bool firstEventsClear = false; // A first event counts as an answer, as it once did.
+    double streamTime = 0.0;       // From the first event of a sound request to its end, at most.
+    double deadlyDelay = 0.0;      // From the first event of a deadly request to the crash.
+    double deadlyInterval = 0.0;   // If set, one deadly request is sent again after this time.
     crash_fingerprint_options options;
 };
 
@@ -142,6 +147,7 @@
             handleLostCalls();
             checkClearances();
             acceptRequests();
+            repeatDeadlyRequest();
             stepEngines();
             sendDigests();
         }
@@ -164,12 +170,15 @@
         std::size_t engine = 0;
         double beginsAt = 0.0;
         bool trial = false;
+        bool begun = false;
+        double endsAt = 0.0;
     };
     struct lost_call
     {
         request made;
         std::uint32_t crash = 0;
         double noticedAt = 0.0;
+        call_progress progress = call_progress::Unanswered;
     };
     struct clearance
     {
@@ -228,7 +237,8 @@
             made.vm = m_random() % m_vms.size();
             made.vmStarts = m_vms[made.vm].starts;
             const bool isDeadlyTime = m_now >= DeadlyFrom && m_now < DeadlyUntil;
-            made.deadly = uniform(0.0, 1.0) < m_scenario.deadlyShare && isDeadlyTime;
+            made.deadly = uniform(0.0, 1.0) < m_scenario.deadlyShare && isDeadlyTime
+                          && m_scenario.deadlyInterval == 0.0;
             made.fingerprints = { 1, 10 + m_random() % 8, 1000 + m_random() % 200 };
             if (made.deadly)
                 made.fingerprints.insert(made.fingerprints.begin() + 1
@@ -246,6 +256,22 @@
         }
     }
 
+    /// Sends the request that is sent again and again, at any VM.
+    void repeatDeadlyRequest()
+    {
+        if (m_scenario.deadlyInterval == 0.0 || m_now < DeadlyFrom || m_now >= DeadlyUntil
+            || m_now < m_deadlySentAt + m_scenario.deadlyInterval)
+            return;
+        m_deadlySentAt = m_now;
+        request made;
+        made.vm = m_random() % m_vms.size();
+        made.vmStarts = m_vms[made.vm].starts;
+        made.deadly = true;
+        made.fingerprints = { 1, 10, 1000, DeadlyRequest };
+        if (isUp(m_vms[made.vm]))
+            send(made);
+    }
+
     void send(request made)
     {
         vm_model &vm = m_vms[made.vm];
@@ -273,12 +299,13 @@
     {
         if (happens(0.15)) // A crash that no request has caused.
             crash(m_random() % m_engines.size());
-        std::vector<call> begun;
+        beginAnswers();
+        std::vector<call> ended;
         for (const call &running : m_calls) {
-            if (running.beginsAt <= m_now)
-                begun.push_back(running);
+            if (running.begun && running.endsAt <= m_now)
+                ended.push_back(running);
         }
-        for (const call &running : begun) {
+        for (const call &running : ended) {
             const auto found = std::find_if(m_calls.begin(), m_calls.end(), [&](const call &c) {
                 return c.made.fingerprints == running.made.fingerprints;
             });
@@ -294,6 +321,26 @@
         }
     }
 
+    void beginAnswers()
+    {
+        for (call &running : m_calls) {
+            if (running.begun || running.beginsAt > m_now)
+                continue;
+            running.begun = true;
+            running.endsAt = m_now + m_scenario.deadlyDelay;
+            if (!running.made.deadly) {
+                m_outcome.sound[running.made.record].begun = true;
+                running.endsAt = m_now;
+                if (m_scenario.streamTime > 0.0)
+                    running.endsAt += uniform(0.0, m_scenario.streamTime);
+            }
+            if (m_scenario.firstEventsClear && isRunning(running.made))
+                m_vms[running.made.vm].crashes.recordAnswer(running.made.fingerprints, at(m_now));
+        }
+    }
+
+    bool isRunning(const request &made) const { return m_vms[made.vm].starts == made.vmStarts; }
+
     void crash(std::size_t engine)
     {
         engine_model &crashed = m_engines[engine];
@@ -305,7 +352,10 @@
         for (auto it = lost; it != m_calls.end(); ++it) {
             for (const fingerprint suspect : it->made.fingerprints)
                 m_lastCrash[suspect] = m_now + 0.1;
-            m_lost.push_back({ it->made, id, m_now + uniform(0.002, 0.06) });
+            // A crash in the tick of the first event comes before it.
+            const bool hasBegun = it->begun && it->endsAt > it->beginsAt + Tick;
+            m_lost.push_back({ it->made, id, m_now + uniform(0.002, 0.06),
+                               hasBegun ? call_progress::Begun : call_progress::Unanswered });
         }
         m_calls.erase(lost, m_calls.end());
         crashed.upAt = m_now + EngineDowntime;
@@ -315,12 +365,11 @@
     void answer(const call &running)
     {
         vm_model &vm = m_vms[running.made.vm];
-        m_outcome.sound[running.made.record].begun = true;
         if (running.trial) {
             ++m_outcome.answeredTrials;
             m_clearances.push_back({ running.made.fingerprints, m_now });
         }
-        if (!m_scenario.answersClear || vm.starts != running.made.vmStarts)
+        if (!m_scenario.answersClear || !isRunning(running.made))
             return;
         vm.urgent = !vm.crashes.recordAnswer(running.made.fingerprints, at(m_now)).empty()
                     || vm.urgent;
@@ -336,9 +385,9 @@
         m_lost.erase(later, m_lost.end());
         for (lost_call &lost : due) {
             vm_model &vm = m_vms[lost.made.vm];
-            if (vm.starts != lost.made.vmStarts)
+            if (!isRunning(lost.made))
                 continue;
-            vm.crashes.recordCrash(lost.made.fingerprints, lost.crash, at(m_now));
+            vm.crashes.recordCrash(lost.made.fingerprints, lost.crash, at(m_now), lost.progress);
             vm.urgent = true;
             send(std::move(lost.made));
         }
@@ -429,6 +478,7 @@
     std::mt19937 m_random;
     std::size_t m_groups;
     double m_now = 0.0;
+    double m_deadlySentAt = 0.0;
     std::vector<vm_model> m_vms;
     std::vector<std::uint32_t> m_hashes;
     std::vector<engine_model> m_engines;
@@ -451,6 +501,7 @@
 double shareWithoutDeadly(scenario chosen)
 {
     chosen.deadlyShare = 0.0;
+    chosen.deadlyInterval = 0.0;
     return play(chosen).begunShare().value();
 }
 
@@ -507,6 +558,50 @@
     BOOST_TEST(answeredTrials > 0U);
 }
 
+// Guards against requests that crash one engine after the other at some moment after their first
+// event: an answer that has only begun must not clear them.
+BOOST_AUTO_TEST_CASE(requestThatCrashesEnginesAfterItsFirstEventIsBlocked)
+{
+    for (const double delay : { 0.01, 0.3, 1.0 }) {
+        for (const double interval : { 0.0, 2.0 }) {
+            for (scenario chosen : scenarios({ { 1, 2 }, { 7, 3 } })) {
+                chosen.streamTime = 1.2;
+                chosen.deadlyDelay = delay;
+                chosen.deadlyInterval = interval;
+                const outcome seen = play(chosen);
+                BOOST_TEST_CONTEXT("delay " << delay << ", interval " << interval << ", "
+                                            << describe(chosen, seen))
+                {
+                    BOOST_TEST(seen.lateDeadlyCalls() <= ToleratedRequests);
+                    BOOST_TEST(seen.begunShare().value_or(1.0)
+                               >= ToleratedShare * shareWithoutDeadly(chosen));
+                }
+            }
+        }
+    }
+    scenario chosen = scenarios({ { 7, 1 } }).front();
+    chosen.streamTime = 1.2;
+    chosen.deadlyDelay = 0.3;
+    chosen.deadlyInterval = 2.0;
+    chosen.firstEventsClear = true;
+    BOOST_TEST(play(chosen).lateDeadlyCalls() > ToleratedRequests);
+}
+
+// Guards against sound requests and segments that collect strikes because they are being answered
+// at engines that crash.
+BOOST_AUTO_TEST_CASE(answeredSegmentsGetNoStrikeFromStreamsCutOff)
+{
+    crash_fingerprints crashes;
+    crashes.recordAnswer({ 1, 100 }, at(0.0));
+    for (std::uint32_t crash = 1; crash <= 20; ++crash)
+        crashes.recordCrash({ 1, 2, 200 + crash % 2 }, crash, at(crash), call_progress::Begun);
+    BOOST_TEST(crashes.strikes(1, at(20.0)) == 0U);
+    BOOST_TEST(crashes.isBlocked(2, at(20.0)));
+    BOOST_TEST(crashes.isBlocked(200, at(20.0)) == false); // Segment 2 is known to be the cause.
+    crashes.recordAnswer({ 1, 2, 101 }, at(21.0));
+    BOOST_TEST(!crashes.isBlocked(2, at(21.0)));
+}
+
 // Guards against a model whose checks cannot fail: without blocks the calls go on, and without
 // answers the shared segments stay blocked.
 BOOST_AUTO_TEST_CASE(checksFailWithoutTheMechanism)
--- a/testing/crashes_nettest.cc
+++ b/testing/crashes_nettest.cc
@@ -68,6 +68,20 @@
     BOOST_TEST(deadEngines(place) == 2u);
 }
 
+// Guards against a request that crashes one engine after the other, since each sends its first
+// token before it crashes.
+BOOST_AUTO_TEST_CASE(requestThatCrashesAfterItsFirstTokenIsRefused)
+{
+    site place(4);
+    useAllEngines(place);
+    for (const standin_process &engine : place.engines())
+        setFaults(engine, { { "exit_marker", Marker }, { "exit_after_tokens", 1 } });
+    for (int i = 0; i < 5; ++i)
+        sendMarked(place);
+    BOOST_TEST(sendMarked(place).status == 422);
+    BOOST_TEST(deadEngines(place) == 2u);
+}
+
 // Guards against refusing a request because connections broke: an engine that drops them and lives
 // on has not crashed.
 BOOST_AUTO_TEST_CASE(brokenConnectionsAreNoCrashes)
--- a/testing/standin_engine.cc
+++ b/testing/standin_engine.cc
@@ -201,6 +201,7 @@
     std::string slowVersion;             // When set, only this version has the added delays.
     std::string failVersion;             // This version answers 500.
     std::string exitMarker;              // A prompt that contains it ends the process.
+    std::int64_t exitAfterTokens = -1;   // When set, after this many tokens of its stream.
     continuation_answer continuation;    // Answer to a call that resumes a stream.
     std::int64_t cutFirstAtByte = -1;    // Ends the next call from token 0 after n response bytes.
     bool cutWithReset = false;           // The cut is a reset.
@@ -311,6 +312,7 @@
         reader.read("slow_version", m_faults.slowVersion);
         reader.read("fail_version", m_faults.failVersion);
         reader.read("exit_marker", m_faults.exitMarker);
+        reader.read("exit_after_tokens", m_faults.exitAfterTokens);
         reader.read("continuation", m_faults.continuation);
         reader.read("cut_first_at_byte", m_faults.cutFirstAtByte);
         reader.read("cut_with_reset", m_faults.cutWithReset);
@@ -330,12 +332,17 @@
         return m_faults;
     }
 
+    bool isDeadly(const completion_call &call)
+    {
+        const std::string marker = faults().exitMarker;
+        return !marker.empty() && call.prompt.find(marker) != std::string::npos;
+    }
+
     void complete(const http_request &request, connection &peer)
     {
         completion_call call = parseCall(request);
         call.receivedIndex = m_received.add(request);
-        const std::string marker = faults().exitMarker;
-        if (!marker.empty() && call.prompt.find(marker) != std::string::npos)
+        if (isDeadly(call) && faults().exitAfterTokens < 0)
             _exit(PoisonExitStatus);
         call.statements = faults().statements;
         if (call.statements.status != 0)
@@ -502,6 +509,8 @@
         std::string text;
         for (std::int64_t index = call.resumeFrom; index <= call.maxTokens; ++index) {
             const engine_faults now = faults();
+            if (sent == now.exitAfterTokens && isDeadly(call))
+                _exit(PoisonExitStatus);
             if (sent == now.dieAfterTokens) {
                 peer.drop();
                 return "died";
