Apply no view that lies before the own one

Cause: view_controller applied each view of another VM, whatever its age.

Ruled out: a limit on the age of a view. Readers in touch differ by up to a second in what they have confirmed, and a view refused for its age may hold newer changes.

Change: a view states the offset up to which its reader has applied the topic.

--- a/burdockhold/topic_follower.cc
+++ b/burdockhold/topic_follower.cc
@@ -177,6 +177,7 @@
     m_handlers.loaded(m_loadedRecords);
     m_loadedRecords.clear();
     m_nextOffset = m_loadEndOffset;
+    m_position = *m_nextOffset;
     m_handlers.confirmed(m_loadStartedAt);
     scheduleNext(m_options.readPause());
 }
@@ -209,6 +210,7 @@
             m_handlers.changed(record);
     }
     m_nextOffset = *m_nextOffset + records.records.size();
+    m_position = *m_nextOffset;
     const bool caughtUp = *m_nextOffset >= records.end;
     if (caughtUp)
         m_handlers.confirmed(m_readSentAt);
--- a/burdockhold/topic_follower.h
+++ b/burdockhold/topic_follower.h
@@ -108,6 +108,9 @@
     /// Cancels the call in progress. No handler is called afterwards.
     void stop();
 
+    /// Returns the offset in the topic up to which records have been passed on.
+    std::uint64_t position() const { return m_position; }
+
 private:
     void loadPage(const std::string &after);
     void pageReceived(const log_response &response);
@@ -124,6 +127,7 @@
     std::vector<platform::keyed_record> m_loadedRecords;
     std::optional<std::uint64_t> m_loadEndOffset;
     std::optional<std::uint64_t> m_nextOffset; // Not set during a load.
+    std::uint64_t m_position = 0;
     duration m_readSentAt = duration::zero();
     duration m_loadStartedAt = duration::zero();
 };
--- a/burdockhold/view_controller.cc
+++ b/burdockhold/view_controller.cc
@@ -472,6 +472,7 @@
 void view_controller::recordConfirmation(read_topic &topic, duration at, std::string_view name)
 {
     topic.confirmedAt = at;
+    topic.usedPosition = topic.follower->position();
     m_handlers.logCallCompleted(name, StatusOk);
     notifySessions();
 }
@@ -525,20 +526,55 @@
         m_board.coldEngines.readerChanged(now);
     }
     const bool hasNewest = applyDeploymentUpdate(view.deploymentUpdate, from);
-    if (view.operatorTopic.loaded) {
-        applyOperator(view.operatorTopic);
-        m_handlers.operatorConfirmed(confirmedAt(view.operatorTopic));
+    const topic_view &operators = view.operatorTopic;
+    const topic_view &endpoints = view.endpointTopic;
+    if (operators.loaded)
+        m_nextRequest.operatorSequenceNumber = operators.sequenceNumber;
+    if (endpoints.loaded)
+        m_nextRequest.endpointSequenceNumber = endpoints.sequenceNumber;
+    if (isOlder(operators, m_operator, confirmedAt(operators), m_board.deploymentConfirmedAt)) {
+        logOlderView(from, platform::OperatorTopic, operators, m_operator);
+    } else if (operators.loaded) {
+        applyOperator(operators);
+        m_handlers.operatorConfirmed(confirmedAt(operators));
         if (hasNewest)
             m_board.deploymentConfirmedAt = std::max(m_board.deploymentConfirmedAt,
-                                                     confirmedAt(view.operatorTopic));
+                                                     confirmedAt(operators));
     }
-    if (view.endpointTopic.loaded) {
-        applyEndpoints(view.endpointTopic);
-        m_board.confirmEndpoints(confirmedAt(view.endpointTopic));
+    if (isOlder(endpoints, m_endpoints, confirmedAt(endpoints), m_board.endpointsConfirmedAt)) {
+        logOlderView(from, platform::EndpointTopic, endpoints, m_endpoints);
+    } else if (endpoints.loaded) {
+        applyEndpoints(endpoints);
+        m_board.confirmEndpoints(confirmedAt(endpoints));
     }
     m_source.responseReceived(isFresh(response.transferTime), now);
 }
 
+/// Returns whether the view lies before the one that this VM uses, by the log's offsets and by the
+/// time of confirmation. Nothing of it is applied then: it holds no change that this VM lacks, also
+/// if later changes are relative to it. After the log has lost records, offsets alone would refuse
+/// the newest view.
+bool view_controller::isOlder(const topic_view &view, const read_topic &own, duration confirmedAt,
+                              duration ownConfirmedAt) const
+{
+    return view.loaded && view.position != 0 && view.position < own.usedPosition
+           && confirmedAt < ownConfirmedAt;
+}
+
+void view_controller::logOlderView(const group_vm &from, std::string_view topic,
+                                   const topic_view &view, const read_topic &own)
+{
+    const time_point now = steadyNow();
+    if (m_board.log.accepts(log_priority::StateChange, now))
+        m_board.log.write(log_event::ViewReceived,
+                          { { "from", from.name },
+                            { "topic", topic },
+                            { "older", true },
+                            { "position", view.position },
+                            { "own_position", own.usedPosition } },
+                          now);
+}
+
 /// Logs a failed request, and a response long enough to delay what it contains.
 void view_controller::logTransfer(const group_vm &from, duration sentAt,
                                   const log_response &response, bool isReadable)
@@ -592,7 +628,7 @@
     }
     if (view.isSnapshot)
         m_handlers.operatorListed(keys);
-    m_nextRequest.operatorSequenceNumber = view.sequenceNumber;
+    m_operator.usedPosition = view.position;
 }
 
 void view_controller::applyEndpoints(const topic_view &view)
@@ -612,7 +648,7 @@
     }
     if (view.isSnapshot)
         m_handlers.endpointsListed(ids);
-    m_nextRequest.endpointSequenceNumber = view.sequenceNumber;
+    m_endpoints.usedPosition = view.position;
 }
 
 /// Returns true if the view is no older than expected from a reader that polls at its usual rate.
@@ -716,6 +752,7 @@
     topic_changes changes = topic.changelog.since(knownSequenceNumber);
     view.isSnapshot = changes.isSnapshot;
     view.sequenceNumber = changes.sequenceNumber;
+    view.position = topic.follower->position();
     view.records = std::move(changes.records);
     const duration offset = topic.confirmedAt - receivedAt;
     // Rounded down, so that the requester never takes the view for fresher than it is.
--- a/burdockhold/view_controller.h
+++ b/burdockhold/view_controller.h
@@ -97,6 +97,8 @@
         topic_changelog changelog;
         bool loaded = false;
         duration confirmedAt = duration::zero(); // By bootTimeNow(), which includes suspend time.
+        /// Offset in the log's topic of the view that this VM uses, whoever has read it.
+        std::uint64_t usedPosition = 0;
     };
 
     void startReading();
@@ -119,6 +121,10 @@
                      bool isReadable);
     /// Returns true if this VM then has the reader's deployment.
     bool applyDeploymentUpdate(const std::string &encoded, const group_vm &from);
+    bool isOlder(const topic_view &view, const read_topic &own, duration confirmedAt,
+                 duration ownConfirmedAt) const;
+    void logOlderView(const group_vm &from, std::string_view topic, const topic_view &view,
+                      const read_topic &own);
     void applyOperator(const topic_view &view);
     void applyEndpoints(const topic_view &view);
     bool isFresh(duration transferTime) const;
--- a/burdockhold/view_message.h
+++ b/burdockhold/view_message.h
@@ -50,7 +50,9 @@
     /// negative.
     std::int64_t confirmedOffsetMs = 0;
     std::vector<topic_record> records;
-    MSGPACK_DEFINE_ARRAY(loaded, isSnapshot, sequenceNumber, confirmedOffsetMs, records)
+    /// Offset in the log's topic up to which the reader has applied it; 0 from an earlier build.
+    std::uint64_t position = 0;
+    MSGPACK_DEFINE_ARRAY(loaded, isSnapshot, sequenceNumber, confirmedOffsetMs, records, position)
 };
 
 struct view_response
--- a/testing/views_looptest.cc
+++ b/testing/views_looptest.cc
@@ -1,5 +1,6 @@
 #define BOOST_TEST_MODULE views
 #include "burdockhold/view_controller.h"
+#include "platform/deployment_codec.h"
 #include "testing/support_platform.h"
 #include "testing/support_views.h"
 
@@ -11,9 +12,11 @@
 #include <boost/test/unit_test.hpp>
 
 #include <array>
+#include <atomic>
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -278,3 +281,80 @@
     BOOST_TEST(valueOf(third).operatorSequenceNumber == 7U);
     BOOST_TEST(valueOf(third).endpointSequenceNumber == 0U);
 }
+
+// Guards against a reader that was cut off and passes on its old view when it is back: a VM that
+// was in touch used an endpoint again that it had seen draining, and removed a new one.
+BOOST_AUTO_TEST_CASE(olderViewOfAnotherReaderChangesNothing)
+{
+    constexpr std::int64_t OldMs = -5000;
+    const auto encoded = [](const std::string &id, const std::string &state) {
+        const auto report = platform::decodeEndpoint(id, endpointRecord(state));
+        BOOST_REQUIRE(isOk(report));
+        return topic_record{ id, false, encodeReport(valueOf(report)) };
+    };
+    const topic_view operators{ true, true, 7, 0, { { "config", false, "first" } }, 20 };
+    topic_view oldOperators = operators;
+    oldOperators.confirmedOffsetMs = OldMs;
+    const auto response = [](std::uint64_t reader, const topic_view &operatorTopic,
+                             const topic_view &endpointTopic) {
+        view_response made;
+        made.reader = reader;
+        made.operatorTopic = operatorTopic;
+        made.endpointTopic = endpointTopic;
+        return made;
+    };
+    const topic_view first{ true, true, 9, 0, { encoded("e1", "draining"), encoded("e2", "ready") },
+                            30 };
+    const topic_view older{ true, true, 3, OldMs, { encoded("e1", "ready") }, 25 };
+    const topic_view olderChange{ true, false, 4, OldMs, {}, 26 };
+    const topic_view newer{ true, false, 5, 0, { encoded("e3", "ready") }, 31 };
+    const std::vector<view_response> responses{ response(1, operators, first),
+                                                response(2, oldOperators, older),
+                                                response(2, oldOperators, olderChange),
+                                                response(2, operators, newer) };
+    std::vector<view_request> requests;
+    std::mutex mutex;
+    std::atomic<bool> hasCaughtUp{ false };
+    fake_server reader([&](const recorded_request &request, response_socket &socket) {
+        const std::lock_guard lock(mutex);
+        const auto decoded = decodeViewRequest(request.target);
+        BOOST_REQUIRE(isOk(decoded));
+        requests.push_back(valueOf(decoded));
+        const std::size_t last = hasCaughtUp ? 3 : 2;
+        const std::string body = encodeViewResponse(responses[std::min(requests.size() - 1, last)]);
+        return socket.write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size())
+                            + "\r\n\r\n" + body);
+    });
+    boost::asio::io_context io;
+    view_vm vm(io, 0, "127.0.0.1:1");
+    vm.board.groupVms = { { "reader", reader.address(), vm.board.settings.capacity() + 1 } };
+    vm.controller.begin();
+    const auto runUntil = [&](std::size_t requestCount) {
+        const time_point end = steadyNow() + Timeout;
+        while (steadyNow() < end) {
+            {
+                const std::lock_guard lock(mutex);
+                if (requests.size() >= requestCount)
+                    return;
+            }
+            vm.controller.step(steadyNow());
+            io.run_for(std::chrono::milliseconds(10));
+            io.restart();
+        }
+    };
+    const auto usable = [&] {
+        std::set<std::string> ids;
+        for (const auto &candidate :
+             vm.board.endpoints.candidates("desk", "", 0, "", {}, steadyNow()))
+            ids.insert(std::string(candidate.id));
+        return ids;
+    };
+    runUntil(5);
+    BOOST_TEST((usable() == std::set<std::string>{ "e2" }));
+    hasCaughtUp = true;
+    runUntil(7);
+    BOOST_TEST((usable() == std::set<std::string>{ "e2", "e3" }));
+    const std::lock_guard lock(mutex);
+    BOOST_REQUIRE(requests.size() >= 5U);
+    BOOST_TEST(requests[3].endpointSequenceNumber == 4U);
+}
