Take no part of an error's body for an event that had begun

A caller got 502 in place of an empty stream that its second engine had completed, when the first engine's error broke off inside a chunk. Found by reading, which holds the bytes of a chunk back; no caller reported it.

Cause: releaseCall passed what was held back to event_splitter whatever the response was. An error is not a stream of events.

Change: isEventStream() decides, as for the bytes that are relayed.

--- a/burdockhold/routed_request.cc
+++ b/burdockhold/routed_request.cc
@@ -579,13 +579,19 @@
     return true;
 }
 
+/// Returns whether the response to the current call is a stream of events; an error is not.
+bool routed_request::isEventStream() const
+{
+    const bool success = m_head.status >= 200 && m_head.status < 300;
+    return m_route->kind == call_kind::Stream && success;
+}
+
 void routed_request::bodyReceived(std::string_view bytes)
 {
     m_context.board.endpoints.recordActivity(m_endpointId, steadyNow());
     if (!m_prefillDone)
         firstByteReceived();
-    const bool success = m_head.status >= 200 && m_head.status < 300;
-    if (m_route->kind == call_kind::Stream && success) {
+    if (isEventStream()) {
         relayEvents(bytes);
         return;
     }
@@ -906,7 +912,8 @@
     m_endpointId.clear();
     if (!m_connection)
         return;
-    m_events.addIncomplete(m_connection->heldBody());
+    if (isEventStream())
+        m_events.addIncomplete(m_connection->heldBody());
     const auto connection = std::exchange(m_connection, nullptr);
     m_context.connections.release(m_address, connection);
     m_context.waiting.roomFreed(m_context.io, m_poolName);
--- a/burdockhold/routed_request.h
+++ b/burdockhold/routed_request.h
@@ -154,6 +154,7 @@
     http_handlers callHandlers();
     bool headReceived(const response_message &message);
     bool isResponseToThisCall(const endpoint_response_head &head) const;
+    bool isEventStream() const;
     void bodyReceived(std::string_view bytes);
     void firstByteReceived();
     void relayEvents(std::string_view bytes);
--- a/testing/resumed_streams_looptest.cc
+++ b/testing/resumed_streams_looptest.cc
@@ -250,3 +250,14 @@
     const received_stream stream = call("/resume/", { cut, empty });
     BOOST_TEST(!stream.complete);
 }
+
+// Guards against an error whose body breaks off that counts as the beginning of an event, so that
+// the next engine's empty response does not complete the stream.
+BOOST_FIXTURE_TEST_CASE(errorCutInsideAChunkBeginsNoEvent, resumed_fixture)
+{
+    const engine_response error{ "error", chunked, "40\r\nerror: the", {}, false, "500 X" };
+    const engine_response empty{ "empty", eventStream + chunked, LastChunk, {} };
+    const received_stream stream = call("/resume/", { error, empty });
+    BOOST_TEST(stream.head.rfind("HTTP/1.1 200", 0) == 0U, stream.head);
+    BOOST_TEST(resumedAfter.size() == 2U);
+}
