Log where a VM's view comes from and since when it is not fresh

New lines view_source_changed and view_freshness_changed; deployment_applied states whether the version came from the log or from which VM. The lines on responses move with them from view_controller into view_log; shouldReadLog() decides as before, by a cause that the line states. No logic changes.

--- a/burdockhold/decision_log.h
+++ b/burdockhold/decision_log.h
@@ -36,6 +36,8 @@
     DeploymentRefused,
     ViewReceived,
     ViewRequestFailed,
+    ViewSourceChanged,
+    ViewFreshnessChanged,
     WeightsWanted,
     WeightsRefused,
     EndpointChanged,
@@ -82,7 +84,7 @@
 template <>
 struct enum_names<log_event>
 {
-    static constexpr std::array<enum_name<log_event>, 51> Table{ {
+    static constexpr std::array<enum_name<log_event>, 53> Table{ {
             { log_event::Started, "started" },
             { log_event::Stopping, "stopping" },
             { log_event::Stopped, "stopped" },
@@ -93,6 +95,8 @@
             { log_event::DeploymentRefused, "deployment_refused" },
             { log_event::ViewReceived, "view_received" },
             { log_event::ViewRequestFailed, "view_request_failed" },
+            { log_event::ViewSourceChanged, "view_source_changed" },
+            { log_event::ViewFreshnessChanged, "view_freshness_changed" },
             { log_event::WeightsWanted, "weights_wanted" },
             { log_event::WeightsRefused, "weights_refused" },
             { log_event::EndpointChanged, "endpoint_changed" },
--- a/burdockhold/event_router.cc
+++ b/burdockhold/event_router.cc
@@ -191,7 +191,9 @@
     handlers.operatorRecord = [this](const auto &record) { operatorRecord(record); };
     handlers.operatorListed = [this](const auto &keys) { operatorListed(keys); };
     handlers.operatorConfirmed = [this](duration at) { operatorConfirmed(at); };
-    handlers.deploymentChanged = [this](const auto &index) { applyDeployment(index); };
+    handlers.deploymentChanged = [this](const auto &index, std::string_view from) {
+        applyDeployment(index, from);
+    };
     handlers.deploymentRefused = [this](const auto &reason) { deploymentRefused(reason); };
     handlers.endpointReported = [this](const auto &report) { endpointReported(report); };
     handlers.endpointRemoved = [this](const auto &id) { endpointRemoved(id); };
@@ -350,7 +352,8 @@
                           now);
 }
 
-void event_router::applyDeployment(std::shared_ptr<const deployment_index> next)
+void event_router::applyDeployment(std::shared_ptr<const deployment_index> next,
+                                   std::string_view from)
 {
     const time_point now = steadyNow();
     std::set<std::string> pools;
@@ -369,7 +372,8 @@
     if (m_board.log.accepts(log_priority::StateChange, now))
         m_board.log.write(log_event::DeploymentApplied,
                           { { "version", m_board.deployment->version() },
-                            { "routes", m_board.deployment->routeCount() } },
+                            { "routes", m_board.deployment->routeCount() },
+                            { "from", from } },
                           now);
 }
 
--- a/burdockhold/event_router.h
+++ b/burdockhold/event_router.h
@@ -60,7 +60,7 @@
     void evacuationEnded(const std::string &dataCentre);
     void logEvacuation(log_event event, const std::string &dataCentre, std::string_view reason);
     void operatorRecord(const platform::keyed_record &record);
-    void applyDeployment(std::shared_ptr<const deployment_index> next);
+    void applyDeployment(std::shared_ptr<const deployment_index> next, std::string_view from);
     void deploymentRefused(const std::string &reason);
     void applyTargetWeights(std::string_view body);
     void endpointReported(const endpoint_report &report);
--- a/burdockhold/view_controller.cc
+++ b/burdockhold/view_controller.cc
@@ -21,8 +21,6 @@
 
 constexpr int StatusOk = 200;
 constexpr std::size_t MaxRequestBytes = 1024;
-/// A response of this length takes over 50 ms on a link of 10 Mbit/s.
-constexpr std::size_t LargeViewBytes = std::size_t(64) * 1024;
 /// Encoded updates that are kept for further requests: usually one since the last version, one for
 /// VMs that missed it, and a snapshot for VMs that start.
 constexpr std::size_t MaxEncodedUpdates = 4;
@@ -264,6 +262,7 @@
     , m_handlers(std::move(handlers))
     , m_source({}, board.settings.vmName, board.settings.capacity())
     , m_incarnation(newIncarnation())
+    , m_log(board)
     , m_maxSessions(descriptor_shares(board.settings.descriptors).vms)
     , m_acceptor(context)
 {
@@ -313,6 +312,7 @@
         stopReading();
     if (m_source.maySendRequests(now) && !m_requestInFlight && now >= m_nextRequestAt)
         sendRequest(now);
+    m_log.report(m_reading, m_source.cause(), m_requestInFlight ? m_requestedFrom : "");
 }
 
 void view_controller::startReading()
@@ -450,7 +450,7 @@
     if (!m_deployments.put(valueOf(decoded)))
         return;
     m_encodedUpdates.clear();
-    m_handlers.deploymentChanged(m_deployments.index());
+    m_handlers.deploymentChanged(m_deployments.index(), "log");
 }
 
 void view_controller::endpointChanged(const platform::keyed_record &record)
@@ -503,6 +503,7 @@
         m_connectionAddress = reader->address;
     }
     m_requestInFlight = true;
+    m_requestedFrom = reader->name;
     m_nextRequest.wait = requestWait(m_board.settings);
     m_nextRequest.deploymentVersion = m_deployments.version();
     const duration sentAt = bootTimeNow();
@@ -521,7 +522,7 @@
     const time_point now = steadyNow();
     const auto decoded = decodeViewResponse(response.body);
     const bool isReadable = response.status == StatusOk && isOk(decoded);
-    logTransfer(from, sentAt, response, isReadable);
+    m_log.transferEnded(from.name, sentAt, response, isReadable);
     if (!isReadable) {
         m_source.requestFailed(from.name, now);
         return;
@@ -547,7 +548,8 @@
     if (endpoints.loaded)
         m_nextRequest.endpointSequenceNumber = endpoints.sequenceNumber;
     if (isOlder(operators, m_operator, confirmedAt(operators), m_board.deploymentConfirmedAt)) {
-        logOlderView(from, platform::OperatorTopic, operators, m_operator);
+        m_log.olderViewReceived(from.name, platform::OperatorTopic, operators,
+                                m_operator.usedPosition);
     } else if (operators.loaded) {
         applyOperator(operators);
         m_handlers.operatorConfirmed(confirmedAt(operators));
@@ -556,12 +558,15 @@
                                                      confirmedAt(operators));
     }
     if (isOlder(endpoints, m_endpoints, confirmedAt(endpoints), m_board.endpointsConfirmedAt)) {
-        logOlderView(from, platform::EndpointTopic, endpoints, m_endpoints);
+        m_log.olderViewReceived(from.name, platform::EndpointTopic, endpoints,
+                                m_endpoints.usedPosition);
     } else if (endpoints.loaded) {
         applyEndpoints(endpoints);
         m_board.confirmEndpoints(confirmedAt(endpoints));
     }
-    m_source.responseReceived(isFresh(response.transferTime), now);
+    const bool fresh = isFresh(response.transferTime);
+    m_log.reportFreshness(fresh, from.name);
+    m_source.responseReceived(fresh, now);
 }
 
 /// Returns whether the view lies before the one that this VM uses, by the log's offsets and by the
@@ -575,39 +580,6 @@
            && confirmedAt < ownConfirmedAt;
 }
 
-void view_controller::logOlderView(const group_vm &from, std::string_view topic,
-                                   const topic_view &view, const read_topic &own)
-{
-    const time_point now = steadyNow();
-    if (m_board.log.accepts(log_priority::StateChange, now))
-        m_board.log.write(log_event::ViewReceived,
-                          { { "from", from.name },
-                            { "topic", topic },
-                            { "older", true },
-                            { "position", view.position },
-                            { "own_position", own.usedPosition } },
-                          now);
-}
-
-/// Logs a failed request, and a response long enough to delay what it contains.
-void view_controller::logTransfer(const group_vm &from, duration sentAt,
-                                  const log_response &response, bool isReadable)
-{
-    const time_point now = steadyNow();
-    if (isReadable && response.receivedBytes < LargeViewBytes)
-        return;
-    if (!m_board.log.accepts(log_priority::StateChange, now))
-        return;
-    const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(bootTimeNow()
-                                                                               - sentAt);
-    m_board.log.write(isReadable ? log_event::ViewReceived : log_event::ViewRequestFailed,
-                      { { "from", from.name },
-                        { "status", response.status },
-                        { "bytes", response.receivedBytes },
-                        { "total_ms", elapsed.count() } },
-                      now);
-}
-
 bool view_controller::applyDeploymentUpdate(const std::string &encoded, const group_vm &from)
 {
     if (encoded.empty())
@@ -622,7 +594,7 @@
     }
     if (valueOf(applied)) {
         m_encodedUpdates.clear();
-        m_handlers.deploymentChanged(m_deployments.index());
+        m_handlers.deploymentChanged(m_deployments.index(), from.name);
     }
     // An update that does not apply is since an older version than this VM has by now. The next
     // request states the version.
--- a/burdockhold/view_controller.h
+++ b/burdockhold/view_controller.h
@@ -24,6 +24,7 @@
 #include "burdockhold/entry_silence.h"
 #include "burdockhold/router_board.h"
 #include "burdockhold/topic_follower.h"
+#include "burdockhold/view_log.h"
 #include "burdockhold/view_message.h"
 #include "burdockhold/view_source.h"
 
@@ -53,8 +54,10 @@
     /// Called when the view of the operator's records is known to be that of the log at this time
     /// of the boot-time clock.
     std::function<void(duration at)> operatorConfirmed = [](duration) {};
-    /// Called with a deployment of a higher version than the one before.
-    std::function<void(const std::shared_ptr<const deployment_index> &)> deploymentChanged;
+    /// Called with a deployment of a higher version than the one before, and the name of the VM
+    /// that it is from, or "log".
+    std::function<void(const std::shared_ptr<const deployment_index> &, std::string_view from)>
+            deploymentChanged;
     /// Called with the reason if a deployment in the log cannot be decoded; the one before holds.
     std::function<void(const std::string &reason)> deploymentRefused;
     std::function<void(const endpoint_report &)> endpointReported;
@@ -122,14 +125,10 @@
 
     void sendRequest(time_point now);
     void responseReceived(const group_vm &from, duration sentAt, const log_response &response);
-    void logTransfer(const group_vm &from, duration sentAt, const log_response &response,
-                     bool isReadable);
     /// Returns true if this VM then has the reader's deployment.
     bool applyDeploymentUpdate(const std::string &encoded, const group_vm &from);
     bool isOlder(const topic_view &view, const read_topic &own, duration confirmedAt,
                  duration ownConfirmedAt) const;
-    void logOlderView(const group_vm &from, std::string_view topic, const topic_view &view,
-                      const read_topic &own);
     void applyOperator(const topic_view &view);
     void applyEndpoints(const topic_view &view);
     bool isFresh(duration transferTime) const;
@@ -158,8 +157,11 @@
     /// Encoded updates to m_deployments.version(), by the version since which they are.
     std::map<std::optional<std::uint64_t>, std::shared_ptr<const std::string>> m_encodedUpdates;
 
+    view_log m_log;
+
     // State of this VM's own requests.
     std::string m_connectionAddress; // Peer address of m_connection.
+    std::string m_requestedFrom;     // Name of the VM of the last request.
     std::shared_ptr<log_connection> m_connection;
     view_request m_nextRequest;
     bool m_requestInFlight = false;
--- /dev/null
+++ b/burdockhold/view_log.h
@@ -0,0 +1,55 @@
+#ifndef BURDOCKHOLD_VIEW_LOG_H
+#define BURDOCKHOLD_VIEW_LOG_H
+
+// Log lines on where this VM's view of the platform's log comes from: whether the VM reads the log,
+// from which VM it requests the view, since when the view is not fresh any more, and which
+// responses were late or older than the own view.
+//
+// Promise: a state is logged when it changes, not each time it is reported.
+
+#include "burdockhold/router_board.h"
+#include "burdockhold/topic_follower.h"
+#include "burdockhold/view_message.h"
+#include "burdockhold/view_source.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace burdockhold {
+
+class view_log
+{
+public:
+    explicit view_log(router_board &board)
+        : m_board(board)
+    {
+    }
+
+    /// Reports whether this VM reads the log and why, and the VM that it requests the view from, if
+    /// any.
+    void report(bool readsLog, reading_cause cause, std::string_view requestedFrom);
+
+    /// Reports whether the view is fresh, and from whom it was received last.
+    void reportFreshness(bool fresh, std::string_view from);
+
+    /// Logs a failed request, and a response long enough to delay what it contains.
+    void transferEnded(std::string_view from, duration sentAt, const log_response &response,
+                       bool isReadable);
+
+    /// Logs a view that lies before the own one, at this offset in the log.
+    void olderViewReceived(std::string_view from, std::string_view topic, const topic_view &view,
+                           std::uint64_t ownPosition);
+
+private:
+    void write(log_event event, nlohmann::ordered_json fields);
+
+    router_board &m_board;
+    bool m_readsLog = false;
+    std::string m_requestedFrom;
+    bool m_fresh = false;
+};
+
+} // namespace burdockhold
+
+#endif
--- a/burdockhold/view_source.cc
+++ b/burdockhold/view_source.cc
@@ -93,17 +93,26 @@
 }
 
 bool view_source::shouldReadLog(time_point now)
+{
+    m_cause = decideCause(now);
+    return m_cause != reading_cause::None;
+}
+
+reading_cause view_source::decideCause(time_point now) const
 {
     if (!m_startedAt)
-        return false;
+        return reading_cause::None;
+    if (hasRecentRequest(now))
+        return reading_cause::Requested;
+    if (!preferredReader(now))
+        return reading_cause::RanksFirst;
     const bool startupTimedOut = now - *m_startedAt >= m_options.startupTimeout;
-    const bool lacksFreshView = !m_freshSince && startupTimedOut && !m_responseArriving;
+    if (!m_freshSince && startupTimedOut && !m_responseArriving)
+        return reading_cause::NoFreshView;
     const bool freshLongEnough = m_freshSince && now - *m_freshSince >= m_options.readingLinger;
-    if (hasRecentRequest(now) || !preferredReader(now) || lacksFreshView)
-        m_reading = true;
-    else if (freshLongEnough)
-        m_reading = false;
-    return m_reading;
+    if (m_cause == reading_cause::None || freshLongEnough)
+        return reading_cause::None;
+    return reading_cause::Lingering;
 }
 
 } // namespace burdockhold
--- a/burdockhold/view_source.h
+++ b/burdockhold/view_source.h
@@ -18,7 +18,9 @@
 // number of VMs to which a request recently failed.
 
 #include "burdockhold/clock.h"
+#include "burdockhold/enum_names.h"
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -37,6 +39,27 @@
     std::uint32_t capacity = 0; ///< router_settings::capacity().
 };
 
+/// Why a VM reads the log itself.
+enum class reading_cause {
+    None,        ///< It does not.
+    Requested,   ///< Another VM requests its view.
+    RanksFirst,  ///< There is no VM to request the view from.
+    NoFreshView, ///< The view is not fresh.
+    Lingering,   ///< The view became fresh a short time ago.
+};
+
+template <>
+struct enum_names<reading_cause>
+{
+    static constexpr std::array<enum_name<reading_cause>, 5> Table{ {
+            { reading_cause::None, "none" },
+            { reading_cause::Requested, "requested" },
+            { reading_cause::RanksFirst, "ranks_first" },
+            { reading_cause::NoFreshView, "no_fresh_view" },
+            { reading_cause::Lingering, "lingering" },
+    } };
+};
+
 struct view_source_options
 {
     /// A VM continues to read the log for this long after the last request that it received, and
@@ -83,6 +106,9 @@
     /// Decides whether this VM reads the log itself now.
     bool shouldReadLog(time_point now);
 
+    /// Returns why the last shouldReadLog() decided as it did.
+    reading_cause cause() const { return m_cause; }
+
     /// Returns true if this VM may request the view from others. A VM that receives requests reads
     /// the log itself and has no need to.
     bool maySendRequests(time_point now) const { return m_startedAt && !hasRecentRequest(now); }
@@ -91,6 +117,7 @@
     bool retriesEagerly() const { return m_rank < m_options.eagerReaders; }
 
 private:
+    reading_cause decideCause(time_point now) const;
     bool hasRecentRequest(time_point now) const;
     bool isBackedOff(const std::string &vm, time_point now) const;
 
@@ -104,7 +131,7 @@
     std::optional<time_point> m_lastRequestAt;
     std::optional<time_point> m_freshSince; // Set while responses give fresh views.
     bool m_responseArriving = false;
-    bool m_reading = false;
+    reading_cause m_cause = reading_cause::None;
 };
 
 } // namespace burdockhold
--- a/testing/support_views.h
+++ b/testing/support_views.h
@@ -73,7 +73,9 @@
         made.operatorRecord = [this](const auto &record) {
             operatorRecords[record.key] = record.value.value_or("(removed)");
         };
-        made.deploymentChanged = [this](const auto &index) { deployment = index; };
+        made.deploymentChanged = [this](const auto &index, std::string_view) {
+            deployment = index;
+        };
         made.deploymentRefused = [](const auto &) {};
         made.endpointReported = [this](const auto &report) {
             board.endpoints.update(report, steadyNow());
