--- a/cmake/router.cmake
+++ b/cmake/router.cmake
@@ -56,8 +56,9 @@
     add_test(NAME ${test_name} COMMAND ${test_name})
     set_tests_properties(${test_name} PROPERTIES LABELS loop TIMEOUT 120 RUN_SERIAL TRUE)
   endforeach()
-  target_sources(deployment_transfers_looptest PRIVATE
-                 ${CMAKE_SOURCE_DIR}/testing/support_slow_link.cc)
+  foreach(test_name deployment_transfers_looptest config_bound_looptest)
+    target_sources(${test_name} PRIVATE ${CMAKE_SOURCE_DIR}/testing/support_slow_link.cc)
+  endforeach()
   target_sources(client_crowds_looptest PRIVATE ${CMAKE_SOURCE_DIR}/testing/support_crowd.cc)
   foreach(test_name soak_looptest restored_log_looptest cut_vms_looptest
           brittle_engines_looptest)
--- a/testing/support_slow_link.cc
+++ b/testing/support_slow_link.cc
@@ -4,6 +4,7 @@
 #include "burdockhold/http_client_connection.h"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
@@ -40,6 +41,7 @@
         , m_server(owner.m_io)
         , m_timer(owner.m_io)
         , m_owner(owner)
+        , m_number(owner.m_nextSession++)
     {
     }
 
@@ -70,6 +72,12 @@
 
     void write(link_direction &direction, std::size_t bytes)
     {
+        if (!direction.isLimited)
+            m_lastRequest.assign(direction.bytes.data(), bytes);
+        if (isSilent()) {
+            pass(direction);
+            return;
+        }
         boost::asio::async_write(
                 direction.to, boost::asio::buffer(direction.bytes, bytes),
                 [self = shared_from_this(), &direction](error_code error, std::size_t written) {
@@ -82,6 +90,14 @@
                 });
     }
 
+    bool isSilent()
+    {
+        const std::string &text = m_owner.m_silentText;
+        m_isSilent = m_isSilent || m_number < m_owner.m_silentSessions
+                     || (!text.empty() && m_lastRequest.find(text) != std::string::npos);
+        return m_isSilent;
+    }
+
     void passAfterPause(link_direction &direction, std::size_t bytes)
     {
         m_owner.m_bytesPassed += bytes;
@@ -105,6 +121,9 @@
     tcp::socket m_server;
     boost::asio::steady_timer m_timer;
     slow_link &m_owner;
+    int m_number;
+    bool m_isSilent = false;
+    std::string m_lastRequest;
     link_direction m_requests{ m_caller, m_server };
     link_direction m_responses{ m_server, m_caller, true };
 };
@@ -125,6 +144,16 @@
     m_thread.join();
 }
 
+void slow_link::silenceOpen()
+{
+    boost::asio::post(m_io, [this] { m_silentSessions = m_nextSession; });
+}
+
+void slow_link::silenceRequestsWith(const std::string &text)
+{
+    boost::asio::post(m_io, [this, text] { m_silentText = text; });
+}
+
 void slow_link::accept()
 {
     m_acceptor.async_accept([this](error_code error, tcp::socket caller) {
--- a/testing/support_slow_link.h
+++ b/testing/support_slow_link.h
@@ -2,8 +2,8 @@
 #define BURDOCKHOLD_SUPPORT_SLOW_LINK_H
 
 // A TCP relay on loopback that counts the bytes from its server and passes them on at a limited
-// rate, as the link of a small VM does. Bytes to the server are passed on at once. It runs on its
-// own thread.
+// rate, as the link of a small VM does. Bytes to the server are passed on at once. Connections can
+// fall silent: they stay open and pass nothing more. It runs on its own thread.
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -29,6 +29,13 @@
     std::size_t bytesPassed() const { return m_bytesPassed; }
     void setRate(std::size_t bytesPerSecond) { m_bytesPerSecond = bytesPerSecond; }
 
+    /// Silences the connections that are open now. Later ones work.
+    void silenceOpen();
+
+    /// Silences all connections, open and later ones, whose last request contains the text. An
+    /// empty text ends it for connections that have not fallen silent.
+    void silenceRequestsWith(const std::string &text);
+
 private:
     friend class slow_link_session;
 
@@ -40,6 +47,9 @@
     int m_port = 0;
     std::atomic<std::size_t> m_bytesPerSecond;
     std::atomic<std::size_t> m_bytesPassed{ 0 };
+    std::string m_silentText; // Used by the thread only, as the next field.
+    int m_silentSessions = 0; // Sessions with a lower number are silent.
+    int m_nextSession = 0;
     std::thread m_thread;
 };
 
