Give up a reader without answers within the bound on configurations

Cause: the age up to which a view counts as fresh, and the wait of a read, came from the bound on withdrawn keys (5 s: 2.7 s), not from that on configurations; and the age was looked at only when a response arrived. A VM that read the log itself took its own reads for those of the reader, so it ceased to read after 3 s and was late again.

Ruled out: a shorter timeout of the reader's calls alone, which would never get an answer of a log that answers later than that.

Change: view_timing derives the wait of a read and the age from all bounds, with time left for another VM to read the log; the age counts as time passes; a response is judged by what it states.

--- a/burdockhold/view_controller.cc
+++ b/burdockhold/view_controller.cc
@@ -36,27 +36,9 @@
 constexpr duration ResponseSlack = std::chrono::milliseconds(300);
 /// Minimum time from a response to the next request, also if responses come at once.
 constexpr duration MinRequestInterval = std::chrono::milliseconds(20);
-/// Tolerated age of a fresh view beyond the reader's polling interval.
-constexpr duration FreshnessSlack = std::chrono::milliseconds(700);
-/// Fractions of the bounds for key revocation and for leaving endpoints. Two reads of the log, two
-/// requests and the timeout of one silent reader fit into each bound.
-constexpr double OperatorWaitFraction = 0.2;
-constexpr double RequestWaitFractionOfLeavingBound = 0.25;
-constexpr double RequestWaitFractionOfRevocationBound = 0.14;
 constexpr duration EagerRetryInterval = std::chrono::milliseconds(250);
 constexpr duration RelaxedRetryInterval = std::chrono::milliseconds(1500);
 
-duration fractionOf(duration total, double fraction)
-{
-    return fromSeconds(fraction * toSeconds(total));
-}
-
-duration requestWait(const router_settings &settings)
-{
-    return std::min(fractionOf(settings.leavingBound, RequestWaitFractionOfLeavingBound),
-                    fractionOf(settings.revocationBound, RequestWaitFractionOfRevocationBound));
-}
-
 std::uint64_t newIncarnation()
 {
     std::random_device source;
@@ -305,6 +287,7 @@
 {
     m_source.setGroup(m_board.groupVms);
     m_source.setResponseArriving(m_requestInFlight && m_connection->isReceiving());
+    updateFreshness();
     const bool reads = m_source.shouldReadLog(now);
     if (reads && !m_reading)
         startReading();
@@ -321,6 +304,7 @@
     if (!server)
         return; // Checked when the process starts.
     m_reading = true;
+    m_transferTime = duration::zero();
     m_board.coldEngines.readerChanged(steadyNow());
     m_operator.follower = std::make_shared<topic_follower>(m_context, *server, m_board.storeEra,
                                                            operatorOptions(), operatorHandlers());
@@ -346,7 +330,7 @@
     options.topic = std::string(platform::OperatorTopic);
     options.maxResponseBytes = operatorResponseBytes();
     options.readPause = [] { return duration::zero(); };
-    options.readWait = fractionOf(m_board.settings.revocationBound, OperatorWaitFraction);
+    options.readWait = timing().operatorReadWait;
     options.retryPause = [this] { return retryPause(); };
     return options;
 }
@@ -504,7 +488,7 @@
     }
     m_requestInFlight = true;
     m_requestedFrom = reader->name;
-    m_nextRequest.wait = requestWait(m_board.settings);
+    m_nextRequest.wait = timing().requestWait;
     m_nextRequest.deploymentVersion = m_deployments.version();
     const duration sentAt = bootTimeNow();
     m_connection->call({ "GET", encodeViewRequest(m_nextRequest), {}, {} },
@@ -523,6 +507,7 @@
     const auto decoded = decodeViewResponse(response.body);
     const bool isReadable = response.status == StatusOk && isOk(decoded);
     m_log.transferEnded(from.name, sentAt, response, isReadable);
+    m_transferTime = isReadable ? response.transferTime : duration::zero();
     if (!isReadable) {
         m_source.requestFailed(from.name, now);
         return;
@@ -564,9 +549,9 @@
         applyEndpoints(endpoints);
         m_board.confirmEndpoints(confirmedAt(endpoints));
     }
-    const bool fresh = isFresh(response.transferTime);
-    m_log.reportFreshness(fresh, from.name);
-    m_source.responseReceived(fresh, now);
+    const bool loaded = operators.loaded && endpoints.loaded;
+    m_source.responseReceived(loaded && isFresh(confirmedAt(operators), confirmedAt(endpoints)),
+                              now);
 }
 
 /// Returns whether the view lies before the one that this VM uses, by the log's offsets and by the
@@ -637,18 +622,29 @@
     m_endpoints.usedPosition = view.position;
 }
 
-/// Returns true if the view is no older than expected from a reader that polls at its usual rate.
-/// The time that the response took to arrive does not count: the reader is not to blame for it, and
-/// the next response is short.
-bool view_controller::isFresh(duration transferTime) const
+view_timing view_controller::timing() const
+{
+    return viewTimingOf(m_board.settings, m_board.endpointReadInterval());
+}
+
+/// Returns whether a view that was confirmed at these times is no older than expected from a reader
+/// that gets answers. The time that the last response took to arrive does not count: the reader is
+/// not to blame for it, and the next response is short.
+bool view_controller::isFresh(duration operatorConfirmedAt, duration endpointsConfirmedAt) const
+{
+    const view_timing limits = timing();
+    const duration at = bootTimeNow() - m_transferTime;
+    return at - operatorConfirmedAt < limits.operatorMaxAge
+           && at - endpointsConfirmedAt < limits.endpointMaxAge;
+}
+
+/// A reader without answers may respond for long, so the view ages between its responses as well.
+void view_controller::updateFreshness()
 {
-    const duration arrivalBegan = bootTimeNow() - transferTime;
-    const duration operatorAge = arrivalBegan - m_board.deploymentConfirmedAt;
-    const duration endpointAge = arrivalBegan - m_board.endpointsConfirmedAt;
-    const duration operatorWait = fractionOf(m_board.settings.revocationBound,
-                                             OperatorWaitFraction);
-    return operatorAge < 2 * operatorWait + FreshnessSlack
-           && endpointAge < m_board.endpointReadInterval() + FreshnessSlack;
+    const bool fresh = isFresh(m_board.deploymentConfirmedAt, m_board.endpointsConfirmedAt);
+    m_log.reportFreshness(fresh, m_requestedFrom);
+    if (!fresh)
+        m_source.viewExpired();
 }
 
 void view_controller::acceptConnections()
--- a/burdockhold/view_controller.h
+++ b/burdockhold/view_controller.h
@@ -27,6 +27,7 @@
 #include "burdockhold/view_log.h"
 #include "burdockhold/view_message.h"
 #include "burdockhold/view_source.h"
+#include "burdockhold/view_timing.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -131,7 +132,9 @@
                  duration ownConfirmedAt) const;
     void applyOperator(const topic_view &view);
     void applyEndpoints(const topic_view &view);
-    bool isFresh(duration transferTime) const;
+    view_timing timing() const;
+    bool isFresh(duration operatorConfirmedAt, duration endpointsConfirmedAt) const;
+    void updateFreshness();
 
     void acceptConnections();
     void startSession(boost::asio::ip::tcp::socket socket);
@@ -165,6 +168,7 @@
     std::shared_ptr<log_connection> m_connection;
     view_request m_nextRequest;
     bool m_requestInFlight = false;
+    duration m_transferTime = duration::zero(); // Of the last response.
     time_point m_nextRequestAt;
 
     std::size_t m_maxSessions;
--- a/burdockhold/view_source.h
+++ b/burdockhold/view_source.h
@@ -89,9 +89,12 @@
     /// Records that another VM has requested this VM's view.
     void requestReceived(time_point now);
 
-    /// Records a response to this VM's request, and whether the resulting view is fresh.
+    /// Records a response to this VM's request, and whether the view in it is fresh.
     void responseReceived(bool fresh, time_point now);
 
+    /// Records that this VM's view is not fresh any more.
+    void viewExpired() { m_freshSince.reset(); }
+
     /// Records that a request to the VM failed.
     void requestFailed(const std::string &vm, time_point now);
 
--- a/cmake/router.cmake
+++ b/cmake/router.cmake
@@ -11,7 +11,7 @@
     retry_limit.cc retry_slack.cc
     rollout_sampler.cc router_metrics.cc router_settings.cc scheduler_message.cc
     segment_transfer.cc software_rollout.cc stored_segments.cc
-    topic_changelog.cc view_message.cc view_source.cc vm_digest.cc wait_rules.cc waiting_room.cc
+    topic_changelog.cc view_message.cc view_source.cc view_timing.cc vm_digest.cc wait_rules.cc waiting_room.cc
     weights_load_estimator.cc weights_rollout.cc)
 list(TRANSFORM ROUTER_DECISIONS PREPEND ${CMAKE_SOURCE_DIR}/burdockhold/)
 file(GLOB PLATFORM_SOURCES CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/platform/*.cc)
--- a/testing/config_bound_looptest.cc
+++ b/testing/config_bound_looptest.cc
@@ -100,6 +100,7 @@
                     waiting.end());
         }
         for (const std::size_t index : indices) {
+            BOOST_TEST_MESSAGE("VM " << index << " after " << toSeconds(delays[index]) << " s");
             BOOST_TEST(toSeconds(delays[index])
                                <= toSeconds(vms[index]->board.settings.configBound),
                        "VM " << index << " after " << toSeconds(delays[index]) << " s");
