Request the view from any VM while the own one is not fresh

Cause: a VM that had received a request never sent one, and the others sent theirs to VMs of a higher rank only.

Ruled out: passing on views that a VM has received, as two VMs could then keep an old view alive; the configuration itself may be passed on, since its versions only rise.

Change: a VM without a fresh view requests it from the first six VMs of the order in turn, and a VM whose view was not fresh is left out for a second. A request that waits at a VM is given up when the view expires. The rate of these requests does not grow with the group. Messages are the same, so a VM of an earlier build answers them, and does not send them.

--- a/burdockhold/view_controller.cc
+++ b/burdockhold/view_controller.cc
@@ -36,6 +36,9 @@
 constexpr duration ResponseSlack = std::chrono::milliseconds(300);
 /// Minimum time from a response to the next request, also if responses come at once.
 constexpr duration MinRequestInterval = std::chrono::milliseconds(20);
+/// Wait of a request to any VM: a VM with a fresh view has it at once, or as soon as it has read
+/// the log. Several such requests fit within view_timing's time for a takeover.
+constexpr duration AnyViewWait = std::chrono::milliseconds(150);
 constexpr duration EagerRetryInterval = std::chrono::milliseconds(250);
 constexpr duration RelaxedRetryInterval = std::chrono::milliseconds(1500);
 
@@ -287,13 +290,13 @@
 {
     m_source.setGroup(m_board.groupVms);
     m_source.setResponseArriving(m_requestInFlight && m_connection->isReceiving());
-    updateFreshness();
+    updateFreshness(now);
     const bool reads = m_source.shouldReadLog(now);
     if (reads && !m_reading)
         startReading();
     else if (!reads && m_reading)
         stopReading();
-    if (m_source.maySendRequests(now) && !m_requestInFlight && now >= m_nextRequestAt)
+    if (!m_requestInFlight && now >= m_nextRequestAt)
         sendRequest(now);
     m_log.report(m_reading, m_source.cause(), m_requestInFlight ? m_requestedFrom : "");
 }
@@ -477,7 +480,7 @@
 
 void view_controller::sendRequest(time_point now)
 {
-    const auto reader = m_source.preferredReader(now);
+    const auto reader = m_source.vmToRequestFrom(now);
     const auto server = reader ? parseAddress(reader->address) : std::nullopt;
     if (!server)
         return;
@@ -488,14 +491,15 @@
     }
     m_requestInFlight = true;
     m_requestedFrom = reader->name;
-    m_nextRequest.wait = timing().requestWait;
+    const bool needsAnyView = m_source.needsAnyView(now);
+    m_nextRequest.wait = needsAnyView ? AnyViewWait : timing().requestWait;
     m_nextRequest.deploymentVersion = m_deployments.version();
     const duration sentAt = bootTimeNow();
     m_connection->call({ "GET", encodeViewRequest(m_nextRequest), {}, {} },
                        m_nextRequest.wait + ResponseSlack,
-                       [this, from = *reader, sentAt](const log_response &response) {
+                       [this, from = *reader, sentAt, needsAnyView](const log_response &response) {
                            m_requestInFlight = false;
-                           m_nextRequestAt = steadyNow() + MinRequestInterval;
+                           m_nextRequestAt = steadyNow() + requestInterval(needsAnyView);
                            responseReceived(from, sentAt, response);
                        });
 }
@@ -550,8 +554,8 @@
         m_board.confirmEndpoints(confirmedAt(endpoints));
     }
     const bool loaded = operators.loaded && endpoints.loaded;
-    m_source.responseReceived(loaded && isFresh(confirmedAt(operators), confirmedAt(endpoints)),
-                              now);
+    m_source.responseReceived(
+            from.name, loaded && isFresh(confirmedAt(operators), confirmedAt(endpoints)), now);
 }
 
 /// Returns whether the view lies before the one that this VM uses, by the log's offsets and by the
@@ -580,6 +584,7 @@
     if (valueOf(applied)) {
         m_encodedUpdates.clear();
         m_handlers.deploymentChanged(m_deployments.index(), from.name);
+        notifySessions();
     }
     // An update that does not apply is since an older version than this VM has by now. The next
     // request states the version.
@@ -639,12 +644,34 @@
 }
 
 /// A reader without answers may respond for long, so the view ages between its responses as well.
-void view_controller::updateFreshness()
+void view_controller::updateFreshness(time_point now)
 {
     const bool fresh = isFresh(m_board.deploymentConfirmedAt, m_board.endpointsConfirmedAt);
     m_log.reportFreshness(fresh, m_requestedFrom);
-    if (!fresh)
-        m_source.viewExpired();
+    m_source.setViewFresh(fresh);
+    if (m_viewWasFresh && !fresh)
+        abandonRequest(now);
+    m_viewWasFresh = fresh;
+}
+
+/// Ends a request that waits for changes at a VM whose view is not fresh.
+void view_controller::abandonRequest(time_point now)
+{
+    if (!m_requestInFlight || m_connection->isReceiving())
+        return;
+    m_connection->close();
+    m_requestInFlight = false;
+    m_nextRequestAt = now;
+    m_source.responseReceived(m_requestedFrom, false, now);
+}
+
+/// Requests of VMs without a fresh view are many if the log is unavailable, and each response may
+/// be a snapshot, so their rate does not grow with the group.
+duration view_controller::requestInterval(bool needsAnyView) const
+{
+    const auto others = static_cast<duration::rep>(m_board.groupVms.size());
+    return needsAnyView ? MinRequestInterval * std::max<duration::rep>(1, others)
+                        : MinRequestInterval;
 }
 
 void view_controller::acceptConnections()
--- a/burdockhold/view_controller.h
+++ b/burdockhold/view_controller.h
@@ -134,7 +134,9 @@
     void applyEndpoints(const topic_view &view);
     view_timing timing() const;
     bool isFresh(duration operatorConfirmedAt, duration endpointsConfirmedAt) const;
-    void updateFreshness();
+    void updateFreshness(time_point now);
+    void abandonRequest(time_point now);
+    duration requestInterval(bool needsAnyView) const;
 
     void acceptConnections();
     void startSession(boost::asio::ip::tcp::socket socket);
@@ -168,6 +170,7 @@
     std::shared_ptr<log_connection> m_connection;
     view_request m_nextRequest;
     bool m_requestInFlight = false;
+    bool m_viewWasFresh = false;                // At the last step.
     duration m_transferTime = duration::zero(); // Of the last response.
     time_point m_nextRequestAt;
 
--- a/burdockhold/view_source.cc
+++ b/burdockhold/view_source.cc
@@ -43,14 +43,14 @@
 
 void view_source::setGroup(std::vector<group_vm> others)
 {
-    const auto own = rankKeyOf(m_ownName, m_ownCapacity);
-    others.erase(std::remove_if(others.begin(), others.end(),
-                                [&](const group_vm &vm) { return !(rankKeyOf(vm) < own); }),
-                 others.end());
     std::sort(others.begin(), others.end(),
               [](const group_vm &a, const group_vm &b) { return rankKeyOf(a) < rankKeyOf(b); });
-    m_higherRanked = std::move(others);
-    m_rank = m_higherRanked.size();
+    const auto own = rankKeyOf(m_ownName, m_ownCapacity);
+    const auto firstLower = std::find_if(others.begin(), others.end(), [&](const group_vm &vm) {
+        return !(rankKeyOf(vm) < own);
+    });
+    m_rank = static_cast<std::size_t>(firstLower - others.begin());
+    m_others = std::move(others);
 }
 
 void view_source::requestReceived(time_point now)
@@ -58,20 +58,34 @@
     m_lastRequestAt = now;
 }
 
-void view_source::responseReceived(bool fresh, time_point now)
+void view_source::responseReceived(const std::string &vm, bool fresh, time_point now)
 {
-    if (!fresh)
+    if (!fresh) {
         m_freshSince.reset();
-    else if (!m_freshSince)
+        m_lastStaleAt[vm] = now;
+        return;
+    }
+    m_lastStaleAt.erase(vm);
+    if (!m_freshSince)
         m_freshSince = now;
 }
 
+void view_source::setViewFresh(bool fresh)
+{
+    m_viewFresh = fresh;
+    m_viewWasFresh = m_viewWasFresh || fresh;
+    if (!fresh)
+        m_freshSince.reset();
+}
+
 void view_source::requestFailed(const std::string &vm, time_point now)
 {
     m_lastFailureAt[vm] = now;
     m_freshSince.reset();
     for (auto row = m_lastFailureAt.begin(); row != m_lastFailureAt.end();)
         row = isBackedOff(row->first, now) ? std::next(row) : m_lastFailureAt.erase(row);
+    for (auto row = m_lastStaleAt.begin(); row != m_lastStaleAt.end();)
+        row = wasStale(row->first, now) ? std::next(row) : m_lastStaleAt.erase(row);
 }
 
 bool view_source::isBackedOff(const std::string &vm, time_point now) const
@@ -80,11 +94,41 @@
     return found != m_lastFailureAt.end() && now - found->second < m_options.failureBackoff;
 }
 
+bool view_source::wasStale(const std::string &vm, time_point now) const
+{
+    const auto found = m_lastStaleAt.find(vm);
+    return found != m_lastStaleAt.end() && now - found->second < m_options.staleBackoff;
+}
+
 std::optional<group_vm> view_source::preferredReader(time_point now) const
 {
-    const auto found = std::find_if(m_higherRanked.begin(), m_higherRanked.end(),
+    const auto end = m_others.begin() + static_cast<std::ptrdiff_t>(m_rank);
+    const auto found = std::find_if(m_others.begin(), end,
                                     [&](const group_vm &vm) { return !isBackedOff(vm.name, now); });
-    return found == m_higherRanked.end() ? std::nullopt : std::optional<group_vm>(*found);
+    return found == end ? std::nullopt : std::optional<group_vm>(*found);
+}
+
+std::optional<group_vm> view_source::fallbackReader(time_point now) const
+{
+    const std::size_t count = std::min(m_others.size(), m_options.fallbackReaders);
+    const auto end = m_others.begin() + static_cast<std::ptrdiff_t>(count);
+    const auto found = std::find_if(m_others.begin(), end, [&](const group_vm &vm) {
+        return !isBackedOff(vm.name, now) && !wasStale(vm.name, now);
+    });
+    return found == end ? std::nullopt : std::optional<group_vm>(*found);
+}
+
+bool view_source::needsAnyView(time_point now) const
+{
+    return m_startedAt && !m_viewFresh
+           && (m_viewWasFresh || now - *m_startedAt >= m_options.startupTimeout);
+}
+
+std::optional<group_vm> view_source::vmToRequestFrom(time_point now) const
+{
+    if (needsAnyView(now))
+        return fallbackReader(now);
+    return maySendRequests(now) ? preferredReader(now) : std::nullopt;
 }
 
 bool view_source::hasRecentRequest(time_point now) const
--- a/burdockhold/view_source.h
+++ b/burdockhold/view_source.h
@@ -14,8 +14,10 @@
 //   with a view is just arriving.
 // - A VM that receives a request for its view reads the log. VMs pass on only what they have read
 //   from the log themselves, so two VMs cannot keep sending each other the same stale view.
+// - A VM without a fresh view requests it from the first VMs of the order in turn as well, also if
+//   other VMs request its own view: the log may be out of reach for this VM and its reader only.
 // The class has no clock and does no I/O. Beyond the list of the group, its memory is linear in the
-// number of VMs to which a request recently failed.
+// number of VMs to which a request recently failed, or whose view recently was not fresh.
 
 #include "burdockhold/clock.h"
 #include "burdockhold/enum_names.h"
@@ -73,6 +75,10 @@
     /// During an outage of the log, this many VMs of the group retry at short intervals, the others
     /// at long ones.
     std::size_t eagerReaders = 3;
+    /// A VM without a fresh view requests it from this many VMs in turn.
+    std::size_t fallbackReaders = 6;
+    /// Time without such requests to a VM whose view was not fresh.
+    duration staleBackoff = std::chrono::seconds(1);
 };
 
 class view_source
@@ -89,11 +95,11 @@
     /// Records that another VM has requested this VM's view.
     void requestReceived(time_point now);
 
-    /// Records a response to this VM's request, and whether the view in it is fresh.
-    void responseReceived(bool fresh, time_point now);
+    /// Records the VM's response to this VM's request, and whether the view in it is fresh.
+    void responseReceived(const std::string &vm, bool fresh, time_point now);
 
-    /// Records that this VM's view is not fresh any more.
-    void viewExpired() { m_freshSince.reset(); }
+    /// States whether this VM's view is fresh, wherever it is from.
+    void setViewFresh(bool fresh);
 
     /// Records that a request to the VM failed.
     void requestFailed(const std::string &vm, time_point now);
@@ -106,6 +112,12 @@
     /// which no request failed recently.
     std::optional<group_vm> preferredReader(time_point now) const;
 
+    /// Tells whether this VM requests the view from any VM, since its own is not fresh.
+    bool needsAnyView(time_point now) const;
+
+    /// Returns the VM to request the view from now, or nothing.
+    std::optional<group_vm> vmToRequestFrom(time_point now) const;
+
     /// Decides whether this VM reads the log itself now.
     bool shouldReadLog(time_point now);
 
@@ -123,17 +135,22 @@
     reading_cause decideCause(time_point now) const;
     bool hasRecentRequest(time_point now) const;
     bool isBackedOff(const std::string &vm, time_point now) const;
+    bool wasStale(const std::string &vm, time_point now) const;
+    std::optional<group_vm> fallbackReader(time_point now) const;
 
     view_source_options m_options;
     std::string m_ownName;
     std::uint32_t m_ownCapacity;
-    std::vector<group_vm> m_higherRanked; // In descending order of preference.
-    std::size_t m_rank = 0;
+    std::vector<group_vm> m_others; // In descending order of preference.
+    std::size_t m_rank = 0;         // The number of other VMs that rank higher than this one.
     std::map<std::string, time_point> m_lastFailureAt;
+    std::map<std::string, time_point> m_lastStaleAt;
     std::optional<time_point> m_startedAt;
     std::optional<time_point> m_lastRequestAt;
     std::optional<time_point> m_freshSince; // Set while responses give fresh views.
     bool m_responseArriving = false;
+    bool m_viewFresh = false;
+    bool m_viewWasFresh = false; // At any time.
     reading_cause m_cause = reading_cause::None;
 };
 
--- a/testing/config_bound_looptest.cc
+++ b/testing/config_bound_looptest.cc
@@ -154,7 +154,8 @@
     const std::size_t reader = group.byCalls().front();
     group.confirmView();
     group.links[reader]->silenceRequestsWith(std::string(AnyCall));
-    group.checkNextVersion({ reader });
+    for (int change = 0; change < 3; ++change)
+        group.checkNextVersion({ 0, 1, 2, 3 });
 }
 
 // Guards against a VM without answers that asks only the reader, which has none either.
--- a/testing/view_source_test.cc
+++ b/testing/view_source_test.cc
@@ -18,11 +18,14 @@
 constexpr duration RequestInterval = std::chrono::milliseconds(700);
 /// A stopped VM is presumed alive for this long, unless a request to it fails.
 constexpr duration FailureDetectionDelay = std::chrono::seconds(3);
+/// Age from which a view is not fresh, and the interval of requests of a VM that has such a view.
+constexpr duration MaxFreshAge = std::chrono::seconds(2);
+constexpr duration AnyViewInterval = 2 * StepTime;
 /// Time between two calls of setGroup().
 constexpr duration MembershipUpdateInterval = std::chrono::milliseconds(500);
 
-/// A VM of the simulated group. It has a fresh view while it reads the log, or after a response of
-/// a VM that does.
+/// A VM of the simulated group. It has a fresh view while it reads the log and gets answers, or
+/// after a response of a VM that does.
 struct member
 {
     explicit member(int number)
@@ -35,15 +38,17 @@
     view_source source;
     bool alive = true;
     bool partitioned = false; ///< From the VMs for which this is false.
+    bool cutFromLog = false;  ///< Gets no answers from the log.
     time_point stoppedAt;
     bool reading = false;
     time_point readingSince;
-    time_point freshAt;
+    time_point readAt;  ///< The last answer of the log.
+    time_point freshAt; ///< Time of the view, whoever has read it.
     time_point nextRequestAt;
     time_point nextMembershipUpdate;
 };
 
-/// A group whose members send requests and read the log in steps of StepTime. The log never fails.
+/// A group whose members send requests and read the log in steps of StepTime.
 class test_group
 {
 public:
@@ -78,6 +83,7 @@
         vm.source.begin(m_now);
         vm.nextMembershipUpdate = m_now;
         vm.reading = false;
+        vm.readAt = time_point();
         vm.freshAt = m_now; // The age of a view is counted from the VM's start.
     }
 
@@ -136,18 +142,20 @@
         if (reads && !vm.reading)
             vm.readingSince = m_now;
         vm.reading = reads;
-        if (reads && m_now - vm.readingSince >= StepTime)
-            vm.freshAt = m_now;
-        if (vm.source.maySendRequests(m_now) && m_now >= vm.nextRequestAt)
+        if (reads && !vm.cutFromLog && m_now - vm.readingSince >= StepTime)
+            vm.readAt = vm.freshAt = m_now;
+        vm.source.setViewFresh(m_now - vm.freshAt < MaxFreshAge);
+        if (m_now >= vm.nextRequestAt)
             sendRequest(vm);
     }
 
     void sendRequest(member &vm)
     {
-        const auto reader = vm.source.preferredReader(m_now);
+        const auto reader = vm.source.vmToRequestFrom(m_now);
         if (!reader)
             return;
-        vm.nextRequestAt = m_now + RequestInterval;
+        vm.nextRequestAt = m_now
+                           + (vm.source.needsAnyView(m_now) ? AnyViewInterval : RequestInterval);
         member &other = *find(reader->name);
         if (!other.alive || other.partitioned != vm.partitioned) {
             vm.source.requestFailed(other.name, m_now);
@@ -156,9 +164,9 @@
         other.source.requestReceived(m_now);
         const bool loaded = other.reading && m_now - other.readingSince >= StepTime;
         if (loaded)
-            vm.freshAt = std::max(vm.freshAt, other.freshAt);
+            vm.freshAt = std::max(vm.freshAt, other.readAt);
         // A response without a loaded view does not refresh the requester's view.
-        vm.source.responseReceived(m_now - vm.freshAt < std::chrono::seconds(2), m_now);
+        vm.source.responseReceived(other.name, loaded && m_now - other.readAt < MaxFreshAge, m_now);
         if (!loaded)
             vm.nextRequestAt = m_now + StepTime;
     }
@@ -222,6 +230,33 @@
     }
 }
 
+// Guards against VMs that keep an old view while the log does not answer them and their reader, but
+// answers other VMs: each of them finds one, also if others request its own view.
+BOOST_AUTO_TEST_CASE(vmsWithoutAnswersOfTheLogFindOneThatHasThem)
+{
+    constexpr double TakeoverSeconds = 1.0;
+    for (const int count : { 2, 7, 12 }) {
+        for (unsigned seed = 0; seed < 200; ++seed) {
+            test_group group(count);
+            group.run(std::chrono::seconds(6));
+            std::mt19937 random(seed);
+            const std::size_t sound = random() % group.members().size();
+            for (std::size_t index = 0; index < group.members().size(); ++index)
+                group.members()[index]->cutFromLog = index != sound && random() % 3 == 0;
+            for (int tick = 0; tick < 60; ++tick) {
+                group.run(std::chrono::milliseconds(100));
+                BOOST_TEST(toSeconds(group.oldestViewAge())
+                                   < toSeconds(MaxFreshAge) + TakeoverSeconds,
+                           count << " VMs, seed " << seed);
+            }
+            for (auto &vm : group.members())
+                vm->cutFromLog = false;
+            group.run(std::chrono::seconds(15));
+            BOOST_TEST(group.readers().size() == 1U, count << " VMs, seed " << seed);
+        }
+    }
+}
+
 // Guards against a restart of all VMs after which no VM reads the log, or all VMs do permanently.
 BOOST_AUTO_TEST_CASE(restartOfAllVmsEndsWithOneReader)
 {
