Send a read of the log once more if it has no response

Ruled out: a shorter timeout alone; a log that answers later than that would never be read.

Change: 0.3 s after the wait of a read without any response the follower sends it on a second connection; the first response counts, the other call is ended, and the next read uses the connection that worked.

--- a/burdockhold/decision_log.h
+++ b/burdockhold/decision_log.h
@@ -36,6 +36,7 @@
     DeploymentRefused,
     ViewReceived,
     ViewRequestFailed,
+    LogReadRepeated,
     ViewSourceChanged,
     ViewFreshnessChanged,
     WeightsWanted,
@@ -84,7 +85,7 @@
 template <>
 struct enum_names<log_event>
 {
-    static constexpr std::array<enum_name<log_event>, 53> Table{ {
+    static constexpr std::array<enum_name<log_event>, 54> Table{ {
             { log_event::Started, "started" },
             { log_event::Stopping, "stopping" },
             { log_event::Stopped, "stopped" },
@@ -95,6 +96,7 @@
             { log_event::DeploymentRefused, "deployment_refused" },
             { log_event::ViewReceived, "view_received" },
             { log_event::ViewRequestFailed, "view_request_failed" },
+            { log_event::LogReadRepeated, "log_read_repeated" },
             { log_event::ViewSourceChanged, "view_source_changed" },
             { log_event::ViewFreshnessChanged, "view_freshness_changed" },
             { log_event::WeightsWanted, "weights_wanted" },
--- a/burdockhold/topic_follower.cc
+++ b/burdockhold/topic_follower.cc
@@ -141,14 +141,16 @@
 }
 
 topic_follower::topic_follower(boost::asio::io_context &context,
-                               boost::asio::ip::tcp::endpoint server, store_era &era,
+                               const boost::asio::ip::tcp::endpoint &server, store_era &era,
                                follower_options options, follower_handlers handlers)
     : m_options(std::move(options))
     , m_handlers(std::move(handlers))
-    , m_logConnection(std::make_shared<log_connection>(context, std::move(server), &era,
-                                                       m_options.maxResponseBytes))
     , m_timer(context)
+    , m_repeatTimer(context)
 {
+    for (read_call *call : { &m_call, &m_repeat })
+        call->connection = std::make_shared<log_connection>(context, server, &era,
+                                                            m_options.maxResponseBytes);
 }
 
 void topic_follower::start()
@@ -164,15 +166,17 @@
 {
     m_stopped = true;
     m_timer.cancel();
-    m_logConnection->close();
+    m_repeatTimer.cancel();
+    m_call.connection->close();
+    m_repeat.connection->close();
 }
 
 void topic_follower::loadPage(const std::string &after)
 {
-    m_logConnection->call(platform::newestCall(m_options.topic, after), m_options.callTimeout,
-                          [self = shared_from_this()](const log_response &response) {
-                              self->pageReceived(response);
-                          });
+    m_call.connection->call(platform::newestCall(m_options.topic, after), m_options.callTimeout,
+                            [self = shared_from_this()](const log_response &response) {
+                                self->pageReceived(response);
+                            });
 }
 
 void topic_follower::pageReceived(const log_response &response)
@@ -200,16 +204,55 @@
 
 void topic_follower::read()
 {
-    m_readSentAt = bootTimeNow();
+    send(m_call);
+    startRepeatTimer();
+}
+
+void topic_follower::send(read_call &call)
+{
+    call.sentAt = bootTimeNow();
+    call.inFlight = true;
     const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(m_options.readWait);
-    m_logConnection->call(platform::readCall(m_options.topic, *m_nextOffset, wait),
+    call.connection->call(platform::readCall(m_options.topic, *m_nextOffset, wait),
                           m_options.readWait + m_options.callTimeout,
-                          [self = shared_from_this()](const log_response &response) {
-                              self->readReceived(response);
+                          [self = shared_from_this(), &call](const log_response &response) {
+                              self->readEnded(call, response);
                           });
 }
 
-void topic_follower::readReceived(const log_response &response)
+void topic_follower::startRepeatTimer()
+{
+    m_repeatTimer.expires_after(m_options.readWait + m_options.repeatAfter);
+    m_repeatTimer.async_wait([self = shared_from_this()](error_code error) {
+        const read_call &call = self->m_call;
+        if (error || self->m_stopped || !call.inFlight || call.connection->isReceiving())
+            return;
+        self->m_handlers.repeated();
+        self->send(self->m_repeat);
+    });
+}
+
+/// Waits for the other call after a failure, and ends the other one after a success.
+void topic_follower::readEnded(read_call &call, const log_response &response)
+{
+    call.inFlight = false;
+    read_call &other = &call == &m_call ? m_repeat : m_call;
+    const bool succeeded = response.status == StatusOk || response.status == StatusGone;
+    if (!succeeded && other.inFlight)
+        return;
+    m_repeatTimer.cancel();
+    const duration sentAt = call.sentAt;
+    if (other.inFlight) {
+        other.connection->close();
+        other.inFlight = false;
+    }
+    // The next read uses the connection that works.
+    if (&call == &m_repeat)
+        std::swap(m_call.connection, m_repeat.connection);
+    readReceived(sentAt, response);
+}
+
+void topic_follower::readReceived(duration sentAt, const log_response &response)
 {
     if (response.status == StatusGone) {
         start();
@@ -229,7 +272,7 @@
     m_position = *m_nextOffset;
     const bool caughtUp = *m_nextOffset >= records.end;
     if (caughtUp)
-        m_handlers.confirmed(m_readSentAt);
+        m_handlers.confirmed(sentAt);
     scheduleNext(caughtUp ? m_options.readPause() : duration::zero());
 }
 
--- a/burdockhold/topic_follower.h
+++ b/burdockhold/topic_follower.h
@@ -8,6 +8,10 @@
 // again. It retries through outages, and loads again if records were deleted before it read them.
 // It confirms its view as of the time at which the load began, or at which the read that reached
 // the topic's end was sent.
+//
+// A read without a response soon after its wait is sent once more on another connection, and the
+// first response counts: something on the way may have lost track of the connection, or the log may
+// be slow. A read is given up only after its whole timeout, so a slow log is read nevertheless.
 
 #include "burdockhold/http_client_connection.h"
 #include "burdockhold/store_era.h"
@@ -89,6 +93,8 @@
     std::function<duration()> readPause;  ///< Returns the pause before the next read.
     std::function<duration()> retryPause; ///< Returns the pause after a failed call.
     duration callTimeout = std::chrono::milliseconds(1500); ///< In addition to readWait.
+    /// Time after readWait at which a read without a response is sent once more.
+    duration repeatAfter = std::chrono::milliseconds(300);
     std::size_t maxResponseBytes = log_connection::MaxResponseBytes;
 };
 
@@ -100,6 +106,8 @@
     std::function<void(const platform::keyed_record &)> changed;
     /// The view matched the log at this time of the boot-time clock.
     std::function<void(duration confirmedAt)> confirmed;
+    /// A read is sent once more, since it has had no response.
+    std::function<void()> repeated = [] {};
     /// A call failed with this HTTP status, or 0 without a response. The follower retries.
     std::function<void(int status)> failed;
 };
@@ -107,7 +115,7 @@
 class topic_follower : public std::enable_shared_from_this<topic_follower>
 {
 public:
-    topic_follower(boost::asio::io_context &context, boost::asio::ip::tcp::endpoint server,
+    topic_follower(boost::asio::io_context &context, const boost::asio::ip::tcp::endpoint &server,
                    store_era &era, follower_options options, follower_handlers handlers);
 
     void start();
@@ -119,23 +127,35 @@
     std::uint64_t position() const { return m_position; }
 
 private:
+    /// One of the two connections for reads, and its read in progress.
+    struct read_call
+    {
+        std::shared_ptr<log_connection> connection;
+        duration sentAt = duration::zero();
+        bool inFlight = false;
+    };
+
     void loadPage(const std::string &after);
     void pageReceived(const log_response &response);
     void read();
-    void readReceived(const log_response &response);
+    void send(read_call &call);
+    void startRepeatTimer();
+    void readEnded(read_call &call, const log_response &response);
+    void readReceived(duration sentAt, const log_response &response);
     void retryAfterPause(int status);
     void scheduleNext(duration pause);
 
     follower_options m_options;
     follower_handlers m_handlers;
-    std::shared_ptr<log_connection> m_logConnection;
+    read_call m_call; // Its connection serves loads as well.
+    read_call m_repeat;
     boost::asio::steady_timer m_timer;
+    boost::asio::steady_timer m_repeatTimer;
     bool m_stopped = false;
     std::vector<platform::keyed_record> m_loadedRecords;
     std::optional<std::uint64_t> m_loadEndOffset;
     std::optional<std::uint64_t> m_nextOffset; // Not set during a load.
     std::uint64_t m_position = 0;
-    duration m_readSentAt = duration::zero();
     duration m_loadStartedAt = duration::zero();
 };
 
--- a/burdockhold/view_controller.cc
+++ b/burdockhold/view_controller.cc
@@ -380,6 +380,7 @@
         m_handlers.operatorConfirmed(at);
         recordConfirmation(m_operator, at, platform::OperatorTopic);
     };
+    handlers.repeated = [this] { m_log.readRepeated(platform::OperatorTopic); };
     handlers.failed = [this](int status) {
         m_handlers.logCallCompleted(platform::OperatorTopic, status);
     };
@@ -406,6 +407,7 @@
         m_board.confirmEndpoints(at);
         recordConfirmation(m_endpoints, at, platform::EndpointTopic);
     };
+    handlers.repeated = [this] { m_log.readRepeated(platform::EndpointTopic); };
     handlers.failed = [this](int status) {
         m_handlers.logCallCompleted(platform::EndpointTopic, status);
     };
--- a/burdockhold/view_log.cc
+++ b/burdockhold/view_log.cc
@@ -65,6 +65,11 @@
             { "total_ms", wholeMilliseconds(bootTimeNow() - sentAt) } });
 }
 
+void view_log::readRepeated(std::string_view topic)
+{
+    write(log_event::LogReadRepeated, { { "topic", topic } });
+}
+
 void view_log::olderViewReceived(std::string_view from, std::string_view topic,
                                  const topic_view &view, std::uint64_t ownPosition)
 {
--- a/burdockhold/view_log.h
+++ b/burdockhold/view_log.h
@@ -37,6 +37,9 @@
     void transferEnded(std::string_view from, duration sentAt, const log_response &response,
                        bool isReadable);
 
+    /// Logs that a read of the log without a response is sent once more.
+    void readRepeated(std::string_view topic);
+
     /// Logs a view that lies before the own one, at this offset in the log.
     void olderViewReceived(std::string_view from, std::string_view topic, const topic_view &view,
                            std::uint64_t ownPosition);
