Refuse a missing route or key as not run once the view is too old

Cause: a margin of 0.8 s on top of the bound, within which views were usually up to 2.7 s old. A VM may say that a route or key does not exist only if it would know of it.

--- a/burdockhold/request_admission.cc
+++ b/burdockhold/request_admission.cc
@@ -4,18 +4,16 @@
 
 namespace {
 
-// Allowance on top of the configuration bound, within which a deployment comes into force. With a
-// view older than both together, a missing route or key is refused as stale, not as unknown.
-constexpr duration ViewAgeMargin = std::chrono::milliseconds(800);
 // Keys are refused this long before the view reaches the revocation bound, since a request takes
 // time to reach its endpoint.
 constexpr duration RevocationMargin = std::chrono::milliseconds(300);
 constexpr std::uint64_t PoolPoints = 10000; // Resolution of the pools' weights.
 
-/// Returns how a request is refused for something that the deployment does not contain.
+/// Returns how a request is refused for something that the deployment does not contain. With a view
+/// older than the bound on configurations, a newer one that contains it may be in force.
 admission_refusal refusalOfMissing(admission_refusal refusal, const view_age &view)
 {
-    return view.age > view.configBound + ViewAgeMargin ? admission_refusal::StaleView : refusal;
+    return view.age > view.configBound ? admission_refusal::StaleView : refusal;
 }
 
 } // namespace
--- a/testing/request_admission_test.cc
+++ b/testing/request_admission_test.cc
@@ -47,7 +47,7 @@
 std::string reference(const std::string &path, const std::string &key, accounts_state accounts,
                       milliseconds age)
 {
-    const bool mayBeOutdated = age > ConfigBound + milliseconds(800);
+    const bool mayBeOutdated = age > ConfigBound;
     if (path != "/keyed/" && path != "/open/")
         return mayBeOutdated ? "stale" : "no route";
     if (path == "/open/" || accounts == accounts_state::NotConfigured)
