Ask whole routers which configuration is in force while the log hangs

Four router processes with a link to the log each, asked 20 times a second for the route of the newest version and for that of the version before, while the reader's calls for the operator's records hang, all calls of the reader, of the reader and another VM, and while open connections fall silent.

view_source_changed no longer changes between two requests to the same VM.

--- a/burdockhold/view_controller.cc
+++ b/burdockhold/view_controller.cc
@@ -298,7 +298,7 @@
         stopReading();
     if (!m_requestInFlight && now >= m_nextRequestAt)
         sendRequest(now);
-    m_log.report(m_reading, m_source.cause(), m_requestInFlight ? m_requestedFrom : "");
+    m_log.report(m_reading, m_source.cause(), m_requestedFrom);
 }
 
 void view_controller::startReading()
@@ -484,6 +484,7 @@
 {
     const auto reader = m_source.vmToRequestFrom(now);
     const auto server = reader ? parseAddress(reader->address) : std::nullopt;
+    m_requestedFrom = server ? reader->name : std::string();
     if (!server)
         return;
     if (!m_connection || m_connectionAddress != reader->address) {
@@ -492,7 +493,6 @@
         m_connectionAddress = reader->address;
     }
     m_requestInFlight = true;
-    m_requestedFrom = reader->name;
     const bool needsAnyView = m_source.needsAnyView(now);
     m_nextRequest.wait = needsAnyView ? AnyViewWait : timing().requestWait;
     m_nextRequest.deploymentVersion = m_deployments.version();
--- a/burdockhold/view_controller.h
+++ b/burdockhold/view_controller.h
@@ -166,7 +166,7 @@
 
     // State of this VM's own requests.
     std::string m_connectionAddress; // Peer address of m_connection.
-    std::string m_requestedFrom;     // Name of the VM of the last request.
+    std::string m_requestedFrom;     // Name of the VM of the last request; empty if none is due.
     std::shared_ptr<log_connection> m_connection;
     view_request m_nextRequest;
     bool m_requestInFlight = false;
--- a/testing/config_bound_looptest.cc
+++ b/testing/config_bound_looptest.cc
@@ -111,17 +111,7 @@
     /// that reads for the others comes first.
     std::vector<std::size_t> byCalls()
     {
-        std::vector<std::size_t> before;
-        for (const auto &link : links)
-            before.push_back(link->bytesPassed());
-        run(std::chrono::seconds(2));
-        std::vector<std::size_t> order(links.size());
-        for (std::size_t index = 0; index < order.size(); ++index)
-            order[index] = index;
-        std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
-            return links[a]->bytesPassed() - before[a] > links[b]->bytesPassed() - before[b];
-        });
-        return order;
+        return linksByTraffic(links, [this] { run(std::chrono::seconds(2)); });
     }
 
     std::uint64_t version = 1;
--- a/testing/support_platform.cc
+++ b/testing/support_platform.cc
@@ -579,6 +579,7 @@
 router_process::router_process(const std::string &logAddress, const router_place &place)
     : m_callerAddress(place.ip.empty() ? reserveAddress() : place.ip + ":7001")
     , m_readyAddress(place.ip.empty() ? reserveAddress() : place.ip + ":7002")
+    , m_program(place.program.empty() ? BURDOCKHOLD_ROUTER : place.program)
     , m_settingsFile("/tmp/burdockhold-router-" + std::to_string(::getpid()) + "-" + place.vm
                      + ".ini")
     , m_logFile(m_settingsFile + ".log")
@@ -609,7 +610,7 @@
 void router_process::spawn()
 {
     const std::string option = "--settings=" + m_settingsFile;
-    std::string program = BURDOCKHOLD_ROUTER;
+    std::string program = m_program;
     std::string argument = option;
     char *arguments[] = { program.data(), argument.data(), nullptr };
     posix_spawn_file_actions_t actions;
--- a/testing/support_platform.h
+++ b/testing/support_platform.h
@@ -231,6 +231,7 @@
     int descriptors = 1024;      ///< As stated in the settings.
     int enforcedDescriptors = 0; ///< Limit that the system enforces; 0 leaves it as it is.
     bool callsFromIp = false;    ///< Connections to endpoints come from `ip`.
+    std::string program = {};    ///< Of another build; if empty, this build's router.
 };
 
 /// The router program, started on free ports with the log at the given address.
@@ -276,6 +277,7 @@
     int m_process = -1;
     std::string m_callerAddress;
     std::string m_readyAddress;
+    std::string m_program;
     std::string m_settingsFile;
     std::string m_logFile;
     int m_peerPort = 0;
--- a/testing/support_slow_link.cc
+++ b/testing/support_slow_link.cc
@@ -8,8 +8,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
-#include <memory>
+#include <numeric>
 #include <utility>
 
 namespace burdockhold::testing {
@@ -164,4 +165,21 @@
     });
 }
 
+std::vector<std::size_t> linksByTraffic(const std::vector<std::unique_ptr<slow_link>> &links,
+                                        const std::function<void()> &pause)
+{
+    std::vector<std::size_t> before;
+    for (const auto &link : links)
+        before.push_back(link->bytesPassed());
+    pause();
+    std::vector<std::size_t> passed;
+    for (std::size_t index = 0; index < links.size(); ++index)
+        passed.push_back(links[index]->bytesPassed() - before[index]);
+    std::vector<std::size_t> order(links.size());
+    std::iota(order.begin(), order.end(), 0);
+    std::stable_sort(order.begin(), order.end(),
+                     [&](std::size_t a, std::size_t b) { return passed[a] > passed[b]; });
+    return order;
+}
+
 } // namespace burdockhold::testing
--- a/testing/support_slow_link.h
+++ b/testing/support_slow_link.h
@@ -10,8 +10,11 @@
 
 #include <atomic>
 #include <cstddef>
+#include <functional>
+#include <memory>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace burdockhold::testing {
 
@@ -53,6 +56,11 @@
     std::thread m_thread;
 };
 
+/// Returns the indices of the links in the order of the bytes that they pass on during the pause,
+/// most first.
+std::vector<std::size_t> linksByTraffic(const std::vector<std::unique_ptr<slow_link>> &links,
+                                        const std::function<void()> &pause);
+
 } // namespace burdockhold::testing
 
 #endif
