--- a/burdockhold/view_controller.cc
+++ b/burdockhold/view_controller.cc
@@ -298,7 +298,7 @@
         stopReading();
     if (!m_requestInFlight && now >= m_nextRequestAt)
         sendRequest(now);
-    m_log.report(m_reading, m_source.cause(), m_requestedFrom);
+    m_log.report(m_reading, m_source.cause(), m_source.needsAnyView(now) ? "any" : m_requestedFrom);
 }
 
 void view_controller::startReading()
--- a/burdockhold/view_log.cc
+++ b/burdockhold/view_log.cc
@@ -80,7 +80,7 @@
                                      { "own_position", ownPosition } });
 }
 
-void view_log::write(log_event event, nlohmann::ordered_json fields)
+void view_log::write(log_event event, const nlohmann::ordered_json &fields)
 {
     const time_point now = steadyNow();
     if (m_board.log.accepts(log_priority::StateChange, now))
--- a/burdockhold/view_log.h
+++ b/burdockhold/view_log.h
@@ -26,8 +26,8 @@
     {
     }
 
-    /// Reports whether this VM reads the log and why, and the VM that it requests the view from, if
-    /// any.
+    /// Reports whether this VM reads the log and why, and the VM that it requests the view from:
+    /// empty for none, "any" for several in turn.
     void report(bool readsLog, reading_cause cause, std::string_view requestedFrom);
 
     /// Reports whether the view is fresh, and from whom it was received last.
@@ -45,7 +45,7 @@
                            std::uint64_t ownPosition);
 
 private:
-    void write(log_event event, nlohmann::ordered_json fields);
+    void write(log_event event, const nlohmann::ordered_json &fields);
 
     router_board &m_board;
     bool m_readsLog = false;
--- a/testing/support_slow_link.cc
+++ b/testing/support_slow_link.cc
@@ -169,10 +169,12 @@
                                         const std::function<void()> &pause)
 {
     std::vector<std::size_t> before;
+    before.reserve(links.size());
     for (const auto &link : links)
         before.push_back(link->bytesPassed());
     pause();
     std::vector<std::size_t> passed;
+    passed.reserve(links.size());
     for (std::size_t index = 0; index < links.size(); ++index)
         passed.push_back(links[index]->bytesPassed() - before[index]);
     std::vector<std::size_t> order(links.size());
