Count crashed engines in a test once they can be waited for

The response may arrive before the engine's process, whose connections the system has closed, can be waited for. The check waits for the second engine and still fails if there are more or fewer than two; the same for the second case.

Not reproduced.

--- a/testing/crashes_nettest.cc
+++ b/testing/crashes_nettest.cc
@@ -32,6 +32,13 @@
     return dead;
 }
 
+/// The connections of a process close before the process can be waited for.
+void checkDeadEngines(site &place, std::size_t count)
+{
+    BOOST_TEST(eventually([&] { return deadEngines(place) >= count; }));
+    BOOST_TEST(deadEngines(place) == count);
+}
+
 http_response sendMarked(site &place)
 {
     return httpCall(place.daemon().url, "POST", "/v1/completions",
@@ -54,7 +61,7 @@
     BOOST_TEST(first.status == 422);
     BOOST_TEST(first.json().at("error").at("code") == "crash_suspect");
     BOOST_TEST(first.header("X-Burdockhold-Run") == "unknown");
-    BOOST_TEST(deadEngines(place) == 2u);
+    checkDeadEngines(place, 2);
 
     for (int i = 0; i < 5; ++i) {
         const http_response again = sendMarked(place);
@@ -79,7 +86,7 @@
     for (int i = 0; i < 5; ++i)
         sendMarked(place);
     BOOST_TEST(sendMarked(place).status == 422);
-    BOOST_TEST(deadEngines(place) == 2u);
+    checkDeadEngines(place, 2);
 }
 
 // Guards against refusing a request because connections broke: an engine that drops them and lives
