Check that VMs serve the newest route while the log hangs

config_processes_looptest counted requests handled by an older version only, so a VM that refused every request would have passed. After each version's bound, the last request for its route has to be served at each VM of this build. No check is loosened.

--- a/testing/config_processes_looptest.cc
+++ b/testing/config_processes_looptest.cc
@@ -102,6 +102,7 @@
     void startProbes()
     {
         lateness.assign(Vms, ms(0));
+        servesNewest.assign(Vms, false);
         for (std::size_t vm = 0; vm < Vms; ++vm)
             threads.emplace_back([this, vm] {
                 while (!stopping) {
@@ -135,10 +136,23 @@
         const bool isOlder = newest ? isMissing : status == "HTTP/1.1 200";
         const std::lock_guard lock(mutex);
         ++probes;
+        if (newest && number == version)
+            servesNewest[vm] = status == "HTTP/1.1 200";
         if (isOlder && isSettled && number == version)
             lateness[vm] = std::max(lateness[vm], std::chrono::duration_cast<ms>(sentAt - since));
     }
 
+    /// Waits until a version has to be in force, and checks that the VMs serve its route. A VM that
+    /// refuses all requests handles none by an older version.
+    void checkServed(const std::string &name)
+    {
+        std::this_thread::sleep_for(VersionInterval);
+        const std::lock_guard lock(mutex);
+        for (std::size_t vm = 0; vm < Vms; ++vm)
+            BOOST_TEST((servesNewest[vm] || !isOwnBuild[vm]),
+                       name << ", VM " << vm << " does not serve version " << version);
+    }
+
     /// Writes versions during and after the disturbance and checks that all VMs follow them.
     void check(const std::string &name, const std::function<void()> &disturb,
                const std::function<void()> &end)
@@ -152,11 +166,11 @@
         disturb();
         for (int change = 0; change < 3; ++change) {
             configure();
-            std::this_thread::sleep_for(VersionInterval);
+            checkServed(name);
         }
         end();
         configure();
-        std::this_thread::sleep_for(VersionInterval);
+        checkServed(name);
         const std::lock_guard lock(mutex);
         for (std::size_t vm = 0; vm < Vms; ++vm) {
             BOOST_TEST_MESSAGE(name << ", VM " << vm << ": " << lateness[vm].count() << " ms");
@@ -219,7 +233,8 @@
     std::mutex mutex; // Guards the fields below.
     int version = 0;
     steady_clock::time_point acknowledgedAt;
-    std::vector<ms> lateness; ///< Of the last request that a VM handled by an older version.
+    std::vector<ms> lateness;       ///< Of the last request that a VM handled by an older version.
+    std::vector<bool> servesNewest; ///< By the last request for the newest route.
     int probes = 0;
     std::atomic<bool> isSettled{ false };
     std::atomic<bool> stopping{ false };
