Share the loop that drives VMs in one process among three tests

The loop and the announcement of the group stood in views_looptest, deployment_transfers_looptest and config_bound_looptest.

--- a/testing/config_bound_looptest.cc
+++ b/testing/config_bound_looptest.cc
@@ -33,32 +33,15 @@
             links.push_back(std::make_unique<slow_link>(log.address(), FastBytesPerSecond));
             vms.push_back(std::make_unique<view_vm>(io, number, links.back()->address()));
         }
-        for (auto &vm : vms) {
-            for (const auto &other : vms) {
-                const auto &settings = other->board.settings;
-                if (other != vm)
-                    vm->board.groupVms.push_back(
-                            { settings.vmName,
-                              "127.0.0.1:" + std::to_string(settings.firstPeerPort),
-                              settings.capacity() });
-            }
+        announceGroup(vms);
+        for (auto &vm : vms)
             vm->controller.begin();
-        }
         for (std::size_t index = 0; index < vms.size(); ++index)
             BOOST_REQUIRE(delayOf(index, steadyNow()) < Timeout);
         run(std::chrono::seconds(4)); // Additional readers from the start have stopped.
     }
 
-    void run(duration time)
-    {
-        const time_point end = steadyNow() + time;
-        while (steadyNow() < end) {
-            for (auto &vm : vms)
-                vm->controller.step(steadyNow());
-            io.run_for(std::chrono::milliseconds(10));
-            io.restart();
-        }
-    }
+    void run(duration time) { runVms(io, vms, time); }
 
     /// Writes the next version.
     void configure() { log.put("keyed.op", "config", configuration(++version)); }
--- a/testing/deployment_transfers_looptest.cc
+++ b/testing/deployment_transfers_looptest.cc
@@ -58,16 +58,7 @@
         run(std::chrono::seconds(4)); // Additional readers from the start have stopped.
     }
 
-    void run(duration time)
-    {
-        const time_point end = steadyNow() + time;
-        while (steadyNow() < end) {
-            for (auto &vm : vms)
-                vm->controller.step(steadyNow());
-            io.run_for(std::chrono::milliseconds(10));
-            io.restart();
-        }
-    }
+    void run(duration time) { runVms(io, vms, time); }
 
     bool reaches(std::uint64_t version)
     {
--- a/testing/support_views.h
+++ b/testing/support_views.h
@@ -17,6 +17,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace burdockhold::testing {
 
@@ -115,6 +116,34 @@
     view_controller controller;
 };
 
+/// Tells each VM of all the others, at the loopback ports of their views.
+inline void announceGroup(const std::vector<std::unique_ptr<view_vm>> &vms)
+{
+    for (const auto &vm : vms) {
+        vm->board.groupVms.clear();
+        for (const auto &other : vms) {
+            const router_settings &settings = other->board.settings;
+            if (other != vm)
+                vm->board.groupVms.push_back(
+                        { settings.vmName, "127.0.0.1:" + std::to_string(settings.firstPeerPort),
+                          settings.capacity() });
+        }
+    }
+}
+
+/// Runs the VMs' event loop and steps the VMs for the given time.
+inline void runVms(boost::asio::io_context &io, const std::vector<std::unique_ptr<view_vm>> &vms,
+                   duration time)
+{
+    const time_point end = steadyNow() + time;
+    while (steadyNow() < end) {
+        for (const auto &vm : vms)
+            vm->controller.step(steadyNow());
+        io.run_for(std::chrono::milliseconds(10));
+        io.restart();
+    }
+}
+
 } // namespace burdockhold::testing
 
 #endif
--- a/testing/views_looptest.cc
+++ b/testing/views_looptest.cc
@@ -52,36 +52,12 @@
         log.put("keyed.servers", "e1", endpointRecord("ready"));
         for (int number = 0; number < VmCount; ++number)
             vms.push_back(std::make_unique<view_vm>(io, number, log.address()));
-        announceGroup();
+        announceGroup(vms);
         for (auto &vm : vms)
             vm->controller.begin();
     }
 
-    void announceGroup()
-    {
-        for (auto &vm : vms) {
-            vm->board.groupVms.clear();
-            for (const auto &other : vms) {
-                const auto &settings = other->board.settings;
-                if (other != vm)
-                    vm->board.groupVms.push_back(
-                            { settings.vmName,
-                              "127.0.0.1:" + std::to_string(settings.firstPeerPort),
-                              settings.capacity() });
-            }
-        }
-    }
-
-    void run(duration time)
-    {
-        const time_point end = steadyNow() + time;
-        while (steadyNow() < end) {
-            for (auto &vm : vms)
-                vm->controller.step(steadyNow());
-            io.run_for(std::chrono::milliseconds(10));
-            io.restart();
-        }
-    }
+    void run(duration time) { runVms(io, vms, time); }
 
     bool reaches(const std::function<bool(const view_vm &)> &condition)
     {
