--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -7,7 +7,7 @@
 FLAGS="-std=c++17 -O1 -I. -Ireview/standins-3/shim -DBURDOCKHOLD_ROUTER=\"target/burdockhold-router\""
 SUPPORT="testing/support_platform.cc testing/support_address.cc testing/soak_relay.cc \
     burdockhold/duty_lease.cc burdockhold/free_port.cc"
-for name in turns; do
+for name in turns relayed; do
     # shellcheck disable=SC2086
     $CXX $FLAGS -o target/review-3/$name review/standins-3/$name.cc $SUPPORT -lxxhash -lpthread
 done
