--- a/review/standins-3/drill.cc
+++ b/review/standins-3/drill.cc
@@ -7,9 +7,14 @@
 
 #include <unistd.h>
 
+#include <algorithm>
+#include <array>
+#include <atomic>
 #include <fstream>
+#include <functional>
+#include <future>
 #include <iostream>
-#include <optional>
+#include <thread>
 
 using namespace burdockhold::testing;
 using nlohmann::json;
@@ -67,12 +72,18 @@
 
     std::string entry() const
     {
-        return json{ { "service", "desk" }, { "address", m_server.address() },
-                     { "zone", "dc1" },     { "version", "v1" },
-                     { "slots", 6 },        { "state", "ready" },
-                     { "seq", 0 },          { "born", 1000 },
-                     { "models", json::array() }, { "cold_remaining_ms", 0 } }
-                .dump();
+        return json{
+            { "service", "desk" },
+            { "address", m_server.address() },
+            { "zone", "dc1" },
+            { "version", "v1" },
+            { "slots", 6 },
+            { "state", "ready" },
+            { "seq", 0 },
+            { "born", 1000 },
+            { "models", json::array() },
+            { "cold_remaining_ms", 0 }
+        }.dump();
     }
 
     bool hasRun(const std::string &id)
@@ -164,68 +175,52 @@
     std::string status;
 };
 
-} // namespace
+using router_list = std::vector<std::unique_ptr<router_process>>;
 
-int main(int argc, char **argv)
+/// Returns an empty list if a router is not ready in time.
+router_list startRouters(const std::string &program, const std::string &store)
 {
-    if (argc != 4) {
-        std::cerr << "usage: drill ROUTER RECORD TROUBLE\n";
-        return 2;
-    }
-    record.open(argv[2]);
-    const bool trouble = std::string(argv[3]) != "0";
-    fake_log_service log;
-    log.endMemberships();
-    log.setEra(1);
-    operator_of_store writer(log);
-    engine server;
-    log.put("keyed.servers", "i-1", server.entry());
-    writer.nameVersion(1);
-    writer.configure(1, true, 1000);
     const int process = ::getpid();
     const std::string net = "127." + std::to_string(100 + process % 100) + "."
                             + std::to_string(1 + process / 100 % 250) + ".";
-    std::vector<std::unique_ptr<router_process>> routers;
+    router_list routers;
     for (int index = 0; index < Routers; ++index) {
         router_place place;
         place.vm = "front-" + std::to_string(index);
         place.ip = net + std::to_string(1 + index);
-        place.program = argv[1];
-        routers.push_back(std::make_unique<router_process>(log.address(), place));
+        place.program = program;
+        routers.push_back(std::make_unique<router_process>(store, place));
     }
     for (const auto &router : routers) {
         if (!router->waitReady(true))
-            return 2;
+            return {};
     }
-    std::this_thread::sleep_for(ms(3500));
+    return routers;
+}
 
-    std::atomic<bool> stopping{ false };
-    std::vector<sent_request> requests;
-    std::mutex mutex;
-    std::vector<std::thread> clients;
-    for (int router = 0; router < Routers; ++router) {
-        for (const char *key : { "key-taken", "key-other" })
-            clients.emplace_back([&, router, key = std::string(key)] {
-                for (int count = 0; !stopping; ++count) {
-                    const std::string id = key + "-" + std::to_string(router) + "-"
-                                           + std::to_string(count);
-                    const long at = now();
-                    const std::string text = exchangeBytes(
-                            routers[static_cast<std::size_t>(router)]->callerAddress(),
-                            "POST /pay/1 HTTP/1.1\r\nHost: h\r\nX-Burdockhold-Attempt-Id: " + id
-                                    + "\r\nX-Burdockhold-Deadline-Ms: 1000\r\n"
-                                      "X-Burdockhold-Credential: "
-                                    + key + "\r\nContent-Length: 2\r\n\r\nhi",
-                            1200);
-                    {
-                        const std::lock_guard lock(mutex);
-                        requests.push_back({ at, router, id, key, text.substr(0, 12) });
-                    }
-                    std::this_thread::sleep_for(ms(80));
-                }
-            });
+/// Sends one request after the other with a key until told to stop.
+std::vector<sent_request> runClient(int router, const std::string &address, const std::string &key,
+                                    const std::atomic<bool> &stopping)
+{
+    std::vector<sent_request> sent;
+    for (int count = 0; !stopping; ++count) {
+        const std::string id = key + "-" + std::to_string(router) + "-" + std::to_string(count);
+        const long at = now();
+        const std::string text = exchangeBytes(
+                address,
+                "POST /pay/1 HTTP/1.1\r\nHost: h\r\nX-Burdockhold-Attempt-Id: " + id
+                        + "\r\nX-Burdockhold-Deadline-Ms: 1000\r\nX-Burdockhold-Credential: " + key
+                        + "\r\nContent-Length: 2\r\n\r\nhi",
+                1200);
+        sent.push_back({ at, router, id, key, text.substr(0, 12) });
+        std::this_thread::sleep_for(ms(80));
     }
+    return sent;
+}
 
+/// Returns when the configuration without the key was acknowledged.
+long runDrill(fake_log_service &log, operator_of_store &writer, const engine &server, bool trouble)
+{
     log.takeCopy();
     note("the store is copied");
     std::this_thread::sleep_for(ms(1000));
@@ -246,13 +241,13 @@
         log.put("keyed.servers", "i-1", server.entry());
     }
     writer.configure(4, false, 1000);
-    const long takenAt = now();
-    std::this_thread::sleep_for(ms(AfterMs));
-    stopping = true;
-    for (std::thread &client : clients)
-        client.join();
+    return now();
+}
 
-    int late[Routers]{};
+/// Returns the script's exit code.
+int judge(const std::vector<sent_request> &requests, engine &server, long takenAt)
+{
+    std::array<int, Routers> late{};
     int served = 0;
     for (const sent_request &one : requests) {
         const bool ran = server.hasRun(one.id);
@@ -261,7 +256,7 @@
                << (ran ? ", the engine ran it" : "") << "\n";
         served += ran && one.key == "key-other" ? 1 : 0;
         if (ran && one.key == "key-taken" && one.at > takenAt + RevokeMs)
-            ++late[one.router];
+            ++late[static_cast<std::size_t>(one.router)];
     }
     if (served < 100)
         return 2;
@@ -272,3 +267,43 @@
     note(broken ? "result: CONFIG is broken" : "result: held");
     return broken ? 1 : 0;
 }
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    if (argc != 4) {
+        std::cerr << "usage: drill ROUTER RECORD TROUBLE\n";
+        return 2;
+    }
+    record.open(argv[2]);
+    fake_log_service log;
+    log.endMemberships();
+    log.setEra(1);
+    operator_of_store writer(log);
+    engine server;
+    log.put("keyed.servers", "i-1", server.entry());
+    writer.nameVersion(1);
+    writer.configure(1, true, 1000);
+    const router_list routers = startRouters(argv[1], log.address());
+    if (routers.empty())
+        return 2;
+    std::this_thread::sleep_for(ms(3500));
+    std::atomic<bool> stopping{ false };
+    std::vector<std::future<std::vector<sent_request>>> clients;
+    for (int router = 0; router < Routers; ++router) {
+        for (const char *key : { "key-taken", "key-other" })
+            clients.push_back(std::async(std::launch::async, runClient, router,
+                                         routers[static_cast<std::size_t>(router)]->callerAddress(),
+                                         std::string(key), std::cref(stopping)));
+    }
+    const long takenAt = runDrill(log, writer, server, std::string(argv[3]) != "0");
+    std::this_thread::sleep_for(ms(AfterMs));
+    stopping = true;
+    std::vector<sent_request> requests;
+    for (auto &client : clients) {
+        const auto sent = client.get();
+        requests.insert(requests.end(), sent.begin(), sent.end());
+    }
+    return judge(requests, server, takenAt);
+}
--- a/review/standins-3/relayed.cc
+++ b/review/standins-3/relayed.cc
@@ -1,6 +1,6 @@
 // Three routers and a plain service whose answers have no length and end with their connection. One
-// machine is partitioned from all engines for ten seconds. Checks the rules RECOVER and LOST on what
-// clients and engines have seen.
+// machine is partitioned from all engines for ten seconds. Checks the rules RECOVER and LOST on
+// what clients and engines have seen.
 
 #include "testing/support_platform.h"
 
@@ -8,10 +8,14 @@
 
 #include <unistd.h>
 
+#include <algorithm>
+#include <array>
+#include <atomic>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <optional>
+#include <thread>
 
 using namespace burdockhold::testing;
 using nlohmann::json;
@@ -59,11 +63,16 @@
 
     json entry() const
     {
-        return { { "service", "desk" }, { "address", m_server.address() },
-                 { "zone", "dc1" },     { "version", "v1" },
-                 { "slots", 6 },        { "state", "ready" },
-                 { "seq", 0 },          { "born", 1000 },
-                 { "models", json::array() }, { "cold_remaining_ms", 0 } };
+        return { { "service", "desk" },
+                 { "address", m_server.address() },
+                 { "zone", "dc1" },
+                 { "version", "v1" },
+                 { "slots", 6 },
+                 { "state", "ready" },
+                 { "seq", 0 },
+                 { "born", 1000 },
+                 { "models", json::array() },
+                 { "cold_remaining_ms", 0 } };
     }
 
     const std::string &id() const { return m_id; }
@@ -149,8 +158,8 @@
             caller.emplace(address);
             answered = 0;
         }
-        caller->send("POST /" + kind + "/1 HTTP/1.1\r\nHost: h\r\nX-Burdockhold-Attempt-Id: " + one.id
-                     + "\r\nX-Burdockhold-Deadline-Ms: " + std::to_string(DeadlineMs)
+        caller->send("POST /" + kind + "/1 HTTP/1.1\r\nHost: h\r\nX-Burdockhold-Attempt-Id: "
+                     + one.id + "\r\nX-Burdockhold-Deadline-Ms: " + std::to_string(DeadlineMs)
                      + "\r\nContent-Length: 2\r\n\r\nhi");
         // The text of an answer ends with its body or, for those without one, with its head.
         const auto end = steady::now() + ms(DeadlineMs + 200);
@@ -179,6 +188,75 @@
     }
 }
 
+using engine_list = std::vector<std::unique_ptr<engine>>;
+using router_list = std::vector<std::unique_ptr<router_process>>;
+
+/// Returns an empty list if a router is not ready in time.
+router_list startRouters(const std::string &program, const std::string &store,
+                         const std::string &net)
+{
+    router_list routers;
+    for (int index = 0; index < Routers; ++index) {
+        router_place place;
+        place.vm = "front-" + std::to_string(index);
+        place.ip = net + std::to_string(1 + index);
+        place.callsFromIp = true;
+        place.program = program;
+        routers.push_back(std::make_unique<router_process>(store, place));
+    }
+    for (const auto &router : routers) {
+        if (!router->waitReady(true))
+            return {};
+    }
+    return routers;
+}
+
+void cutOff(const engine_list &engines, const std::set<std::string> &addresses)
+{
+    note(addresses.empty() ? "the partition ends" : "front-0 is partitioned from all engines");
+    for (const auto &one : engines)
+        one->server().cutOff(addresses);
+}
+
+/// Returns the script's exit code.
+int judge(const std::vector<first_try> &tries, const engine_list &engines, long cutAt,
+          long healedAt)
+{
+    std::array<int, 2> sent{}; // At the machine that is cut off, and at the others.
+    std::array<int, 2> served{};
+    int ranUnserved = 0;
+    int unsafeLost = 0;
+    for (const first_try &one : tries) {
+        const bool ran = std::any_of(engines.begin(), engines.end(),
+                                     [&](const auto &each) { return each->hasRun(one.id); });
+        record << one.sentAt << " ms " << one.id << " sent to front-" << one.router << ": "
+               << (!one.status.empty() ? one.status
+                   : one.closed        ? "closed"
+                                       : "no answer")
+               << (ran ? ", an engine ran it" : ", no engine ran it") << "\n";
+        if (one.sentAt < cutAt + ContactMs || one.sentAt > healedAt - DeadlineMs)
+            continue;
+        const std::size_t group = one.router == 0 ? 0 : 1;
+        ++sent[group];
+        served[group] += one.served ? 1 : 0;
+        const bool isLost = group == 0 && ran && !one.served;
+        ranUnserved += isLost ? 1 : 0;
+        unsafeLost += isLost && one.id.substr(0, 4) == "c0x0" ? 1 : 0;
+    }
+    if (sent[0] == 0 || sent[1] == 0)
+        return 2;
+    note("from contact_ms after the cut on: front-0 served " + std::to_string(served[0]) + " of "
+         + std::to_string(sent[0]) + " first tries, the others " + std::to_string(served[1])
+         + " of " + std::to_string(sent[1])
+         + "; of those that front-0 did not serve engines had run " + std::to_string(ranUnserved)
+         + ", " + std::to_string(unsafeLost) + " of them unsafe");
+    const int failed = sent[0] - served[0];
+    const bool broken = 3.0 * served[0] * sent[1] < 2.0 * served[1] * sent[0]
+                        && failed > 10 + (sent[0] + sent[1]) / 50.0;
+    note(broken ? "result: RECOVER is broken" : "result: held");
+    return broken ? 1 : 0;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -193,7 +271,7 @@
     fake_log_service log;
     log.endMemberships();
     log.put("keyed.op", "config", configuration().dump());
-    std::vector<std::unique_ptr<engine>> engines;
+    engine_list engines;
     for (int index = 0; index < Engines; ++index) {
         engines.push_back(std::make_unique<engine>(index, framed));
         log.put("keyed.servers", engines.back()->id(), engines.back()->entry().dump());
@@ -201,19 +279,9 @@
     const int process = ::getpid();
     const std::string net = "127." + std::to_string(100 + process % 100) + "."
                             + std::to_string(1 + process / 100 % 250) + ".";
-    std::vector<std::unique_ptr<router_process>> routers;
-    for (int index = 0; index < Routers; ++index) {
-        router_place place;
-        place.vm = "front-" + std::to_string(index);
-        place.ip = net + std::to_string(1 + index);
-        place.callsFromIp = true;
-        place.program = argv[1];
-        routers.push_back(std::make_unique<router_process>(log.address(), place));
-    }
-    for (const auto &router : routers) {
-        if (!router->waitReady(true))
-            return 2;
-    }
+    const router_list routers = startRouters(argv[1], log.address(), net);
+    if (routers.empty())
+        return 2;
     std::this_thread::sleep_for(ms(3500));
 
     std::atomic<bool> stopping{ false };
@@ -221,59 +289,24 @@
     std::mutex mutex;
     std::vector<std::thread> clients;
     for (int router = 0; router < Routers; ++router) {
+        const std::string address = routers[static_cast<std::size_t>(router)]->callerAddress();
         for (const char *kind : { "unsafe", "safe" })
-            clients.emplace_back([&, router, kind] {
-                runClient(router, kind == std::string("safe") ? 1 : 0,
-                          routers[static_cast<std::size_t>(router)]->callerAddress(), kind, stopping,
+            clients.emplace_back([&, router, kind, address] {
+                runClient(router, kind == std::string("safe") ? 1 : 0, address, kind, stopping,
                           tries, mutex);
             });
     }
     std::this_thread::sleep_for(ms(4000));
     const long cutAt = now();
-    if (trouble) {
-        note("front-0 is partitioned from all engines");
-        for (const auto &one : engines)
-            one->server().cutOff({ net + "1" });
-    }
+    if (trouble)
+        cutOff(engines, { net + "1" });
     std::this_thread::sleep_for(ms(CutMs));
     const long healedAt = now();
-    if (trouble) {
-        note("the partition ends");
-        for (const auto &one : engines)
-            one->server().cutOff({});
-    }
+    if (trouble)
+        cutOff(engines, {});
     std::this_thread::sleep_for(ms(2000));
     stopping = true;
     for (std::thread &client : clients)
         client.join();
-
-    int sent[2]{ 0, 0 };
-    int served[2]{ 0, 0 };
-    int ranUnserved = 0;
-    int unsafeLost = 0;
-    for (const first_try &one : tries) {
-        const bool ran = std::any_of(engines.begin(), engines.end(),
-                                     [&](const auto &each) { return each->hasRun(one.id); });
-        record << one.sentAt << " ms " << one.id << " sent to front-" << one.router << ": "
-               << (one.status.empty() ? one.closed ? "closed" : "no answer" : one.status)
-               << (ran ? ", an engine ran it" : ", no engine ran it") << "\n";
-        if (one.sentAt < cutAt + ContactMs || one.sentAt > healedAt - DeadlineMs)
-            continue;
-        const int group = one.router == 0 ? 0 : 1;
-        ++sent[group];
-        served[group] += one.served ? 1 : 0;
-        ranUnserved += group == 0 && ran && !one.served ? 1 : 0;
-        unsafeLost += group == 0 && ran && !one.served && one.id.substr(0, 4) == "c0x0" ? 1 : 0;
-    }
-    note("from contact_ms after the cut on: front-0 served " + std::to_string(served[0]) + " of "
-         + std::to_string(sent[0]) + " first tries, the others " + std::to_string(served[1]) + " of "
-         + std::to_string(sent[1]) + "; of those that front-0 did not serve engines had run "
-         + std::to_string(ranUnserved) + ", " + std::to_string(unsafeLost) + " of them unsafe");
-    const int failed = sent[0] - served[0];
-    const bool broken = 3.0 * served[0] * sent[1] < 2.0 * served[1] * sent[0]
-                        && failed > 10 + (sent[0] + sent[1]) / 50.0;
-    if (sent[0] == 0 || sent[1] == 0)
-        return 2;
-    note(broken ? "result: RECOVER is broken" : "result: held");
-    return broken ? 1 : 0;
+    return judge(tries, engines, cutAt, healedAt);
 }
--- a/review/standins-3/turns.cc
+++ b/review/standins-3/turns.cc
@@ -9,9 +9,19 @@
 
 #include <unistd.h>
 
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <chrono>
 #include <cstdio>
 #include <fstream>
 #include <iostream>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
 
 using namespace burdockhold::testing;
 using nlohmann::json;
@@ -20,11 +30,11 @@
 
 namespace {
 
-const char Pool[] = "llm";
-const char Model[] = "m0";
-constexpr int LeaseMs = 3000;      // bounds.lease_ms
-constexpr int ThawSlackMs = 300;   // bounds.thaw_slack_ms
-constexpr ms LoadTime{ 420 };      // New weights take an engine 0.42 s.
+constexpr char Pool[] = "llm";
+constexpr char Model[] = "m0";
+constexpr int LeaseMs = 3000;    // bounds.lease_ms
+constexpr int ThawSlackMs = 300; // bounds.thaw_slack_ms
+constexpr ms LoadTime{ 420 };    // New weights take an engine 0.42 s.
 constexpr ms Heartbeat{ 1200 };
 constexpr ms EventGap{ 50 };
 
@@ -184,7 +194,7 @@
                                                   { "kv_total", 90000 },
                                                   { "handles", 0 },
                                                   { "born", 1000 } }
-                                                     .dump()));
+                                                    .dump()));
         }
         if (request.target == "/order") {
             int status = 0;
@@ -211,8 +221,7 @@
             if (!expected.empty() && expected != std::to_string(m_version))
                 return socket.write(answer(421, "", fields));
             if (m_next != 0)
-                return socket.write(
-                        answer(503, "", fields + "X-Burdockhold-Not-Executed: 1\r\n"));
+                return socket.write(answer(503, "", fields + "X-Burdockhold-Not-Executed: 1\r\n"));
             ++m_running;
             version = m_version;
         }
@@ -254,11 +263,11 @@
 
 void putConfiguration(fake_log_service &log)
 {
-    const json route{ { "name", "chat" },      { "host", "h" },
+    const json route{ { "name", "chat" },          { "host", "h" },
                       { "path_prefix", "/chat/" }, { "kind", "stream" },
-                      { "timeout_ms", 5000 },  { "target_latency_ms", 600 },
-                      { "gap_target_ms", 300 }, { "priority", 1 },
-                      { "service", Pool },     { "max_attempts", 1 },
+                      { "timeout_ms", 5000 },      { "target_latency_ms", 600 },
+                      { "gap_target_ms", 300 },    { "priority", 1 },
+                      { "service", Pool },         { "max_attempts", 1 },
                       { "sticky", true } };
     const json service{ { "name", Pool },
                         { "max_connections", 620 },
@@ -298,150 +307,217 @@
     return true;
 }
 
-} // namespace
-
-int main(int argc, char **argv)
+/// The machines know each other by the ports of the relay that can cut them off.
+std::string throughRelay(const std::string &topic, const std::string &, const std::string &value)
 {
-    if (argc != 4) {
-        std::cerr << "usage: turns ROUTER RECORD TROUBLE\n";
-        return 2;
-    }
-    record.open(argv[2]);
-    const bool trouble = std::string(argv[3]) != "0";
-
-    fake_log_service log;
-    log.endMemberships();
-    std::atomic<long> joinedAt{ -1 };
-    log.setFaults([&](const std::string &target) {
-        if (target.rfind("/log-join", 0) == 0)
-            joinedAt = now();
-        return log_fault::None;
-    });
-    // The machines know each other by the ports of the relay that can cut them off.
-    log.setAppendFilter([](const std::string &topic, const std::string &,
-                           const std::string &value) {
-        const std::string port = ":" + std::to_string(soak_relay::PeerPort);
-        const std::size_t found = value.find(port);
-        if (topic != "keyed.burdockhold-vms" || found == std::string::npos)
-            return value;
-        return value.substr(0, found) + ":" + std::to_string(soak_relay::RelayPort)
-               + value.substr(found + port.size());
-    });
-    nameVersion(log, 1);
-    putConfiguration(log);
+    const std::string port = ":" + std::to_string(soak_relay::PeerPort);
+    const std::size_t found = value.find(port);
+    if (topic != "keyed.burdockhold-vms" || found == std::string::npos)
+        return value;
+    return value.substr(0, found) + ":" + std::to_string(soak_relay::RelayPort)
+           + value.substr(found + port.size());
+}
 
+std::vector<std::string> ownAddresses()
+{
     const int process = ::getpid();
     const std::string net = "127." + std::to_string(100 + process % 100) + "."
                             + std::to_string(1 + process / 100 % 250) + ".";
-    const std::vector<std::string> ips{ net + "1", net + "2" };
-    const std::vector<std::string> names{ "front-a-1", "front-b-1" };
-    cuttable_link links[2]{ cuttable_link(log.address()), cuttable_link(log.address()) };
-    soak_relay relay(ips, 1);
-    engine server(log);
-    std::unique_ptr<router_process> routers[2];
-    const auto start = [&](int index) {
+    return { net + "1", net + "2" };
+}
+
+class trial
+{
+public:
+    trial(std::string program, bool trouble)
+        : m_program(std::move(program))
+        , m_trouble(trouble)
+        , m_ips(ownAddresses())
+        , m_links{ cuttable_link(m_log.address()), cuttable_link(m_log.address()) }
+        , m_relay(m_ips, 1)
+        , m_engine(m_log)
+    {
+        m_log.endMemberships();
+        m_log.setFaults([this](const std::string &target) {
+            if (target.rfind("/log-join", 0) == 0)
+                m_joinedAt = now();
+            return log_fault::None;
+        });
+        m_log.setAppendFilter(throughRelay);
+        nameVersion(m_log, 1);
+        putConfiguration(m_log);
+    }
+
+    /// The first machine takes the duty, then the second one is added.
+    bool startMachines()
+    {
+        const auto firstHolds = [this] { return m_log.dutyHolder(Pool) == m_names[0]; };
+        if (!start(0) || !waitFor(firstHolds, ms(8000)) || !start(1))
+            return false;
+        std::this_thread::sleep_for(ms(5000));
+        return firstHolds();
+    }
+
+    /// A stream runs while new weights are named, so the engine is busy with its order for a while.
+    /// The cut begins right after the holder has renewed its membership for the third time since.
+    bool cutHolder()
+    {
+        if (!waitForJoins(1))
+            return false;
+        m_caller = std::make_unique<test_caller>(m_routers[1]->callerAddress());
+        note("the client sends c1");
+        m_caller->send("POST /chat/1 HTTP/1.1\r\nHost: h\r\nX-Burdockhold-Attempt-Id: c1\r\n"
+                       "X-Burdockhold-Model: m0\r\nX-Burdockhold-Token-Count: 100,45\r\n"
+                       "X-Burdockhold-Prompt-Prefix: aa:50,bb:50\r\n"
+                       "X-Burdockhold-Deadline-Ms: 5000\r\nContent-Length: 2\r\n\r\nhi");
+        if (!waitFor([this] { return m_engine.running() == 1; }, ms(1000)))
+            return false;
+        nameVersion(m_log, 2);
+        const bool begun = waitFor([this] { return ordersOf(0) >= 1; }, ms(1000));
+        nameVersion(m_log, 3);
+        if (!begun || !waitForJoins(3))
+            return false;
+        std::this_thread::sleep_for(ms(15));
+        cut(0, true);
+        std::this_thread::sleep_for(ms(1500));
+        nameVersion(m_log, 4);
+        const std::string answer = m_caller->readUntil("\r\n0\r\n", 3000);
+        note("the client has got " + std::to_string(answer.size()) + " bytes of c1");
+        return true;
+    }
+
+    /// The successor is cut off once it has given an order, and the first holder comes back.
+    void cutSuccessor()
+    {
+        if (m_trouble) {
+            waitFor([this] { return ordersOf(1) >= 1; }, ms(3000));
+            cut(1, true);
+            cut(0, false);
+        }
+        std::this_thread::sleep_for(ms(600));
+        nameVersion(m_log, 5);
+        const long before = ordersOf(0);
+        waitFor([&] { return ordersOf(0) > before || m_engine.idleAt(5); }, ms(6000));
+        std::this_thread::sleep_for(ms(500));
+        cut(1, false);
+        std::this_thread::sleep_for(ms(1000));
+    }
+
+    /// Returns whether holders take turns within the lease.
+    bool isBroken()
+    {
+        const std::vector<order> orders = countedOrders();
+        bool broken = false;
+        for (std::size_t last = 0; last < orders.size(); ++last) {
+            for (std::size_t first = 0; first < last; ++first)
+                broken = areTurns(orders, first, last) || broken;
+        }
+        return broken;
+    }
+
+private:
+    bool start(int index)
+    {
         router_place place;
-        place.vm = names[index];
-        place.ip = ips[index];
+        place.vm = m_names[index];
+        place.ip = m_ips[index];
         place.enginesCheckFences = false;
-        place.program = argv[1];
-        routers[index] = std::make_unique<router_process>(links[index].address(), place);
-        return routers[index]->waitReady(true);
-    };
-    long healedAt[2]{ -1, -1 };
-    const auto cut = [&](int index, bool isCut) {
-        if (!trouble)
+        place.program = m_program;
+        m_routers[index] = std::make_unique<router_process>(m_links[index].address(), place);
+        return m_routers[index]->waitReady(true);
+    }
+
+    void cut(int index, bool isCut)
+    {
+        if (!m_trouble)
             return;
-        note(names[index]
+        note(m_names[index]
              + (isCut ? " is cut off from the store and the other machine" : " is back"));
-        links[index].setCut(isCut);
-        relay.setCut(index, isCut);
+        m_links[index].setCut(isCut);
+        m_relay.setCut(static_cast<std::size_t>(index), isCut);
         if (!isCut)
-            healedAt[index] = now();
-    };
-    const auto ordersOf = [&](int index) {
-        const auto all = server.orders();
-        return std::count_if(all.begin(), all.end(),
-                             [&](const order &one) { return one.holder == names[index]; });
-    };
-
-    // The first machine takes the duty, then the second one is added.
-    if (!start(0) || !waitFor([&] { return log.dutyHolder(Pool) == names[0]; }, ms(8000))
-        || !start(1))
-        return 2;
-    std::this_thread::sleep_for(ms(5000));
-    if (log.dutyHolder(Pool) != names[0])
-        return 2;
+            m_healedAt[index] = now();
+    }
 
-    // A stream runs while new weights are named, so the engine is busy with its order for a while.
-    const long before = joinedAt;
-    if (!waitFor([&] { return joinedAt != before; }, ms(2000)))
-        return 2;
-    test_caller caller(routers[1]->callerAddress());
-    note("the client sends c1");
-    caller.send("POST /chat/1 HTTP/1.1\r\nHost: h\r\nX-Burdockhold-Attempt-Id: c1\r\n"
-                "X-Burdockhold-Model: m0\r\nX-Burdockhold-Token-Count: 100,45\r\n"
-                "X-Burdockhold-Prompt-Prefix: aa:50,bb:50\r\n"
-                "X-Burdockhold-Deadline-Ms: 5000\r\nContent-Length: 2\r\n\r\nhi");
-    if (!waitFor([&] { return server.running() == 1; }, ms(1000)))
-        return 2;
-    nameVersion(log, 2);
-    const bool begun = waitFor([&] { return ordersOf(0) >= 1; }, ms(1000));
-    nameVersion(log, 3);
-    // The cut begins right after the holder has renewed its membership for the third time since.
-    for (int joins = 0; joins < 3; ++joins) {
-        const long joinBefore = joinedAt;
-        if (!begun || !waitFor([&] { return joinedAt != joinBefore; }, ms(2000)))
-            return 2;
+    bool waitForJoins(int count)
+    {
+        for (int join = 0; join < count; ++join) {
+            const long before = m_joinedAt;
+            if (!waitFor([&] { return m_joinedAt != before; }, ms(2000)))
+                return false;
+        }
+        return true;
     }
-    std::this_thread::sleep_for(ms(15));
-    cut(0, true);
-    std::this_thread::sleep_for(ms(1500));
-    nameVersion(log, 4);
-    const std::string answer = caller.readUntil("\r\n0\r\n", 3000);
-    note("the client has got " + std::to_string(answer.size()) + " bytes of c1");
-    if (trouble) {
-        waitFor([&] { return ordersOf(1) >= 1; }, ms(3000));
-        cut(1, true);
-        cut(0, false);
+
+    long ordersOf(int index)
+    {
+        const auto all = m_engine.orders();
+        return std::count_if(all.begin(), all.end(),
+                             [&](const order &one) { return one.holder == m_names[index]; });
     }
-    std::this_thread::sleep_for(ms(600));
-    nameVersion(log, 5);
-    const long firstOrders = ordersOf(0);
-    waitFor([&] { return ordersOf(0) > firstOrders || server.idleAt(5); }, ms(6000));
-    std::this_thread::sleep_for(ms(500));
-    cut(1, false);
-    std::this_thread::sleep_for(ms(1000));
-
-    // Orders within thaw_slack_ms after their sender's link healed do not count.
-    std::vector<order> counted;
-    for (const order &one : server.orders()) {
-        const long healed = healedAt[one.holder == names[0] ? 0 : 1];
-        if (healed < 0 || one.at < healed || one.at > healed + ThawSlackMs)
-            counted.push_back(one);
+
+    /// Orders within thaw_slack_ms after their sender's link healed do not count.
+    std::vector<order> countedOrders()
+    {
+        std::vector<order> counted;
+        for (const order &one : m_engine.orders()) {
+            const long healed = m_healedAt[one.holder == m_names[0] ? 0 : 1];
+            if (healed < 0 || one.at < healed || one.at > healed + ThawSlackMs)
+                counted.push_back(one);
+        }
+        return counted;
     }
-    bool broken = false;
-    for (std::size_t last = 0; last < counted.size(); ++last) {
-        for (std::size_t first = 0; first < last; ++first) {
-            if (counted[last].at - counted[first].at >= LeaseMs)
-                continue;
-            const bool same = counted[first].holder == counted[last].holder;
-            const bool between = std::any_of(
-                    counted.begin() + static_cast<long>(first),
-                    counted.begin() + static_cast<long>(last),
-                    [&](const order &one) { return one.holder != counted[last].holder; });
-            const std::string span = counted[first].holder + " at "
-                                     + std::to_string(counted[first].at) + " ms and "
-                                     + counted[last].holder + " at "
-                                     + std::to_string(counted[last].at) + " ms";
-            if (!same)
-                note("two holders order one engine within lease_ms: " + span);
-            if (same && between) {
-                broken = true;
-                note("ONE is broken: holders take turns within lease_ms: " + span);
-            }
+
+    /// Returns whether both orders are of one holder, with one of another holder between them, all
+    /// within the lease.
+    static bool areTurns(const std::vector<order> &orders, std::size_t first, std::size_t last)
+    {
+        const order &before = orders[first];
+        const order &after = orders[last];
+        if (after.at - before.at >= LeaseMs)
+            return false;
+        const std::string span = before.holder + " at " + std::to_string(before.at) + " ms and "
+                                 + after.holder + " at " + std::to_string(after.at) + " ms";
+        if (before.holder != after.holder) {
+            note("two holders order one engine within lease_ms: " + span);
+            return false;
         }
+        const bool between = std::any_of(
+                orders.begin() + static_cast<long>(first), orders.begin() + static_cast<long>(last),
+                [&](const order &one) { return one.holder != after.holder; });
+        if (between)
+            note("ONE is broken: holders take turns within lease_ms: " + span);
+        return between;
+    }
+
+    std::string m_program;
+    bool m_trouble;
+    const std::array<std::string, 2> m_names{ "front-a-1", "front-b-1" };
+    std::vector<std::string> m_ips;
+    std::atomic<long> m_joinedAt{ -1 };
+    fake_log_service m_log;
+    std::array<cuttable_link, 2> m_links;
+    soak_relay m_relay;
+    engine m_engine;
+    std::array<long, 2> m_healedAt{ -1, -1 };
+    std::array<std::unique_ptr<router_process>, 2> m_routers;
+    std::unique_ptr<test_caller> m_caller;
+};
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    if (argc != 4) {
+        std::cerr << "usage: turns ROUTER RECORD TROUBLE\n";
+        return 2;
     }
+    record.open(argv[2]);
+    trial one(argv[1], std::string(argv[3]) != "0");
+    if (!one.startMachines() || !one.cutHolder())
+        return 2;
+    one.cutSuccessor();
+    const bool broken = one.isBroken();
     note(broken ? "result: broken" : "result: held");
     return broken ? 1 : 0;
 }
