--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -11,5 +11,5 @@
     # shellcheck disable=SC2086
     $CXX $FLAGS -o target/review-3/$name review/standins-3/$name.cc $SUPPORT -lxxhash -lpthread
 done
-# Case 14 uses a stand-in that the second review built but gave no case.
+# Case 15 uses a stand-in that the second review built but gave no case.
 $CXX -std=c++17 -O1 -pthread -I review/standins-2 -o target/review-3/moves review/standins-2/moves.cc
--- a/review/standins-3/drill.cc
+++ b/review/standins-3/drill.cc
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <csignal>
 #include <fstream>
 #include <functional>
 #include <future>
@@ -26,6 +27,7 @@
 constexpr int Routers = 2;
 constexpr int RevokeMs = 5000; // bounds.revoke_ms
 constexpr int AwayMs = 600;
+constexpr ms WriteAgainAfter{ 1500 };
 constexpr ms StoreAnswer{ 4 }; // "4 ms an answer"
 constexpr int AfterMs = 15000; // For how long requests go on after the key was taken away.
 
@@ -244,6 +246,33 @@
     return now();
 }
 
+/// The key is taken away, and the store forgets it while a router starts again. Returns when the
+/// configuration without the key was acknowledged.
+long runDrillAndRestart(fake_log_service &log, operator_of_store &writer, const engine &server,
+                        router_process &router, bool trouble)
+{
+    log.takeCopy();
+    note("the store is copied");
+    std::this_thread::sleep_for(ms(500));
+    writer.configure(2, false, 1000);
+    const long takenAt = now();
+    std::this_thread::sleep_for(ms(RevokeMs + 500));
+    if (!trouble)
+        return takenAt;
+    note("the store is away, and front-0 is killed");
+    router.signal(SIGKILL);
+    log.setUnavailable(true);
+    std::this_thread::sleep_for(ms(AwayMs));
+    log.returnFromCopy();
+    log.setUnavailable(false);
+    note("the store is back from its copy, with the next era, and front-0 starts again");
+    router.startAgain();
+    std::this_thread::sleep_for(WriteAgainAfter);
+    writer.writeAgain();
+    log.put("keyed.servers", "i-1", server.entry());
+    return takenAt;
+}
+
 /// Returns the script's exit code.
 int judge(const std::vector<sent_request> &requests, engine &server, long takenAt)
 {
@@ -272,11 +301,12 @@
 
 int main(int argc, char **argv)
 {
-    if (argc != 4) {
-        std::cerr << "usage: drill ROUTER RECORD TROUBLE\n";
+    if (argc != 4 && argc != 5) {
+        std::cerr << "usage: drill ROUTER RECORD TROUBLE [restart]\n";
         return 2;
     }
     record.open(argv[2]);
+    const bool trouble = std::string(argv[3]) != "0";
     fake_log_service log;
     log.endMemberships();
     log.setEra(1);
@@ -297,7 +327,8 @@
                                          routers[static_cast<std::size_t>(router)]->callerAddress(),
                                          std::string(key), std::cref(stopping)));
     }
-    const long takenAt = runDrill(log, writer, server, std::string(argv[3]) != "0");
+    const long takenAt = argc == 5 ? runDrillAndRestart(log, writer, server, *routers[0], trouble)
+                                   : runDrill(log, writer, server, trouble);
     std::this_thread::sleep_for(ms(AfterMs));
     stopping = true;
     std::vector<sent_request> requests;
