Let the review's scripts end all processes also when they are cut off

The shell did not take the form of kill that ended the process group: a script that got SIGTERM after 8 s left its routers (4 processes).

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -6,11 +6,15 @@
 # timeout leads a process group of its own, in which all that the case starts stays.
 timeout -k 5 100 target/review-3/drill target/burdockhold-router "$folder/record" "${TROUBLE:-1}" &
 group=$!
-trap 'kill -KILL -- -$group 2> /dev/null; rm -rf "$folder"; exit 2' INT TERM
+finish() {
+    driver=$(cat "/proc/$group/task/$group/children" 2> /dev/null)
+    kill -s KILL -- "-$group" 2> /dev/null
+    rm -rf "$folder" ${driver:+"/tmp/burdockhold-router-${driver%% *}-"*}
+}
+trap 'finish; exit 2' INT TERM
 wait $group
 result=$?
-kill -KILL -- -$group 2> /dev/null
 cp "$folder/record" review/11/record.txt 2>/dev/null
-rm -rf "$folder"
+finish
 [ "$result" = 0 ] || [ "$result" = 1 ] || result=2
 exit $result
