Load topics again when the log has returned from a copy, and order views by its era

Cause: topic_follower read on from the offset that it had reached before the return. The log had given that offset out again by then, so the answer was 200 without records and not 410; the records below were never read, and the view counted as confirmed. The era that each answer states was used only to drop answers of an earlier one.

Ruled out: the decision on keys (the other VM refused the key by the same deployment), late answers of the earlier era (dropped), the order of versions (the missed one was the highest).

Change: an offset is valid in its era. A follower applies no answer of another era, and gives up what it waits for and loads the topic again as soon as a later era is known, from any call or another VM's digest. The log line topic_loaded tells a load after 410 from one for a later era.

The same cause on related paths: a reader that had missed the return passed on its view, which counted as newer by its higher offset. Views state their era, which goes before the offset (view_order.h, one place for the comparison). Within a stated era the offset decides alone, since times of confirmation are lower bounds.

Other builds: earlier ones ignore the new field (viewsAreReadableForBuildsWithoutTheEra).

--- a/burdockhold/decision_log.h
+++ b/burdockhold/decision_log.h
@@ -54,6 +54,7 @@
     DutyJoined,
     StoreEraChanged,
     StoreEraUnreadable,
+    TopicLoaded,
     EndpointContactLost,
     EndpointContactRegained,
     RelayFailed,
@@ -85,7 +86,7 @@
 template <>
 struct enum_names<log_event>
 {
-    static constexpr std::array<enum_name<log_event>, 54> Table{ {
+    static constexpr std::array<enum_name<log_event>, 55> Table{ {
             { log_event::Started, "started" },
             { log_event::Stopping, "stopping" },
             { log_event::Stopped, "stopped" },
@@ -114,6 +115,7 @@
             { log_event::DutyJoined, "duty_joined" },
             { log_event::StoreEraChanged, "store_era_changed" },
             { log_event::StoreEraUnreadable, "store_era_unreadable" },
+            { log_event::TopicLoaded, "topic_loaded" },
             { log_event::EndpointContactLost, "endpoint_contact_lost" },
             { log_event::EndpointContactRegained, "endpoint_contact_regained" },
             { log_event::RelayFailed, "relay_failed" },
--- a/burdockhold/store_era.h
+++ b/burdockhold/store_era.h
@@ -52,6 +52,7 @@
         m_unreadable += stated.unreadable ? 1 : 0;
         if (!stated.era || *stated.era <= m_current)
             return;
+        m_hasRisen = m_hasRisen || newestHeardOf() > 0;
         m_change = era_change{ m_change ? m_change->from : m_current, *stated.era };
         m_current = *stated.era;
     }
@@ -63,7 +64,14 @@
     }
 
     /// Handles the era that another VM has stated.
-    void heardOf(std::int64_t era) { m_heardOf = std::max(m_heardOf, era); }
+    void heardOf(std::int64_t era)
+    {
+        m_hasRisen = m_hasRisen || (newestHeardOf() > 0 && era > newestHeardOf());
+        m_heardOf = std::max(m_heardOf, era);
+    }
+
+    /// Returns true if an era has followed another one since this VM knows any.
+    bool hasRisen() const { return m_hasRisen; }
 
     /// Returns the rise of the era since the last call, if there was one.
     std::optional<era_change> takeChange() { return std::exchange(m_change, std::nullopt); }
@@ -74,6 +82,7 @@
 private:
     std::int64_t m_current = 0;
     std::int64_t m_heardOf = 0;
+    bool m_hasRisen = false;
     std::optional<era_change> m_change;
     std::uint64_t m_unreadable = 0;
 };
--- a/burdockhold/topic_follower.cc
+++ b/burdockhold/topic_follower.cc
@@ -3,6 +3,7 @@
 #include "burdockhold/field_values.h"
 #include "burdockhold/router_board.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace burdockhold {
@@ -143,7 +144,8 @@
 topic_follower::topic_follower(boost::asio::io_context &context,
                                const boost::asio::ip::tcp::endpoint &server, store_era &era,
                                follower_options options, follower_handlers handlers)
-    : m_options(std::move(options))
+    : m_era(era)
+    , m_options(std::move(options))
     , m_handlers(std::move(handlers))
     , m_timer(context)
     , m_repeatTimer(context)
@@ -155,6 +157,13 @@
 
 void topic_follower::start()
 {
+    load(load_cause::Started);
+}
+
+void topic_follower::load(load_cause cause)
+{
+    m_loadCause = cause;
+    m_newestEraAtLoad = m_era.newestHeardOf();
     m_nextOffset.reset();
     m_loadedRecords.clear();
     m_loadEndOffset.reset();
@@ -165,10 +174,25 @@
 void topic_follower::stop()
 {
     m_stopped = true;
+    cancelCalls();
+}
+
+void topic_follower::cancelCalls()
+{
     m_timer.cancel();
     m_repeatTimer.cancel();
-    m_call.connection->close();
-    m_repeat.connection->close();
+    for (read_call *call : { &m_call, &m_repeat }) {
+        call->connection->close();
+        call->inFlight = false;
+    }
+}
+
+void topic_follower::checkEra()
+{
+    if (m_stopped || m_era.newestHeardOf() <= m_newestEraAtLoad)
+        return;
+    cancelCalls();
+    load(load_cause::LaterEra);
 }
 
 void topic_follower::loadPage(const std::string &after)
@@ -187,17 +211,29 @@
         return;
     }
     platform::newest_page &newest = valueOf(page);
+    if (m_loadEndOffset && m_loadEra != m_era.current()) {
+        load(load_cause::LaterEra);
+        return;
+    }
     if (!m_loadEndOffset)
         m_loadEndOffset = newest.end;
+    m_loadEra = m_era.current();
+    m_newestEraAtLoad = std::max(m_newestEraAtLoad, m_loadEra);
     m_loadedRecords.insert(m_loadedRecords.end(), newest.records.begin(), newest.records.end());
     if (newest.hasMore && !newest.records.empty()) {
         loadPage(newest.records.back().key);
         return;
     }
+    finishLoad();
+}
+
+void topic_follower::finishLoad()
+{
+    m_nextOffset = m_loadEndOffset;
+    m_position = { m_loadEra, *m_nextOffset };
     m_handlers.loaded(m_loadedRecords);
+    m_handlers.loadEnded({ m_loadCause, m_position, m_loadedRecords.size() });
     m_loadedRecords.clear();
-    m_nextOffset = m_loadEndOffset;
-    m_position = *m_nextOffset;
     m_handlers.confirmed(m_loadStartedAt);
     scheduleNext(m_options.readPause());
 }
@@ -254,8 +290,13 @@
 
 void topic_follower::readReceived(duration sentAt, const log_response &response)
 {
+    // An answer without a stated era is of the known one: log_connection drops earlier ones.
+    if (m_era.current() != m_position.era) {
+        load(load_cause::LaterEra);
+        return;
+    }
     if (response.status == StatusGone) {
-        start();
+        load(load_cause::RecordsDeleted);
         return;
     }
     auto page = platform::decodeRead(response.body);
@@ -269,7 +310,7 @@
             m_handlers.changed(record);
     }
     m_nextOffset = *m_nextOffset + records.records.size();
-    m_position = *m_nextOffset;
+    m_position.offset = *m_nextOffset;
     const bool caughtUp = *m_nextOffset >= records.end;
     if (caughtUp)
         m_handlers.confirmed(sentAt);
@@ -293,7 +334,7 @@
         if (self->m_nextOffset)
             self->read();
         else
-            self->start();
+            self->load(self->m_loadCause);
     });
 }
 
--- a/burdockhold/topic_follower.h
+++ b/burdockhold/topic_follower.h
@@ -9,16 +9,24 @@
 // It confirms its view as of the time at which the load began, or at which the read that reached
 // the topic's end was sent.
 //
+// Offsets are valid within one era of the log (store_era.h). When a later era is known, whichever
+// call or VM has stated it, the follower gives up what it waits for and loads again. An answer of
+// another era than that of its offset is never applied.
+//
 // A read without a response soon after its wait is sent once more on another connection, and the
 // first response counts: something on the way may have lost track of the connection, or the log may
 // be slow. A read is given up only after its whole timeout, so a slow log is read nevertheless.
 
+#include "burdockhold/enum_names.h"
 #include "burdockhold/http_client_connection.h"
 #include "burdockhold/store_era.h"
+#include "burdockhold/view_order.h"
 #include "platform/log_codec.h"
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <array>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -86,6 +94,27 @@
     time_point m_firstBytesAt;
 };
 
+/// Why a follower loads its topic.
+enum class load_cause { Started, RecordsDeleted, LaterEra };
+
+template <>
+struct enum_names<load_cause>
+{
+    static constexpr std::array<enum_name<load_cause>, 3> Table{ {
+            { load_cause::Started, "started" },
+            { load_cause::RecordsDeleted, "records_deleted" },
+            { load_cause::LaterEra, "later_era" },
+    } };
+};
+
+/// A load of a topic that has ended.
+struct topic_load
+{
+    load_cause cause = load_cause::Started;
+    topic_position end; ///< From which the follower reads on.
+    std::size_t records = 0;
+};
+
 struct follower_options
 {
     std::string topic;
@@ -104,6 +133,8 @@
     /// Passes a snapshot: all keys and their newest values. Keys that are not listed are deleted.
     std::function<void(const std::vector<platform::keyed_record> &)> loaded;
     std::function<void(const platform::keyed_record &)> changed;
+    /// A load has ended; called after `loaded`.
+    std::function<void(const topic_load &)> loadEnded = [](const topic_load &) {};
     /// The view matched the log at this time of the boot-time clock.
     std::function<void(duration confirmedAt)> confirmed;
     /// A read is sent once more, since it has had no response.
@@ -123,8 +154,12 @@
     /// Cancels the call in progress. No handler is called afterwards.
     void stop();
 
-    /// Returns the offset in the topic up to which records have been passed on.
-    std::uint64_t position() const { return m_position; }
+    /// Loads again if a later era of the log is known, or heard of, than when the last load began.
+    /// Called often.
+    void checkEra();
+
+    /// Returns the place in the topic up to which records have been passed on.
+    topic_position position() const { return m_position; }
 
 private:
     /// One of the two connections for reads, and its read in progress.
@@ -135,8 +170,11 @@
         bool inFlight = false;
     };
 
+    void load(load_cause cause);
     void loadPage(const std::string &after);
     void pageReceived(const log_response &response);
+    void finishLoad();
+    void cancelCalls();
     void read();
     void send(read_call &call);
     void startRepeatTimer();
@@ -145,6 +183,7 @@
     void retryAfterPause(int status);
     void scheduleNext(duration pause);
 
+    store_era &m_era;
     follower_options m_options;
     follower_handlers m_handlers;
     read_call m_call; // Its connection serves loads as well.
@@ -155,7 +194,10 @@
     std::vector<platform::keyed_record> m_loadedRecords;
     std::optional<std::uint64_t> m_loadEndOffset;
     std::optional<std::uint64_t> m_nextOffset; // Not set during a load.
-    std::uint64_t m_position = 0;
+    topic_position m_position;
+    load_cause m_loadCause = load_cause::Started;
+    std::int64_t m_loadEra = 0;         // Of the first page of the load in progress.
+    std::int64_t m_newestEraAtLoad = 0; // That was known or heard of when the load began.
     duration m_loadStartedAt = duration::zero();
 };
 
--- a/burdockhold/view_controller.cc
+++ b/burdockhold/view_controller.cc
@@ -48,6 +48,11 @@
     return std::max<std::uint64_t>(1, (std::uint64_t(source()) << 32) | source());
 }
 
+topic_position positionOf(const topic_view &view)
+{
+    return { view.era, view.position };
+}
+
 } // namespace
 
 /// Serves the view requests of one VM, one at a time.
@@ -296,6 +301,10 @@
         startReading();
     else if (!reads && m_reading)
         stopReading();
+    for (const read_topic *topic : { &m_operator, &m_endpoints }) {
+        if (topic->follower)
+            topic->follower->checkEra();
+    }
     if (!m_requestInFlight && now >= m_nextRequestAt)
         sendRequest(now);
     m_log.report(m_reading, m_source.cause(), m_source.needsAnyView(now) ? "any" : m_requestedFrom);
@@ -381,6 +390,9 @@
         recordConfirmation(m_operator, at, platform::OperatorTopic);
     };
     handlers.repeated = [this] { m_log.readRepeated(platform::OperatorTopic); };
+    handlers.loadEnded = [this](const topic_load &load) {
+        m_log.topicLoaded(platform::OperatorTopic, load);
+    };
     handlers.failed = [this](int status) {
         m_handlers.logCallCompleted(platform::OperatorTopic, status);
     };
@@ -408,6 +420,9 @@
         recordConfirmation(m_endpoints, at, platform::EndpointTopic);
     };
     handlers.repeated = [this] { m_log.readRepeated(platform::EndpointTopic); };
+    handlers.loadEnded = [this](const topic_load &load) {
+        m_log.topicLoaded(platform::EndpointTopic, load);
+    };
     handlers.failed = [this](int status) {
         m_handlers.logCallCompleted(platform::EndpointTopic, status);
     };
@@ -475,7 +490,7 @@
 void view_controller::recordConfirmation(read_topic &topic, duration at, std::string_view name)
 {
     topic.confirmedAt = at;
-    topic.usedPosition = topic.follower->position();
+    topic.used = topic.follower->position();
     m_handlers.logCallCompleted(name, StatusOk);
     notifySessions();
 }
@@ -539,8 +554,7 @@
     if (endpoints.loaded)
         m_nextRequest.endpointSequenceNumber = endpoints.sequenceNumber;
     if (isOlder(operators, m_operator, confirmedAt(operators), m_board.deploymentConfirmedAt)) {
-        m_log.olderViewReceived(from.name, platform::OperatorTopic, operators,
-                                m_operator.usedPosition);
+        m_log.olderViewReceived(from.name, platform::OperatorTopic, operators, m_operator.used);
     } else if (operators.loaded) {
         applyOperator(operators);
         m_handlers.operatorConfirmed(confirmedAt(operators));
@@ -549,8 +563,7 @@
                                                      confirmedAt(operators));
     }
     if (isOlder(endpoints, m_endpoints, confirmedAt(endpoints), m_board.endpointsConfirmedAt)) {
-        m_log.olderViewReceived(from.name, platform::EndpointTopic, endpoints,
-                                m_endpoints.usedPosition);
+        m_log.olderViewReceived(from.name, platform::EndpointTopic, endpoints, m_endpoints.used);
     } else if (endpoints.loaded) {
         applyEndpoints(endpoints);
         m_board.confirmEndpoints(confirmedAt(endpoints));
@@ -560,15 +573,15 @@
             from.name, loaded && isFresh(confirmedAt(operators), confirmedAt(endpoints)), now);
 }
 
-/// Returns whether the view lies before the one that this VM uses, by the log's offsets and by the
-/// time of confirmation. Nothing of it is applied then: it holds no change that this VM lacks, also
-/// if later changes are relative to it. After the log has lost records, offsets alone would refuse
-/// the newest view.
+/// Returns whether the view is older than the one that this VM uses (view_order.h). Nothing of it
+/// is applied then: it holds no change that this VM lacks, also if later changes are relative to
+/// it.
 bool view_controller::isOlder(const topic_view &view, const read_topic &own, duration confirmedAt,
                               duration ownConfirmedAt) const
 {
-    return view.loaded && view.position != 0 && view.position < own.usedPosition
-           && confirmedAt < ownConfirmedAt;
+    return view.loaded
+           && isOlderView({ positionOf(view), confirmedAt }, { own.used, ownConfirmedAt },
+                          m_board.storeEra);
 }
 
 bool view_controller::applyDeploymentUpdate(const std::string &encoded, const group_vm &from)
@@ -606,7 +619,7 @@
     }
     if (view.isSnapshot)
         m_handlers.operatorListed(keys);
-    m_operator.usedPosition = view.position;
+    m_operator.used = positionOf(view);
 }
 
 void view_controller::applyEndpoints(const topic_view &view)
@@ -626,7 +639,7 @@
     }
     if (view.isSnapshot)
         m_handlers.endpointsListed(ids);
-    m_endpoints.usedPosition = view.position;
+    m_endpoints.used = positionOf(view);
 }
 
 view_timing view_controller::timing() const
@@ -763,7 +776,9 @@
     topic_changes changes = topic.changelog.since(knownSequenceNumber);
     view.isSnapshot = changes.isSnapshot;
     view.sequenceNumber = changes.sequenceNumber;
-    view.position = topic.follower->position();
+    const topic_position position = topic.follower->position();
+    view.position = position.offset;
+    view.era = position.era;
     view.records = std::move(changes.records);
     const duration offset = topic.confirmedAt - receivedAt;
     // Rounded down, so that the requester never takes the view for fresher than it is.
--- a/burdockhold/view_controller.h
+++ b/burdockhold/view_controller.h
@@ -26,6 +26,7 @@
 #include "burdockhold/topic_follower.h"
 #include "burdockhold/view_log.h"
 #include "burdockhold/view_message.h"
+#include "burdockhold/view_order.h"
 #include "burdockhold/view_source.h"
 #include "burdockhold/view_timing.h"
 
@@ -106,8 +107,8 @@
         topic_changelog changelog;
         bool loaded = false;
         duration confirmedAt = duration::zero(); // By bootTimeNow(), which includes suspend time.
-        /// Offset in the log's topic of the view that this VM uses, whoever has read it.
-        std::uint64_t usedPosition = 0;
+        /// Place in the log's topic of the view that this VM uses, whoever has read it.
+        topic_position used;
     };
 
     void startReading();
--- a/burdockhold/view_log.cc
+++ b/burdockhold/view_log.cc
@@ -70,14 +70,25 @@
     write(log_event::LogReadRepeated, { { "topic", topic } });
 }
 
+void view_log::topicLoaded(std::string_view topic, const topic_load &load)
+{
+    write(log_event::TopicLoaded, { { "topic", topic },
+                                    { "cause", nameOf(load.cause) },
+                                    { "era", load.end.era },
+                                    { "position", load.end.offset },
+                                    { "records", load.records } });
+}
+
 void view_log::olderViewReceived(std::string_view from, std::string_view topic,
-                                 const topic_view &view, std::uint64_t ownPosition)
+                                 const topic_view &view, const topic_position &own)
 {
     write(log_event::ViewReceived, { { "from", from },
                                      { "topic", topic },
                                      { "older", true },
+                                     { "era", view.era },
+                                     { "own_era", own.era },
                                      { "position", view.position },
-                                     { "own_position", ownPosition } });
+                                     { "own_position", own.offset } });
 }
 
 void view_log::write(log_event event, const nlohmann::ordered_json &fields)
--- a/burdockhold/view_log.h
+++ b/burdockhold/view_log.h
@@ -40,9 +40,12 @@
     /// Logs that a read of the log without a response is sent once more.
     void readRepeated(std::string_view topic);
 
-    /// Logs a view that lies before the own one, at this offset in the log.
+    /// Logs that this VM has loaded a topic of the log, and why.
+    void topicLoaded(std::string_view topic, const topic_load &load);
+
+    /// Logs a view that is older than the own one, which is at this place in the log.
     void olderViewReceived(std::string_view from, std::string_view topic, const topic_view &view,
-                           std::uint64_t ownPosition);
+                           const topic_position &own);
 
 private:
     void write(log_event event, const nlohmann::ordered_json &fields);
--- a/burdockhold/view_message.h
+++ b/burdockhold/view_message.h
@@ -52,7 +52,11 @@
     std::vector<topic_record> records;
     /// Offset in the log's topic up to which the reader has applied it; 0 from an earlier build.
     std::uint64_t position = 0;
-    MSGPACK_DEFINE_ARRAY(loaded, isSnapshot, sequenceNumber, confirmedOffsetMs, records, position)
+    /// Era of the log in which the position is valid; 0 from an earlier build, and if the log
+    /// states none. An earlier build ignores it.
+    std::int64_t era = 0;
+    MSGPACK_DEFINE_ARRAY(loaded, isSnapshot, sequenceNumber, confirmedOffsetMs, records, position,
+                         era)
 };
 
 struct view_response
--- a/testing/view_message_test.cc
+++ b/testing/view_message_test.cc
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <random>
 #include <string>
+#include <vector>
 
 using namespace burdockhold;
 using burdockhold::testing::mutated;
@@ -42,8 +43,45 @@
     return response;
 }
 
+/// A topic's view as builds without the era encode and decode it.
+struct topic_view_without_era
+{
+    bool loaded = false;
+    bool isSnapshot = false;
+    std::uint64_t sequenceNumber = 0;
+    std::int64_t confirmedOffsetMs = 0;
+    std::vector<topic_record> records;
+    std::uint64_t position = 0;
+    MSGPACK_DEFINE_ARRAY(loaded, isSnapshot, sequenceNumber, confirmedOffsetMs, records, position)
+};
+
+template <typename To, typename From>
+To packedAs(const From &value)
+{
+    msgpack::sbuffer buffer;
+    msgpack::pack(buffer, value);
+    return msgpack::unpack(buffer.data(), buffer.size()).get().as<To>();
+}
+
 } // namespace
 
+// Guards against views that builds with and without the era cannot exchange.
+BOOST_AUTO_TEST_CASE(viewsAreReadableForBuildsWithoutTheEra)
+{
+    topic_view view = sampleResponse().operatorTopic;
+    view.position = 31;
+    view.era = 4;
+    const auto seen = packedAs<topic_view_without_era>(view);
+    BOOST_TEST(seen.position == 31U);
+    BOOST_TEST(seen.sequenceNumber == view.sequenceNumber);
+    BOOST_TEST(seen.records.size() == view.records.size());
+    BOOST_TEST(packedAs<topic_view>(view).era == 4);
+    const auto received = packedAs<topic_view>(seen);
+    BOOST_TEST(received.position == 31U);
+    BOOST_TEST(received.era == 0);
+    BOOST_TEST(received.records.size() == view.records.size());
+}
+
 BOOST_AUTO_TEST_CASE(requestRoundTrips)
 {
     const view_request request{ 18446744073709551615U, 7, 12, 31, std::chrono::milliseconds(700) };
