Let one VM follow a holder that leaves, and let it know that it may act

Each time the holder of a duty leaves, all VMs join its group at the same moment; the group moves the duty between them, and each change begins a new lease.

Cause: a holder that leaves was recorded as silent since time zero, and ranks are compared with the silence. Besides, digests of a leaving VM repeated the age of its last order as it was when it began to leave.

Ruled out: the ranks (they differ), the delay of the leave call (the group is free 0.1 s later).

Change: duty_claim.h owns what digests tell about a duty. A leaving holder is silent for just the first VM's delay, once. The age of its last order goes on. Its own digests show that it gives no further order, so the first VM that follows waits for known orders only. A restarted process, one that was silent, and one that had held the duty too briefly hand nothing over; handovers in a row add up.

Other builds: nothing on the wire changes. Earlier builds join at once as before, and their leaving digests count as handovers (withoutFencingAHolderTakesNoTurnsWithVmsOfAnEarlierBuild, every other history with leaving VMs).

--- a/burdockhold/digest_exchange.cc
+++ b/burdockhold/digest_exchange.cc
@@ -628,16 +628,7 @@
 {
     m_board.storeEra.heardOf(digest.storeEra);
     m_board.endpoints.applyPeerDigest(digest, now);
-    for (const duty_row &row : digest.duties) {
-        duty_claim &claim = m_board.peerDutyClaims[row.pool];
-        if (row.holds && !digest.leaving) {
-            claim.heldAt = now;
-            claim.holder = digest.vm;
-        }
-        if (row.lastOrderAgeMs != duty_row::NoOrder)
-            claim.orderedAt = std::max(claim.orderedAt,
-                                       now - std::chrono::milliseconds(row.lastOrderAgeMs));
-    }
+    recordDuties(digest, now);
     for (const announced_version_row &row : digest.announcedVersions) {
         const auto model = std::find_if(
                 m_board.announcedVersions.begin(), m_board.announcedVersions.end(),
@@ -646,12 +637,6 @@
             m_board.recordAnnouncedVersion(model->first, row.version,
                                            std::chrono::milliseconds(row.ageMs), row.guessed);
     }
-    // A leaving VM has released its duties; the next holder does not have to wait until the VM is
-    // silent.
-    for (auto &[pool, claim] : m_board.peerDutyClaims) {
-        if (digest.leaving && claim.holder == digest.vm)
-            claim.heldAt = time_point();
-    }
     recordLoadTimes(digest);
     for (auto &[pool, rollout] : m_board.rollouts)
         m_board.metrics.count(router_counter::DigestRowsRejected,
@@ -665,6 +650,23 @@
         m_applied();
 }
 
+void digest_exchange::recordDuties(const vm_digest &digest, time_point now)
+{
+    const duty_process sender{ digest.vm, digest.incarnation };
+    const claim_time received{ now, bootTimeNow() };
+    for (const duty_row &row : digest.duties) {
+        duty_claim &claim = m_board.peerDutyClaims[row.pool];
+        if (row.holds && !digest.leaving)
+            claim.held(sender, received);
+        if (row.lastOrderAgeMs != duty_row::NoOrder)
+            claim.ordered(now - std::chrono::milliseconds(row.lastOrderAgeMs));
+    }
+    if (!digest.leaving)
+        return;
+    for (auto &[pool, claim] : m_board.peerDutyClaims)
+        claim.left(sender, received);
+}
+
 void digest_exchange::applyTotals(const vm_digest &digest, bool restarted, bool isLocalVm,
                                   time_point now)
 {
--- a/burdockhold/digest_exchange.h
+++ b/burdockhold/digest_exchange.h
@@ -149,6 +149,7 @@
     void addAnnouncedVersions(vm_digest &digest) const;
     void addLaneWork(vm_digest &digest, time_point now) const;
     void recordLaneWork(const vm_digest &digest, time_point now);
+    void recordDuties(const vm_digest &digest, time_point now);
     void applyTotals(const vm_digest &digest, bool restarted, bool isLocalVm, time_point now);
 
     boost::asio::ip::udp::socket m_socket;
--- a/burdockhold/duty_controller.cc
+++ b/burdockhold/duty_controller.cc
@@ -71,10 +71,8 @@
 
 void duty_controller::stepMembership(const std::string &pool, held_duty &duty, time_point now)
 {
-    const duty_claim &claim = m_board.peerDutyClaims[shortHash(pool)];
-    const bool hasClaim = !claim.holder.empty();
-    const time_point lastClaimAt = hasClaim ? claim.heldAt : duty.startedAt;
-    const std::size_t rank = dutyRank(pool, shortHash(m_board.settings.vmName), m_board.liveVms);
+    const duration silence = m_board.peerDutyClaims[shortHash(pool)].silence(
+            m_leaseOptions.claimDelay, duty.startedAt, now);
     endLeaseOfEarlierEra(duty);
     logHolderChange(pool, duty, now);
     if (isFenced(duty) && !duty.joining && now >= duty.nextJoinAt) {
@@ -84,13 +82,33 @@
     }
     // Orders are given by the holder itself, never relayed, so a VM without contact is no holder.
     const bool shouldJoin = !m_board.contact.isLost()
-                            && duty.lease.shouldJoin(bootTimeNow(), now - lastClaimAt, rank);
+                            && duty.lease.shouldJoin(bootTimeNow(), silence, rankOf(pool));
     if (shouldJoin && !duty.joining && now >= duty.nextJoinAt)
         join(pool, duty, now);
     if (!shouldJoin && duty.isMember && !duty.joining)
         leaveGroup(pool, duty);
 }
 
+/// Returns how many VMs try to take the duty over before this one. The former holder does not.
+std::size_t duty_controller::rankOf(const std::string &pool) const
+{
+    std::vector<std::uint32_t> others = m_board.liveVms;
+    const auto claim = m_board.peerDutyClaims.find(shortHash(pool));
+    if (claim != m_board.peerDutyClaims.end())
+        others.erase(std::remove(others.begin(), others.end(), shortHash(claim->second.holder())),
+                     others.end());
+    return dutyRank(pool, shortHash(m_board.settings.vmName), others);
+}
+
+/// Returns whether the former holder has handed the duty over to this VM: it is the first one to
+/// try.
+bool duty_controller::isHandedOver(const std::string &pool, const held_duty &duty) const
+{
+    const auto claim = m_board.peerDutyClaims.find(shortHash(pool));
+    return claim != m_board.peerDutyClaims.end() && rankOf(pool) == 0
+           && claim->second.isHandedOver(duty.lease.waitAfterTakeover(), bootTimeNow());
+}
+
 /// A lease of an earlier era proves nothing: the log may have given the duty to another VM since.
 void duty_controller::endLeaseOfEarlierEra(held_duty &duty)
 {
@@ -140,7 +158,8 @@
         return;
     const platform::group_membership &membership = valueOf(joined);
     logMembership(pool, duty, membership);
-    duty.lease.joined(membership.generation, membership.partitions, sentAt, bootTimeNow());
+    duty.lease.joined(membership.generation, membership.partitions, sentAt, bootTimeNow(),
+                      isHandedOver(pool, duty));
 }
 
 /// Logs the first answer to a join, and each one that differs from the one before.
@@ -186,6 +205,7 @@
     if (holds == duty.wasHeld)
         return;
     duty.wasHeld = holds;
+    m_board.digestRequested = true; // Other VMs that wait for a holder need not join.
     if (m_board.log.accepts(log_priority::StateChange, now))
         m_board.log.write(log_event::DutyChanged,
                           { { "pool", pool },
@@ -279,6 +299,8 @@
 
 void duty_controller::step(time_point now)
 {
+    if (m_leaving)
+        publishDuties(now); // Digests go on, and state the age of the last order.
     if (!m_board.deployment || m_leaving)
         return;
     for (const deployment_pool &pool : m_board.deployment->pools()) {
@@ -321,7 +343,7 @@
     if (known != m_board.peerLoadTimes.end())
         planner.loads().adopt(known->second);
     std::vector<rollout_engine> engines;
-    const duration othersOrderAge = now - m_board.peerDutyClaims[shortHash(pool.name)].orderedAt;
+    const duration othersOrderAge = now - m_board.peerDutyClaims[shortHash(pool.name)].orderedAt();
     const auto token = duty.lease.token(bootTimeNow(), othersOrderAge);
     // Only the holder lists the engines: for a large pool, doing so on every tick costs more than
     // everything else on a VM that does not hold the duty.
--- a/burdockhold/duty_controller.h
+++ b/burdockhold/duty_controller.h
@@ -63,6 +63,8 @@
     held_duty &dutyOf(const std::string &pool, time_point now);
     rollout_planner &plannerOf(held_duty &duty, const std::string &model);
     void stepMembership(const std::string &pool, held_duty &duty, time_point now);
+    std::size_t rankOf(const std::string &pool) const;
+    bool isHandedOver(const std::string &pool, const held_duty &duty) const;
     void endLeaseOfEarlierEra(held_duty &duty);
     static bool isFenced(const held_duty &duty);
     void join(const std::string &pool, held_duty &duty, time_point now);
--- a/burdockhold/duty_lease.cc
+++ b/burdockhold/duty_lease.cc
@@ -24,7 +24,7 @@
 }
 
 void duty_lease::joined(std::int64_t generation, const std::vector<int> &partitions,
-                        duration sentAt, duration now)
+                        duration sentAt, duration now, bool handedOver)
 {
     if (sentAt < m_joinSentAt)
         return;
@@ -36,10 +36,12 @@
     const bool mayHaveMoved = generation < m_generation || generation > m_generation + 1;
     m_generation = generation;
     m_validUntil = sentAt + m_options.ttl;
-    if (!isListed(partitions))
+    if (!isListed(partitions)) {
         m_heldSince.reset();
-    else if (!m_heldSince || mayHaveExpired || mayHaveMoved)
+    } else if (!m_heldSince || mayHaveExpired || mayHaveMoved) {
+        m_handedOver = handedOver && !m_heldSince;
         m_heldSince = now;
+    }
 }
 
 void duty_lease::setEra(std::int64_t era)
@@ -64,8 +66,8 @@
 
 std::optional<std::int64_t> duty_lease::token(duration now, duration othersOrderAge) const
 {
-    if (!holds(now) || now < *m_heldSince + waitAfterTakeover()
-        || othersOrderAge < m_options.orderSpacing)
+    const duration wait = m_handedOver ? m_options.takeoverWait : waitAfterTakeover();
+    if (!holds(now) || now < *m_heldSince + wait || othersOrderAge < m_options.orderSpacing)
         return std::nullopt;
     return heldToken(now);
 }
--- a/burdockhold/duty_lease.h
+++ b/burdockhold/duty_lease.h
@@ -14,7 +14,8 @@
 //   orders of the former holder that are still in flight. Where they do not, the new holder waits
 //   until any order that another VM can have sent is one lease old: the other VM's lease may run on
 //   for its whole ttl after the log has assigned the duty anew or has returned from a copy, and its
-//   orders are not known if it is cut off. An order that is known of counts as well.
+//   orders are not known if it is cut off. An order that is known of counts as well, and is all
+//   that counts if the former holder has handed the duty over (duty_claim.h).
 // - A lease counts as new unless the answers to its joins show that no other VM can have held the
 //   duty in between.
 // - A lease ends at once when a later era of the log is known.
@@ -54,9 +55,10 @@
 
     /// Handles the response, received now, to a join that was sent at sentAt. All times are of the
     /// clock that counts suspensions. A response to an earlier join than the last one changes
-    /// nothing.
+    /// nothing. If this begins a lease that the former holder has handed over to this VM, the wait
+    /// for orders that are not known of is left out.
     void joined(std::int64_t generation, const std::vector<int> &partitions, duration sentAt,
-                duration now);
+                duration now, bool handedOver = false);
 
     /// Handles the known era of the log, before the responses of that era. A later era than before
     /// ends the lease.
@@ -79,6 +81,9 @@
     /// True if the duty's partition is among these.
     bool isListed(const std::vector<int> &partitions) const;
 
+    /// Returns the least time from a takeover to the first order if the duty is not handed over.
+    duration waitAfterTakeover() const;
+
     /// Returns the last generation that the log has given out in this era, or 0.
     std::int64_t generation() const { return m_generation; }
 
@@ -93,11 +98,9 @@
     /// Returns the token's generation.
     std::int64_t term() const;
 
-    /// Returns the least time from a takeover to the first order.
-    duration waitAfterTakeover() const;
-
     duty_lease_options m_options;
     int m_partition;
+    bool m_handedOver = false;           // The present lease.
     std::optional<duration> m_heldSince; // When the response that began the lease was received.
     std::int64_t m_era = 0;
     std::int64_t m_generation = 0;
--- a/burdockhold/router_board.h
+++ b/burdockhold/router_board.h
@@ -14,6 +14,7 @@
 #include "burdockhold/decision_log.h"
 #include "burdockhold/decision_options.h"
 #include "burdockhold/deployment.h"
+#include "burdockhold/duty_claim.h"
 #include "burdockhold/endpoint_contact.h"
 #include "burdockhold/endpoint_table.h"
 #include "burdockhold/engine_lanes.h"
@@ -51,14 +52,6 @@
     bool guessed = false;
 };
 
-/// What other VMs have reported about a duty.
-struct duty_claim
-{
-    std::string holder;   ///< Name of that VM.
-    time_point heldAt;    ///< When another VM last reported that it holds the duty.
-    time_point orderedAt; ///< When another VM last gave an order for the duty.
-};
-
 /// Returns the time since the machine booted, suspensions included. Call it on the loop's thread
 /// only.
 duration bootTimeNow();
--- a/testing/duty_lease_test.cc
+++ b/testing/duty_lease_test.cc
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE duty_lease
+#include "burdockhold/duty_claim.h"
 #include "burdockhold/duty_lease.h"
 
 #include "burdockhold/fencing_token.h"
@@ -11,6 +12,7 @@
 #include <map>
 #include <random>
 #include <set>
+#include <string>
 
 using namespace burdockhold;
 using namespace burdockhold::testing;
@@ -46,7 +48,8 @@
     unsigned orderEvery = 1;       ///< Ticks from one order of a holder to its next, on average.
     duration maxDelay{ 0 };        ///< Of a join on its way to the log, and of its answer.
     bool reassigns = false;        ///< The log reassigns the duty at random.
-    unsigned calm = 1;             ///< By this factor, cuts, copies and returns are rarer.
+    std::size_t calm = 1;          ///< By this factor, cuts, copies and returns are rarer.
+    bool leaves = false;           ///< VMs stop and start again at random, and say so.
     std::size_t earlierBuilds = 0; ///< VMs that wait for no order that they have not heard of.
 };
 
@@ -70,7 +73,10 @@
         for (int tick = 0; tick < ticks; ++tick) {
             m_now = milliseconds(10 * tick);
             stepLog();
+            if (m_options.leaves && tick % 20 == 0)
+                exchangeDigests();
             for (std::size_t vm = 0; vm < Vms; ++vm) {
+                stepLeaving(vm);
                 stepVm(vm, tick);
                 act(vm);
             }
@@ -78,6 +84,7 @@
     }
 
     std::size_t orders = 0;
+    std::size_t handovers = 0; ///< Orders that come sooner than without a handover.
 
 private:
     static constexpr std::size_t Vms = 4;
@@ -114,10 +121,81 @@
         ++m_era;
     }
 
+    /// VMs that are cut off from none hear who holds the duty and who leaves.
+    void exchangeDigests()
+    {
+        for (std::size_t from = 0; from < Vms; ++from) {
+            for (std::size_t to = 0; to < Vms; ++to) {
+                if (from == to || m_now < m_cutUntil[from] || m_now < m_cutUntil[to])
+                    continue;
+                m_toldOrderAt[from] = m_orderedAt[from];
+                const duty_process sender{ "vm" + std::to_string(from), m_incarnations[from] };
+                if (m_now < m_leavingUntil[from])
+                    m_claims[to].left(sender, { time_point(m_now), m_now });
+                else if (m_leases[from].holds(m_now))
+                    m_claims[to].held(sender, { time_point(m_now), m_now });
+            }
+        }
+    }
+
+    void stepLeaving(std::size_t vm)
+    {
+        if (!m_options.leaves)
+            return;
+        const bool wasLeaving = m_leavingUntil[vm] > m_now - milliseconds(10);
+        if (wasLeaving && m_now >= m_leavingUntil[vm]) {
+            ++m_incarnations[vm];
+            m_leases[vm] = duty_lease(optionsOf(vm, m_options.orderSpacing), "pool", Partitions);
+            m_claims[vm] = duty_claim();
+        }
+        const unsigned leavesEvery = m_leases[vm].holds(m_now) ? 800 : 4000;
+        if (wasLeaving || m_now < m_cutUntil[vm] || m_random() % leavesEvery != 0)
+            return;
+        m_leavingUntil[vm] = m_now + milliseconds(100 + m_random() % 2000);
+        m_calls[vm].reset();
+        m_leases[vm].release();
+        m_group.leave("vm" + std::to_string(vm), m_now - m_timeLost);
+    }
+
+    /// Returns how many VMs, of those from which this one hears, try to take over before it.
+    std::size_t rankOf(std::size_t vm) const
+    {
+        std::vector<std::uint32_t> others;
+        for (std::size_t other = 0; other < Vms; ++other) {
+            if (other != vm && m_now >= m_cutUntil[other] && m_now >= m_leavingUntil[other]
+                && m_claims[vm].holder() != "vm" + std::to_string(other))
+                others.push_back(optionsOf(other).vm);
+        }
+        return dutyRank("pool", optionsOf(vm).vm, others);
+    }
+
+    bool isHandedOver(std::size_t vm) const
+    {
+        return m_options.leaves && rankOf(vm) == 0
+               && m_claims[vm].isHandedOver(m_leases[vm].waitAfterTakeover(), m_now);
+    }
+
+    /// Where VMs leave, only the holder and those that try to take the duty over are members.
+    bool shouldJoin(std::size_t vm) const
+    {
+        if (!m_options.leaves)
+            return true;
+        const duration silence = m_claims[vm].silence(duty_lease_options().claimDelay, {},
+                                                      time_point(m_now));
+        return m_leases[vm].shouldJoin(m_now, silence, rankOf(vm));
+    }
+
     void stepVm(std::size_t vm, int tick)
     {
+        if (m_now < m_leavingUntil[vm])
+            return;
         if (m_random() % (400 * m_options.calm) == 0)
             m_cutUntil[vm] = m_now + milliseconds(m_random() % 4000);
+        if (!shouldJoin(vm)) {
+            m_calls[vm].reset();
+            m_group.leave("vm" + std::to_string(vm), m_now - m_timeLost);
+            return;
+        }
         std::optional<join_call> &call = m_calls[vm];
         if (!call && m_now >= m_cutUntil[vm] && tick % 45 == static_cast<int>(vm)) {
             const duration executedAt = m_now + randomDelay();
@@ -136,10 +214,14 @@
 
     void answerReceived(std::size_t vm, const join_call &call)
     {
-        duty_lease &held = m_leases[vm];
+        duty_lease &own = m_leases[vm];
         if (m_options.statesEra)
-            held.setEra(call.era);
-        held.joined(call.answer->generation, call.answer->partitions, call.sentAt, m_now);
+            own.setEra(call.era);
+        const bool held = own.holds(m_now);
+        own.joined(call.answer->generation, call.answer->partitions, call.sentAt, m_now,
+                   isHandedOver(vm));
+        if (!held && own.holds(m_now))
+            m_heldFrom[vm] = m_now;
     }
 
     /// Returns the token with which the VM may order now.
@@ -159,6 +241,7 @@
         if (!token || m_random() % m_options.orderEvery != 0)
             return;
         ++orders;
+        handovers += m_now < m_heldFrom[vm] + m_leases[vm].waitAfterTakeover() ? 1 : 0;
         const auto owner = m_owners.emplace(*token, vm).first->second;
         BOOST_REQUIRE_MESSAGE(owner == vm, "token " << *token << " of two VMs");
         if (m_options.orderSpacing > duration::zero())
@@ -208,6 +291,10 @@
     std::map<std::int64_t, std::size_t> m_owners; // Of the tokens.
     std::int64_t m_highest = 0;
     std::array<std::optional<join_call>, Vms> m_calls;
+    std::array<duty_claim, Vms> m_claims; // As each VM has heard.
+    std::array<std::uint64_t, Vms> m_incarnations{};
+    std::array<duration, Vms> m_leavingUntil{};
+    std::array<duration, Vms> m_heldFrom{};
     std::array<duration, Vms> m_cutUntil{};
     std::array<duration, Vms> m_orderedAt{ -longAgo, -longAgo, -longAgo, -longAgo };
     std::array<duration, Vms> m_toldOrderAt = m_orderedAt;
@@ -377,6 +464,24 @@
     BOOST_TEST(orders > 1000U);
 }
 
+// The same where holders that leave hand the duty over: the next one acts sooner, and waits for the
+// orders that it has heard of.
+BOOST_AUTO_TEST_CASE(withoutFencingAHandoverKeepsOrdersALeaseApart)
+{
+    std::size_t handovers = 0;
+    for (unsigned seed = 1; seed <= 500; ++seed) {
+        history_options options = rareOrders();
+        options.leaves = true;
+        options.reassigns = false;
+        options.calm = 12;
+        options.orderEvery = 20;
+        restore_history history(seed, options);
+        history.run(6000);
+        handovers += history.handovers;
+    }
+    BOOST_TEST(handovers > 100U);
+}
+
 // The same beside VMs of an earlier build, which do not wait: turns with them need two VMs of
 // theirs.
 BOOST_AUTO_TEST_CASE(withoutFencingAHolderTakesNoTurnsWithVmsOfAnEarlierBuild)
@@ -384,6 +489,7 @@
     for (unsigned seed = 1; seed <= 500; ++seed) {
         history_options options = rareOrders();
         options.earlierBuilds = 2;
+        options.leaves = seed % 2 == 0;
         restore_history history(seed, options);
         history.run(6000);
     }
