--- a/burdockhold/topic_changelog.cc
+++ b/burdockhold/topic_changelog.cc
@@ -41,6 +41,11 @@
         remove(key);
 }
 
+void topic_changelog::requireSnapshots()
+{
+    m_prunedUpTo = ++m_sequenceNumber;
+}
+
 /// Discards the older half of the tombstones once there are more than m_maxTombstones.
 void topic_changelog::pruneTombstones()
 {
@@ -54,7 +59,7 @@
     const auto middle = sequenceNumbers.begin()
                         + static_cast<std::ptrdiff_t>(sequenceNumbers.size() / 2);
     std::nth_element(sequenceNumbers.begin(), middle, sequenceNumbers.end());
-    m_prunedUpTo = *middle;
+    m_prunedUpTo = std::max(m_prunedUpTo, *middle);
     for (auto row = m_values.begin(); row != m_values.end();) {
         const bool prune = row->second.removed && row->second.sequenceNumber <= m_prunedUpTo;
         m_tombstones -= prune ? 1 : 0;
--- a/burdockhold/topic_changelog.h
+++ b/burdockhold/topic_changelog.h
@@ -9,6 +9,7 @@
 //   changelog.
 // - Putting a record again with the same value is not a change, so heartbeats cost the other VMs
 //   nothing.
+// - After requireSnapshots(), changes since an earlier sequence number are a snapshot.
 // - Memory is linear in the number of keys and at most maxTombstones removed keys. A replica that
 //   requests the changes since a time before a discarded tombstone gets a snapshot.
 
@@ -51,6 +52,11 @@
     /// Removes all other keys. Called with the keys of a complete list of the topic.
     void keepOnly(const std::set<std::string> &keys);
 
+    /// Makes each replica get a snapshot next. Called when changes may have been missed: what is
+    /// put then differs from the end of the former state only, and a replica may have seen what
+    /// came in between from elsewhere.
+    void requireSnapshots();
+
     std::uint64_t sequenceNumber() const { return m_sequenceNumber; }
 
     /// Returns the changes after the sequence number. Returns a snapshot for 0, for a number that
@@ -69,7 +75,7 @@
 
     std::size_t m_maxTombstones;
     std::uint64_t m_sequenceNumber = 0;
-    std::uint64_t m_prunedUpTo = 0; // The newest discarded tombstone.
+    std::uint64_t m_prunedUpTo = 0; // Changes since an earlier number are not known.
     std::size_t m_tombstones = 0;
     std::map<std::string, sequenced_value> m_values;
 };
--- a/burdockhold/view_controller.cc
+++ b/burdockhold/view_controller.cc
@@ -391,7 +391,7 @@
     };
     handlers.repeated = [this] { m_log.readRepeated(platform::OperatorTopic); };
     handlers.loadEnded = [this](const topic_load &load) {
-        m_log.topicLoaded(platform::OperatorTopic, load);
+        loadEnded(m_operator, load, platform::OperatorTopic);
     };
     handlers.failed = [this](int status) {
         m_handlers.logCallCompleted(platform::OperatorTopic, status);
@@ -421,7 +421,7 @@
     };
     handlers.repeated = [this] { m_log.readRepeated(platform::EndpointTopic); };
     handlers.loadEnded = [this](const topic_load &load) {
-        m_log.topicLoaded(platform::EndpointTopic, load);
+        loadEnded(m_endpoints, load, platform::EndpointTopic);
     };
     handlers.failed = [this](int status) {
         m_handlers.logCallCompleted(platform::EndpointTopic, status);
@@ -487,6 +487,14 @@
     }
 }
 
+void view_controller::loadEnded(read_topic &topic, const topic_load &load, std::string_view name)
+{
+    if (load.cause == load_cause::RecordsDeleted || load.end.era != topic.loadedEra)
+        topic.changelog.requireSnapshots();
+    topic.loadedEra = load.end.era;
+    m_log.topicLoaded(name, load);
+}
+
 void view_controller::recordConfirmation(read_topic &topic, duration at, std::string_view name)
 {
     topic.confirmedAt = at;
--- a/burdockhold/view_controller.h
+++ b/burdockhold/view_controller.h
@@ -106,6 +106,7 @@
         std::shared_ptr<topic_follower> follower;
         topic_changelog changelog;
         bool loaded = false;
+        std::int64_t loadedEra = 0;              // Of the last load, which the changelog contains.
         duration confirmedAt = duration::zero(); // By bootTimeNow(), which includes suspend time.
         /// Place in the log's topic of the view that this VM uses, whoever has read it.
         topic_position used;
@@ -121,6 +122,7 @@
     void deploymentRead(std::string_view body);
     void endpointChanged(const platform::keyed_record &record);
     void markSilentEntries(duration at);
+    void loadEnded(read_topic &topic, const topic_load &load, std::string_view name);
     void recordConfirmation(read_topic &topic, duration at, std::string_view name);
     duration retryPause() const;
     std::size_t operatorResponseBytes() const;
--- a/testing/restored_views_looptest.cc
+++ b/testing/restored_views_looptest.cc
@@ -84,6 +84,26 @@
         log.setUnavailable(false);
     }
 
+    /// Sends a request to the first VM, which reads the log then, until its view is loaded.
+    view_response ask(const view_request &request)
+    {
+        const std::string address = "127.0.0.1:" + std::to_string(view_vm::FirstPort);
+        const time_point end = steadyNow() + Timeout;
+        while (steadyNow() < end) {
+            test_caller caller(address);
+            caller.send("GET " + encodeViewRequest(request) + " HTTP/1.1\r\n\r\n");
+            runVms(io, vms, std::chrono::milliseconds(200));
+            const std::string text = caller.readUntil("no such text", 100);
+            const auto response = decodeViewResponse(std::string_view(text).substr(
+                    std::min(text.find("\r\n\r\n") + 4, text.size())));
+            if (isOk(response) && valueOf(response).operatorTopic.loaded
+                && valueOf(response).endpointTopic.loaded)
+                return valueOf(response);
+        }
+        BOOST_FAIL("no loaded view");
+        return {};
+    }
+
     boost::asio::io_context io;
     std::atomic<int> loads{ 0 };
     fake_log_service log;
@@ -147,6 +167,28 @@
     BOOST_TEST(reaches([](const view_vm &vm) { return vm.hasVersion(6); }));
 }
 
+// Guards against a VM that keeps an entry of the copy, which it has read itself: another reader,
+// whose entry is the same before the return and after it was written again, sent no change of it.
+BOOST_FIXTURE_TEST_CASE(requestersGetASnapshotAfterAReturn, restored_group)
+{
+    const view_response first = ask({});
+    view_request next;
+    next.reader = first.reader;
+    next.operatorSequenceNumber = first.operatorTopic.sequenceNumber;
+    next.endpointSequenceNumber = first.endpointTopic.sequenceNumber;
+    const view_response unchanged = ask(next);
+    BOOST_TEST(!unchanged.operatorTopic.isSnapshot);
+    BOOST_TEST(!unchanged.endpointTopic.isSnapshot);
+    log.takeCopy();
+    returnFromCopy([this] { log.put("keyed.op", "config", configuration(2)); });
+    BOOST_REQUIRE(reaches([](const view_vm &vm) { return vm.hasVersion(2); }));
+    const view_response restored = ask(next);
+    BOOST_TEST(restored.operatorTopic.isSnapshot);
+    BOOST_TEST(restored.endpointTopic.isSnapshot);
+    BOOST_TEST(restored.endpointTopic.era == 2);
+    BOOST_TEST(restored.endpointTopic.records.size() == 1U);
+}
+
 // Guards against a reader that waits at an offset of the earlier era although other VMs have told
 // it of a later one, and against loading the topics more than once for one statement.
 BOOST_FIXTURE_TEST_CASE(eraStatedByAnotherVmMakesTheReaderLoadOnce, restored_group)
--- a/testing/topic_changelog_test.cc
+++ b/testing/topic_changelog_test.cc
@@ -100,3 +100,26 @@
     BOOST_TEST(changelog.since(7).isSnapshot);
     BOOST_TEST(changelog.since(7).records.size() == 1U);
 }
+
+// Guards against a replica that has read another value elsewhere and gets no change for a record
+// that the reader has missed and found as before.
+BOOST_AUTO_TEST_CASE(replicaThatHasSeenAnotherStateGetsASnapshot)
+{
+    topic_changelog changelog(1);
+    test_replica replica;
+    changelog.put("a", "draining");
+    changelog.put("b", "ready");
+    replica.apply(changelog.since(replica.sequenceNumber));
+    replica.records["a"] = "ready";
+    changelog.put("a", "draining");
+    changelog.requireSnapshots();
+    BOOST_TEST(changelog.since(replica.sequenceNumber).isSnapshot);
+    replica.apply(changelog.since(replica.sequenceNumber));
+    BOOST_TEST(replica.records["a"] == "draining");
+    BOOST_TEST(!changelog.since(replica.sequenceNumber).isSnapshot);
+    // Tombstones that are discarded later do not make older numbers valid again.
+    const std::uint64_t before = replica.sequenceNumber - 1;
+    changelog.remove("a");
+    changelog.remove("b");
+    BOOST_TEST(changelog.since(before).isSnapshot);
+}
