Take an era that was heard of first for no rise

A VM that hears of the log's era from another VM before the log's first answer to itself counted that answer as a rise, and would not have used views of earlier builds. viewWithoutAnEraIsOlderOnceTheLogHasReturnedFromACopy checks both orders.

--- a/burdockhold/store_era.h
+++ b/burdockhold/store_era.h
@@ -52,7 +52,7 @@
         m_unreadable += stated.unreadable ? 1 : 0;
         if (!stated.era || *stated.era <= m_current)
             return;
-        m_hasRisen = m_hasRisen || newestHeardOf() > 0;
+        noteRise(*stated.era);
         m_change = era_change{ m_change ? m_change->from : m_current, *stated.era };
         m_current = *stated.era;
     }
@@ -66,7 +66,7 @@
     /// Handles the era that another VM has stated.
     void heardOf(std::int64_t era)
     {
-        m_hasRisen = m_hasRisen || (newestHeardOf() > 0 && era > newestHeardOf());
+        noteRise(era);
         m_heardOf = std::max(m_heardOf, era);
     }
 
@@ -80,6 +80,11 @@
     std::uint64_t takeUnreadable() { return std::exchange(m_unreadable, 0); }
 
 private:
+    void noteRise(std::int64_t era)
+    {
+        m_hasRisen = m_hasRisen || (newestHeardOf() > 0 && era > newestHeardOf());
+    }
+
     std::int64_t m_current = 0;
     std::int64_t m_heardOf = 0;
     bool m_hasRisen = false;
--- a/testing/view_order_test.cc
+++ b/testing/view_order_test.cc
@@ -134,6 +134,13 @@
     known.observe({ 5, false });
     BOOST_TEST(isOlderView(placeAt(0, 90, 500), placeAt(4, 10, 400), known));
     BOOST_TEST(!isOlderView(placeAt(5, 1, 500), placeAt(4, 10, 400), known));
+
+    store_era told; // By another VM, before the log's own answer.
+    told.heardOf(4);
+    told.observe({ 4, false });
+    BOOST_TEST(!told.hasRisen());
+    told.heardOf(5);
+    BOOST_TEST(told.hasRisen());
 }
 
 // Guards against a VM that falls back to an earlier state of the log, whatever the order of reads,
