Keep a timer that is already due from starting a second load

A handler whose time has come runs even if the timer is cancelled before it does. A follower that loads again for a later era could have had two calls on one connection. Found by reading; not seen in a run.

--- a/burdockhold/duty_claim.h
+++ b/burdockhold/duty_claim.h
@@ -19,10 +19,10 @@
 #include "burdockhold/clock.h"
 
 #include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
-#include <string_view>
 
 namespace burdockhold {
 
--- a/burdockhold/topic_follower.cc
+++ b/burdockhold/topic_follower.cc
@@ -179,6 +179,7 @@
 
 void topic_follower::cancelCalls()
 {
+    ++m_timerUses;
     m_timer.cancel();
     m_repeatTimer.cancel();
     for (read_call *call : { &m_call, &m_repeat }) {
@@ -328,8 +329,8 @@
 void topic_follower::scheduleNext(duration pause)
 {
     m_timer.expires_after(pause);
-    m_timer.async_wait([self = shared_from_this()](error_code error) {
-        if (error || self->m_stopped)
+    m_timer.async_wait([self = shared_from_this(), use = ++m_timerUses](error_code error) {
+        if (error || self->m_stopped || use != self->m_timerUses)
             return;
         if (self->m_nextOffset)
             self->read();
--- a/burdockhold/topic_follower.h
+++ b/burdockhold/topic_follower.h
@@ -189,6 +189,8 @@
     read_call m_call; // Its connection serves loads as well.
     read_call m_repeat;
     boost::asio::steady_timer m_timer;
+    /// Counts what the timer was set and cancelled for: a handler that is already due still runs.
+    std::uint64_t m_timerUses = 0;
     boost::asio::steady_timer m_repeatTimer;
     bool m_stopped = false;
     std::vector<platform::keyed_record> m_loadedRecords;
