Wait for one's own last order rather than for any order of another VM

Cause: without fencing, a new lease waited for the ttl and one lease time, 4.9 s, so that any order of any other VM was old. The rule is about turns: two orders of one VM with another VM's in between.

Ruled out: generations as a proof that nobody held the duty in between (a group may count an expiry and a join as one change), and the handover alone (a killed VM says nothing).

Change: with a new lease a VM gives no order before its own last one is one lease time old, nor before the ttl has passed. A process counts its start as an order, since the one before it may have ordered until then. A handed-over duty needs no wait for the ttl.

--- a/burdockhold/duty_claim.h
+++ b/burdockhold/duty_claim.h
@@ -9,8 +9,8 @@
 //   other VMs still try to take the duty over one after the other.
 // - A duty counts as handed over only if the process that held it has said itself that it leaves,
 //   so that its last digest states all its orders, and if it, and those from which the duty was
-//   handed over to it, had held the duty for so long that any earlier order is old. A process that
-//   has restarted since says nothing of the orders before.
+//   handed over to it, had held the duty for so long that any lease before has ended. A process
+//   that has restarted since says nothing of the orders before.
 // - A handover is short-lived: soon after it, other VMs may have held the duty.
 //
 // Failure pattern: holders that are replaced one after the other while new weights are announced.
--- a/burdockhold/duty_controller.cc
+++ b/burdockhold/duty_controller.cc
@@ -39,8 +39,9 @@
 duty_controller::held_duty::held_duty(boost::asio::io_context &context,
                                       const boost::asio::ip::tcp::endpoint &logServer,
                                       store_era &era, const duty_lease_options &options,
-                                      const std::string &pool, int partitions)
-    : lease(options, pool, partitions)
+                                      const std::string &pool, int partitions,
+                                      duration processStartedAt)
+    : lease(options, pool, partitions, processStartedAt)
     , connection(std::make_shared<log_connection>(context, logServer, &era))
 {
 }
@@ -51,14 +52,15 @@
     , m_board(board)
     , m_logServer(std::move(logServer))
     , m_leaseOptions(leaseOptions(board.settings))
+    , m_processStartedAt(bootTimeNow())
 {
 }
 
 duty_controller::held_duty &duty_controller::dutyOf(const std::string &pool, time_point now)
 {
-    const auto [entry, isNew] = m_duties.try_emplace(pool, m_context, m_logServer, m_board.storeEra,
-                                                     m_leaseOptions, pool,
-                                                     m_board.settings.logPartitions);
+    const auto [entry, isNew] = m_duties.try_emplace(
+            pool, m_context, m_logServer, m_board.storeEra, m_leaseOptions, pool,
+            m_board.settings.logPartitions, m_processStartedAt);
     if (isNew)
         entry->second.startedAt = now;
     return entry->second;
@@ -386,6 +388,7 @@
         return;
     }
     dutyOf(pool, now).orderedAt = now;
+    dutyOf(pool, now).lease.ordered(bootTimeNow());
     m_board.metrics.count(router_counter::OrdersGiven);
     const rollout_planner &planner = plannerOf(dutyOf(pool, now), model);
     m_board.endpoints.setLoading(action.endpointId, planner.loadTimeLeft(action.endpointId, now),
--- a/burdockhold/duty_controller.h
+++ b/burdockhold/duty_controller.h
@@ -43,7 +43,7 @@
     {
         held_duty(boost::asio::io_context &context, const boost::asio::ip::tcp::endpoint &logServer,
                   store_era &era, const duty_lease_options &options, const std::string &pool,
-                  int partitions);
+                  int partitions, duration processStartedAt);
 
         duty_lease lease;
         std::shared_ptr<log_connection> connection;
@@ -98,6 +98,7 @@
     router_board &m_board;
     boost::asio::ip::tcp::endpoint m_logServer;
     duty_lease_options m_leaseOptions;
+    duration m_processStartedAt;               // Boot time.
     std::map<std::string, held_duty> m_duties; // By pool.
     bool m_leaving = false;
     time_point m_storesCheckedAt;
--- a/burdockhold/duty_lease.cc
+++ b/burdockhold/duty_lease.cc
@@ -17,9 +17,11 @@
 
 } // namespace
 
-duty_lease::duty_lease(duty_lease_options options, std::string_view duty, int partitionCount)
+duty_lease::duty_lease(duty_lease_options options, std::string_view duty, int partitionCount,
+                       duration startedAt)
     : m_options(options)
     , m_partition(dutyPartition(duty, partitionCount))
+    , m_orderedAt(startedAt)
 {
 }
 
@@ -39,8 +41,10 @@
     if (!isListed(partitions)) {
         m_heldSince.reset();
     } else if (!m_heldSince || mayHaveExpired || mayHaveMoved) {
-        m_handedOver = handedOver && !m_heldSince;
+        const bool follows = handedOver && !m_heldSince;
         m_heldSince = now;
+        m_actsFrom = std::max(now + (follows ? m_options.takeoverWait : waitAfterTakeover()),
+                              m_orderedAt + m_options.orderSpacing);
     }
 }
 
@@ -66,17 +70,14 @@
 
 std::optional<std::int64_t> duty_lease::token(duration now, duration othersOrderAge) const
 {
-    const duration wait = m_handedOver ? m_options.takeoverWait : waitAfterTakeover();
-    if (!holds(now) || now < *m_heldSince + wait || othersOrderAge < m_options.orderSpacing)
+    if (!holds(now) || now < m_actsFrom || othersOrderAge < m_options.orderSpacing)
         return std::nullopt;
     return heldToken(now);
 }
 
 duration duty_lease::waitAfterTakeover() const
 {
-    if (m_options.orderSpacing == duration::zero())
-        return m_options.takeoverWait;
-    return m_options.ttl + m_options.orderSpacing;
+    return m_options.orderSpacing == duration::zero() ? m_options.takeoverWait : m_options.ttl;
 }
 
 std::optional<std::int64_t> duty_lease::heldToken(duration now) const
--- a/burdockhold/duty_lease.h
+++ b/burdockhold/duty_lease.h
@@ -11,11 +11,13 @@
 // - The lease expires at the holder no later than at the log: it runs from before the join was
 //   sent, on a clock that counts the time of suspensions.
 // - Where engines check fencing tokens, a new holder acts after a short wait, and engines refuse
-//   orders of the former holder that are still in flight. Where they do not, the new holder waits
-//   until any order that another VM can have sent is one lease old: the other VM's lease may run on
-//   for its whole ttl after the log has assigned the duty anew or has returned from a copy, and its
-//   orders are not known if it is cut off. An order that is known of counts as well, and is all
-//   that counts if the former holder has handed the duty over (duty_claim.h).
+//   orders of the former holder that are still in flight.
+// - Where they do not, holders do not take turns within orderSpacing, whether or not they hear of
+//   each other: with a new lease, a VM gives no order before its own last one is that old; one of a
+//   process before on the same VM may have been given until this process started. Nor does it give
+//   one before the ttl has passed, as a former holder's lease may run on for so long after the log
+//   has assigned the duty anew or has returned from a copy, unless the duty was handed over
+//   (duty_claim.h). Orders of other VMs that are known of must be that old as well.
 // - A lease counts as new unless the answers to its joins show that no other VM can have held the
 //   duty in between.
 // - A lease ends at once when a later era of the log is known.
@@ -51,12 +53,14 @@
 class duty_lease
 {
 public:
-    duty_lease(duty_lease_options options, std::string_view duty, int partitionCount);
+    /// The process has started at startedAt, of the clock that counts suspensions.
+    duty_lease(duty_lease_options options, std::string_view duty, int partitionCount,
+               duration startedAt);
 
     /// Handles the response, received now, to a join that was sent at sentAt. All times are of the
     /// clock that counts suspensions. A response to an earlier join than the last one changes
     /// nothing. If this begins a lease that the former holder has handed over to this VM, the wait
-    /// for orders that are not known of is left out.
+    /// for a former holder's lease is left out.
     void joined(std::int64_t generation, const std::vector<int> &partitions, duration sentAt,
                 duration now, bool handedOver = false);
 
@@ -64,6 +68,9 @@
     /// ends the lease.
     void setEra(std::int64_t era);
 
+    /// Handles an order that this VM gives now.
+    void ordered(duration now) { m_orderedAt = now; }
+
     /// True while this VM is the holder, even if it may not act yet.
     bool holds(duration now) const;
 
@@ -100,8 +107,9 @@
 
     duty_lease_options m_options;
     int m_partition;
-    bool m_handedOver = false;           // The present lease.
-    std::optional<duration> m_heldSince; // When the response that began the lease was received.
+    duration m_orderedAt;                   // The last order that this VM may have given.
+    std::optional<duration> m_heldSince;    // When the response that began the lease was received.
+    duration m_actsFrom = duration::zero(); // In the present lease.
     std::int64_t m_era = 0;
     std::int64_t m_generation = 0;
     std::int64_t m_leastTerm = 0; // Above those of the tokens that engines have refused.
